--- /dev/null
+++ b/packages/core/include/mustardproxy/core/time.h
@@ -0,0 +1,27 @@
+#ifndef MUSTARDPROXY_CORE_TIME_H_
+#define MUSTARDPROXY_CORE_TIME_H_
+
+#include <chrono>
+
+namespace mustardproxy {
+
+/// Length of time. All of the core counts in microseconds.
+using Duration = std::chrono::microseconds;
+
+/// Clock of the core: monotonic, local to one process, advanced only by the
+/// caller. It names a time line; it has no `now()` on purpose, since the core
+/// takes the time as an argument.
+struct CoreClock {
+  using duration = Duration;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<CoreClock, duration>;
+  static constexpr bool is_steady = true;
+};
+
+/// A moment on the clock of one process. Never compared between processes.
+using Instant = CoreClock::time_point;
+
+}  // namespace mustardproxy
+
+#endif  // MUSTARDPROXY_CORE_TIME_H_
--- /dev/null
+++ b/packages/telemetry/include/mustardproxy/telemetry/clock.h
@@ -0,0 +1,42 @@
+#ifndef MUSTARDPROXY_TELEMETRY_CLOCK_H_
+#define MUSTARDPROXY_TELEMETRY_CLOCK_H_
+
+#include <compare>
+#include <cstdint>
+#include <mutex>
+
+#include "mustardproxy/core/time.h"
+
+namespace mustardproxy {
+
+/// @return the monotonic clock of this process as the core's clock
+[[nodiscard]] Instant SteadyNow();
+
+/// A reading of the hybrid logical clock (Kulkarni et al., 2014): wall time in
+/// microseconds, pushed ahead by messages from faster clocks, and a counter
+/// that orders events with the same wall time.
+struct HybridTime {
+  std::uint64_t wall_micros = 0;
+  std::uint32_t counter = 0;
+
+  friend auto operator<=>(const HybridTime&, const HybridTime&) = default;
+};
+
+/// Orders the events of all processes by cause: an event that could have caused
+/// another has the lower reading. Safe from any thread.
+class HybridClock {
+ public:
+  /// @return a reading for a local event or a message about to be sent
+  [[nodiscard]] HybridTime Now();
+  /// Takes in the reading that came with a message. A reading more than a
+  /// minute ahead of the local wall clock is not followed.
+  void Observe(const HybridTime& remote);
+
+ private:
+  std::mutex mutex;
+  HybridTime last;
+};
+
+}  // namespace mustardproxy
+
+#endif  // MUSTARDPROXY_TELEMETRY_CLOCK_H_
