--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -35,7 +35,8 @@
 # the sources defines BOOST_TEST_MODULE.
 function(mustardproxy_test name)
   add_executable(${name} ${ARGN})
-  target_compile_definitions(${name} PRIVATE BOOST_TEST_DYN_LINK)
+  target_compile_definitions(${name} PRIVATE BOOST_TEST_DYN_LINK
+                             MUSTARDPROXY_SOURCE_DIR="${PROJECT_SOURCE_DIR}")
   target_link_libraries(${name} PRIVATE Boost::unit_test_framework Threads::Threads)
   mustardproxy_warnings(${name})
   add_test(NAME ${name} COMMAND ${name})
