--- a/packages/core/include/mustardproxy/core/journal.h
+++ b/packages/core/include/mustardproxy/core/journal.h
@@ -40,11 +40,14 @@
   Journal(Journal&&) noexcept;
   Journal& operator=(Journal&&) noexcept;
 
-  /// Takes a record in.
+  /// Takes a record in. New work is refused at the bound on pending bytes,
+  /// records about work accepted before only at twice that bound.
   /// @return a ticket; the record is durable once `OnAppended` returns it, or
-  ///   0 if too much is pending (the record is dropped)
+  ///   0 if too much is pending, the journal is fenced, or the record alone is
+  ///   larger than a batch may be (the record is dropped)
   [[nodiscard]] std::uint64_t Append(JournalRecord record);
-  /// Sends the next batch if none is in flight and the rate allows it.
+  /// Sends the next batch if none is in flight and the rate allows it. A batch
+  /// whose append was uncertain is sent again unchanged.
   void Tick(Instant now, Actions* actions);
   /// @return tickets that are durable now
   [[nodiscard]] std::vector<std::uint64_t> OnAppended(Instant now,
--- /dev/null
+++ b/packages/core/src/journal_pacer.cc
@@ -0,0 +1,31 @@
+#include "journal_pacer.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace mustardproxy::detail {
+namespace {
+
+constexpr double kSlowestPerSecond = 0.001;
+
+Duration Seconds(double seconds) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(seconds));
+}
+
+}  // namespace
+
+JournalPacer::JournalPacer(double per_second, double burst)
+    : interval(Seconds(1.0 / std::max(per_second, kSlowestPerSecond))),
+      tolerance(Seconds((std::max(burst, 1.0) - 1.0) /
+                        std::max(per_second, kSlowestPerSecond))) {}
+
+Instant JournalPacer::ReadyAt() const {
+  return this->full_at - this->tolerance;
+}
+
+void JournalPacer::Take(Instant now) {
+  this->full_at = std::max(this->full_at, now) + this->interval;
+}
+
+}  // namespace mustardproxy::detail
--- /dev/null
+++ b/packages/core/src/journal_pacer.h
@@ -0,0 +1,30 @@
+#ifndef MUSTARDPROXY_CORE_SRC_JOURNAL_PACER_H_
+#define MUSTARDPROXY_CORE_SRC_JOURNAL_PACER_H_
+
+#include "mustardproxy/core/time.h"
+
+namespace mustardproxy::detail {
+
+/// Token bucket in the form of the generic cell rate algorithm: it keeps the
+/// moment at which the bucket is full again instead of a count, so that all of
+/// its arithmetic is exact.
+class JournalPacer {
+ public:
+  /// @param per_second tokens that come back each second
+  /// @param burst size of the bucket, at least 1
+  JournalPacer(double per_second, double burst);
+
+  /// @return the moment from which a token can be taken
+  [[nodiscard]] Instant ReadyAt() const;
+  /// Takes one token; to be called only when `now` has reached `ReadyAt()`.
+  void Take(Instant now);
+
+ private:
+  Duration interval;
+  Duration tolerance;
+  Instant full_at;
+};
+
+}  // namespace mustardproxy::detail
+
+#endif  // MUSTARDPROXY_CORE_SRC_JOURNAL_PACER_H_
