Ledger: index over free resources

A scan of all workers for each placement grows with the fleet. Workers now stand in two sorted block indexes (by order and by size), each block with the part-by-part maximum free in it, so that a search skips blocks and costs about the square root of the number of workers. Sums, largest and tracked room are kept by difference. Holds and plans for gangs are added for the scheduler.

--- a/packages/core/include/mustardproxy/core/ledger.h
+++ b/packages/core/include/mustardproxy/core/ledger.h
@@ -10,10 +10,28 @@
 #include "mustardproxy/core/configuration.h"
 #include "mustardproxy/core/ids.h"
 #include "mustardproxy/core/resources.h"
+#include "mustardproxy/core/time.h"
 #include "mustardproxy/core/worker.h"
 
 namespace mustardproxy {
 
+/// Whether room that is held back for a gang may be used.
+enum class Holds { kRespect, kIgnore };
+
+/// A task's resources that are expected to become free.
+struct ExpectedRelease {
+  Instant at;
+  WorkerId worker;
+  Resources resources;
+};
+
+/// Where a gang is expected to fit, and when.
+struct GangPlan {
+  Instant at;
+  /// One worker per task.
+  std::vector<WorkerId> workers;
+};
+
 /// What one process knows of the capacity of the workers it owns: the one place
 /// where capacity is counted, so that no worker is overcommitted. Rebuilt from
 /// the worker's own answer at each attach.
@@ -53,12 +71,38 @@
   /// @complexity far below linear in the number of workers
   [[nodiscard]] std::optional<WorkerId> Find(
       const Resources& resources, Packing packing,
-      std::span<const WorkerId> avoid) const;
+      std::span<const WorkerId> avoid, Holds holds = Holds::kRespect) const;
   /// Finds room for `tasks` like tasks at once, within one rack if possible.
   /// @return one worker per task (a worker may stand several times), or empty
   [[nodiscard]] std::vector<WorkerId> FindGang(
       const Resources& resources, std::int32_t tasks, Packing packing,
-      std::span<const WorkerId> avoid) const;
+      std::span<const WorkerId> avoid, Holds holds = Holds::kRespect) const;
+  /// Finds the earliest moment at which a gang fits if tasks end as expected.
+  /// Holds are left out of account.
+  /// @param releases in order of time
+  /// @return nothing if it does not fit even after all of them
+  [[nodiscard]] std::optional<GangPlan> PlanGang(
+      const Resources& resources, std::int32_t tasks, Packing packing,
+      std::span<const WorkerId> avoid, Instant now,
+      std::span<const ExpectedRelease> releases) const;
+
+  /// Keeps room on a worker back for a gang: searches that respect holds see
+  /// that much less free there. Replaces the hold there; unknown workers are
+  /// ignored.
+  void Hold(const WorkerId& worker, const Resources& resources);
+  void ClearHolds();
+  /// @return what is held back there
+  [[nodiscard]] Resources HeldOn(const WorkerId& worker) const;
+
+  /// Counts from now on how many tasks of this size fit, for `TrackedRoom`.
+  /// @complexity linear in the number of workers when the size changes
+  void TrackRoom(const Resources& task);
+  /// @return how many tasks of the tracked size fit now
+  /// @complexity constant
+  [[nodiscard]] std::int64_t TrackedRoom() const;
+  /// @return the same if `resources` were taken on `worker`
+  [[nodiscard]] std::int64_t TrackedRoomWithout(
+      const WorkerId& worker, const Resources& resources) const;
 
   /// @return true if an empty owned worker could hold it
   [[nodiscard]] bool CouldEverFit(const Resources& resources) const;
--- /dev/null
+++ b/packages/core/src/ledger/free_capacity_index.h
@@ -0,0 +1,94 @@
+#ifndef MUSTARDPROXY_CORE_SRC_LEDGER_FREE_CAPACITY_INDEX_H_
+#define MUSTARDPROXY_CORE_SRC_LEDGER_FREE_CAPACITY_INDEX_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+#include "ledger/worker_entry.h"
+#include "mustardproxy/core/resources.h"
+
+namespace mustardproxy::detail {
+
+/// A worker's place in the order of an index. Keys may repeat; the worker
+/// tells equal ones apart.
+struct IndexKey {
+  std::uint32_t key = 0;
+  WorkerIndex worker = 0;
+
+  friend auto operator<=>(const IndexKey&, const IndexKey&) = default;
+};
+
+/// Workers in the order of a key, searchable by free resources.
+///
+/// Sorted blocks of at most `kBlockSize` workers, each with the part-by-part
+/// maximum of what is free in it. A search skips every block whose maximum is
+/// too small, so it costs about the square root of the number of workers: a
+/// scan over blocks, then one within a block. Flat arrays beat a balanced tree
+/// at the sizes of a data centre.
+class FreeCapacityIndex {
+ public:
+  struct Item {
+    IndexKey key;
+    Resources room;
+  };
+
+  void Insert(const IndexKey& key, const Resources& room);
+  void Erase(const IndexKey& key);
+  void Clear();
+  /// @return part by part, the most that one worker has free
+  [[nodiscard]] Resources Largest() const;
+
+  /// Calls `visit(item)` in ascending order of keys for each worker with room
+  /// for `need`, from key `from` on, until it returns false.
+  template <typename Visitor>
+  void VisitAscending(const Resources& need, std::uint32_t from,
+                      Visitor visit) const;
+  /// The same from the highest key down.
+  template <typename Visitor>
+  void VisitDescending(const Resources& need, Visitor visit) const;
+
+ private:
+  struct Block {
+    std::vector<Item> items;
+    Resources largest;
+  };
+  static constexpr std::size_t kBlockSize = 32;
+
+  [[nodiscard]] std::size_t BlockOf(const IndexKey& key) const;
+  void Split(std::size_t position);
+  static void Measure(Block* block);
+
+  /// Never empty blocks; keys ascend within and across blocks.
+  std::vector<Block> blocks;
+};
+
+template <typename Visitor>
+void FreeCapacityIndex::VisitAscending(const Resources& need,
+                                       std::uint32_t from,
+                                       Visitor visit) const {
+  if (this->blocks.empty()) return;
+  for (std::size_t b = this->BlockOf({from, 0}); b < this->blocks.size(); ++b) {
+    if (!need.FitsIn(this->blocks[b].largest)) continue;
+    for (const Item& item : this->blocks[b].items) {
+      if (need.FitsIn(item.room) && !visit(item)) return;
+    }
+  }
+}
+
+template <typename Visitor>
+void FreeCapacityIndex::VisitDescending(const Resources& need,
+                                        Visitor visit) const {
+  for (auto block = this->blocks.rbegin(); block != this->blocks.rend();
+       ++block) {
+    if (!need.FitsIn(block->largest)) continue;
+    for (auto item = block->items.rbegin(); item != block->items.rend();
+         ++item) {
+      if (need.FitsIn(item->room) && !visit(*item)) return;
+    }
+  }
+}
+
+}  // namespace mustardproxy::detail
+
+#endif  // MUSTARDPROXY_CORE_SRC_LEDGER_FREE_CAPACITY_INDEX_H_
--- /dev/null
+++ b/packages/core/src/ledger/gang_plan.cc
@@ -0,0 +1,85 @@
+#include "ledger/gang_plan.h"
+
+#include <unordered_map>
+#include <vector>
+
+#include "ledger/gang_search.h"
+#include "ledger/packing_policy.h"
+#include "ledger/resource_math.h"
+
+namespace mustardproxy::detail {
+namespace {
+
+/// Free resources of the workers as they will be, release after release.
+class FutureRoom {
+ public:
+  FutureRoom(const WorkerTable& table, const GangNeed& need);
+
+  void Release(const ExpectedRelease& release);
+  [[nodiscard]] std::int64_t Total() const { return this->total; }
+  [[nodiscard]] std::span<const GangCandidate> Candidates() const;
+
+ private:
+  const WorkerTable& table;
+  const GangNeed& need;
+  std::vector<GangCandidate> candidates;
+  /// Free of the candidate at the same position.
+  std::vector<Resources> free;
+  std::unordered_map<WorkerIndex, std::size_t> positions;
+  std::int64_t total = 0;
+};
+
+FutureRoom::FutureRoom(const WorkerTable& table, const GangNeed& need)
+    : table(table), need(need) {
+  for (RackIndex rack = 0; rack < table.Racks().size(); ++rack) {
+    for (const WorkerIndex worker : table.Racks()[rack].workers) {
+      const WorkerEntry& entry = table.At(worker);
+      if (!entry.placeable || !Allowed(entry, need.avoid)) continue;
+      const std::int64_t room =
+          CountFitting(need.resources, table.Free(worker));
+      this->positions.emplace(worker, this->candidates.size());
+      this->candidates.push_back({worker, rack, room});
+      this->free.push_back(table.Free(worker));
+      this->total += room;
+    }
+  }
+}
+
+void FutureRoom::Release(const ExpectedRelease& release) {
+  const auto worker = this->table.Find(release.worker);
+  if (!worker) return;
+  const auto position = this->positions.find(*worker);
+  if (position == this->positions.end()) return;
+  GangCandidate& candidate = this->candidates[position->second];
+  Resources& room = this->free[position->second];
+  room = MinParts(room + release.resources, this->table.At(*worker).capacity);
+  this->total -= candidate.room;
+  candidate.room = CountFitting(this->need.resources, room);
+  this->total += candidate.room;
+}
+
+std::span<const GangCandidate> FutureRoom::Candidates() const {
+  return this->candidates;
+}
+
+}  // namespace
+
+std::optional<GangPlan> PlanGang(const WorkerTable& table, const GangNeed& need,
+                                 std::span<const ExpectedRelease> releases) {
+  FutureRoom room(table, need);
+  GangPlan plan;
+  plan.at = need.now;
+  for (const ExpectedRelease& release : releases) {
+    if (room.Total() >= need.tasks) break;
+    room.Release(release);
+    plan.at = std::max(plan.at, release.at);
+  }
+  if (room.Total() < need.tasks) return std::nullopt;
+  for (const WorkerIndex worker :
+       PlaceGang(room.Candidates(), need.tasks, need.packing)) {
+    plan.workers.push_back(table.At(worker).id);
+  }
+  return plan;
+}
+
+}  // namespace mustardproxy::detail
--- /dev/null
+++ b/packages/core/src/ledger/gang_search.cc
@@ -0,0 +1,107 @@
+#include "ledger/gang_search.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace mustardproxy::detail {
+namespace {
+
+/// Candidates of one rack.
+struct RackRoom {
+  std::span<const GangCandidate> candidates;
+  std::int64_t room = 0;
+};
+
+std::vector<RackRoom> GroupByRack(std::span<const GangCandidate> candidates) {
+  std::vector<RackRoom> racks;
+  std::size_t begin = 0;
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    if (i == begin) racks.push_back({});
+    racks.back().room += candidates[i].room;
+    const bool last = i + 1 == candidates.size() ||
+                      candidates[i + 1].rack != candidates[i].rack;
+    if (!last) continue;
+    racks.back().candidates = candidates.subspan(begin, i + 1 - begin);
+    begin = i + 1;
+  }
+  return racks;
+}
+
+/// @return the rack to use alone, or null if none can hold the whole gang
+const RackRoom* ChooseRack(std::span<const RackRoom> racks, std::int64_t tasks,
+                           Packing packing) {
+  const RackRoom* chosen = nullptr;
+  for (const RackRoom& rack : racks) {
+    if (rack.room < tasks) continue;
+    if (packing == Packing::kFirstFit) return &rack;
+    const bool better = chosen == nullptr || (packing == Packing::kSpread
+                                                  ? rack.room > chosen->room
+                                                  : rack.room < chosen->room);
+    if (better) chosen = &rack;
+  }
+  return chosen;
+}
+
+/// Fills one worker after the other, those with least room first unless the
+/// order is fixed; keeps large gaps whole.
+void FillTightly(std::vector<GangCandidate> candidates, std::int64_t tasks,
+                 Packing packing, std::vector<WorkerIndex>* gang) {
+  if (packing == Packing::kBestFit) {
+    std::ranges::stable_sort(candidates, {}, &GangCandidate::room);
+  }
+  for (const GangCandidate& candidate : candidates) {
+    const std::int64_t count =
+        std::min(candidate.room, tasks - std::ssize(*gang));
+    gang->insert(gang->end(), static_cast<std::size_t>(count),
+                 candidate.worker);
+  }
+}
+
+/// Gives each worker one task in turn, those with most room first.
+void FillEvenly(std::vector<GangCandidate> candidates, std::int64_t tasks,
+                std::vector<WorkerIndex>* gang) {
+  std::ranges::stable_sort(candidates, std::ranges::greater{},
+                           &GangCandidate::room);
+  bool progress = true;
+  while (progress && std::ssize(*gang) < tasks) {
+    progress = false;
+    for (GangCandidate& candidate : candidates) {
+      if (candidate.room == 0 || std::ssize(*gang) == tasks) continue;
+      gang->push_back(candidate.worker);
+      --candidate.room;
+      progress = true;
+    }
+  }
+}
+
+void Fill(const RackRoom& rack, std::int64_t tasks, Packing packing,
+          std::vector<WorkerIndex>* gang) {
+  const std::vector<GangCandidate> candidates(rack.candidates.begin(),
+                                              rack.candidates.end());
+  if (packing == Packing::kSpread) {
+    FillEvenly(candidates, tasks, gang);
+  } else {
+    FillTightly(candidates, tasks, packing, gang);
+  }
+}
+
+}  // namespace
+
+std::vector<WorkerIndex> PlaceGang(std::span<const GangCandidate> candidates,
+                                   std::int64_t tasks, Packing packing) {
+  std::vector<RackRoom> racks = GroupByRack(candidates);
+  std::vector<WorkerIndex> gang;
+  if (const RackRoom* rack = ChooseRack(racks, tasks, packing)) {
+    Fill(*rack, tasks, packing, &gang);
+    return gang;
+  }
+  const std::int64_t room = std::transform_reduce(
+      racks.begin(), racks.end(), std::int64_t{0}, std::plus<>(),
+      [](const RackRoom& rack) { return rack.room; });
+  if (room < tasks) return {};
+  std::ranges::stable_sort(racks, std::ranges::greater{}, &RackRoom::room);
+  for (const RackRoom& rack : racks) Fill(rack, tasks, packing, &gang);
+  return gang;
+}
+
+}  // namespace mustardproxy::detail
--- a/packages/core/src/ledger/ledger.cc
+++ b/packages/core/src/ledger/ledger.cc
@@ -1,56 +1,42 @@
 #include "mustardproxy/core/ledger.h"
 
 #include <algorithm>
-#include <deque>
-#include <string>
-#include <unordered_map>
 #include <utility>
 
+#include "ledger/gang_plan.h"
+#include "ledger/gang_search.h"
+#include "ledger/packing_policy.h"
 #include "ledger/resource_math.h"
-#include "ledger/worker_entry.h"
+#include "ledger/worker_table.h"
 
 namespace mustardproxy {
 
+using detail::GangCandidate;
 using detail::WorkerEntry;
 using detail::WorkerIndex;
 
 struct Ledger::State {
-  std::vector<WorkerEntry> workers;
-  std::unordered_map<WorkerId, WorkerIndex> by_id;
-  std::vector<WorkerIndex> unused;
-
-  WorkerEntry* Entry(const WorkerId& worker);
-  [[nodiscard]] const WorkerEntry* Entry(const WorkerId& worker) const;
-  WorkerEntry* Add(const WorkerId& worker);
-  static void Take(WorkerEntry* entry, const TaskId& task,
-                   const Resources& resources);
-};
+  detail::WorkerTable table;
 
-WorkerEntry* Ledger::State::Entry(const WorkerId& worker) {
-  const auto found = this->by_id.find(worker);
-  return found == this->by_id.end() ? nullptr : &this->workers[found->second];
-}
+  [[nodiscard]] Resources Room(WorkerIndex worker, Holds holds) const;
+  [[nodiscard]] std::vector<WorkerId> Names(
+      std::span<const WorkerIndex> workers) const;
+};
 
-const WorkerEntry* Ledger::State::Entry(const WorkerId& worker) const {
-  const auto found = this->by_id.find(worker);
-  return found == this->by_id.end() ? nullptr : &this->workers[found->second];
+Resources Ledger::State::Room(WorkerIndex worker, Holds holds) const {
+  const Resources& free = this->table.Free(worker);
+  if (holds == Holds::kIgnore) return free;
+  return detail::ClampToZero(free - this->table.At(worker).held);
 }
 
-WorkerEntry* Ledger::State::Add(const WorkerId& worker) {
-  if (this->unused.empty()) {
-    this->unused.push_back(static_cast<WorkerIndex>(this->workers.size()));
-    this->workers.emplace_back();
+std::vector<WorkerId> Ledger::State::Names(
+    std::span<const WorkerIndex> workers) const {
+  std::vector<WorkerId> names;
+  names.reserve(workers.size());
+  for (const WorkerIndex worker : workers) {
+    names.push_back(this->table.At(worker).id);
   }
-  const WorkerIndex index = this->unused.back();
-  this->unused.pop_back();
-  this->by_id.emplace(worker, index);
-  return &this->workers[index];
-}
-
-void Ledger::State::Take(WorkerEntry* entry, const TaskId& task,
-                         const Resources& resources) {
-  if (!entry->tasks.emplace(task, resources).second) return;
-  entry->used += resources;
+  return names;
 }
 
 Ledger::Ledger() : state(std::make_unique<State>()) {}
@@ -60,159 +46,177 @@
 
 void Ledger::Open(const WorkerDescription& worker, const WorkerReport& report) {
   this->Close(worker.id);
-  WorkerEntry* entry = this->state->Add(worker.id);
-  *entry = WorkerEntry{};
-  entry->id = worker.id;
-  entry->rack = worker.rack;
-  entry->capacity = report.capacity;
-  entry->open = true;
-  entry->placeable = !worker.leaving;
+  WorkerEntry entry;
+  entry.id = worker.id;
+  entry.rack = worker.rack;
+  entry.capacity = detail::ClampToZero(report.capacity);
+  entry.open = true;
+  entry.placeable = !worker.leaving;
   for (const RunningTask& task : report.running) {
-    State::Take(entry, task.task, task.resources);
+    entry.Take(task.task, task.resources);
   }
+  this->state->table.Add(std::move(entry));
 }
 
 void Ledger::Close(const WorkerId& worker) {
-  const auto found = this->state->by_id.find(worker);
-  if (found == this->state->by_id.end()) return;
-  this->state->workers[found->second] = WorkerEntry{};
-  this->state->unused.push_back(found->second);
-  this->state->by_id.erase(found);
+  const auto found = this->state->table.Find(worker);
+  if (found) this->state->table.Remove(*found);
 }
 
 void Ledger::SetPlaceable(const WorkerId& worker, bool placeable,
                           double share) {
-  WorkerEntry* entry = this->state->Entry(worker);
-  if (entry == nullptr) return;
-  entry->placeable = placeable;
-  entry->share = share;
+  const auto found = this->state->table.Find(worker);
+  if (!found) return;
+  WorkerEntry& entry = this->state->table.Edit(*found);
+  entry.placeable = placeable;
+  entry.share = share;
+  this->state->table.Refresh(*found);
 }
 
 bool Ledger::Reserve(const WorkerId& worker, const TaskId& task,
                      const Resources& resources) {
-  WorkerEntry* entry = this->state->Entry(worker);
-  if (entry == nullptr || entry->tasks.contains(task)) return false;
-  if (!entry->placeable || !resources.FitsIn(entry->Free())) return false;
-  State::Take(entry, task, resources);
+  const auto found = this->state->table.Find(worker);
+  if (!found) return false;
+  WorkerEntry& entry = this->state->table.Edit(*found);
+  if (!entry.placeable) return false;
+  if (!resources.FitsIn(this->state->table.Free(*found))) return false;
+  if (!entry.Take(task, resources)) return false;
+  this->state->table.Refresh(*found);
   return true;
 }
 
 void Ledger::Free(const WorkerId& worker, const TaskId& task) {
-  WorkerEntry* entry = this->state->Entry(worker);
-  if (entry == nullptr) return;
-  const auto found = entry->tasks.find(task);
-  if (found == entry->tasks.end()) return;
-  entry->used -= found->second;
-  entry->tasks.erase(found);
+  const auto found = this->state->table.Find(worker);
+  if (!found) return;
+  this->state->table.Edit(*found).GiveBack(task);
+  this->state->table.Refresh(*found);
 }
 
 void Ledger::Reconcile(const WorkerId& worker,
                        std::span<const RunningTask> running) {
-  WorkerEntry* entry = this->state->Entry(worker);
-  if (entry == nullptr) return;
-  for (const RunningTask& task : running) {
-    State::Take(entry, task.task, task.resources);
-  }
+  const auto found = this->state->table.Find(worker);
+  if (!found) return;
+  WorkerEntry& entry = this->state->table.Edit(*found);
+  for (const RunningTask& task : running) entry.Take(task.task, task.resources);
+  this->state->table.Refresh(*found);
 }
 
 std::optional<WorkerId> Ledger::Find(const Resources& resources,
                                      Packing packing,
-                                     std::span<const WorkerId> avoid) const {
-  const WorkerEntry* best = nullptr;
-  double best_left = 0;
-  for (const WorkerEntry& entry : this->state->workers) {
-    if (!entry.open || !entry.placeable) continue;
-    if (!resources.FitsIn(entry.Free())) continue;
-    if (std::ranges::find(avoid, entry.id) != avoid.end()) continue;
-    if (packing == Packing::kFirstFit) return entry.id;
-    double left =
-        detail::DominantShare(entry.Free() - resources, entry.capacity);
-    if (packing == Packing::kSpread) left = -left;
-    if (best != nullptr && left >= best_left) continue;
-    best = &entry;
-    best_left = left;
+                                     std::span<const WorkerId> avoid,
+                                     Holds holds) const {
+  const detail::WorkerTable& table = this->state->table;
+  const auto found =
+      detail::PolicyFor(packing).Choose(table, {resources, avoid});
+  if (found) return table.At(*found).id;
+  if (holds == Holds::kRespect) return std::nullopt;
+  for (const WorkerIndex worker : table.HeldWorkers()) {
+    const WorkerEntry& entry = table.At(worker);
+    if (!entry.placeable || !resources.FitsIn(table.Free(worker))) continue;
+    if (detail::Allowed(entry, avoid)) return entry.id;
   }
-  if (best == nullptr) return std::nullopt;
-  return best->id;
+  return std::nullopt;
 }
 
 std::vector<WorkerId> Ledger::FindGang(const Resources& resources,
-                                       std::int32_t tasks, Packing /*packing*/,
-                                       std::span<const WorkerId> avoid) const {
-  std::vector<const WorkerEntry*> order;
-  std::unordered_map<RackId, std::int64_t> room;
-  for (const WorkerEntry& entry : this->state->workers) {
-    if (!entry.open || !entry.placeable) continue;
-    if (std::ranges::find(avoid, entry.id) != avoid.end()) continue;
-    order.push_back(&entry);
-    room[entry.rack] += detail::CountFitting(resources, entry.Free());
-  }
-  std::ranges::stable_sort(order,
-                           [&room](const WorkerEntry* a, const WorkerEntry* b) {
-                             if (room[a->rack] != room[b->rack])
-                               return room[a->rack] > room[b->rack];
-                             return a->rack < b->rack;
-                           });
-  std::vector<WorkerId> gang;
-  for (const WorkerEntry* entry : order) {
-    std::int64_t count = detail::CountFitting(resources, entry->Free());
-    for (; count > 0 && std::ssize(gang) < tasks; --count) {
-      gang.push_back(entry->id);
+                                       std::int32_t tasks, Packing packing,
+                                       std::span<const WorkerId> avoid,
+                                       Holds holds) const {
+  const detail::WorkerTable& table = this->state->table;
+  if (detail::CountFitting(resources, table.TotalFree()) < tasks) return {};
+  std::vector<GangCandidate> candidates;
+  for (detail::RackIndex rack = 0; rack < table.Racks().size(); ++rack) {
+    for (const WorkerIndex worker : table.Racks()[rack].workers) {
+      const WorkerEntry& entry = table.At(worker);
+      if (!entry.placeable || !detail::Allowed(entry, avoid)) continue;
+      const std::int64_t room =
+          detail::CountFitting(resources, this->state->Room(worker, holds));
+      if (room > 0) candidates.push_back({worker, rack, room});
     }
   }
-  if (std::ssize(gang) < tasks) gang.clear();
-  return gang;
+  return this->state->Names(detail::PlaceGang(candidates, tasks, packing));
+}
+
+std::optional<GangPlan> Ledger::PlanGang(
+    const Resources& resources, std::int32_t tasks, Packing packing,
+    std::span<const WorkerId> avoid, Instant now,
+    std::span<const ExpectedRelease> releases) const {
+  return detail::PlanGang(this->state->table,
+                          {resources, tasks, packing, avoid, now}, releases);
+}
+
+void Ledger::Hold(const WorkerId& worker, const Resources& resources) {
+  const auto found = this->state->table.Find(worker);
+  if (found) this->state->table.Hold(*found, resources);
+}
+
+void Ledger::ClearHolds() { this->state->table.ClearHolds(); }
+
+Resources Ledger::HeldOn(const WorkerId& worker) const {
+  const auto found = this->state->table.Find(worker);
+  return found ? this->state->table.At(*found).held : Resources{};
+}
+
+void Ledger::TrackRoom(const Resources& task) {
+  this->state->table.TrackRoom(task);
+}
+
+std::int64_t Ledger::TrackedRoom() const {
+  return this->state->table.TrackedRoom();
+}
+
+std::int64_t Ledger::TrackedRoomWithout(const WorkerId& worker,
+                                        const Resources& resources) const {
+  const detail::WorkerTable& table = this->state->table;
+  const auto found = table.Find(worker);
+  if (!found) return table.TrackedRoom();
+  const Resources& free = table.Free(*found);
+  const Resources& task = table.TrackedTask();
+  const std::int64_t before = detail::CountFitting(task, free);
+  const std::int64_t after = detail::CountFitting(task, free - resources);
+  return table.TrackedRoom() - before + after;
 }
 
 bool Ledger::CouldEverFit(const Resources& resources) const {
-  return std::ranges::any_of(
-      this->state->workers, [&resources](const WorkerEntry& entry) {
-        return entry.open && resources.FitsIn(entry.capacity);
-      });
+  return std::ranges::any_of(this->state->table.Classes(),
+                             [&resources](const detail::CapacityClass& kind) {
+                               return resources.FitsIn(kind.capacity);
+                             });
 }
 
 std::int64_t Ledger::EmptyRoomFor(const Resources& resources) const {
   std::int64_t room = 0;
-  for (const WorkerEntry& entry : this->state->workers) {
-    if (entry.open) room += detail::CountFitting(resources, entry.capacity);
+  for (const detail::CapacityClass& kind : this->state->table.Classes()) {
+    room += kind.workers * detail::CountFitting(resources, kind.capacity);
   }
   return room;
 }
 
 Resources Ledger::LargestCapacity() const {
-  Resources largest;
-  for (const WorkerEntry& entry : this->state->workers) {
-    largest = detail::MaxParts(largest, entry.capacity);
-  }
-  return largest;
+  return this->state->table.LargestCapacity();
 }
 
 Resources Ledger::TotalCapacity() const {
-  Resources total;
-  for (const WorkerEntry& entry : this->state->workers) total += entry.capacity;
-  return total;
+  return this->state->table.TotalCapacity();
 }
 
-Resources Ledger::TotalFree() const {
-  Resources total;
-  for (const WorkerEntry& entry : this->state->workers) total += entry.Free();
-  return total;
-}
+Resources Ledger::TotalFree() const { return this->state->table.TotalFree(); }
 
 Resources Ledger::LargestFree() const {
-  Resources largest;
-  for (const WorkerEntry& entry : this->state->workers) {
-    largest = detail::MaxParts(largest, entry.Free());
+  const detail::WorkerTable& table = this->state->table;
+  Resources largest = table.BySize().Largest();
+  for (const WorkerIndex worker : table.HeldWorkers()) {
+    largest = detail::MaxParts(largest, table.Free(worker));
   }
   return largest;
 }
 
 std::optional<Resources> Ledger::FreeOn(const WorkerId& worker) const {
-  const WorkerEntry* entry = this->state->Entry(worker);
-  if (entry == nullptr) return std::nullopt;
-  return entry->Free();
+  const auto found = this->state->table.Find(worker);
+  if (!found) return std::nullopt;
+  return this->state->table.Free(*found);
 }
 
-std::size_t Ledger::WorkerCount() const { return this->state->by_id.size(); }
+std::size_t Ledger::WorkerCount() const { return this->state->table.Size(); }
 
 }  // namespace mustardproxy
--- a/packages/core/src/ledger/worker_entry.cc
+++ b/packages/core/src/ledger/worker_entry.cc
@@ -27,8 +27,17 @@
   return ClampToZero(free);
 }
 
-Resources WorkerEntry::Unheld() const {
-  return ClampToZero(this->Free() - this->held);
+bool WorkerEntry::Take(const TaskId& task, const Resources& resources) {
+  if (!this->tasks.emplace(task, resources).second) return false;
+  this->used += resources;
+  return true;
+}
+
+void WorkerEntry::GiveBack(const TaskId& task) {
+  const auto found = this->tasks.find(task);
+  if (found == this->tasks.end()) return;
+  this->used -= found->second;
+  this->tasks.erase(found);
 }
 
 }  // namespace mustardproxy::detail
--- a/packages/core/src/ledger/worker_entry.h
+++ b/packages/core/src/ledger/worker_entry.h
@@ -11,6 +11,8 @@
 
 /// Position of a worker in the ledger's table; reused after the worker closes.
 using WorkerIndex = std::uint32_t;
+/// Position of a rack in the ledger's table; never reused.
+using RackIndex = std::uint32_t;
 
 /// What the ledger knows of one open worker.
 struct WorkerEntry {
@@ -30,8 +32,11 @@
 
   /// @return what new tasks may take, holds left out of account
   [[nodiscard]] Resources Free() const;
-  /// @return what new tasks may take without touching what is held
-  [[nodiscard]] Resources Unheld() const;
+  /// Counts a task; one that is known already is not counted again.
+  /// @return false if it was known
+  bool Take(const TaskId& task, const Resources& resources);
+  /// Gives a task's resources back; an unknown one is ignored.
+  void GiveBack(const TaskId& task);
 };
 
 }  // namespace mustardproxy::detail
--- /dev/null
+++ b/packages/core/src/ledger/worker_table.h
@@ -0,0 +1,102 @@
+#ifndef MUSTARDPROXY_CORE_SRC_LEDGER_WORKER_TABLE_H_
+#define MUSTARDPROXY_CORE_SRC_LEDGER_WORKER_TABLE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+#include "ledger/free_capacity_index.h"
+#include "ledger/worker_entry.h"
+#include "mustardproxy/core/resources.h"
+
+namespace mustardproxy::detail {
+
+/// Workers of one rack.
+struct Rack {
+  RackId id;
+  std::vector<WorkerIndex> workers;
+  /// Free on those of them that take new work.
+  Resources free;
+};
+
+/// How many open workers have one capacity. A cell has few such kinds.
+struct CapacityClass {
+  Resources capacity;
+  std::int64_t workers = 0;
+};
+
+/// Open workers with everything derived from them: indexes over free
+/// resources, sums, racks. Derived values are brought up to date in one place,
+/// `Refresh`, by the difference to what was counted last.
+class WorkerTable {
+ public:
+  /// Adds an open worker, which must not be known yet.
+  void Add(WorkerEntry entry);
+  void Remove(WorkerIndex worker);
+  [[nodiscard]] std::optional<WorkerIndex> Find(const WorkerId& worker) const;
+  [[nodiscard]] const WorkerEntry& At(WorkerIndex worker) const;
+  /// Changes to the entry count once `Refresh` has been called for it.
+  [[nodiscard]] WorkerEntry& Edit(WorkerIndex worker);
+  void Refresh(WorkerIndex worker);
+  /// Sets what is held back there for a gang.
+  void Hold(WorkerIndex worker, const Resources& resources);
+  void ClearHolds();
+  /// Counts from now on how many tasks of this size fit.
+  void TrackRoom(const Resources& task);
+
+  [[nodiscard]] std::size_t Size() const { return this->by_id.size(); }
+  [[nodiscard]] std::span<const Rack> Racks() const { return this->racks; }
+  [[nodiscard]] std::span<const CapacityClass> Classes() const;
+  [[nodiscard]] std::span<const WorkerIndex> HeldWorkers() const;
+  /// Free without holds, in the fixed order of the table.
+  [[nodiscard]] const FreeCapacityIndex& ByOrder() const;
+  /// Free without holds, by `SizeKey`.
+  [[nodiscard]] const FreeCapacityIndex& BySize() const;
+  [[nodiscard]] const Resources& TotalCapacity() const;
+  [[nodiscard]] const Resources& LargestCapacity() const;
+  [[nodiscard]] const Resources& TotalFree() const;
+  [[nodiscard]] const Resources& Free(WorkerIndex worker) const;
+  [[nodiscard]] const Resources& TrackedTask() const { return this->tracked; }
+  [[nodiscard]] std::int64_t TrackedRoom() const { return this->tracked_room; }
+  /// @return one number for the size of an amount, relative to the largest
+  ///   capacity; no part can grow without it growing or staying
+  [[nodiscard]] std::uint32_t SizeKey(const Resources& resources) const;
+
+ private:
+  /// What was last counted of a worker.
+  struct Counted {
+    Resources free;
+    Resources unheld;
+    std::uint32_t size_key = 0;
+    std::int64_t tracked_room = 0;
+    RackIndex rack = 0;
+  };
+
+  [[nodiscard]] RackIndex RackOf(const RackId& rack);
+  void CountCapacity(const Resources& capacity, std::int64_t workers);
+  void Reindex(WorkerIndex worker, const Resources& unheld);
+  void RebuildSizeIndex();
+
+  std::vector<WorkerEntry> entries;
+  std::vector<Counted> counted;
+  std::vector<WorkerIndex> unused;
+  std::unordered_map<WorkerId, WorkerIndex> by_id;
+  std::vector<Rack> racks;
+  std::unordered_map<RackId, RackIndex> rack_by_id;
+  std::vector<CapacityClass> classes;
+  std::vector<WorkerIndex> held;
+  FreeCapacityIndex by_order;
+  FreeCapacityIndex by_size;
+  Resources total_capacity;
+  Resources largest_capacity;
+  Resources total_free;
+  Resources tracked;
+  std::int64_t tracked_room = 0;
+};
+
+}  // namespace mustardproxy::detail
+
+#endif  // MUSTARDPROXY_CORE_SRC_LEDGER_WORKER_TABLE_H_
