Scheduler: fair share, reservations, headroom and forecasts

Now each priority keeps teams in order of weighted dominant share and each team its lanes in deadline order; a service that fits nowhere is tried once per pass. Gangs and large tasks get a reservation with backfill by measured run times, urgent work a headroom that follows its arrivals, and callers are refused on arrival when the predicted wait is too long.

--- a/packages/core/src/ledger/free_capacity_index.cc
+++ b/packages/core/src/ledger/free_capacity_index.cc
@@ -16,12 +16,20 @@
          room.slots >= largest.slots;
 }
 
+/// @return the first item that does not come before `key`
+std::vector<FreeCapacityIndex::Item>::iterator PlaceOf(
+    const IndexKey& key, std::vector<FreeCapacityIndex::Item>* items) {
+  return std::ranges::lower_bound(
+      *items, key.Order(), {},
+      [](const FreeCapacityIndex::Item& item) { return item.key.Order(); });
+}
+
 }  // namespace
 
 std::size_t FreeCapacityIndex::BlockOf(const IndexKey& key) const {
   const auto after = std::ranges::upper_bound(
-      this->blocks, key, {},
-      [](const Block& block) { return block.items.front().key; });
+      this->blocks, key.Order(), {},
+      [](const Block& block) { return block.items.front().key.Order(); });
   if (after == this->blocks.begin()) return 0;
   return static_cast<std::size_t>(after - this->blocks.begin()) - 1;
 }
@@ -37,7 +45,7 @@
   const std::size_t position =
       this->blocks.front().items.empty() ? 0 : this->BlockOf(key);
   Block& block = this->blocks[position];
-  const auto place = std::ranges::lower_bound(block.items, key, {}, &Item::key);
+  const auto place = PlaceOf(key, &block.items);
   block.items.insert(place, {key, room});
   block.largest = MaxParts(block.largest, room);
   if (block.items.size() > kBlockSize) this->Split(position);
@@ -61,8 +69,8 @@
   if (this->blocks.empty()) return;
   const std::size_t position = this->BlockOf(key);
   Block& block = this->blocks[position];
-  const auto found = std::ranges::lower_bound(block.items, key, {}, &Item::key);
-  if (found == block.items.end() || found->key != key) return;
+  const auto found = PlaceOf(key, &block.items);
+  if (found == block.items.end() || found->key.Order() != key.Order()) return;
   const Resources room = found->room;
   block.items.erase(found);
   if (block.items.empty()) {
--- a/packages/core/src/ledger/free_capacity_index.h
+++ b/packages/core/src/ledger/free_capacity_index.h
@@ -16,7 +16,10 @@
   std::uint32_t key = 0;
   WorkerIndex worker = 0;
 
-  friend auto operator<=>(const IndexKey&, const IndexKey&) = default;
+  /// @return one number in the order of keys, then workers
+  [[nodiscard]] std::uint64_t Order() const {
+    return (std::uint64_t{this->key} << 32) | this->worker;
+  }
 };
 
 /// Workers in the order of a key, searchable by free resources.
--- /dev/null
+++ b/packages/core/src/scheduler/admission.cc
@@ -0,0 +1,158 @@
+#include "scheduler/admission.h"
+
+#include <algorithm>
+#include <sstream>
+#include <string>
+#include <string_view>
+
+#include "ledger/resource_math.h"
+#include "mustardproxy/core/error.h"
+#include "scheduler/wait_forecast.h"
+
+namespace mustardproxy::detail {
+namespace {
+
+/// Longest time after which callers are told to come back.
+constexpr Duration kMostRetryAfter = std::chrono::minutes(10);
+/// Tenth of a profile's queue that only teams below their share may fill.
+constexpr std::int64_t kKeptPartOfQueue = 10;
+
+struct NamedPart {
+  std::string_view name;
+  std::int64_t Resources::*part;
+};
+
+constexpr NamedPart kParts[] = {
+    {"cpu_milli", &Resources::cpu_milli},
+    {"memory_mb", &Resources::memory_mb},
+    {"accelerators", &Resources::accelerators},
+    {"slots", &Resources::slots},
+};
+
+Duration BoundRetryAfter(Duration wait) {
+  return std::clamp(wait, kLeastRetryAfter, kMostRetryAfter);
+}
+
+std::string DescribeAll(const Resources& resources) {
+  std::ostringstream text;
+  for (const NamedPart& part : kParts) {
+    if (&part != &kParts[0]) text << ", ";
+    text << resources.*part.part << ' ' << part.name;
+  }
+  return text.str();
+}
+
+std::string DescribeTooLarge(const Resources& task, const Resources& largest) {
+  std::ostringstream text;
+  for (const NamedPart& part : kParts) {
+    if (task.*part.part <= largest.*part.part) continue;
+    text << "a task needs " << task.*part.part << ' ' << part.name
+         << "; the largest worker has " << largest.*part.part;
+    return text.str();
+  }
+  text << "no worker has all of " << DescribeAll(task)
+       << " at once; the largest worker has " << DescribeAll(largest);
+  return text.str();
+}
+
+std::string DescribeQuota(const Resources& all, const TeamEntry& team) {
+  std::ostringstream text;
+  for (const NamedPart& part : kParts) {
+    const std::int64_t limit = team.quota.*part.part;
+    if (limit <= 0 || all.*part.part <= limit) continue;
+    text << "the request needs " << all.*part.part << ' ' << part.name
+         << "; the quota of team " << team.id << " is " << limit;
+    break;
+  }
+  return text.str();
+}
+
+Admission CheckFit(const Ledger& ledger, const ServiceEntry& service) {
+  if (ledger.WorkerCount() == 0) {
+    return {Error::kNoWorker, "this process owns no worker", kLeastRetryAfter};
+  }
+  if (!ledger.CouldEverFit(service.resources)) {
+    return {Error::kNeverFits,
+            DescribeTooLarge(service.resources, ledger.LargestCapacity()),
+            Duration(0)};
+  }
+  const std::int64_t room = ledger.EmptyRoomFor(service.resources);
+  if (room >= service.tasks) return {};
+  std::ostringstream text;
+  text << "the request has " << service.tasks << " tasks of "
+       << DescribeAll(service.resources) << "; all workers, emptied, hold "
+       << room << "; the largest worker has "
+       << DescribeAll(ledger.LargestCapacity());
+  return {Error::kGangImpossible, text.str(), Duration(0)};
+}
+
+/// A full queue must not mean that the team that fills it shuts the others
+/// out. So the last tenth of a profile's queue is kept for teams that hold less
+/// of the queue than their weight gives them.
+Admission CheckQueue(Instant now, const SchedulerState& state,
+                     const ServiceEntry& service, TeamIndex team) {
+  const auto found = state.queued_by_profile.find(service.profile.id);
+  if (found == state.queued_by_profile.end()) return {};
+  const ProfileCount& counts = found->second;
+  const std::int64_t limit = service.profile.queue_limit;
+  const double weight = state.catalog.TeamAt(team).weight;
+  const double fair = static_cast<double>(limit) * weight /
+                      std::max(state.catalog.TotalWeight(), weight);
+  const std::int64_t own =
+      team < counts.by_team.size() ? counts.by_team[team] : 0;
+  const bool below_share = static_cast<double>(own) < fair;
+  const std::int64_t kept = below_share ? 0 : limit / kKeptPartOfQueue;
+  if (counts.all < limit - kept) return {};
+  std::ostringstream text;
+  text << counts.all << " requests of profile " << service.profile.id
+       << " wait; its limit is " << limit;
+  if (kept > 0) text << ", a tenth of it kept for teams below their share";
+  return {Error::kQueueFull, text.str(),
+          BoundRetryAfter(ForecastDrain(now, state))};
+}
+
+Admission CheckQuota(const ServiceEntry& service, const TeamEntry& team) {
+  if (WithinQuota(service.all_tasks, team.quota)) return {};
+  return {Error::kQuotaExceeded, DescribeQuota(service.all_tasks, team),
+          Duration(0)};
+}
+
+Admission CheckWait(Instant now, const SchedulerState& state,
+                    const Ledger& ledger, const QueuedRequest& request,
+                    ServiceIndex service, TeamIndex team) {
+  const ServiceEntry& entry = state.catalog.ServiceAt(service);
+  const Duration allowed =
+      std::min(entry.profile.max_wait, request.place_by - now);
+  const Duration quota_wait = ForecastQuotaWait(state, service, team);
+  const Duration room_wait = ForecastWait(now, state, ledger, service, team);
+  const Duration wait = std::max(quota_wait, room_wait);
+  if (wait <= allowed) return {};
+  const auto milliseconds = [](Duration duration) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+        .count();
+  };
+  std::ostringstream text;
+  text << "the predicted wait is " << milliseconds(wait) << " ms";
+  if (quota_wait > room_wait) text << " for the quota of the team";
+  text << "; allowed are " << milliseconds(allowed) << " ms";
+  return {Error::kWaitTooLong, text.str(), BoundRetryAfter(wait - allowed)};
+}
+
+}  // namespace
+
+Admission CheckAdmission(Instant now, const SchedulerState& state,
+                         const Ledger& ledger, const QueuedRequest& request,
+                         ServiceIndex service, TeamIndex team) {
+  const ServiceEntry& entry = state.catalog.ServiceAt(service);
+  if (Admission fit = CheckFit(ledger, entry); fit.refusal) return fit;
+  if (Admission queue = CheckQueue(now, state, entry, team); queue.refusal) {
+    return queue;
+  }
+  if (Admission quota = CheckQuota(entry, state.catalog.TeamAt(team));
+      quota.refusal) {
+    return quota;
+  }
+  return CheckWait(now, state, ledger, request, service, team);
+}
+
+}  // namespace mustardproxy::detail
--- /dev/null
+++ b/packages/core/src/scheduler/admission.h
@@ -0,0 +1,22 @@
+#ifndef MUSTARDPROXY_CORE_SRC_SCHEDULER_ADMISSION_H_
+#define MUSTARDPROXY_CORE_SRC_SCHEDULER_ADMISSION_H_
+
+#include "mustardproxy/core/ledger.h"
+#include "mustardproxy/core/scheduler.h"
+#include "scheduler/scheduler_state.h"
+
+namespace mustardproxy::detail {
+
+/// Decides whether a request of a known service and team may be queued.
+/// @return an admission without refusal if it may
+[[nodiscard]] Admission CheckAdmission(Instant now, const SchedulerState& state,
+                                       const Ledger& ledger,
+                                       const QueuedRequest& request,
+                                       ServiceIndex service, TeamIndex team);
+
+/// Shortest time after which callers are told to come back.
+inline constexpr Duration kLeastRetryAfter = std::chrono::seconds(1);
+
+}  // namespace mustardproxy::detail
+
+#endif  // MUSTARDPROXY_CORE_SRC_SCHEDULER_ADMISSION_H_
--- /dev/null
+++ b/packages/core/src/scheduler/catalog.h
@@ -0,0 +1,89 @@
+#ifndef MUSTARDPROXY_CORE_SRC_SCHEDULER_CATALOG_H_
+#define MUSTARDPROXY_CORE_SRC_SCHEDULER_CATALOG_H_
+
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "mustardproxy/core/configuration.h"
+#include "scheduler/rates.h"
+#include "scheduler/run_times.h"
+
+namespace mustardproxy::detail {
+
+using ServiceIndex = std::uint32_t;
+using TeamIndex = std::uint32_t;
+
+/// A service with its profile and what was measured of it.
+struct ServiceEntry {
+  ServiceId id;
+  /// False once the configuration no longer names it; what is queued of it
+  /// goes on by its last definition.
+  bool known = false;
+  Resources resources;
+  std::int32_t tasks = 1;
+  /// Taken by all tasks of a request together.
+  Resources all_tasks;
+  Profile profile;
+  Duration declared_run{0};
+  RunTimes run_times;
+  /// Requests, whether accepted or not.
+  ArrivalRate arrivals;
+  std::int64_t running_tasks = 0;
+
+  /// The declared time is only used until there is a sample.
+  [[nodiscard]] Duration ExpectedRun() const;
+  [[nodiscard]] Duration LongRun() const;
+  [[nodiscard]] Duration MeanRun() const;
+  [[nodiscard]] Duration ExpectedRemaining(Duration elapsed) const;
+};
+
+/// A team with what its running tasks hold.
+struct TeamEntry {
+  TeamId id;
+  bool known = false;
+  double weight = 1.0;
+  Resources quota;
+  Resources used;
+
+  /// @return true if `more` fits beside what it holds
+  [[nodiscard]] bool HasQuotaFor(const Resources& more) const;
+};
+
+/// @return true if `amount` passes no part of `quota`; zero parts are no limit
+[[nodiscard]] bool WithinQuota(const Resources& amount, const Resources& quota);
+
+/// Services and teams under small numbers that stay valid over changes of the
+/// configuration.
+class Catalog {
+ public:
+  void Configure(const Configuration& configuration);
+  /// @return the number of a service, known or not, added if new
+  ServiceIndex ServiceNumber(const ServiceId& id);
+  TeamIndex TeamNumber(const TeamId& id);
+  [[nodiscard]] std::optional<ServiceIndex> FindService(
+      const ServiceId& id) const;
+  [[nodiscard]] std::optional<TeamIndex> FindTeam(const TeamId& id) const;
+  [[nodiscard]] ServiceEntry& ServiceAt(ServiceIndex service);
+  [[nodiscard]] const ServiceEntry& ServiceAt(ServiceIndex service) const;
+  [[nodiscard]] TeamEntry& TeamAt(TeamIndex team);
+  [[nodiscard]] const TeamEntry& TeamAt(TeamIndex team) const;
+  [[nodiscard]] std::size_t ServiceCount() const;
+  [[nodiscard]] std::size_t TeamCount() const;
+  /// Sum of the weights of all teams in the configuration.
+  [[nodiscard]] double TotalWeight() const { return this->total_weight; }
+
+ private:
+  void ConfigureService(const Service& service, const Profile& profile);
+
+  std::vector<ServiceEntry> services;
+  std::vector<TeamEntry> teams;
+  std::unordered_map<ServiceId, ServiceIndex> service_numbers;
+  std::unordered_map<TeamId, TeamIndex> team_numbers;
+  double total_weight = 0;
+};
+
+}  // namespace mustardproxy::detail
+
+#endif  // MUSTARDPROXY_CORE_SRC_SCHEDULER_CATALOG_H_
--- /dev/null
+++ b/packages/core/src/scheduler/gang_reservation.cc
@@ -0,0 +1,105 @@
+#include "scheduler/gang_reservation.h"
+
+#include <vector>
+
+#include "ledger/resource_math.h"
+
+namespace mustardproxy::detail {
+namespace {
+
+/// A plan costs a pass over all running tasks, so it is not made more often.
+constexpr Duration kPlanInterval = std::chrono::milliseconds(250);
+
+}  // namespace
+
+bool GangReservation::HeldBy(const RequestId& other) const {
+  return this->request == other;
+}
+
+const std::optional<RequestId>& GangReservation::Holder() const {
+  return this->request;
+}
+
+bool GangReservation::MayBeTaken(Instant now, std::int32_t by_priority) const {
+  if (this->Active()) return by_priority < this->priority;
+  return !this->next_plan || now >= *this->next_plan;
+}
+
+void GangReservation::Take(Instant now, const ReservationNeed& need,
+                           const RunningTasks& running, const Catalog& catalog,
+                           Ledger* ledger) {
+  const RequestId holder = need.request;
+  this->Drop(ledger);
+  this->next_plan = now + kPlanInterval;
+  const std::vector<ExpectedRelease> releases = running.Releases(now, catalog);
+  const ServiceEntry& service = *need.service;
+  const std::optional<GangPlan> plan =
+      ledger->PlanGang(service.resources, service.tasks,
+                       service.profile.packing, need.avoid, now, releases);
+  if (!plan) return;
+  this->request = holder;
+  this->priority = service.profile.priority;
+  this->task = service.resources;
+  this->start = plan->at;
+  this->HoldRoom(*plan, releases, ledger);
+}
+
+void GangReservation::HoldRoom(const GangPlan& plan,
+                               std::span<const ExpectedRelease> releases,
+                               Ledger* ledger) {
+  for (const WorkerId& worker : plan.workers) ++this->planned[worker];
+  std::unordered_map<WorkerId, Resources> freed;
+  for (const ExpectedRelease& release : releases) {
+    if (release.at > plan.at) break;
+    if (!this->planned.contains(release.worker)) continue;
+    freed[release.worker] += release.resources;
+  }
+  for (const auto& [worker, count] : this->planned) {
+    const Resources needed = Times(this->task, count);
+    ledger->Hold(worker, ClampToZero(needed - freed[worker]));
+  }
+}
+
+void GangReservation::Drop(Ledger* ledger) {
+  if (!this->Active()) return;
+  this->request.reset();
+  this->next_plan.reset();
+  this->planned.clear();
+  ledger->ClearHolds();
+}
+
+bool GangReservation::PlanIsOld(Instant now) const {
+  return this->Active() && now >= *this->next_plan;
+}
+
+void GangReservation::OnFreed(const WorkerId& worker,
+                              const Resources& resources,
+                              Ledger* ledger) const {
+  const auto found = this->planned.find(worker);
+  if (found == this->planned.end()) return;
+  const Resources needed = Times(this->task, found->second);
+  ledger->Hold(worker, MinParts(needed, ledger->HeldOn(worker) + resources));
+}
+
+Holds GangReservation::HoldsFor(Instant now,
+                                const ServiceEntry& service) const {
+  if (!this->Active()) return Holds::kRespect;
+  if (service.profile.priority < this->priority) return Holds::kIgnore;
+  const bool ends_before = now + service.LongRun() <= this->start;
+  return ends_before ? Holds::kIgnore : Holds::kRespect;
+}
+
+std::int64_t GangReservation::HeldRoomFor(const Resources& size,
+                                          const Ledger& ledger) const {
+  std::int64_t room = 0;
+  for (const auto& [worker, count] : this->planned) {
+    room += CountFitting(size, ledger.HeldOn(worker));
+  }
+  return room;
+}
+
+std::optional<Instant> GangReservation::NextPlan() const {
+  return this->Active() ? this->next_plan : std::nullopt;
+}
+
+}  // namespace mustardproxy::detail
--- /dev/null
+++ b/packages/core/src/scheduler/placement_pass.cc
@@ -0,0 +1,273 @@
+#include "scheduler/placement_pass.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "ledger/resource_math.h"
+#include "scheduler/task_ids.h"
+
+namespace mustardproxy::detail {
+namespace {
+
+/// Requests stepped over in a pass because of the workers they avoid.
+constexpr int kMostAvoided = 16;
+/// A single task this large, as a share of the largest worker, can starve
+/// behind small ones like a gang.
+constexpr double kLargeTask = 0.25;
+/// Part of the time to its `place_by` after which such a task gets a
+/// reservation.
+constexpr std::int64_t kPatience = 4;
+
+}  // namespace
+
+PlacementPass::PlacementPass(Instant now, SchedulerState* state, Ledger* ledger,
+                             std::size_t limit)
+    : now(now), state(state), ledger(ledger), limit(limit) {}
+
+std::vector<Placement> PlacementPass::Run() {
+  this->state->FollowCapacity(*this->ledger);
+  this->state->headroom.Update(this->now, this->state->catalog, this->ledger);
+  this->state->waits_for_headroom = false;
+  this->DropStaleReservation();
+  for (auto& [priority, band] : this->state->bands) {
+    if (this->Full()) break;
+    if (!band.Empty()) this->RunBand(priority, &band);
+  }
+  for (const RequestSlot slot : this->set_aside) {
+    this->state->queue.PutBack(slot);
+  }
+  this->state->stopped_at_limit.reset();
+  if (this->Full()) this->state->stopped_at_limit = this->now;
+  this->ObserveDrain();
+  return std::move(this->placements);
+}
+
+bool PlacementPass::Full() const {
+  return this->placements.size() >= this->limit;
+}
+
+void PlacementPass::RunBand(std::int32_t priority, PriorityBand* band) {
+  this->blocked_services.clear();
+  this->TryHolder(priority);
+  while (!this->Full() &&
+         this->blocked_services.size() < band->WaitingServices()) {
+    const std::optional<TeamIndex> team = band->NextTeam();
+    if (!team) break;
+    if (!this->PlaceNextOf(*band, *team)) band->Park(*team);
+  }
+  band->UnparkAll();
+}
+
+void PlacementPass::DropStaleReservation() {
+  GangReservation& reservation = this->state->reservation;
+  if (!reservation.Active()) return;
+  const auto slot = this->state->queue.SlotOf(*reservation.Holder());
+  if (slot) {
+    const LaneIndex lane = this->state->queue.At(*slot).lane;
+    const ServiceIndex service = this->state->queue.LaneAt(lane).service;
+    const Profile& profile = this->state->catalog.ServiceAt(service).profile;
+    if (profile.priority == reservation.Priority()) return;
+  }
+  // Cancelled, expired, or of another priority since a change of the
+  // configuration.
+  reservation.Drop(this->ledger);
+}
+
+void PlacementPass::TryHolder(std::int32_t priority) {
+  GangReservation& reservation = this->state->reservation;
+  if (!reservation.Active() || reservation.Priority() != priority) return;
+  const auto slot = this->state->queue.SlotOf(*reservation.Holder());
+  if (!slot) return;
+  if (this->TryPlace(*slot) == Attempt::kPlaced) return;
+  if (!reservation.PlanIsOld(this->now)) return;
+  const QueueEntry& entry = this->state->queue.At(*slot);
+  const ServiceIndex service = this->state->queue.LaneAt(entry.lane).service;
+  reservation.Take(
+      this->now,
+      {entry.request.request, &this->state->catalog.ServiceAt(service),
+       entry.request.avoid},
+      this->state->running, this->state->catalog, this->ledger);
+}
+
+bool PlacementPass::PlaceNextOf(const PriorityBand& band, TeamIndex team) {
+  while (const auto lane = this->FirstLane(band, team)) {
+    const RequestSlot slot = *this->state->queue.Head(*lane);
+    switch (this->TryPlace(slot)) {
+      case Attempt::kPlaced:
+        return true;
+      case Attempt::kServiceBlocked:
+        this->BlockService(this->state->queue.LaneAt(*lane).service);
+        break;
+      case Attempt::kLaneBlocked:
+        this->blocked_lanes.insert(*lane);
+        break;
+      case Attempt::kRequestBlocked:
+        this->state->queue.SetAside(*lane);
+        this->set_aside.push_back(slot);
+        break;
+    }
+  }
+  return false;
+}
+
+void PlacementPass::BlockService(ServiceIndex service) {
+  this->blocked_services.insert(service);
+}
+
+std::optional<LaneIndex> PlacementPass::FirstLane(const PriorityBand& band,
+                                                  TeamIndex team) {
+  std::optional<LaneIndex> first;
+  Instant earliest = Instant::max();
+  for (const LaneIndex lane : band.LanesOf(team)) {
+    const RequestQueue::Lane& known = this->state->queue.LaneAt(lane);
+    if (known.live == 0 || this->blocked_lanes.contains(lane)) continue;
+    if (this->blocked_services.contains(known.service)) continue;
+    const auto head = this->state->queue.Head(lane);
+    if (!head) continue;
+    const Instant place_by = this->state->queue.At(*head).request.place_by;
+    if (first && place_by >= earliest) continue;
+    first = lane;
+    earliest = place_by;
+  }
+  return first;
+}
+
+PlacementPass::Attempt PlacementPass::TryPlace(RequestSlot slot) {
+  const QueueEntry& entry = this->state->queue.At(slot);
+  if (entry.request.place_by <= this->now) return Attempt::kRequestBlocked;
+  const RequestQueue::Lane& lane = this->state->queue.LaneAt(entry.lane);
+  const ServiceEntry& service = this->state->catalog.ServiceAt(lane.service);
+  const TeamEntry& team = this->state->catalog.TeamAt(lane.team);
+  if (!team.HasQuotaFor(service.all_tasks)) return Attempt::kLaneBlocked;
+  const bool holder = this->state->reservation.HeldBy(entry.request.request);
+  const Holds holds =
+      holder ? Holds::kIgnore
+             : this->state->reservation.HoldsFor(this->now, service);
+  const std::vector<WorkerId> workers = this->FindRoom(entry, service, holds);
+  if (workers.empty()) {
+    this->ConsiderReservation(entry, service);
+    if (entry.request.avoid.empty()) return Attempt::kServiceBlocked;
+    return ++this->avoided <= kMostAvoided ? Attempt::kRequestBlocked
+                                           : Attempt::kLaneBlocked;
+  }
+  if (!this->LeavesHeadroom(service, workers, holder)) {
+    this->state->waits_for_headroom = true;
+    return Attempt::kServiceBlocked;
+  }
+  return this->Commit(entry, workers) ? Attempt::kPlaced
+                                      : Attempt::kRequestBlocked;
+}
+
+std::vector<WorkerId> PlacementPass::FindRoom(const QueueEntry& entry,
+                                              const ServiceEntry& service,
+                                              Holds holds) const {
+  const std::vector<WorkerId>& avoid = entry.request.avoid;
+  const Packing packing = service.profile.packing;
+  if (service.tasks > 1) {
+    return this->ledger->FindGang(service.resources, service.tasks, packing,
+                                  avoid, holds);
+  }
+  auto worker = this->ledger->Find(service.resources, packing, avoid, holds);
+  if (!worker) return {};
+  return {std::move(*worker)};
+}
+
+bool PlacementPass::LeavesHeadroom(const ServiceEntry& service,
+                                   const std::vector<WorkerId>& workers,
+                                   bool holds_reservation) const {
+  // Small tasks use up all that is free beside a reservation and the headroom,
+  // so a gang that had to leave the headroom too would never start.
+  if (service.profile.priority == 0 || holds_reservation) return true;
+  const Headroom& headroom = this->state->headroom;
+  if (headroom.Wanted() == 0) return true;
+  std::int64_t beside =
+      this->state->reservation.HeldRoomFor(headroom.Task(), *this->ledger);
+  for (std::size_t i = 0; i < workers.size();) {
+    const auto end = std::find_if(
+        workers.begin() + static_cast<std::ptrdiff_t>(i), workers.end(),
+        [&](const WorkerId& other) { return other != workers[i]; });
+    const auto next = static_cast<std::size_t>(end - workers.begin());
+    const Resources taken =
+        Times(service.resources, static_cast<std::int64_t>(next - i));
+    if (!headroom.Allows(*this->ledger, workers[i], taken, beside)) {
+      return false;
+    }
+    beside += this->ledger->TrackedRoom() -
+              this->ledger->TrackedRoomWithout(workers[i], taken);
+    i = next;
+  }
+  return true;
+}
+
+void PlacementPass::ConsiderReservation(const QueueEntry& entry,
+                                        const ServiceEntry& service) {
+  GangReservation& reservation = this->state->reservation;
+  if (!reservation.MayBeTaken(this->now, service.profile.priority)) return;
+  if (service.tasks == 1) {
+    const double size =
+        DominantShare(service.resources, this->ledger->LargestCapacity());
+    if (size < kLargeTask) return;
+    const QueuedRequest& request = entry.request;
+    const Duration patience = (request.place_by - request.arrived) / kPatience;
+    if (this->now - request.arrived < patience) return;
+  }
+  reservation.Take(this->now,
+                   {entry.request.request, &service, entry.request.avoid},
+                   this->state->running, this->state->catalog, this->ledger);
+}
+
+bool PlacementPass::Commit(const QueueEntry& entry,
+                           const std::vector<WorkerId>& workers) {
+  const RequestQueue::Lane& lane = this->state->queue.LaneAt(entry.lane);
+  const ServiceEntry& service = this->state->catalog.ServiceAt(lane.service);
+  const QueuedRequest& request = entry.request;
+  const std::size_t before = this->placements.size();
+  for (std::size_t i = 0; i < workers.size(); ++i) {
+    TaskId task = MakeTaskId(request.request, static_cast<std::int32_t>(i),
+                             request.attempt);
+    if (!this->ledger->Reserve(workers[i], task, service.resources)) {
+      // The id is in use already: this attempt runs, found at a takeover. All
+      // or nothing, so the rest is given back.
+      for (std::size_t j = before; j < this->placements.size(); ++j) {
+        this->ledger->Free(this->placements[j].worker,
+                           this->placements[j].task);
+      }
+      this->placements.resize(before);
+      return false;
+    }
+    this->placements.push_back(
+        {request.request, std::move(task), workers[i], service.resources});
+  }
+  if (this->state->reservation.HeldBy(request.request)) {
+    this->state->reservation.Drop(this->ledger);
+  }
+  this->placed[service.profile.priority] += entry.size;
+  const ServiceIndex service_number = lane.service;
+  const TeamIndex team = lane.team;
+  this->state->Leave(RequestId(request.request));
+  for (std::size_t i = before; i < this->placements.size(); ++i) {
+    const Placement& placement = this->placements[i];
+    RunningEntry started;
+    started.task = placement.task;
+    started.request = placement.request;
+    started.service = service_number;
+    started.team = team;
+    started.worker = placement.worker;
+    started.resources = placement.resources;
+    started.started = this->now;
+    this->state->Start(std::move(started));
+  }
+  return true;
+}
+
+void PlacementPass::ObserveDrain() {
+  double amount = 0;
+  bool backlogged = false;
+  for (auto& [priority, band] : this->state->bands) {
+    amount += this->placed[priority];
+    backlogged = backlogged || !band.Empty();
+    band.drain.Observe(this->now, amount, backlogged);
+  }
+}
+
+}  // namespace mustardproxy::detail
--- /dev/null
+++ b/packages/core/src/scheduler/request_queue.h
@@ -0,0 +1,120 @@
+#ifndef MUSTARDPROXY_CORE_SRC_SCHEDULER_REQUEST_QUEUE_H_
+#define MUSTARDPROXY_CORE_SRC_SCHEDULER_REQUEST_QUEUE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "mustardproxy/core/scheduler.h"
+#include "scheduler/catalog.h"
+
+namespace mustardproxy::detail {
+
+/// Position of a request in the queue's table; reused once it has left.
+using RequestSlot = std::uint32_t;
+/// Requests of one team for one service.
+using LaneIndex = std::uint32_t;
+
+/// A request that waits.
+struct QueueEntry {
+  QueuedRequest request;
+  LaneIndex lane = 0;
+  /// Its tasks' dominant share of the cell at arrival.
+  double size = 0;
+  /// Differs for every request that ever waited; zero once it has left.
+  std::uint64_t sequence = 0;
+};
+
+/// A place in a heap. Stale once the slot holds another sequence.
+struct QueueNode {
+  Instant place_by;
+  std::uint64_t sequence = 0;
+  RequestSlot slot = 0;
+};
+
+/// Heap of waiting requests, the earliest `place_by` first, arrival breaking
+/// ties. Requests that have left stay as stale nodes until they come up, or
+/// until they outnumber the others and are swept out together.
+class DeadlineHeap {
+ public:
+  void Push(const QueueNode& node);
+  void Pop();
+  [[nodiscard]] const QueueNode* Top() const;
+  [[nodiscard]] std::size_t Size() const { return this->nodes.size(); }
+  /// Sweeps stale nodes out if they outnumber `live`.
+  template <typename IsLive>
+  void SweepIfMostlyStale(std::size_t live, IsLive is_live);
+
+ private:
+  void Rebuild();
+
+  std::vector<QueueNode> nodes;
+};
+
+/// Waiting requests: by request id, by lane in deadline order, and by
+/// deadline over all lanes. Knows nothing of priorities and shares.
+class RequestQueue {
+ public:
+  struct Lane {
+    ServiceIndex service = 0;
+    TeamIndex team = 0;
+    std::size_t live = 0;
+    DeadlineHeap heap;
+  };
+
+  [[nodiscard]] bool Contains(const RequestId& request) const;
+  [[nodiscard]] std::optional<RequestSlot> SlotOf(
+      const RequestId& request) const;
+  [[nodiscard]] LaneIndex LaneFor(ServiceIndex service, TeamIndex team);
+  /// The request must not be queued already.
+  RequestSlot Add(QueuedRequest request, LaneIndex lane, double size);
+  /// @return the entry taken out, if the request was queued
+  /// @complexity constant; heap nodes go stale
+  std::optional<QueueEntry> Remove(const RequestId& request);
+  /// @return earliest `place_by` of a lane
+  [[nodiscard]] std::optional<RequestSlot> Head(LaneIndex lane);
+  /// Takes the head's node off the lane's heap for a while; `PutBack` returns
+  /// it. The request stays queued.
+  void SetAside(LaneIndex lane);
+  void PutBack(RequestSlot slot);
+  /// @return a request whose `place_by` has passed; it stays queued
+  [[nodiscard]] std::optional<RequestSlot> Expired(Instant now);
+  /// Earliest `place_by` of all; may name a request that has left since.
+  [[nodiscard]] std::optional<Instant> NextDeadline() const;
+  [[nodiscard]] const QueueEntry& At(RequestSlot slot) const;
+  /// @return requests of a team for a service that wait
+  [[nodiscard]] std::size_t LiveCount(ServiceIndex service,
+                                      TeamIndex team) const;
+  [[nodiscard]] const Lane& LaneAt(LaneIndex lane) const;
+  [[nodiscard]] std::size_t LaneCount() const { return this->lanes.size(); }
+  [[nodiscard]] std::size_t Size() const { return this->by_request.size(); }
+  /// Calls `visit(entry)` for each request that waits.
+  template <typename Visitor>
+  void Visit(Visitor visit) const;
+
+ private:
+  [[nodiscard]] bool IsLive(const QueueNode& node) const;
+  void DropStaleTop(DeadlineHeap* heap) const;
+  [[nodiscard]] RequestSlot TakeSlot();
+
+  std::vector<QueueEntry> entries;
+  std::vector<RequestSlot> unused;
+  std::unordered_map<RequestId, RequestSlot> by_request;
+  std::vector<Lane> lanes;
+  std::unordered_map<std::uint64_t, LaneIndex> lane_numbers;
+  DeadlineHeap deadlines;
+  std::uint64_t last_sequence = 0;
+};
+
+template <typename Visitor>
+void RequestQueue::Visit(Visitor visit) const {
+  for (const QueueEntry& entry : this->entries) {
+    if (entry.sequence != 0) visit(entry);
+  }
+}
+
+}  // namespace mustardproxy::detail
+
+#endif  // MUSTARDPROXY_CORE_SRC_SCHEDULER_REQUEST_QUEUE_H_
--- /dev/null
+++ b/packages/core/src/scheduler/running_tasks.cc
@@ -0,0 +1,77 @@
+#include "scheduler/running_tasks.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace mustardproxy::detail {
+
+bool RunningTasks::VictimOrder::operator()(const RunningEntry* a,
+                                           const RunningEntry* b) const {
+  if (a->gang != b->gang) return !a->gang;
+  if (a->priority != b->priority) return a->priority > b->priority;
+  if (a->started != b->started) return a->started > b->started;
+  return a->task < b->task;
+}
+
+bool RunningTasks::Add(RunningEntry entry) {
+  const TaskId task = entry.task;
+  const auto [found, added] = this->entries.emplace(task, std::move(entry));
+  if (!added) return false;
+  this->release_per_second += found->second.release_per_second;
+  if (found->second.preemptible) this->victims.insert(&found->second);
+  return true;
+}
+
+std::optional<RunningEntry> RunningTasks::Remove(const TaskId& task) {
+  const auto found = this->entries.find(task);
+  if (found == this->entries.end()) return std::nullopt;
+  this->victims.erase(&found->second);
+  RunningEntry entry = std::move(found->second);
+  this->entries.erase(found);
+  this->release_per_second -= entry.release_per_second;
+  if (this->entries.empty()) this->release_per_second = 0;
+  if (entry.stop_group) {
+    const auto group = this->stop_groups.find(*entry.stop_group);
+    if (--group->second == 0) this->stop_groups.erase(group);
+  }
+  return entry;
+}
+
+const RunningEntry* RunningTasks::Find(const TaskId& task) const {
+  const auto found = this->entries.find(task);
+  return found == this->entries.end() ? nullptr : &found->second;
+}
+
+double RunningTasks::ReleasePerSecond() const {
+  return this->release_per_second;
+}
+
+std::vector<ExpectedRelease> RunningTasks::Releases(
+    Instant now, const Catalog& catalog) const {
+  std::vector<ExpectedRelease> releases;
+  releases.reserve(this->entries.size());
+  for (const auto& [task, entry] : this->entries) {
+    const ServiceEntry& service = catalog.ServiceAt(entry.service);
+    const Duration left = service.ExpectedRemaining(now - entry.started);
+    releases.push_back({now + left, entry.worker, entry.resources});
+  }
+  std::ranges::sort(releases,
+                    [](const ExpectedRelease& a, const ExpectedRelease& b) {
+                      return a.at != b.at ? a.at < b.at : a.worker < b.worker;
+                    });
+  return releases;
+}
+
+void RunningTasks::MarkStopping(const TaskId& task, StopGroup group) {
+  const auto found = this->entries.find(task);
+  if (found == this->entries.end() || found->second.stop_group) return;
+  this->victims.erase(&found->second);
+  found->second.stop_group = group;
+  ++this->stop_groups[group];
+}
+
+std::size_t RunningTasks::OpenStopGroups() const {
+  return this->stop_groups.size();
+}
+
+}  // namespace mustardproxy::detail
--- /dev/null
+++ b/packages/core/src/scheduler/wait_forecast.cc
@@ -0,0 +1,130 @@
+#include "scheduler/wait_forecast.h"
+
+#include <algorithm>
+#include <limits>
+
+#include "ledger/resource_math.h"
+
+namespace mustardproxy::detail {
+namespace {
+
+/// Waits are cut off here; nothing allows a longer one.
+constexpr double kLongestSeconds = 30.0 * 24 * 3600;
+/// Part of the drain that is always left to less urgent work in a forecast.
+constexpr double kLeastPartOfDrain = 0.05;
+
+Duration FromSeconds(double seconds) {
+  const double bounded = std::clamp(seconds, 0.0, kLongestSeconds);
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(bounded));
+}
+
+/// @return what waits in a band and is placed before a request of `size` of
+///   `team`: all of the team's own, and of each other team as much as fair
+///   share gives it in the meantime
+double AheadInBand(const SchedulerState& state, const PriorityBand& band,
+                   double size, std::optional<TeamIndex> team) {
+  if (!team) return band.Backlog();
+  const double own = band.BacklogOf(*team);
+  const double weight = state.catalog.TeamAt(*team).weight;
+  double ahead = own;
+  band.VisitTeams([&](TeamIndex other, double backlog) {
+    if (other == *team) return;
+    const double relative = state.catalog.TeamAt(other).weight / weight;
+    ahead += std::min(backlog, (own + size) * relative);
+  });
+  return ahead;
+}
+
+/// @return share of the cell that a request could take now
+double FreeFor(const SchedulerState& state, const Ledger& ledger,
+               const ServiceEntry& service) {
+  if (!service.resources.FitsIn(ledger.LargestFree())) return 0;
+  const bool urgent = service.profile.priority == 0;
+  if (!urgent && state.headroom.Wanted() > 0 &&
+      ledger.TrackedRoom() <= state.headroom.Wanted()) {
+    return 0;
+  }
+  const auto room =
+      static_cast<double>(CountFitting(service.resources, ledger.TotalFree()));
+  return room * state.SizeOf(service.resources);
+}
+
+/// @return share of the cell per second that goes to one priority
+double DrainFor(Instant now, const SchedulerState& state,
+                std::int32_t priority) {
+  double more_urgent = 0;
+  std::optional<double> measured;
+  for (const auto& [level, band] : state.bands) {
+    if (level > priority) break;
+    if (level < priority) more_urgent += band.arrivals.PerSecond(now);
+    if (level == priority) measured = band.drain.PerSecond(now);
+  }
+  const double drain = measured.value_or(state.running.ReleasePerSecond());
+  return std::max(drain - more_urgent, drain * kLeastPartOfDrain);
+}
+
+}  // namespace
+
+Duration ForecastWait(Instant now, const SchedulerState& state,
+                      const Ledger& ledger, ServiceIndex service,
+                      std::optional<TeamIndex> team) {
+  const ServiceEntry& entry = state.catalog.ServiceAt(service);
+  const double size = state.SizeOf(entry.all_tasks);
+  double ahead = 0;
+  for (const auto& [level, band] : state.bands) {
+    if (level > entry.profile.priority) break;
+    ahead += level < entry.profile.priority
+                 ? band.Backlog()
+                 : AheadInBand(state, band, size, team);
+  }
+  const double missing = ahead + size - FreeFor(state, ledger, entry);
+  // Sizes are sums of fractions: a difference of rounding is no wait.
+  if (missing <= size * 1e-9) return Duration(0);
+  const double drain = DrainFor(now, state, entry.profile.priority);
+  if (drain <= 0) return Duration(0);
+  return FromSeconds(missing / drain);
+}
+
+Duration ForecastQuotaWait(const SchedulerState& state, ServiceIndex service,
+                           TeamIndex team) {
+  const ServiceEntry& entry = state.catalog.ServiceAt(service);
+  const TeamEntry& holder = state.catalog.TeamAt(team);
+  const auto limited = [](std::int64_t quota, std::int64_t used) {
+    if (quota <= 0) return std::numeric_limits<std::int64_t>::max();
+    return quota - used;
+  };
+  const Resources& quota = holder.quota;
+  const Resources& used = holder.used;
+  const Resources whole{
+      limited(quota.cpu_milli, 0), limited(quota.memory_mb, 0),
+      limited(quota.accelerators, 0), limited(quota.slots, 0)};
+  const Resources left{limited(quota.cpu_milli, used.cpu_milli),
+                       limited(quota.memory_mb, used.memory_mb),
+                       limited(quota.accelerators, used.accelerators),
+                       limited(quota.slots, used.slots)};
+  const std::int64_t at_once = CountFitting(entry.resources, whole);
+  const std::int64_t now_free = CountFitting(entry.resources, left);
+  const auto waiting =
+      static_cast<std::int64_t>(state.queue.LiveCount(service, team));
+  const std::int64_t over = (waiting + 1) * entry.tasks - now_free;
+  if (over <= 0 || at_once <= 0) return Duration(0);
+  const double rounds =
+      static_cast<double>(over) / static_cast<double>(at_once);
+  const std::chrono::duration<double> run = entry.ExpectedRun();
+  return FromSeconds(rounds * run.count());
+}
+
+Duration ForecastDrain(Instant now, const SchedulerState& state) {
+  double backlog = 0;
+  std::optional<double> measured;
+  for (const auto& [level, band] : state.bands) {
+    backlog += band.Backlog();
+    if (band.drain.PerSecond(now)) measured = band.drain.PerSecond(now);
+  }
+  const double drain = measured.value_or(state.running.ReleasePerSecond());
+  if (drain <= 0) return Duration(0);
+  return FromSeconds(backlog / drain);
+}
+
+}  // namespace mustardproxy::detail
