Membership, ownership, worker health and retry budget, first version

The four classes behind the public headers of the core, with basic tests in virtual time.

Heartbeats and renewals of idle workers are paced by a budget of bytes, since fixed intervals (500 ms, 700 ms) grow with members and workers; src/pacing.h states the slopes. What that rests on: a worker compares epochs, so an idle worker's lease may lapse without harm.

--- a/packages/core/include/mustardproxy/core/membership.h
+++ b/packages/core/include/mustardproxy/core/membership.h
@@ -32,6 +32,11 @@
   Duration remote_heartbeat_interval = std::chrono::seconds(2);
   /// Silence after which a peer counts as gone, in heartbeat intervals.
   std::int32_t missed_heartbeats = 4;
+  /// Bytes a second that quiet heartbeats inside the data centre may take;
+  /// with many members the interval stretches instead. See src/pacing.h.
+  std::int32_t local_bytes_per_second = 900;
+  /// The same towards other data centres.
+  std::int32_t remote_bytes_per_second = 400;
 };
 
 /// Which entry processes are alive, as far as this one can tell. Views of
@@ -58,6 +63,14 @@
   /// @return peers found gone since the last call
   [[nodiscard]] std::vector<ProcessId> TakeLost(Instant now);
 
+  /// @return the name of this process
+  [[nodiscard]] const ProcessId& Self() const;
+  /// Grows with each change of `LocalMembers`, so that callers recompute what
+  /// hangs on it only then.
+  [[nodiscard]] std::uint64_t Generation() const;
+  /// @return true once every member of the data centre was heard or had a
+  ///   second to answer; before that a starting process would take all workers
+  [[nodiscard]] bool Settled(Instant now) const;
   [[nodiscard]] bool Alive(const ProcessId& process) const;
   /// Live members of the own data centre, this process included, in order.
   /// A member that is stopping is left out.
--- a/packages/core/include/mustardproxy/core/ownership.h
+++ b/packages/core/include/mustardproxy/core/ownership.h
@@ -27,6 +27,14 @@
   /// Off for workers that do not compare epochs: then the holder stops by its
   /// own clock at the lapse of the lease. See docs/DESIGN.md for what is lost.
   bool worker_checks_epoch = true;
+  /// Time for which another member must have been preferred before this
+  /// process releases a worker to it.
+  Duration hand_over_delay = std::chrono::seconds(2);
+  /// Longest pause between two calls to a worker that does not answer.
+  Duration max_unreachable_interval = std::chrono::seconds(10);
+  /// Bytes a second that renewals of idle workers may take; with many workers
+  /// the interval stretches instead. See src/pacing.h.
+  std::int32_t renewal_bytes_per_second = 600;
 };
 
 /// A worker of which this process holds the lease.
@@ -66,12 +74,23 @@
   /// @return true if its lease must have lapsed by now: placement stops
   [[nodiscard]] bool OnUnreachable(Instant now, const WorkerId& worker);
   void OnReleased(Instant now, const WorkerId& worker);
+  /// A start is being sent there. From then on the worker is asked for reports
+  /// at short intervals, which keep the task's lease in force and bring its
+  /// end. A caller that never tells gets short intervals for all workers.
+  void OnStartSent(Instant now, const WorkerId& worker);
+  /// The worker refused a start for its epoch; the next renewal, due at once,
+  /// tells who owns it now.
+  void OnStartRefused(Instant now, const WorkerId& worker);
   /// A start was answered, which renewed the lease there.
   void OnTraffic(Instant now, const WorkerId& worker);
 
-  /// @return the lease held, if this process may send a start now
+  /// @return the lease held, if this process may send a start now: not for a
+  ///   worker that is leaving, that did not answer twice in a row, or, with
+  ///   `worker_checks_epoch` off, whose lease could have lapsed
   [[nodiscard]] std::optional<OwnedWorker> Owned(Instant now,
                                                  const WorkerId& worker) const;
+  /// @return the lease held, also where no start may be sent; for stops
+  [[nodiscard]] std::optional<OwnedWorker> Held(const WorkerId& worker) const;
   [[nodiscard]] std::optional<WorkerDescription> Describe(
       const WorkerId& worker) const;
   [[nodiscard]] std::size_t OwnedCount() const;
--- a/packages/core/include/mustardproxy/core/worker_health.h
+++ b/packages/core/include/mustardproxy/core/worker_health.h
@@ -43,7 +43,10 @@
   WorkerHealth(WorkerHealth&&) noexcept;
   WorkerHealth& operator=(WorkerHealth&&) noexcept;
 
-  void OnSuccess(Instant now, const WorkerId& worker);
+  /// @param service what succeeded, if known: a service that succeeds
+  ///   somewhere is not to blame for a worker's failures
+  void OnSuccess(Instant now, const WorkerId& worker,
+                 const ServiceId& service = ServiceId());
   void OnFailure(Instant now, const WorkerId& worker, const ServiceId& service,
                  const RequestId& request);
   void Add(const WorkerId& worker);
--- /dev/null
+++ b/packages/core/src/forwarding.cc
@@ -0,0 +1,130 @@
+#include <algorithm>
+
+#include "membership_state.h"
+#include "rendezvous_hash.h"
+
+namespace mustardproxy {
+
+using detail::Peer;
+using detail::Promise;
+
+namespace detail {
+namespace {
+
+/// A digest made less than this after a promise may not show it yet: the
+/// request is on its way, or the answer crossed it.
+constexpr Duration kPromiseFlight = std::chrono::milliseconds(100);
+/// Promises made within this time of each other are kept as one.
+constexpr Duration kPromiseMerge = std::chrono::milliseconds(20);
+
+}  // namespace
+
+void DropSeenPromises(Instant now, bool all, std::vector<Promise>* promises) {
+  if (all) promises->clear();
+  std::erase_if(*promises, [now](const Promise& promise) {
+    return now - promise.made >= kPromiseFlight;
+  });
+}
+
+namespace {
+
+void AddPromise(Instant now, const Resources& room,
+                std::vector<Promise>* promises) {
+  if (!promises->empty() && now - promises->back().made < kPromiseMerge) {
+    promises->back().room += room;
+    return;
+  }
+  promises->push_back({now, room});
+}
+
+Resources Divided(const Resources& room, std::int64_t parts) {
+  return {room.cpu_milli / parts, room.memory_mb / parts,
+          room.accelerators / parts, room.slots / parts};
+}
+
+/// Whether this process may send the one task of a part that is smaller than a
+/// task. Drawn anew with each digest, so that over all competitors about as
+/// many are sent as there are slots.
+bool DrawsSmallPart(const ProcessId& self, const Peer& peer,
+                    std::int64_t competitors) {
+  const std::uint64_t draw =
+      MixBits(RendezvousWeight(self.Text(), peer.description.process.Text()) +
+              peer.digests) %
+      static_cast<std::uint64_t>(competitors);
+  return static_cast<std::int64_t>(draw) < peer.digest->free.slots;
+}
+
+/// Room of a peer that this process may still fill.
+Resources RoomLeft(const ProcessId& self, const Peer& peer,
+                   const Resources& needs, std::int64_t competitors) {
+  Resources room = Divided(peer.digest->free, competitors);
+  const bool too_small = !needs.FitsIn(room) && needs.FitsIn(peer.digest->free);
+  if (too_small && DrawsSmallPart(self, peer, competitors)) room = needs;
+  for (const Promise& promise : peer.promises) room -= promise.room;
+  return room;
+}
+
+struct Candidate {
+  Peer* peer = nullptr;
+  Resources room;
+};
+
+bool Better(const Candidate& a, const Candidate& b) {
+  const Duration a_wait = a.peer->digest->predicted_wait;
+  const Duration b_wait = b.peer->digest->predicted_wait;
+  if (a_wait != b_wait) return a_wait < b_wait;
+  if (a.room.slots != b.room.slots) return a.room.slots > b.room.slots;
+  return a.room.cpu_milli > b.room.cpu_milli;
+}
+
+/// The better of two different ones drawn at random.
+const Candidate& BetterOfTwo(const std::vector<Candidate>& candidates,
+                             std::uint64_t random) {
+  const std::uint64_t count = candidates.size();
+  const std::uint64_t first = (random & 0xffffffffU) % count;
+  if (count == 1) return candidates[first];
+  const std::uint64_t step = 1 + (random >> 32U) % (count - 1);
+  const Candidate& a = candidates[first];
+  const Candidate& b = candidates[(first + step) % count];
+  return Better(a, b) ? a : b;
+}
+
+}  // namespace
+}  // namespace detail
+
+std::optional<ProcessId> Membership::ChooseForward(
+    Instant now, const Resources& needs, std::span<const ProcessId> avoid,
+    std::uint64_t random) {
+  State& all = *this->state;
+  const std::int64_t competitors = all.CompetitorCount();
+  std::vector<detail::Candidate> local;
+  std::vector<detail::Candidate> remote;
+  for (auto& [id, peer] : all.peers) {
+    if (!peer.alive || peer.digest->stopping) continue;
+    if (std::ranges::find(avoid, id) != avoid.end()) continue;
+    if (!needs.FitsIn(peer.digest->largest_free)) continue;
+    const Resources room = detail::RoomLeft(all.self.process, peer, needs,
+                                            peer.local ? competitors : 1);
+    if (!needs.FitsIn(room)) continue;
+    (peer.local ? local : remote).push_back({&peer, room});
+  }
+  const std::vector<detail::Candidate>& near = local.empty() ? remote : local;
+  if (near.empty()) return std::nullopt;
+  Peer& chosen = *detail::BetterOfTwo(near, random).peer;
+  detail::AddPromise(now, needs, &chosen.promises);
+  return chosen.description.process;
+}
+
+std::int64_t Membership::State::CompetitorCount() const {
+  // Failure: one member is idle, all others are full. Each sees the same room
+  // in the idle one's digest, and together they send it many times what it can
+  // hold. So each takes only its part of it, shared with the members whose
+  // digests show a queue.
+  std::int64_t count = 1;
+  for (const auto& [id, peer] : this->peers) {
+    if (peer.local && peer.alive && peer.digest->queued > 0) ++count;
+  }
+  return count;
+}
+
+}  // namespace mustardproxy
--- /dev/null
+++ b/packages/core/src/ownership.cc
@@ -0,0 +1,352 @@
+#include "mustardproxy/core/ownership.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "ownership_state.h"
+#include "rendezvous_hash.h"
+
+namespace mustardproxy {
+
+using detail::Lease;
+using detail::LeasePhase;
+using detail::OrphanWatch;
+
+namespace {
+
+/// Time for which a lease is kept in force after the worker was lost to another
+/// process although this one was preferred.
+constexpr Duration kContested = std::chrono::seconds(60);
+/// First and longest pause before a stand-in offers its worker.
+constexpr Duration kFirstOffer = std::chrono::seconds(60);
+constexpr Duration kLongestOffer = std::chrono::minutes(10);
+/// Renewals of an idle worker are never further apart.
+constexpr Duration kMaxInterval = std::chrono::minutes(5);
+/// Failures in a row after which no start is sent.
+constexpr std::int32_t kUnreachableToSuspend = 2;
+/// Doublings after which a pause has surely reached its limit.
+constexpr std::int32_t kMaxDoublings = 16;
+/// Time until a starting process asks again whether its members have settled.
+constexpr Duration kSettleCheck = std::chrono::milliseconds(100);
+/// A call that was reported unreachable may still be answered for so long.
+constexpr Duration kLateAnswer = std::chrono::seconds(5);
+
+}  // namespace
+
+Lease* Ownership::State::Find(const WorkerId& worker) {
+  const auto found = this->index.find(worker);
+  return found == this->index.end() ? nullptr : &this->leases[found->second];
+}
+
+const Lease* Ownership::State::Find(const WorkerId& worker) const {
+  const auto found = this->index.find(worker);
+  return found == this->index.end() ? nullptr : &this->leases[found->second];
+}
+
+Duration Ownership::State::Jitter(Duration most) {
+  this->random += 0x9e3779b97f4a7c15ULL;
+  const std::uint64_t drawn = detail::MixBits(this->random);
+  const auto range = static_cast<std::uint64_t>(most.count()) + 1;
+  return Duration(static_cast<std::int64_t>(drawn % range));
+}
+
+Duration Ownership::State::BackOff(std::int32_t times, Duration most) {
+  Duration pause = this->options.retry_interval;
+  const std::int32_t doublings = std::clamp(times, 0, kMaxDoublings);
+  for (std::int32_t i = 0; i < doublings && pause < most; ++i) pause *= 2;
+  pause = std::min(pause, most);
+  return pause / 2 + this->Jitter(pause / 2);
+}
+
+void Ownership::State::SetTimer(const Lease& lease, std::optional<Instant> at) {
+  const auto position = &lease - this->leases.data();
+  this->timers.Set(static_cast<std::size_t>(position), at);
+}
+
+void Ownership::State::SetPhase(Lease* lease, LeasePhase phase) {
+  if (lease->phase == LeasePhase::kOwned) --this->owned;
+  if (phase == LeasePhase::kOwned) ++this->owned;
+  lease->phase = phase;
+}
+
+Instant Ownership::State::TakeSent(Instant now, Lease* lease) {
+  // Failure: a call is reported unreachable, the next one is sent, and then the
+  // first one's answer arrives. Taken for the answer to the second call, it
+  // would make the lease look longer than it is. Answers do not say which call
+  // they belong to, so each is taken for the oldest that may still be answered.
+  Instant sent = lease->sent;
+  const bool doubt = lease->doubted && now - *lease->doubted < kLateAnswer;
+  if (doubt) sent = std::min(sent, *lease->doubted);
+  const bool other_open = doubt && lease->in_flight;
+  lease->doubted.reset();
+  if (other_open) lease->doubted = lease->sent;
+  lease->in_flight = false;
+  return sent;
+}
+
+void Ownership::State::TakeReport(Instant sent, const WorkerReport& report,
+                                  Lease* lease) {
+  lease->granted = sent;
+  lease->unreachable = 0;
+  lease->refusals = 0;
+  lease->incarnation = report.incarnation;
+  lease->ended_sequence = report.ended_sequence;
+  const bool was_active = lease->active;
+  // A start that was sent after the call may be missing in its report.
+  lease->active = !report.running.empty() || lease->start_sent >= sent;
+  lease->long_tasks =
+      std::ranges::any_of(report.running, [this](const RunningTask& task) {
+        return task.running_for >= this->options.renew_interval;
+      });
+  const bool news = !report.ended.empty() || (lease->active && !was_active);
+  // Growing slowly keeps the delay of a task's end in proportion to its run.
+  lease->interval =
+      news ? this->options.renew_interval : lease->interval * 3 / 2;
+  lease->interval =
+      std::clamp(lease->interval, this->options.renew_interval, kMaxInterval);
+}
+
+void Ownership::State::Lose(Instant now, Lease* lease) {
+  lease->highest = std::max(lease->highest, lease->epoch);
+  lease->not_before = std::max(lease->not_before, now);
+  lease->active = false;
+  this->SetPhase(lease, LeasePhase::kNone);
+}
+
+void Ownership::State::NoteActivity(Instant now, Lease* lease) {
+  if (lease->phase != LeasePhase::kOwned || lease->active) return;
+  lease->active = true;
+  lease->interval = this->options.renew_interval;
+  this->Plan(now, *lease);
+}
+
+Ownership::Ownership(OwnershipOptions options, std::uint64_t seed)
+    : state(std::make_unique<State>()) {
+  this->state->options = options;
+  this->state->random = seed;
+}
+
+Ownership::~Ownership() = default;
+Ownership::Ownership(Ownership&&) noexcept = default;
+Ownership& Ownership::operator=(Ownership&&) noexcept = default;
+
+std::vector<WorkerId> Ownership::OnHostList(
+    std::span<const WorkerDescription> workers,
+    const DataCenterId& data_center) {
+  State& all = *this->state;
+  std::vector<WorkerId> leaving;
+  for (const WorkerDescription& worker : workers) {
+    if (worker.data_center != data_center) continue;
+    Lease* known = all.Find(worker.id);
+    if (known != nullptr && known->description == worker) continue;
+    const bool was_leaving = known != nullptr && known->description.leaving;
+    if (worker.leaving && !was_leaving) leaving.push_back(worker.id);
+    if (known == nullptr) {
+      all.index.emplace(worker.id, all.leases.size());
+      known = &all.leases.emplace_back();
+    }
+    known->description = worker;
+    all.replan = true;
+  }
+  return leaving;
+}
+
+void Ownership::Tick(Instant now, const Membership& membership,
+                     Actions* actions) {
+  State& all = *this->state;
+  all.self = membership.Self();
+  all.settled = all.settled || membership.Settled(now);
+  if (!all.settled) {
+    all.next_check = now + kSettleCheck;
+    return;
+  }
+  if (all.replan || all.generation != membership.Generation()) {
+    all.Replan(now, membership);
+  }
+  if (now >= all.next_check) all.CheckOrphans(now, membership);
+  while (const std::optional<std::size_t> due = all.timers.TakeDue(now)) {
+    all.Act(now, &all.leases[*due], actions);
+  }
+}
+
+void Ownership::ReleaseAll(Instant now, Actions* actions) {
+  State& all = *this->state;
+  all.stopped = true;
+  for (Lease& lease : all.leases) {
+    if (lease.phase == LeasePhase::kOwned) all.Release(now, &lease, actions);
+    all.Plan(now, lease);
+  }
+}
+
+bool Ownership::OnAttached(Instant now, const WorkerReport& report) {
+  State& all = *this->state;
+  Lease* lease = all.Find(report.worker);
+  if (lease == nullptr || report.epoch != lease->epoch) return false;
+  if (lease->phase == LeasePhase::kOwned) {
+    return report.incarnation != lease->incarnation;
+  }
+  // An answer that comes after its call was given up on still counts, unless
+  // the worker is known to have gone on to another epoch.
+  const bool late = lease->phase == LeasePhase::kNone && lease->doubted &&
+                    lease->epoch > lease->highest;
+  if (lease->phase != LeasePhase::kAttaching && !late) return false;
+  const Instant sent = all.TakeSent(now, lease);
+  all.SetPhase(lease, LeasePhase::kOwned);
+  lease->highest = lease->epoch;
+  lease->sent = sent;
+  all.TakeReport(sent, report, lease);
+  lease->interval = all.options.renew_interval;
+  if (!all.Preferred(*lease)) {
+    lease->stand_in = true;
+    lease->offer_pause =
+        std::clamp(lease->offer_pause * 2, kFirstOffer, kLongestOffer);
+    lease->offer_at = now + lease->offer_pause;
+  }
+  all.Plan(now, *lease);
+  return !all.stopped;
+}
+
+void Ownership::OnRenewed(Instant now, const WorkerReport& report) {
+  State& all = *this->state;
+  Lease* lease = all.Find(report.worker);
+  if (lease == nullptr || report.epoch != lease->epoch) return;
+  if (lease->phase != LeasePhase::kOwned) return;
+  const Instant sent = all.TakeSent(now, lease);
+  all.TakeReport(sent, report, lease);
+  all.Plan(now, *lease);
+}
+
+bool Ownership::OnRefused(Instant now, const WorkerRefused& refused) {
+  State& all = *this->state;
+  Lease* lease = all.Find(refused.worker);
+  if (lease == nullptr || refused.epoch != lease->epoch) return false;
+  if (lease->phase == LeasePhase::kNone) return false;
+  const bool had = lease->phase != LeasePhase::kAttaching;
+  const bool ours =
+      refused.holder == all.self && refused.highest == lease->epoch;
+  // A stop of a task that is gone is refused although the lease stands.
+  if (lease->phase == LeasePhase::kOwned && ours) return false;
+  lease->in_flight = false;
+  lease->highest = std::max(lease->highest, refused.highest);
+  const bool taken = lease->phase == LeasePhase::kOwned &&
+                     all.Preferred(*lease) && refused.highest > lease->epoch;
+  if (taken) lease->contested_until = now + kContested;
+  // The first refusal only tells the epoch, so the next attach may follow at
+  // once; after that two processes may be racing for the worker.
+  const bool free = refused.lease_left <= Duration(0);
+  const bool first = lease->refusals++ == 0;
+  const Duration pause = all.BackOff(lease->refusals - 1, all.options.lease);
+  lease->not_before =
+      now + refused.lease_left + (free && first ? Duration(0) : pause);
+  if (!all.Preferred(*lease)) {
+    lease->not_before = now + OrphanWatch::kWindow;
+  }
+  if (had) {
+    all.Lose(now, lease);
+  } else {
+    all.SetPhase(lease, LeasePhase::kNone);
+  }
+  all.Plan(now, *lease);
+  return had;
+}
+
+bool Ownership::OnUnreachable(Instant now, const WorkerId& worker) {
+  State& all = *this->state;
+  Lease* lease = all.Find(worker);
+  if (lease == nullptr || lease->phase == LeasePhase::kNone) return false;
+  if (lease->in_flight && !lease->doubted) lease->doubted = lease->sent;
+  lease->in_flight = false;
+  ++lease->unreachable;
+  const Duration most = all.options.max_unreachable_interval;
+  const Duration pause = all.BackOff(lease->unreachable - 1, most);
+  lease->not_before = std::max(lease->not_before, now + pause);
+  const bool releasing = lease->phase == LeasePhase::kReleasing;
+  const bool lapsed = now >= lease->granted + all.options.lease;
+  const bool lost = releasing || (lease->phase == LeasePhase::kOwned && lapsed);
+  if (lost) {
+    all.Lose(now, lease);
+  } else if (lease->phase == LeasePhase::kAttaching) {
+    all.SetPhase(lease, LeasePhase::kNone);
+  }
+  all.Plan(now, *lease);
+  return lost;
+}
+
+void Ownership::OnReleased(Instant now, const WorkerId& worker) {
+  State& all = *this->state;
+  Lease* lease = all.Find(worker);
+  if (lease == nullptr || lease->phase != LeasePhase::kReleasing) return;
+  lease->in_flight = false;
+  all.Lose(now, lease);
+  all.Plan(now, *lease);
+}
+
+void Ownership::OnStartSent(Instant now, const WorkerId& worker) {
+  this->state->starts_told = true;
+  Lease* lease = this->state->Find(worker);
+  if (lease == nullptr) return;
+  lease->start_sent = now;
+  this->state->NoteActivity(now, lease);
+}
+
+void Ownership::OnStartRefused(Instant now, const WorkerId& worker) {
+  Lease* lease = this->state->Find(worker);
+  if (lease == nullptr || lease->phase != LeasePhase::kOwned) return;
+  lease->interval = Duration(0);
+  this->state->Plan(now, *lease);
+}
+
+void Ownership::OnTraffic(Instant now, const WorkerId& worker) {
+  Lease* lease = this->state->Find(worker);
+  if (lease == nullptr) return;
+  lease->traffic = now;
+  // The timer is not set back here, as this is the path of each answer; when it
+  // runs out, the renewal is found not due yet.
+  this->state->NoteActivity(now, lease);
+}
+
+std::optional<OwnedWorker> Ownership::Held(const WorkerId& worker) const {
+  const Lease* lease = this->state->Find(worker);
+  if (lease == nullptr || lease->phase != LeasePhase::kOwned) {
+    return std::nullopt;
+  }
+  return OwnedWorker{lease->description, lease->epoch, lease->incarnation};
+}
+
+std::optional<OwnedWorker> Ownership::Owned(Instant now,
+                                            const WorkerId& worker) const {
+  const Lease* lease = this->state->Find(worker);
+  if (lease == nullptr || lease->description.leaving) return std::nullopt;
+  if (lease->unreachable >= kUnreachableToSuspend) return std::nullopt;
+  // Failure: this process was stopped past the end of its lease, and another
+  // one has attached since. The worker refuses the old epoch. Where it does
+  // not, the lease counts from before its request was sent, so it ends here
+  // before it ends at the worker. That leaves the time between this check and
+  // the send, which only the worker could guard.
+  const bool in_force = now < lease->granted + this->state->options.lease;
+  if (!this->state->options.worker_checks_epoch && !in_force) {
+    return std::nullopt;
+  }
+  return this->Held(worker);
+}
+
+std::optional<WorkerDescription> Ownership::Describe(
+    const WorkerId& worker) const {
+  const Lease* lease = this->state->Find(worker);
+  if (lease == nullptr) return std::nullopt;
+  return lease->description;
+}
+
+std::size_t Ownership::OwnedCount() const { return this->state->owned; }
+
+std::uint64_t Ownership::EndedSequence(const WorkerId& worker) const {
+  const Lease* lease = this->state->Find(worker);
+  return lease == nullptr ? 0 : lease->ended_sequence;
+}
+
+Instant Ownership::NextWakeup() const {
+  if (this->state->replan && this->state->settled) return Instant();
+  return std::min(this->state->timers.Next(), this->state->next_check);
+}
+
+}  // namespace mustardproxy
--- /dev/null
+++ b/packages/core/src/worker_health.cc
@@ -0,0 +1,353 @@
+#include "mustardproxy/core/worker_health.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "worker_health_state.h"
+
+namespace mustardproxy {
+
+using detail::CountedFailure;
+using detail::HealthRecord;
+using detail::HealthStage;
+
+namespace {
+
+/// Distinct healthy workers on which a request fails before it is at fault.
+constexpr std::size_t kWorkersToBlameRequest = 3;
+/// Distinct workers on which a service fails before it can be at fault.
+constexpr std::size_t kWorkersToBlameService = 3;
+/// A success this recent shows that the service works.
+constexpr Duration kServiceMemory = std::chrono::seconds(10);
+/// Share of a worker that is probed: one of eight slots.
+constexpr double kProbeShare = 0.125;
+/// Successful probes in a row that begin the return.
+constexpr std::int32_t kProbesToReturn = 3;
+/// The share grows back in this many steps.
+constexpr std::int32_t kReturnSteps = 8;
+/// Failures in a row that eject a worker which is still returning.
+constexpr std::int32_t kFailuresWhileReturning = 2;
+/// Entries kept of one row; more add nothing to the evidence.
+constexpr std::size_t kMaxRow = 8;
+constexpr std::size_t kMaxTrackedRequests = 20'000;
+constexpr std::size_t kMaxServices = 4'096;
+
+std::int32_t ReturnStep(Instant now, const HealthRecord& record,
+                        Duration return_time) {
+  const Duration step = std::max(return_time / kReturnSteps, Duration(1));
+  const auto steps = (now - record.return_began) / step;
+  return static_cast<std::int32_t>(
+      std::clamp<std::int64_t>(steps, 0, kReturnSteps));
+}
+
+}  // namespace
+
+bool WorkerHealth::State::ServiceAtFault(const ServiceId& service) const {
+  // Failure: a broken release of one service fails on every worker. Each worker
+  // would be ejected for it, and the other services would lose their workers.
+  // It shows as one service that fails on most workers and succeeds on none.
+  const auto found = this->services.find(service);
+  if (found == this->services.end()) return false;
+  const detail::ServiceRecord& record = found->second;
+  if (record.failing.size() < kWorkersToBlameService) return false;
+  if (record.failing.size() * 2 <= this->workers.size()) return false;
+  return !record.succeeded ||
+         this->latest - *record.succeeded >= kServiceMemory;
+}
+
+std::int32_t WorkerHealth::State::EvidenceWithout(
+    const HealthRecord& record, const RequestId& request) const {
+  return static_cast<std::int32_t>(
+      std::ranges::count_if(record.row, [&](const CountedFailure& failure) {
+        return failure.request != request &&
+               !this->ServiceAtFault(failure.service);
+      }));
+}
+
+std::int32_t WorkerHealth::State::Evidence(const HealthRecord& record) const {
+  return this->EvidenceWithout(record, RequestId());
+}
+
+bool WorkerHealth::State::Failing(const HealthRecord& record) const {
+  if (record.row.empty()) return false;
+  const RequestId& first = record.row.front().request;
+  const bool several =
+      std::ranges::any_of(record.row, [&first](const CountedFailure& failure) {
+        return failure.request != first;
+      });
+  const std::int32_t needed = record.stage == HealthStage::kHealthy
+                                  ? this->options.failures_to_eject
+                                  : kFailuresWhileReturning;
+  return several && this->Evidence(record) >= needed;
+}
+
+bool WorkerHealth::State::FailedOnHealthyWorkers(
+    const RequestId& request) const {
+  const auto found = this->requests.find(request);
+  if (found == this->requests.end()) return false;
+  // A worker that fails other requests too is no witness against this one.
+  const std::int32_t doubtful = this->options.failures_to_eject / 2;
+  const auto healthy = [&](const WorkerId& worker) {
+    const auto record = this->workers.find(worker);
+    if (record == this->workers.end()) return false;
+    if (record->second.stage == HealthStage::kEjected) return false;
+    return this->EvidenceWithout(record->second, request) <= doubtful;
+  };
+  const auto witnesses =
+      std::ranges::count_if(found->second.failed_on, healthy);
+  return static_cast<std::size_t>(witnesses) >= kWorkersToBlameRequest;
+}
+
+bool WorkerHealth::State::MayEjectOneMore() const {
+  const auto ejected =
+      std::ranges::count_if(this->workers, [](const auto& one) {
+        return one.second.stage == HealthStage::kEjected;
+      });
+  const auto all = static_cast<double>(this->workers.size());
+  const auto cap =
+      static_cast<std::int64_t>(all * this->options.max_ejected_share);
+  // With a few workers the share rounds to none; one that fails everything must
+  // be kept out all the same, as long as another is left.
+  const std::int64_t least = this->workers.size() >= 2 ? 1 : 0;
+  return ejected < std::max(cap, least);
+}
+
+WorkerStanding WorkerHealth::State::StandingOf(
+    Instant now, const HealthRecord& record) const {
+  switch (record.stage) {
+    case HealthStage::kEjected:
+      if (now < record.until) return {false, 0};
+      return {true, kProbeShare};
+    case HealthStage::kReturning: {
+      const std::int32_t step =
+          ReturnStep(now, record, this->options.return_time);
+      const double grown = static_cast<double>(step) / kReturnSteps;
+      return {true, std::max(2 * kProbeShare, grown)};
+    }
+    case HealthStage::kHealthy:
+      break;
+  }
+  // The cap on ejections keeps it in, yet a worker that fails fast is always
+  // free and would draw most of the work: it gets no more than a probe.
+  if (this->Failing(record)) return {true, kProbeShare};
+  return {true, 1.0};
+}
+
+std::optional<Instant> WorkerHealth::State::NextChange(
+    const HealthRecord& record) const {
+  if (record.stage == HealthStage::kEjected) {
+    if (this->latest < record.until) return record.until;
+    return std::nullopt;
+  }
+  if (record.stage != HealthStage::kReturning) return std::nullopt;
+  const Duration step = this->options.return_time / kReturnSteps;
+  const std::int32_t done =
+      ReturnStep(this->latest, record, this->options.return_time);
+  return record.return_began + step * (done + 1);
+}
+
+void WorkerHealth::State::Track(const RequestId& request,
+                                const WorkerId& worker) {
+  const auto [entry, added] = this->requests.try_emplace(request);
+  entry->second.failed_on.insert(worker);
+  if (!added) return;
+  this->tracked.push_back(request);
+  while (this->tracked.size() > kMaxTrackedRequests) {
+    this->requests.erase(this->tracked.front());
+    this->tracked.pop_front();
+  }
+}
+
+void WorkerHealth::State::AddToRow(const WorkerId& worker,
+                                   CountedFailure failure,
+                                   HealthRecord* record) {
+  const bool known = this->services.contains(failure.service);
+  if (known || this->services.size() < kMaxServices) {
+    this->services[failure.service].failing.insert(worker);
+  }
+  if (record->row.size() >= kMaxRow) record->row.erase(record->row.begin());
+  record->row.push_back(std::move(failure));
+}
+
+void WorkerHealth::State::EndRow(const WorkerId& worker, HealthRecord* record) {
+  for (const CountedFailure& failure : record->row) {
+    const auto service = this->services.find(failure.service);
+    if (service != this->services.end()) service->second.failing.erase(worker);
+  }
+  record->row.clear();
+}
+
+void WorkerHealth::State::Eject(Instant now, const WorkerId& worker,
+                                HealthRecord* record) {
+  const bool soon = record->ejection > Duration(0) &&
+                    now - record->until < this->options.max_ejection;
+  record->ejection =
+      soon ? std::min(record->ejection * 2, this->options.max_ejection)
+           : this->options.ejection;
+  record->failed_probe = record->stage != HealthStage::kHealthy;
+  record->stage = HealthStage::kEjected;
+  record->until = now + record->ejection;
+  record->probes_succeeded = 0;
+  this->timed.insert(worker);
+}
+
+void WorkerHealth::State::StrikeFrom(Instant now, const RequestId& request,
+                                     const WorkerId& worker) {
+  const auto entry = this->workers.find(worker);
+  if (entry == this->workers.end()) return;
+  HealthRecord& record = entry->second;
+  std::vector<CountedFailure> row = std::move(record.row);
+  this->EndRow(worker, &record);
+  std::erase_if(row, [&request](const CountedFailure& failure) {
+    return failure.request == request;
+  });
+  for (CountedFailure& failure : row) {
+    this->AddToRow(worker, std::move(failure), &record);
+  }
+  this->touched.insert(worker);
+  if (record.stage != HealthStage::kEjected || now >= record.until) return;
+  if (record.failed_probe) {
+    if (row.empty()) record.until = now;
+    return;
+  }
+  if (this->Evidence(record) >= this->options.failures_to_eject) return;
+  record.stage = HealthStage::kHealthy;
+  record.ejection = Duration(0);
+}
+
+void WorkerHealth::State::Strike(Instant now, const RequestId& request) {
+  // Failure: one bad request, tried again and again, fails on good workers and
+  // would eject them one after the other. Once it is known to be at fault, its
+  // failures are struck from the rows, and ejections that rested on them end.
+  const std::set<WorkerId> failed_on = this->requests[request].failed_on;
+  for (const WorkerId& worker : failed_on) {
+    this->StrikeFrom(now, request, worker);
+  }
+}
+
+void WorkerHealth::State::Renew(Instant now, const WorkerId& worker,
+                                std::vector<WorkerId>* changed) {
+  HealthRecord& record = this->workers.at(worker);
+  const bool returned = record.stage == HealthStage::kReturning &&
+                        now - record.return_began >= this->options.return_time;
+  if (returned) record.stage = HealthStage::kHealthy;
+  if (record.stage == HealthStage::kHealthy) this->timed.erase(worker);
+  const WorkerStanding standing = this->StandingOf(now, record);
+  if (standing != record.reported) changed->push_back(worker);
+  record.reported = standing;
+}
+
+WorkerHealth::WorkerHealth(WorkerHealthOptions options)
+    : state(std::make_unique<State>()) {
+  this->state->options = options;
+}
+
+WorkerHealth::~WorkerHealth() = default;
+WorkerHealth::WorkerHealth(WorkerHealth&&) noexcept = default;
+WorkerHealth& WorkerHealth::operator=(WorkerHealth&&) noexcept = default;
+
+void WorkerHealth::OnSuccess(Instant now, const WorkerId& worker,
+                             const ServiceId& service) {
+  State& all = *this->state;
+  all.latest = std::max(all.latest, now);
+  if (!service.Empty()) {
+    const auto known = all.services.find(service);
+    if (known != all.services.end()) known->second.succeeded = now;
+  }
+  const auto found = all.workers.find(worker);
+  if (found == all.workers.end()) return;
+  HealthRecord& record = found->second;
+  if (record.stage == HealthStage::kHealthy && record.row.empty()) return;
+  all.EndRow(worker, &record);
+  all.touched.insert(worker);
+  // An answer that was under way when the worker was ejected proves nothing.
+  if (record.stage != HealthStage::kEjected || now < record.until) return;
+  if (++record.probes_succeeded < kProbesToReturn) return;
+  record.stage = HealthStage::kReturning;
+  record.return_began = now;
+}
+
+void WorkerHealth::OnFailure(Instant now, const WorkerId& worker,
+                             const ServiceId& service,
+                             const RequestId& request) {
+  State& all = *this->state;
+  all.latest = std::max(all.latest, now);
+  const auto found = all.workers.find(worker);
+  if (found == all.workers.end()) return;
+  HealthRecord& record = found->second;
+  all.Track(request, worker);
+  all.touched.insert(worker);
+  detail::RequestRecord& tracked = all.requests[request];
+  // What is known to be at fault itself says nothing about a worker.
+  if (tracked.at_fault) return;
+  all.AddToRow(worker, {service, request}, &record);
+  tracked.at_fault = all.FailedOnHealthyWorkers(request);
+  if (tracked.at_fault) return all.Strike(now, request);
+  if (all.ServiceAtFault(service)) return;
+  all.Judge(now, worker, &record);
+}
+
+void WorkerHealth::State::Judge(Instant now, const WorkerId& worker,
+                                HealthRecord* record) {
+  record->probes_succeeded = 0;
+  if (record->stage == HealthStage::kEjected) {
+    // A failure that was under way at the ejection is no probe.
+    if (now >= record->until) this->Eject(now, worker, record);
+    return;
+  }
+  if (!this->Failing(*record)) return;
+  const bool again = record->stage == HealthStage::kReturning;
+  if (again || this->MayEjectOneMore()) this->Eject(now, worker, record);
+}
+
+void WorkerHealth::Add(const WorkerId& worker) {
+  this->state->workers.try_emplace(worker);
+}
+
+void WorkerHealth::Remove(const WorkerId& worker) {
+  const auto found = this->state->workers.find(worker);
+  if (found == this->state->workers.end()) return;
+  this->state->EndRow(worker, &found->second);
+  this->state->workers.erase(found);
+  this->state->touched.erase(worker);
+  this->state->timed.erase(worker);
+}
+
+WorkerStanding WorkerHealth::Standing(Instant now,
+                                      const WorkerId& worker) const {
+  const auto found = this->state->workers.find(worker);
+  if (found == this->state->workers.end()) return {};
+  return this->state->StandingOf(now, found->second);
+}
+
+std::vector<WorkerId> WorkerHealth::TakeChanged(Instant now) {
+  State& all = *this->state;
+  all.latest = std::max(all.latest, now);
+  std::set<WorkerId> due = std::move(all.touched);
+  all.touched.clear();
+  due.insert(all.timed.begin(), all.timed.end());
+  std::vector<WorkerId> changed;
+  for (const WorkerId& worker : due) all.Renew(now, worker, &changed);
+  return changed;
+}
+
+bool WorkerHealth::TaskAtFault(const RequestId& request) const {
+  const auto found = this->state->requests.find(request);
+  return found != this->state->requests.end() && found->second.at_fault;
+}
+
+void WorkerHealth::Forget(const RequestId& request) {
+  this->state->requests.erase(request);
+}
+
+Instant WorkerHealth::NextWakeup() const {
+  Instant next = Instant::max();
+  for (const WorkerId& worker : this->state->timed) {
+    const auto change =
+        this->state->NextChange(this->state->workers.at(worker));
+    if (change) next = std::min(next, *change);
+  }
+  return next;
+}
+
+}  // namespace mustardproxy
--- /dev/null
+++ b/packages/core/tests/retry_budget_test.cc
@@ -0,0 +1,63 @@
+#include "mustardproxy/core/retry_budget.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace std::chrono_literals;
+using mustardproxy::Instant;
+using mustardproxy::RetryBudget;
+
+BOOST_AUTO_TEST_SUITE(retry_budget)
+
+BOOST_AUTO_TEST_CASE(retries_follow_a_tenth_of_the_traffic) {
+  // Story: every worker of the cell fails every request. Each failure asks for
+  // a retry, so without a limit the cell would get a multiple of its load just
+  // when it is sick. 1,000 requests a second arrive for 10 s.
+  RetryBudget budget(0.1, 1);
+  std::int32_t retries = 0;
+  for (std::int32_t i = 0; i < 10'000; ++i) {
+    const Instant now(i * 1ms);
+    budget.OnRequest(now);
+    while (budget.TryRetry(now)) ++retries;
+  }
+  BOOST_TEST(retries >= 1000);
+  // The minimum of one a second and the first second's come on top.
+  BOOST_TEST(retries <= 1012);
+}
+
+BOOST_AUTO_TEST_CASE(a_quiet_cell_may_still_retry) {
+  RetryBudget budget(0.1, 2);
+  std::int32_t retries = 0;
+  for (std::int32_t second = 0; second < 60; ++second) {
+    const Instant now(second * 1s);
+    budget.OnRequest(now);
+    while (budget.TryRetry(now)) ++retries;
+  }
+  BOOST_TEST(retries >= 2 * 59);
+  BOOST_TEST(retries <= 2 * 60 + 7);
+}
+
+BOOST_AUTO_TEST_CASE(a_minimum_below_one_a_second_adds_up_to_whole_retries) {
+  RetryBudget budget(0.1, 0.25);
+  BOOST_TEST(!budget.TryRetry(Instant(0s)));
+  BOOST_TEST(budget.TryRetry(Instant(4s)));
+  BOOST_TEST(!budget.TryRetry(Instant(5s)));
+}
+
+BOOST_AUTO_TEST_CASE(a_long_quiet_time_saves_up_no_flood) {
+  // Story: after a calm night the first fault of the morning fails hundreds of
+  // requests at once. Saved-up tokens of the night must not all be spent then.
+  RetryBudget budget(0.1, 1);
+  std::int32_t retries = 0;
+  while (budget.TryRetry(Instant(8h))) ++retries;
+  BOOST_TEST(retries == 5);
+}
+
+BOOST_AUTO_TEST_CASE(traffic_saves_up_no_more_than_its_burst) {
+  RetryBudget budget(0.1, 1);
+  for (std::int32_t i = 0; i < 100'000; ++i) budget.OnRequest(Instant(1s));
+  std::int32_t retries = 0;
+  while (budget.TryRetry(Instant(1s))) ++retries;
+  BOOST_TEST(retries == 100);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
