--- a/testing/relay/src/stream.cc
+++ b/testing/relay/src/stream.cc
@@ -20,8 +20,9 @@
 
 }  // namespace
 
-Stream::Stream(Poco::Net::StreamSocket from, Poco::Net::StreamSocket to)
-    : from(std::move(from)), to(std::move(to)) {}
+Stream::Stream(const Poco::Net::StreamSocket& from,
+               const Poco::Net::StreamSocket& to)
+    : from(from), to(to) {}
 
 bool Stream::WantsRead() const {
   return !this->ended && this->pending < kMaxPending;
--- a/testing/relay/src/stream.h
+++ b/testing/relay/src/stream.h
@@ -14,7 +14,8 @@
 /// The bytes on their way in one direction of a connection.
 class Stream {
  public:
-  Stream(Poco::Net::StreamSocket from, Poco::Net::StreamSocket to);
+  Stream(const Poco::Net::StreamSocket& from,
+         const Poco::Net::StreamSocket& to);
 
   /// @return true if there is room for more bytes and more may come
   [[nodiscard]] bool WantsRead() const;
--- a/testing/relay/tests/relay_test.cc
+++ b/testing/relay/tests/relay_test.cc
@@ -18,6 +18,7 @@
 using Poco::Net::StreamSocket;
 
 constexpr int kLimitSeconds = 10;
+constexpr std::chrono::milliseconds kShort{50};
 
 std::string Receive(StreamSocket* socket) {
   std::array<char, 64> buffer{};
@@ -47,8 +48,8 @@
   Relay relay{0, target.address().toString()};
 };
 
-bool Arrives(StreamSocket* socket, int milliseconds) {
-  return socket->poll(Poco::Timespan(0, milliseconds * 1000),
+bool Arrives(StreamSocket* socket, std::chrono::microseconds within) {
+  return socket->poll(Poco::Timespan(within.count()),
                       Poco::Net::Socket::SELECT_READ);
 }
 
@@ -91,9 +92,9 @@
   StreamSocket server = Accept();
   Send(&client, "heard");
   BOOST_TEST(Receive(&server) == "heard");
-  BOOST_TEST(!Arrives(&old_server, 50));
+  BOOST_TEST(!Arrives(&old_server, kShort));
   old_client.close();
-  BOOST_TEST(!Arrives(&old_server, 50));
+  BOOST_TEST(!Arrives(&old_server, kShort));
 }
 
 BOOST_AUTO_TEST_CASE(a_frozen_relay_goes_on_where_it_was) {
@@ -103,7 +104,7 @@
   faults.freeze = true;
   relay.Set(faults);
   Send(&client, "later");
-  BOOST_TEST(!Arrives(&server, 50));
+  BOOST_TEST(!Arrives(&server, kShort));
   relay.Set({});
   BOOST_TEST(Receive(&server) == "later");
 }
