--- a/packages/gateway/include/mustardproxy/gateway/gateway.h
+++ b/packages/gateway/include/mustardproxy/gateway/gateway.h
@@ -1,6 +1,7 @@
 #ifndef MUSTARDPROXY_GATEWAY_GATEWAY_H_
 #define MUSTARDPROXY_GATEWAY_GATEWAY_H_
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -21,6 +22,12 @@
   std::int64_t max_body_bytes = 1'048'576;
   std::int32_t max_connections = 512;
   Duration max_timeout = std::chrono::minutes(10);
+  /// Time for a whole header, and for the first byte of a new connection.
+  std::chrono::milliseconds header_time = std::chrono::seconds(10);
+  /// Time for a whole body.
+  std::chrono::milliseconds body_time = std::chrono::seconds(30);
+  /// Time in which the caller must take a whole answer.
+  std::chrono::milliseconds send_time = std::chrono::seconds(30);
 };
 
 /// The HTTP listeners towards callers and operators. A caller's request becomes
--- /dev/null
+++ b/packages/gateway/src/deferred_answer.h
@@ -0,0 +1,25 @@
+#ifndef MUSTARDPROXY_GATEWAY_DEFERRED_ANSWER_H_
+#define MUSTARDPROXY_GATEWAY_DEFERRED_ANSWER_H_
+
+#include <optional>
+
+#include "http_message.h"
+#include "mustardproxy/core/request.h"
+
+namespace mustardproxy::detail {
+
+/// @return a problem if the question could not be answered: the request is
+///   unknown, or the core was too busy to look
+[[nodiscard]] std::optional<HttpAnswer> Unanswered(
+    const RequestId& request, const std::optional<DeferredStatus>& status);
+/// @return state as JSON, with `ran` after a cancellation
+[[nodiscard]] HttpAnswer StateAnswer(const RequestId& request,
+                                     const DeferredStatus& status,
+                                     bool with_ran);
+/// @return the upstream's answer, or a problem if there is none
+[[nodiscard]] HttpAnswer ResultAnswer(const RequestId& request,
+                                      const DeferredStatus& status);
+
+}  // namespace mustardproxy::detail
+
+#endif  // MUSTARDPROXY_GATEWAY_DEFERRED_ANSWER_H_
--- /dev/null
+++ b/packages/gateway/src/listener.h
@@ -0,0 +1,47 @@
+#ifndef MUSTARDPROXY_GATEWAY_LISTENER_H_
+#define MUSTARDPROXY_GATEWAY_LISTENER_H_
+
+#include <Poco/Net/TCPServer.h>
+#include <Poco/ThreadPool.h>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "connection.h"
+#include "connection_table.h"
+#include "http_message.h"
+#include "mustardproxy/core/result.h"
+
+namespace mustardproxy::detail {
+
+/// One listening socket and the threads of its connections.
+class Listener {
+ public:
+  /// @param max_connections connections served at once; some more get a refusal
+  Listener(std::string name, ConnectionLimits limits,
+           std::int32_t max_connections, Surface* surface);
+  ~Listener();
+
+  /// @return the port in use, or the system's error
+  [[nodiscard]] Result<std::uint16_t> Start(const std::string& host,
+                                            std::uint16_t port);
+  /// Takes no new connections, lets requests in progress finish, joins all
+  /// threads.
+  void Stop();
+  [[nodiscard]] std::int32_t Connections() const {
+    return this->table.Served();
+  }
+
+ private:
+  ConnectionLimits limits;
+  Surface* surface;
+  std::int32_t max_connections;
+  ConnectionTable table;
+  Poco::ThreadPool threads;
+  std::unique_ptr<Poco::Net::TCPServer> server;
+};
+
+}  // namespace mustardproxy::detail
+
+#endif  // MUSTARDPROXY_GATEWAY_LISTENER_H_
