--- /dev/null
+++ b/packages/core/tests/membership_failure_test.cc
@@ -0,0 +1,185 @@
+#include <boost/test/unit_test.hpp>
+#include <set>
+#include <string>
+
+#include "mustardproxy/core/membership.h"
+#include "ownership_cell.h"
+
+using namespace std::chrono_literals;
+using mustardproxy::Actions;
+using mustardproxy::DataCenterId;
+using mustardproxy::Digest;
+using mustardproxy::Instant;
+using mustardproxy::JournalId;
+using mustardproxy::Membership;
+using mustardproxy::PeerDescription;
+using mustardproxy::ProcessId;
+using mustardproxy::SendDigest;
+using mustardproxy::testing::OwnershipCell;
+
+namespace {
+
+const DataCenterId kHome("mazowsze-1");
+
+Digest DigestOf(const char* name, bool platform_reachable = true) {
+  Digest digest;
+  digest.process = ProcessId(name);
+  digest.incarnation = 1;
+  digest.data_center = kHome;
+  digest.platform_reachable = platform_reachable;
+  return digest;
+}
+
+Membership ThreeMembers(const char* self) {
+  std::vector<PeerDescription> peers;
+  for (const char* name : {"a", "b", "c"}) {
+    peers.push_back({ProcessId(name), kHome});
+  }
+  return {{ProcessId(self), kHome}, peers, {}};
+}
+
+/// Which of three members keep the watch, by the views of each.
+std::string Keepers(const std::vector<Digest>& digests) {
+  std::string keepers;
+  for (const Digest& self : digests) {
+    Membership membership = ThreeMembers(self.process.Text().c_str());
+    for (const Digest& digest : digests) {
+      (void)membership.OnDigest(Instant(1s), digest);
+    }
+    Actions actions;
+    membership.Tick(Instant(1s), self, &actions);
+    if (membership.KeepsWatch()) keepers += self.process.Text();
+  }
+  return keepers;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(membership_failure)
+
+BOOST_AUTO_TEST_CASE(a_restart_shows_and_late_news_of_the_former_run_does_not) {
+  // Story: a process crashes and comes back under its name. A heartbeat of its
+  // former run, held up on the way, arrives after the first one of the new run.
+  // Were it believed, its orphaned journal would seem to be held by a live
+  // process, and the deferred work in it would never be adopted.
+  Membership membership = ThreeMembers("a");
+  Digest former = DigestOf("b");
+  former.journals = {JournalId("b.1")};
+  Digest present = DigestOf("b");
+  present.incarnation = 2;
+  present.journals = {JournalId("b.2")};
+  BOOST_TEST(membership.OnDigest(Instant(1s), former));
+  BOOST_TEST(membership.OnDigest(Instant(2s), present));
+  BOOST_TEST(!membership.OnDigest(Instant(3s), former));
+  BOOST_TEST(!membership.JournalHolder(JournalId("b.1")).has_value());
+  BOOST_TEST(membership.JournalHolder(JournalId("b.2")).has_value());
+  BOOST_TEST(!membership.OnDigest(Instant(4s), present));
+}
+
+BOOST_AUTO_TEST_CASE(one_member_keeps_the_watch_and_the_next_one_takes_it) {
+  // Story: the member that watches the configuration loses its way to the
+  // platform, and only it. An operator's change would not reach this data
+  // centre although two members could read it.
+  const std::vector<Digest> healthy{DigestOf("a"), DigestOf("b"),
+                                    DigestOf("c")};
+  BOOST_TEST(Keepers(healthy) == "a");
+  const std::vector<Digest> first_cut{DigestOf("a", false), DigestOf("b"),
+                                      DigestOf("c")};
+  BOOST_TEST(Keepers(first_cut) == "b");
+  // In an outage for all, one goes on trying and not all three.
+  const std::vector<Digest> outage{DigestOf("a", false), DigestOf("b", false),
+                                   DigestOf("c", false)};
+  BOOST_TEST(Keepers(outage) == "a");
+}
+
+BOOST_AUTO_TEST_CASE(a_crashed_process_is_found_by_its_refused_connections) {
+  // Story: an entry process crashes. Its host answers each heartbeat with a
+  // refused connection, at once. The workers it owned are idle until its peers
+  // have noticed.
+  Membership membership = ThreeMembers("a");
+  (void)membership.OnDigest(Instant(1s), DigestOf("b"));
+  (void)membership.OnDigest(Instant(1s), DigestOf("c"));
+  Instant lost;
+  for (auto now = Instant(1s); lost == Instant() && now < Instant(9s);
+       now += 10ms) {
+    Actions actions;
+    membership.Tick(now, DigestOf("a"), &actions);
+    for (const auto& action : actions) {
+      const ProcessId& peer = std::get<SendDigest>(action).peer;
+      if (peer == ProcessId("b")) membership.OnUnreachable(now, peer);
+      if (peer == ProcessId("c")) (void)membership.OnDigest(now, DigestOf("c"));
+    }
+    if (!membership.TakeLost(now).empty()) lost = now;
+  }
+  BOOST_TEST((lost > Instant(1s)));
+  BOOST_TEST((lost <= Instant(3s + 500ms)));
+  BOOST_TEST(membership.Alive(ProcessId("c")));
+}
+
+BOOST_AUTO_TEST_CASE(one_lost_heartbeat_changes_nothing) {
+  // Story: a single heartbeat is dropped by the network. A member taken for
+  // dead over it would have its workers attached by others.
+  Membership membership = ThreeMembers("a");
+  (void)membership.OnDigest(Instant(1s), DigestOf("b"));
+  (void)membership.OnDigest(Instant(1s), DigestOf("c"));
+  std::int32_t sent = 0;
+  for (auto now = Instant(1s); now < Instant(20s); now += 10ms) {
+    Actions actions;
+    membership.Tick(now, DigestOf("a"), &actions);
+    for (const auto& action : actions) {
+      const std::string& peer = std::get<SendDigest>(action).peer.Text();
+      const bool dropped = peer == "b" && sent++ % 3 == 0;
+      if (!dropped) {
+        (void)membership.OnDigest(now, DigestOf(peer.c_str()));
+      }
+    }
+    BOOST_TEST(membership.TakeLost(now).empty());
+  }
+  BOOST_TEST(sent > 9);
+  BOOST_TEST(membership.LocalMembers().size() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(news_that_must_spread_does_not_wait_for_the_heartbeat) {
+  // Story: an operator's change reaches one member of eight through its watch.
+  // The others must have it within seconds, and quiet heartbeats are seconds
+  // apart.
+  OwnershipCell cell({"a", "b", "c", "d", "e", "f", "g", "h"}, 1);
+  cell.StartAll();
+  cell.Run(20s);
+  Membership& membership = cell.At("a").membership;
+  Digest changed = cell.At("a").OwnDigest();
+  changed.configuration_version = 9;
+  std::set<ProcessId> told;
+  for (std::int32_t i = 0; i < 30; ++i) {
+    Actions actions;
+    cell.now += 10ms;
+    membership.Tick(cell.now, changed, &actions);
+    for (const auto& action : actions) {
+      told.insert(std::get<SendDigest>(action).peer);
+    }
+  }
+  BOOST_TEST(told.size() == 7U);
+}
+
+BOOST_AUTO_TEST_CASE(quiet_heartbeats_of_eight_members_stay_in_their_budget) {
+  // Story: heartbeats each 500 ms between 8 members take 4.5 KB a second of
+  // each, more than all control messages together may.
+  const std::vector<std::string> names{"a", "b", "c", "d", "e", "f", "g", "h"};
+  OwnershipCell cell(names, 1);
+  cell.StartAll();
+  cell.Run(20s);
+  std::int32_t before = 0;
+  for (const std::string& name : names) before += cell.At(name).heartbeats;
+  cell.Run(60s);
+  std::int32_t sent = -before;
+  for (const std::string& name : names) sent += cell.At(name).heartbeats;
+  // Each exchange is sent by one and answered by another, 320 bytes with both.
+  const std::int32_t bytes_per_member = sent * 2 * 320 / 60 / 8;
+  BOOST_TEST_MESSAGE("bytes a second of each: " << bytes_per_member);
+  BOOST_TEST(bytes_per_member <= 1000);
+  for (const std::string& name : names) {
+    BOOST_TEST(cell.At(name).membership.LocalMembers().size() == 8U);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/packages/core/tests/membership_forward_test.cc
@@ -0,0 +1,172 @@
+#include <array>
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <random>
+
+#include "mustardproxy/core/membership.h"
+
+using namespace std::chrono_literals;
+using mustardproxy::Actions;
+using mustardproxy::DataCenterId;
+using mustardproxy::Digest;
+using mustardproxy::Instant;
+using mustardproxy::Membership;
+using mustardproxy::PeerDescription;
+using mustardproxy::ProcessId;
+using mustardproxy::Resources;
+
+namespace {
+
+const DataCenterId kHome("addis-1");
+const DataCenterId kAway("addis-2");
+const Resources kTask{1000, 1024, 0, 1};
+constexpr std::array kMembers{"a", "b", "c", "d", "e", "f", "g", "h"};
+
+Digest Room(const char* name, std::int64_t slots, std::int32_t queued = 0) {
+  Digest digest;
+  digest.process = ProcessId(name);
+  digest.incarnation = 1;
+  digest.data_center = kHome;
+  digest.free = {slots * 2000, slots * 4096, 0, slots};
+  const std::int64_t on_one = std::min<std::int64_t>(slots, 8);
+  digest.largest_free = {on_one * 2000, on_one * 4096, 0, on_one};
+  digest.queued = queued;
+  return digest;
+}
+
+Membership EightMembers(const char* self) {
+  std::vector<PeerDescription> peers;
+  for (const char* name : kMembers) peers.push_back({ProcessId(name), kHome});
+  peers.push_back({ProcessId("x"), kAway});
+  return {{ProcessId(self), kHome}, peers, {}};
+}
+
+Digest FarRoom(std::int64_t slots) {
+  Digest digest = Room("x", slots);
+  digest.data_center = kAway;
+  return digest;
+}
+
+/// Forwards until nobody has room for more.
+std::int32_t ForwardAll(Membership* membership, Instant now,
+                        std::mt19937_64* random) {
+  std::int32_t forwarded = 0;
+  while (membership->ChooseForward(now, kTask, {}, (*random)())) ++forwarded;
+  return forwarded;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(membership_forward)
+
+BOOST_AUTO_TEST_CASE(the_own_data_centre_goes_first) {
+  Membership membership = EightMembers("a");
+  std::mt19937_64 random(1);
+  (void)membership.OnDigest(Instant(1s), FarRoom(800));
+  (void)membership.OnDigest(Instant(1s), Room("b", 2));
+  const auto choose = [&] {
+    return membership.ChooseForward(Instant(1s), kTask, {}, random());
+  };
+  BOOST_TEST((choose() == ProcessId("b")));
+  BOOST_TEST((choose() == ProcessId("b")));
+  BOOST_TEST((choose() == ProcessId("x")));
+}
+
+BOOST_AUTO_TEST_CASE(a_peer_that_stops_or_has_no_worker_for_it_gets_nothing) {
+  Membership membership = EightMembers("a");
+  Digest stopping = Room("b", 8);
+  stopping.stopping = true;
+  Digest scattered = Room("c", 8);
+  scattered.largest_free = {500, 512, 0, 1};
+  (void)membership.OnDigest(Instant(1s), stopping);
+  (void)membership.OnDigest(Instant(1s), scattered);
+  (void)membership.OnDigest(Instant(1s), Room("d", 0));
+  BOOST_TEST(!membership.ChooseForward(Instant(1s), kTask, {}, 7).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(the_busiest_of_several_is_never_chosen) {
+  Membership membership = EightMembers("a");
+  std::int64_t slots = 100;
+  for (const char* name : {"b", "c", "d", "e", "f"}) {
+    (void)membership.OnDigest(Instant(1s), Room(name, slots += 1000));
+  }
+  std::mt19937_64 random(2);
+  std::map<std::string, std::int32_t> chosen;
+  for (std::int32_t i = 0; i < 500; ++i) {
+    const auto peer =
+        membership.ChooseForward(Instant(1s), kTask, {}, random());
+    ++chosen[peer->Text()];
+  }
+  BOOST_TEST(chosen["b"] == 0);
+  // Nor does all of it go to the best one.
+  BOOST_TEST(chosen["f"] < 300);
+  BOOST_TEST(chosen["c"] > 0);
+}
+
+BOOST_AUTO_TEST_CASE(promises_count_until_a_digest_can_show_them) {
+  // Story: a peer reports 4 free slots and gets 4 requests. Its next digest was
+  // made just before they arrived and shows 4 free slots again. Believed, it
+  // would draw 4 more, and these would wait there although others have room.
+  Membership membership = EightMembers("a");
+  std::mt19937_64 random(3);
+  (void)membership.OnDigest(Instant(1s), Room("b", 4));
+  BOOST_TEST(ForwardAll(&membership, Instant(1s), &random) == 4);
+  (void)membership.OnDigest(Instant(1s + 10ms), Room("b", 4));
+  BOOST_TEST(ForwardAll(&membership, Instant(1s + 10ms), &random) == 0);
+  (void)membership.OnDigest(Instant(2s), Room("b", 3));
+  BOOST_TEST(ForwardAll(&membership, Instant(2s), &random) == 3);
+}
+
+BOOST_AUTO_TEST_CASE(seven_full_members_do_not_flood_the_idle_one) {
+  // Story: after a hand-over one member of eight is idle and the others have
+  // queues. All seven see its 24 free slots in the same digest. Each sending 24
+  // requests would bury it under 168, and their callers would wait behind each
+  // other.
+  for (const std::int64_t slots : {24, 8, 3}) {
+    std::int32_t sent = 0;
+    std::mt19937_64 random(4);
+    for (const char* self : kMembers) {
+      if (self == std::string("h")) continue;
+      Membership membership = EightMembers(self);
+      for (const char* name : kMembers) {
+        const bool idle = name == std::string("h");
+        (void)membership.OnDigest(Instant(1s),
+                                  idle ? Room("h", slots) : Room(name, 0, 50));
+      }
+      Actions actions;
+      membership.Tick(Instant(1s), Room(self, 0, 50), &actions);
+      sent += ForwardAll(&membership, Instant(1s), &random);
+    }
+    BOOST_TEST_MESSAGE(slots << " slots drew " << sent);
+    BOOST_TEST(sent <= std::max<std::int64_t>(slots, 7));
+    BOOST_TEST(sent >= 1);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_lone_full_member_may_use_all_of_an_idle_one) {
+  Membership membership = EightMembers("a");
+  std::mt19937_64 random(5);
+  for (const char* name : kMembers) {
+    (void)membership.OnDigest(Instant(1s), Room(name, 3));
+  }
+  BOOST_TEST(ForwardAll(&membership, Instant(1s), &random) == 7 * 3);
+}
+
+BOOST_AUTO_TEST_CASE(a_request_does_not_travel_back_and_forth) {
+  // Story: two members fill up at the same moment, each still holding an old
+  // digest that shows room at the other. A request sent from a to b would be
+  // sent back to a, and so on until its caller gives up.
+  Membership a = EightMembers("a");
+  Membership b = EightMembers("b");
+  (void)a.OnDigest(Instant(1s), Room("b", 1));
+  (void)b.OnDigest(Instant(1s), Room("a", 1));
+  const auto first = a.ChooseForward(Instant(1s), kTask, {}, 11);
+  BOOST_REQUIRE(first.has_value());
+  BOOST_TEST(*first == ProcessId("b"));
+  const std::array origin{ProcessId("a")};
+  BOOST_TEST(!b.ChooseForward(Instant(1s), kTask, origin, 12).has_value());
+  // A second request finds the promised room used up.
+  BOOST_TEST(!a.ChooseForward(Instant(1s), kTask, {}, 13).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
