--- a/packages/core/include/mustardproxy/core/actions.h
+++ b/packages/core/include/mustardproxy/core/actions.h
@@ -38,6 +38,9 @@
   ProcessId peer;
   RequestId request;
   bool cancel = false;
+  /// Stop tasks of it that run at the peer's workers though the peer did not
+  /// start them. Their requests are not cancelled.
+  bool stop_orphans = false;
 };
 /// Ends in `ForwardAnswered` or `ForwardFailed`.
 struct ForwardRequest {
--- a/packages/core/include/mustardproxy/core/core.h
+++ b/packages/core/include/mustardproxy/core/core.h
@@ -27,6 +27,10 @@
   OwnershipOptions ownership;
   WorkerHealthOptions worker_health;
   JournalOptions journal;
+  /// Lease of a task at its worker, renewed with each renewal of the worker's
+  /// own lease. A task whose worker can't be reached counts as stopped this
+  /// long after the last renewal was sent.
+  Duration task_lease = std::chrono::seconds(10);
   /// Most requests in progress here at once, of all kinds.
   std::int32_t max_requests = 20000;
   /// Seed of everything random in the core.
--- a/packages/core/include/mustardproxy/core/events.h
+++ b/packages/core/include/mustardproxy/core/events.h
@@ -38,6 +38,8 @@
   bool from_peer = false;
   /// Cancel it too.
   bool cancel = false;
+  /// Stop tasks of it that this process did not start itself.
+  bool stop_orphans = false;
 };
 /// A peer's answer to an `AskPeer` action.
 struct QueryAnswered {
@@ -126,6 +128,10 @@
   };
   State state = State::kUnreachable;
   EndedTask ended;
+  /// The worker's run that answered; 0 if it did not say. A restarted worker
+  /// has forgotten what it ran before, so its "never started" only counts for
+  /// the incarnation that the start was sent to.
+  Incarnation incarnation = 0;
 };
 /// A stop order was obeyed, or was not needed any more.
 struct TaskStopAnswered {
--- a/packages/core/include/mustardproxy/core/journal_record.h
+++ b/packages/core/include/mustardproxy/core/journal_record.h
@@ -23,6 +23,8 @@
   WorkerId worker;
   Epoch epoch = 0;
   std::int32_t attempt = 1;
+  /// The worker's run that the start is sent to; 0 if not known.
+  Incarnation worker_incarnation = 0;
 };
 /// It ended; `answer` is what the caller reads.
 struct FinishedRecord {
--- /dev/null
+++ b/packages/core/src/lifecycle/adoption.cc
@@ -0,0 +1,152 @@
+#include "lifecycle/adoption.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+#include <variant>
+
+#include "lifecycle/parts.h"
+#include "lifecycle/request_name.h"
+
+namespace mustardproxy::detail {
+namespace {
+
+constexpr Duration kListInterval = std::chrono::seconds(5);
+constexpr Duration kSoon = std::chrono::milliseconds(500);
+/// Time without a live holder after which a journal is adopted. Covers a
+/// heartbeat that is late; a wrong guess costs only a fence.
+constexpr Duration kOrphanTime = std::chrono::seconds(3);
+/// The same for a process that is not the preferred adopter, which may be cut
+/// off from the platform itself.
+constexpr Duration kSecondOrphanTime = std::chrono::seconds(15);
+/// Pause after somebody else was faster.
+constexpr Duration kBackOff = std::chrono::seconds(10);
+
+bool HandedOver(const std::vector<JournalBatch>& batches) {
+  return !batches.empty() && !batches.back().records.empty() &&
+         std::holds_alternative<HandedOverRecord>(
+             batches.back().records.back());
+}
+
+}  // namespace
+
+void Adoption::ListSoon() {
+  const Instant soon = this->parts->context.now + kSoon;
+  this->next_list = std::min(this->next_list, soon);
+}
+
+void Adoption::Tick() {
+  const CoreContext& context = this->parts->context;
+  if (context.now < this->next_list || context.stopping) {
+    return;
+  }
+  this->next_list = context.now + kListInterval;
+  if (context.platform_reachable) {
+    this->parts->context.Emit(ListJournals{});
+  }
+}
+
+bool Adoption::IsFree(const JournalId& journal) const {
+  if (this->parts->journals.Holds(journal) || this->parts->context.stopping) {
+    return false;
+  }
+  const std::optional<NamedProcess> writer = WriterOf(journal);
+  // Only workers of the own data centre can be asked what they run, and a data
+  // centre that is cut off from this one may still be at work.
+  if (!writer || !this->parts->IsLocal(writer->process)) {
+    return false;
+  }
+  const std::optional<ProcessId> holder =
+      this->parts->membership.JournalHolder(journal);
+  return !holder || *holder == this->parts->context.Self();
+}
+
+Duration Adoption::Patience(const JournalId& journal) const {
+  const bool preferred = this->parts->membership.PreferredAdopter(journal) ==
+                         this->parts->context.Self();
+  return preferred ? kOrphanTime : kSecondOrphanTime;
+}
+
+void Adoption::On(const JournalsListed& event) {
+  const Instant now = this->parts->context.now;
+  std::set<JournalId> listed(event.journals.begin(), event.journals.end());
+  std::erase_if(this->orphans, [&](const auto& entry) {
+    return !listed.contains(entry.first);
+  });
+  for (const JournalId& journal : listed) {
+    if (!this->IsFree(journal)) {
+      this->orphans.erase(journal);
+      continue;
+    }
+    this->orphans.emplace(journal, Orphan{now, now});
+    this->Consider(journal);
+  }
+}
+
+void Adoption::Consider(const JournalId& journal) {
+  const Instant now = this->parts->context.now;
+  Orphan& orphan = this->orphans.at(journal);
+  if (now < orphan.again || this->waiting.contains(journal)) {
+    return;
+  }
+  const Duration patience = this->Patience(journal);
+  const bool long_enough = now - orphan.since >= patience;
+  if (!long_enough && !this->WriterIsLeaving(journal)) {
+    this->next_list = std::min(this->next_list, orphan.since + patience);
+    return;
+  }
+  orphan.again = now + kBackOff;
+  this->parts->context.Emit(ReadJournal{journal});
+}
+
+bool Adoption::WriterIsLeaving(const JournalId& journal) const {
+  const std::optional<NamedProcess> writer = WriterOf(journal);
+  const auto digest = this->parts->membership.LastDigest(writer->process);
+  return digest && digest->stopping;
+}
+
+void Adoption::On(const JournalRead& event) {
+  const auto found = this->orphans.find(event.journal);
+  if (found == this->orphans.end() || !this->IsFree(event.journal) ||
+      event.batches.empty() || this->waiting.contains(event.journal)) {
+    return;
+  }
+  const Instant now = this->parts->context.now;
+  const Duration patience = this->Patience(event.journal);
+  const bool long_enough = now - found->second.since >= patience;
+  if (!long_enough && !HandedOver(event.batches)) {
+    found->second.again = found->second.since + patience;
+    this->next_list = std::min(this->next_list, found->second.again);
+    return;
+  }
+  this->orphans.erase(found);
+  this->waiting[event.journal] = event.batches;
+  this->parts->journals.Adopt(event.journal, event.batches.back().sequence + 1);
+}
+
+void Adoption::OnAdopted(const JournalId& journal,
+                         const AdoptedRecord& record) {
+  const CoreContext& context = this->parts->context;
+  const bool ours = record.by == context.Self() &&
+                    record.incarnation == context.options.incarnation;
+  const auto found = this->waiting.find(journal);
+  if (!ours || found == this->waiting.end()) {
+    return;
+  }
+  const std::vector<DeferredEntry> entries =
+      this->parts->store.Recover(context.now, journal, found->second);
+  this->waiting.erase(found);
+  this->parts->context.Record(
+      TextEvent(TimelineKind::kJournalAdopted, journal.Text()));
+  for (const DeferredEntry& entry : entries) {
+    this->parts->deferred.Resume(entry);
+  }
+}
+
+void Adoption::OnFenced(const JournalId& journal) {
+  this->waiting.erase(journal);
+  const Instant now = this->parts->context.now;
+  this->orphans[journal] = Orphan{now, now + kBackOff};
+}
+
+}  // namespace mustardproxy::detail
--- /dev/null
+++ b/packages/core/src/lifecycle/attempt.cc
@@ -0,0 +1,75 @@
+#include "lifecycle/attempt.h"
+
+#include <algorithm>
+
+namespace mustardproxy::detail {
+namespace {
+
+bool Open(const AttemptSlot& slot) {
+  return slot.state == SlotState::kPending || slot.state == SlotState::kRunning;
+}
+
+bool EndedWith(const AttemptSlot& slot, TaskEnd end) {
+  return slot.state == SlotState::kEnded && slot.ended.end == end;
+}
+
+}  // namespace
+
+AttemptSlot* Attempt::Find(const TaskId& task) {
+  const auto found = std::ranges::find(this->slots, task, &AttemptSlot::task);
+  return found == this->slots.end() ? nullptr : &*found;
+}
+
+bool Attempt::Settled() const {
+  return std::ranges::none_of(this->slots, Open);
+}
+
+bool Attempt::MayHaveRun() const {
+  return std::ranges::any_of(this->slots, [](const AttemptSlot& slot) {
+    return slot.state != SlotState::kNeverStarted;
+  });
+}
+
+bool Attempt::AnyNeverStarted() const {
+  return std::ranges::any_of(this->slots, [](const AttemptSlot& slot) {
+    return slot.state == SlotState::kNeverStarted;
+  });
+}
+
+Verdict Attempt::Judge() const {
+  if (!this->MayHaveRun()) {
+    return Verdict::kNeverStarted;
+  }
+  const auto any = [this](auto condition) {
+    return std::ranges::any_of(this->slots, condition);
+  };
+  if (any([](const AttemptSlot& slot) {
+        return slot.state == SlotState::kLost;
+      })) {
+    return Verdict::kLost;
+  }
+  if (any([](const AttemptSlot& slot) {
+        return EndedWith(slot, TaskEnd::kFailed);
+      })) {
+    return Verdict::kFailed;
+  }
+  const bool whole =
+      std::ranges::all_of(this->slots, [](const AttemptSlot& slot) {
+        return EndedWith(slot, TaskEnd::kFinished);
+      });
+  return whole ? Verdict::kFinished : Verdict::kStopped;
+}
+
+Answer Attempt::MergedAnswer() const {
+  Answer answer;
+  answer.outcome = Outcome::kCompleted;
+  answer.status = 0;
+  for (const AttemptSlot& slot : this->slots) {
+    answer.status = std::max(answer.status, slot.ended.status);
+  }
+  answer.content_type = this->slots.front().ended.content_type;
+  answer.body = this->slots.front().ended.body;
+  return answer;
+}
+
+}  // namespace mustardproxy::detail
--- /dev/null
+++ b/packages/core/src/lifecycle/attempt.h
@@ -0,0 +1,70 @@
+#ifndef MUSTARDPROXY_CORE_LIFECYCLE_ATTEMPT_H_
+#define MUSTARDPROXY_CORE_LIFECYCLE_ATTEMPT_H_
+
+#include <cstdint>
+#include <vector>
+
+#include "mustardproxy/core/ids.h"
+#include "mustardproxy/core/request.h"
+
+namespace mustardproxy::detail {
+
+/// How far one task of an attempt is, as far as this process knows.
+enum class SlotState {
+  /// Planned or sent; no word from the worker yet.
+  kPending,
+  kRunning,
+  /// It provably did not run and never will.
+  kNeverStarted,
+  kEnded,
+  /// It may have run, and certainly does not run any more.
+  kLost,
+};
+
+/// One task of an attempt.
+struct AttemptSlot {
+  TaskId task;
+  WorkerId worker;
+  SlotState state = SlotState::kPending;
+  /// Set once `kEnded`.
+  EndedTask ended;
+};
+
+/// What an attempt whose tasks are all settled amounts to.
+enum class Verdict {
+  /// No task of it ran.
+  kNeverStarted,
+  kFinished,
+  /// A task reported failure.
+  kFailed,
+  /// A task was stopped, or did not start while others of its gang ran.
+  kStopped,
+  /// The end of a task can't be learnt any more.
+  kLost,
+};
+
+/// One try at a request: the tasks that were placed together.
+struct Attempt {
+  std::int32_t number = 0;
+  std::vector<AttemptSlot> slots;
+  /// Stop orders are out for all of its tasks.
+  bool stopping = false;
+  /// Stopped to make room for more urgent work.
+  bool preempted = false;
+
+  [[nodiscard]] AttemptSlot* Find(const TaskId& task);
+  /// @return true once no task of it runs or will run
+  [[nodiscard]] bool Settled() const;
+  /// @return true unless every task provably did not run
+  [[nodiscard]] bool MayHaveRun() const;
+  /// @return true if one task provably did not run
+  [[nodiscard]] bool AnyNeverStarted() const;
+  /// @pre `Settled()`
+  [[nodiscard]] Verdict Judge() const;
+  /// The worst status of all tasks with the body of the first one.
+  [[nodiscard]] Answer MergedAnswer() const;
+};
+
+}  // namespace mustardproxy::detail
+
+#endif  // MUSTARDPROXY_CORE_LIFECYCLE_ATTEMPT_H_
--- /dev/null
+++ b/packages/core/src/lifecycle/forwarding.cc
@@ -0,0 +1,248 @@
+#include "lifecycle/forwarding.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "lifecycle/parts.h"
+#include "mustardproxy/core/error.h"
+
+namespace mustardproxy::detail {
+namespace {
+
+constexpr std::int32_t kMaxHops = 2;
+/// Times that one process forwards one request.
+constexpr std::int32_t kMaxForwards = 3;
+/// The peer gives up this much earlier, so that its answer arrives in time.
+constexpr Duration kForwardMargin = std::chrono::milliseconds(20);
+constexpr std::int32_t kAcceptedStatus = 202;
+constexpr std::int32_t kBadGatewayStatus = 502;
+/// Remembered peers that took deferred work on; bounds the memory.
+constexpr std::size_t kRememberedPeers = 20000;
+
+/// Errors that another process would answer alike.
+bool Final(std::error_code error) {
+  return error == Error::kUnknownTeam || error == Error::kHeaderInvalid ||
+         error == Error::kBodyTooLarge || error == Error::kCancelled ||
+         error == Error::kKeyReused || error == Error::kKeyInProgress;
+}
+
+}  // namespace
+
+bool Forwarding::MayLeave(const ActiveRequest& entry) const {
+  const Duration left = entry.deadline - this->parts->context.now;
+  return entry.request.hops < kMaxHops && entry.forwards < kMaxForwards &&
+         left > 2 * kForwardMargin && !entry.caller_gone;
+}
+
+std::optional<std::vector<ProcessId>> Forwarding::Forbidden(
+    const ActiveRequest& entry, Reach reach) const {
+  std::vector<ProcessId> forbidden = entry.avoid_peers;
+  forbidden.push_back(entry.request.origin);
+  const bool came_from_near = this->parts->IsLocal(entry.request.origin);
+  bool near = true;
+  bool far = reach == Reach::kAnywhere;
+  // One hop inside a data centre and two in all, so that no request travels in
+  // circles: after a hop inside, only another data centre is left.
+  if (entry.request.hops > 0) {
+    near = !came_from_near;
+    far = far && came_from_near;
+  }
+  if (!near && !far) {
+    return std::nullopt;
+  }
+  if (!near) {
+    const auto& peers = this->parts->local_peers;
+    forbidden.insert(forbidden.end(), peers.begin(), peers.end());
+  }
+  if (!far) {
+    const auto& peers = this->parts->remote_peers;
+    forbidden.insert(forbidden.end(), peers.begin(), peers.end());
+  }
+  return forbidden;
+}
+
+bool Forwarding::TryForward(ActiveRequest* entry, Reach reach) {
+  if (!this->MayLeave(*entry)) {
+    return false;
+  }
+  const auto forbidden = this->Forbidden(*entry, reach);
+  if (!forbidden) {
+    return false;
+  }
+  const std::optional<ProcessId> peer = this->parts->membership.ChooseForward(
+      this->parts->context.now, entry->terms.resources, *forbidden,
+      this->parts->context.random());
+  if (!peer) {
+    return false;
+  }
+  this->Send(entry, *peer);
+  return true;
+}
+
+bool Forwarding::TryForwardDeferred(ActiveRequest* entry) {
+  if (this->TryForward(entry, Reach::kAnywhere)) {
+    return true;
+  }
+  const auto forbidden = this->Forbidden(*entry, Reach::kOwnDataCenter);
+  if (!this->MayLeave(*entry) || !forbidden) {
+    return false;
+  }
+  for (const ProcessId& peer : this->parts->local_peers) {
+    const auto digest = this->parts->membership.LastDigest(peer);
+    const bool allowed =
+        std::ranges::find(*forbidden, peer) == forbidden->end();
+    if (allowed && digest && digest->owned_workers > 0 && !digest->stopping) {
+      this->Send(entry, peer);
+      return true;
+    }
+  }
+  return false;
+}
+
+void Forwarding::Send(ActiveRequest* entry, const ProcessId& peer) {
+  CoreContext& context = this->parts->context;
+  if (entry->phase == RequestPhase::kQueued) {
+    this->parts->scheduler.Cancel(entry->request.id);
+  }
+  entry->phase = RequestPhase::kForwarded;
+  entry->peer = peer;
+  ++entry->forwards;
+  ForwardRequest forward;
+  forward.peer = peer;
+  forward.request = entry->request;
+  ++forward.request.hops;
+  forward.request.timeout = entry->deadline - context.now - kForwardMargin;
+  TimelineEvent event =
+      RequestEvent(TimelineKind::kRequestForwarded, entry->request.id);
+  event.peer = peer;
+  context.Record(std::move(event));
+  context.Emit(std::move(forward));
+}
+
+void Forwarding::On(const ForwardAnswered& event) {
+  ActiveRequest* entry = this->parts->table.Find(event.request);
+  const bool waiting = entry != nullptr && entry->peer == event.peer &&
+                       (entry->phase == RequestPhase::kForwarded ||
+                        entry->phase == RequestPhase::kRecalling);
+  if (!waiting) {
+    return;
+  }
+  if (event.answer.outcome == Outcome::kNotRun) {
+    this->Return(entry, event.answer);
+    return;
+  }
+  if (entry->terms.deferred && event.answer.status == kAcceptedStatus) {
+    this->RememberTakenOn(event.request, event.peer);
+    if (entry->claimed) {
+      this->parts->claims.SettleAccepted(entry->request);
+    }
+    this->parts->context.Emit(ReplyAccepted{event.request});
+    this->parts->table.Remove(event.request);
+    return;
+  }
+  this->parts->requests.Finish(entry, event.answer);
+}
+
+void Forwarding::Return(ActiveRequest* entry, Answer answer) {
+  entry->avoid_peers.push_back(entry->peer);
+  if (Final(answer.error)) {
+    this->parts->requests.Finish(entry, std::move(answer));
+    return;
+  }
+  this->parts->requests.TryAgain(entry, std::move(answer));
+}
+
+void Forwarding::On(const ForwardFailed& event) {
+  ActiveRequest* entry = this->parts->table.Find(event.request);
+  const bool waiting = entry != nullptr && entry->peer == event.peer &&
+                       entry->phase == RequestPhase::kForwarded;
+  if (!waiting) {
+    return;
+  }
+  if (event.not_sent) {
+    Answer answer;
+    answer.error = Error::kPeerLost;
+    answer.detail = "peer " + event.peer.Text() + " can not be reached";
+    this->Return(entry, std::move(answer));
+    return;
+  }
+  if (entry->terms.deferred) {
+    this->RememberTakenOn(event.request, event.peer);
+  }
+  const bool recall = entry->terms.idempotent && !entry->terms.deferred &&
+                      this->parts->membership.Alive(event.peer);
+  if (!recall) {
+    this->parts->requests.AnswerUnknown(
+        entry, Error::kPeerLost,
+        "peer " + event.peer.Text() + " was lost while it had the request");
+    return;
+  }
+  // The peer may still run it: before it is placed elsewhere the peer is told
+  // to stop it and to say so, or it could run in two places at once.
+  entry->phase = RequestPhase::kRecalling;
+  AskPeer ask;
+  ask.query = this->parts->NewQuery();
+  ask.peer = event.peer;
+  ask.request = event.request;
+  ask.cancel = true;
+  this->recalls[ask.query] = event.request;
+  entry->recall_query = ask.query;
+  this->parts->context.Emit(std::move(ask));
+}
+
+bool Forwarding::OnQueryAnswered(const QueryAnswered& event) {
+  const auto found = this->recalls.find(event.query);
+  if (found == this->recalls.end()) {
+    return false;
+  }
+  const RequestId request = found->second;
+  this->recalls.erase(found);
+  ActiveRequest* entry = this->parts->table.Find(request);
+  if (entry == nullptr || entry->phase != RequestPhase::kRecalling ||
+      entry->recall_query != event.query) {
+    return true;
+  }
+  const bool stopped =
+      event.status && event.status->state == DeferredState::kCancelled;
+  if (!stopped) {
+    this->parts->requests.AnswerUnknown(entry, Error::kPeerLost,
+                                        "a peer lost sight of the request");
+    return true;
+  }
+  Answer last;
+  last.outcome = Outcome::kUnknown;
+  last.status = kBadGatewayStatus;
+  last.error = Error::kPeerLost;
+  last.detail = "a peer was lost while it had the request";
+  if (event.status->ran) {
+    entry->may_have_run = true;
+  } else {
+    last.outcome = Outcome::kNotRun;
+    last.status = kUnavailableStatus;
+  }
+  entry->avoid_peers.push_back(entry->peer);
+  this->parts->requests.TryAgain(entry, std::move(last));
+  return true;
+}
+
+std::optional<ProcessId> Forwarding::TakenOnBy(const RequestId& request) const {
+  const auto found = this->taken_on.find(request);
+  if (found == this->taken_on.end()) {
+    return std::nullopt;
+  }
+  return found->second;
+}
+
+void Forwarding::RememberTakenOn(const RequestId& request,
+                                 const ProcessId& peer) {
+  if (!this->taken_on.insert_or_assign(request, peer).second) {
+    return;
+  }
+  this->taken_on_order.push_back(request);
+  if (this->taken_on_order.size() > kRememberedPeers) {
+    this->taken_on.erase(this->taken_on_order.front());
+    this->taken_on_order.pop_front();
+  }
+}
+
+}  // namespace mustardproxy::detail
--- /dev/null
+++ b/packages/core/src/lifecycle/forwarding.h
@@ -0,0 +1,57 @@
+#ifndef MUSTARDPROXY_CORE_LIFECYCLE_FORWARDING_H_
+#define MUSTARDPROXY_CORE_LIFECYCLE_FORWARDING_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "lifecycle/request_table.h"
+#include "mustardproxy/core/events.h"
+#include "mustardproxy/core/ids.h"
+
+namespace mustardproxy::detail {
+
+struct Parts;
+
+/// How far a request may be forwarded.
+enum class Reach { kOwnDataCenter, kAnywhere };
+
+/// Requests that peers run for this process.
+class Forwarding {
+ public:
+  explicit Forwarding(Parts* parts) : parts(parts) {}
+
+  /// Hands the request to a peer whose digest shows room; takes it out of the
+  /// queue if it waits there.
+  /// @return false if no peer shows room, or the hops are used up
+  [[nodiscard]] bool TryForward(ActiveRequest* entry, Reach reach);
+  /// Hands deferred work to any peer that owns workers, if there is one.
+  [[nodiscard]] bool TryForwardDeferred(ActiveRequest* entry);
+  void On(const ForwardAnswered& event);
+  void On(const ForwardFailed& event);
+  /// @return true if the answer was to a question that this part asked
+  [[nodiscard]] bool OnQueryAnswered(const QueryAnswered& event);
+  /// @return the peer that took on deferred work that arrived here
+  [[nodiscard]] std::optional<ProcessId> TakenOnBy(
+      const RequestId& request) const;
+
+ private:
+  void Send(ActiveRequest* entry, const ProcessId& peer);
+  [[nodiscard]] std::optional<std::vector<ProcessId>> Forbidden(
+      const ActiveRequest& entry, Reach reach) const;
+  [[nodiscard]] bool MayLeave(const ActiveRequest& entry) const;
+  void RememberTakenOn(const RequestId& request, const ProcessId& peer);
+  void Return(ActiveRequest* entry, Answer answer);
+
+  Parts* parts;
+  std::map<std::uint64_t, RequestId> recalls;
+  std::unordered_map<RequestId, ProcessId> taken_on;
+  std::deque<RequestId> taken_on_order;
+};
+
+}  // namespace mustardproxy::detail
+
+#endif  // MUSTARDPROXY_CORE_LIFECYCLE_FORWARDING_H_
--- /dev/null
+++ b/packages/core/src/lifecycle/journals.h
@@ -0,0 +1,87 @@
+#ifndef MUSTARDPROXY_CORE_LIFECYCLE_JOURNALS_H_
+#define MUSTARDPROXY_CORE_LIFECYCLE_JOURNALS_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "mustardproxy/core/events.h"
+#include "mustardproxy/core/ids.h"
+#include "mustardproxy/core/journal.h"
+#include "mustardproxy/core/journal_record.h"
+#include "mustardproxy/core/time.h"
+
+namespace mustardproxy::detail {
+
+struct Parts;
+
+/// The journals that this process writes: its own, and those it has adopted.
+class Journals {
+ public:
+  explicit Journals(Parts* parts) : parts(parts) {}
+
+  /// Opens the own journal.
+  void Boot();
+  [[nodiscard]] const JournalId& Own() const { return this->own; }
+  [[nodiscard]] bool Holds(const JournalId& journal) const {
+    return this->open.contains(journal);
+  }
+  [[nodiscard]] std::vector<JournalId> Names() const;
+  /// @return true if nothing was ever written to it
+  [[nodiscard]] bool Unused(const JournalId& journal) const;
+  /// Removes adopted journals that nobody needs any more.
+  void EraseOld();
+  /// @return true if an append would most likely be durable soon
+  [[nodiscard]] bool Healthy() const;
+  /// Takes a record in.
+  /// @return false if too much waits already; the record is dropped
+  [[nodiscard]] bool TryAppend(const JournalId& journal, JournalRecord record);
+  /// Takes a record in, however much waits; tried again until it is taken.
+  void Append(const JournalId& journal, JournalRecord record);
+  /// Writes the *adopted* record as the fence at `sequence`.
+  void Adopt(const JournalId& journal, std::uint64_t sequence);
+  /// Stops to write a journal that was handed over or is not needed.
+  void Drop(const JournalId& journal);
+  /// Removes a journal of which nothing is needed any more.
+  void Erase(const JournalId& journal);
+
+  void On(const JournalAppended& event);
+  void On(const JournalFenced& event);
+  void On(const JournalUncertain& event);
+  void Tick();
+  [[nodiscard]] Instant NextWakeup() const;
+
+ private:
+  struct Compaction {
+    /// Batches up to this number are covered by the snapshot.
+    std::uint64_t covered = 0;
+    /// The snapshot is durable once this ticket is.
+    std::uint64_t ticket = 0;
+  };
+  struct OpenJournal {
+    Journal writer;
+    std::map<std::uint64_t, JournalRecord> pending;
+    /// Records that were not taken yet.
+    std::deque<JournalRecord> overflow;
+    Instant opened;
+    std::uint64_t compacted_at = 0;
+    std::optional<Compaction> compaction;
+  };
+
+  OpenJournal* Find(const JournalId& journal);
+  bool Write(OpenJournal* journal, const JournalRecord& record);
+  void Compact(OpenJournal* journal);
+  void FinishCompaction(OpenJournal* journal, std::uint64_t durable);
+  void OpenOwn();
+
+  Parts* parts;
+  JournalId own;
+  std::int32_t opened_count = 0;
+  std::map<JournalId, OpenJournal> open;
+};
+
+}  // namespace mustardproxy::detail
+
+#endif  // MUSTARDPROXY_CORE_LIFECYCLE_JOURNALS_H_
--- /dev/null
+++ b/packages/core/src/lifecycle/key_claims.cc
@@ -0,0 +1,194 @@
+#include "lifecycle/key_claims.h"
+
+#include <utility>
+
+#include "lifecycle/parts.h"
+#include "lifecycle/request_name.h"
+#include "mustardproxy/core/error.h"
+
+namespace mustardproxy::detail {
+namespace {
+
+constexpr std::int32_t kConflictStatus = 409;
+constexpr std::int32_t kUnprocessableStatus = 422;
+constexpr std::int32_t kAcceptedStatus = 202;
+constexpr std::int32_t kBadGatewayStatus = 502;
+constexpr Duration kRepeatPause = std::chrono::seconds(1);
+/// An order to drop a claim has no answer, and the claim it follows may still
+/// be on its way, so it is sent several times.
+constexpr std::int32_t kDropsOfAClaim = 4;
+constexpr Duration kDropInterval = std::chrono::seconds(5);
+
+}  // namespace
+
+void KeyClaims::Begin(const ActiveRequest& entry) {
+  ClaimKey claim;
+  claim.request = entry.request.id;
+  claim.team = entry.request.team;
+  claim.key = entry.request.idempotency_key;
+  claim.body_hash = BodyHash(View(entry.request.body));
+  this->parts->context.Emit(std::move(claim));
+}
+
+void KeyClaims::On(const KeyClaimed& event) {
+  ActiveRequest* entry = this->parts->table.Find(event.request);
+  if (entry == nullptr || entry->phase != RequestPhase::kClaiming) {
+    return;
+  }
+  entry->claimed = true;
+  this->parts->requests.Place(entry);
+}
+
+void KeyClaims::On(const KeyTaken& event) {
+  ActiveRequest* entry = this->parts->table.Find(event.request);
+  if (entry == nullptr || entry->phase != RequestPhase::kClaiming) {
+    return;
+  }
+  if (event.claim.request == event.request) {
+    this->On(KeyClaimed{event.request});
+    return;
+  }
+  this->AnswerRepeat(entry, event.claim);
+}
+
+void KeyClaims::AnswerRepeat(ActiveRequest* entry, const KeyClaim& claim) {
+  RequestFlow& requests = this->parts->requests;
+  if (claim.body_hash != BodyHash(View(entry->request.body))) {
+    requests.Refuse(entry, Error::kKeyReused, kUnprocessableStatus,
+                    "the idempotency key came with another body before");
+    return;
+  }
+  if (claim.answer) {
+    requests.Finish(entry, *claim.answer);
+    return;
+  }
+  if (this->HolderGone(claim.request)) {
+    Answer answer;
+    answer.outcome = Outcome::kUnknown;
+    answer.status = kBadGatewayStatus;
+    answer.error = Error::kPeerLost;
+    answer.detail = "the process that held the key is gone";
+    requests.Finish(entry, std::move(answer));
+    return;
+  }
+  const auto left = this->abandoned.find(claim.request);
+  if (left != this->abandoned.end()) {
+    this->EmitSettle(left->first, left->second, {}, true);
+  }
+  Answer answer;
+  answer.status = kConflictStatus;
+  answer.error = Error::kKeyInProgress;
+  answer.detail = "request " + claim.request.Text() + " holds the key";
+  answer.retry_after = kRepeatPause;
+  requests.Finish(entry, std::move(answer));
+}
+
+bool KeyClaims::HolderGone(const RequestId& holder) const {
+  const std::optional<NamedProcess> maker = MakerOf(holder);
+  if (!maker) {
+    return false;
+  }
+  const CoreOptions& options = this->parts->context.options;
+  if (maker->process == options.self.process) {
+    return maker->incarnation != options.incarnation;
+  }
+  const std::optional<Digest> digest =
+      this->parts->membership.LastDigest(maker->process);
+  if (!digest) {
+    return !this->parts->membership.Alive(maker->process) &&
+           this->parts->IsLocal(maker->process);
+  }
+  return digest->incarnation != maker->incarnation;
+}
+
+void KeyClaims::On(const KeyUnavailable& event) {
+  ActiveRequest* entry = this->parts->table.Find(event.request);
+  if (entry == nullptr || entry->phase != RequestPhase::kClaiming) {
+    return;
+  }
+  if (event.maybe_claimed) {
+    this->Abandon(entry->request);
+  }
+  this->parts->requests.Refuse(entry, Error::kJournalUnavailable,
+                               kUnavailableStatus,
+                               "the idempotency key can not be claimed");
+}
+
+void KeyClaims::Settle(const ActiveRequest& entry, const Answer& answer) {
+  Claim claim{entry.request.team, entry.request.idempotency_key,
+              BodyHash(View(entry.request.body)), 0};
+  const bool drop = answer.outcome == Outcome::kNotRun;
+  this->EmitSettle(entry.request.id, claim, answer, drop);
+  if (answer.outcome == Outcome::kUnknown) {
+    this->late[entry.request.id] = std::move(claim);
+  }
+}
+
+void KeyClaims::SettleLate(const RequestId& request, const Answer& answer) {
+  const auto found = this->late.find(request);
+  if (found == this->late.end()) {
+    return;
+  }
+  this->EmitSettle(request, found->second, answer, false);
+  this->late.erase(found);
+}
+
+void KeyClaims::SettleAccepted(const Request& request) {
+  if (request.idempotency_key.empty()) {
+    return;
+  }
+  Answer answer;
+  answer.outcome = Outcome::kCompleted;
+  answer.status = kAcceptedStatus;
+  answer.content_type = "application/json";
+  answer.body = std::make_shared<const std::string>(
+      R"({"id":")" + request.id.Text() + R"("})");
+  const Claim claim{request.team, request.idempotency_key,
+                    BodyHash(View(request.body)), 0};
+  this->EmitSettle(request.id, claim, answer, false);
+}
+
+void KeyClaims::Abandon(const Request& request) {
+  this->abandoned[request.id] =
+      Claim{request.team, request.idempotency_key, BodyHash(View(request.body)),
+            kDropsOfAClaim};
+  this->drops.Set(request.id, this->parts->context.now + kDropInterval);
+}
+
+void KeyClaims::OnPlatformBack() {
+  for (const auto& [request, claim] : this->abandoned) {
+    this->drops.Set(request, this->parts->context.now);
+  }
+}
+
+void KeyClaims::Tick() {
+  const Instant now = this->parts->context.now;
+  for (const RequestId& request : this->drops.TakeDue(now)) {
+    const auto found = this->abandoned.find(request);
+    if (found == this->abandoned.end()) {
+      continue;
+    }
+    this->EmitSettle(request, found->second, {}, true);
+    // While the platform is away nothing is achieved, so nothing is counted.
+    if (this->parts->context.platform_reachable &&
+        --found->second.drops_left <= 0) {
+      this->abandoned.erase(found);
+      continue;
+    }
+    this->drops.Set(request, now + kDropInterval);
+  }
+}
+
+void KeyClaims::EmitSettle(const RequestId& request, const Claim& claim,
+                           const Answer& answer, bool drop) {
+  SettleKey settle;
+  settle.request = request;
+  settle.team = claim.team;
+  settle.key = claim.key;
+  settle.body_hash = claim.body_hash;
+  settle.answer = answer;
+  settle.drop = drop;
+  this->parts->context.Emit(std::move(settle));
+}
+
+}  // namespace mustardproxy::detail
--- /dev/null
+++ b/packages/core/src/lifecycle/parts.cc
@@ -0,0 +1,397 @@
+#include "lifecycle/parts.h"
+
+#include <algorithm>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+
+#include "journal_size.h"
+#include "mustardproxy/core/error.h"
+
+namespace mustardproxy::detail {
+namespace {
+
+/// Retries per first attempt, and those always allowed.
+constexpr double kRetryShare = 0.1;
+constexpr double kMinRetriesPerSecond = 10;
+/// Most tasks placed in one event; bounds the time that other events wait.
+constexpr std::size_t kPlacementLimit = 64;
+constexpr Duration kVictimInterval = std::chrono::milliseconds(5);
+constexpr Duration kHousekeepingInterval = std::chrono::seconds(5);
+/// Workers that one request keeps away from.
+constexpr std::size_t kMaxAvoided = 8;
+
+CoreContext MakeContext(CoreOptions options) {
+  CoreContext context;
+  context.random.seed(options.seed);
+  context.options = std::move(options);
+  return context;
+}
+
+/// Placements of one request stand together.
+std::span<const Placement> FirstRequest(std::span<const Placement> placements) {
+  std::size_t count = 1;
+  while (count < placements.size() &&
+         placements[count].request == placements.front().request) {
+    ++count;
+  }
+  return placements.first(count);
+}
+
+}  // namespace
+
+Parts::Parts(CoreOptions options)
+    : context(MakeContext(std::move(options))),
+      membership(context.options.self, context.options.peers,
+                 context.options.membership),
+      ownership(context.options.ownership, context.random()),
+      health(context.options.worker_health),
+      retry_budget(kRetryShare, kMinRetriesPerSecond),
+      tasks(this),
+      workers(this),
+      requests(this),
+      claims(this),
+      forwarding(this),
+      journals(this),
+      deferred(this),
+      adoption(this),
+      queries(this),
+      configuration(this),
+      shutdown(this) {
+  const PeerDescription& self = this->context.options.self;
+  for (const PeerDescription& peer : this->context.options.peers) {
+    if (peer.process == self.process) {
+      continue;
+    }
+    const bool local = peer.data_center == self.data_center;
+    (local ? this->local_peers : this->remote_peers).push_back(peer.process);
+    this->process_number += peer.process < self.process ? 1 : 0;
+  }
+}
+
+void Parts::Boot() {
+  this->context.Record(
+      TextEvent(TimelineKind::kProcessStarted, this->context.Self().Text()));
+  this->next_victims = this->context.now;
+  this->next_housekeeping = this->context.now + kHousekeepingInterval;
+  this->journals.Boot();
+  this->workers.Boot();
+}
+
+void Parts::Advance() {
+  this->RouteNews();
+  this->requests.Tick();
+  this->deferred.Tick();
+  this->claims.Tick();
+  this->queries.Tick();
+  this->tasks.Tick();
+  this->Expire();
+  this->RunScheduler();
+  this->ChooseVictims();
+  this->RouteNews();
+  this->workers.Tick();
+  this->TickMembership();
+  this->configuration.Tick();
+  this->adoption.Tick();
+  this->shutdown.Tick();
+  this->RouteNews();
+  this->journals.Tick();
+  this->Housekeep();
+}
+
+void Parts::RouteNews() {
+  std::vector<TaskNews> news = this->tasks.TakeNews();
+  while (!news.empty()) {
+    for (const TaskNews& each : news) {
+      if (each.request.Empty()) {
+        continue;
+      }
+      if (this->deferred.Find(each.request) != nullptr) {
+        this->deferred.OnNews(each);
+      } else {
+        this->requests.OnNews(each);
+      }
+    }
+    news = this->tasks.TakeNews();
+  }
+}
+
+void Parts::RunScheduler() {
+  const std::vector<Placement> placed = this->scheduler.Schedule(
+      this->context.now, &this->ledger, kPlacementLimit);
+  this->more_to_place = placed.size() >= kPlacementLimit;
+  std::span<const Placement> left = placed;
+  while (!left.empty()) {
+    const std::span<const Placement> together = FirstRequest(left);
+    left = left.subspan(together.size());
+    if (this->deferred.Find(together.front().request) != nullptr) {
+      this->deferred.OnPlaced(together);
+    } else {
+      this->requests.OnPlaced(together);
+    }
+  }
+}
+
+void Parts::Expire() {
+  for (const RequestId& request : this->scheduler.Expire(this->context.now)) {
+    if (this->deferred.Find(request) != nullptr) {
+      this->deferred.OnGivenUp(request);
+    } else {
+      this->requests.OnGivenUp(request);
+    }
+  }
+}
+
+void Parts::ChooseVictims() {
+  if (this->scheduler.QueuedCount() == 0 ||
+      this->context.now < this->next_victims) {
+    return;
+  }
+  this->next_victims = this->context.now + kVictimInterval;
+  for (const Preemption& victim :
+       this->scheduler.ChooseVictims(this->context.now, this->ledger)) {
+    if (this->deferred.Find(victim.request) != nullptr) {
+      this->deferred.OnPreempted(victim);
+    } else {
+      this->requests.OnPreempted(victim);
+    }
+  }
+}
+
+void Parts::TickMembership() {
+  const Instant now = this->context.now;
+  if (this->membership.NextWakeup() <= now) {
+    this->membership.Tick(now, this->OwnDigest(), this->context.actions);
+  }
+  for (const ProcessId& peer : this->membership.TakeLost(now)) {
+    this->context.Record(PeerEvent(TimelineKind::kPeerLost, peer));
+    this->adoption.ListSoon();
+  }
+}
+
+Digest Parts::OwnDigest() const {
+  Digest digest;
+  digest.process = this->context.Self();
+  digest.incarnation = this->context.options.incarnation;
+  digest.data_center = this->context.options.self.data_center;
+  digest.configuration_version = this->context.configuration.version;
+  digest.journals = this->journals.Names();
+  digest.owned_workers = static_cast<std::int32_t>(this->ledger.WorkerCount());
+  digest.free = this->ledger.TotalFree();
+  digest.largest_free = this->ledger.LargestFree();
+  digest.queued = static_cast<std::int32_t>(this->scheduler.QueuedCount());
+  digest.stopping = this->context.stopping;
+  digest.platform_reachable = this->context.platform_reachable;
+  const auto& services = this->context.configuration.services;
+  const auto urgent =
+      std::ranges::min_element(services, {}, [this](const auto& entry) {
+        const auto& profiles = this->context.configuration.profiles;
+        const auto found = profiles.find(entry.second.profile);
+        return found == profiles.end() ? 0 : found->second.priority;
+      });
+  if (urgent != services.end()) {
+    digest.predicted_wait = this->scheduler.PredictWait(
+        this->context.now, this->ledger, urgent->first);
+  }
+  return digest;
+}
+
+void Parts::Housekeep() {
+  if (this->context.now < this->next_housekeeping) {
+    return;
+  }
+  this->next_housekeeping = this->context.now + kHousekeepingInterval;
+  Duration retention{0};
+  for (const auto& [id, profile] : this->context.configuration.profiles) {
+    retention = std::max(retention, profile.result_retention);
+  }
+  if (this->context.configuration.version > 0) {
+    (void)this->store.Expire(this->context.now, retention);
+  }
+  this->journals.EraseOld();
+}
+
+Instant Parts::NextWakeup() const {
+  if (this->more_to_place) {
+    return this->context.now;
+  }
+  Instant next =
+      std::min({this->membership.NextWakeup(), this->ownership.NextWakeup(),
+                this->health.NextWakeup(), this->requests.NextWakeup(),
+                this->deferred.NextWakeup(), this->claims.NextWakeup(),
+                this->queries.NextWakeup(), this->tasks.NextWakeup(),
+                this->journals.NextWakeup(), this->adoption.NextWakeup(),
+                this->configuration.NextWakeup(), this->shutdown.NextWakeup(),
+                this->next_housekeeping});
+  if (const auto due = this->scheduler.NextWakeup()) {
+    next = std::min(next, *due);
+  }
+  if (this->scheduler.QueuedCount() > 0) {
+    next = std::min(next, this->next_victims);
+  }
+  return next;
+}
+
+void Parts::OnDurable(const JournalId& journal, const JournalRecord& record) {
+  if (std::holds_alternative<HandedOverRecord>(record)) {
+    this->shutdown.OnHandedOver(journal);
+  } else if (const auto* adopted = std::get_if<AdoptedRecord>(&record)) {
+    this->adoption.OnAdopted(journal, *adopted);
+  } else if (const auto* accepted = std::get_if<AcceptedRecord>(&record)) {
+    this->deferred.OnDurable(journal, *accepted);
+  } else if (const auto* started = std::get_if<StartedRecord>(&record)) {
+    this->deferred.OnDurable(journal, *started);
+  } else if (const auto* finished = std::get_if<FinishedRecord>(&record)) {
+    this->deferred.OnDurable(journal, *finished);
+  } else if (const auto* cancelled = std::get_if<CancelledRecord>(&record)) {
+    this->deferred.OnDurable(journal, *cancelled);
+  }
+}
+
+void Parts::OnFenced(const JournalId& journal) {
+  this->deferred.OnFenced(journal);
+  this->adoption.OnFenced(journal);
+}
+
+bool Parts::IsLocal(const ProcessId& process) const {
+  return process == this->context.Self() ||
+         std::ranges::find(this->local_peers, process) !=
+             this->local_peers.end();
+}
+
+bool Parts::IsPeer(const ProcessId& process) const {
+  return this->IsLocal(process) ||
+         std::ranges::find(this->remote_peers, process) !=
+             this->remote_peers.end();
+}
+
+TeamId Parts::TeamOf(const RequestId& request) {
+  const DeferredWork* work = this->deferred.Find(request);
+  if (work != nullptr) {
+    return work->request.team;
+  }
+  const ActiveRequest* entry = this->table.Find(request);
+  return entry != nullptr ? entry->request.team
+                          : this->context.configuration.default_team;
+}
+
+void Parts::Unplace(std::span<const Placement> placements) {
+  for (const Placement& placement : placements) {
+    this->scheduler.TaskDone(this->context.now, &this->ledger, placement.task,
+                             false);
+  }
+}
+
+TaskPlan Parts::PlanTask(const Placement& placement, const ServiceId& service,
+                         Duration max_run, bool detached) {
+  TaskPlan plan;
+  plan.task = placement.task;
+  plan.request = placement.request;
+  plan.service = service;
+  plan.worker = placement.worker;
+  plan.resources = placement.resources;
+  plan.max_run = max_run;
+  plan.detached = detached;
+  const std::optional<OwnedWorker> owned =
+      this->ownership.Owned(this->context.now, placement.worker);
+  if (owned) {
+    plan.epoch = owned->epoch;
+    plan.worker_incarnation = owned->incarnation;
+  } else {
+    // The ledger counts a worker whose lease is gone: nothing more is placed
+    // there until it is attached again.
+    this->ledger.SetPlaceable(placement.worker, false);
+  }
+  this->tasks.Plan(plan);
+  return plan;
+}
+
+void Parts::WatchTask(const StartedRecord& started, const Request& request) {
+  const auto terms = TermsOf(this->context.configuration, request.service);
+  TaskPlan plan;
+  plan.task = started.task;
+  plan.request = started.request;
+  plan.service = request.service;
+  plan.worker = started.worker;
+  plan.epoch = started.epoch;
+  plan.worker_incarnation = started.worker_incarnation;
+  plan.max_run = terms ? terms->max_run : Duration{0};
+  plan.detached = true;
+  this->tasks.Watch(std::move(plan));
+}
+
+void Parts::Avoid(std::vector<WorkerId>* avoid, const WorkerId& worker) const {
+  if (worker.Empty() || std::ranges::find(*avoid, worker) != avoid->end()) {
+    return;
+  }
+  avoid->push_back(worker);
+  const std::size_t most =
+      std::min(kMaxAvoided, this->ledger.WorkerCount() / 2);
+  while (avoid->size() > std::max<std::size_t>(most, 1)) {
+    avoid->erase(avoid->begin());
+  }
+}
+
+void Parts::NoteHealth(const TaskNews& news, const ServiceId& service) {
+  const Instant now = this->context.now;
+  const bool failed =
+      news.kind == TaskNews::Kind::kEnded && news.ended.end == TaskEnd::kFailed;
+  const bool fine = news.kind == TaskNews::Kind::kEnded &&
+                    news.ended.end == TaskEnd::kFinished;
+  if (failed || news.unreachable) {
+    this->health.OnFailure(now, news.worker, service, news.request);
+    this->health_changed = true;
+  } else if (fine) {
+    this->health.OnSuccess(now, news.worker);
+  }
+}
+
+void Parts::SampleWait(const ProfileId& profile, Instant arrived) {
+  RecordSample sample;
+  sample.profile = profile;
+  sample.value = (this->context.now - arrived).count();
+  this->context.Emit(std::move(sample));
+}
+
+void Parts::SettleLateAnswer(const TaskNews& news) {
+  const bool whole = news.ended.end == TaskEnd::kFinished ||
+                     news.ended.end == TaskEnd::kFailed;
+  if (!whole) {
+    this->claims.ForgetLate(news.request);
+    return;
+  }
+  Answer answer;
+  answer.outcome = Outcome::kCompleted;
+  answer.status = news.ended.status;
+  answer.content_type = news.ended.content_type;
+  answer.body = news.ended.body;
+  this->claims.SettleLate(news.request, answer);
+}
+
+void Parts::StopAtPeers(const RequestId& request) {
+  for (const ProcessId& peer : this->local_peers) {
+    if (!this->membership.Alive(peer)) {
+      continue;
+    }
+    AskPeer ask;
+    ask.query = this->NewQuery();
+    ask.peer = peer;
+    ask.request = request;
+    ask.stop_orphans = true;
+    this->context.Emit(std::move(ask));
+  }
+}
+
+FinishedRecord Parts::Bounded(FinishedRecord record) const {
+  if (EncodedSizeBound(record) <=
+      this->context.options.journal.max_batch_bytes) {
+    return record;
+  }
+  record.answer.body.reset();
+  record.answer.detail = "the answer was too large to be kept";
+  record.state = DeferredState::kFailed;
+  return record;
+}
+
+}  // namespace mustardproxy::detail
--- /dev/null
+++ b/packages/core/src/lifecycle/parts.h
@@ -0,0 +1,126 @@
+#ifndef MUSTARDPROXY_CORE_LIFECYCLE_PARTS_H_
+#define MUSTARDPROXY_CORE_LIFECYCLE_PARTS_H_
+
+#include <cstdint>
+#include <span>
+#include <utility>
+#include <vector>
+
+#include "lifecycle/adoption.h"
+#include "lifecycle/configuration_flow.h"
+#include "lifecycle/core_context.h"
+#include "lifecycle/deferred_flow.h"
+#include "lifecycle/forwarding.h"
+#include "lifecycle/journals.h"
+#include "lifecycle/key_claims.h"
+#include "lifecycle/query_flow.h"
+#include "lifecycle/request_flow.h"
+#include "lifecycle/request_table.h"
+#include "lifecycle/shutdown_flow.h"
+#include "lifecycle/task_tracker.h"
+#include "lifecycle/worker_flow.h"
+#include "mustardproxy/core/deferred_store.h"
+#include "mustardproxy/core/ledger.h"
+#include "mustardproxy/core/membership.h"
+#include "mustardproxy/core/ownership.h"
+#include "mustardproxy/core/retry_budget.h"
+#include "mustardproxy/core/scheduler.h"
+#include "mustardproxy/core/worker_health.h"
+
+namespace mustardproxy::detail {
+
+/// All parts of one core. Each part reaches the others through it; news flows
+/// through `Advance`, so that no part is called back while it is at work.
+struct Parts {
+  explicit Parts(CoreOptions options);
+  Parts(const Parts&) = delete;
+  Parts& operator=(const Parts&) = delete;
+
+  CoreContext context;
+  Ledger ledger;
+  Scheduler scheduler;
+  Membership membership;
+  Ownership ownership;
+  WorkerHealth health;
+  RetryBudget retry_budget;
+  DeferredStore store;
+
+  RequestTable table;
+  TaskTracker tasks;
+  WorkerFlow workers;
+  RequestFlow requests;
+  KeyClaims claims;
+  Forwarding forwarding;
+  Journals journals;
+  DeferredFlow deferred;
+  Adoption adoption;
+  QueryFlow queries;
+  ConfigurationFlow configuration;
+  ShutdownFlow shutdown;
+
+  std::vector<ProcessId> local_peers;
+  std::vector<ProcessId> remote_peers;
+
+  /// Begins the life of the process.
+  void Boot();
+  /// Does all that is due after an event.
+  void Advance();
+  /// Places what fits, within a bound on the time.
+  void RunScheduler();
+  [[nodiscard]] Instant NextWakeup() const;
+  [[nodiscard]] Digest OwnDigest() const;
+
+  void OnDurable(const JournalId& journal, const JournalRecord& record);
+  void OnFenced(const JournalId& journal);
+
+  /// @return true if the process belongs to the own data centre
+  [[nodiscard]] bool IsLocal(const ProcessId& process) const;
+  [[nodiscard]] bool IsPeer(const ProcessId& process) const;
+  /// @return a small number that no other process of the cell has
+  [[nodiscard]] std::int32_t ProcessNumber() const {
+    return this->process_number;
+  }
+  [[nodiscard]] std::uint64_t NewQuery() { return ++this->last_query; }
+  [[nodiscard]] TeamId TeamOf(const RequestId& request);
+
+  /// Gives placements back that nobody wants any more.
+  void Unplace(std::span<const Placement> placements);
+  /// Follows a placed task from now on.
+  TaskPlan PlanTask(const Placement& placement, const ServiceId& service,
+                    Duration max_run, bool detached);
+  /// Follows a task that the writer of an adopted journal has started.
+  void WatchTask(const StartedRecord& started, const Request& request);
+  /// Keeps a failed worker out of the next attempt, unless too few are left.
+  void Avoid(std::vector<WorkerId>* avoid, const WorkerId& worker) const;
+  /// Feeds the health of workers.
+  void NoteHealth(const TaskNews& news, const ServiceId& service);
+  /// @return true if the health of a worker may have changed since last time
+  [[nodiscard]] bool TakeHealthChanged() {
+    return std::exchange(this->health_changed, false);
+  }
+  void SampleWait(const ProfileId& profile, Instant arrived);
+  /// A task has ended after its request was answered "unknown".
+  void SettleLateAnswer(const TaskNews& news);
+  /// Stops tasks of a request at workers that peers own.
+  void StopAtPeers(const RequestId& request);
+  /// Cuts an end that is too large for the journal down to a failure.
+  [[nodiscard]] FinishedRecord Bounded(FinishedRecord record) const;
+
+ private:
+  void RouteNews();
+  void ChooseVictims();
+  void Expire();
+  void TickMembership();
+  void Housekeep();
+
+  std::int32_t process_number = 0;
+  std::uint64_t last_query = 0;
+  bool health_changed = false;
+  bool more_to_place = false;
+  Instant next_victims;
+  Instant next_housekeeping;
+};
+
+}  // namespace mustardproxy::detail
+
+#endif  // MUSTARDPROXY_CORE_LIFECYCLE_PARTS_H_
--- /dev/null
+++ b/packages/core/src/lifecycle/query_flow.cc
@@ -0,0 +1,186 @@
+#include "lifecycle/query_flow.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "lifecycle/parts.h"
+#include "lifecycle/request_name.h"
+
+namespace mustardproxy::detail {
+namespace {
+
+/// A cancellation that is not durable by then is answered with the state so
+/// far.
+constexpr Duration kCancelPatience = std::chrono::seconds(5);
+/// Peers that are asked about one unknown request.
+constexpr std::size_t kMaxPeersAsked = 8;
+
+}  // namespace
+
+void QueryFlow::On(const QueryArrived& event) {
+  if (event.stop_orphans) {
+    this->parts->workers.StopOrphansOf(event.request);
+  }
+  if (this->AnswerHere(event)) {
+    return;
+  }
+  Relayed next;
+  next.query = event.query;
+  next.request = event.request;
+  next.cancel = event.cancel;
+  next.peers_left = this->PeersToAsk(event.request, event.from_peer);
+  this->AskNext(std::move(next));
+}
+
+bool QueryFlow::AnswerHere(const QueryArrived& event) {
+  if (event.cancel &&
+      this->parts->deferred.Cancel(event.request, event.query)) {
+    this->cancelling[event.query] = event.request;
+    this->limits.Set(event.query, this->parts->context.now + kCancelPatience);
+    return true;
+  }
+  ActiveRequest* entry = this->parts->table.Find(event.request);
+  const bool recall = entry != nullptr && event.from_peer && event.cancel &&
+                      !entry->terms.deferred;
+  if (recall) {
+    this->parts->requests.Recall(entry, event.query);
+    return true;
+  }
+  std::optional<DeferredStatus> status = this->StatusHere(event.request);
+  if (!status) {
+    return false;
+  }
+  this->Answer(event.query, std::move(status));
+  return true;
+}
+
+std::optional<DeferredStatus> QueryFlow::StatusHere(
+    const RequestId& request) const {
+  DeferredStatus status;
+  status.id = request;
+  const DeferredWork* work = this->parts->deferred.Find(request);
+  if (work != nullptr) {
+    const bool runs = work->phase == DeferredPhase::kRunning ||
+                      work->phase == DeferredPhase::kEnding;
+    status.state = runs ? DeferredState::kRunning : DeferredState::kQueued;
+    status.ran = runs || work->may_have_run;
+    return status;
+  }
+  const DeferredEntry* entry = this->parts->store.Find(request);
+  if (entry != nullptr && entry->ended &&
+      this->parts->journals.Holds(entry->journal)) {
+    status.state = entry->state;
+    status.result = entry->result;
+    status.ran = entry->ran;
+    return status;
+  }
+  if (this->parts->workers.RunsOrphanOf(request)) {
+    status.state = DeferredState::kRunning;
+    status.ran = true;
+    return status;
+  }
+  return std::nullopt;
+}
+
+void QueryFlow::AnswerFromStore(std::uint64_t query, const RequestId& request) {
+  this->limits.Clear(query);
+  this->cancelling.erase(query);
+  DeferredStatus status;
+  status.id = request;
+  const DeferredEntry* entry = this->parts->store.Find(request);
+  if (entry != nullptr) {
+    status.state = entry->state;
+    status.result = entry->result;
+    status.ran = entry->ran;
+  }
+  this->Answer(query, std::move(status));
+}
+
+std::vector<ProcessId> QueryFlow::PeersToAsk(const RequestId& request,
+                                             bool from_peer) const {
+  std::vector<ProcessId> peers;
+  const auto add = [&](const ProcessId& peer) {
+    const bool known = std::ranges::find(peers, peer) != peers.end();
+    if (!known && peer != this->parts->context.Self() &&
+        peers.size() < kMaxPeersAsked) {
+      peers.push_back(peer);
+    }
+  };
+  const auto taken_on = this->parts->forwarding.TakenOnBy(request);
+  if (taken_on) {
+    add(*taken_on);
+  }
+  // A peer has asked the others itself.
+  if (from_peer) {
+    return peers;
+  }
+  const auto maker = MakerOf(request);
+  if (maker && this->parts->IsPeer(maker->process)) {
+    add(maker->process);
+  }
+  for (const ProcessId& peer : this->parts->local_peers) {
+    if (this->parts->membership.Alive(peer)) {
+      add(peer);
+    }
+  }
+  for (const ProcessId& peer : this->parts->remote_peers) {
+    if (this->parts->membership.Alive(peer)) {
+      add(peer);
+    }
+  }
+  return peers;
+}
+
+void QueryFlow::AskNext(Relayed next) {
+  if (next.peers_left.empty()) {
+    this->Answer(next.query, std::nullopt);
+    return;
+  }
+  AskPeer ask;
+  ask.query = this->parts->NewQuery();
+  ask.peer = next.peers_left.front();
+  ask.request = next.request;
+  ask.cancel = next.cancel;
+  next.peers_left.erase(next.peers_left.begin());
+  this->relayed.emplace(ask.query, std::move(next));
+  this->parts->context.Emit(std::move(ask));
+}
+
+void QueryFlow::On(const QueryAnswered& event) {
+  const auto found = this->relayed.find(event.query);
+  if (found == this->relayed.end()) {
+    return;
+  }
+  Relayed next = std::move(found->second);
+  this->relayed.erase(found);
+  if (event.status) {
+    this->Answer(next.query, event.status);
+    return;
+  }
+  this->AskNext(std::move(next));
+}
+
+void QueryFlow::Answer(std::uint64_t query,
+                       std::optional<DeferredStatus> status) {
+  this->parts->context.Emit(AnswerQuery{query, std::move(status)});
+}
+
+void QueryFlow::Tick() {
+  for (const std::uint64_t query :
+       this->limits.TakeDue(this->parts->context.now)) {
+    const auto found = this->cancelling.find(query);
+    if (found == this->cancelling.end()) {
+      continue;
+    }
+    const RequestId request = found->second;
+    this->cancelling.erase(found);
+    this->parts->deferred.ForgetCancelQuery(request, query);
+    std::optional<DeferredStatus> status = this->StatusHere(request);
+    if (status) {
+      status->detail = "the cancellation is not settled yet";
+    }
+    this->Answer(query, std::move(status));
+  }
+}
+
+}  // namespace mustardproxy::detail
--- /dev/null
+++ b/packages/core/src/lifecycle/query_flow.h
@@ -0,0 +1,58 @@
+#ifndef MUSTARDPROXY_CORE_LIFECYCLE_QUERY_FLOW_H_
+#define MUSTARDPROXY_CORE_LIFECYCLE_QUERY_FLOW_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "lifecycle/timer_queue.h"
+#include "mustardproxy/core/events.h"
+#include "mustardproxy/core/ids.h"
+#include "mustardproxy/core/request.h"
+
+namespace mustardproxy::detail {
+
+struct Parts;
+
+/// Questions about the state and result of deferred work, which any process
+/// answers for any other.
+class QueryFlow {
+ public:
+  explicit QueryFlow(Parts* parts) : parts(parts) {}
+
+  void On(const QueryArrived& event);
+  void On(const QueryAnswered& event);
+  /// Answers with what is durable.
+  void AnswerFromStore(std::uint64_t query, const RequestId& request);
+  void Tick();
+  [[nodiscard]] Instant NextWakeup() const { return this->limits.Next(); }
+
+ private:
+  /// A question that peers are asked, one after the other.
+  struct Relayed {
+    std::uint64_t query = 0;
+    RequestId request;
+    bool cancel = false;
+    std::vector<ProcessId> peers_left;
+  };
+
+  [[nodiscard]] bool AnswerHere(const QueryArrived& event);
+  [[nodiscard]] std::optional<DeferredStatus> StatusHere(
+      const RequestId& request) const;
+  [[nodiscard]] std::vector<ProcessId> PeersToAsk(const RequestId& request,
+                                                  bool from_peer) const;
+  void AskNext(Relayed relayed);
+  void Answer(std::uint64_t query, std::optional<DeferredStatus> status);
+
+  Parts* parts;
+  /// By the number of the question to the peer.
+  std::map<std::uint64_t, Relayed> relayed;
+  /// Cancellations that wait to be settled.
+  std::map<std::uint64_t, RequestId> cancelling;
+  TimerQueue<std::uint64_t> limits;
+};
+
+}  // namespace mustardproxy::detail
+
+#endif  // MUSTARDPROXY_CORE_LIFECYCLE_QUERY_FLOW_H_
--- /dev/null
+++ b/packages/core/src/lifecycle/request_flow.cc
@@ -0,0 +1,570 @@
+#include "lifecycle/request_flow.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "lifecycle/parts.h"
+
+namespace mustardproxy::detail {
+namespace {
+
+constexpr std::int32_t kBadRequestStatus = 400;
+constexpr std::int32_t kNotFoundStatus = 404;
+constexpr std::int32_t kUnprocessableStatus = 422;
+constexpr std::int32_t kBadGatewayStatus = 502;
+constexpr std::int32_t kGatewayTimeoutStatus = 504;
+/// A queued request may move to a peer that shows room after this wait.
+constexpr Duration kMoveAfter = std::chrono::milliseconds(200);
+constexpr Duration kMoveInterval = std::chrono::milliseconds(100);
+/// Most requests looked at in one round of moves; bounds its time.
+constexpr std::size_t kMovesPerRound = 32;
+/// Times that a start may provably not happen before the request is given up.
+constexpr std::int32_t kMaxStarts = 10;
+/// Attempt numbers of one request at different processes start apart, so that
+/// no two of them make the same task id.
+constexpr std::int32_t kAttemptsPerProcess = 1000;
+/// Answers of the worker that arrive this late still count.
+constexpr Duration kAnswerGrace = std::chrono::milliseconds(100);
+
+std::int32_t StatusOf(std::error_code error) {
+  if (error == Error::kUnknownService) {
+    return kNotFoundStatus;
+  }
+  if (error == Error::kUnknownTeam) {
+    return kBadRequestStatus;
+  }
+  const bool never =
+      error == Error::kNeverFits || error == Error::kGangImpossible;
+  return never ? kUnprocessableStatus : kUnavailableStatus;
+}
+
+}  // namespace
+
+void RequestFlow::On(const RequestArrived& event) {
+  CoreContext& context = this->parts->context;
+  const Request& request = event.request;
+  if (this->parts->table.Seen(request.id) ||
+      this->parts->deferred.Find(request.id) != nullptr) {
+    return;
+  }
+  context.Record(RequestEvent(TimelineKind::kRequestArrived, request.id,
+                              request.service.Text()));
+  if (!this->Admit(request)) {
+    return;
+  }
+  ActiveRequest entry;
+  entry.request = request;
+  if (entry.request.team.Empty()) {
+    entry.request.team = context.configuration.default_team;
+  }
+  if (entry.request.origin.Empty()) {
+    entry.request.origin = context.Self();
+  }
+  entry.terms = *TermsOf(context.configuration, request.service);
+  entry.arrived = context.now;
+  entry.deadline = context.now + request.timeout;
+  entry.place_by =
+      context.now + std::min(request.timeout, entry.terms.max_wait);
+  entry.last_attempt = this->parts->ProcessNumber() * kAttemptsPerProcess;
+  ActiveRequest* added = this->parts->table.Add(std::move(entry));
+  this->parts->retry_budget.OnRequest(context.now);
+  if (!request.idempotency_key.empty() && request.hops == 0) {
+    this->parts->claims.Begin(*added);
+    return;
+  }
+  this->Place(added);
+}
+
+bool RequestFlow::Admit(const Request& request) {
+  const CoreContext& context = this->parts->context;
+  const auto refuse = [&](Error error, std::string text) {
+    this->RefuseArrival(request, error, StatusOf(error), std::move(text));
+    return false;
+  };
+  if (context.stopping) {
+    return refuse(Error::kShuttingDown, "this entry process is stopping");
+  }
+  if (context.configuration.version == 0) {
+    return refuse(Error::kStarting, "no configuration has arrived yet");
+  }
+  const auto limit = static_cast<std::size_t>(context.options.max_requests);
+  if (this->parts->table.Size() >= limit) {
+    return refuse(Error::kTooManyConnections,
+                  "max_requests is " + std::to_string(limit));
+  }
+  if (!TermsOf(context.configuration, request.service)) {
+    return refuse(Error::kUnknownService, "service " + request.service.Text());
+  }
+  const TeamId& team =
+      request.team.Empty() ? context.configuration.default_team : request.team;
+  if (!context.configuration.teams.contains(team)) {
+    return refuse(Error::kUnknownTeam, "team " + team.Text());
+  }
+  return true;
+}
+
+void RequestFlow::RefuseArrival(const Request& request, std::error_code error,
+                                std::int32_t status, std::string text) {
+  Answer answer;
+  answer.status = status;
+  answer.error = error;
+  answer.detail = std::move(text);
+  if (status == kUnavailableStatus) {
+    answer.retry_after =
+        this->parts->scheduler.RetryAfter(this->parts->context.now);
+  }
+  this->parts->context.Record(
+      RequestEvent(TimelineKind::kRequestRefused, request.id, answer.detail));
+  this->parts->context.Emit(Reply{request.id, std::move(answer)});
+}
+
+void RequestFlow::Place(ActiveRequest* entry) {
+  if (entry->terms.deferred) {
+    this->parts->deferred.Accept(entry);
+    return;
+  }
+  Admission admission;
+  if (!this->TryQueue(entry, &admission)) {
+    if (!this->parts->forwarding.TryForward(entry, Reach::kAnywhere)) {
+      this->RefuseAdmission(entry, admission);
+    }
+    return;
+  }
+  const RequestId id = entry->request.id;
+  this->parts->RunScheduler();
+  // Placing may have changed the table, though it never answers.
+  entry = this->parts->table.Find(id);
+  if (entry == nullptr || entry->phase != RequestPhase::kQueued) {
+    return;
+  }
+  if (this->parts->forwarding.TryForward(entry, Reach::kOwnDataCenter)) {
+    return;
+  }
+  this->parts->context.Record(RequestEvent(TimelineKind::kRequestQueued, id));
+  this->parts->table.queued.push_back(id);
+  this->next_move =
+      std::min(this->next_move, this->parts->context.now + kMoveAfter);
+}
+
+bool RequestFlow::TryQueue(ActiveRequest* entry, Admission* admission) {
+  const Instant now = this->parts->context.now;
+  if (this->parts->ledger.WorkerCount() == 0) {
+    admission->refusal = Error::kNoWorker;
+    admission->detail = "this entry process owns no worker";
+    admission->retry_after = this->parts->scheduler.RetryAfter(now);
+    return false;
+  }
+  QueuedRequest queued;
+  queued.request = entry->request.id;
+  queued.service = entry->request.service;
+  queued.team = entry->request.team;
+  queued.arrived = entry->arrived;
+  queued.place_by = entry->place_by;
+  queued.attempt = entry->last_attempt + 1;
+  queued.avoid = entry->avoid;
+  *admission = this->parts->scheduler.Enqueue(now, this->parts->ledger,
+                                              std::move(queued));
+  if (admission->refusal) {
+    return false;
+  }
+  ++entry->last_attempt;
+  entry->phase = RequestPhase::kQueued;
+  entry->queued_at = now;
+  return true;
+}
+
+void RequestFlow::OnPlaced(std::span<const Placement> placements) {
+  const CoreContext& context = this->parts->context;
+  ActiveRequest* entry = this->parts->table.Find(placements.front().request);
+  if (entry == nullptr || entry->phase != RequestPhase::kQueued) {
+    this->parts->Unplace(placements);
+    return;
+  }
+  entry->phase = RequestPhase::kRunning;
+  entry->attempt = Attempt{};
+  entry->attempt.number = entry->last_attempt;
+  const bool detached = placements.size() > 1;
+  const Duration left = entry->deadline - context.now + kAnswerGrace;
+  this->parts->SampleWait(entry->terms.profile, entry->arrived);
+  for (const Placement& placement : placements) {
+    this->parts->PlanTask(placement, entry->request.service,
+                          entry->terms.max_run, detached);
+    entry->attempt.slots.push_back(
+        {placement.task, placement.worker, SlotState::kPending, {}});
+  }
+  for (const Placement& placement : placements) {
+    this->parts->tasks.Send(placement.task, entry->request.body, left);
+  }
+}
+
+void RequestFlow::OnNews(const TaskNews& news) {
+  ActiveRequest* entry = this->parts->table.Find(news.request);
+  if (entry == nullptr) {
+    if (news.kind == TaskNews::Kind::kEnded) {
+      this->parts->SettleLateAnswer(news);
+    }
+    return;
+  }
+  AttemptSlot* slot = entry->attempt.Find(news.task);
+  if (slot == nullptr) {
+    return;
+  }
+  this->parts->NoteHealth(news, entry->request.service);
+  switch (news.kind) {
+    case TaskNews::Kind::kStarted:
+      slot->state = SlotState::kRunning;
+      return;
+    case TaskNews::Kind::kUnclear:
+      this->OnUnclear(entry, news);
+      return;
+    case TaskNews::Kind::kNeverStarted:
+      slot->state = SlotState::kNeverStarted;
+      break;
+    case TaskNews::Kind::kEnded:
+      slot->state = SlotState::kEnded;
+      slot->ended = news.ended;
+      break;
+    case TaskNews::Kind::kLost:
+      slot->state = SlotState::kLost;
+      break;
+  }
+  if (entry->attempt.Settled()) {
+    this->Settled(entry);
+    return;
+  }
+  // A gang with a task that did not start is not whole: the others must not
+  // run on alone.
+  if (entry->attempt.AnyNeverStarted()) {
+    this->StopTasks(entry);
+  }
+}
+
+void RequestFlow::OnUnclear(ActiveRequest* entry, const TaskNews& news) {
+  entry->may_have_run = true;
+  // Nothing more can be learnt in time that would allow a second start, so a
+  // non-idempotent request is answered now instead of at its deadline.
+  if (!entry->terms.idempotent) {
+    this->AnswerUnknown(
+        entry, Error::kAnswerIncomplete,
+        "the answer of worker " + news.worker.Text() + " was lost");
+  }
+}
+
+void RequestFlow::StopTasks(ActiveRequest* entry) {
+  if (entry->attempt.stopping) {
+    return;
+  }
+  entry->attempt.stopping = true;
+  for (const AttemptSlot& slot : entry->attempt.slots) {
+    const bool open =
+        slot.state == SlotState::kPending || slot.state == SlotState::kRunning;
+    if (open) {
+      this->parts->tasks.Stop(slot.task, false);
+    }
+  }
+}
+
+void RequestFlow::Settled(ActiveRequest* entry) {
+  Attempt& attempt = entry->attempt;
+  const bool ran = attempt.MayHaveRun();
+  if (ran) {
+    entry->may_have_run = true;
+    ++entry->runs;
+  }
+  for (const AttemptSlot& slot : attempt.slots) {
+    if (slot.state != SlotState::kEnded ||
+        slot.ended.end != TaskEnd::kFinished) {
+      this->parts->Avoid(&entry->avoid, slot.worker);
+    }
+  }
+  const Verdict verdict = attempt.Judge();
+  if (verdict == Verdict::kFinished) {
+    this->Finish(entry, attempt.MergedAnswer());
+    return;
+  }
+  if (!entry->recalls.empty()) {
+    this->AnswerRecalls(entry, entry->may_have_run, DeferredState::kCancelled);
+    Answer cancelled;
+    cancelled.error = Error::kCancelled;
+    this->Finish(entry, std::move(cancelled));
+    return;
+  }
+  Answer last;
+  last.status = kUnavailableStatus;
+  last.error = Error::kNoWorker;
+  last.detail = "no worker accepted the task";
+  if (verdict == Verdict::kNeverStarted) {
+    this->TryAgain(entry, std::move(last));
+    return;
+  }
+  this->AfterFailure(entry);
+}
+
+void RequestFlow::AfterFailure(ActiveRequest* entry) {
+  const Attempt& attempt = entry->attempt;
+  const Verdict verdict = attempt.Judge();
+  Answer last;
+  last.outcome = Outcome::kUnknown;
+  last.status = kBadGatewayStatus;
+  last.error =
+      verdict == Verdict::kLost ? Error::kWorkerLost : Error::kTaskFailed;
+  last.detail = verdict == Verdict::kLost
+                    ? "a worker was lost while it ran the task"
+                    : "a task was stopped before its end";
+  if (verdict == Verdict::kFailed) {
+    last = attempt.MergedAnswer();
+    entry->last_failure = last;
+  }
+  const RequestId& id = entry->request.id;
+  const bool at_fault = this->parts->health.TaskAtFault(id);
+  const bool again =
+      entry->terms.idempotent && !at_fault && !entry->caller_gone &&
+      (attempt.preempted || entry->runs < entry->terms.max_attempts);
+  if (!again) {
+    if (at_fault) {
+      last.error = Error::kTaskFailed;
+      last.detail = "the task failed on several healthy workers";
+    }
+    this->Finish(entry, std::move(last));
+    return;
+  }
+  this->TryAgain(entry, std::move(last));
+}
+
+void RequestFlow::TryAgain(ActiveRequest* entry, Answer last) {
+  const Instant now = this->parts->context.now;
+  const std::int32_t starts =
+      entry->last_attempt % kAttemptsPerProcess + entry->forwards;
+  const bool may = this->TimeLeft(*entry) && !entry->caller_gone &&
+                   starts < kMaxStarts &&
+                   this->parts->retry_budget.TryRetry(now);
+  if (!may) {
+    if (last.outcome == Outcome::kNotRun && last.retry_after == Duration{0}) {
+      last.retry_after = this->parts->scheduler.RetryAfter(now);
+    }
+    this->Finish(entry, std::move(last));
+    return;
+  }
+  this->Place(entry);
+}
+
+bool RequestFlow::TimeLeft(const ActiveRequest& entry) const {
+  return this->parts->context.now < entry.place_by;
+}
+
+void RequestFlow::OnPreempted(const Preemption& preemption) {
+  ActiveRequest* entry = this->parts->table.Find(preemption.request);
+  if (entry == nullptr || !entry->terms.idempotent ||
+      entry->attempt.Find(preemption.task) == nullptr) {
+    return;
+  }
+  entry->attempt.preempted = true;
+  this->StopTasks(entry);
+}
+
+void RequestFlow::OnGivenUp(const RequestId& request) {
+  ActiveRequest* entry = this->parts->table.Find(request);
+  if (entry == nullptr || entry->phase != RequestPhase::kQueued) {
+    return;
+  }
+  this->Refuse(entry, Error::kWaitTooLong, kUnavailableStatus,
+               "no room within the longest wait",
+               this->parts->scheduler.RetryAfter(this->parts->context.now));
+}
+
+void RequestFlow::On(const CancelRequested& event) {
+  ActiveRequest* entry = this->parts->table.Find(event.request);
+  if (entry == nullptr || entry->phase == RequestPhase::kJournalling) {
+    return;
+  }
+  entry->caller_gone = true;
+  switch (entry->phase) {
+    case RequestPhase::kClaiming:
+      this->parts->claims.Abandon(entry->request);
+      this->Refuse(entry, Error::kCancelled, kUnavailableStatus, "cancelled");
+      return;
+    case RequestPhase::kQueued:
+      this->parts->scheduler.Cancel(event.request);
+      this->Refuse(entry, Error::kCancelled, kUnavailableStatus, "cancelled");
+      return;
+    case RequestPhase::kRunning:
+      // A non-idempotent task that was cut short could leave half an effect
+      // behind, so it runs on.
+      if (entry->terms.idempotent) {
+        this->StopTasks(entry);
+      }
+      return;
+    case RequestPhase::kForwarded:
+      this->parts->context.Emit(ForwardCancel{entry->peer, event.request});
+      return;
+    case RequestPhase::kRecalling:
+    case RequestPhase::kJournalling:
+      return;
+  }
+}
+
+void RequestFlow::Recall(ActiveRequest* entry, std::uint64_t query) {
+  entry->recalls.push_back(query);
+  entry->caller_gone = true;
+  switch (entry->phase) {
+    case RequestPhase::kQueued:
+      this->parts->scheduler.Cancel(entry->request.id);
+      this->AnswerRecalls(entry, entry->may_have_run,
+                          DeferredState::kCancelled);
+      this->Refuse(entry, Error::kCancelled, kUnavailableStatus, "recalled");
+      return;
+    case RequestPhase::kRunning:
+      this->StopTasks(entry);
+      return;
+    default:
+      this->AnswerRecalls(entry, true, DeferredState::kUnknown);
+      return;
+  }
+}
+
+void RequestFlow::AnswerRecalls(ActiveRequest* entry, bool ran,
+                                DeferredState state) {
+  for (const std::uint64_t query : std::exchange(entry->recalls, {})) {
+    DeferredStatus status;
+    status.id = entry->request.id;
+    status.state = state;
+    status.ran = ran;
+    this->parts->context.Emit(AnswerQuery{query, std::move(status)});
+  }
+}
+
+void RequestFlow::Refuse(ActiveRequest* entry, std::error_code error,
+                         std::int32_t status, std::string text,
+                         Duration retry_after) {
+  Answer answer;
+  answer.status = status;
+  answer.error = error;
+  answer.detail = std::move(text);
+  answer.retry_after = retry_after;
+  if (status == kUnavailableStatus && retry_after == Duration{0}) {
+    answer.retry_after =
+        this->parts->scheduler.RetryAfter(this->parts->context.now);
+  }
+  this->Finish(entry, std::move(answer));
+}
+
+void RequestFlow::RefuseAdmission(ActiveRequest* entry,
+                                  const Admission& admission) {
+  this->Refuse(entry, admission.refusal, StatusOf(admission.refusal),
+               admission.detail, admission.retry_after);
+}
+
+void RequestFlow::AnswerUnknown(ActiveRequest* entry, std::error_code error,
+                                std::string text) {
+  Answer answer;
+  answer.outcome = Outcome::kUnknown;
+  answer.status = error == Error::kDeadlineExceeded ? kGatewayTimeoutStatus
+                                                    : kBadGatewayStatus;
+  answer.error = error;
+  answer.detail = std::move(text);
+  this->Finish(entry, std::move(answer));
+}
+
+void RequestFlow::Finish(ActiveRequest* entry, Answer answer) {
+  // "Not run" must be true of all attempts, not only of the last one.
+  if (answer.outcome == Outcome::kNotRun && entry->may_have_run) {
+    if (entry->last_failure) {
+      answer = *entry->last_failure;
+    } else {
+      answer.outcome = Outcome::kUnknown;
+      answer.status = kBadGatewayStatus;
+      answer.retry_after = Duration{0};
+    }
+  }
+  if (entry->claimed) {
+    this->parts->claims.Settle(*entry, answer);
+  }
+  const bool refused = answer.outcome == Outcome::kNotRun;
+  const RequestId id = entry->request.id;
+  this->parts->context.Record(RequestEvent(
+      refused ? TimelineKind::kRequestRefused : TimelineKind::kRequestAnswered,
+      id, answer.detail));
+  this->AnswerRecalls(entry, answer.outcome != Outcome::kNotRun,
+                      DeferredState::kUnknown);
+  this->parts->health.Forget(id);
+  this->parts->table.Remove(id);
+  this->parts->context.Emit(Reply{id, std::move(answer)});
+}
+
+void RequestFlow::OnDeadline(const RequestId& request) {
+  ActiveRequest* entry = this->parts->table.Find(request);
+  if (entry == nullptr) {
+    return;
+  }
+  switch (entry->phase) {
+    case RequestPhase::kClaiming:
+      this->parts->claims.Abandon(entry->request);
+      this->Refuse(entry, Error::kJournalUnavailable, kUnavailableStatus,
+                   "the idempotency key was not claimed in time");
+      return;
+    case RequestPhase::kQueued:
+      this->parts->scheduler.Cancel(request);
+      this->OnGivenUp(request);
+      return;
+    case RequestPhase::kRunning:
+      this->StopTasks(entry);
+      this->AnswerUnknown(entry, Error::kDeadlineExceeded,
+                          "the caller's timeout passed while the task ran");
+      return;
+    case RequestPhase::kForwarded:
+      this->parts->context.Emit(ForwardCancel{entry->peer, request});
+      this->AnswerUnknown(entry, Error::kDeadlineExceeded,
+                          "the caller's timeout passed at a peer");
+      return;
+    case RequestPhase::kRecalling:
+      this->AnswerUnknown(entry, Error::kPeerLost,
+                          "a peer was lost and its fate not learnt in time");
+      return;
+    case RequestPhase::kJournalling:
+      this->parts->deferred.OnAcceptTimeout(entry);
+      return;
+  }
+}
+
+void RequestFlow::Tick() {
+  const Instant now = this->parts->context.now;
+  for (const RequestId& request : this->parts->table.TakeExpired(now)) {
+    this->OnDeadline(request);
+  }
+  if (now >= this->next_move) {
+    this->MoveWaiting();
+  }
+}
+
+void RequestFlow::MoveWaiting() {
+  const Instant now = this->parts->context.now;
+  std::deque<RequestId>& queued = this->parts->table.queued;
+  std::size_t looked = 0;
+  std::size_t left = queued.size();
+  for (; left > 0 && looked < kMovesPerRound; --left) {
+    const RequestId id = queued.front();
+    ActiveRequest* entry = this->parts->table.Find(id);
+    if (entry == nullptr || entry->phase != RequestPhase::kQueued) {
+      queued.pop_front();
+      continue;
+    }
+    if (now - entry->queued_at < kMoveAfter) {
+      break;
+    }
+    queued.pop_front();
+    ++looked;
+    const bool half_waited =
+        now - entry->arrived > (entry->place_by - entry->arrived) / 2;
+    const Reach reach = half_waited ? Reach::kAnywhere : Reach::kOwnDataCenter;
+    if (!this->parts->forwarding.TryForward(entry, reach)) {
+      queued.push_back(id);
+    }
+  }
+  this->next_move = queued.empty() ? Instant::max() : now + kMoveInterval;
+}
+
+Instant RequestFlow::NextWakeup() const {
+  return std::min(this->parts->table.NextDeadline(), this->next_move);
+}
+
+}  // namespace mustardproxy::detail
--- /dev/null
+++ b/packages/core/src/lifecycle/request_flow.h
@@ -0,0 +1,84 @@
+#ifndef MUSTARDPROXY_CORE_LIFECYCLE_REQUEST_FLOW_H_
+#define MUSTARDPROXY_CORE_LIFECYCLE_REQUEST_FLOW_H_
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <system_error>
+
+#include "lifecycle/request_table.h"
+#include "lifecycle/task_tracker.h"
+#include "mustardproxy/core/error.h"
+#include "mustardproxy/core/events.h"
+#include "mustardproxy/core/request.h"
+#include "mustardproxy/core/scheduler.h"
+
+namespace mustardproxy::detail {
+
+struct Parts;
+
+/// HTTP status of a refusal that may pass.
+inline constexpr std::int32_t kUnavailableStatus = 503;
+
+/// A request from its arrival to its one answer: admission, placement here or
+/// at a peer, attempts, and what the caller is told.
+class RequestFlow {
+ public:
+  explicit RequestFlow(Parts* parts) : parts(parts) {}
+
+  void On(const RequestArrived& event);
+  /// The caller is gone, or the peer that forwarded the request takes it back.
+  void On(const CancelRequested& event);
+  /// The tasks of a queued request were placed together.
+  void OnPlaced(std::span<const Placement> placements);
+  void OnNews(const TaskNews& news);
+  /// The scheduler gave up on a queued request.
+  void OnGivenUp(const RequestId& request);
+  /// A task is stopped to make room.
+  void OnPreempted(const Preemption& preemption);
+  /// Deals with deadlines and with requests that wait for a peer to show room.
+  void Tick();
+  [[nodiscard]] Instant NextWakeup() const;
+
+  /// Places a request that is allowed to start: here if it fits now, else at a
+  /// peer, else in the queue; else it is refused.
+  void Place(ActiveRequest* entry);
+  /// Answers, once and for all. Turns "not run" into what is true if an
+  /// attempt may have run.
+  void Finish(ActiveRequest* entry, Answer answer);
+  /// Answers "not run".
+  void Refuse(ActiveRequest* entry, std::error_code error, std::int32_t status,
+              std::string text, Duration retry_after = Duration{0});
+  /// Answers "not run" with what the scheduler said.
+  void RefuseAdmission(ActiveRequest* entry, const Admission& admission);
+  /// Answers "unknown".
+  void AnswerUnknown(ActiveRequest* entry, std::error_code error,
+                     std::string text);
+  /// A peer lost sight of a request that it forwarded here, and wants its tasks
+  /// stopped; the question is answered when no task of it runs any more.
+  void Recall(ActiveRequest* entry, std::uint64_t query);
+  /// Goes on with a request that provably does not run anywhere now.
+  /// @param last answer for the caller if it can't be tried again
+  void TryAgain(ActiveRequest* entry, Answer last);
+
+ private:
+  void RefuseArrival(const Request& request, std::error_code error,
+                     std::int32_t status, std::string text);
+  [[nodiscard]] bool Admit(const Request& request);
+  [[nodiscard]] bool TryQueue(ActiveRequest* entry, Admission* admission);
+  void StopTasks(ActiveRequest* entry);
+  void Settled(ActiveRequest* entry);
+  void AfterFailure(ActiveRequest* entry);
+  void OnUnclear(ActiveRequest* entry, const TaskNews& news);
+  void OnDeadline(const RequestId& request);
+  void MoveWaiting();
+  void AnswerRecalls(ActiveRequest* entry, bool ran, DeferredState state);
+  [[nodiscard]] bool TimeLeft(const ActiveRequest& entry) const;
+
+  Parts* parts;
+  Instant next_move = Instant::max();
+};
+
+}  // namespace mustardproxy::detail
+
+#endif  // MUSTARDPROXY_CORE_LIFECYCLE_REQUEST_FLOW_H_
--- /dev/null
+++ b/packages/core/src/lifecycle/shutdown_flow.cc
@@ -0,0 +1,89 @@
+#include "lifecycle/shutdown_flow.h"
+
+#include "lifecycle/parts.h"
+
+namespace mustardproxy::detail {
+namespace {
+
+/// Longest wait for the platform to take the *handed over* records. Without
+/// them a peer adopts the journals after the orphan time.
+constexpr Duration kHandOverPatience = std::chrono::seconds(3);
+/// Longest wait for workers to answer a release. Without it their leases lapse.
+constexpr Duration kReleasePatience = std::chrono::seconds(3);
+constexpr Duration kCheckInterval = std::chrono::milliseconds(50);
+
+}  // namespace
+
+void ShutdownFlow::Begin() {
+  if (this->step != Step::kRunning) {
+    return;
+  }
+  this->step = Step::kDraining;
+  this->parts->context.stopping = true;
+  this->parts->context.Record(
+      TextEvent(TimelineKind::kProcessStopping, "draining"));
+  this->parts->deferred.ParkAll();
+  this->next_check = this->parts->context.now;
+}
+
+void ShutdownFlow::Tick() {
+  const Instant now = this->parts->context.now;
+  if (now < this->next_check) {
+    return;
+  }
+  this->next_check = now + kCheckInterval;
+  const bool late = now >= this->step_limit;
+  switch (this->step) {
+    case Step::kRunning:
+    case Step::kFinished:
+      this->next_check = Instant::max();
+      return;
+    case Step::kDraining:
+      if (this->parts->table.Size() == 0) {
+        this->HandOver();
+      }
+      return;
+    case Step::kHandingOver:
+      if (this->handing_over.empty() || late) {
+        this->Release();
+      }
+      return;
+    case Step::kReleasing:
+      if (this->parts->ownership.OwnedCount() == 0 || late) {
+        this->step = Step::kFinished;
+        this->next_check = Instant::max();
+        this->parts->context.Emit(ShutdownFinished{});
+      }
+      return;
+  }
+}
+
+void ShutdownFlow::HandOver() {
+  this->step = Step::kHandingOver;
+  this->step_limit = this->parts->context.now + kHandOverPatience;
+  // Work whose tasks run goes on at the workers. The end of a task that is
+  // learnt after this record would be lost for the adopter, so nothing of the
+  // journal is followed any more.
+  for (const JournalId& journal : this->parts->journals.Names()) {
+    if (this->parts->journals.Unused(journal)) {
+      continue;
+    }
+    this->handing_over.insert(journal);
+    this->parts->deferred.OnFenced(journal);
+    this->parts->journals.Append(journal, HandedOverRecord{});
+  }
+}
+
+void ShutdownFlow::OnHandedOver(const JournalId& journal) {
+  this->handing_over.erase(journal);
+  this->parts->journals.Drop(journal);
+  this->next_check = this->parts->context.now;
+}
+
+void ShutdownFlow::Release() {
+  this->step = Step::kReleasing;
+  this->step_limit = this->parts->context.now + kReleasePatience;
+  this->parts->workers.ReleaseAll();
+}
+
+}  // namespace mustardproxy::detail
--- /dev/null
+++ b/packages/core/src/lifecycle/timer_queue.h
@@ -0,0 +1,59 @@
+#ifndef MUSTARDPROXY_CORE_LIFECYCLE_TIMER_QUEUE_H_
+#define MUSTARDPROXY_CORE_LIFECYCLE_TIMER_QUEUE_H_
+
+#include <compare>
+#include <map>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "mustardproxy/core/time.h"
+
+namespace mustardproxy::detail {
+
+/// At most one moment per key, in order of time.
+template <typename Key>
+class TimerQueue {
+ public:
+  /// Sets the moment of `key`; an earlier setting is forgotten.
+  /// @complexity logarithmic
+  void Set(const Key& key, Instant at) {
+    this->Clear(key);
+    this->moments.emplace(key, at);
+    this->order.insert({at, key});
+  }
+  void Clear(const Key& key) {
+    const auto found = this->moments.find(key);
+    if (found == this->moments.end()) {
+      return;
+    }
+    this->order.erase({found->second, key});
+    this->moments.erase(found);
+  }
+  /// @return keys whose moment has come, earliest first; they are cleared
+  [[nodiscard]] std::vector<Key> TakeDue(Instant now) {
+    std::vector<Key> due;
+    while (!this->order.empty() && this->order.begin()->at <= now) {
+      due.push_back(this->order.begin()->key);
+      this->Clear(due.back());
+    }
+    return due;
+  }
+  /// @return the earliest moment, `Instant::max()` if there is none
+  [[nodiscard]] Instant Next() const {
+    return this->order.empty() ? Instant::max() : this->order.begin()->at;
+  }
+
+ private:
+  struct Entry {
+    Instant at;
+    Key key;
+    friend auto operator<=>(const Entry&, const Entry&) = default;
+  };
+  std::set<Entry> order;
+  std::map<Key, Instant> moments;
+};
+
+}  // namespace mustardproxy::detail
+
+#endif  // MUSTARDPROXY_CORE_LIFECYCLE_TIMER_QUEUE_H_
--- /dev/null
+++ b/packages/core/src/lifecycle/worker_flow.cc
@@ -0,0 +1,269 @@
+#include "lifecycle/worker_flow.h"
+
+#include <algorithm>
+#include <variant>
+
+#include "lifecycle/parts.h"
+
+namespace mustardproxy::detail {
+
+void WorkerFlow::Boot() {
+  HostListArrived event;
+  event.workers = this->parts->context.options.workers;
+  this->On(event);
+}
+
+void WorkerFlow::On(const HostListArrived& event) {
+  this->Remember(event.workers);
+  const std::vector<WorkerId> leaving = this->parts->ownership.OnHostList(
+      event.workers, this->parts->context.options.self.data_center);
+  for (const WorkerId& worker : leaving) {
+    this->parts->ledger.SetPlaceable(worker, false);
+    this->parts->context.Record(
+        WorkerEvent(TimelineKind::kWorkerLeaving, worker));
+  }
+}
+
+void WorkerFlow::Remember(const std::vector<WorkerDescription>& workers) {
+  for (const WorkerDescription& worker : workers) {
+    this->directory[worker.id] = worker;
+  }
+}
+
+void WorkerFlow::On(const WorkerAttached& event) {
+  const WorkerReport& report = event.report;
+  const Instant now = this->parts->context.now;
+  const bool rebuild = this->parts->ownership.OnAttached(now, report);
+  const std::optional<OwnedWorker> owned =
+      this->parts->ownership.Owned(now, report.worker);
+  if (!owned || owned->epoch != report.epoch) {
+    return;
+  }
+  this->held_by_other.erase(report.worker);
+  if (rebuild) {
+    this->parts->tasks.OnWorkerRestarted(report.worker, report.incarnation);
+  }
+  this->parts->tasks.OnReport(report);
+  const bool known = this->parts->ledger.FreeOn(report.worker).has_value();
+  if (rebuild || !known) {
+    this->Open(*owned, report);
+  }
+}
+
+void WorkerFlow::Open(const OwnedWorker& owned, const WorkerReport& report) {
+  const WorkerId& worker = report.worker;
+  this->parts->ledger.Open(owned.description, report);
+  // Tasks sent under this very epoch may have reached the worker after it made
+  // the report; leaving them out would overcommit it.
+  const std::vector<RunningTask> on_the_way =
+      this->parts->tasks.OnTheWay(worker, owned.epoch);
+  this->parts->ledger.Reconcile(worker, on_the_way);
+  this->found.erase(worker);
+  this->CountFound(report);
+  this->parts->health.Add(worker);
+  this->ApplyStanding(worker);
+  this->parts->context.Record(
+      WorkerEvent(TimelineKind::kWorkerAttached, worker, owned.epoch));
+}
+
+void WorkerFlow::CountFound(const WorkerReport& report) {
+  for (const RunningTask& task : report.running) {
+    // A report that was made before the end of a task may arrive after it.
+    const bool over = this->parts->tasks.EndedRecently(task.task);
+    if (this->parts->tasks.Knows(task.task) || over) {
+      continue;
+    }
+    const bool added =
+        this->found[report.worker].emplace(task.task, task.request).second;
+    if (added) {
+      this->parts->scheduler.TaskFound(
+          this->parts->context.now, task.task, task.request, task.service,
+          this->parts->TeamOf(task.request), report.worker, task.running_for);
+    }
+  }
+}
+
+void WorkerFlow::FreeVanished(const WorkerReport& report) {
+  const auto at = this->found.find(report.worker);
+  if (at == this->found.end()) {
+    return;
+  }
+  std::erase_if(at->second, [&](const auto& entry) {
+    const bool runs = std::ranges::any_of(
+        report.running,
+        [&](const RunningTask& task) { return task.task == entry.first; });
+    if (!runs) {
+      this->parts->scheduler.TaskDone(this->parts->context.now,
+                                      &this->parts->ledger, entry.first, true);
+      this->parts->ledger.Free(report.worker, entry.first);
+    }
+    return !runs;
+  });
+}
+
+void WorkerFlow::On(const WorkerRenewed& event) {
+  const WorkerReport& report = event.report;
+  const Instant now = this->parts->context.now;
+  this->parts->ownership.OnRenewed(now, report);
+  this->parts->tasks.OnReport(report);
+  const std::optional<OwnedWorker> owned =
+      this->parts->ownership.Owned(now, report.worker);
+  if (!owned || owned->epoch != report.epoch) {
+    return;
+  }
+  if (!this->parts->ledger.FreeOn(report.worker)) {
+    this->Open(*owned, report);
+    return;
+  }
+  this->FreeVanished(report);
+  this->CountFound(report);
+  std::vector<RunningTask> running = report.running;
+  std::erase_if(running, [&](const RunningTask& task) {
+    return this->parts->tasks.EndedRecently(task.task);
+  });
+  this->parts->ledger.Reconcile(report.worker, running);
+}
+
+void WorkerFlow::On(const WorkerRefused& event) {
+  const bool lost =
+      this->parts->ownership.OnRefused(this->parts->context.now, event);
+  if (!event.holder.Empty() && event.holder != this->parts->context.Self()) {
+    this->held_by_other.insert(event.worker);
+  }
+  if (lost) {
+    this->Close(event.worker);
+  }
+}
+
+void WorkerFlow::On(const WorkerUnreachable& event) {
+  if (this->parts->ownership.OnUnreachable(this->parts->context.now,
+                                           event.worker)) {
+    this->Close(event.worker);
+  }
+}
+
+void WorkerFlow::On(const WorkerReleased& event) {
+  this->parts->ownership.OnReleased(this->parts->context.now, event.worker);
+  this->parts->context.Record(
+      WorkerEvent(TimelineKind::kWorkerReleased, event.worker, event.epoch));
+  this->Close(event.worker);
+}
+
+void WorkerFlow::Close(const WorkerId& worker) {
+  this->parts->ledger.Close(worker);
+  this->parts->health.Remove(worker);
+  const auto at = this->found.find(worker);
+  if (at != this->found.end()) {
+    for (const auto& [task, request] : at->second) {
+      this->parts->scheduler.TaskDone(this->parts->context.now,
+                                      &this->parts->ledger, task, false);
+    }
+    this->found.erase(at);
+  }
+  this->parts->tasks.OnWorkerLost(worker);
+  this->parts->context.Record(WorkerEvent(TimelineKind::kWorkerLost, worker));
+}
+
+void WorkerFlow::Tick() {
+  CoreContext& context = this->parts->context;
+  if (this->parts->ownership.NextWakeup() <= context.now) {
+    const std::size_t first = context.actions->size();
+    this->parts->ownership.Tick(context.now, this->parts->membership,
+                                context.actions);
+    this->NoteRenewals(first);
+  }
+  const bool due = this->parts->health.NextWakeup() <= context.now;
+  if (due || this->parts->TakeHealthChanged()) {
+    for (const WorkerId& worker :
+         this->parts->health.TakeChanged(context.now)) {
+      this->ApplyStanding(worker);
+    }
+  }
+}
+
+void WorkerFlow::NoteRenewals(std::size_t first_action) {
+  const Actions& actions = *this->parts->context.actions;
+  for (std::size_t i = first_action; i < actions.size(); ++i) {
+    const auto* renew = std::get_if<RenewWorker>(&actions[i]);
+    if (renew != nullptr) {
+      this->parts->tasks.OnRenewalSent(renew->worker);
+    }
+    // A release takes the worker out of placement before it is answered.
+    const auto* release = std::get_if<ReleaseWorker>(&actions[i]);
+    if (release != nullptr) {
+      this->parts->ledger.SetPlaceable(release->worker, false);
+    }
+  }
+}
+
+void WorkerFlow::ReleaseAll() {
+  if (this->releasing) {
+    return;
+  }
+  this->releasing = true;
+  this->parts->ownership.ReleaseAll(this->parts->context.now,
+                                    this->parts->context.actions);
+}
+
+void WorkerFlow::RenewNow(const WorkerId& worker, const OwnedWorker& owned) {
+  RenewWorker renew;
+  renew.worker = worker;
+  renew.address = owned.description.address;
+  renew.epoch = owned.epoch;
+  renew.lease = this->parts->context.options.ownership.lease;
+  renew.ended_sequence = this->parts->ownership.EndedSequence(worker);
+  this->parts->context.Emit(std::move(renew));
+  this->parts->tasks.OnRenewalSent(worker);
+}
+
+std::string WorkerFlow::AddressOf(const WorkerId& worker) const {
+  const auto known = this->directory.find(worker);
+  return known == this->directory.end() ? std::string() : known->second.address;
+}
+
+bool WorkerFlow::HeldByOther(const WorkerId& worker) const {
+  return this->held_by_other.contains(worker);
+}
+
+bool WorkerFlow::RunsOrphanOf(const RequestId& request) const {
+  return std::ranges::any_of(this->found, [&](const auto& at) {
+    return std::ranges::any_of(
+        at.second, [&](const auto& task) { return task.second == request; });
+  });
+}
+
+void WorkerFlow::StopOrphansOf(const RequestId& request) {
+  for (const auto& [worker, tasks] : this->found) {
+    const std::optional<OwnedWorker> owned =
+        this->parts->ownership.Owned(this->parts->context.now, worker);
+    for (const auto& [task, owner] : tasks) {
+      if (owner != request || !owned) {
+        continue;
+      }
+      StopTask stop;
+      stop.worker = worker;
+      stop.address = owned->description.address;
+      stop.epoch = owned->epoch;
+      stop.task = task;
+      this->parts->context.Emit(std::move(stop));
+    }
+  }
+}
+
+void WorkerFlow::ApplyStanding(const WorkerId& worker) {
+  CoreContext& context = this->parts->context;
+  const WorkerStanding standing =
+      this->parts->health.Standing(context.now, worker);
+  const auto description = this->parts->ownership.Describe(worker);
+  const bool leaving = description && description->leaving;
+  this->parts->ledger.SetPlaceable(worker, standing.placeable && !leaving,
+                                   standing.share);
+  if (!standing.placeable && this->ejected.insert(worker).second) {
+    context.Record(WorkerEvent(TimelineKind::kWorkerEjected, worker));
+  }
+  if (standing.placeable && this->ejected.erase(worker) > 0) {
+    context.Record(WorkerEvent(TimelineKind::kWorkerReturned, worker));
+  }
+}
+
+}  // namespace mustardproxy::detail
--- /dev/null
+++ b/packages/core/src/lifecycle/worker_flow.h
@@ -0,0 +1,75 @@
+#ifndef MUSTARDPROXY_CORE_LIFECYCLE_WORKER_FLOW_H_
+#define MUSTARDPROXY_CORE_LIFECYCLE_WORKER_FLOW_H_
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "mustardproxy/core/events.h"
+#include "mustardproxy/core/ids.h"
+#include "mustardproxy/core/ownership.h"
+#include "mustardproxy/core/worker.h"
+
+namespace mustardproxy::detail {
+
+struct Parts;
+
+/// Keeps the ledger, the scheduler and the health of workers in line with the
+/// leases that this process holds.
+class WorkerFlow {
+ public:
+  explicit WorkerFlow(Parts* parts) : parts(parts) {}
+
+  /// Takes over the workers that the settings name.
+  void Boot();
+  void On(const HostListArrived& event);
+  void On(const WorkerAttached& event);
+  void On(const WorkerRefused& event);
+  void On(const WorkerRenewed& event);
+  void On(const WorkerUnreachable& event);
+  void On(const WorkerReleased& event);
+  /// Attaches, renews and releases what is due, and follows the standing of
+  /// workers.
+  void Tick();
+  /// Gives all leases back.
+  void ReleaseAll();
+
+  /// Sends a renewal out of turn.
+  void RenewNow(const WorkerId& worker, const OwnedWorker& owned);
+  /// @return `ip:port`, empty if the worker is not known
+  [[nodiscard]] std::string AddressOf(const WorkerId& worker) const;
+  /// @return true if the worker is known to have another owner
+  [[nodiscard]] bool HeldByOther(const WorkerId& worker) const;
+  /// @return true if a task of the request, started by another process, runs at
+  ///   a worker of this one
+  [[nodiscard]] bool RunsOrphanOf(const RequestId& request) const;
+  /// Stops such tasks.
+  void StopOrphansOf(const RequestId& request);
+  [[nodiscard]] std::size_t KnownCount() const {
+    return this->directory.size();
+  }
+
+ private:
+  void Open(const OwnedWorker& owned, const WorkerReport& report);
+  void Close(const WorkerId& worker);
+  void CountFound(const WorkerReport& report);
+  void FreeVanished(const WorkerReport& report);
+  void Remember(const std::vector<WorkerDescription>& workers);
+  void ApplyStanding(const WorkerId& worker);
+  void NoteRenewals(std::size_t first_action);
+
+  Parts* parts;
+  /// Of all data centres, so that journals that name them can be followed up.
+  std::map<WorkerId, WorkerDescription> directory;
+  /// Tasks at owned workers that this process did not start, with what runs
+  /// them.
+  std::map<WorkerId, std::map<TaskId, RequestId>> found;
+  std::set<WorkerId> held_by_other;
+  std::set<WorkerId> ejected;
+  bool releasing = false;
+};
+
+}  // namespace mustardproxy::detail
+
+#endif  // MUSTARDPROXY_CORE_LIFECYCLE_WORKER_FLOW_H_
