--- a/packages/core/src/lifecycle/parts.cc
+++ b/packages/core/src/lifecycle/parts.cc
@@ -161,7 +161,12 @@
 
 void Parts::TickMembership() {
   const Instant now = this->context.now;
-  if (this->membership.NextWakeup() <= now) {
+  const PeerNews news{this->context.configuration.version,
+                      this->context.stopping, this->context.platform_reachable,
+                      this->journals.Names()};
+  const bool due = this->membership.NextWakeup() <= now;
+  if (due || news != this->told_peers) {
+    this->told_peers = news;
     this->membership.Tick(now, this->OwnDigest(), this->context.actions);
   }
   for (const ProcessId& peer : this->membership.TakeLost(now)) {
@@ -343,7 +348,7 @@
     this->health.OnFailure(now, news.worker, service, news.request);
     this->health_changed = true;
   } else if (fine) {
-    this->health.OnSuccess(now, news.worker);
+    this->health.OnSuccess(now, news.worker, service);
   }
 }
 
--- a/packages/core/src/lifecycle/parts.h
+++ b/packages/core/src/lifecycle/parts.h
@@ -29,6 +29,16 @@
 
 namespace mustardproxy::detail {
 
+/// What peers should learn soon, not only with the next heartbeat.
+struct PeerNews {
+  ConfigurationVersion configuration = 0;
+  bool stopping = false;
+  bool platform_reachable = true;
+  std::vector<JournalId> journals;
+
+  friend bool operator==(const PeerNews&, const PeerNews&) = default;
+};
+
 /// All parts of one core. Each part reaches the others through it; news flows
 /// through `Advance`, so that no part is called back while it is at work.
 struct Parts {
@@ -117,6 +127,7 @@
   std::uint64_t last_query = 0;
   bool health_changed = false;
   bool more_to_place = false;
+  PeerNews told_peers;
   Instant next_victims;
   Instant next_housekeeping;
 };
--- a/packages/core/src/lifecycle/task_tracker.cc
+++ b/packages/core/src/lifecycle/task_tracker.cc
@@ -85,6 +85,7 @@
   this->parts->context.Emit(std::move(start));
   this->parts->context.Record(TaskEvent(
       TimelineKind::kTaskStarted, plan.request, task, plan.worker, plan.epoch));
+  this->parts->ownership.OnStartSent(now, plan.worker);
   tracked->phase = Phase::kSent;
   tracked->since = now;
   this->CheckAfter(tracked, timeout + kReportPatience);
@@ -125,8 +126,8 @@
 }
 
 void TaskTracker::SendStop(Tracked* tracked) {
-  const std::optional<OwnedWorker> owned = this->parts->ownership.Owned(
-      this->parts->context.now, tracked->plan.worker);
+  const std::optional<OwnedWorker> owned =
+      this->parts->ownership.Held(tracked->plan.worker);
   this->CheckAfter(tracked, kStopPatience);
   if (!owned) {
     return;
@@ -142,6 +143,7 @@
 }
 
 void TaskTracker::On(const TaskStarted& event) {
+  this->parts->ownership.OnTraffic(this->parts->context.now, event.worker);
   Tracked* tracked = this->Find(event.task);
   if (tracked == nullptr || tracked->phase != Phase::kSent) {
     return;
@@ -150,6 +152,7 @@
 }
 
 void TaskTracker::On(const TaskEnded& event) {
+  this->parts->ownership.OnTraffic(this->parts->context.now, event.worker);
   this->Settle(event.ended.task, TaskNews::Kind::kEnded, event.ended);
 }
 
@@ -158,6 +161,10 @@
   if (tracked == nullptr || tracked->phase != Phase::kSent) {
     return;
   }
+  if (event.reason == Error::kStaleEpoch) {
+    this->parts->ownership.OnStartRefused(this->parts->context.now,
+                                          event.worker);
+  }
   this->Settle(event.task, TaskNews::Kind::kNeverStarted, {}, event.reason);
 }
 
@@ -357,7 +364,7 @@
   // though it ran. Renewals are refused by a restarted worker, so an accepted
   // one that was sent after the question shows that the answer counts.
   const std::optional<OwnedWorker> owned =
-      this->parts->ownership.Owned(this->parts->context.now, plan.worker);
+      this->parts->ownership.Held(plan.worker);
   const bool can_confirm = answered_by == 0 && plan.worker_incarnation != 0 &&
                            owned &&
                            owned->incarnation == plan.worker_incarnation;
@@ -378,9 +385,8 @@
     this->SendStop(tracked);
     return;
   }
-  const bool owned = this->parts->ownership
-                         .Owned(this->parts->context.now, tracked->plan.worker)
-                         .has_value();
+  const bool owned =
+      this->parts->ownership.Held(tracked->plan.worker).has_value();
   if (tracked->plan.detached && owned) {
     this->CheckAfter(tracked, kBackupPause);
     return;
--- a/packages/core/src/lifecycle/worker_flow.cc
+++ b/packages/core/src/lifecycle/worker_flow.cc
@@ -35,7 +35,7 @@
   const Instant now = this->parts->context.now;
   const bool rebuild = this->parts->ownership.OnAttached(now, report);
   const std::optional<OwnedWorker> owned =
-      this->parts->ownership.Owned(now, report.worker);
+      this->parts->ownership.Held(report.worker);
   if (!owned || owned->epoch != report.epoch) {
     return;
   }
@@ -107,7 +107,7 @@
   this->parts->ownership.OnRenewed(now, report);
   this->parts->tasks.OnReport(report);
   const std::optional<OwnedWorker> owned =
-      this->parts->ownership.Owned(now, report.worker);
+      this->parts->ownership.Held(report.worker);
   if (!owned || owned->epoch != report.epoch) {
     return;
   }
@@ -235,7 +235,7 @@
 void WorkerFlow::StopOrphansOf(const RequestId& request) {
   for (const auto& [worker, tasks] : this->found) {
     const std::optional<OwnedWorker> owned =
-        this->parts->ownership.Owned(this->parts->context.now, worker);
+        this->parts->ownership.Held(worker);
     for (const auto& [task, owner] : tasks) {
       if (owner != request || !owned) {
         continue;
--- /dev/null
+++ b/packages/core/tests/core_forward_test.cc
@@ -0,0 +1,111 @@
+#include <boost/test/unit_test.hpp>
+
+#include "core_harness.h"
+#include "mustardproxy/core/error.h"
+
+using namespace mustardproxy;           // NOLINT(google-build-using-namespace)
+using namespace mustardproxy::testing;  // NOLINT(google-build-using-namespace)
+
+namespace {
+
+ForwardRequest TakeForward(CoreHarness* harness) {
+  const auto forwards = harness->Take<ForwardRequest>();
+  BOOST_TEST_REQUIRE(forwards.size() == 1U);
+  return forwards.front();
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(core_forward)
+
+BOOST_AUTO_TEST_CASE(a_process_without_workers_forwards) {
+  CoreHarness harness(0);
+  harness.PeerWithRoom("p2", "dc1");
+  const RequestId id = harness.Arrive("booking");
+  const ForwardRequest forward = TakeForward(&harness);
+  BOOST_TEST(forward.peer == ProcessId("p2"));
+  BOOST_TEST(forward.request.hops == 1);
+  Answer answer;
+  answer.outcome = Outcome::kCompleted;
+  answer.status = 200;
+  harness.Send(ForwardAnswered{id, forward.peer, answer});
+  BOOST_TEST((harness.TakeReply().answer.outcome == Outcome::kCompleted));
+}
+
+// The connection to the peer is refused, so the booking never left this
+// process: it goes to a peer of the other data centre instead.
+BOOST_AUTO_TEST_CASE(a_forward_that_was_not_sent_goes_to_another_peer) {
+  CoreHarness harness(0);
+  harness.PeerWithRoom("p2", "dc1");
+  harness.PeerWithRoom("q1", "dc2");
+  const RequestId id = harness.Arrive("booking");
+  const ForwardRequest forward = TakeForward(&harness);
+  harness.Send(ForwardFailed{id, forward.peer, true});
+  BOOST_TEST(TakeForward(&harness).peer == ProcessId("q1"));
+}
+
+// The connection to the peer breaks after the booking was sent. The caller is
+// told "unknown" at once, and no other process gets it.
+BOOST_AUTO_TEST_CASE(a_booking_lost_at_a_peer_is_answered_unknown_at_once) {
+  CoreHarness harness(0);
+  harness.PeerWithRoom("p2", "dc1");
+  harness.PeerWithRoom("q1", "dc2");
+  const RequestId id = harness.Arrive("booking");
+  const ForwardRequest forward = TakeForward(&harness);
+  harness.Send(ForwardFailed{id, forward.peer, false});
+  BOOST_TEST((harness.TakeReply().answer.outcome == Outcome::kUnknown));
+  BOOST_TEST(harness.Take<ForwardRequest>().empty());
+}
+
+// The same with a screen: the peer is told to stop it first, and only its word
+// that nothing runs lets the screen go to another peer.
+BOOST_AUTO_TEST_CASE(a_screen_lost_at_a_peer_is_recalled_before_it_moves) {
+  CoreHarness harness(0);
+  harness.PeerWithRoom("p2", "dc1");
+  harness.PeerWithRoom("q1", "dc2");
+  const RequestId id = harness.Arrive("screen");
+  const ForwardRequest forward = TakeForward(&harness);
+  harness.Send(ForwardFailed{id, forward.peer, false});
+  const auto asked = harness.Take<AskPeer>();
+  BOOST_TEST_REQUIRE(asked.size() == 1U);
+  BOOST_TEST(asked.front().cancel);
+  BOOST_TEST(harness.Take<ForwardRequest>().empty());
+  DeferredStatus status;
+  status.id = id;
+  status.state = DeferredState::kCancelled;
+  harness.Send(QueryAnswered{asked.front().query, status});
+  BOOST_TEST(TakeForward(&harness).peer == ProcessId("q1"));
+}
+
+// The other side of it: the peer stops the running task and then says so.
+BOOST_AUTO_TEST_CASE(a_recalled_request_is_stopped_before_the_answer) {
+  CoreHarness harness(1);
+  Request request = harness.Make("screen");
+  request.id = RequestId("p2.b2.1");
+  request.origin = ProcessId("p2");
+  request.hops = 1;
+  harness.Send(RequestArrived{request});
+  const StartTask start = harness.TakeStart();
+  harness.Send(QueryArrived{5, request.id, true, true, false});
+  BOOST_TEST(harness.Take<AnswerQuery>().empty());
+  BOOST_TEST(harness.Take<StopTask>().size() == 1U);
+  harness.Send(TaskStopAnswered{start.worker, start.order.task, true});
+  const auto answers = harness.Take<AnswerQuery>();
+  BOOST_TEST_REQUIRE(answers.size() == 1U);
+  BOOST_TEST((answers.front().status->state == DeferredState::kCancelled));
+  BOOST_TEST(answers.front().status->ran);
+}
+
+BOOST_AUTO_TEST_CASE(a_forwarded_request_is_not_forwarded_inside_again) {
+  CoreHarness harness(0);
+  harness.PeerWithRoom("p2", "dc1");
+  Request request = harness.Make("booking");
+  request.id = RequestId("p3.b2.1");
+  request.origin = ProcessId("p2");
+  request.hops = 1;
+  harness.Send(RequestArrived{request});
+  BOOST_TEST(harness.Take<ForwardRequest>().empty());
+  BOOST_TEST((harness.TakeReply().answer.outcome == Outcome::kNotRun));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
