Platform: key-value client, link, and a stand-in to prove them against

The client speaks Consul's interface on a kept-open connection. Each call tells how far it came; only "sent, no reply" needs settling by a read.

A trim leaves a marker, the newest batch and every batch with an adopted record: without the record, a former owner that was paused could create its next batch and go on; without the marker, a delayed append could bring a trimmed batch back, and ended work with it.

Claims of keys with equal hash share one value, which only compare-and-swap changes. Ruled out: DELETE for a dropped claim, since a repeat of it could take a later claim away; it leaves an empty value instead.

The stand-in keeps its values in memory, and has the switches of docs/PROTOCOLS.md except leases, which that page does not define.

--- a/packages/platform/include/mustardproxy/platform/key_value_client.h
+++ b/packages/platform/include/mustardproxy/platform/key_value_client.h
@@ -11,6 +11,7 @@
 #include "mustardproxy/core/result.h"
 #include "mustardproxy/core/time.h"
 #include "mustardproxy/core/worker.h"
+#include "mustardproxy/platform/call_observer.h"
 
 namespace mustardproxy {
 
@@ -38,12 +39,16 @@
 class KeyValueClient {
  public:
   /// @param url `http://ip:port`
+  /// @param timeout to connect, and longest silence within a reply
   KeyValueClient(std::string_view url, Duration timeout);
   ~KeyValueClient();
+  KeyValueClient(const KeyValueClient&) = delete;
+  KeyValueClient& operator=(const KeyValueClient&) = delete;
 
   /// @return nothing if the key is absent
   [[nodiscard]] Result<std::optional<KeyValue>> Get(std::string_view key);
-  /// Returns once the value's index is above `index`, or after `wait`.
+  /// Returns once the value's index is above `index`, or after `wait`. For an
+  /// absent key it may return at once.
   [[nodiscard]] Result<std::optional<KeyValue>> Watch(std::string_view key,
                                                       std::uint64_t index,
                                                       Duration wait);
@@ -55,7 +60,12 @@
   [[nodiscard]] Result<void> Remove(std::string_view key);
   /// The platform's list of hosts that run tasks (`GET /v1/hosts`).
   [[nodiscard]] Result<std::vector<WorkerDescription>> Hosts();
-  /// Ends a call in progress from another thread.
+  /// How far the last call came. After a `Swap` that ended uncertain,
+  /// `kNotSent` and `kRefused` say that nothing was written.
+  [[nodiscard]] CallEnd LastEnd() const;
+  /// Tells `observer` of each call from now on; null stops that.
+  void Observe(CallObserver* observer);
+  /// Ends a call in progress from another thread; later calls fail at once.
   void Abort();
 
  private:
@@ -63,6 +73,8 @@
   std::unique_ptr<State> state;
 };
 
+/// Largest value that the platform takes.
+inline constexpr std::size_t kMaxValueBytes = 1'048'576;
 /// Key of the configuration document in force.
 inline constexpr std::string_view kConfigurationKey = "config/current";
 /// Prefix of past documents, by version in 20 digits.
