--- a/packages/settings/include/mustardproxy/settings/load.h
+++ b/packages/settings/include/mustardproxy/settings/load.h
@@ -39,6 +39,8 @@
 /// @return the document as JSON, in a fixed order of fields
 [[nodiscard]] std::string FormatConfiguration(
     const Configuration& configuration);
+/// @return one profile as JSON, as it stands in a document
+[[nodiscard]] std::string FormatProfile(const Profile& profile);
 /// @return one line per difference, empty if there is none (the version is not
 ///   compared)
 [[nodiscard]] std::vector<std::string> DescribeDifference(
--- a/packages/settings/src/configuration_schema.cc
+++ b/packages/settings/src/configuration_schema.cc
@@ -15,7 +15,7 @@
 constexpr std::size_t kMostServices = 5000;
 constexpr std::size_t kMostTeams = 5000;
 
-Schema<Profile> ProfileSchema() {
+Schema<Profile> BuildProfileSchema() {
   return Schema<Profile>::Builder()
       .Bool("deferred", &Profile::deferred,
             "answered at once with an id, journalled, run later")
@@ -120,6 +120,11 @@
 
 }  // namespace
 
+const Schema<Profile>& ProfileSchema() {
+  static const Schema<Profile> schema = BuildProfileSchema();
+  return schema;
+}
+
 const Schema<Configuration>& ConfigurationSchema() {
   static const Schema<Configuration> schema = BuildConfigurationSchema();
   return schema;
--- a/packages/settings/src/configuration_schema.h
+++ b/packages/settings/src/configuration_schema.h
@@ -9,6 +9,9 @@
 /// @return the table of all fields of a configuration document
 [[nodiscard]] const Schema<Configuration>& ConfigurationSchema();
 
+/// @return the part of that table that describes one profile
+[[nodiscard]] const Schema<Profile>& ProfileSchema();
+
 /// Adds a problem for each name that refers to nothing and for values that
 /// contradict each other.
 void CheckConfiguration(const Configuration& configuration, Problems* problems);
--- a/packages/settings/src/load.cc
+++ b/packages/settings/src/load.cc
@@ -82,6 +82,10 @@
   return detail::PrintJson(detail::ConfigurationSchema().Write(configuration));
 }
 
+std::string FormatProfile(const Profile& profile) {
+  return detail::PrintJson(detail::ProfileSchema().Write(profile));
+}
+
 std::string FormatProblem(const Problem& problem) {
   std::string line = problem.path.empty() ? "(file)" : problem.path;
   line += ": " + problem.reason.message();
