Gateway: callers' and operators' HTTP listeners

The listeners keep POCO's TCP server, sockets, sessions and messages, with a connection loop of our own that bounds time and bytes over the whole header and body.

ServerSocket::bind with two arguments also sets SO_REUSEPORT; a test found that two processes could share a port, so the three-argument form is used.

--- a/packages/gateway/src/body_reader.h
+++ b/packages/gateway/src/body_reader.h
@@ -14,6 +14,8 @@
  public:
   using HTTPServerSession::HTTPServerSession;
 
+  /// @return true if bytes of the next request were fetched already
+  [[nodiscard]] bool HasBuffered() const { return this->buffered() > 0; }
   /// @return the next byte, or -1 at the end of the connection
   int Get() { return this->get(); }
   /// @return bytes read, 0 at the end of the connection
--- a/packages/gateway/src/connection.cc
+++ b/packages/gateway/src/connection.cc
@@ -106,20 +106,27 @@
   try {
     this->socket().setNoDelay(true);
     CallerSession session(this->socket(), this->params);
-    bool go_on = true;
+    bool go_on = this->AwaitNext(&session, this->limits.header_time);
     while (go_on) {
-      // The first request is waited for with the time for a header.
-      this->bounded->AllowReceive(this->limits.header_time, kAnyBytes);
-      go_on = this->table->SetIdle(this->socket(), true) &&
-              session.hasMoreRequests();
-      this->table->SetIdle(this->socket(), false);
-      go_on = go_on && this->ServeNext(&session);
+      go_on = this->ServeNext(&session) &&
+              this->AwaitNext(&session, this->limits.idle_time);
     }
   } catch (const Poco::Exception&) {
     // The connection broke or its time ran out; there is nobody to tell.
   }
 }
 
+bool Connection::AwaitNext(CallerSession* session,
+                           std::chrono::milliseconds time) {
+  if (!this->table->SetIdle(this->socket(), true)) return false;
+  auto limit = std::chrono::duration_cast<std::chrono::microseconds>(time);
+  bool more = session->HasBuffered() ||
+              this->socket().poll(Poco::Timespan(limit.count()),
+                                  Poco::Net::Socket::SELECT_READ);
+  this->table->SetIdle(this->socket(), false);
+  return more;
+}
+
 bool Connection::ServeNext(CallerSession* session) {
   HTTPRequest header;
   if (!this->ReadHeader(session, &header)) return false;
@@ -135,10 +142,8 @@
   std::optional<HttpAnswer> answer = this->surface->Handle(call);
   if (!answer) return false;
   bool open = this->table->SetIdle(this->socket(), false);
-  bool keep_alive = open && !answer->close && header.getKeepAlive() &&
-                    session->canKeepAlive();
+  bool keep_alive = open && !answer->close && header.getKeepAlive();
   bool with_body = header.getMethod() != HTTPRequest::HTTP_HEAD;
-  session->setKeepAlive(keep_alive);
   this->Send(*answer, keep_alive, with_body);
   return keep_alive;
 }
--- a/packages/gateway/src/connection.h
+++ b/packages/gateway/src/connection.h
@@ -21,6 +21,8 @@
   std::chrono::milliseconds header_time = std::chrono::seconds(10);
   std::chrono::milliseconds body_time = std::chrono::seconds(30);
   std::chrono::milliseconds send_time = std::chrono::seconds(30);
+  /// Between two requests of a connection.
+  std::chrono::milliseconds idle_time = std::chrono::seconds(60);
 };
 
 /// Serves the requests of one connection in turn, on a thread of its own.
@@ -36,6 +38,9 @@
   void run() override;
 
  private:
+  /// Waits for the first byte of a request.
+  /// @return false if none came, or the listener stops
+  bool AwaitNext(CallerSession* session, std::chrono::milliseconds time);
   /// @return false if the connection is to be closed
   bool ServeNext(CallerSession* session);
   bool ReadHeader(CallerSession* session, Poco::Net::HTTPRequest* header);
--- a/packages/gateway/src/listener.cc
+++ b/packages/gateway/src/listener.cc
@@ -23,8 +23,6 @@
 /// A thread of a caller needs little; an idle one goes away soon.
 constexpr std::int32_t kStackBytes = 262'144;
 constexpr std::int32_t kThreadIdleSeconds = 5;
-constexpr std::int32_t kKeepAliveSeconds = 60;
-constexpr std::int32_t kMaxKeepAliveRequests = 1'000'000;
 
 class ConnectionFactory final : public Poco::Net::TCPServerConnectionFactory {
  public:
@@ -80,9 +78,6 @@
   params->setMaxThreads(threads);
   params->setMaxQueued(kMaxQueued);
   params->setThreadIdleTime(Poco::Timespan(kThreadIdleSeconds, 0));
-  params->setKeepAlive(true);
-  params->setKeepAliveTimeout(Poco::Timespan(kKeepAliveSeconds, 0));
-  params->setMaxKeepAliveRequests(kMaxKeepAliveRequests);
   return params;
 }
 
@@ -103,7 +98,9 @@
                                       std::uint16_t port) {
   try {
     BoundedServerSocket socket;
-    socket.bind(Poco::Net::SocketAddress(host, port), true);
+    // Not the two-argument form: it lets two processes share the port, and each
+    // would get part of the other one's callers.
+    socket.bind(Poco::Net::SocketAddress(host, port), true, false);
     socket.listen(kBacklog);
     auto params = MakeParams(this->max_connections + kRefusalThreads);
     Poco::Net::TCPServerConnectionFactory::Ptr factory(new ConnectionFactory(
