--- a/packages/core/src/scheduler/headroom.cc
+++ b/packages/core/src/scheduler/headroom.cc
@@ -9,7 +9,12 @@
 namespace {
 
 constexpr Duration kUpdateInterval = std::chrono::milliseconds(100);
-constexpr double kDeviations = 3.0;
+constexpr double kMostDeviations = 3.0;
+constexpr double kLeastDeviations = 1.0;
+/// Wait that does no harm, as a part of the shortest that an urgent profile
+/// allows.
+constexpr double kWindowPart = 0.1;
+constexpr std::int32_t kLastGrade = 8;
 /// Part of the emptied cell that is kept free at most.
 constexpr std::int64_t kLargestPart = 2;
 /// Tasks at once below which a service has stopped arriving.
@@ -22,6 +27,7 @@
   double memory_mb = 0;
   double accelerators = 0;
   double slots = 0;
+  Duration shortest_wait = Duration::max();
 };
 
 void AddService(const ServiceEntry& service, Instant now, UrgentLoad* load) {
@@ -33,6 +39,10 @@
   load->memory_mb += tasks * static_cast<double>(size.memory_mb);
   load->accelerators += tasks * static_cast<double>(size.accelerators);
   load->slots += tasks * static_cast<double>(size.slots);
+  if (tasks >= kLeastLoad) {
+    load->shortest_wait =
+        std::min(load->shortest_wait, service.profile.max_wait);
+  }
 }
 
 Resources MeanTask(const UrgentLoad& load) {
@@ -53,26 +63,36 @@
     const ServiceEntry& service = catalog.ServiceAt(i);
     if (service.profile.priority == 0) AddService(service, now, &load);
   }
-  if (load.tasks < kLeastLoad) {
-    this->target = 0;
-    return;
-  }
+  this->mean = 0;
+  if (load.shortest_wait == Duration::max()) return;
+  this->mean = load.tasks;
   this->task = MeanTask(load);
+  this->task_share = DominantShare(this->task, ledger->TotalCapacity());
+  this->window_seconds =
+      std::chrono::duration<double>(load.shortest_wait).count() * kWindowPart;
+  this->most = ledger->EmptyRoomFor(this->task) / kLargestPart;
   ledger->TrackRoom(this->task);
-  const double wanted = load.tasks + kDeviations * std::sqrt(load.tasks);
-  this->target = std::min(static_cast<std::int64_t>(std::ceil(wanted)),
-                          ledger->EmptyRoomFor(this->task) / kLargestPart);
+}
+
+void Headroom::FollowOtherWork(double share_per_second) {
+  this->other_ends_per_second =
+      this->task_share <= 0 ? 0 : share_per_second / this->task_share;
 }
 
 std::int64_t Headroom::Wanted() const {
-  return std::max<std::int64_t>(0, this->target - this->running);
+  if (this->mean <= 0) return 0;
+  const double deviation = std::sqrt(this->mean);
+  const double freed = this->other_ends_per_second * this->window_seconds;
+  const double above =
+      std::clamp(kMostDeviations * deviation - freed,
+                 kLeastDeviations * deviation, kMostDeviations * deviation);
+  const auto target = static_cast<std::int64_t>(std::ceil(this->mean + above));
+  return std::clamp<std::int64_t>(target - this->running, 0, this->most);
 }
 
-bool Headroom::Allows(const Ledger& ledger, const WorkerId& worker,
-                      const Resources& resources, std::int64_t beside) const {
+std::int64_t Headroom::WantedOf(std::int32_t priority) const {
   const std::int64_t wanted = this->Wanted();
-  if (wanted == 0) return true;
-  return ledger.TrackedRoomWithout(worker, resources) >= wanted + beside;
+  return wanted - (wanted >> std::clamp(priority, 0, kLastGrade));
 }
 
 std::optional<Instant> Headroom::NextUpdate() const {
--- a/packages/core/src/scheduler/headroom.h
+++ b/packages/core/src/scheduler/headroom.h
@@ -14,21 +14,24 @@
 ///
 /// With arrivals at random, the number of urgent tasks that run at once has
 /// about the mean and variance of `rate * run time`. Room is kept for that mean
-/// and three standard deviations, less what urgent tasks hold already, and
-/// never for more than half of the cell.
+/// and some standard deviations, less what urgent tasks hold already: three
+/// deviations if other work hardly ever ends, one if so much of it ends that an
+/// urgent request soon finds room anyway. Never for more than half of the cell.
 class Headroom {
  public:
   /// Works the target out again if it is due.
   void Update(Instant now, const Catalog& catalog, Ledger* ledger);
-  /// @return tasks of the mean urgent size to be kept room for now
-  [[nodiscard]] std::int64_t Wanted() const;
+  /// Follows the other work that runs.
+  /// @param share_per_second share of the cell that its ends free
+  void FollowOtherWork(double share_per_second);
   void UrgentStarted() { ++this->running; }
   void UrgentEnded() { --this->running; }
-  /// @param beside room that is free but promised to a gang, in urgent tasks
-  /// @return true if lower-priority work may take `resources` there
-  [[nodiscard]] bool Allows(const Ledger& ledger, const WorkerId& worker,
-                            const Resources& resources,
-                            std::int64_t beside) const;
+  /// @return tasks of the mean urgent size to be kept room for now
+  [[nodiscard]] std::int64_t Wanted() const;
+  /// @return the part of it that work of a priority must leave: half for
+  ///   priority 1, three quarters for 2, and so on. So work in the middle is
+  ///   not shut out by long tasks of the lowest priority.
+  [[nodiscard]] std::int64_t WantedOf(std::int32_t priority) const;
   /// The mean urgent task.
   [[nodiscard]] const Resources& Task() const { return this->task; }
   /// @return when the target changes next
@@ -37,7 +40,14 @@
  private:
   std::optional<Instant> updated;
   Resources task;
-  std::int64_t target = 0;
+  /// Dominant share of the cell that the mean urgent task takes.
+  double task_share = 0;
+  /// Mean number of urgent tasks that run at once.
+  double mean = 0;
+  /// Wait that an urgent request may well meet.
+  double window_seconds = 0;
+  double other_ends_per_second = 0;
+  std::int64_t most = 0;
   std::int64_t running = 0;
 };
 
--- a/packages/core/src/scheduler/placement_pass.cc
+++ b/packages/core/src/scheduler/placement_pass.cc
@@ -175,28 +175,28 @@
 bool PlacementPass::LeavesHeadroom(const ServiceEntry& service,
                                    const std::vector<WorkerId>& workers,
                                    bool holds_reservation) const {
-  // Small tasks use up all that is free beside a reservation and the headroom,
-  // so a gang that had to leave the headroom too would never start.
-  if (service.profile.priority == 0 || holds_reservation) return true;
   const Headroom& headroom = this->state->headroom;
-  if (headroom.Wanted() == 0) return true;
-  std::int64_t beside =
-      this->state->reservation.HeldRoomFor(headroom.Task(), *this->ledger);
+  const std::int32_t priority = holds_reservation
+                                    ? std::min(service.profile.priority, 1)
+                                    : service.profile.priority;
+  const std::int64_t wanted = headroom.WantedOf(priority);
+  if (wanted == 0) return true;
+  std::int64_t left = this->ledger->TrackedRoom();
+  const GangReservation& reservation = this->state->reservation;
+  const bool outranks = service.profile.priority < reservation.Priority();
+  if (reservation.Active() && !holds_reservation && !outranks) {
+    left -= reservation.HeldRoomFor(headroom.Task(), *this->ledger);
+  }
   for (std::size_t i = 0; i < workers.size();) {
-    const auto end = std::find_if(
-        workers.begin() + static_cast<std::ptrdiff_t>(i), workers.end(),
-        [&](const WorkerId& other) { return other != workers[i]; });
-    const auto next = static_cast<std::size_t>(end - workers.begin());
+    std::size_t next = i;
+    while (next < workers.size() && workers[next] == workers[i]) ++next;
     const Resources taken =
         Times(service.resources, static_cast<std::int64_t>(next - i));
-    if (!headroom.Allows(*this->ledger, workers[i], taken, beside)) {
-      return false;
-    }
-    beside += this->ledger->TrackedRoom() -
-              this->ledger->TrackedRoomWithout(workers[i], taken);
+    left -= this->ledger->TrackedRoom() -
+            this->ledger->TrackedRoomWithout(workers[i], taken);
     i = next;
   }
-  return true;
+  return left >= wanted;
 }
 
 void PlacementPass::ConsiderReservation(const QueueEntry& entry,
--- a/packages/core/src/scheduler/running_tasks.cc
+++ b/packages/core/src/scheduler/running_tasks.cc
@@ -17,7 +17,7 @@
   const TaskId task = entry.task;
   const auto [found, added] = this->entries.emplace(task, std::move(entry));
   if (!added) return false;
-  this->release_per_second += found->second.release_per_second;
+  this->CountRelease(found->second, 1.0);
   if (found->second.preemptible) this->victims.insert(&found->second);
   return true;
 }
@@ -28,8 +28,7 @@
   this->victims.erase(&found->second);
   RunningEntry entry = std::move(found->second);
   this->entries.erase(found);
-  this->release_per_second -= entry.release_per_second;
-  if (this->entries.empty()) this->release_per_second = 0;
+  this->CountRelease(entry, -1.0);
   if (entry.stop_group) {
     const auto group = this->stop_groups.find(*entry.stop_group);
     if (--group->second == 0) this->stop_groups.erase(group);
@@ -42,8 +41,22 @@
   return found == this->entries.end() ? nullptr : &found->second;
 }
 
+void RunningTasks::CountRelease(const RunningEntry& entry, double sign) {
+  double& sum =
+      entry.priority == 0 ? this->urgent_release : this->other_release;
+  sum = std::max(0.0, sum + sign * entry.release_per_second);
+  // Sums of floating point drift; with nothing running they are exactly zero.
+  if (!this->entries.empty()) return;
+  this->urgent_release = 0;
+  this->other_release = 0;
+}
+
 double RunningTasks::ReleasePerSecond() const {
-  return this->release_per_second;
+  return this->urgent_release + this->other_release;
+}
+
+double RunningTasks::OtherReleasePerSecond() const {
+  return this->other_release;
 }
 
 std::vector<ExpectedRelease> RunningTasks::Releases(
--- a/packages/core/src/scheduler/running_tasks.h
+++ b/packages/core/src/scheduler/running_tasks.h
@@ -45,6 +45,8 @@
   /// Dominant share of the cell that running tasks free per second, if they
   /// run as long as expected.
   [[nodiscard]] double ReleasePerSecond() const;
+  /// The same without urgent tasks (priority 0).
+  [[nodiscard]] double OtherReleasePerSecond() const;
   /// @return when tasks are expected to end, in order of time
   /// @complexity n log n in the number of running tasks
   [[nodiscard]] std::vector<ExpectedRelease> Releases(
@@ -62,6 +64,8 @@
   [[nodiscard]] std::size_t OpenStopGroups() const;
 
  private:
+  void CountRelease(const RunningEntry& entry, double sign);
+
   struct VictimOrder {
     bool operator()(const RunningEntry* a, const RunningEntry* b) const;
   };
@@ -70,7 +74,8 @@
   std::set<const RunningEntry*, VictimOrder> victims;
   std::unordered_map<StopGroup, std::size_t> stop_groups;
   StopGroup last_group = 0;
-  double release_per_second = 0;
+  double urgent_release = 0;
+  double other_release = 0;
 };
 
 template <typename Visitor>
--- a/packages/core/src/scheduler/scheduler_state.cc
+++ b/packages/core/src/scheduler/scheduler_state.cc
@@ -99,6 +99,7 @@
   const bool urgent = entry.priority == 0;
   if (!this->running.Add(std::move(entry))) return;
   if (urgent) this->headroom.UrgentStarted();
+  this->headroom.FollowOtherWork(this->running.OtherReleasePerSecond());
   this->catalog.TeamAt(team).used += resources;
   this->Rank(team);
 }
@@ -110,6 +111,7 @@
   ledger->Free(entry->worker, task);
   this->reservation.OnFreed(entry->worker, entry->resources, ledger);
   if (entry->priority == 0) this->headroom.UrgentEnded();
+  this->headroom.FollowOtherWork(this->running.OtherReleasePerSecond());
   this->catalog.TeamAt(entry->team).used -= entry->resources;
   this->Rank(entry->team);
   return entry;
--- a/testing/bench_decisions/driver.cc
+++ b/testing/bench_decisions/driver.cc
@@ -31,6 +31,7 @@
   Instant arrived;
   Duration run{0};
   bool counted = false;
+  bool placed = false;
 };
 
 /// Shares of a cell.
@@ -132,7 +133,8 @@
   } else {
     this->waiting[request.request] = {
         stream, now, Duration(static_cast<Duration::rep>(run_seconds * 1e6)),
-        counted};
+        counted, false};
+    this->OutcomesOf(stream).waiting += counted ? 1 : 0;
   }
   this->ScheduleArrival(stream, now);
 }
@@ -140,14 +142,14 @@
 void Run::Place(Instant now) {
   for (Placement& placement : this->dispatcher->Schedule(now)) {
     const auto found = this->waiting.find(placement.request);
-    if (found != this->waiting.end() &&
-        (this->placements.empty() ||
-         this->placements.back().request != placement.request)) {
-      const Waiting& known = found->second;
+    if (found != this->waiting.end() && !found->second.placed) {
+      Waiting& known = found->second;
+      known.placed = true;
       const std::chrono::duration<double, std::milli> wait =
           now - known.arrived;
       if (known.counted) {
         this->OutcomesOf(known.stream).wait_ms.push_back(wait.count());
+        --this->OutcomesOf(known.stream).waiting;
       }
     }
     this->Push(now + this->waiting.at(placement.request).run, false,
@@ -159,6 +161,7 @@
 void Run::Expire(Instant now) {
   for (const RequestId& request : this->dispatcher->Expire(now)) {
     const Waiting& known = this->waiting.at(request);
+    if (known.counted) --this->OutcomesOf(known.stream).waiting;
     if (known.counted) ++this->OutcomesOf(known.stream).expired;
   }
 }
@@ -168,9 +171,13 @@
       std::chrono::duration<double>(now - this->last).count();
   const Resources free = this->ledger->TotalFree();
   const Resources whole = this->ledger->TotalCapacity();
+  const auto used = [](std::int64_t left, std::int64_t all) {
+    return 1.0 - static_cast<double>(left) / static_cast<double>(all);
+  };
   this->used_seconds +=
-      seconds * (1.0 - static_cast<double>(free.cpu_milli) /
-                           static_cast<double>(whole.cpu_milli));
+      seconds * std::max({used(free.cpu_milli, whole.cpu_milli),
+                          used(free.memory_mb, whole.memory_mb),
+                          used(free.slots, whole.slots)});
   this->last = now;
 }
 
@@ -213,7 +220,8 @@
 
 double Outcomes::Placed() const {
   const auto placed = static_cast<double>(this->wait_ms.size());
-  const auto lost = static_cast<double>(this->refused + this->expired);
+  const auto lost =
+      static_cast<double>(this->refused + this->expired + this->waiting);
   return placed + lost == 0 ? 1.0 : placed / (placed + lost);
 }
 
@@ -232,6 +240,7 @@
                        outcomes.wait_ms.end());
     sum.refused += outcomes.refused;
     sum.expired += outcomes.expired;
+    sum.waiting += outcomes.waiting;
   }
   return sum;
 }
--- a/testing/bench_decisions/driver.h
+++ b/testing/bench_decisions/driver.h
@@ -23,6 +23,7 @@
   std::vector<double> wait_ms;
   std::int64_t refused = 0;
   std::int64_t expired = 0;
+  /// Still waiting at the end of the run.
   std::int64_t waiting = 0;
 
   /// @return a quantile of the waiting times of placed requests
@@ -35,7 +36,7 @@
 /// What a run shows, by `<team>/<service>`.
 struct RunResult {
   std::map<std::string, Outcomes> by_stream;
-  /// Mean share of processors in use.
+  /// Mean share in use of the part that is used most.
   double utilisation = 0;
   /// Adds up all streams of a service.
   [[nodiscard]] Outcomes OfService(const std::string& service) const;
--- a/testing/bench_decisions/waiting_time.cc
+++ b/testing/bench_decisions/waiting_time.cc
@@ -18,6 +18,40 @@
       fifo_p99 > 0 ? p99 / fifo_p99 : 1.0);
 }
 
+/// One entry process's part of a cell, filled with deferred tasks of minutes
+/// and little urgent work: room comes free once in some seconds.
+constexpr std::int32_t kSmallWorkers = 8;
+constexpr double kLongRunSeconds = 300;
+constexpr double kSmallSeconds = 3000;
+constexpr double kSmallUrgentPart = 0.05;
+
+void RunLoad(const BenchOptions& options, const CellShape& cell, const Mix& mix,
+             double load) {
+  RunPlan plan{cell,
+               mix.configuration,
+               StreamsOf(cell, mix, "a", load * 0.7),
+               options.seconds,
+               20,
+               options.seed};
+  for (const Stream& stream : StreamsOf(cell, mix, "b", load * 0.3)) {
+    plan.streams.push_back(stream);
+  }
+  Ledger product_ledger = OpenCell(cell);
+  ProductDispatcher product(plan.configuration, &product_ledger);
+  const RunResult ours = Drive(plan, &product_ledger, &product);
+  Ledger fifo_ledger = OpenCell(cell);
+  FifoDispatcher fifo(plan.configuration, &fifo_ledger);
+  const RunResult theirs = Drive(plan, &fifo_ledger, &fifo);
+  for (const ServiceLoad& service : mix.loads) {
+    const std::string& name = service.service.Text();
+    PrintLine(cell.name.c_str(), load, name.c_str(), ours.OfService(name),
+              theirs.OfService(name));
+  }
+  std::printf("%-7s %5.0f%% scarcest in use %.3f, fifo %.3f, ratio %.3f\n",
+              cell.name.c_str(), load * 100, ours.utilisation,
+              theirs.utilisation, ours.utilisation / theirs.utilisation);
+}
+
 }  // namespace
 
 void BenchWaitingTime(const BenchOptions& options) {
@@ -28,32 +62,26 @@
   for (const CellShape& cell : {Dlonie(), Addis()}) {
     const Mix mix = MakeMix(cell, {"a", "b"});
     for (const double load : {0.5, 0.8, 0.95, 1.2}) {
-      RunPlan plan{cell,
-                   mix.configuration,
-                   StreamsOf(cell, mix, "a", load * 0.7),
-                   options.seconds,
-                   20,
-                   options.seed};
-      for (const Stream& stream : StreamsOf(cell, mix, "b", load * 0.3)) {
-        plan.streams.push_back(stream);
-      }
-      Ledger product_ledger = OpenCell(cell);
-      ProductDispatcher product(plan.configuration, &product_ledger);
-      const RunResult ours = Drive(plan, &product_ledger, &product);
-      Ledger fifo_ledger = OpenCell(cell);
-      FifoDispatcher fifo(plan.configuration, &fifo_ledger);
-      const RunResult theirs = Drive(plan, &fifo_ledger, &fifo);
-      for (const ServiceLoad& service : mix.loads) {
-        const std::string& name = service.service.Text();
-        PrintLine(cell.name.c_str(), load, name.c_str(), ours.OfService(name),
-                  theirs.OfService(name));
-      }
-      std::printf(
-          "%-7s %5.0f%% processors in use %.3f, fifo %.3f, ratio %.3f\n",
-          cell.name.c_str(), load * 100, ours.utilisation, theirs.utilisation,
-          ours.utilisation / theirs.utilisation);
+      RunLoad(options, cell, mix, load);
     }
   }
+  CellShape cell = Dlonie();
+  cell.name = "small";
+  cell.workers = kSmallWorkers;
+  Mix mix = MakeMix(cell, {"a", "b"});
+  for (ServiceLoad& load : mix.loads) {
+    load.part = kSmallUrgentPart;
+    if (load.service != ServiceId("rota")) continue;
+    load.part = 1 - 3 * kSmallUrgentPart;
+    load.run_seconds = kLongRunSeconds;
+    mix.configuration.services[load.service].expected_run =
+        Duration(std::chrono::seconds(300));
+  }
+  std::printf("%d workers with deferred tasks of %.0f s:\n", kSmallWorkers,
+              kLongRunSeconds);
+  BenchOptions longer = options;
+  longer.seconds = kSmallSeconds;
+  RunLoad(longer, cell, mix, 1.2);
 }
 
 }  // namespace mustardproxy::bench
