Membership: refused heartbeats find a crashed process sooner; guards shown by mutation

Each guard of membership, ownership, worker health and retry budget was taken out once on a scratch copy (36 of them). Three tests stayed green: - own pause: the model answered within the step that followed; the test now stops the whole data centre and looks at each step. - urgent news: the phase of the heartbeats hid it; the test now starts between two of them. - unreachable heartbeats: the guard had no effect, since its retries were no faster than silence. They are now sent at half the interval, and the bound of the test is tighter (2.6 s instead of 3.5 s).

--- a/packages/core/src/membership.cc
+++ b/packages/core/src/membership.cc
@@ -88,6 +88,9 @@
         peer.digest || peer.unanswered > this->options.missed_heartbeats;
     return peer.sent + (given_up ? this->Interval(peer) * kGoneFactor : retry);
   }
+  // Calls that fail at once, as after a crash, are repeated faster, so that the
+  // workers of a crashed process are taken over sooner.
+  if (peer.unreachable > 0) return peer.sent + retry / 2;
   if (peer.unanswered > 0) return peer.sent + retry;
   const Instant exchanged = std::max(peer.sent, peer.heard);
   if (this->news_since > exchanged) return exchanged + retry / 4;
@@ -275,11 +278,12 @@
 }
 
 void Membership::OnUnreachable(Instant now, const ProcessId& peer) {
-  const auto found = this->state->peers.find(peer);
-  if (found == this->state->peers.end()) return;
-  if (found->second.unanswered == 0) return;
+  State& all = *this->state;
+  const auto found = all.peers.find(peer);
+  if (found == all.peers.end() || found->second.unanswered == 0) return;
   ++found->second.unreachable;
-  this->state->DropSilent(now);
+  all.DropSilent(now);
+  all.next_wakeup = std::min(all.next_wakeup, all.SendDue(found->second));
 }
 
 std::vector<ProcessId> Membership::TakeLost(Instant now) {
--- a/packages/core/src/ownership.cc
+++ b/packages/core/src/ownership.cc
@@ -104,7 +104,6 @@
 }
 
 void Ownership::State::Lose(Instant now, Lease* lease) {
-  lease->highest = std::max(lease->highest, lease->epoch);
   lease->not_before = std::max(lease->not_before, now);
   lease->active = false;
   this->SetPhase(lease, LeasePhase::kNone);
@@ -223,6 +222,8 @@
   // A stop of a task that is gone is refused although the lease stands.
   if (lease->phase == LeasePhase::kOwned && ours) return false;
   lease->in_flight = false;
+  // A worker that was restarted has forgotten its epochs. Ours go on growing,
+  // or a start from before the restart could match the new lease.
   lease->highest = std::max(lease->highest, refused.highest);
   const bool taken = lease->phase == LeasePhase::kOwned &&
                      all.Preferred(*lease) && refused.highest > lease->epoch;
--- a/packages/core/src/ownership_plan.cc
+++ b/packages/core/src/ownership_plan.cc
@@ -264,7 +264,6 @@
     lease->not_before = now + OrphanWatch::kPause;
   }
   lease->drained = this->Drained(*lease);
-  lease->highest = std::max(lease->highest, lease->epoch);
   this->SetPhase(lease, LeasePhase::kReleasing);
   lease->in_flight = true;
   lease->sent = now;
--- a/packages/core/tests/membership_failure_test.cc
+++ b/packages/core/tests/membership_failure_test.cc
@@ -112,7 +112,7 @@
     if (!membership.TakeLost(now).empty()) lost = now;
   }
   BOOST_TEST((lost > Instant(1s)));
-  BOOST_TEST((lost <= Instant(3s + 500ms)));
+  BOOST_TEST((lost <= Instant(2s + 600ms)));
   BOOST_TEST(membership.Alive(ProcessId("c")));
 }
 
@@ -146,6 +146,9 @@
   OwnershipCell cell({"a", "b", "c", "d", "e", "f", "g", "h"}, 1);
   cell.StartAll();
   cell.Run(20s);
+  const std::int32_t before = cell.At("a").heartbeats;
+  while (cell.At("a").heartbeats == before) cell.Run(10ms);
+  cell.Run(500ms);
   Membership& membership = cell.At("a").membership;
   Digest changed = cell.At("a").OwnDigest();
   changed.configuration_version = 9;
--- a/packages/core/tests/membership_forward_test.cc
+++ b/packages/core/tests/membership_forward_test.cc
@@ -51,7 +51,10 @@
 std::int32_t ForwardAll(Membership* membership, Instant now,
                         std::mt19937_64* random) {
   std::int32_t forwarded = 0;
-  while (membership->ChooseForward(now, kTask, {}, (*random)())) ++forwarded;
+  while (forwarded < 10'000 &&
+         membership->ChooseForward(now, kTask, {}, (*random)())) {
+    ++forwarded;
+  }
   return forwarded;
 }
 
--- a/packages/core/tests/ownership_split_test.cc
+++ b/packages/core/tests/ownership_split_test.cc
@@ -89,20 +89,27 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_pause_alone_does_not_make_a_process_take_everything) {
-  // Story: an entry host stops for 20 s. When it wakes up, all its peers seem
-  // to have been silent for 20 s. It must not attach to their workers: they are
-  // alive and their callers are being served.
+  // Story: a data centre's hypervisor stalls for 20 s, and its entry hosts with
+  // it. When they wake up, each finds the others silent for 20 s and would take
+  // all workers, and they would fight over them although nobody had died.
   OwnershipCell cell({"a", "b", "c"}, 12);
   cell.StartAll();
   cell.Run(20s);
+  const std::int32_t before = cell.Attaches();
+  cell.At("b").paused = true;
+  cell.At("c").paused = true;
   cell.At("a").paused = true;
   cell.Run(20s);
   cell.Resume("a");
-  std::size_t most = 0;
-  const std::size_t fair = 12;
-  cell.Run(3s, [&] { most = std::max(most, cell.OwnedBy("a")); });
-  BOOST_TEST(most < fair);
-  BOOST_TEST(cell.At("a").membership.LocalMembers().size() == 3U);
+  cell.Resume("b");
+  cell.Resume("c");
+  std::size_t members = 3;
+  cell.Run(3s, [&] {
+    const std::size_t seen = cell.At("a").membership.LocalMembers().size();
+    members = std::min(members, seen);
+  });
+  BOOST_TEST(members == 3U);
+  BOOST_TEST(cell.Attaches() == before);
 }
 
 BOOST_AUTO_TEST_CASE(without_epoch_checks_a_split_does_not_overcommit) {
