--- a/packages/core/tests/membership_forward_test.cc
+++ b/packages/core/tests/membership_forward_test.cc
@@ -36,6 +36,7 @@
 
 Membership EightMembers(const char* self) {
   std::vector<PeerDescription> peers;
+  peers.reserve(kMembers.size() + 1);
   for (const char* name : kMembers) peers.push_back({ProcessId(name), kHome});
   peers.push_back({ProcessId("x"), kAway});
   return {{ProcessId(self), kHome}, peers, {}};
--- a/packages/core/tests/ownership_cell.h
+++ b/packages/core/tests/ownership_cell.h
@@ -100,8 +100,7 @@
     return report;
   }
   [[nodiscard]] WorkerRefused Refuse(Instant now, Epoch epoch) const {
-    const Duration left =
-        std::max(Duration(0), Duration(this->lease_until - now));
+    const Duration left = std::max(Duration::zero(), this->lease_until - now);
     return {this->description.id, epoch, this->highest, this->holder.process,
             left};
   }
