--- a/packages/core/tests/membership_forward_test.cc
+++ b/packages/core/tests/membership_forward_test.cc
@@ -36,6 +36,7 @@
 
 Membership EightMembers(const char* self) {
   std::vector<PeerDescription> peers;
+  peers.reserve(kMembers.size() + 1);
   for (const char* name : kMembers) peers.push_back({ProcessId(name), kHome});
   peers.push_back({ProcessId("x"), kAway});
   return {{ProcessId(self), kHome}, peers, {}};
@@ -51,7 +52,10 @@
 std::int32_t ForwardAll(Membership* membership, Instant now,
                         std::mt19937_64* random) {
   std::int32_t forwarded = 0;
-  while (membership->ChooseForward(now, kTask, {}, (*random)())) ++forwarded;
+  while (forwarded < 10'000 &&
+         membership->ChooseForward(now, kTask, {}, (*random)())) {
+    ++forwarded;
+  }
   return forwarded;
 }
 
