Core: deferred work of a process without workers is handed to a peer

Cause: the only worker of a process left, its accepted work waited for ever; and work kept away from the only worker it had failed on.

--- a/packages/core/src/lifecycle/adoption.cc
+++ b/packages/core/src/lifecycle/adoption.cc
@@ -19,6 +19,8 @@
 /// The same for a process that is not the preferred adopter, which may be cut
 /// off from the platform itself.
 constexpr Duration kSecondOrphanTime = std::chrono::seconds(15);
+/// The same for a process that owns no worker.
+constexpr Duration kLastOrphanTime = std::chrono::seconds(60);
 /// Pause after somebody else was faster.
 constexpr Duration kBackOff = std::chrono::seconds(10);
 
@@ -62,6 +64,10 @@
 }
 
 Duration Adoption::Patience(const JournalId& journal) const {
+  // Work is of no use at a process that has no workers.
+  if (this->parts->ledger.WorkerCount() == 0) {
+    return kLastOrphanTime;
+  }
   const bool preferred = this->parts->membership.PreferredAdopter(journal) ==
                          this->parts->context.Self();
   return preferred ? kOrphanTime : kSecondOrphanTime;
--- a/packages/core/src/lifecycle/attempt.cc
+++ b/packages/core/src/lifecycle/attempt.cc
@@ -60,6 +60,17 @@
   return whole ? Verdict::kFinished : Verdict::kStopped;
 }
 
+std::vector<WorkerId> Attempt::FailedWorkers() const {
+  std::vector<WorkerId> failed;
+  for (const AttemptSlot& slot : this->slots) {
+    const bool fine = EndedWith(slot, TaskEnd::kFinished) || slot.lease_lost;
+    if (!fine && !slot.worker.Empty()) {
+      failed.push_back(slot.worker);
+    }
+  }
+  return failed;
+}
+
 Answer Attempt::MergedAnswer() const {
   Answer answer;
   answer.outcome = Outcome::kCompleted;
--- a/packages/core/src/lifecycle/attempt.h
+++ b/packages/core/src/lifecycle/attempt.h
@@ -28,6 +28,9 @@
   SlotState state = SlotState::kPending;
   /// Set once `kEnded`.
   EndedTask ended;
+  /// This process had lost the worker's lease before it sent anything, which
+  /// does not speak against the worker.
+  bool lease_lost = false;
 };
 
 /// What an attempt whose tasks are all settled amounts to.
@@ -52,6 +55,8 @@
   /// Stopped to make room for more urgent work.
   bool preempted = false;
 
+  /// @return workers that failed in this attempt
+  [[nodiscard]] std::vector<WorkerId> FailedWorkers() const;
   [[nodiscard]] AttemptSlot* Find(const TaskId& task);
   /// @return true once no task of it runs or will run
   [[nodiscard]] bool Settled() const;
--- a/packages/core/src/lifecycle/deferred_flow.cc
+++ b/packages/core/src/lifecycle/deferred_flow.cc
@@ -19,6 +19,8 @@
 constexpr Duration kAcceptPatience = std::chrono::seconds(5);
 /// Pause after a failed attempt.
 constexpr Duration kRetryPause = std::chrono::milliseconds(500);
+/// Longest time that work waits for another worker than those it failed on.
+constexpr Duration kAvoidTime = std::chrono::seconds(3);
 constexpr Duration kParkPause = std::chrono::seconds(1);
 constexpr std::int32_t kBadGatewayStatus = 502;
 
@@ -169,6 +171,9 @@
   }
   ++work->last_attempt;
   work->phase = DeferredPhase::kQueued;
+  if (!work->avoid.empty()) {
+    this->timers.Set(work->request.id, now + kAvoidTime);
+  }
 }
 
 void DeferredFlow::Park(DeferredWork* work, Duration pause) {
@@ -273,6 +278,7 @@
       return;
     case TaskNews::Kind::kNeverStarted:
       slot->state = SlotState::kNeverStarted;
+      slot->lease_lost = news.reason == Error::kStaleEpoch;
       return;
     case TaskNews::Kind::kEnded:
       slot->state = SlotState::kEnded;
@@ -304,12 +310,8 @@
 
 void DeferredFlow::Settled(DeferredWork* work) {
   const Attempt& attempt = work->attempt;
-  for (const AttemptSlot& slot : attempt.slots) {
-    const bool fine =
-        slot.state == SlotState::kEnded && slot.ended.end == TaskEnd::kFinished;
-    if (!fine && !attempt.preempted) {
-      this->parts->Avoid(&work->avoid, slot.worker);
-    }
+  if (!attempt.preempted) {
+    this->parts->Avoid(&work->avoid, attempt.FailedWorkers());
   }
   work->may_have_run = work->may_have_run || attempt.MayHaveRun();
   const Verdict verdict = attempt.Judge();
@@ -552,6 +554,13 @@
   });
 }
 
+bool DeferredFlow::AnyWaiting() const {
+  return std::ranges::any_of(this->works, [](const auto& entry) {
+    const DeferredPhase phase = entry.second.phase;
+    return phase == DeferredPhase::kParked || phase == DeferredPhase::kQueued;
+  });
+}
+
 void DeferredFlow::ParkAll() {
   for (auto& [request, work] : this->works) {
     if (work.phase == DeferredPhase::kQueued) {
@@ -587,6 +596,11 @@
       this->Park(work, kParkPause);
     } else if (work->phase == DeferredPhase::kParked) {
       this->Enqueue(work);
+    } else if (work->phase == DeferredPhase::kQueued) {
+      // The workers that it keeps away from may be the only ones left.
+      this->parts->scheduler.Cancel(request);
+      work->avoid.clear();
+      this->Enqueue(work);
     }
   }
 }
--- a/packages/core/src/lifecycle/deferred_flow.h
+++ b/packages/core/src/lifecycle/deferred_flow.h
@@ -86,6 +86,8 @@
   [[nodiscard]] bool Cancel(const RequestId& request, std::uint64_t query);
   /// The question was answered otherwise.
   void ForgetCancelQuery(const RequestId& request, std::uint64_t query);
+  /// @return true if work waits for room on a worker
+  [[nodiscard]] bool AnyWaiting() const;
   /// @return true if no part of deferred work is about to be started here
   [[nodiscard]] bool Quiet() const;
   /// Takes all waiting work out of the queue, for a shutdown or an outage.
--- a/packages/core/src/lifecycle/journals.cc
+++ b/packages/core/src/lifecycle/journals.cc
@@ -25,13 +25,16 @@
   const CoreOptions& options = this->parts->context.options;
   this->own = JournalName(options.self.process, options.incarnation,
                           this->opened_count++);
-  Journal writer(this->own, 1, options.journal, this->parts->context.random());
-  this->open.emplace(this->own, OpenJournal{std::move(writer),
-                                            {},
-                                            {},
-                                            this->parts->context.now,
-                                            0,
-                                            std::nullopt});
+  this->Open(this->own, 1);
+}
+
+void Journals::Open(const JournalId& journal, std::uint64_t sequence) {
+  this->open.erase(journal);
+  Journal writer(journal, sequence, this->parts->context.options.journal,
+                 this->parts->context.random());
+  OpenJournal added{std::move(writer)};
+  added.opened = this->parts->context.now;
+  this->open.emplace(journal, std::move(added));
 }
 
 Journals::OpenJournal* Journals::Find(const JournalId& journal) {
@@ -103,21 +106,25 @@
 }
 
 void Journals::Adopt(const JournalId& journal, std::uint64_t sequence) {
-  Journal writer(journal, sequence, this->parts->context.options.journal,
-                 this->parts->context.random());
-  this->open.erase(journal);
-  this->open.emplace(journal, OpenJournal{std::move(writer),
-                                          {},
-                                          {},
-                                          this->parts->context.now,
-                                          0,
-                                          std::nullopt});
+  this->Open(journal, sequence);
   AdoptedRecord record;
   record.by = this->parts->context.Self();
   record.incarnation = this->parts->context.options.incarnation;
   this->Append(journal, record);
 }
 
+void Journals::HandOver(const JournalId& journal) {
+  OpenJournal* found = this->Find(journal);
+  if (found == nullptr || found->closing) {
+    return;
+  }
+  found->closing = true;
+  this->Append(journal, HandedOverRecord{});
+  if (journal == this->own) {
+    this->OpenOwn();
+  }
+}
+
 void Journals::Drop(const JournalId& journal) {
   this->open.erase(journal);
   if (journal == this->own) {
@@ -200,8 +207,8 @@
   const bool due = last >= journal->compacted_at + kCompactionInterval;
   // An adopted journal keeps its fence, so its beginning is never trimmed; it
   // takes no new work and so stays small.
-  if (!due || journal->compaction || journal->writer.Name() != this->own ||
-      !journal->writer.Idle()) {
+  if (!due || journal->closing || journal->compaction ||
+      journal->writer.Name() != this->own || !journal->writer.Idle()) {
     return;
   }
   // With nothing pending the snapshot covers every batch up to `last`. It is
--- a/packages/core/src/lifecycle/journals.h
+++ b/packages/core/src/lifecycle/journals.h
@@ -42,6 +42,8 @@
   void Append(const JournalId& journal, JournalRecord record);
   /// Writes the *adopted* record as the fence at `sequence`.
   void Adopt(const JournalId& journal, std::uint64_t sequence);
+  /// Writes the *handed over* record as the last one; any peer may go on then.
+  void HandOver(const JournalId& journal);
   /// Stops to write a journal that was handed over or is not needed.
   void Drop(const JournalId& journal);
   /// Removes a journal of which nothing is needed any more.
@@ -62,12 +64,14 @@
   };
   struct OpenJournal {
     Journal writer;
-    std::map<std::uint64_t, JournalRecord> pending;
+    std::map<std::uint64_t, JournalRecord> pending = {};
     /// Records that were not taken yet.
-    std::deque<JournalRecord> overflow;
-    Instant opened;
+    std::deque<JournalRecord> overflow = {};
+    Instant opened = {};
+    /// The *handed over* record is on its way.
+    bool closing = false;
     std::uint64_t compacted_at = 0;
-    std::optional<Compaction> compaction;
+    std::optional<Compaction> compaction = {};
   };
 
   OpenJournal* Find(const JournalId& journal);
@@ -75,6 +79,7 @@
   void Compact(OpenJournal* journal);
   void FinishCompaction(OpenJournal* journal, std::uint64_t durable);
   void OpenOwn();
+  void Open(const JournalId& journal, std::uint64_t sequence);
 
   Parts* parts;
   JournalId own;
--- a/packages/core/src/lifecycle/parts.cc
+++ b/packages/core/src/lifecycle/parts.cc
@@ -18,7 +18,10 @@
 /// Most tasks placed in one event; bounds the time that other events wait.
 constexpr std::size_t kPlacementLimit = 64;
 constexpr Duration kVictimInterval = std::chrono::milliseconds(5);
-constexpr Duration kHousekeepingInterval = std::chrono::seconds(5);
+constexpr Duration kHousekeepingInterval = std::chrono::seconds(1);
+/// Deferred work of a process that has owned no worker for so long is handed to
+/// a peer that does.
+constexpr Duration kStrandedPatience = std::chrono::seconds(3);
 /// Workers that one request keeps away from.
 constexpr std::size_t kMaxAvoided = 8;
 
@@ -215,6 +218,7 @@
     (void)this->store.Expire(this->context.now, retention);
   }
   this->journals.EraseOld();
+  this->HandOverStranded();
 }
 
 Instant Parts::NextWakeup() const {
@@ -240,6 +244,7 @@
 
 void Parts::OnDurable(const JournalId& journal, const JournalRecord& record) {
   if (std::holds_alternative<HandedOverRecord>(record)) {
+    this->journals.Drop(journal);
     this->shutdown.OnHandedOver(journal);
   } else if (const auto* adopted = std::get_if<AdoptedRecord>(&record)) {
     this->adoption.OnAdopted(journal, *adopted);
@@ -254,6 +259,35 @@
   }
 }
 
+void Parts::HandOver(const JournalId& journal) {
+  this->deferred.OnFenced(journal);
+  this->journals.HandOver(journal);
+}
+
+void Parts::HandOverStranded() {
+  const Instant now = this->context.now;
+  const bool peer_has_workers =
+      std::ranges::any_of(this->local_peers, [this](const ProcessId& peer) {
+        const auto digest = this->membership.LastDigest(peer);
+        return digest && digest->owned_workers > 0 && !digest->stopping;
+      });
+  const bool stranded = this->ledger.WorkerCount() == 0 && peer_has_workers &&
+                        this->deferred.AnyWaiting() && !this->context.stopping;
+  if (!stranded) {
+    this->stranded_since = Instant::max();
+    return;
+  }
+  this->stranded_since = std::min(this->stranded_since, now);
+  if (now - this->stranded_since < kStrandedPatience) {
+    return;
+  }
+  for (const JournalId& journal : this->journals.Names()) {
+    if (!this->journals.Unused(journal)) {
+      this->HandOver(journal);
+    }
+  }
+}
+
 void Parts::OnFenced(const JournalId& journal) {
   this->deferred.OnFenced(journal);
   this->adoption.OnFenced(journal);
@@ -326,11 +360,12 @@
   this->tasks.Watch(std::move(plan));
 }
 
-void Parts::Avoid(std::vector<WorkerId>* avoid, const WorkerId& worker) const {
-  if (worker.Empty() || std::ranges::find(*avoid, worker) != avoid->end()) {
-    return;
+void Parts::Avoid(std::vector<WorkerId>* avoid,
+                  std::span<const WorkerId> failed) const {
+  for (const WorkerId& worker : failed) {
+    std::erase(*avoid, worker);
+    avoid->push_back(worker);
   }
-  avoid->push_back(worker);
   const std::size_t most =
       std::min(kMaxAvoided, this->ledger.WorkerCount() / 2);
   while (avoid->size() > std::max<std::size_t>(most, 1)) {
--- a/packages/core/src/lifecycle/parts.h
+++ b/packages/core/src/lifecycle/parts.h
@@ -82,6 +82,8 @@
 
   void OnDurable(const JournalId& journal, const JournalRecord& record);
   void OnFenced(const JournalId& journal);
+  /// Gives a journal with all its work up, for any peer to go on with.
+  void HandOver(const JournalId& journal);
 
   /// @return true if the process belongs to the own data centre
   [[nodiscard]] bool IsLocal(const ProcessId& process) const;
@@ -100,8 +102,10 @@
                     Duration max_run, bool detached);
   /// Follows a task that the writer of an adopted journal has started.
   void WatchTask(const StartedRecord& started, const Request& request);
-  /// Keeps a failed worker out of the next attempt, unless too few are left.
-  void Avoid(std::vector<WorkerId>* avoid, const WorkerId& worker) const;
+  /// Keeps failed workers out of the next attempt; the oldest are allowed again
+  /// when too few are left.
+  void Avoid(std::vector<WorkerId>* avoid,
+             std::span<const WorkerId> failed) const;
   /// Feeds the health of workers.
   void NoteHealth(const TaskNews& news, const ServiceId& service);
   /// @return true if the health of a worker may have changed since last time
@@ -122,6 +126,7 @@
   void Expire();
   void TickMembership();
   void Housekeep();
+  void HandOverStranded();
 
   std::int32_t process_number = 0;
   std::uint64_t last_query = 0;
@@ -130,6 +135,7 @@
   PeerNews told_peers;
   Instant next_victims;
   Instant next_housekeeping;
+  Instant stranded_since = Instant::max();
 };
 
 }  // namespace mustardproxy::detail
--- a/packages/core/src/lifecycle/query_flow.cc
+++ b/packages/core/src/lifecycle/query_flow.cc
@@ -28,6 +28,7 @@
   next.query = event.query;
   next.request = event.request;
   next.cancel = event.cancel;
+  next.from_peer = event.from_peer;
   next.peers_left = this->PeersToAsk(event.request, event.from_peer);
   this->AskNext(std::move(next));
 }
@@ -67,8 +68,8 @@
     return status;
   }
   const DeferredEntry* entry = this->parts->store.Find(request);
-  if (entry != nullptr && entry->ended &&
-      this->parts->journals.Holds(entry->journal)) {
+  // A recorded end is final, whoever holds the journal now.
+  if (entry != nullptr && entry->ended) {
     status.state = entry->state;
     status.result = entry->result;
     status.ran = entry->ran;
@@ -82,6 +83,20 @@
   return std::nullopt;
 }
 
+std::optional<DeferredStatus> QueryFlow::LastKnown(
+    const RequestId& request) const {
+  const DeferredEntry* entry = this->parts->store.Find(request);
+  if (entry == nullptr) {
+    return std::nullopt;
+  }
+  DeferredStatus status;
+  status.id = request;
+  status.state = entry->state;
+  status.ran = entry->ran || !entry->started.empty();
+  status.detail = "its journal is changing hands";
+  return status;
+}
+
 void QueryFlow::AnswerFromStore(std::uint64_t query, const RequestId& request) {
   this->limits.Clear(query);
   this->cancelling.erase(query);
@@ -133,7 +148,9 @@
 
 void QueryFlow::AskNext(Relayed next) {
   if (next.peers_left.empty()) {
-    this->Answer(next.query, std::nullopt);
+    // A peer goes on to ask others, who may know more.
+    this->Answer(next.query,
+                 next.from_peer ? std::nullopt : this->LastKnown(next.request));
     return;
   }
   AskPeer ask;
--- a/packages/core/src/lifecycle/query_flow.h
+++ b/packages/core/src/lifecycle/query_flow.h
@@ -34,12 +34,16 @@
     std::uint64_t query = 0;
     RequestId request;
     bool cancel = false;
+    bool from_peer = false;
     std::vector<ProcessId> peers_left;
   };
 
   [[nodiscard]] bool AnswerHere(const QueryArrived& event);
   [[nodiscard]] std::optional<DeferredStatus> StatusHere(
       const RequestId& request) const;
+  /// What stood in a journal that this process has given up.
+  [[nodiscard]] std::optional<DeferredStatus> LastKnown(
+      const RequestId& request) const;
   [[nodiscard]] std::vector<ProcessId> PeersToAsk(const RequestId& request,
                                                   bool from_peer) const;
   void AskNext(Relayed relayed);
--- a/packages/core/src/lifecycle/request_flow.cc
+++ b/packages/core/src/lifecycle/request_flow.cc
@@ -219,6 +219,7 @@
       return;
     case TaskNews::Kind::kNeverStarted:
       slot->state = SlotState::kNeverStarted;
+      slot->lease_lost = news.reason == Error::kStaleEpoch;
       break;
     case TaskNews::Kind::kEnded:
       slot->state = SlotState::kEnded;
@@ -271,11 +272,8 @@
     entry->may_have_run = true;
     ++entry->runs;
   }
-  for (const AttemptSlot& slot : attempt.slots) {
-    if (slot.state != SlotState::kEnded ||
-        slot.ended.end != TaskEnd::kFinished) {
-      this->parts->Avoid(&entry->avoid, slot.worker);
-    }
+  if (!attempt.preempted) {
+    this->parts->Avoid(&entry->avoid, attempt.FailedWorkers());
   }
   const Verdict verdict = attempt.Judge();
   if (verdict == Verdict::kFinished) {
--- a/packages/core/src/lifecycle/shutdown_flow.cc
+++ b/packages/core/src/lifecycle/shutdown_flow.cc
@@ -69,15 +69,14 @@
       continue;
     }
     this->handing_over.insert(journal);
-    this->parts->deferred.OnFenced(journal);
-    this->parts->journals.Append(journal, HandedOverRecord{});
+    this->parts->HandOver(journal);
   }
 }
 
 void ShutdownFlow::OnHandedOver(const JournalId& journal) {
-  this->handing_over.erase(journal);
-  this->parts->journals.Drop(journal);
-  this->next_check = this->parts->context.now;
+  if (this->handing_over.erase(journal) > 0) {
+    this->next_check = this->parts->context.now;
+  }
 }
 
 void ShutdownFlow::Release() {
--- a/testing/fault_matrix/program/main.cc
+++ b/testing/fault_matrix/program/main.cc
@@ -38,6 +38,9 @@
   std::int64_t not_run = 0;
   std::int64_t unknown = 0;
   std::int64_t runs = 0;
+  /// Broken promises by kind, with the first seed of each.
+  std::map<std::string, std::int64_t> kinds;
+  std::map<std::string, std::uint64_t> first_seeds;
   /// Faults that struck, by step and fault.
   std::map<std::string, std::int64_t> cells;
 };
@@ -45,7 +48,7 @@
 int Usage() {
   std::cerr << "usage: fault_matrix [--schedules N] [--seed S] [--step NAME] "
                "[--fault NAME] [--refuse-after-lapse] [--no-incarnation] "
-               "[--cells]\n"
+               "[--cells] [--trace]\n"
                "Runs the schedules of the seeds S to S+N-1. A schedule is "
                "repeated with --schedules 1 --seed S.\n";
   return kUsageExit;
@@ -63,6 +66,10 @@
       arguments.schedule.rules.names_incarnation = false;
       continue;
     }
+    if (name == "--trace") {
+      arguments.schedule.verbose = true;
+      continue;
+    }
     if (name == "--cells") {
       arguments.cells = true;
       continue;
@@ -115,6 +122,11 @@
   totals->not_run += result.not_run;
   totals->unknown += result.unknown;
   totals->runs += result.runs;
+  for (const std::string& broken : result.broken) {
+    const std::string kind = broken.substr(0, broken.find(':'));
+    ++totals->kinds[kind];
+    totals->first_seeds.emplace(kind, schedule.seed);
+  }
   totals->broken += static_cast<std::int64_t>(result.broken.size());
   if (!result.broken.empty() && ++totals->broken_schedules <= kMostPrinted) {
     Print(schedule, result);
@@ -143,6 +155,10 @@
       std::cout << cell << ": " << count << "\n";
     }
   }
+  for (const auto& [kind, count] : totals.kinds) {
+    std::cout << "broken " << count << " times: " << kind << ", first in seed "
+              << totals.first_seeds[kind] << "\n";
+  }
   std::cout << "requests " << totals.sent << ", completed " << totals.completed
             << ", not run " << totals.not_run << ", unknown " << totals.unknown
             << ", task runs " << totals.runs << "\n"
--- a/testing/fault_matrix/src/cell.cc
+++ b/testing/fault_matrix/src/cell.cc
@@ -144,6 +144,7 @@
   add_worker("w3", "dc1", "r3");
   add_worker("w4", "dc2", "r4");
   this->platform.configuration = FirstConfiguration();
+  this->around.trace = this->options.verbose;
   this->around.network = &this->network;
   this->around.promises = &this->promises;
   this->around.platform = &this->platform;
--- a/testing/fault_matrix/src/entry_process.cc
+++ b/testing/fault_matrix/src/entry_process.cc
@@ -1,6 +1,7 @@
 #include "entry_process.h"
 
 #include <algorithm>
+#include <iostream>
 #include <utility>
 #include <variant>
 
@@ -372,6 +373,18 @@
   this->around->network->Send(std::move(call));
 }
 
+void EntryProcess::Do(const RecordEvent& action) {
+  if (!this->around->trace) {
+    return;
+  }
+  const TimelineEvent& event = action.event;
+  std::cout << this->simulation->Now().time_since_epoch().count() / 1000
+            << " ms " << this->Name() << " event "
+            << static_cast<int>(event.kind) << " " << event.request << " "
+            << event.task << " " << event.worker << " " << event.peer << " "
+            << event.epoch << " " << event.detail << "\n";
+}
+
 void EntryProcess::Do(const WatchConfiguration& action) {
   const bool begins = action.watch && !this->watches;
   this->watches = action.watch;
--- a/testing/fault_matrix/src/entry_process.h
+++ b/testing/fault_matrix/src/entry_process.h
@@ -28,6 +28,8 @@
   std::map<WorkerId, ModelWorker*> workers;
   std::map<ProcessId, EntryProcess*> processes;
   std::function<TaskScript(const RequestId&)> script;
+  /// Prints the time line of all processes.
+  bool trace = false;
   /// Callers get their answers here.
   std::function<void(const RequestId&)> on_accepted;
   std::function<void(const RequestId&, const Answer&)> on_answer;
@@ -90,7 +92,7 @@
   void Do(const TrimJournal& action);
   void Do(const ClaimKey& action);
   void Do(const SettleKey& action);
-  void Do(const RecordEvent& /*action*/) {}
+  void Do(const RecordEvent& action);
   void Do(const RecordSample& /*action*/) {}
   void Do(const ShutdownFinished& action);
 
