--- a/packages/worker/tests/silent_connection_test.cc
+++ b/packages/worker/tests/silent_connection_test.cc
@@ -35,6 +35,23 @@
   BOOST_TEST(events.Count() == 0U);
 }
 
+// Three idle connections are forgotten together. The first request to meet one
+// finds out; the next ones must not lose time on the other two.
+BOOST_AUTO_TEST_CASE(one_silent_connection_retires_all_older_ones) {
+  Attach();
+  for (const char* task : {"a/1", "a/2", "a/3"}) {
+    Start(task, R"({"run_ms": 100})");
+  }
+  for (int i = 0; i < 3; ++i) events.Next<TaskEnded>();
+  relay.SilenceOpen();
+  Start("b/1", "x");
+  events.Next<TaskNotStarted>();
+  Start("b/2", R"({"run_ms": 50})");
+  Start("b/3", R"({"run_ms": 50})");
+  events.Next<TaskEnded>();
+  events.Next<TaskEnded>();
+}
+
 // The same, but the connection is forgotten while the task runs: the worker
 // answers and the answer gets lost. The caller still gets it, and the task has
 // run once.
