--- a/packages/peer/src/service.cc
+++ b/packages/peer/src/service.cc
@@ -87,7 +87,7 @@
 }
 
 peer::Refusal PeerService::Admit(const Request& request,
-                                 PendingForward pending) {
+                                 PendingForward&& pending) {
   const std::lock_guard lock(this->mutex);
   if (this->stopping) return peer::REFUSAL_STOPPING;
   if (this->forwards.size() >= kMaxForwards ||
--- a/packages/peer/src/service.h
+++ b/packages/peer/src/service.h
@@ -73,7 +73,7 @@
   void LogMismatch(const std::string& process);
   /// @return `REFUSAL_NONE` if the request was entered as pending
   [[nodiscard]] peer::Refusal Admit(const Request& request,
-                                    PendingForward pending);
+                                    PendingForward&& pending);
   /// Takes a request out of the pending ones.
   /// @return false if it is not among them
   [[nodiscard]] bool Take(const RequestId& request, PendingForward* pending);
--- a/packages/peer/tests/forward_test.cc
+++ b/packages/peer/tests/forward_test.cc
@@ -135,6 +135,7 @@
     }
   };
   std::vector<std::thread> threads;
+  threads.reserve(kThreads);
   for (int first = 0; first < kThreads; ++first) {
     threads.emplace_back(answer_every, first);
   }
--- a/packages/peer/tests/node.h
+++ b/packages/peer/tests/node.h
@@ -26,11 +26,13 @@
 /// A peer link with all that it needs, listening on a port of the system's.
 class Node {
  public:
-  explicit Node(const std::string& process, std::vector<NodeAddress> peers = {},
+  explicit Node(const std::string& process,
+                const std::vector<NodeAddress>& peers = {},
                 const std::string& customer = "dlonie",
                 Duration stop_limit = std::chrono::milliseconds(100))
       : process(process) {
     std::vector<PeerAddress> addresses;
+    addresses.reserve(peers.size());
     for (const NodeAddress& peer : peers) {
       addresses.push_back({{ProcessId(peer.process), DataCenterId("dc1")},
                            "127.0.0.1:" + std::to_string(peer.port)});
