--- /dev/null
+++ b/apps/mustardproxy/tests/control_loop_test.cc
@@ -0,0 +1,189 @@
+#include "control_loop.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "app_fakes.h"
+#include "mustardproxy/core/error.h"
+#include "mustardproxy/telemetry/clock.h"
+
+namespace mustardproxy::testing {
+namespace {
+
+RequestArrived Arrival(const std::string& id) {
+  RequestArrived arrived;
+  arrived.request.id = RequestId(id);
+  return arrived;
+}
+
+struct LoopFixture {
+  ControlLoopParts Parts(std::size_t max_strangers) {
+    return {.decisions = &this->decisions,
+            .performer = &this->performer,
+            .board = &this->board,
+            .metrics = &this->metrics,
+            .max_strangers = max_strangers};
+  }
+
+  FakeDecisions decisions;
+  FakePerformer performer;
+  StatusBoard board;
+  Metrics metrics;
+};
+
+BOOST_FIXTURE_TEST_SUITE(control_loop, LoopFixture)
+
+BOOST_AUTO_TEST_CASE(events_are_handled_in_order_and_actions_performed) {
+  this->decisions.behaviour = [](const Event& event, Actions* actions) {
+    if (const auto* arrived = std::get_if<RequestArrived>(&event)) {
+      actions->push_back(ReplyAccepted{arrived->request.id});
+    }
+  };
+  ControlLoop loop(this->Parts(100));
+  loop.Post(Arrival("a"));
+  loop.Post(CancelRequested{RequestId("a")});
+  loop.Post(Arrival("b"));
+  loop.Start();
+  auto performed = this->performer.WaitForActions(2);
+  loop.Stop();
+  BOOST_REQUIRE(performed.size() == 2U);
+  BOOST_TEST(std::get<ReplyAccepted>(performed[0]).request.Text() == "a");
+  BOOST_TEST(std::get<ReplyAccepted>(performed[1]).request.Text() == "b");
+  auto seen = this->decisions.WaitFor(3);
+  BOOST_TEST(std::holds_alternative<CancelRequested>(seen[1]));
+}
+
+BOOST_AUTO_TEST_CASE(wakeup_brings_a_tick_without_any_event) {
+  Instant due = SteadyNow() + std::chrono::milliseconds(20);
+  bool ticked = false;
+  this->decisions.wakeup = [&] { return ticked ? Instant::max() : due; };
+  this->decisions.behaviour = [&](const Event& event, Actions*) {
+    ticked = std::holds_alternative<Tick>(event);
+  };
+  ControlLoop loop(this->Parts(100));
+  loop.Start();
+  auto seen = this->decisions.WaitFor(1);
+  loop.Stop();
+  BOOST_REQUIRE(seen.size() == 1U);
+  BOOST_TEST(std::holds_alternative<Tick>(seen[0]));
+  BOOST_TEST((SteadyNow() >= due));
+}
+
+BOOST_AUTO_TEST_CASE(wakeup_in_the_past_does_not_spin) {
+  // A part of the core names a wake-up that lies in the past. Without a least
+  // time between ticks the control thread would use a whole processor.
+  this->decisions.wakeup = [] { return Instant(); };
+  ControlLoop loop(this->Parts(100));
+  auto start = std::chrono::steady_clock::now();
+  loop.Start();
+  std::size_t ticks = this->decisions.WaitFor(50).size();
+  auto taken = std::chrono::steady_clock::now() - start;
+  loop.Stop();
+  BOOST_REQUIRE(ticks >= 50U);
+  BOOST_TEST((taken >= std::chrono::milliseconds(40)));
+}
+
+BOOST_AUTO_TEST_CASE(strangers_past_the_bound_are_refused_at_once) {
+  // Callers send faster than the control thread decides. Their requests get a
+  // refusal that says "not run" and when to come back; the ends of our own
+  // calls still get in, or running requests would never end.
+  ControlLoop loop(this->Parts(2));
+  loop.Post(Arrival("a"));
+  loop.Post(Arrival("b"));
+  loop.Post(Arrival("c"));
+  loop.Post(QueryArrived{.query = 7, .request = RequestId("q")});
+  loop.Post(TaskEnded{});
+  loop.Post(CancelRequested{RequestId("a")});
+  auto refused = this->performer.Refused();
+  BOOST_REQUIRE(refused.size() == 2U);
+  const auto& reply = std::get<Reply>(refused[0]);
+  BOOST_TEST(reply.request.Text() == "c");
+  BOOST_TEST((reply.answer.outcome == Outcome::kNotRun));
+  BOOST_TEST((reply.answer.error == Error::kTooManyConnections));
+  BOOST_TEST((reply.answer.retry_after > Duration::zero()));
+  const auto& answer = std::get<AnswerQuery>(refused[1]);
+  BOOST_TEST(answer.query == 7U);
+  BOOST_REQUIRE(answer.status.has_value());
+  BOOST_TEST((answer.status->result.error == Error::kTooManyConnections));
+  loop.Start();
+  BOOST_TEST(this->decisions.WaitFor(4).size() == 4U);
+  // The bound counts what waits, so there is room again.
+  loop.Post(Arrival("d"));
+  BOOST_TEST(this->decisions.WaitFor(5).size() == 5U);
+  loop.Stop();
+}
+
+BOOST_AUTO_TEST_CASE(request_after_the_stop_is_refused_as_not_run) {
+  // A peer's request arrives while the process ends. It must not wait for a
+  // thread that is gone.
+  ControlLoop loop(this->Parts(10));
+  loop.Start();
+  loop.Stop();
+  loop.Post(Arrival("late"));
+  auto refused = this->performer.Refused();
+  BOOST_REQUIRE(refused.size() == 1U);
+  const auto& reply = std::get<Reply>(refused[0]);
+  BOOST_TEST((reply.answer.error == Error::kShuttingDown));
+  BOOST_TEST((reply.answer.outcome == Outcome::kNotRun));
+}
+
+BOOST_AUTO_TEST_CASE(new_configuration_is_announced_once) {
+  this->decisions.behaviour = [this](const Event& event, Actions*) {
+    if (const auto* arrived = std::get_if<ConfigurationArrived>(&event)) {
+      this->decisions.configuration = arrived->configuration;
+    }
+  };
+  ControlLoop loop(this->Parts(10));
+  Configuration configuration;
+  configuration.version = 4;
+  loop.Post(ConfigurationArrived{configuration});
+  loop.Post(ConfigurationArrived{configuration});
+  loop.Post(PeerUnreachable{});
+  loop.Start();
+  this->decisions.WaitFor(3);
+  loop.Stop();
+  auto versions = this->performer.Versions();
+  BOOST_REQUIRE(versions.size() == 1U);
+  BOOST_TEST(versions[0] == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(status_reaches_the_board) {
+  this->decisions.behaviour = [this](const Event&, Actions*) {
+    this->decisions.status.ready = true;
+    this->decisions.status.owned_workers = 8;
+  };
+  ControlLoop loop(this->Parts(10));
+  loop.Start();
+  BOOST_TEST(!this->board.Ready());
+  loop.Post(PeerUnreachable{});
+  auto limit = std::chrono::steady_clock::now() + kGenerousLimit;
+  while (!this->board.Ready() && std::chrono::steady_clock::now() < limit) {
+    std::this_thread::yield();
+  }
+  loop.Stop();
+  BOOST_TEST(this->board.Ready());
+  BOOST_TEST(this->board.Format().find(R"("owned_workers":8)") !=
+             std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(decision_time_is_measured_per_profile) {
+  this->decisions.configuration.services[ServiceId("screen")].profile =
+      ProfileId("urgent");
+  ControlLoop loop(this->Parts(10));
+  RequestArrived arrived = Arrival("a");
+  arrived.request.service = ServiceId("screen");
+  loop.Post(arrived);
+  loop.Post(Arrival("b"));
+  loop.Start();
+  this->decisions.WaitFor(2);
+  loop.Stop();
+  std::string text = this->metrics.Format();
+  BOOST_TEST(text.find(R"(decision_time_us_count{profile="urgent"} 1)") !=
+             std::string::npos);
+  BOOST_TEST(text.find(R"(decision_time_us_count{profile="none"} 1)") !=
+             std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace mustardproxy::testing
