--- a/packages/core/src/lifecycle/adoption.cc
+++ b/packages/core/src/lifecycle/adoption.cc
@@ -13,17 +13,25 @@
 
 constexpr Duration kListInterval = std::chrono::seconds(5);
 constexpr Duration kSoon = std::chrono::milliseconds(500);
-/// Time without a live holder after which a journal is adopted. Covers a
-/// heartbeat that is late; a wrong guess costs only a fence.
-constexpr Duration kOrphanTime = std::chrono::seconds(3);
-/// The same for a process that is not the preferred adopter, which may be cut
-/// off from the platform itself.
-constexpr Duration kSecondOrphanTime = std::chrono::seconds(15);
-/// The same for a process that owns no worker.
-constexpr Duration kLastOrphanTime = std::chrono::seconds(60);
 /// Pause after somebody else was faster.
 constexpr Duration kBackOff = std::chrono::seconds(10);
 
+/// How long a journal must be without a live holder before a process of some
+/// rank adopts it. The wait covers a heartbeat that is late; a wrong guess
+/// costs only a fence.
+struct Patience {
+  Duration preferred;
+  /// Not the preferred adopter, which may be cut off from the platform itself.
+  Duration other;
+  /// Owns no worker, so that the work would be of no use to it.
+  Duration without_workers;
+};
+constexpr Patience kAfterLoss = {std::chrono::seconds(3),
+                                 std::chrono::seconds(12),
+                                 std::chrono::seconds(20)};
+constexpr Patience kAfterHandOver = {Duration{0}, std::chrono::seconds(2),
+                                     std::chrono::seconds(10)};
+
 bool HandedOver(const std::vector<JournalBatch>& batches) {
   return !batches.empty() && !batches.back().records.empty() &&
          std::holds_alternative<HandedOverRecord>(
@@ -63,14 +71,14 @@
   return !holder || *holder == this->parts->context.Self();
 }
 
-Duration Adoption::Patience(const JournalId& journal) const {
-  // Work is of no use at a process that has no workers.
+Instant Adoption::DueAt(const JournalId& journal, const Orphan& orphan) const {
+  const Patience& patience = orphan.handed_over ? kAfterHandOver : kAfterLoss;
   if (this->parts->ledger.WorkerCount() == 0) {
-    return kLastOrphanTime;
+    return orphan.since + patience.without_workers;
   }
   const bool preferred = this->parts->membership.PreferredAdopter(journal) ==
                          this->parts->context.Self();
-  return preferred ? kOrphanTime : kSecondOrphanTime;
+  return orphan.since + (preferred ? patience.preferred : patience.other);
 }
 
 void Adoption::On(const JournalsListed& event) {
@@ -84,7 +92,7 @@
       this->orphans.erase(journal);
       continue;
     }
-    this->orphans.emplace(journal, Orphan{now, now});
+    this->orphans.emplace(journal, Orphan{now, now, false, false});
     this->Consider(journal);
   }
 }
@@ -95,34 +103,28 @@
   if (now < orphan.again || this->waiting.contains(journal)) {
     return;
   }
-  const Duration patience = this->Patience(journal);
-  const bool long_enough = now - orphan.since >= patience;
-  if (!long_enough && !this->WriterIsLeaving(journal)) {
-    this->next_list = std::min(this->next_list, orphan.since + patience);
+  // The first look tells whether it was handed over.
+  const Instant due = orphan.read ? this->DueAt(journal, orphan) : now;
+  if (now < due) {
+    this->next_list = std::min(this->next_list, due);
     return;
   }
-  orphan.again = now + kBackOff;
+  orphan.again = now + kSoon;
   this->parts->context.Emit(ReadJournal{journal});
 }
 
-bool Adoption::WriterIsLeaving(const JournalId& journal) const {
-  const std::optional<NamedProcess> writer = WriterOf(journal);
-  const auto digest = this->parts->membership.LastDigest(writer->process);
-  return digest && digest->stopping;
-}
-
 void Adoption::On(const JournalRead& event) {
   const auto found = this->orphans.find(event.journal);
   if (found == this->orphans.end() || !this->IsFree(event.journal) ||
       event.batches.empty() || this->waiting.contains(event.journal)) {
     return;
   }
-  const Instant now = this->parts->context.now;
-  const Duration patience = this->Patience(event.journal);
-  const bool long_enough = now - found->second.since >= patience;
-  if (!long_enough && !HandedOver(event.batches)) {
-    found->second.again = found->second.since + patience;
-    this->next_list = std::min(this->next_list, found->second.again);
+  Orphan& orphan = found->second;
+  orphan.read = true;
+  orphan.handed_over = HandedOver(event.batches);
+  const Instant due = this->DueAt(event.journal, orphan);
+  if (this->parts->context.now < due) {
+    this->next_list = std::min(this->next_list, due);
     return;
   }
   this->orphans.erase(found);
@@ -152,7 +154,7 @@
 void Adoption::OnFenced(const JournalId& journal) {
   this->waiting.erase(journal);
   const Instant now = this->parts->context.now;
-  this->orphans[journal] = Orphan{now, now + kBackOff};
+  this->orphans[journal] = Orphan{now, now + kBackOff, false, false};
 }
 
 }  // namespace mustardproxy::detail
--- a/packages/core/src/lifecycle/adoption.h
+++ b/packages/core/src/lifecycle/adoption.h
@@ -39,11 +39,15 @@
     Instant since;
     /// Not looked at again before this moment.
     Instant again;
+    /// It was read since it was found free.
+    bool read = false;
+    bool handed_over = false;
   };
 
   [[nodiscard]] bool IsFree(const JournalId& journal) const;
-  [[nodiscard]] bool WriterIsLeaving(const JournalId& journal) const;
-  [[nodiscard]] Duration Patience(const JournalId& journal) const;
+  /// @return when this process should adopt it
+  [[nodiscard]] Instant DueAt(const JournalId& journal,
+                              const Orphan& orphan) const;
   void Consider(const JournalId& journal);
 
   Parts* parts;
--- a/packages/core/src/lifecycle/parts.cc
+++ b/packages/core/src/lifecycle/parts.cc
@@ -219,6 +219,7 @@
   }
   this->journals.EraseOld();
   this->HandOverStranded();
+  this->workers.ProbeIdle();
 }
 
 Instant Parts::NextWakeup() const {
@@ -338,9 +339,7 @@
     plan.epoch = owned->epoch;
     plan.worker_incarnation = owned->incarnation;
   } else {
-    // The ledger counts a worker whose lease is gone: nothing more is placed
-    // there until it is attached again.
-    this->ledger.SetPlaceable(placement.worker, false);
+    this->workers.Suspend(placement.worker);
   }
   this->tasks.Plan(plan);
   return plan;
--- a/packages/core/src/lifecycle/task_tracker.h
+++ b/packages/core/src/lifecycle/task_tracker.h
@@ -113,6 +113,10 @@
   [[nodiscard]] bool EndedRecently(const TaskId& task) const {
     return this->recent.contains(task);
   }
+  /// @return true if no task is followed at the worker
+  [[nodiscard]] bool IdleAt(const WorkerId& worker) const {
+    return !this->by_worker.contains(worker);
+  }
   [[nodiscard]] std::size_t Size() const { return this->tasks.size(); }
 
  private:
--- a/packages/core/src/lifecycle/worker_flow.cc
+++ b/packages/core/src/lifecycle/worker_flow.cc
@@ -7,6 +7,14 @@
 
 namespace mustardproxy::detail {
 
+namespace {
+
+/// Idle time after which a worker that gets only a share of its work is tried
+/// with all of it.
+constexpr Duration kIdleProbe = std::chrono::seconds(10);
+
+}  // namespace
+
 void WorkerFlow::Boot() {
   HostListArrived event;
   event.workers = this->parts->context.options.workers;
@@ -115,6 +123,9 @@
     this->Open(*owned, report);
     return;
   }
+  if (this->suspended.contains(report.worker)) {
+    this->ApplyStanding(report.worker);
+  }
   this->FreeVanished(report);
   this->CountFound(report);
   std::vector<RunningTask> running = report.running;
@@ -139,6 +150,16 @@
   if (this->parts->ownership.OnUnreachable(this->parts->context.now,
                                            event.worker)) {
     this->Close(event.worker);
+  } else {
+    this->Suspend(event.worker);
+  }
+}
+
+void WorkerFlow::Suspend(const WorkerId& worker) {
+  const bool open = this->parts->ledger.FreeOn(worker).has_value();
+  if (open && !this->parts->ownership.Owned(this->parts->context.now, worker)) {
+    this->parts->ledger.SetPlaceable(worker, false);
+    this->suspended.insert(worker);
   }
 }
 
@@ -152,6 +173,8 @@
 void WorkerFlow::Close(const WorkerId& worker) {
   this->parts->ledger.Close(worker);
   this->parts->health.Remove(worker);
+  this->capped.erase(worker);
+  this->suspended.erase(worker);
   const auto at = this->found.find(worker);
   if (at != this->found.end()) {
     for (const auto& [task, request] : at->second) {
@@ -250,14 +273,41 @@
   }
 }
 
+void WorkerFlow::ProbeIdle() {
+  // Failure: a worker that failed everything is kept to a few slots until a
+  // task succeeds there. If all that waits are gangs, which need more slots,
+  // nothing is ever tried on it and they wait for ever. An idle worker is
+  // opened wholly after a while.
+  const Instant now = this->parts->context.now;
+  for (auto& [worker, idle_since] : this->capped) {
+    if (!this->parts->tasks.IdleAt(worker)) {
+      idle_since = now;
+    } else if (now - idle_since >= kIdleProbe) {
+      this->parts->ledger.SetPlaceable(worker, true, 1.0);
+      idle_since = now;
+    }
+  }
+}
+
 void WorkerFlow::ApplyStanding(const WorkerId& worker) {
   CoreContext& context = this->parts->context;
   const WorkerStanding standing =
       this->parts->health.Standing(context.now, worker);
-  const auto description = this->parts->ownership.Describe(worker);
-  const bool leaving = description && description->leaving;
-  this->parts->ledger.SetPlaceable(worker, standing.placeable && !leaving,
+  // Not owned in this sense: leaving, or it did not answer lately.
+  const bool usable =
+      this->parts->ownership.Owned(context.now, worker).has_value();
+  this->parts->ledger.SetPlaceable(worker, standing.placeable && usable,
                                    standing.share);
+  if (usable) {
+    this->suspended.erase(worker);
+  } else {
+    this->suspended.insert(worker);
+  }
+  if (standing.placeable && standing.share < 1.0) {
+    this->capped.emplace(worker, context.now);
+  } else {
+    this->capped.erase(worker);
+  }
   if (!standing.placeable && this->ejected.insert(worker).second) {
     context.Record(WorkerEvent(TimelineKind::kWorkerEjected, worker));
   }
--- a/packages/core/src/lifecycle/worker_flow.h
+++ b/packages/core/src/lifecycle/worker_flow.h
@@ -46,6 +46,10 @@
   [[nodiscard]] bool RunsOrphanOf(const RequestId& request) const;
   /// Stops such tasks.
   void StopOrphansOf(const RequestId& request);
+  /// Places nothing more on a worker whose lease may be gone.
+  void Suspend(const WorkerId& worker);
+  /// Lets work onto workers that would else never show whether they are well.
+  void ProbeIdle();
   [[nodiscard]] std::size_t KnownCount() const {
     return this->directory.size();
   }
@@ -67,6 +71,10 @@
   std::map<WorkerId, std::map<TaskId, RequestId>> found;
   std::set<WorkerId> held_by_other;
   std::set<WorkerId> ejected;
+  /// Workers of which only a share may be used, with when they were seen idle.
+  std::map<WorkerId, Instant> capped;
+  /// Open workers that take nothing new until they answer again.
+  std::set<WorkerId> suspended;
   bool releasing = false;
 };
 
--- a/testing/fault_matrix/src/cell.cc
+++ b/testing/fault_matrix/src/cell.cc
@@ -388,8 +388,12 @@
   }
   // Nothing may follow once all seems over; the configuration still spreads.
   this->Heal();
-  const Instant calm = this->simulation.Now() + seconds(12);
+  Instant calm = this->simulation.Now() + seconds(12);
   while (this->simulation.Step(calm)) {
+    // A process that starts late has journals to adopt.
+    for (const auto& process : this->processes) {
+      calm = std::max(calm, process->Began() + seconds(30));
+    }
   }
   this->AskResults();
   const Instant asked = this->simulation.Now() + seconds(8);
--- a/testing/fault_matrix/src/node.cc
+++ b/testing/fault_matrix/src/node.cc
@@ -6,6 +6,7 @@
 
 void Node::Begin() {
   ++this->run;
+  this->began = this->simulation->Now();
   this->alive = true;
   this->paused = false;
   this->OnStarted();
--- a/testing/fault_matrix/src/node.h
+++ b/testing/fault_matrix/src/node.h
@@ -25,6 +25,8 @@
 
   [[nodiscard]] const std::string& Name() const { return this->name; }
   [[nodiscard]] bool Alive() const { return this->alive; }
+  /// @return when this run began
+  [[nodiscard]] Instant Began() const { return this->began; }
   /// Grows with each start; what belongs to an earlier run is dropped.
   [[nodiscard]] std::uint64_t Run() const { return this->run; }
   /// Does `what` now, after the pause if the node is paused, or never if it is
@@ -54,6 +56,7 @@
   std::string name;
   bool alive = false;
   std::uint64_t run = 0;
+  Instant began;
   Instant paused_until;
   bool paused = false;
   std::deque<std::function<void()>> backlog;
