Fault matrix: configuration, host list and graceful stops travel through the faults too

A start that the worker never confirmed is waited for longer than one that ran: it may lie unread in a frozen worker.

--- a/packages/core/include/mustardproxy/core/core.h
+++ b/packages/core/include/mustardproxy/core/core.h
@@ -31,6 +31,10 @@
   /// own lease. A task whose worker can't be reached counts as stopped this
   /// long after the last renewal was sent.
   Duration task_lease = std::chrono::seconds(10);
+  /// The same for a start that the worker never confirmed. It may still lie
+  /// unread in a worker that is frozen, and would run as soon as that goes on:
+  /// its lease only begins there and then.
+  Duration unconfirmed_start_patience = std::chrono::seconds(60);
   /// Most requests in progress here at once, of all kinds.
   std::int32_t max_requests = 20000;
   /// Seed of everything random in the core.
--- a/packages/core/src/lifecycle/deferred_flow.cc
+++ b/packages/core/src/lifecycle/deferred_flow.cc
@@ -19,6 +19,9 @@
 constexpr Duration kAcceptPatience = std::chrono::seconds(5);
 /// Pause after a failed attempt.
 constexpr Duration kRetryPause = std::chrono::milliseconds(500);
+/// Attempts that were not started and are repeated without a pause.
+constexpr std::int32_t kQuickRetries = 2;
+constexpr Duration kLongestRetryPause = std::chrono::seconds(5);
 /// Longest time that work waits for another worker than those it failed on.
 constexpr Duration kAvoidTime = std::chrono::seconds(3);
 constexpr Duration kParkPause = std::chrono::seconds(1);
@@ -324,12 +327,25 @@
     return;
   }
   if (verdict == Verdict::kNeverStarted) {
-    this->Requeue(work);
+    this->AfterRefusal(work);
     return;
   }
+  work->refusals = 0;
   this->AfterFailure(work, verdict);
 }
 
+void DeferredFlow::AfterRefusal(DeferredWork* work) {
+  // Each attempt costs a write at the platform, so a worker that refuses again
+  // and again must not be tried at full speed.
+  ++work->refusals;
+  if (work->refusals <= kQuickRetries) {
+    this->Requeue(work);
+    return;
+  }
+  const Duration pause = kRetryPause * (work->refusals - kQuickRetries);
+  this->Park(work, std::min<Duration>(pause, kLongestRetryPause));
+}
+
 void DeferredFlow::AfterFailure(DeferredWork* work, Verdict verdict) {
   const auto terms =
       TermsOf(this->parts->context.configuration, work->request.service);
--- a/packages/core/src/lifecycle/deferred_flow.h
+++ b/packages/core/src/lifecycle/deferred_flow.h
@@ -45,6 +45,8 @@
   std::int32_t last_attempt = 0;
   /// Attempts that ran and failed by themselves.
   std::int32_t failures = 0;
+  /// Attempts in a row that no worker started.
+  std::int32_t refusals = 0;
   Attempt attempt;
   /// *Started* records of this attempt that are not durable yet.
   std::size_t records_left = 0;
@@ -112,6 +114,7 @@
   void UpdateSlot(DeferredWork* work, const TaskNews& news);
   void Settled(DeferredWork* work);
   void AfterFailure(DeferredWork* work, Verdict verdict);
+  void AfterRefusal(DeferredWork* work);
   void Requeue(DeferredWork* work);
   void End(DeferredWork* work, DeferredState state, Answer answer);
   void EndCancelled(DeferredWork* work);
--- a/packages/core/src/lifecycle/task_tracker.cc
+++ b/packages/core/src/lifecycle/task_tracker.cc
@@ -430,6 +430,11 @@
     last = std::max(last, renewed->second);
   }
   Instant lapse = last + this->parts->context.options.task_lease + kLeaseMargin;
+  if (tracked.phase == Phase::kSent) {
+    lapse = std::max(
+        lapse, tracked.since +
+                   this->parts->context.options.unconfirmed_start_patience);
+  }
   // Another owner may reach the worker and renew the leases of all its tasks,
   // though this process does not: then only the time limit ends them.
   if (this->parts->workers.HeldByOther(worker)) {
--- a/testing/fault_matrix/src/cell.cc
+++ b/testing/fault_matrix/src/cell.cc
@@ -21,7 +21,9 @@
 constexpr Duration kRecovery = seconds(90);
 constexpr Duration kShortestFault = milliseconds(300);
 constexpr Duration kLongestFault = seconds(8);
-constexpr std::int32_t kMostOccurrences = 6;
+/// Which time that its step is reached a fault strikes, at most.
+constexpr std::int32_t kMostOccurrences = 4;
+constexpr std::int32_t kMostOccurrencesOfHeartbeats = 40;
 constexpr std::uint64_t kFirstQuestion = 1000;
 
 struct KnownService {
@@ -106,8 +108,10 @@
     faults.push_back({draw_step(), draw_fault(), 1, {}, false});
   }
   for (PlannedFault& fault : faults) {
-    fault.occurrence =
-        static_cast<std::int32_t>(random.Draw(1, kMostOccurrences));
+    const bool often =
+        fault.step == Step::kRenew || fault.step == Step::kHeartbeat;
+    fault.occurrence = static_cast<std::int32_t>(random.Draw(
+        1, often ? kMostOccurrencesOfHeartbeats : kMostOccurrences));
     fault.lasting = random.Draw(kShortestFault, kLongestFault);
   }
   return faults;
@@ -174,6 +178,7 @@
     core.self = self;
     core.peers = peers;
     core.task_lease = seconds(4);
+    core.unconfirmed_start_patience = seconds(15);
     this->processes.push_back(
         std::make_unique<EntryProcess>(&this->simulation, &this->around, core));
     this->around.processes[self.process] = this->processes.back().get();
@@ -211,6 +216,23 @@
   if (this->simulation.Chance(0.5)) {
     this->simulation.At(moment(), [this] { this->ChangeHostList(); });
   }
+  if (this->simulation.Chance(0.25)) {
+    this->simulation.At(moment(), [this] { this->StopGracefully(); });
+  }
+}
+
+void Cell::StopGracefully() {
+  EntryProcess* process =
+      this->processes[static_cast<std::size_t>(this->simulation.Draw(0, 2))]
+          .get();
+  Call call;
+  call.from = &this->callers;
+  call.to = process;
+  call.step = Step::kShutdown;
+  call.work = [process](const Respond& /*respond*/) {
+    process->Deliver(ShutdownRequested{});
+  };
+  this->network.Send(std::move(call));
 }
 
 void Cell::Send(const Arrival& arrival) {
@@ -278,20 +300,34 @@
     }
     const std::string run =
         process->Name() + "/" + std::to_string(process->Run());
-    ConfigurationVersion& known = this->pushed_configuration[run];
+    const ConfigurationVersion known = this->pushed_configuration[run];
     const ConfigurationVersion newest = this->platform.configuration.version;
     if (process->Watches() && known != newest) {
-      known = newest;
-      process->Deliver(ConfigurationArrived{this->platform.configuration});
+      this->Push(process.get(), Step::kConfigurationChange, [this, run] {
+        this->pushed_configuration[run] = this->platform.configuration.version;
+        return ConfigurationArrived{this->platform.configuration};
+      });
     }
-    std::int32_t& hosts = this->pushed_hosts[run];
-    if (hosts != this->hosts_version) {
-      hosts = this->hosts_version;
-      process->Deliver(HostListArrived{this->platform.hosts});
+    if (this->pushed_hosts[run] != this->hosts_version) {
+      this->Push(process.get(), Step::kHostListChange, [this, run] {
+        this->pushed_hosts[run] = this->hosts_version;
+        return HostListArrived{this->platform.hosts};
+      });
     }
   }
 }
 
+void Cell::Push(EntryProcess* process, Step step, std::function<Event()> news) {
+  Call call;
+  call.from = &this->platform;
+  call.to = process;
+  call.step = step;
+  call.work = [process, news = std::move(news)](const Respond& /*respond*/) {
+    process->Deliver(news());
+  };
+  this->network.Send(std::move(call));
+}
+
 void Cell::Apply(const PlannedFault& fault, const Call& call) {
   switch (fault.fault) {
     case Fault::kPlatformDown:
--- a/testing/fault_matrix/src/cell.h
+++ b/testing/fault_matrix/src/cell.h
@@ -2,6 +2,7 @@
 #define MUSTARDPROXY_FAULT_MATRIX_CELL_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -75,6 +76,8 @@
   void ChangeConfiguration();
   void ChangeHostList();
   void PushNews();
+  void Push(EntryProcess* process, Step step, std::function<Event()> news);
+  void StopGracefully();
   void Heal();
   void AskResults();
   [[nodiscard]] bool Reaches(const EntryProcess& process) const;
