Core: half gangs of a dead process are stopped; a stop waits for the answers of its releases

Cause of the second: the count of owned workers falls when a release is sent, not when it is answered.

--- a/packages/core/src/core.cc
+++ b/packages/core/src/core.cc
@@ -21,7 +21,9 @@
   parts->queries.On(event);
 }
 void Dispatch(Parts* parts, const QueryAnswered& event) {
-  if (!parts->forwarding.OnQueryAnswered(event)) {
+  const bool taken = parts->forwarding.OnQueryAnswered(event) ||
+                     parts->orphan_gangs.OnQueryAnswered(event);
+  if (!taken) {
     parts->queries.On(event);
   }
 }
--- a/packages/core/src/lifecycle/deferred_flow.cc
+++ b/packages/core/src/lifecycle/deferred_flow.cc
@@ -234,7 +234,7 @@
   const std::vector<AttemptSlot> slots = work->attempt.slots;
   for (const AttemptSlot& slot : slots) {
     this->parts->tasks.Send(slot.task, work->request.body,
-                            this->parts->context.options.task_lease);
+                            kDetachedStartTimeout);
   }
 }
 
--- a/packages/core/src/lifecycle/parts.cc
+++ b/packages/core/src/lifecycle/parts.cc
@@ -60,6 +60,7 @@
       deferred(this),
       adoption(this),
       queries(this),
+      orphan_gangs(this),
       configuration(this),
       shutdown(this) {
   const PeerDescription& self = this->context.options.self;
@@ -88,6 +89,7 @@
   this->deferred.Tick();
   this->claims.Tick();
   this->queries.Tick();
+  this->orphan_gangs.Tick();
   this->tasks.Tick();
   this->Expire();
   this->RunScheduler();
@@ -230,10 +232,10 @@
       std::min({this->membership.NextWakeup(), this->ownership.NextWakeup(),
                 this->health.NextWakeup(), this->requests.NextWakeup(),
                 this->deferred.NextWakeup(), this->claims.NextWakeup(),
-                this->queries.NextWakeup(), this->tasks.NextWakeup(),
-                this->journals.NextWakeup(), this->adoption.NextWakeup(),
-                this->configuration.NextWakeup(), this->shutdown.NextWakeup(),
-                this->next_housekeeping});
+                this->queries.NextWakeup(), this->orphan_gangs.NextWakeup(),
+                this->tasks.NextWakeup(), this->journals.NextWakeup(),
+                this->adoption.NextWakeup(), this->configuration.NextWakeup(),
+                this->shutdown.NextWakeup(), this->next_housekeeping});
   if (const auto due = this->scheduler.NextWakeup()) {
     next = std::min(next, *due);
   }
--- a/packages/core/src/lifecycle/parts.h
+++ b/packages/core/src/lifecycle/parts.h
@@ -13,6 +13,7 @@
 #include "lifecycle/forwarding.h"
 #include "lifecycle/journals.h"
 #include "lifecycle/key_claims.h"
+#include "lifecycle/orphan_gangs.h"
 #include "lifecycle/query_flow.h"
 #include "lifecycle/request_flow.h"
 #include "lifecycle/request_table.h"
@@ -65,6 +66,7 @@
   DeferredFlow deferred;
   Adoption adoption;
   QueryFlow queries;
+  OrphanGangs orphan_gangs;
   ConfigurationFlow configuration;
   ShutdownFlow shutdown;
 
--- a/packages/core/src/lifecycle/query_flow.cc
+++ b/packages/core/src/lifecycle/query_flow.cc
@@ -75,9 +75,9 @@
     status.ran = entry->ran;
     return status;
   }
-  if (this->parts->workers.RunsOrphanOf(request)) {
+  const ActiveRequest* active = this->parts->table.Find(request);
+  if (active != nullptr && !active->terms.deferred) {
     status.state = DeferredState::kRunning;
-    status.ran = true;
     return status;
   }
   return std::nullopt;
--- a/packages/core/src/lifecycle/request_flow.cc
+++ b/packages/core/src/lifecycle/request_flow.cc
@@ -185,6 +185,7 @@
   entry->attempt.number = entry->last_attempt;
   const bool detached = placements.size() > 1;
   const Duration left = entry->deadline - context.now + kAnswerGrace;
+  const Duration timeout = detached ? kDetachedStartTimeout : left;
   this->parts->SampleWait(entry->terms.profile, entry->arrived);
   for (const Placement& placement : placements) {
     this->parts->PlanTask(placement, entry->request.service,
@@ -193,7 +194,7 @@
         {placement.task, placement.worker, SlotState::kPending, {}});
   }
   for (const Placement& placement : placements) {
-    this->parts->tasks.Send(placement.task, entry->request.body, left);
+    this->parts->tasks.Send(placement.task, entry->request.body, timeout);
   }
 }
 
--- a/packages/core/src/lifecycle/shutdown_flow.cc
+++ b/packages/core/src/lifecycle/shutdown_flow.cc
@@ -49,7 +49,7 @@
       }
       return;
     case Step::kReleasing:
-      if (this->parts->ownership.OwnedCount() == 0 || late) {
+      if (this->parts->workers.AllReleased() || late) {
         this->step = Step::kFinished;
         this->next_check = Instant::max();
         this->parts->context.Emit(ShutdownFinished{});
--- a/packages/core/src/lifecycle/task_tracker.h
+++ b/packages/core/src/lifecycle/task_tracker.h
@@ -18,6 +18,9 @@
 
 struct Parts;
 
+/// A detached start is answered as soon as the task runs.
+inline constexpr Duration kDetachedStartTimeout = std::chrono::seconds(1);
+
 /// A task that is about to be sent, or was sent by the process whose journal
 /// was adopted.
 struct TaskPlan {
--- a/packages/core/src/lifecycle/worker_flow.cc
+++ b/packages/core/src/lifecycle/worker_flow.cc
@@ -87,6 +87,7 @@
       this->parts->scheduler.TaskFound(
           this->parts->context.now, task.task, task.request, task.service,
           this->parts->TeamOf(task.request), report.worker, task.running_for);
+      this->parts->orphan_gangs.OnFound(task.request, task.service);
     }
   }
 }
@@ -136,6 +137,7 @@
 }
 
 void WorkerFlow::On(const WorkerRefused& event) {
+  this->releasing.erase(event.worker);
   const bool lost =
       this->parts->ownership.OnRefused(this->parts->context.now, event);
   if (!event.holder.Empty() && event.holder != this->parts->context.Self()) {
@@ -147,6 +149,7 @@
 }
 
 void WorkerFlow::On(const WorkerUnreachable& event) {
+  this->releasing.erase(event.worker);
   if (this->parts->ownership.OnUnreachable(this->parts->context.now,
                                            event.worker)) {
     this->Close(event.worker);
@@ -164,6 +167,7 @@
 }
 
 void WorkerFlow::On(const WorkerReleased& event) {
+  this->releasing.erase(event.worker);
   this->parts->ownership.OnReleased(this->parts->context.now, event.worker);
   this->parts->context.Record(
       WorkerEvent(TimelineKind::kWorkerReleased, event.worker, event.epoch));
@@ -215,17 +219,16 @@
     const auto* release = std::get_if<ReleaseWorker>(&actions[i]);
     if (release != nullptr) {
       this->parts->ledger.SetPlaceable(release->worker, false);
+      this->releasing.insert(release->worker);
     }
   }
 }
 
 void WorkerFlow::ReleaseAll() {
-  if (this->releasing) {
-    return;
-  }
-  this->releasing = true;
+  const std::size_t first = this->parts->context.actions->size();
   this->parts->ownership.ReleaseAll(this->parts->context.now,
                                     this->parts->context.actions);
+  this->NoteRenewals(first);
 }
 
 void WorkerFlow::RenewNow(const WorkerId& worker, const OwnedWorker& owned) {
--- a/packages/core/src/lifecycle/worker_flow.h
+++ b/packages/core/src/lifecycle/worker_flow.h
@@ -34,6 +34,8 @@
   void Tick();
   /// Gives all leases back.
   void ReleaseAll();
+  /// @return true if every release was answered
+  [[nodiscard]] bool AllReleased() const { return this->releasing.empty(); }
 
   /// Sends a renewal out of turn.
   void RenewNow(const WorkerId& worker, const OwnedWorker& owned);
@@ -75,7 +77,8 @@
   std::map<WorkerId, Instant> capped;
   /// Open workers that take nothing new until they answer again.
   std::set<WorkerId> suspended;
-  bool releasing = false;
+  /// Workers whose release is not answered yet.
+  std::set<WorkerId> releasing;
 };
 
 }  // namespace mustardproxy::detail
--- a/packages/core/tests/core_harness.cc
+++ b/packages/core/tests/core_harness.cc
@@ -95,12 +95,20 @@
 
 bool CoreHarness::Answer(const Action& action) {
   if (const auto* attach = std::get_if<AttachWorker>(&action)) {
+    if (this->silent.contains(attach->worker)) {
+      this->Send(WorkerUnreachable{attach->worker, attach->epoch});
+      return true;
+    }
     if (this->workers_answer) {
       this->Send(WorkerAttached{this->Report(attach->worker, attach->epoch)});
       return true;
     }
   }
   if (const auto* renew = std::get_if<RenewWorker>(&action)) {
+    if (this->silent.contains(renew->worker)) {
+      this->Send(WorkerUnreachable{renew->worker, renew->epoch});
+      return true;
+    }
     if (this->workers_answer) {
       this->Send(WorkerRenewed{this->Report(renew->worker, renew->epoch)});
       return true;
--- a/packages/core/tests/core_harness.h
+++ b/packages/core/tests/core_harness.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <variant>
@@ -64,6 +65,8 @@
   /// Workers and journal answer by themselves.
   bool workers_answer = true;
   bool journal_answers = true;
+  /// Workers that do not answer.
+  std::set<WorkerId> silent;
   /// What each worker says it runs.
   std::map<WorkerId, std::vector<RunningTask>> running;
   /// Ended tasks that the next renewal reports.
--- /dev/null
+++ b/packages/core/tests/core_recovery_test.cc
@@ -0,0 +1,196 @@
+#include <boost/test/unit_test.hpp>
+
+#include "core_harness.h"
+#include "mustardproxy/core/error.h"
+
+using namespace mustardproxy;           // NOLINT(google-build-using-namespace)
+using namespace mustardproxy::testing;  // NOLINT(google-build-using-namespace)
+
+namespace {
+
+void AnswerQueries(CoreHarness* harness, TaskQueried::State state) {
+  for (const QueryTask& query : harness->Take<QueryTask>()) {
+    TaskQueried answer;
+    answer.worker = query.worker;
+    answer.task = query.task;
+    answer.state = state;
+    answer.incarnation = harness->worker_incarnation;
+    harness->Send(answer);
+  }
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(core_recovery)
+
+// A worker misses two renewals and then answers again. Work that waited for it
+// must be placed there; it used to stay closed for good.
+BOOST_AUTO_TEST_CASE(a_worker_that_answers_again_takes_work) {
+  CoreHarness harness(1);
+  const WorkerId worker("w1");
+  harness.silent.insert(worker);
+  harness.Send(WorkerUnreachable{worker, 1});
+  harness.Send(WorkerUnreachable{worker, 1});
+  harness.Arrive("screen");
+  BOOST_TEST(harness.Take<StartTask>().empty());
+  harness.silent.clear();
+  harness.Advance(std::chrono::seconds(12));
+  harness.Take<StartTask>();
+  harness.Arrive("screen");
+  BOOST_TEST(harness.Take<StartTask>().size() == 1U);
+}
+
+// A review failed on the only worker. It must run there again after a while,
+// and not wait for another worker for ever.
+BOOST_AUTO_TEST_CASE(work_that_failed_on_the_only_worker_is_tried_again) {
+  CoreHarness harness(1);
+  harness.Arrive("review");
+  const StartTask first = harness.TakeStart();
+  harness.Send(TaskStarted{first.worker, first.order.task});
+  harness.End(first, 500, TaskEnd::kFailed);
+  harness.Advance(std::chrono::seconds(8));
+  const auto again = harness.Take<StartTask>();
+  BOOST_TEST_REQUIRE(again.size() == 1U);
+  BOOST_TEST(again.front().order.task != first.order.task);
+}
+
+// The only worker of this process is taken over while reviews wait for it. They
+// are handed to a peer that has workers, instead of waiting here for ever.
+BOOST_AUTO_TEST_CASE(work_of_a_process_without_workers_is_handed_over) {
+  CoreHarness harness(1);
+  for (int i = 0; i < 8; ++i) {
+    harness.Arrive("booking");
+  }
+  harness.Arrive("review");
+  harness.Take<AppendJournal>();
+  harness.workers_answer = false;
+  harness.Send(WorkerRefused{WorkerId("w1"), 1, 5, ProcessId("p2"),
+                             std::chrono::hours(1)});
+  bool handed_over = false;
+  for (int i = 0; i < 10; ++i) {
+    harness.PeerWithRoom("p2", "dc1");
+    harness.Advance(std::chrono::seconds(1));
+    for (const AppendJournal& append : harness.Take<AppendJournal>()) {
+      handed_over = handed_over || std::holds_alternative<HandedOverRecord>(
+                                       append.batch.records.back());
+    }
+  }
+  BOOST_TEST(handed_over);
+  BOOST_TEST(harness.core.Status(harness.Now()).deferred == 0);
+}
+
+// A journal that its writer handed over is adopted without the wait that
+// covers late heartbeats: results must not be out of reach for long.
+BOOST_AUTO_TEST_CASE(a_handed_over_journal_is_adopted_at_once) {
+  CoreHarness harness(1);
+  const JournalId journal("p2.b2");
+  harness.Send(JournalsListed{{journal}});
+  BOOST_TEST(harness.Take<ReadJournal>().size() == 1U);
+  harness.Send(JournalRead{journal, {{journal, 1, 11, {HandedOverRecord{}}}}});
+  const auto appends = harness.Take<AppendJournal>();
+  BOOST_TEST_REQUIRE(appends.size() == 1U);
+  BOOST_TEST(std::holds_alternative<AdoptedRecord>(
+      appends.front().batch.records.front()));
+}
+
+// A process died after it had started one of two tasks of a gang. The next
+// owner of the worker finds the task, learns that nobody follows it, and stops
+// it.
+BOOST_AUTO_TEST_CASE(a_half_started_gang_of_a_dead_process_is_stopped) {
+  CoreHarness harness(1);
+  harness.PeerWithRoom("q1", "dc2");
+  RunningTask half;
+  half.task = TaskId("p2.b2.1/0/1001");
+  half.request = RequestId("p2.b2.1");
+  half.service = ServiceId("rota");
+  half.resources = {1000, 1000, 0, 1};
+  harness.running[WorkerId("w1")].push_back(half);
+  harness.Advance(std::chrono::seconds(12));
+  const auto asked = harness.Take<AskPeer>();
+  BOOST_TEST_REQUIRE(asked.size() == 1U);
+  BOOST_TEST(harness.Take<StopTask>().empty());
+  harness.Send(QueryAnswered{asked.front().query, std::nullopt});
+  const auto stops = harness.Take<StopTask>();
+  BOOST_TEST_REQUIRE(!stops.empty());
+  BOOST_TEST(stops.front().task == half.task);
+}
+
+// A review was sent to a worker that froze before it read the order, and would
+// run it as soon as it goes on. The review must not be started elsewhere when
+// only the length of a task lease has passed.
+BOOST_AUTO_TEST_CASE(an_unread_start_is_waited_for_longer_than_a_lease) {
+  CoreHarness harness(2);
+  harness.Arrive("review");
+  const StartTask first = harness.TakeStart();
+  harness.silent.insert(first.worker);
+  harness.Send(TaskUncertain{first.worker, first.order.task, {}});
+  for (int i = 0; i < 50; ++i) {
+    AnswerQueries(&harness, TaskQueried::State::kUnreachable);
+    harness.Advance(std::chrono::seconds(1));
+  }
+  BOOST_TEST(harness.Take<StartTask>().empty());
+  for (int i = 0; i < 20; ++i) {
+    AnswerQueries(&harness, TaskQueried::State::kUnreachable);
+    harness.Advance(std::chrono::seconds(1));
+  }
+  BOOST_TEST(harness.Take<StartTask>().size() == 1U);
+}
+
+// A worker runs a booking, dies and is started again. Asked for the booking, it
+// says "never started", because it has forgotten. The caller must not be told
+// "not run", nor the booking be sent again.
+BOOST_AUTO_TEST_CASE(a_restarted_worker_is_no_witness_that_nothing_ran) {
+  CoreHarness harness(2);
+  harness.Arrive("booking");
+  const StartTask first = harness.TakeStart();
+  harness.Send(TaskUncertain{first.worker, first.order.task, {}});
+  harness.worker_incarnation += 1;
+  AnswerQueries(&harness, TaskQueried::State::kNeverStarted);
+  BOOST_TEST((harness.TakeReply().answer.outcome == Outcome::kUnknown));
+  BOOST_TEST(harness.Take<StartTask>().empty());
+}
+
+// The same where the worker does not name its run: only renewals that it
+// accepts after the question show that it has not restarted.
+BOOST_AUTO_TEST_CASE(never_started_is_confirmed_by_renewals) {
+  CoreHarness harness(2);
+  harness.Arrive("booking");
+  const StartTask first = harness.TakeStart();
+  harness.Send(TaskUncertain{first.worker, first.order.task, {}});
+  harness.workers_answer = false;
+  TaskQueried never;
+  never.worker = first.worker;
+  never.task = first.order.task;
+  never.state = TaskQueried::State::kNeverStarted;
+  harness.Send(never);
+  BOOST_TEST(harness.Take<StartTask>().empty());
+  const auto renewals = harness.Take<RenewWorker>();
+  BOOST_TEST_REQUIRE(renewals.size() == 2U);
+  WorkerReport report;
+  report.worker = first.worker;
+  report.epoch = first.epoch;
+  report.incarnation = harness.worker_incarnation;
+  report.capacity = {16000, 64000, 0, 8};
+  harness.Send(WorkerRenewed{report});
+  BOOST_TEST(harness.Take<StartTask>().empty());
+  harness.Send(WorkerRenewed{report});
+  BOOST_TEST(harness.Take<StartTask>().size() == 1U);
+}
+
+// A screen ran and failed, and is given up while it waits for another try. The
+// caller must not be told "not run".
+BOOST_AUTO_TEST_CASE(a_request_that_ran_is_never_called_not_run) {
+  CoreHarness harness(1);
+  harness.Arrive("screen");
+  harness.End(harness.TakeStart(), 500, TaskEnd::kFailed);
+  harness.Advance(std::chrono::seconds(3));
+  for (const StartTask& start : harness.Take<StartTask>()) {
+    harness.End(start, 500, TaskEnd::kFailed);
+  }
+  harness.Advance(std::chrono::seconds(10));
+  const Reply reply = harness.TakeReply();
+  BOOST_TEST((reply.answer.outcome == Outcome::kCompleted));
+  BOOST_TEST(reply.answer.status == 500);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/testing/fault_matrix/src/cell.cc
+++ b/testing/fault_matrix/src/cell.cc
@@ -24,6 +24,9 @@
 /// Which time that its step is reached a fault strikes, at most.
 constexpr std::int32_t kMostOccurrences = 4;
 constexpr std::int32_t kMostOccurrencesOfHeartbeats = 40;
+/// Some gangs run so long that a half of one would be noticed.
+constexpr double kLongGangs = 0.25;
+constexpr Duration kLongGangRun = seconds(18);
 constexpr std::uint64_t kFirstQuestion = 1000;
 
 struct KnownService {
@@ -263,6 +266,9 @@
   script.run = deferred
                    ? this->simulation.Draw(milliseconds(200), seconds(2))
                    : this->simulation.Draw(milliseconds(5), milliseconds(600));
+  if (known.tasks > 1 && this->simulation.Chance(kLongGangs)) {
+    script.run = kLongGangRun;
+  }
   this->scripts[request.id] = script;
   const RequestId id = request.id;
   if (arrival.cancelled) {
--- a/testing/fault_matrix/src/model_worker.cc
+++ b/testing/fault_matrix/src/model_worker.cc
@@ -34,7 +34,8 @@
 void ModelWorker::OnKilled() {
   for (const auto& [task, about] : this->tasks) {
     this->promises->OnRunEnded(this->description.id, task, about.about.request,
-                               TaskEnd::kStopped);
+                               TaskEnd::kStopped,
+                               this->simulation->Now() - about.started);
   }
   this->tasks.clear();
   this->seen.clear();
@@ -230,8 +231,8 @@
   this->tasks.erase(found);
   this->ended[over.task] = over;
   this->ended_order.push_back(over.task);
-  this->promises->OnRunEnded(this->description.id, over.task, over.request,
-                             end);
+  this->promises->OnRunEnded(this->description.id, over.task, over.request, end,
+                             over.run_time);
   if (answer) {
     answer(TaskEnded{this->description.id, over});
   }
--- a/testing/fault_matrix/src/promises.cc
+++ b/testing/fault_matrix/src/promises.cc
@@ -8,6 +8,10 @@
 namespace mustardproxy::fault_matrix {
 namespace {
 
+/// Longest time for which a part of a gang may run without the rest: a lost
+/// owner has to be noticed and its workers taken over.
+constexpr Duration kHalfGangGrace = std::chrono::seconds(15);
+
 /// The parts of `<request>/<index>/<attempt>`.
 struct TaskName {
   std::string index;
@@ -116,6 +120,7 @@
   Seen& seen = this->requests[request];
   ++seen.starts;
   const TaskName name = Parse(task);
+  ++seen.started[name.attempt];
   std::set<std::string>& places = seen.running[name.index];
   if (!places.empty()) {
     this->Break(Quote("a task runs in two places at once", request) + " on " +
@@ -131,9 +136,11 @@
 }
 
 void Promises::OnRunEnded(const WorkerId& /*worker*/, const TaskId& task,
-                          const RequestId& request, TaskEnd end) {
+                          const RequestId& request, TaskEnd end, Duration run) {
   Seen& seen = this->requests[request];
   const TaskName name = Parse(task);
+  Duration& longest = seen.longest_run[name.attempt];
+  longest = std::max(longest, run);
   seen.running[name.index].erase(task.Text());
   if (end == TaskEnd::kFinished || end == TaskEnd::kFailed) {
     ++seen.finished[name.attempt];
@@ -190,6 +197,12 @@
     if (seen.answers == 0 && !seen.entry_gone) {
       this->Break(Quote("a request was never answered", request));
     }
+    for (const auto& [attempt, run] : seen.longest_run) {
+      const bool half = seen.started.at(attempt) < seen.kind.tasks;
+      if (half && run > kHalfGangGrace) {
+        this->Break(Quote("a gang ran half for long", request));
+      }
+    }
     if (seen.accepted && seen.ends == 0) {
       this->Break(Quote("accepted deferred work did not end", request));
     }
--- a/testing/fault_matrix/src/promises.h
+++ b/testing/fault_matrix/src/promises.h
@@ -45,7 +45,7 @@
   void OnRun(const WorkerId& worker, const TaskId& task,
              const RequestId& request);
   void OnRunEnded(const WorkerId& worker, const TaskId& task,
-                  const RequestId& request, TaskEnd end);
+                  const RequestId& request, TaskEnd end, Duration run);
   /// What a worker runs now, against what it has.
   void OnLoad(const WorkerId& worker, const Resources& used,
               const Resources& capacity);
@@ -90,6 +90,10 @@
     std::int32_t starts = 0;
     /// Tasks that finished, by attempt.
     std::map<std::string, std::int32_t> finished;
+    /// Tasks that began to run, by attempt.
+    std::map<std::string, std::int32_t> started;
+    /// Longest run of a task, by attempt.
+    std::map<std::string, Duration> longest_run;
     /// Where each task of the request runs now, by its index.
     std::map<std::string, std::set<std::string>> running;
   };
