--- a/packages/core/src/lifecycle/deferred_flow.cc
+++ b/packages/core/src/lifecycle/deferred_flow.cc
@@ -415,18 +415,17 @@
 }
 
 void DeferredFlow::Remove(const RequestId& request) {
-  DeferredWork* work = this->Get(request);
-  if (work == nullptr) {
+  auto removed = this->works.extract(request);
+  if (removed.empty()) {
     return;
   }
-  const RequestId id = request;
-  this->AnswerCancelQueries(work);
+  const RequestId& id = removed.key();
+  this->AnswerCancelQueries(&removed.mapped());
   this->parts->context.Record(
       RequestEvent(TimelineKind::kRequestAnswered, id, "deferred"));
   this->parts->health.Forget(id);
   this->timers.Clear(id);
-  --this->sizes[work->journal];
-  this->works.erase(id);
+  --this->sizes[removed.mapped().journal];
 }
 
 void DeferredFlow::AnswerCancelQueries(DeferredWork* work) {
--- a/packages/core/src/lifecycle/journals.cc
+++ b/packages/core/src/lifecycle/journals.cc
@@ -88,7 +88,8 @@
   return true;
 }
 
-bool Journals::TryAppend(const JournalId& journal, JournalRecord record) {
+bool Journals::TryAppend(const JournalId& journal,
+                         const JournalRecord& record) {
   OpenJournal* found = this->Find(journal);
   return found != nullptr && found->overflow.empty() &&
          this->Write(found, record);
--- a/packages/core/src/lifecycle/journals.h
+++ b/packages/core/src/lifecycle/journals.h
@@ -37,7 +37,8 @@
   [[nodiscard]] bool Healthy() const;
   /// Takes a record in.
   /// @return false if too much waits already; the record is dropped
-  [[nodiscard]] bool TryAppend(const JournalId& journal, JournalRecord record);
+  [[nodiscard]] bool TryAppend(const JournalId& journal,
+                               const JournalRecord& record);
   /// Takes a record in, however much waits; tried again until it is taken.
   void Append(const JournalId& journal, JournalRecord record);
   /// Writes the *adopted* record as the fence at `sequence`.
--- a/packages/core/src/lifecycle/request_table.cc
+++ b/packages/core/src/lifecycle/request_table.cc
@@ -22,9 +22,12 @@
 }
 
 void RequestTable::Remove(const RequestId& request) {
-  const RequestId id = request;  // may lie in the entry that is erased
+  const auto removed = this->active.extract(request);
+  if (removed.empty()) {
+    return;
+  }
+  const RequestId& id = removed.key();
   this->deadlines.Clear(id);
-  this->active.erase(id);
   if (!this->answered.insert(id).second) {
     return;
   }
--- a/packages/core/src/lifecycle/task_tracker.cc
+++ b/packages/core/src/lifecycle/task_tracker.cc
@@ -458,32 +458,32 @@
 
 void TaskTracker::Settle(const TaskId& task, TaskNews::Kind kind,
                          EndedTask ended, std::error_code reason) {
-  Tracked* tracked = this->Find(task);
-  if (tracked == nullptr) {
+  const auto settled = this->tasks.extract(task);
+  if (settled.empty()) {
     return;
   }
-  const TaskId id = task;  // `task` may lie in what is erased below
+  const TaskId& id = settled.key();
+  const Tracked& tracked = settled.mapped();
+  const TaskPlan& plan = tracked.plan;
   if (kind == TaskNews::Kind::kEnded) {
-    this->parts->context.Record(
-        TaskEvent(TimelineKind::kTaskEnded, tracked->plan.request, id,
-                  tracked->plan.worker, tracked->plan.epoch));
+    this->parts->context.Record(TaskEvent(
+        TimelineKind::kTaskEnded, plan.request, id, plan.worker, plan.epoch));
   }
-  this->Report(*tracked, kind);
+  this->Report(tracked, kind);
   this->news.back().ended = std::move(ended);
   this->news.back().reason = reason;
-  if (tracked->placed) {
+  if (tracked.placed) {
     const bool ran = kind == TaskNews::Kind::kEnded;
     this->parts->scheduler.TaskDone(this->parts->context.now,
                                     &this->parts->ledger, id, ran);
   }
-  const auto at = this->by_worker.find(tracked->plan.worker);
+  const auto at = this->by_worker.find(plan.worker);
   at->second.erase(id);
   if (at->second.empty()) {
     this->by_worker.erase(at);
   }
   this->checks.Clear(id);
   this->Remember(id);
-  this->tasks.erase(id);
 }
 
 void TaskTracker::Remember(const TaskId& task) {
--- a/packages/core/src/lifecycle/timer_queue.h
+++ b/packages/core/src/lifecycle/timer_queue.h
@@ -1,9 +1,9 @@
 #ifndef MUSTARDPROXY_CORE_LIFECYCLE_TIMER_QUEUE_H_
 #define MUSTARDPROXY_CORE_LIFECYCLE_TIMER_QUEUE_H_
 
-#include <compare>
 #include <map>
 #include <set>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -48,7 +48,9 @@
   struct Entry {
     Instant at;
     Key key;
-    friend auto operator<=>(const Entry&, const Entry&) = default;
+    friend bool operator<(const Entry& a, const Entry& b) {
+      return std::tie(a.at, a.key) < std::tie(b.at, b.key);
+    }
   };
   std::set<Entry> order;
   std::map<Key, Instant> moments;
--- a/packages/core/tests/core_harness.cc
+++ b/packages/core/tests/core_harness.cc
@@ -159,7 +159,7 @@
                               const std::string& key) {
   Request request = this->Make(service);
   request.idempotency_key = key;
-  const RequestId id = request.id;
+  RequestId id = request.id;
   this->Send(RequestArrived{std::move(request)});
   return id;
 }
--- a/testing/fault_matrix/src/entry_process.cc
+++ b/testing/fault_matrix/src/entry_process.cc
@@ -418,7 +418,7 @@
   call.to = platform;
   call.step = step;
   call.timeout = kPlatformTimeout;
-  call.work = [this, platform, work](const Respond& respond) {
+  call.work = [this, platform, work = std::move(work)](const Respond& respond) {
     if (!platform->Answers()) {
       return;
     }
@@ -435,7 +435,7 @@
     this->simulation->After(platform->Delay(),
                             [work, fitting] { work(fitting); });
   };
-  call.lost = [this, lost] {
+  call.lost = [this, lost = std::move(lost)] {
     lost();
     this->NotePlatform(false);
   };
--- a/testing/fault_matrix/src/model_platform.h
+++ b/testing/fault_matrix/src/model_platform.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "mustardproxy/core/actions.h"
@@ -56,7 +57,9 @@
   struct KeyName {
     TeamId team;
     std::string key;
-    friend auto operator<=>(const KeyName&, const KeyName&) = default;
+    friend bool operator<(const KeyName& a, const KeyName& b) {
+      return std::tie(a.team, a.key) < std::tie(b.team, b.key);
+    }
   };
 
   Promises* promises;
--- a/testing/fault_matrix/src/network.h
+++ b/testing/fault_matrix/src/network.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <tuple>
 
 #include "faults.h"
 #include "node.h"
@@ -63,7 +64,9 @@
   struct Link {
     std::string a;
     std::string b;
-    friend auto operator<=>(const Link&, const Link&) = default;
+    friend bool operator<(const Link& x, const Link& y) {
+      return std::tie(x.a, x.b) < std::tie(y.a, y.b);
+    }
   };
   /// What the fault of a call does to its messages.
   struct Mishap {
