--- a/packages/core/src/ledger/free_capacity_index.cc
+++ b/packages/core/src/ledger/free_capacity_index.cc
@@ -3,19 +3,9 @@
 #include <algorithm>
 #include <iterator>
 
-#include "ledger/resource_math.h"
-
 namespace mustardproxy::detail {
 namespace {
 
-/// @return true if some part of `room` is as large as that of `largest`
-bool TouchesMaximum(const Resources& room, const Resources& largest) {
-  return room.cpu_milli >= largest.cpu_milli ||
-         room.memory_mb >= largest.memory_mb ||
-         room.accelerators >= largest.accelerators ||
-         room.slots >= largest.slots;
-}
-
 /// @return the first item that does not come before `key`
 std::vector<FreeCapacityIndex::Item>::iterator PlaceOf(
     const IndexKey& key, std::vector<FreeCapacityIndex::Item>* items) {
@@ -35,19 +25,20 @@
 }
 
 void FreeCapacityIndex::Measure(Block* block) {
-  Resources largest;
-  for (const Item& item : block->items) largest = MaxParts(largest, item.room);
+  PackedRoom largest;
+  for (const Item& item : block->items) largest.RaiseTo(item.room);
   block->largest = largest;
 }
 
-void FreeCapacityIndex::Insert(const IndexKey& key, const Resources& room) {
-  if (this->blocks.empty()) this->blocks.emplace_back();
-  const std::size_t position =
-      this->blocks.front().items.empty() ? 0 : this->BlockOf(key);
+void FreeCapacityIndex::Insert(const IndexKey& key, const PackedRoom& room) {
+  if (this->blocks.empty()) {
+    this->blocks.push_back({{{key, room}}, room});
+    return;
+  }
+  const std::size_t position = this->BlockOf(key);
   Block& block = this->blocks[position];
-  const auto place = PlaceOf(key, &block.items);
-  block.items.insert(place, {key, room});
-  block.largest = MaxParts(block.largest, room);
+  block.items.insert(PlaceOf(key, &block.items), {key, room});
+  block.largest.RaiseTo(room);
   if (block.items.size() > kBlockSize) this->Split(position);
 }
 
@@ -65,29 +56,59 @@
       std::move(upper));
 }
 
-void FreeCapacityIndex::Erase(const IndexKey& key) {
-  if (this->blocks.empty()) return;
-  const std::size_t position = this->BlockOf(key);
+void FreeCapacityIndex::EraseAt(std::size_t position,
+                                std::vector<Item>::iterator item) {
   Block& block = this->blocks[position];
-  const auto found = PlaceOf(key, &block.items);
-  if (found == block.items.end() || found->key.Order() != key.Order()) return;
-  const Resources room = found->room;
-  block.items.erase(found);
+  const PackedRoom room = item->room;
+  block.items.erase(item);
   if (block.items.empty()) {
     this->blocks.erase(this->blocks.begin() +
                        static_cast<std::ptrdiff_t>(position));
     return;
   }
-  if (TouchesMaximum(room, block.largest)) Measure(&block);
+  if (room.Touches(block.largest)) Measure(&block);
 }
 
-void FreeCapacityIndex::Clear() { this->blocks.clear(); }
+void FreeCapacityIndex::Erase(const IndexKey& key) {
+  if (this->blocks.empty()) return;
+  const std::size_t position = this->BlockOf(key);
+  std::vector<Item>& items = this->blocks[position].items;
+  const auto found = PlaceOf(key, &items);
+  if (found == items.end() || found->key.Order() != key.Order()) return;
+  this->EraseAt(position, found);
+}
 
-Resources FreeCapacityIndex::Largest() const {
-  Resources largest;
-  for (const Block& block : this->blocks) {
-    largest = MaxParts(largest, block.largest);
+void FreeCapacityIndex::Move(const IndexKey& from, const IndexKey& to,
+                             const PackedRoom& room) {
+  const std::size_t position = this->BlockOf(from);
+  Block& block = this->blocks[position];
+  const auto found = PlaceOf(from, &block.items);
+  if (position != this->BlockOf(to)) {
+    this->EraseAt(position, found);
+    this->Insert(to, room);
+    return;
+  }
+  auto place = PlaceOf(to, &block.items);
+  const bool shrinks = found->room.Touches(block.largest);
+  *found = {to, room};
+  // Only the items between the old and the new place are shifted.
+  if (place > found) {
+    std::rotate(found, found + 1, place);
+  } else {
+    std::rotate(place, found, found + 1);
   }
+  if (shrinks) {
+    Measure(&block);
+  } else {
+    block.largest.RaiseTo(room);
+  }
+}
+
+void FreeCapacityIndex::Clear() { this->blocks.clear(); }
+
+PackedRoom FreeCapacityIndex::Largest() const {
+  PackedRoom largest;
+  for (const Block& block : this->blocks) largest.RaiseTo(block.largest);
   return largest;
 }
 
--- a/packages/core/src/ledger/free_capacity_index.h
+++ b/packages/core/src/ledger/free_capacity_index.h
@@ -5,8 +5,8 @@
 #include <cstdint>
 #include <vector>
 
+#include "ledger/packed_room.h"
 #include "ledger/worker_entry.h"
-#include "mustardproxy/core/resources.h"
 
 namespace mustardproxy::detail {
 
@@ -33,33 +33,36 @@
  public:
   struct Item {
     IndexKey key;
-    Resources room;
+    PackedRoom room;
   };
 
-  void Insert(const IndexKey& key, const Resources& room);
+  void Insert(const IndexKey& key, const PackedRoom& room);
   void Erase(const IndexKey& key);
+  /// Gives a worker that is in the index another key and room.
+  void Move(const IndexKey& from, const IndexKey& to, const PackedRoom& room);
   void Clear();
   /// @return part by part, the most that one worker has free
-  [[nodiscard]] Resources Largest() const;
+  [[nodiscard]] PackedRoom Largest() const;
 
   /// Calls `visit(item)` in ascending order of keys for each worker with room
   /// for `need`, from key `from` on, until it returns false.
   template <typename Visitor>
-  void VisitAscending(const Resources& need, std::uint32_t from,
+  void VisitAscending(const PackedRoom& need, std::uint32_t from,
                       Visitor visit) const;
   /// The same from the highest key down.
   template <typename Visitor>
-  void VisitDescending(const Resources& need, Visitor visit) const;
+  void VisitDescending(const PackedRoom& need, Visitor visit) const;
 
  private:
   struct Block {
     std::vector<Item> items;
-    Resources largest;
+    PackedRoom largest;
   };
   static constexpr std::size_t kBlockSize = 32;
 
   [[nodiscard]] std::size_t BlockOf(const IndexKey& key) const;
   void Split(std::size_t position);
+  void EraseAt(std::size_t position, std::vector<Item>::iterator item);
   static void Measure(Block* block);
 
   /// Never empty blocks; keys ascend within and across blocks.
@@ -67,7 +70,7 @@
 };
 
 template <typename Visitor>
-void FreeCapacityIndex::VisitAscending(const Resources& need,
+void FreeCapacityIndex::VisitAscending(const PackedRoom& need,
                                        std::uint32_t from,
                                        Visitor visit) const {
   if (this->blocks.empty()) return;
@@ -80,7 +83,7 @@
 }
 
 template <typename Visitor>
-void FreeCapacityIndex::VisitDescending(const Resources& need,
+void FreeCapacityIndex::VisitDescending(const PackedRoom& need,
                                         Visitor visit) const {
   for (auto block = this->blocks.rbegin(); block != this->blocks.rend();
        ++block) {
--- a/packages/core/src/ledger/gang_plan.cc
+++ b/packages/core/src/ledger/gang_plan.cc
@@ -34,7 +34,7 @@
   for (RackIndex rack = 0; rack < table.Racks().size(); ++rack) {
     for (const WorkerIndex worker : table.Racks()[rack].workers) {
       const WorkerEntry& entry = table.At(worker);
-      if (!entry.placeable || !Allowed(entry, need.avoid)) continue;
+      if (!entry.placeable || !Allowed(table, worker, need.avoid)) continue;
       const std::int64_t room =
           CountFitting(need.resources, table.Free(worker));
       this->positions.emplace(worker, this->candidates.size());
--- a/packages/core/src/ledger/ledger.cc
+++ b/packages/core/src/ledger/ledger.cc
@@ -5,6 +5,7 @@
 
 #include "ledger/gang_plan.h"
 #include "ledger/gang_search.h"
+#include "ledger/packed_room.h"
 #include "ledger/packing_policy.h"
 #include "ledger/resource_math.h"
 #include "ledger/worker_table.h"
@@ -15,6 +16,14 @@
 using detail::WorkerEntry;
 using detail::WorkerIndex;
 
+namespace {
+
+/// Protects the sums from what a broken worker reports.
+constexpr Resources kMostCounted{detail::kLargestPart, detail::kLargestPart,
+                                 detail::kLargestPart, detail::kLargestPart};
+
+}  // namespace
+
 struct Ledger::State {
   detail::WorkerTable table;
 
@@ -49,7 +58,8 @@
   WorkerEntry entry;
   entry.id = worker.id;
   entry.rack = worker.rack;
-  entry.capacity = detail::ClampToZero(report.capacity);
+  entry.capacity =
+      detail::MinParts(detail::ClampToZero(report.capacity), kMostCounted);
   entry.open = true;
   entry.placeable = !worker.leaving;
   for (const RunningTask& task : report.running) {
@@ -113,7 +123,7 @@
   for (const WorkerIndex worker : table.HeldWorkers()) {
     const WorkerEntry& entry = table.At(worker);
     if (!entry.placeable || !resources.FitsIn(table.Free(worker))) continue;
-    if (detail::Allowed(entry, avoid)) return entry.id;
+    if (detail::Allowed(table, worker, avoid)) return entry.id;
   }
   return std::nullopt;
 }
@@ -128,7 +138,7 @@
   for (detail::RackIndex rack = 0; rack < table.Racks().size(); ++rack) {
     for (const WorkerIndex worker : table.Racks()[rack].workers) {
       const WorkerEntry& entry = table.At(worker);
-      if (!entry.placeable || !detail::Allowed(entry, avoid)) continue;
+      if (!entry.placeable || !detail::Allowed(table, worker, avoid)) continue;
       const std::int64_t room =
           detail::CountFitting(resources, this->state->Room(worker, holds));
       if (room > 0) candidates.push_back({worker, rack, room});
@@ -204,7 +214,7 @@
 
 Resources Ledger::LargestFree() const {
   const detail::WorkerTable& table = this->state->table;
-  Resources largest = table.BySize().Largest();
+  Resources largest = table.BySize().Largest().Unpack();
   for (const WorkerIndex worker : table.HeldWorkers()) {
     largest = detail::MaxParts(largest, table.Free(worker));
   }
--- a/packages/core/src/ledger/packing_policy.cc
+++ b/packages/core/src/ledger/packing_policy.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <limits>
 
-#include "ledger/resource_math.h"
+#include "ledger/packed_room.h"
 
 namespace mustardproxy::detail {
 namespace {
@@ -16,18 +16,15 @@
 /// @return how badly what would be left over on a worker can still be used:
 ///   its size and how far its parts are out of proportion, since one part
 ///   alone is of no use to a later task
-double Misfit(const Resources& left, const Resources& capacity) {
-  const auto part = [](std::int64_t amount, std::int64_t whole) {
-    return whole <= 0
-               ? 0.0
-               : static_cast<double>(amount) / static_cast<double>(whole);
-  };
-  const double cpu = part(left.cpu_milli, capacity.cpu_milli);
-  const double memory = part(left.memory_mb, capacity.memory_mb);
-  const double slots = part(left.slots, capacity.slots);
+double Misfit(const PackedRoom& room, const PackedRoom& need,
+              const CapacityScale& scale) {
+  const double cpu = (room.parts[0] - need.parts[0]) * scale.cpu;
+  const double memory = (room.parts[1] - need.parts[1]) * scale.memory;
+  const double accelerators =
+      (room.parts[2] - need.parts[2]) * scale.accelerators;
+  const double slots = (room.parts[3] - need.parts[3]) * scale.slots;
   const double high = std::max({cpu, memory, slots});
   const double low = std::min({cpu, memory, slots});
-  const double accelerators = part(left.accelerators, capacity.accelerators);
   return high + (high - low) + accelerators;
 }
 
@@ -42,18 +39,18 @@
   std::optional<WorkerIndex> best;
   double best_misfit = std::numeric_limits<double>::infinity();
   int seen = 0;
-  table.BySize().VisitAscending(
-      need.resources, table.SizeKey(need.resources), [&](const Item& item) {
-        const WorkerEntry& entry = table.At(item.key.worker);
-        if (!Allowed(entry, need.avoid)) return true;
-        const double misfit =
-            Misfit(item.room - need.resources, entry.capacity);
-        if (misfit < best_misfit) {
-          best = item.key.worker;
-          best_misfit = misfit;
-        }
-        return ++seen < kBestFitCandidates;
-      });
+  const PackedRoom packed = PackedRoom::Pack(need.resources);
+  const auto consider = [&](const Item& item) {
+    if (!Allowed(table, item.key.worker, need.avoid)) return true;
+    const double misfit = Misfit(item.room, packed, table.Scale());
+    if (misfit < best_misfit) {
+      best = item.key.worker;
+      best_misfit = misfit;
+    }
+    return ++seen < kBestFitCandidates;
+  };
+  table.BySize().VisitAscending(packed, table.SizeKey(need.resources),
+                                consider);
   return best;
 }
 
@@ -66,11 +63,12 @@
 std::optional<WorkerIndex> FirstFit::Choose(const WorkerTable& table,
                                             const PlacementNeed& need) const {
   std::optional<WorkerIndex> first;
-  table.ByOrder().VisitAscending(need.resources, 0, [&](const Item& item) {
-    if (!Allowed(table.At(item.key.worker), need.avoid)) return true;
-    first = item.key.worker;
-    return false;
-  });
+  table.ByOrder().VisitAscending(
+      PackedRoom::Pack(need.resources), 0, [&](const Item& item) {
+        if (!Allowed(table, item.key.worker, need.avoid)) return true;
+        first = item.key.worker;
+        return false;
+      });
   return first;
 }
 
@@ -83,11 +81,12 @@
 std::optional<WorkerIndex> Spread::Choose(const WorkerTable& table,
                                           const PlacementNeed& need) const {
   std::optional<WorkerIndex> emptiest;
-  table.BySize().VisitDescending(need.resources, [&](const Item& item) {
-    if (!Allowed(table.At(item.key.worker), need.avoid)) return true;
-    emptiest = item.key.worker;
-    return false;
-  });
+  table.BySize().VisitDescending(
+      PackedRoom::Pack(need.resources), [&](const Item& item) {
+        if (!Allowed(table, item.key.worker, need.avoid)) return true;
+        emptiest = item.key.worker;
+        return false;
+      });
   return emptiest;
 }
 
@@ -108,8 +107,10 @@
   return best_fit;
 }
 
-bool Allowed(const WorkerEntry& worker, std::span<const WorkerId> avoid) {
-  return std::ranges::find(avoid, worker.id) == avoid.end();
+bool Allowed(const WorkerTable& table, WorkerIndex worker,
+             std::span<const WorkerId> avoid) {
+  if (avoid.empty()) return true;
+  return std::ranges::find(avoid, table.At(worker).id) == avoid.end();
 }
 
 }  // namespace mustardproxy::detail
--- a/packages/core/src/ledger/packing_policy.h
+++ b/packages/core/src/ledger/packing_policy.h
@@ -32,7 +32,7 @@
 [[nodiscard]] const PackingPolicy& PolicyFor(Packing packing);
 
 /// @return true if `worker` is none of `avoid`
-[[nodiscard]] bool Allowed(const WorkerEntry& worker,
+[[nodiscard]] bool Allowed(const WorkerTable& table, WorkerIndex worker,
                            std::span<const WorkerId> avoid);
 
 }  // namespace mustardproxy::detail
--- a/packages/core/src/ledger/worker_table.cc
+++ b/packages/core/src/ledger/worker_table.cc
@@ -9,10 +9,10 @@
 namespace {
 
 /// Steps per part of a size key.
-constexpr std::int64_t kSizeSteps = 4096;
+constexpr double kSizeSteps = 4096;
 
-std::int64_t SizePart(std::int64_t amount, std::int64_t largest) {
-  return largest <= 0 ? 0 : amount * kSizeSteps / largest;
+double UnitOf(std::int64_t whole) {
+  return whole <= 0 ? 0.0 : 1.0 / static_cast<double>(whole);
 }
 
 }  // namespace
@@ -58,12 +58,12 @@
 }
 
 std::uint32_t WorkerTable::SizeKey(const Resources& resources) const {
-  const Resources& largest = this->largest_capacity;
-  return static_cast<std::uint32_t>(
-      SizePart(resources.cpu_milli, largest.cpu_milli) +
-      SizePart(resources.memory_mb, largest.memory_mb) +
-      SizePart(resources.accelerators, largest.accelerators) +
-      SizePart(resources.slots, largest.slots));
+  const double size =
+      static_cast<double>(resources.cpu_milli) * this->scale.cpu +
+      static_cast<double>(resources.memory_mb) * this->scale.memory +
+      static_cast<double>(resources.accelerators) * this->scale.accelerators +
+      static_cast<double>(resources.slots) * this->scale.slots;
+  return static_cast<std::uint32_t>(size * kSizeSteps);
 }
 
 RackIndex WorkerTable::RackOf(const RackId& rack) {
@@ -123,6 +123,8 @@
   }
   if (largest == this->largest_capacity) return;
   this->largest_capacity = largest;
+  this->scale = {UnitOf(largest.cpu_milli), UnitOf(largest.memory_mb),
+                 UnitOf(largest.accelerators), UnitOf(largest.slots)};
   this->RebuildSizeIndex();
 }
 
@@ -131,7 +133,8 @@
   for (const auto& [id, worker] : this->by_id) {
     Counted& known = this->counted[worker];
     known.size_key = this->SizeKey(known.unheld);
-    this->by_size.Insert({known.size_key, worker}, known.unheld);
+    this->by_size.Insert({known.size_key, worker},
+                         PackedRoom::Pack(known.unheld));
   }
 }
 
@@ -152,12 +155,12 @@
 void WorkerTable::Reindex(WorkerIndex worker, const Resources& unheld) {
   Counted& known = this->counted[worker];
   if (unheld == known.unheld) return;
-  this->by_order.Erase({0, worker});
-  this->by_size.Erase({known.size_key, worker});
+  const PackedRoom room = PackedRoom::Pack(unheld);
+  const IndexKey from{known.size_key, worker};
   known.unheld = unheld;
   known.size_key = this->SizeKey(unheld);
-  this->by_order.Insert({0, worker}, unheld);
-  this->by_size.Insert({known.size_key, worker}, unheld);
+  this->by_order.Move({0, worker}, {0, worker}, room);
+  this->by_size.Move(from, {known.size_key, worker}, room);
 }
 
 void WorkerTable::Hold(WorkerIndex worker, const Resources& resources) {
--- a/packages/core/src/ledger/worker_table.h
+++ b/packages/core/src/ledger/worker_table.h
@@ -28,6 +28,15 @@
   std::int64_t workers = 0;
 };
 
+/// What one unit of each part is of the largest capacity; zero for a part that
+/// no worker has. Divisions are done once, when the largest capacity changes.
+struct CapacityScale {
+  double cpu = 0;
+  double memory = 0;
+  double accelerators = 0;
+  double slots = 0;
+};
+
 /// Open workers with everything derived from them: indexes over free
 /// resources, sums, racks. Derived values are brought up to date in one place,
 /// `Refresh`, by the difference to what was counted last.
@@ -64,6 +73,7 @@
   /// @return one number for the size of an amount, relative to the largest
   ///   capacity; no part can grow without it growing or staying
   [[nodiscard]] std::uint32_t SizeKey(const Resources& resources) const;
+  [[nodiscard]] const CapacityScale& Scale() const { return this->scale; }
 
  private:
   /// What was last counted of a worker.
@@ -92,6 +102,7 @@
   FreeCapacityIndex by_size;
   Resources total_capacity;
   Resources largest_capacity;
+  CapacityScale scale;
   Resources total_free;
   Resources tracked;
   std::int64_t tracked_room = 0;
