Ledger and scheduler: tests per feature and random walks

The tests found two faults, mended here: a profile with a queue limit of zero took one request, and an urgent request was refused for its predicted wait although tasks that may be stopped would have made room; what may be stopped now counts as room for urgent work.

--- a/packages/core/src/scheduler/admission.cc
+++ b/packages/core/src/scheduler/admission.cc
@@ -92,8 +92,8 @@
 Admission CheckQueue(Instant now, const SchedulerState& state,
                      const ServiceEntry& service, TeamIndex team) {
   const auto found = state.queued_by_profile.find(service.profile.id);
-  if (found == state.queued_by_profile.end()) return {};
-  const ProfileCount& counts = found->second;
+  const ProfileCount counts =
+      found == state.queued_by_profile.end() ? ProfileCount{} : found->second;
   const std::int64_t limit = service.profile.queue_limit;
   const double weight = state.catalog.TeamAt(team).weight;
   const double fair = static_cast<double>(limit) * weight /
--- a/packages/core/src/scheduler/running_tasks.cc
+++ b/packages/core/src/scheduler/running_tasks.cc
@@ -18,7 +18,9 @@
   const auto [found, added] = this->entries.emplace(task, std::move(entry));
   if (!added) return false;
   this->CountRelease(found->second, 1.0);
-  if (found->second.preemptible) this->victims.insert(&found->second);
+  if (!found->second.preemptible) return true;
+  this->victims.insert(&found->second);
+  this->preemptible += found->second.resources;
   return true;
 }
 
@@ -29,6 +31,7 @@
   RunningEntry entry = std::move(found->second);
   this->entries.erase(found);
   this->CountRelease(entry, -1.0);
+  if (entry.preemptible) this->preemptible -= entry.resources;
   if (entry.stop_group) {
     const auto group = this->stop_groups.find(*entry.stop_group);
     if (--group->second == 0) this->stop_groups.erase(group);
@@ -59,6 +62,8 @@
   return this->other_release;
 }
 
+const Resources& RunningTasks::Preemptible() const { return this->preemptible; }
+
 std::vector<ExpectedRelease> RunningTasks::Releases(
     Instant now, const Catalog& catalog) const {
   std::vector<ExpectedRelease> releases;
--- a/packages/core/src/scheduler/running_tasks.h
+++ b/packages/core/src/scheduler/running_tasks.h
@@ -47,6 +47,8 @@
   [[nodiscard]] double ReleasePerSecond() const;
   /// The same without urgent tasks (priority 0).
   [[nodiscard]] double OtherReleasePerSecond() const;
+  /// Sum over tasks that may be stopped for urgent work, or are being stopped.
+  [[nodiscard]] const Resources& Preemptible() const;
   /// @return when tasks are expected to end, in order of time
   /// @complexity n log n in the number of running tasks
   [[nodiscard]] std::vector<ExpectedRelease> Releases(
@@ -76,6 +78,7 @@
   StopGroup last_group = 0;
   double urgent_release = 0;
   double other_release = 0;
+  Resources preemptible;
 };
 
 template <typename Visitor>
--- a/packages/core/src/scheduler/wait_forecast.cc
+++ b/packages/core/src/scheduler/wait_forecast.cc
@@ -36,17 +36,23 @@
   return ahead;
 }
 
-/// @return share of the cell that a request could take now
+/// @return share of the cell that a request could take now, for urgent work
+///   with what may be stopped for it
 double FreeFor(const SchedulerState& state, const Ledger& ledger,
                const ServiceEntry& service) {
-  if (!service.resources.FitsIn(ledger.LargestFree())) return 0;
+  Resources free = ledger.TotalFree();
   const bool urgent = service.profile.priority == 0;
-  if (!urgent && state.headroom.Wanted() > 0 &&
-      ledger.TrackedRoom() <= state.headroom.Wanted()) {
-    return 0;
+  const bool fits = service.resources.FitsIn(ledger.LargestFree());
+  if (urgent) {
+    free += state.running.Preemptible();
+    if (!fits && state.running.Preemptible() == Resources{}) return 0;
+  } else {
+    if (!fits) return 0;
+    const std::int64_t wanted =
+        state.headroom.WantedOf(service.profile.priority);
+    if (wanted > 0 && ledger.TrackedRoom() <= wanted) return 0;
   }
-  const auto room =
-      static_cast<double>(CountFitting(service.resources, ledger.TotalFree()));
+  const auto room = static_cast<double>(CountFitting(service.resources, free));
   return room * state.SizeOf(service.resources);
 }
 
--- /dev/null
+++ b/packages/core/tests/ledger_random_test.cc
@@ -0,0 +1,127 @@
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "mustardproxy/core/ledger.h"
+
+namespace mustardproxy {
+namespace {
+
+constexpr Resources kCapacity{16000, 64000, 2, 8};
+constexpr int kWorkers = 90;
+constexpr int kSteps = 30000;
+
+/// The ledger's promises worked out the slow way.
+struct Model {
+  struct Entry {
+    Resources used;
+    std::map<TaskId, Resources> tasks;
+    bool placeable = true;
+  };
+  std::map<WorkerId, Entry> workers;
+
+  [[nodiscard]] Resources Free(const WorkerId& worker) const {
+    const Entry& entry = this->workers.at(worker);
+    if (!entry.placeable) return {};
+    return kCapacity - entry.used;
+  }
+  [[nodiscard]] bool FitsSomewhere(const Resources& task) const {
+    return std::ranges::any_of(this->workers, [&](const auto& known) {
+      return known.second.placeable && task.FitsIn(this->Free(known.first));
+    });
+  }
+  [[nodiscard]] Resources TotalFree() const {
+    Resources total;
+    for (const auto& [id, entry] : this->workers) total += this->Free(id);
+    return total;
+  }
+};
+
+class Walk {
+ public:
+  explicit Walk(std::uint64_t seed) : random(seed) {
+    for (int i = 0; i < kWorkers; ++i) {
+      this->Open(WorkerId(std::string("w").append(std::to_string(i))));
+    }
+  }
+
+  void Step() {
+    const int kind = this->Draw(0, 99);
+    if (kind < 55) this->Place();
+    if (kind >= 55 && kind < 95) this->End();
+    if (kind >= 95 && kind < 97) this->TogglePlaceable();
+    if (kind >= 97) this->Open(this->AnyWorker());
+    BOOST_REQUIRE(this->ledger.TotalFree() == this->model.TotalFree());
+  }
+
+ private:
+  int Draw(int low, int high) {
+    return std::uniform_int_distribution<int>(low, high)(this->random);
+  }
+  WorkerId AnyWorker() {
+    return WorkerId(
+        std::string("w").append(std::to_string(this->Draw(0, kWorkers - 1))));
+  }
+  void Open(const WorkerId& id) {
+    WorkerDescription worker;
+    worker.id = id;
+    WorkerReport report;
+    report.worker = id;
+    report.capacity = kCapacity;
+    this->ledger.Open(worker, report);
+    this->model.workers[id] = {};
+  }
+  void Place() {
+    const Resources task{this->Draw(1, 8) * 1000, this->Draw(1, 30) * 1000,
+                         this->Draw(0, 9) == 0 ? 1 : 0, 1};
+    const auto packing = static_cast<Packing>(this->Draw(0, 2));
+    const auto found = this->ledger.Find(task, packing, {});
+    BOOST_REQUIRE(found.has_value() == this->model.FitsSomewhere(task));
+    if (!found) return;
+    BOOST_REQUIRE(task.FitsIn(this->model.Free(*found)));
+    const TaskId id(std::string("t").append(std::to_string(++this->number)));
+    BOOST_REQUIRE(this->ledger.Reserve(*found, id, task));
+    this->model.workers[*found].used += task;
+    this->model.workers[*found].tasks[id] = task;
+  }
+  void End() {
+    const WorkerId worker = this->AnyWorker();
+    Model::Entry& entry = this->model.workers[worker];
+    if (entry.tasks.empty()) return;
+    const auto ended = entry.tasks.begin();
+    this->ledger.Free(worker, ended->first);
+    entry.used -= ended->second;
+    entry.tasks.erase(ended);
+  }
+  void TogglePlaceable() {
+    const WorkerId worker = this->AnyWorker();
+    Model::Entry& entry = this->model.workers[worker];
+    entry.placeable = !entry.placeable;
+    this->ledger.SetPlaceable(worker, entry.placeable);
+  }
+
+  std::mt19937_64 random;
+  Ledger ledger;
+  Model model;
+  int number = 0;
+};
+
+BOOST_AUTO_TEST_SUITE(ledger_random)
+
+// A user sees a task refused by its worker, or left waiting beside free room.
+// Tasks come and go, workers are ejected and reopened, in any order. The cause
+// would be an index that drifts from the entries it was built from.
+BOOST_AUTO_TEST_CASE(the_indexes_agree_with_a_scan_at_every_step) {
+  constexpr std::uint64_t kSeed = 20260101;
+  BOOST_TEST_MESSAGE("seed " << kSeed);
+  Walk walk(kSeed);
+  for (int i = 0; i < kSteps; ++i) walk.Step();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace mustardproxy
--- /dev/null
+++ b/packages/core/tests/scheduler_admission_test.cc
@@ -0,0 +1,114 @@
+#include <boost/test/unit_test.hpp>
+#include <string>
+
+#include "mustardproxy/core/error.h"
+#include "scheduler_test_cell.h"
+
+namespace mustardproxy {
+namespace {
+
+using test::kSmallTask;
+using test::Numbered;
+using test::TestCell;
+
+struct Cell : TestCell {
+  Cell() : TestCell(2) {
+    this->AddProfile("work", 1, std::chrono::seconds(5)).queue_limit = 1000;
+    this->AddService("task", "work", kSmallTask).expected_run =
+        std::chrono::seconds(1);
+    this->AddService("wide", "work", {9000, 1000, 0, 1});
+    this->AddService("gang", "work", kSmallTask, 17);
+    this->AddTeam("a");
+    this->AddTeam("b").quota = {0, 0, 0, 4};
+    this->Configure();
+  }
+};
+
+BOOST_FIXTURE_TEST_SUITE(scheduler_admission, Cell)
+
+BOOST_AUTO_TEST_CASE(what_never_fits_is_refused_and_named) {
+  const Admission wide = this->Enqueue("q", "wide");
+  BOOST_TEST(wide.refusal == Error::kNeverFits);
+  BOOST_TEST(wide.detail ==
+             "a task needs 9000 cpu_milli; the largest worker has 8000");
+  BOOST_TEST(wide.retry_after.count() == 0);
+  const Admission gang = this->Enqueue("g", "gang");
+  BOOST_TEST(gang.refusal == Error::kGangImpossible);
+  BOOST_TEST(gang.detail.find("17 tasks") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(a_quota_that_can_never_be_met_is_refused) {
+  this->AddService("five", "work", kSmallTask, 5);
+  this->Configure();
+  const Admission refused = this->Enqueue("q", "five", "b");
+  BOOST_TEST(refused.refusal == Error::kQuotaExceeded);
+  BOOST_TEST(refused.detail ==
+             "the request needs 5 slots; the quota of team b is 4");
+}
+
+BOOST_AUTO_TEST_CASE(without_a_worker_it_says_so) {
+  this->ledger.Close(WorkerId("w0"));
+  this->ledger.Close(WorkerId("w1"));
+  BOOST_TEST(this->Enqueue("q", "task").refusal == Error::kNoWorker);
+}
+
+BOOST_AUTO_TEST_CASE(strangers_and_unknown_services_are_refused) {
+  BOOST_TEST(this->Enqueue("q", "none").refusal == Error::kUnknownService);
+  BOOST_TEST(this->Enqueue("q", "task", "x").refusal == Error::kUnknownTeam);
+}
+
+// A caller is told to wait and then gives up anyway. The cell is full of tasks
+// of one second, and more are queued than go in the five seconds allowed. The
+// refusal must come on arrival and say when to come back.
+BOOST_AUTO_TEST_CASE(a_wait_that_is_too_long_is_refused_on_arrival) {
+  int accepted = 0;
+  Admission refused;
+  for (int i = 0; i < 1000 && !refused.refusal; ++i) {
+    refused = this->Enqueue(Numbered("q", i), "task");
+    (void)this->Schedule();
+    if (!refused.refusal) ++accepted;
+  }
+  BOOST_TEST(refused.refusal == Error::kWaitTooLong);
+  // 16 run and 16 start per second.
+  BOOST_TEST(accepted >= 16 + 5 * 16 - 2);
+  BOOST_TEST(accepted <= 16 + 5 * 16 + 2);
+  BOOST_TEST((refused.retry_after >= std::chrono::seconds(1)));
+  BOOST_TEST(refused.detail.find("predicted wait") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(the_forecast_follows_the_measured_drain) {
+  this->EnqueueMany("q", 90, "task");
+  std::vector<Placement> running = this->Schedule();
+  // Tasks were declared to take 1 s and take 100 ms.
+  for (int round = 0; round < 4; ++round) {
+    this->now += std::chrono::milliseconds(100);
+    for (const Placement& placed : running) this->Done(placed.task);
+    running = this->Schedule();
+  }
+  const Duration wait =
+      this->scheduler.PredictWait(this->now, this->ledger, ServiceId("task"));
+  BOOST_TEST((wait > std::chrono::milliseconds(20)));
+  BOOST_TEST((wait < std::chrono::milliseconds(400)));
+  BOOST_TEST((this->scheduler.RetryAfter(this->now) ==
+              Duration(std::chrono::seconds(1))));
+}
+
+BOOST_AUTO_TEST_CASE(an_empty_cell_predicts_no_wait) {
+  BOOST_TEST(
+      this->scheduler.PredictWait(this->now, this->ledger, ServiceId("task"))
+          .count() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(recovered_work_is_never_refused) {
+  this->AddProfile("work", 1, std::chrono::seconds(5)).queue_limit = 0;
+  this->Configure();
+  BOOST_TEST(this->Enqueue("q", "task").refusal == Error::kQueueFull);
+  BOOST_TEST(
+      !this->Enqueue("q", "task", "a", std::chrono::seconds(1), true).refusal);
+  BOOST_TEST(this->scheduler.QueuedCount() == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace mustardproxy
--- /dev/null
+++ b/packages/core/tests/scheduler_queue_test.cc
@@ -0,0 +1,117 @@
+#include <boost/test/unit_test.hpp>
+#include <string>
+
+#include "scheduler_test_cell.h"
+
+namespace mustardproxy {
+namespace {
+
+using test::kSmallTask;
+using test::Numbered;
+using test::TestCell;
+
+struct Cell : TestCell {
+  Cell() : TestCell(1) {
+    this->AddProfile("first", 1);
+    this->AddProfile("second", 2);
+    this->AddService("one", "first", kSmallTask);
+    this->AddService("two", "second", kSmallTask);
+    this->AddTeam("a");
+    this->Configure();
+  }
+};
+
+BOOST_FIXTURE_TEST_SUITE(scheduler_queue, Cell)
+
+BOOST_AUTO_TEST_CASE(a_wave_of_cancellations_leaves_the_rest_in_order) {
+  this->EnqueueMany("q", 5000, "one");
+  for (int i = 0; i < 5000; ++i) {
+    if (i % 1000 != 999) {
+      BOOST_TEST(this->scheduler.Cancel(RequestId(Numbered("q", i))));
+    }
+  }
+  BOOST_TEST(this->scheduler.QueuedCount() == 5);
+  const auto placed = this->Schedule();
+  BOOST_REQUIRE(placed.size() == 5);
+  BOOST_TEST(placed[0].request == RequestId("q999"));
+  BOOST_TEST(placed[4].request == RequestId("q4999"));
+}
+
+BOOST_AUTO_TEST_CASE(a_cancelled_slot_may_be_used_again) {
+  (void)this->Enqueue("q", "one");
+  BOOST_TEST(this->scheduler.Cancel(RequestId("q")));
+  (void)this->Enqueue("r", "two");
+  (void)this->Enqueue("q", "one");
+  const auto placed = this->Schedule();
+  BOOST_REQUIRE(placed.size() == 2);
+  BOOST_TEST(placed[0].request == RequestId("q"));
+}
+
+BOOST_AUTO_TEST_CASE(a_request_that_is_queued_already_is_not_queued_again) {
+  (void)this->Enqueue("q", "one");
+  BOOST_TEST(!this->Enqueue("q", "one").refusal);
+  BOOST_TEST(this->Schedule().size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(expired_requests_are_handed_back_and_never_placed) {
+  (void)this->Enqueue("soon", "one", "a", std::chrono::seconds(1));
+  (void)this->Enqueue("late", "one", "a", std::chrono::seconds(9));
+  this->now += std::chrono::seconds(1);
+  const auto placed = this->Schedule();
+  BOOST_REQUIRE(placed.size() == 1);
+  BOOST_TEST(placed[0].request == RequestId("late"));
+  const auto expired = this->scheduler.Expire(this->now);
+  BOOST_REQUIRE(expired.size() == 1);
+  BOOST_TEST(expired[0] == RequestId("soon"));
+  BOOST_TEST(this->scheduler.QueuedCount() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(a_call_is_bounded_and_asks_to_be_called_again) {
+  this->EnqueueMany("q", 8, "one");
+  BOOST_TEST(this->Schedule(3).size() == 3);
+  BOOST_REQUIRE(this->scheduler.NextWakeup().has_value());
+  BOOST_TEST((*this->scheduler.NextWakeup() <= this->now));
+  BOOST_TEST(this->Schedule().size() == 5);
+}
+
+BOOST_AUTO_TEST_CASE(a_change_of_priority_reorders_what_is_queued) {
+  this->EnqueueMany("one", 8, "one");
+  this->EnqueueMany("two", 8, "two");
+  this->AddProfile("second", 0);
+  this->Configure();
+  const auto placed = this->Schedule();
+  BOOST_REQUIRE(placed.size() == 8);
+  BOOST_TEST(placed[0].request == RequestId("two0"));
+  BOOST_TEST(this->scheduler.QueuedCount() == 8);
+}
+
+BOOST_AUTO_TEST_CASE(a_service_that_is_removed_keeps_what_is_queued) {
+  (void)this->Enqueue("q", "one");
+  this->configuration.services.erase(ServiceId("one"));
+  this->Configure();
+  BOOST_TEST(static_cast<bool>(this->Enqueue("r", "one").refusal));
+  BOOST_TEST(this->Schedule().size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(an_avoided_worker_does_not_block_others) {
+  QueuedRequest picky;
+  picky.request = RequestId("picky");
+  picky.service = ServiceId("one");
+  picky.team = TeamId("a");
+  picky.place_by = this->now + std::chrono::seconds(1);
+  picky.avoid = {WorkerId("w0")};
+  BOOST_TEST(!this->scheduler.Enqueue(this->now, this->ledger, picky).refusal);
+  (void)this->Enqueue("easy", "one");
+  const auto placed = this->Schedule();
+  BOOST_REQUIRE(placed.size() == 1);
+  BOOST_TEST(placed[0].request == RequestId("easy"));
+  this->OpenWorker("w1");
+  const auto later = this->Schedule();
+  BOOST_REQUIRE(later.size() == 1);
+  BOOST_TEST(later[0].worker == WorkerId("w1"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace mustardproxy
