Best fit by size and proportion of what is left over

Cause: best fit scored the largest leftover part and its distance to the smallest, slots among them; that stranded less than first fit but needed more hosts for a batch.

Now the score is cpu + memory + half the slots left over, plus three times the difference between processors and memory, over the 8 fitting workers with least room.

The test of a large team's backlog now gives the small team the later name, so that a tie by name can not pass it; taking fair share out turns it red.

--- a/packages/core/src/ledger/packing_policy.cc
+++ b/packages/core/src/ledger/packing_policy.cc
@@ -1,6 +1,7 @@
 #include "ledger/packing_policy.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 #include "ledger/packed_room.h"
@@ -13,9 +14,16 @@
 /// Fitting workers that best fit compares, from the least free one up.
 constexpr int kBestFitCandidates = 8;
 
+/// Weight of leftover slots in a misfit: a slot is of use to every task.
+constexpr double kSlotWeight = 0.5;
+/// Weight of processors and memory left over out of proportion. With a low
+/// weight best fit strands as much as first fit; with a much higher one it
+/// opens more workers than first fit.
+constexpr double kImbalanceWeight = 3.0;
+
 /// @return how badly what would be left over on a worker can still be used:
-///   its size and how far its parts are out of proportion, since one part
-///   alone is of no use to a later task
+///   its size, and how far processors and memory are out of proportion, since
+///   one without the other is of no use to a later task
 double Misfit(const PackedRoom& room, const PackedRoom& need,
               const CapacityScale& scale) {
   const double cpu = (room.parts[0] - need.parts[0]) * scale.cpu;
@@ -23,9 +31,8 @@
   const double accelerators =
       (room.parts[2] - need.parts[2]) * scale.accelerators;
   const double slots = (room.parts[3] - need.parts[3]) * scale.slots;
-  const double high = std::max({cpu, memory, slots});
-  const double low = std::min({cpu, memory, slots});
-  return high + (high - low) + accelerators;
+  const double size = cpu + memory + accelerators + kSlotWeight * slots;
+  return size + kImbalanceWeight * std::abs(cpu - memory);
 }
 
 class BestFit final : public PackingPolicy {
--- a/packages/core/tests/scheduler_fair_share_test.cc
+++ b/packages/core/tests/scheduler_fair_share_test.cc
@@ -34,13 +34,13 @@
 // The large team has queued hundreds of requests first; the small team's single
 // request comes last. The cause would be one queue in order of arrival.
 BOOST_AUTO_TEST_CASE(a_small_team_goes_before_a_large_backlog) {
-  this->EnqueueMany("b", 500, "task", "b");
+  this->EnqueueMany("a", 500, "task", "a");
   BOOST_TEST(this->Schedule().size() == 32);
-  BOOST_TEST(!this->Enqueue("a0", "task", "a").refusal);
-  this->Done(TaskId("b0/0/1"));
+  BOOST_TEST(!this->Enqueue("b0", "task", "b").refusal);
+  this->Done(TaskId("a0/0/1"));
   const auto placed = this->Schedule();
   BOOST_REQUIRE(placed.size() == 1);
-  BOOST_TEST(placed[0].request == RequestId("a0"));
+  BOOST_TEST(placed[0].request == RequestId("b0"));
 }
 
 BOOST_AUTO_TEST_CASE(shares_follow_the_weights) {
--- a/packages/core/tests/scheduler_urgent_test.cc
+++ b/packages/core/tests/scheduler_urgent_test.cc
@@ -57,6 +57,7 @@
   this->RunUrgent();
   this->EnqueueMany("r", 100, "rota");
   std::size_t placed = this->Schedule().size();
+  BOOST_TEST(placed < 32);
   BOOST_TEST(this->scheduler.NextWakeup().has_value());
   this->now += std::chrono::minutes(2);
   placed += this->Schedule().size();
