--- a/packages/core/tests/ledger_gang_test.cc
+++ b/packages/core/tests/ledger_gang_test.cc
@@ -1,4 +1,5 @@
 #include <boost/test/unit_test.hpp>
+#include <cstdint>
 #include <set>
 #include <string>
 #include <vector>
@@ -24,7 +25,7 @@
       this->ledger.Open(worker, report);
     }
   }
-  void Use(const char* worker, int slots) {
+  void Use(const char* worker, std::int64_t slots) {
     const Resources taken{1000 * slots, 1000 * slots, 0, slots};
     BOOST_REQUIRE(
         this->ledger.Reserve(WorkerId(worker), TaskId(worker), taken));
--- a/packages/core/tests/ledger_random_test.cc
+++ b/packages/core/tests/ledger_random_test.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <cstdint>
 #include <map>
 #include <random>
 #include <string>
@@ -49,7 +50,7 @@
   }
 
   void Step() {
-    const int kind = this->Draw(0, 99);
+    const std::int64_t kind = this->Draw(0, 99);
     if (kind < 55) this->Place();
     if (kind >= 55 && kind < 95) this->End();
     if (kind >= 95 && kind < 97) this->TogglePlaceable();
@@ -58,8 +59,8 @@
   }
 
  private:
-  int Draw(int low, int high) {
-    return std::uniform_int_distribution<int>(low, high)(this->random);
+  std::int64_t Draw(std::int64_t low, std::int64_t high) {
+    return std::uniform_int_distribution<std::int64_t>(low, high)(this->random);
   }
   WorkerId AnyWorker() {
     return WorkerId(
--- a/testing/bench_decisions/cancellations.cc
+++ b/testing/bench_decisions/cancellations.cc
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr int kWave = 10'000;
+constexpr int kSmallWave = 1'000;
 
 using SteadyClock = std::chrono::steady_clock;
 
@@ -48,6 +49,7 @@
   /// @return ns for all
   double Cancel(int count) {
     std::vector<RequestId> ids;
+    ids.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i) {
       ids.emplace_back(std::string("wait").append(std::to_string(i)));
     }
@@ -84,8 +86,8 @@
 
 void BenchCancellations(const BenchOptions& /*options*/) {
   FullCell small;
-  for (int i = 0; i < kWave / 10; ++i) small.Enqueue("wait", i, "rota");
-  const double small_ns = small.Cancel(kWave / 10) / (kWave / 10);
+  for (int i = 0; i < kSmallWave; ++i) small.Enqueue("wait", i, "rota");
+  const double small_ns = small.Cancel(kSmallWave) / kSmallWave;
   FullCell large;
   for (int i = 0; i < 2 * kWave; ++i) large.Enqueue("wait", i, "rota");
   large.PlaceUrgent();
@@ -96,7 +98,7 @@
   std::printf(
       "%d cancellations: %.0f ns each; baseline: %.0f ns each in a "
       "wave of %d; ratio %.2f\n",
-      kWave, wave / kWave, small_ns, kWave / 10, wave / kWave / small_ns);
+      kWave, wave / kWave, small_ns, kSmallWave, wave / kWave / small_ns);
   std::printf(
       "urgent request, arrival to placement: first after the wave %.1f "
       "us, next %.1f us; baseline: %.1f us before it; ratio %.2f; the "
