Platform client: a test that a connection closed while idle is not used

The guard was there without a test: an append on a connection that the platform had closed while idle ended uncertain.

--- a/packages/platform/tests/key_value_client_test.cc
+++ b/packages/platform/tests/key_value_client_test.cc
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 #include <chrono>
 #include <future>
+#include <memory>
 #include <string>
 
 #include "event_list.h"
@@ -128,6 +129,20 @@
   BOOST_TEST((client.LastEnd() == CallEnd::kNotSent));
 }
 
+// The platform restarts while a process is idle, and the connection that was
+// kept open is gone. The next append must not end uncertain for that.
+BOOST_AUTO_TEST_CASE(a_connection_closed_while_idle_is_not_used) {
+  auto platform = std::make_unique<StandinPlatform>();
+  const std::string url = platform->Url();
+  const int port = std::stoi(url.substr(url.rfind(':') + 1));
+  KeyValueClient client(url, kTimeout);
+  BOOST_TEST((client.Swap("a", "x", 0) == SwapEnd::kSwapped));
+  platform.reset();
+  platform =
+      std::make_unique<StandinPlatform>(static_cast<std::uint16_t>(port));
+  BOOST_TEST((client.Swap("b", "x", 0) == SwapEnd::kSwapped));
+}
+
 BOOST_AUTO_TEST_CASE(a_slow_platform_runs_into_the_timeout) {
   StandinPlatform platform;
   platform.Switch({.delay_ms = 600'000});
