--- a/packages/worker/tests/start_outcomes_test.cc
+++ b/packages/worker/tests/start_outcomes_test.cc
@@ -32,6 +32,16 @@
   BOOST_TEST(View(ended.body) == "xxxxx");
 }
 
+// A task runs and ends with 409 and a body that reads like a worker's refusal.
+// Taken for one, the caller would be told "not run" and ask again.
+BOOST_AUTO_TEST_CASE(a_task_that_ends_like_a_refusal_has_run) {
+  Attach();
+  Start("r/0/1", R"({"status": 409, "reason": "no-room", "highest_epoch": 1,)"
+                 R"( "holder": "entry", "lease_left_ms": 1})");
+  BOOST_TEST(events.Next<TaskEnded>().ended.status == 409);
+  BOOST_TEST(CountInLog("start", "r/0/1") == 1);
+}
+
 BOOST_AUTO_TEST_CASE(a_refused_connection_is_not_started) {
   // Bound but not listening: a connect is refused, and no one else has it.
   Poco::Net::ServerSocket closed;
