Peer link: the gRPC protocol between entry processes

Heartbeats, forwarded requests, cancellations, questions and the configuration, with the callback API on both sides, so that no thread waits for a call. What a peer sends is checked for sizes, ranges and characters. Customer, protocol version and name of the recipient are compared before a message has any effect.

A request counts as not sent only if there was no connection before the call began, or if the peer's own refusal came back; all retries of the library are off. A connection that leaves two heartbeats unanswered while it counts as connected is replaced by one of its own; calls on the old one go on.

--- a/packages/peer/include/mustardproxy/peer/peer_link.h
+++ b/packages/peer/include/mustardproxy/peer/peer_link.h
@@ -13,6 +13,7 @@
 #include "mustardproxy/core/ids.h"
 #include "mustardproxy/core/membership.h"
 #include "mustardproxy/core/result.h"
+#include "mustardproxy/core/time.h"
 #include "mustardproxy/telemetry/clock.h"
 #include "mustardproxy/telemetry/metrics.h"
 
@@ -27,7 +28,23 @@
 
 /// Both ends of the gRPC protocol between entry processes. Requests that peers
 /// send become events; replies to them are handed in with `Reply`. Each
-/// `Perform` returns at once. gRPC is kept behind private headers.
+/// `Perform` returns at once; results are posted as events from threads of
+/// gRPC. All functions but `Start` are safe from any thread.
+///
+/// What results mean:
+/// - `ForwardAnswered` with status 202 and outcome completed, for a service
+/// with
+///   a deferred profile: the peer has accepted the request into its journal.
+/// - `ForwardFailed` with `not_sent`: there was no connection to send it on, or
+///   the peer itself refused it before it became an event there. Any other
+///   failure of a call that was begun leaves `not_sent` false.
+/// - A forwarded request whose sender gave up or is gone becomes a
+///   `CancelRequested`. Its reply is still to be handed in, and is dropped.
+/// - A peer of another customer, protocol version or name counts as
+/// unreachable.
+///
+/// A connection on which two heartbeats in a row stay without an answer is
+/// replaced; calls in progress on it are left to end by themselves.
 class PeerLink {
  public:
   class Builder;
@@ -36,7 +53,10 @@
   /// Begins to listen.
   /// @return the port in use, or an error
   [[nodiscard]] Result<std::uint16_t> Start();
-  /// Takes nothing new, ends what is in progress, joins all threads.
+  /// Takes nothing new, waits for what is in progress up to the stop limit, and
+  /// cancels the rest. No event is posted after it. A second call does nothing.
+  /// Not to be called from a thread that the replies or the sink depend on
+  /// while requests are in progress.
   void Stop();
 
   void Perform(const SendDigest& action);
@@ -80,6 +100,9 @@
   Builder& Clock(HybridClock* clock);
   /// Optional.
   Builder& Measure(Metrics* metrics);
+  /// Time that requests in progress get at the stop; 5 s unless given.
+  Builder& StopLimit(Duration limit);
+  /// Customer, self, sink, clock and parser must have been given.
   [[nodiscard]] std::unique_ptr<PeerLink> Build();
 
  private:
@@ -93,6 +116,7 @@
   EventSink* sink = nullptr;
   HybridClock* clock = nullptr;
   Metrics* metrics = nullptr;
+  Duration stop_limit = std::chrono::seconds(5);
 };
 
 }  // namespace mustardproxy
--- /dev/null
+++ b/packages/peer/src/peer_link.cc
@@ -0,0 +1,213 @@
+#include "mustardproxy/peer/peer_link.h"
+
+#include <grpcpp/resource_quota.h>
+#include <grpcpp/security/server_credentials.h>
+#include <grpcpp/server.h>
+#include <grpcpp/server_builder.h>
+
+#include <mutex>
+#include <system_error>
+#include <utility>
+
+#include "bounds.h"
+#include "client.h"
+#include "grpc_log.h"
+#include "identity.h"
+#include "service.h"
+
+namespace mustardproxy {
+namespace {
+
+/// Peers ping every 2 s; pings at half of that are still in order.
+constexpr int kMinPingMs = 1000;
+/// Connections of peers that are gone without a word are closed in the end.
+constexpr int kServerKeepaliveMs = 10'000;
+constexpr int kServerKeepaliveTimeoutMs = 10'000;
+/// Bounds what gRPC holds for all peers together.
+constexpr std::size_t kGrpcBytes = 16 << 20;
+/// Time that calls get to end after they were answered.
+constexpr auto kFlushLimit = std::chrono::seconds(1);
+
+/// @return an address as gRPC takes it; IPv6 stands in brackets
+std::string ListenAddress(const std::string& host, std::uint16_t port) {
+  const bool bare_ipv6 = host.find(':') != std::string::npos && host[0] != '[';
+  const std::string name = bare_ipv6 ? "[" + host + "]" : host;
+  return name + ":" + std::to_string(port);
+}
+
+void Limit(grpc::ServerBuilder* builder) {
+  builder->SetMaxReceiveMessageSize(detail::kMaxMessageBytes);
+  builder->SetMaxSendMessageSize(detail::kMaxMessageBytes);
+  builder->SetResourceQuota(grpc::ResourceQuota("peer").Resize(kGrpcBytes));
+  builder->AddChannelArgument(GRPC_ARG_ENABLE_CHANNELZ, 0);
+  builder->AddChannelArgument(GRPC_ARG_MAX_CHANNEL_TRACE_EVENT_MEMORY_PER_NODE,
+                              0);
+}
+
+void SetKeepalive(grpc::ServerBuilder* builder) {
+  builder->AddChannelArgument(
+      GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS, kMinPingMs);
+  // Never end a connection for its pings: calls in progress would be lost.
+  builder->AddChannelArgument(GRPC_ARG_HTTP2_MAX_PING_STRIKES, 0);
+  builder->AddChannelArgument(GRPC_ARG_KEEPALIVE_PERMIT_WITHOUT_CALLS, 1);
+  builder->AddChannelArgument(GRPC_ARG_HTTP2_MAX_PINGS_WITHOUT_DATA, 0);
+  builder->AddChannelArgument(GRPC_ARG_KEEPALIVE_TIME_MS, kServerKeepaliveMs);
+  builder->AddChannelArgument(GRPC_ARG_KEEPALIVE_TIMEOUT_MS,
+                              kServerKeepaliveTimeoutMs);
+}
+
+}  // namespace
+
+struct PeerLink::State {
+  State(detail::Identity identity, const std::vector<PeerAddress>& peers,
+        detail::ConfigurationParser parser, EventSink* sink, Metrics* metrics)
+      : identity(std::move(identity)),
+        client(&this->identity, peers, std::move(parser), sink, metrics),
+        service(&this->identity, sink) {}
+
+  detail::Identity identity;
+  detail::PeerClient client;
+  detail::PeerService service;
+  std::string host;
+  std::uint16_t port = 0;
+  std::chrono::milliseconds stop_limit{0};
+  std::unique_ptr<grpc::Server> server;
+
+  std::mutex stop_mutex;
+  bool stopped = false;
+};
+
+PeerLink::PeerLink(std::unique_ptr<State> state) : state(std::move(state)) {}
+
+PeerLink::~PeerLink() { this->Stop(); }
+
+Result<std::uint16_t> PeerLink::Start() {
+  grpc::ServerBuilder builder;
+  int port = 0;
+  builder.AddListeningPort(ListenAddress(this->state->host, this->state->port),
+                           grpc::InsecureServerCredentials(), &port);
+  // Failure: two processes are given the same port, both start, and each gets a
+  // part of the peers' connections. Without sharing the second fails to start.
+  builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+  Limit(&builder);
+  SetKeepalive(&builder);
+  builder.RegisterService(&this->state->service);
+  this->state->server = builder.BuildAndStart();
+  if (!this->state->server || port == 0) {
+    return std::make_error_code(std::errc::address_not_available);
+  }
+  return static_cast<std::uint16_t>(port);
+}
+
+void PeerLink::Stop() {
+  const std::lock_guard lock(this->state->stop_mutex);
+  if (std::exchange(this->state->stopped, true)) return;
+  this->state->service.Drain(this->state->stop_limit);
+  this->state->client.Stop(this->state->stop_limit);
+  if (!this->state->server) return;
+  // Returns when no call of a peer is left; what still waits is cancelled.
+  this->state->server->Shutdown(std::chrono::system_clock::now() + kFlushLimit);
+  this->state->server->Wait();
+}
+
+void PeerLink::Perform(const SendDigest& action) {
+  this->state->client.Heartbeat(action);
+}
+
+void PeerLink::Perform(const ForwardRequest& action) {
+  this->state->client.Forward(action);
+}
+
+void PeerLink::Perform(const ForwardCancel& action) {
+  this->state->client.Cancel(action);
+}
+
+void PeerLink::Perform(const FetchConfiguration& action) {
+  this->state->client.Fetch(action);
+}
+
+void PeerLink::Perform(const AskPeer& action) {
+  this->state->client.Ask(action);
+}
+
+bool PeerLink::TryPerform(const Reply& action) {
+  return this->state->service.Answer(action.request, action.answer);
+}
+
+bool PeerLink::TryPerform(const ReplyAccepted& action) {
+  return this->state->service.Accept(action.request);
+}
+
+bool PeerLink::TryPerform(const AnswerQuery& action) {
+  return this->state->service.Answer(action);
+}
+
+void PeerLink::Publish(const Digest& digest,
+                       const std::string& configuration_json) {
+  this->state->service.Publish(digest, configuration_json);
+}
+
+PeerLink::Builder& PeerLink::Builder::Customer(std::string customer) {
+  this->customer = std::move(customer);
+  return *this;
+}
+
+PeerLink::Builder& PeerLink::Builder::Self(PeerDescription self,
+                                           Incarnation incarnation) {
+  this->self = std::move(self);
+  this->incarnation = incarnation;
+  return *this;
+}
+
+PeerLink::Builder& PeerLink::Builder::Listen(std::string host,
+                                             std::uint16_t port) {
+  this->host = std::move(host);
+  this->port = port;
+  return *this;
+}
+
+PeerLink::Builder& PeerLink::Builder::Peers(std::vector<PeerAddress> peers) {
+  this->peers = std::move(peers);
+  return *this;
+}
+
+PeerLink::Builder& PeerLink::Builder::ConfigurationParser(
+    std::function<std::optional<Configuration>(std::string_view)> parser) {
+  this->parser = std::move(parser);
+  return *this;
+}
+
+PeerLink::Builder& PeerLink::Builder::Sink(EventSink* sink) {
+  this->sink = sink;
+  return *this;
+}
+
+PeerLink::Builder& PeerLink::Builder::Clock(HybridClock* clock) {
+  this->clock = clock;
+  return *this;
+}
+
+PeerLink::Builder& PeerLink::Builder::Measure(Metrics* metrics) {
+  this->metrics = metrics;
+  return *this;
+}
+
+PeerLink::Builder& PeerLink::Builder::StopLimit(Duration limit) {
+  this->stop_limit = limit;
+  return *this;
+}
+
+std::unique_ptr<PeerLink> PeerLink::Builder::Build() {
+  detail::RouteGrpcLog();
+  detail::Identity identity{this->customer, this->self, this->incarnation,
+                            this->clock};
+  auto state = std::make_unique<State>(std::move(identity), this->peers,
+                                       this->parser, this->sink, this->metrics);
+  state->host = this->host;
+  state->port = this->port;
+  state->stop_limit =
+      std::chrono::ceil<std::chrono::milliseconds>(this->stop_limit);
+  return std::unique_ptr<PeerLink>(new PeerLink(std::move(state)));
+}
+
+}  // namespace mustardproxy
