--- a/packages/peer/tests/relay.cc
+++ b/packages/peer/tests/relay.cc
@@ -57,8 +57,10 @@
   if (this->closed) return;
   ++this->accepted;
   this->connections.push_back(std::move(connection));
-  this->pumps.emplace_back([open] { Pump(open, open->from, open->to); });
-  this->pumps.emplace_back([open] { Pump(open, open->to, open->from); });
+  this->pumps.emplace_back(
+      [this, open] { this->Pump(open, open->from, open->to); });
+  this->pumps.emplace_back(
+      [this, open] { this->Pump(open, open->to, open->from); });
 }
 
 void Relay::Pump(Connection* connection, Poco::Net::StreamSocket in,
@@ -68,7 +70,9 @@
     for (;;) {
       const int received = in.receiveBytes(buffer.data(), buffer.size());
       if (received <= 0) break;
-      if (!connection->silent) SendAll(&out, buffer.data(), received);
+      if (connection->silent) continue;
+      SendAll(&out, buffer.data(), received);
+      this->bytes += received;
     }
     if (!connection->silent) out.shutdown();
   } catch (const Poco::Exception&) {
--- a/packages/peer/tests/relay.h
+++ b/packages/peer/tests/relay.h
@@ -28,6 +28,8 @@
   /// work.
   void SilenceOpen();
   [[nodiscard]] int Accepted() const { return this->accepted; }
+  /// @return bytes passed on, both ways
+  [[nodiscard]] std::int64_t Bytes() const { return this->bytes; }
 
  private:
   struct Connection {
@@ -38,13 +40,14 @@
 
   void Accept();
   void Open(const Poco::Net::StreamSocket& from);
-  static void Pump(Connection* connection, Poco::Net::StreamSocket in,
-                   Poco::Net::StreamSocket out);
+  void Pump(Connection* connection, Poco::Net::StreamSocket in,
+            Poco::Net::StreamSocket out);
 
   std::uint16_t target;
   Poco::Net::ServerSocket server;
   std::atomic<bool> closed = false;
   std::atomic<int> accepted = 0;
+  std::atomic<std::int64_t> bytes = 0;
   std::mutex mutex;
   std::vector<std::unique_ptr<Connection>> connections;
   std::vector<std::thread> pumps;
