--- a/testing/bench_peer/memory.cc
+++ b/testing/bench_peer/memory.cc
@@ -75,6 +75,7 @@
 /// Heartbeats to `peers` until all have answered, then at the usual pace.
 Footprint MeasureIdle(const Ports& ports, int peers) {
   std::vector<NodeAddress> addresses;
+  addresses.reserve(peers);
   for (int i = 0; i < peers; ++i)
     addresses.push_back({TargetName(i), ports[i]});
   BenchNode node("a", addresses);
