--- a/packages/peer/src/client.cc
+++ b/packages/peer/src/client.cc
@@ -70,7 +70,7 @@
   auto call = std::make_shared<ClientCall<RequestMessage, ReplyMessage>>();
   call->channel = std::move(channel);
   SetTimeout(timeout, &call->context);
-  this->identity->Seal(peer.Text(), call->request.mutable_envelope());
+  this->identity->Seal(peer.Text(), call->request->mutable_envelope());
   return call;
 }
 
@@ -101,12 +101,12 @@
   using peer::HeartbeatRequest;
   const auto call = this->Make<HeartbeatRequest, HeartbeatReply>(
       action.peer, kHeartbeatTimeout);
-  if (call) ToWire(action.digest, call->request.mutable_digest());
+  if (call) ToWire(action.digest, call->request->mutable_digest());
   const auto done = [this, peer = action.peer](const grpc::Status& status,
                                                auto* ended) {
     std::optional<Digest> digest;
-    if (this->Accept(peer, status, ended->reply)) {
-      digest = FromWire(ended->reply.digest(), ended->reply.envelope());
+    if (this->Accept(peer, status, *ended->reply)) {
+      digest = FromWire(ended->reply->digest(), ended->reply->envelope());
     }
     this->OnHeartbeat(peer, ended->channel, digest);
   };
@@ -159,10 +159,10 @@
     this->PostForwardFailed(id, action.peer, /*not_sent=*/true);
     return;
   }
-  ToWire(action.request, &call->request);
+  ToWire(action.request, &*call->request);
   const auto done = [this, id, peer = action.peer](const grpc::Status& status,
                                                    auto* ended) {
-    this->OnForward(id, peer, status, &ended->reply);
+    this->OnForward(id, peer, status, &*ended->reply);
   };
   const auto method =
       static_cast<StubMethod<peer::ForwardRequest, peer::ForwardReply>>(
@@ -196,10 +196,10 @@
   const auto call = this->Make<peer::CancelRequest, peer::CancelReply>(
       action.peer, kCancelTimeout);
   if (!call) return;
-  call->request.set_id(action.request.Text());
+  call->request->set_id(action.request.Text());
   const auto done = [this, peer = action.peer](const grpc::Status& status,
                                                auto* ended) {
-    if (this->Accept(peer, status, ended->reply)) return;
+    if (this->Accept(peer, status, *ended->reply)) return;
     Log(Part::kPeer, Level::kDebug,
         "Process " + peer.Text() + " took no cancellation.");
   };
@@ -218,7 +218,7 @@
   if (!call) return;
   const auto done = [this, peer = action.peer](const grpc::Status& status,
                                                auto* ended) {
-    this->OnConfiguration(peer, status, ended->reply);
+    this->OnConfiguration(peer, status, *ended->reply);
   };
   const auto method =
       static_cast<StubMethod<ConfigurationRequest, ConfigurationReply>>(
@@ -246,8 +246,8 @@
       action.peer, kQueryTimeout);
   const auto done = [this, action](const grpc::Status& status, auto* ended) {
     QueryAnswered answered{action.query, std::nullopt};
-    if (this->Accept(action.peer, status, ended->reply)) {
-      answered.status = FromWire(action.request, &ended->reply);
+    if (this->Accept(action.peer, status, *ended->reply)) {
+      answered.status = FromWire(action.request, &*ended->reply);
     }
     this->sink->Post(std::move(answered));
   };
@@ -255,8 +255,8 @@
       static_cast<StubMethod<peer::QueryRequest, peer::QueryReply>>(
           &peer::Peer::Stub::async::Ask);
   if (call) {
-    call->request.set_id(action.request.Text());
-    call->request.set_cancel(action.cancel);
+    call->request->set_id(action.request.Text());
+    call->request->set_cancel(action.cancel);
     if (Begin(this->registry, call, method, done)) return;
   }
   this->sink->Post(QueryAnswered{action.query, std::nullopt});
--- a/packages/peer/src/client_calls.h
+++ b/packages/peer/src/client_calls.h
@@ -9,20 +9,41 @@
 #include <functional>
 #include <memory>
 #include <mutex>
-#include <unordered_set>
+#include <optional>
+#include <unordered_map>
+#include <utility>
+#include <vector>
 
 #include "channel.h"
 #include "peer.grpc.pb.h"
 
 namespace mustardproxy::detail {
 
-/// The calls in progress of one process, so that a stop can wait for them and
-/// end them.
+/// One call with all that must live as long as it.
+template <typename RequestMessage, typename ReplyMessage>
+struct ClientCall {
+  grpc::ClientContext context;
+  std::shared_ptr<PeerChannel> channel;
+  /// Freed when the call ends.
+  std::optional<RequestMessage> request = RequestMessage();
+  std::optional<ReplyMessage> reply = ReplyMessage();
+};
+
+/// Owns the calls in progress of one process, so that a stop can wait for them
+/// and end them.
+///
+/// Failure: a process crashes at its stop with a corrupted heap, rarely. Each
+/// call keeps its channel alive, and the last channel to go makes the library
+/// join its threads. When a thread of the library drops it, that thread joins
+/// itself and goes on with freed memory. So ended calls are kept here and freed
+/// by the threads of ours that begin calls or close the registry.
 class CallRegistry {
  public:
   /// @return false once the registry is closed
-  [[nodiscard]] bool Add(grpc::ClientContext* call);
-  void Remove(grpc::ClientContext* call);
+  [[nodiscard]] bool Add(grpc::ClientContext* context,
+                         std::shared_ptr<void> call);
+  /// The call has ended; it is freed later. For the threads of gRPC.
+  void Retire(grpc::ClientContext* context);
   /// Takes no more calls, waits for those in progress up to `limit`, cancels
   /// the rest, and returns when the last one has ended.
   void Close(std::chrono::milliseconds limit);
@@ -30,19 +51,11 @@
  private:
   std::mutex mutex;
   std::condition_variable emptied;
-  std::unordered_set<grpc::ClientContext*> calls;
+  std::unordered_map<grpc::ClientContext*, std::shared_ptr<void>> calls;
+  std::vector<std::shared_ptr<void>> ended;
   bool closed = false;
 };
 
-/// One call with all that must live as long as it.
-template <typename RequestMessage, typename ReplyMessage>
-struct ClientCall {
-  grpc::ClientContext context;
-  RequestMessage request;
-  ReplyMessage reply;
-  std::shared_ptr<PeerChannel> channel;
-};
-
 /// Sets the deadline on the monotonic clock: a step of the wall clock neither
 /// ends a call nor lets it wait for ever.
 void SetTimeout(std::chrono::milliseconds timeout,
@@ -60,16 +73,21 @@
 template <typename RequestMessage, typename ReplyMessage, typename Done>
 [[nodiscard]] bool Begin(
     const std::shared_ptr<CallRegistry>& registry,
-    const std::shared_ptr<ClientCall<RequestMessage, ReplyMessage>>& call,
+    std::shared_ptr<ClientCall<RequestMessage, ReplyMessage>> call,
     StubMethod<RequestMessage, ReplyMessage> method, Done done) {
-  if (!registry->Add(&call->context)) return false;
-  auto ended = [registry, call,
+  auto* const begun = call.get();
+  // The call may end, and be freed, before this function returns.
+  const std::shared_ptr<PeerChannel> channel = begun->channel;
+  if (!registry->Add(&begun->context, std::move(call))) return false;
+  auto ended = [registry, begun,
                 done = std::move(done)](const grpc::Status& status) {
-    done(status, call.get());
-    registry->Remove(&call->context);
+    done(status, begun);
+    begun->request.reset();
+    begun->reply.reset();
+    registry->Retire(&begun->context);
   };
-  (call->channel->Stub()->async()->*method)(&call->context, &call->request,
-                                            &call->reply, std::move(ended));
+  (channel->Stub()->async()->*method)(&begun->context, &*begun->request,
+                                      &*begun->reply, std::move(ended));
   return true;
 }
 
