mustardctl: tests that go red without their guards

Each guard was taken out once on a scratch copy. Two tests stayed green and so proved nothing, since the case they set up ended the same way without the guard; both now set up a case that tells the two apart: - another process at a registered address: the version was computed past the one that the wrong process reported; - a silent process: the time was not looked at. A third, the compare-and-swap against the index that was read, was only caught by the race of two threads; a deterministic test stands beside it now.

--- a/apps/mustardctl/tests/apply_test.cc
+++ b/apps/mustardctl/tests/apply_test.cc
@@ -123,11 +123,13 @@
 // dead one had registered. Its version says nothing about the dead one's.
 BOOST_AUTO_TEST_CASE(another_process_at_the_address_does_not_count) {
   Bench bench;
+  CheckExit(bench.ApplyText(Document(5)), ExitCode::kOk);
   FakeEntry other("waw1-b", "waw1");
-  other.ReportVersion(1);
+  other.ReportVersion(2);
   bench.Register("waw1-a", other);
-  const Outcome outcome = bench.ApplyText(Document(5), {"--timeout", "0"});
+  const Outcome outcome = bench.ApplyText(Document(6), {"--timeout", "0"});
   CheckExit(outcome, ExitCode::kNotInForce);
+  BOOST_TEST(Holds(outcome.err, "not reached: waw1-a (waw1)"));
 }
 
 // Two operators read version 1 and both write version 2. Only one may win; the
@@ -148,6 +150,20 @@
   BOOST_TEST(bench.HistoryKeys() == expected, boost::test_tools::per_element());
 }
 
+// The same, but the other operator is done before the first one has written
+// anything at all: what was compared with the file is no longer in force.
+BOOST_AUTO_TEST_CASE(a_write_counts_from_what_was_compared) {
+  Bench bench;
+  CheckExit(bench.ApplyText(Document(5)), ExitCode::kOk);
+  HookedStore store(bench.platform.Url());
+  store.after_read = [&] {
+    CheckExit(bench.ApplyText(Document(6)), ExitCode::kOk);
+  };
+  const Outcome outcome = Bench::ApplyThrough(&store, Document(7));
+  CheckExit(outcome, ExitCode::kConflict);
+  BOOST_TEST(Holds(outcome.err, "version 2 is in force"));
+}
+
 BOOST_AUTO_TEST_CASE(a_base_that_is_not_in_force_is_a_conflict) {
   Bench bench;
   CheckExit(bench.ApplyText(Document(5), {"--base", "0"}), ExitCode::kOk);
--- a/apps/mustardctl/tests/bench.h
+++ b/apps/mustardctl/tests/bench.h
@@ -63,7 +63,11 @@
       : inner(ctl::MakePlatformStore(url)) {}
 
   Result<std::optional<KeyValue>> Get(std::string_view key) override {
-    return this->inner->Get(key);
+    auto read = this->inner->Get(key);
+    if (key == kConfigurationKey && this->after_read) {
+      std::exchange(this->after_read, nullptr)();
+    }
+    return read;
   }
   Result<std::vector<KeyValue>> List(std::string_view prefix) override {
     return this->inner->List(prefix);
@@ -82,6 +86,8 @@
   std::unique_ptr<ctl::KeyValueStore> inner;
   /// Stand for the first swaps of the document, one each.
   std::vector<SwapHook> hooks;
+  /// Runs once, right after the document was read.
+  std::function<void()> after_read;
 
  private:
   std::size_t next_hook = 0;
--- a/apps/mustardctl/tests/status_test.cc
+++ b/apps/mustardctl/tests/status_test.cc
@@ -3,6 +3,7 @@
 #include <Poco/Net/ServerSocket.h>
 
 #include <boost/test/unit_test.hpp>
+#include <chrono>
 #include <string>
 
 #include "bench.h"
@@ -65,11 +66,14 @@
   FakeEntry entry("waw1-a", "waw1");
   const Poco::Net::ServerSocket silent(
       Poco::Net::SocketAddress("127.0.0.1", 0));
+  const auto begin = std::chrono::steady_clock::now();
   const Outcome outcome =
       Bench::RunRaw({"status", "--entry", "http://" + entry.Address(),
                      "--entry", "http://" + silent.address().toString()});
   BOOST_TEST((outcome.exit == ExitCode::kEntryUnreachable));
   BOOST_TEST(Holds(outcome.out, "waw1-a"));
+  const auto taken = std::chrono::steady_clock::now() - begin;
+  BOOST_TEST((taken < std::chrono::seconds(10)));
 }
 
 BOOST_AUTO_TEST_CASE(a_platform_that_is_away_has_its_own_exit_code) {
