A large task that waits for the headroom may reserve as well

Cause: at 120 % of the Addis mix no deferred single task was placed in 100 s while gangs of the same priority were. A gang finds no room, reserves it and then leaves the headroom of priority 1 only; a quarter-of-a-worker task found room, failed on the headroom of its own priority and never got a reservation. Now it takes one too after its second of patience.

--- a/packages/core/src/scheduler/placement_pass.cc
+++ b/packages/core/src/scheduler/placement_pass.cc
@@ -151,6 +151,8 @@
   }
   if (!this->LeavesHeadroom(service, workers, holder)) {
     this->state->waits_for_headroom = true;
+    // Else gangs, which find no room and reserve it, would pass by for good.
+    if (!holder) this->ConsiderReservation(entry, service);
     return Attempt::kServiceBlocked;
   }
   return this->Commit(entry, workers) ? Attempt::kPlaced
