--- a/packages/core/include/mustardproxy/core/request.h
+++ b/packages/core/include/mustardproxy/core/request.h
@@ -19,7 +19,8 @@
 
 /// @return the bytes of `body`, empty if there are none
 inline std::string_view View(const Body& body) {
-  return body ? std::string_view(*body) : std::string_view();
+  if (!body) return {};
+  return *body;
 }
 
 /// The three ends of a request, kept apart to the caller.
--- a/testing/bench_control/cell.cc
+++ b/testing/bench_control/cell.cc
@@ -110,6 +110,7 @@
   }
   [[nodiscard]] std::vector<Process*> Owners() const {
     std::vector<Process*> owners;
+    owners.reserve(static_cast<std::size_t>(this->shape.members));
     for (std::int32_t i = 0; i < this->shape.members; ++i) {
       owners.push_back(this->processes[i].get());
     }
