Peer link and telemetry: namespaces of their own for internals

Several packages shared mustardproxy::detail. Two types of one name there with other members are merged by the linker without a word, which made entry processes abort in another package. No clash was found in these two; the change keeps one from coming.

--- a/packages/peer/src/bounds.h
+++ b/packages/peer/src/bounds.h
@@ -6,7 +6,7 @@
 #include <cstdint>
 
 /// Bounds and times of the protocol between entry processes.
-namespace mustardproxy::detail {
+namespace mustardproxy::peer_detail {
 
 /// Changes when a message changes its meaning.
 inline constexpr std::uint32_t kProtocolVersion = 1;
@@ -33,6 +33,6 @@
 /// Heartbeats in a row without an answer after which a connection is replaced.
 inline constexpr int kMissesToReplace = 2;
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::peer_detail
 
 #endif  // MUSTARDPROXY_PEER_BOUNDS_H_
--- a/packages/peer/src/channel.cc
+++ b/packages/peer/src/channel.cc
@@ -8,7 +8,7 @@
 
 #include "bounds.h"
 
-namespace mustardproxy::detail {
+namespace mustardproxy::peer_detail {
 namespace {
 
 constexpr int kKeepaliveMs = 2000;
@@ -79,4 +79,4 @@
   return this->channel->GetState(kTryToConnect) == GRPC_CHANNEL_READY;
 }
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::peer_detail
--- a/packages/peer/src/channel.h
+++ b/packages/peer/src/channel.h
@@ -8,7 +8,7 @@
 
 #include "peer.grpc.pb.h"
 
-namespace mustardproxy::detail {
+namespace mustardproxy::peer_detail {
 
 /// A gRPC channel with a connection of its own to one peer. It reconnects by
 /// itself; a connection that went silent is replaced by making another channel.
@@ -26,6 +26,6 @@
   std::unique_ptr<peer::Peer::Stub> stub;
 };
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::peer_detail
 
 #endif  // MUSTARDPROXY_PEER_CHANNEL_H_
--- a/packages/peer/src/client.cc
+++ b/packages/peer/src/client.cc
@@ -7,7 +7,7 @@
 #include "mustardproxy/telemetry/log.h"
 #include "wire.h"
 
-namespace mustardproxy::detail {
+namespace mustardproxy::peer_detail {
 namespace {
 
 constexpr std::int32_t kAcceptedStatus = 202;
@@ -268,4 +268,4 @@
   for (auto& [process, peer] : this->peers) peer.channel.reset();
 }
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::peer_detail
--- a/packages/peer/src/client.h
+++ b/packages/peer/src/client.h
@@ -19,7 +19,7 @@
 #include "mustardproxy/peer/peer_link.h"
 #include "mustardproxy/telemetry/metrics.h"
 
-namespace mustardproxy::detail {
+namespace mustardproxy::peer_detail {
 
 /// Turns a fetched configuration document into the core's type.
 using ConfigurationParser =
@@ -83,6 +83,6 @@
   std::map<ProcessId, Peer> peers;
 };
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::peer_detail
 
 #endif  // MUSTARDPROXY_PEER_CLIENT_H_
--- a/packages/peer/src/client_calls.cc
+++ b/packages/peer/src/client_calls.cc
@@ -2,7 +2,7 @@
 
 #include <grpc/support/time.h>
 
-namespace mustardproxy::detail {
+namespace mustardproxy::peer_detail {
 
 bool CallRegistry::Add(grpc::ClientContext* context,
                        std::shared_ptr<void> call) {
@@ -40,4 +40,4 @@
   context->set_deadline(gpr_time_add(gpr_now(GPR_CLOCK_MONOTONIC), span));
 }
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::peer_detail
--- a/packages/peer/src/client_calls.h
+++ b/packages/peer/src/client_calls.h
@@ -17,7 +17,7 @@
 #include "channel.h"
 #include "peer.grpc.pb.h"
 
-namespace mustardproxy::detail {
+namespace mustardproxy::peer_detail {
 
 /// One call with all that must live as long as it.
 template <typename RequestMessage, typename ReplyMessage>
@@ -91,6 +91,6 @@
   return true;
 }
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::peer_detail
 
 #endif  // MUSTARDPROXY_PEER_CLIENT_CALLS_H_
--- a/packages/peer/src/forward_messages.h
+++ b/packages/peer/src/forward_messages.h
@@ -5,7 +5,7 @@
 
 #include "peer.pb.h"
 
-namespace mustardproxy::detail {
+namespace mustardproxy::peer_detail {
 
 /// Messages of one forwarded request. Other than those of the library, the
 /// request may be changed, so that its body can be moved out instead of being
@@ -35,6 +35,6 @@
   }
 };
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::peer_detail
 
 #endif  // MUSTARDPROXY_PEER_FORWARD_MESSAGES_H_
--- a/packages/peer/src/grpc_log.cc
+++ b/packages/peer/src/grpc_log.cc
@@ -6,7 +6,7 @@
 
 #include "mustardproxy/telemetry/log.h"
 
-namespace mustardproxy::detail {
+namespace mustardproxy::peer_detail {
 namespace {
 
 /// The library calls an error what is daily work here, such as a peer that is
@@ -19,4 +19,4 @@
 
 void RouteGrpcLog() { gpr_set_log_function(Write); }
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::peer_detail
--- a/packages/peer/src/identity.cc
+++ b/packages/peer/src/identity.cc
@@ -3,7 +3,7 @@
 #include "bounds.h"
 #include "wire.h"
 
-namespace mustardproxy::detail {
+namespace mustardproxy::peer_detail {
 
 void Identity::Seal(std::string_view recipient,
                     peer::Envelope* envelope) const {
@@ -29,4 +29,4 @@
   return true;
 }
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::peer_detail
--- a/packages/peer/src/identity.h
+++ b/packages/peer/src/identity.h
@@ -9,7 +9,7 @@
 #include "mustardproxy/telemetry/clock.h"
 #include "peer.pb.h"
 
-namespace mustardproxy::detail {
+namespace mustardproxy::peer_detail {
 
 /// Who this process is towards its peers, and whom it takes messages from.
 struct Identity {
@@ -26,6 +26,6 @@
   [[nodiscard]] bool Accept(const peer::Envelope& envelope) const;
 };
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::peer_detail
 
 #endif  // MUSTARDPROXY_PEER_IDENTITY_H_
--- a/packages/peer/src/peer_link.cc
+++ b/packages/peer/src/peer_link.cc
@@ -36,8 +36,8 @@
 }
 
 void Limit(grpc::ServerBuilder* builder) {
-  builder->SetMaxReceiveMessageSize(detail::kMaxMessageBytes);
-  builder->SetMaxSendMessageSize(detail::kMaxMessageBytes);
+  builder->SetMaxReceiveMessageSize(peer_detail::kMaxMessageBytes);
+  builder->SetMaxSendMessageSize(peer_detail::kMaxMessageBytes);
   builder->SetResourceQuota(grpc::ResourceQuota("peer").Resize(kGrpcBytes));
   builder->AddChannelArgument(GRPC_ARG_ENABLE_CHANNELZ, 0);
   builder->AddChannelArgument(GRPC_ARG_MAX_CHANNEL_TRACE_EVENT_MEMORY_PER_NODE,
@@ -59,15 +59,16 @@
 }  // namespace
 
 struct PeerLink::State {
-  State(detail::Identity identity, const std::vector<PeerAddress>& peers,
-        detail::ConfigurationParser parser, EventSink* sink, Metrics* metrics)
+  State(peer_detail::Identity identity, const std::vector<PeerAddress>& peers,
+        peer_detail::ConfigurationParser parser, EventSink* sink,
+        Metrics* metrics)
       : identity(std::move(identity)),
         client(&this->identity, peers, std::move(parser), sink, metrics),
         service(&this->identity, sink) {}
 
-  detail::Identity identity;
-  detail::PeerClient client;
-  detail::PeerService service;
+  peer_detail::Identity identity;
+  peer_detail::PeerClient client;
+  peer_detail::PeerService service;
   std::string host;
   std::uint16_t port = 0;
   std::chrono::milliseconds stop_limit{0};
@@ -198,9 +199,9 @@
 }
 
 std::unique_ptr<PeerLink> PeerLink::Builder::Build() {
-  detail::RouteGrpcLog();
-  detail::Identity identity{this->customer, this->self, this->incarnation,
-                            this->clock};
+  peer_detail::RouteGrpcLog();
+  peer_detail::Identity identity{this->customer, this->self, this->incarnation,
+                                 this->clock};
   auto state = std::make_unique<State>(std::move(identity), this->peers,
                                        this->parser, this->sink, this->metrics);
   state->host = this->host;
--- a/packages/peer/src/pending_call.h
+++ b/packages/peer/src/pending_call.h
@@ -8,7 +8,7 @@
 #include <memory>
 #include <utility>
 
-namespace mustardproxy::detail {
+namespace mustardproxy::peer_detail {
 
 /// A peer's call that is answered later, from another thread. It ends once:
 /// with its answer, or when the peer gives up.
@@ -53,6 +53,6 @@
   std::shared_ptr<PendingCall> self;
 };
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::peer_detail
 
 #endif  // MUSTARDPROXY_PEER_PENDING_CALL_H_
--- a/packages/peer/src/service.cc
+++ b/packages/peer/src/service.cc
@@ -7,7 +7,7 @@
 #include "mustardproxy/telemetry/log.h"
 #include "wire.h"
 
-namespace mustardproxy::detail {
+namespace mustardproxy::peer_detail {
 namespace {
 
 /// Marks the questions of peers among all questions.
@@ -259,4 +259,4 @@
                          [this] { return this->waiting_forwards == 0; });
 }
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::peer_detail
--- a/packages/peer/src/service.h
+++ b/packages/peer/src/service.h
@@ -17,7 +17,7 @@
 #include "peer.grpc.pb.h"
 #include "pending_call.h"
 
-namespace mustardproxy::detail {
+namespace mustardproxy::peer_detail {
 
 /// The calls that peers make to this process. Requests and questions become
 /// events and wait for their answer without a thread.
@@ -101,6 +101,6 @@
   std::set<std::string> mismatches_logged;
 };
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::peer_detail
 
 #endif  // MUSTARDPROXY_PEER_SERVICE_H_
--- a/packages/peer/src/wire.cc
+++ b/packages/peer/src/wire.cc
@@ -9,7 +9,7 @@
 #include "bounds.h"
 #include "mustardproxy/core/error.h"
 
-namespace mustardproxy::detail {
+namespace mustardproxy::peer_detail {
 namespace {
 
 /// Bounds that keep sums over all peers far from overflow.
@@ -237,4 +237,4 @@
   return status;
 }
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::peer_detail
--- a/packages/peer/src/wire.h
+++ b/packages/peer/src/wire.h
@@ -11,7 +11,7 @@
 /// Conversion between the core's types and the messages. What a peer sent is
 /// checked for sizes, ranges and characters; nothing is returned for a
 /// malformed message. Bodies are moved out of messages, not copied.
-namespace mustardproxy::detail {
+namespace mustardproxy::peer_detail {
 
 /// @return true for 1 to `kMaxNameBytes` bytes without control characters
 [[nodiscard]] bool IsName(std::string_view text);
@@ -36,6 +36,6 @@
 [[nodiscard]] std::optional<DeferredStatus> FromWire(const RequestId& request,
                                                      peer::QueryReply* message);
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::peer_detail
 
 #endif  // MUSTARDPROXY_PEER_WIRE_H_
--- a/packages/peer/tests/wire_test.cc
+++ b/packages/peer/tests/wire_test.cc
@@ -6,12 +6,12 @@
 #include "bounds.h"
 
 using mustardproxy::RequestId;
-using mustardproxy::detail::FromWire;
-using mustardproxy::detail::IsName;
-using mustardproxy::detail::kMaxBodyBytes;
-using mustardproxy::detail::kMaxDetailBytes;
-using mustardproxy::detail::kMaxJournals;
-using mustardproxy::detail::kMaxNameBytes;
+using mustardproxy::peer_detail::FromWire;
+using mustardproxy::peer_detail::IsName;
+using mustardproxy::peer_detail::kMaxBodyBytes;
+using mustardproxy::peer_detail::kMaxDetailBytes;
+using mustardproxy::peer_detail::kMaxJournals;
+using mustardproxy::peer_detail::kMaxNameBytes;
 
 namespace peer = mustardproxy::peer;
 
--- a/packages/telemetry/src/escape.cc
+++ b/packages/telemetry/src/escape.cc
@@ -2,7 +2,7 @@
 
 #include <cstddef>
 
-namespace mustardproxy::detail {
+namespace mustardproxy::telemetry_detail {
 namespace {
 
 constexpr std::string_view kHexDigits = "0123456789abcdef";
@@ -61,4 +61,4 @@
   return out;
 }
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::telemetry_detail
--- a/packages/telemetry/src/escape.h
+++ b/packages/telemetry/src/escape.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <string_view>
 
-namespace mustardproxy::detail {
+namespace mustardproxy::telemetry_detail {
 
 /// Escapes what could end a line or steer a terminal: ASCII controls as `\xNN`
 /// (`\n`, `\r` and `\t` by these names), the controls U+0080 to U+009F, and the
@@ -12,6 +12,6 @@
 /// is doubled, so that an escape can't be forged either.
 [[nodiscard]] std::string EscapeControls(std::string_view text);
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::telemetry_detail
 
 #endif  // MUSTARDPROXY_TELEMETRY_ESCAPE_H_
--- a/packages/telemetry/src/log.cc
+++ b/packages/telemetry/src/log.cc
@@ -66,7 +66,7 @@
 /// The process name as a literal part of a log4cplus pattern.
 std::string PatternLiteral(std::string_view text) {
   std::string out;
-  for (const char c : detail::EscapeControls(text)) {
+  for (const char c : telemetry_detail::EscapeControls(text)) {
     if (c == '%') out += '%';
     out += c;
   }
@@ -88,7 +88,7 @@
 
 std::string Record(Part part, std::string_view sentence) {
   std::string record(Prefix(part));
-  record += detail::EscapeControls(sentence);
+  record += telemetry_detail::EscapeControls(sentence);
   return record;
 }
 
--- a/packages/telemetry/src/log_histogram.cc
+++ b/packages/telemetry/src/log_histogram.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
-namespace mustardproxy::detail {
+namespace mustardproxy::telemetry_detail {
 namespace {
 
 constexpr double kLowest = 1;
@@ -57,4 +57,4 @@
   return buckets;
 }
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::telemetry_detail
--- a/packages/telemetry/src/log_histogram.h
+++ b/packages/telemetry/src/log_histogram.h
@@ -9,7 +9,7 @@
 #include <tuple>
 #include <vector>
 
-namespace mustardproxy::detail {
+namespace mustardproxy::telemetry_detail {
 
 /// Histogram over nine decades with bins of equal ratio.
 class LogHistogram {
@@ -44,6 +44,6 @@
   double sum = 0;
 };
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::telemetry_detail
 
 #endif  // MUSTARDPROXY_TELEMETRY_LOG_HISTOGRAM_H_
--- a/packages/telemetry/src/metrics.cc
+++ b/packages/telemetry/src/metrics.cc
@@ -12,7 +12,7 @@
 namespace mustardproxy {
 namespace {
 
-using detail::LogHistogram;
+using telemetry_detail::LogHistogram;
 
 constexpr std::size_t kMaxSeries = 512;
 constexpr std::string_view kNamePrefix = "mustardproxy_";
@@ -125,7 +125,8 @@
 }
 
 void FormatUsage(std::ostream* out) {
-  const detail::ProcessUsage usage = detail::ReadProcessUsage();
+  const telemetry_detail::ProcessUsage usage =
+      telemetry_detail::ReadProcessUsage();
   *out << "# TYPE process_resident_memory_bytes gauge\n"
        << "process_resident_memory_bytes " << usage.resident_bytes << '\n'
        << "# TYPE process_cpu_seconds_total counter\n"
--- a/packages/telemetry/src/process_usage.cc
+++ b/packages/telemetry/src/process_usage.cc
@@ -5,7 +5,7 @@
 
 #include <fstream>
 
-namespace mustardproxy::detail {
+namespace mustardproxy::telemetry_detail {
 namespace {
 
 constexpr double kMicrosPerSecond = 1e6;
@@ -35,4 +35,4 @@
   return usage;
 }
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::telemetry_detail
--- a/packages/telemetry/tests/log_test.cc
+++ b/packages/telemetry/tests/log_test.cc
@@ -12,7 +12,7 @@
 using mustardproxy::Log;
 using mustardproxy::Part;
 using mustardproxy::StartLog;
-using mustardproxy::detail::EscapeControls;
+using mustardproxy::telemetry_detail::EscapeControls;
 
 namespace {
 
