Gateway: a namespace of its own for internals

What a user saw: entry processes died with "free(): invalid pointer" a second or two into any load, so all deferred work looked lost. Cause: the gateway and the worker link both had a class mustardproxy::detail::Connection. Static linking silently kept one destructor for both, and a worker connection that left its pool was destroyed as a caller's. HttpAnswer, HttpHeader and HttpCall clashed too. Ruled out: the request path itself (a single deferred request worked, and the crash came at the first retired worker connection). The gateway's internals now live in mustardproxy::detail::gateway.

The load gave repeats of a key another team than the first; keys are per team, so 13 of them ran rightly and were judged doubled. A repeat now has its first one's team.

--- a/packages/gateway/src/body_reader.cc
+++ b/packages/gateway/src/body_reader.cc
@@ -7,7 +7,7 @@
 #include <optional>
 #include <string_view>
 
-namespace mustardproxy::detail {
+namespace mustardproxy::detail::gateway {
 namespace {
 
 constexpr std::int64_t kMaxChunkLine = 256;
@@ -133,4 +133,4 @@
   return Append(session, length.value_or(0), body);
 }
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::detail::gateway
--- a/packages/gateway/src/bounded_socket.cc
+++ b/packages/gateway/src/bounded_socket.cc
@@ -7,7 +7,7 @@
 #include <cerrno>
 #include <thread>
 
-namespace mustardproxy::detail {
+namespace mustardproxy::detail::gateway {
 namespace {
 
 constexpr std::chrono::milliseconds kPauseWithoutDescriptors(50);
@@ -93,4 +93,4 @@
 BoundedServerSocket::BoundedServerSocket()
     : ServerSocket(new BoundedServerSocketImpl, true) {}
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::detail::gateway
--- a/packages/gateway/src/caller_surface.cc
+++ b/packages/gateway/src/caller_surface.cc
@@ -10,7 +10,7 @@
 #include "mustardproxy/core/events.h"
 #include "problem.h"
 
-namespace mustardproxy::detail {
+namespace mustardproxy::detail::gateway {
 namespace {
 
 constexpr std::int32_t kAccepted = 202;
@@ -258,4 +258,4 @@
   this->queries.StopAll();
 }
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::detail::gateway
--- a/packages/gateway/src/caller_surface.h
+++ b/packages/gateway/src/caller_surface.h
@@ -11,7 +11,7 @@
 #include "mustardproxy/telemetry/metrics.h"
 #include "waiting.h"
 
-namespace mustardproxy::detail {
+namespace mustardproxy::detail::gateway {
 
 /// What the callers' surface is made with.
 struct CallerOptions {
@@ -63,6 +63,6 @@
   WaitingTable<std::uint64_t> queries;
 };
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::detail::gateway
 
 #endif  // MUSTARDPROXY_GATEWAY_CALLER_SURFACE_H_
--- a/packages/gateway/src/waiting.cc
+++ b/packages/gateway/src/waiting.cc
@@ -9,7 +9,7 @@
 #include <cerrno>
 #include <chrono>
 
-namespace mustardproxy::detail {
+namespace mustardproxy::detail::gateway {
 namespace {
 
 using SteadyClock = std::chrono::steady_clock;
@@ -54,4 +54,4 @@
   return std::move(*this->settlement);
 }
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::detail::gateway
--- a/packages/gateway/src/waiting.h
+++ b/packages/gateway/src/waiting.h
@@ -12,7 +12,7 @@
 #include "mustardproxy/core/request.h"
 #include "mustardproxy/core/time.h"
 
-namespace mustardproxy::detail {
+namespace mustardproxy::detail::gateway {
 
 /// Deferred work was accepted.
 struct Accepted {};
@@ -96,6 +96,6 @@
   bool stopped = false;
 };
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::detail::gateway
 
 #endif  // MUSTARDPROXY_GATEWAY_WAITING_H_
--- a/testing/load/include/load/sent_request.h
+++ b/testing/load/include/load/sent_request.h
@@ -44,6 +44,7 @@
   Kind kind = Kind::kUrgent;
   /// Url of the entry process.
   std::string entry;
+  std::string team;
   std::string key;
   std::string body;
   /// When it is sent, from the start of the load.
--- a/testing/load/src/load_plan.cc
+++ b/testing/load/src/load_plan.cc
@@ -5,6 +5,8 @@
 namespace mustardproxy::load {
 namespace {
 
+constexpr double kAddisShare = 0.25;
+
 /// Draws kinds, entries and run times.
 class Draw {
  public:
@@ -54,6 +56,7 @@
     request.kind = draw.NextKind();
     request.due = now;
     request.entry = draw.NextEntry();
+    request.team = draw.Chance(kAddisShare) ? "addis" : "dlonie";
     // The worker gives the body back, so each answer tells whose it is.
     request.body = R"({"n":)" + std::to_string(request.number) +
                    R"(,"run_ms":)" + std::to_string(draw.NextRunMs()) + "}";
--- a/testing/load/src/load_run.cc
+++ b/testing/load/src/load_run.cc
@@ -47,8 +47,7 @@
   made.body = request.body;
   made.headers.push_back(
       {"Mustardproxy-Timeout-Ms", std::to_string(timeout.count())});
-  bool addis = request.number % 4 == 0;
-  made.headers.push_back({"Mustardproxy-Team", addis ? "addis" : "dlonie"});
+  made.headers.push_back({"Mustardproxy-Team", request.team});
   if (!request.key.empty()) {
     made.headers.push_back({"Idempotency-Key", request.key});
   }
