--- a/testing/load/src/load_plan.cc
+++ b/testing/load/src/load_plan.cc
@@ -5,6 +5,8 @@
 namespace mustardproxy::load {
 namespace {
 
+constexpr double kAddisShare = 0.25;
+
 /// Draws kinds, entries and run times.
 class Draw {
  public:
@@ -42,11 +44,6 @@
   std::exponential_distribution<double> gaps;
 };
 
-/// One request in four is the smaller customer's.
-std::string TeamOf(std::int64_t number) {
-  return number % 4 == 0 ? "addis" : "dlonie";
-}
-
 }  // namespace
 
 std::vector<SentRequest> PlanLoad(const LoadOptions& options) {
@@ -57,9 +54,9 @@
     SentRequest request;
     request.number = std::ssize(requests);
     request.kind = draw.NextKind();
-    request.team = TeamOf(request.number);
     request.due = now;
     request.entry = draw.NextEntry();
+    request.team = draw.Chance(kAddisShare) ? "addis" : "dlonie";
     // The worker gives the body back, so each answer tells whose it is.
     request.body = R"({"n":)" + std::to_string(request.number) +
                    R"(,"run_ms":)" + std::to_string(draw.NextRunMs()) + "}";
