--- a/packages/core/include/mustardproxy/core/time.h
+++ b/packages/core/include/mustardproxy/core/time.h
@@ -16,7 +16,8 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<CoreClock, duration>;
-  static constexpr bool is_steady = true;
+  // The name is the standard library's.
+  static constexpr bool is_steady = true;  // NOLINT
 };
 
 /// A moment on the clock of one process. Never compared between processes.
