--- a/packages/worker/tests/connection_test.cc
+++ b/packages/worker/tests/connection_test.cc
@@ -7,6 +7,7 @@
 
 #include <boost/test/unit_test.hpp>
 #include <chrono>
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -109,6 +110,29 @@
   BOOST_TEST(guard->BytesSent() == 0);
 }
 
+// A write times out half way; then the peer reads on. What is written later
+// would be taken for the missing rest.
+BOOST_AUTO_TEST_CASE(nothing_is_written_behind_a_gap) {
+  constexpr std::size_t kLarge = 32U << 20U;
+  const std::string body(kLarge, 'b');
+  auto* guard = new GuardedSocketImpl;
+  StreamSocket socket(guard);
+  socket.connect(server.address());
+  StreamSocket peer = Accept();
+  guard->BeginSend(SteadyNow() + std::chrono::milliseconds(100));
+  BOOST_CHECK_THROW(
+      socket.sendBytes(body.data(), static_cast<int>(body.size())),
+      Poco::Exception);
+  std::string drained(kLarge, ' ');
+  std::int64_t read = 0;
+  while (read < guard->BytesSent()) {
+    read += peer.receiveBytes(drained.data(), static_cast<int>(kLarge));
+  }
+  guard->BeginSend(SteadyNow() + seconds(5));
+  BOOST_CHECK_THROW(socket.sendBytes("x", 1), Poco::Exception);
+  BOOST_TEST(guard->BytesSent() == 0);
+}
+
 BOOST_AUTO_TEST_CASE(a_write_that_nobody_reads_ends_in_time) {
   constexpr std::size_t kLarge = 32U << 20U;
   const std::string body(kLarge, 'b');
