--- /dev/null
+++ b/testing/process_faults/request_owner_death_test.cc
@@ -0,0 +1,82 @@
+#include <boost/test/unit_test.hpp>
+
+#include "fixture.h"
+
+namespace mustardproxy::process_faults {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kLongRun(1500);
+
+CellLayout SmallCell() {
+  return {.data_centers = 1,
+          .entries_per_data_center = 2,
+          .workers_per_data_center = 2,
+          .relays = {},
+          .extra_settings = R"("ownership": {"lease_ms": 1500,
+            "renew_interval_ms": 300, "retry_interval_ms": 100},
+            "membership": {"heartbeat_interval_ms": 200})",
+          .configuration = {}};
+}
+
+/// @return true once each call's body was started by a worker
+bool AwaitStarts(const Cell& cell, const std::vector<PendingCall>& calls) {
+  return WaitUntil([&] {
+    WorkerLogs logs = ReadLogs(cell);
+    for (const PendingCall& call : calls) {
+      if (logs.Starts(call.Sent().body) == 0) return false;
+    }
+    return true;
+  });
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(request_owner_death)
+
+// Story: the entry process that owns all workers is killed while it runs
+// bookings, and the platform is down. Callers see an error, never a second
+// interpreter sent. The peer must take the workers over from their own leases,
+// count what still runs on them, and serve.
+BOOST_AUTO_TEST_CASE(
+    a_killed_owner_doubles_nothing_and_its_workers_serve_again) {
+  Cell cell(SmallCell());
+  BOOST_REQUIRE_MESSAGE(cell.Start(), cell.Trouble());
+  std::string owner = MainOwner(cell);
+  std::string peer = owner == "entry-1-1" ? "entry-1-2" : "entry-1-1";
+  constexpr int kCalls = 4;
+  std::vector<PendingCall> calls;
+  for (int i = 0; i < kCalls; ++i) {
+    std::string key = i % 2 == 0 ? "" : "killed-" + std::to_string(i);
+    std::string door = i < 2 ? owner : peer;
+    calls.emplace_back(
+        cell, door,
+        Call{.service = "booking", .body = FreshBody(kLongRun), .key = key});
+  }
+  BOOST_REQUIRE(AwaitStarts(cell, calls));
+  BOOST_REQUIRE(cell.Switch("platform", R"({"down": true})"));
+  cell.Kill(owner);
+  for (PendingCall& call : calls) {
+    std::string outcome = OutcomeOf(call.Reply());
+    bool whole = IsOwnAnswer(call.Reply(), call.Sent());
+    BOOST_TEST((whole || outcome == "unknown" || outcome == "no answer"),
+               "outcome " << outcome);
+  }
+  bool taken_over =
+      WaitUntil([&] { return StatusNumber(cell, peer, "owned_workers") == 2; });
+  BOOST_TEST(taken_over);
+  Call after{.service = "booking", .body = FreshBody(milliseconds(10))};
+  auto reply = Send(cell, peer, after);
+  BOOST_TEST(IsOwnAnswer(reply, after), OutcomeOf(reply));
+  WorkerLogs logs = ReadLogs(cell);
+  for (PendingCall& call : calls) {
+    BOOST_TEST(logs.Starts(call.Sent().body) == 1);
+  }
+  BOOST_TEST(logs.Starts(after.body) == 1);
+  BOOST_TEST(logs.Count("overcommit-refused") == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace mustardproxy::process_faults
