--- a/testing/process_faults/fixture.h
+++ b/testing/process_faults/fixture.h
@@ -68,8 +68,8 @@
 /// A request as a caller sends it.
 struct Call {
   std::string service = "screen";
-  std::string body;
-  std::string key;
+  std::string body = {};
+  std::string key = {};
   std::chrono::milliseconds timeout = std::chrono::seconds(15);
 };
 
--- a/testing/process_faults/request_owner_death_test.cc
+++ b/testing/process_faults/request_owner_death_test.cc
@@ -1,6 +1,6 @@
 #include <boost/test/unit_test.hpp>
 
-#include "fixture.h"
+#include "request_cell.h"
 
 namespace mustardproxy::process_faults {
 namespace {
@@ -9,28 +9,6 @@
 
 constexpr milliseconds kLongRun(1500);
 
-CellLayout SmallCell() {
-  return {.data_centers = 1,
-          .entries_per_data_center = 2,
-          .workers_per_data_center = 2,
-          .relays = {},
-          .extra_settings = R"("ownership": {"lease_ms": 1500,
-            "renew_interval_ms": 300, "retry_interval_ms": 100},
-            "membership": {"heartbeat_interval_ms": 200})",
-          .configuration = {}};
-}
-
-/// @return true once each call's body was started by a worker
-bool AwaitStarts(const Cell& cell, const std::vector<PendingCall>& calls) {
-  return WaitUntil([&] {
-    WorkerLogs logs = ReadLogs(cell);
-    for (const PendingCall& call : calls) {
-      if (logs.Starts(call.Sent().body) == 0) return false;
-    }
-    return true;
-  });
-}
-
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(request_owner_death)
@@ -41,10 +19,14 @@
 // count what still runs on them, and serve.
 BOOST_AUTO_TEST_CASE(
     a_killed_owner_doubles_nothing_and_its_workers_serve_again) {
-  Cell cell(SmallCell());
+  CellLayout layout;
+  layout.data_centers = 1;
+  layout.workers_per_data_center = 2;
+  layout.extra_settings = kQuickSettings;
+  Cell cell(layout);
   BOOST_REQUIRE_MESSAGE(cell.Start(), cell.Trouble());
   std::string owner = MainOwner(cell);
-  std::string peer = owner == "entry-1-1" ? "entry-1-2" : "entry-1-1";
+  std::string peer = PeerOf(owner);
   constexpr int kCalls = 4;
   std::vector<PendingCall> calls;
   for (int i = 0; i < kCalls; ++i) {
--- /dev/null
+++ b/testing/process_faults/request_worker_faults_test.cc
@@ -0,0 +1,148 @@
+#include <boost/test/unit_test.hpp>
+
+#include "request_cell.h"
+
+namespace mustardproxy::process_faults {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::int64_t kWorkers = 4;
+
+void SwitchAll(Cell* cell, const std::vector<std::string>& names,
+               const std::string& json) {
+  for (const std::string& name : names) {
+    BOOST_REQUIRE(cell->Switch(name, json));
+  }
+}
+
+std::vector<std::string> WorkerRelays(const Cell& cell) {
+  std::vector<std::string> relays;
+  for (const std::string& worker : cell.Workers()) {
+    relays.push_back("relay:*>" + worker);
+  }
+  return relays;
+}
+
+std::int64_t OwnedByAll(const Cell& cell) {
+  std::int64_t owned = 0;
+  for (const std::string& entry : cell.Entries()) {
+    owned += StatusNumber(cell, entry, "owned_workers");
+  }
+  return owned;
+}
+
+/// @return how many of `count` calls, one after the other, got their answer
+int CountAnswered(const Cell& cell, const std::string& entry, int count) {
+  int answered = 0;
+  for (int i = 0; i < count; ++i) {
+    Call call{.service = "screen", .body = FreshBody(milliseconds(5))};
+    if (IsOwnAnswer(Send(cell, entry, call), call)) ++answered;
+  }
+  return answered;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(request_worker_faults)
+
+// Story: something between the entry processes and the workers loses track of
+// all open connections while bookings run. The bytes of their answers vanish,
+// new connections work. The bookings must not run again, no worker may be given
+// up for it, and the next callers must not wait on the dead connections.
+BOOST_AUTO_TEST_CASE(silent_connections_double_nothing_and_slow_nobody) {
+  Cell& cell = SharedCell();
+  std::string owner = MainOwner(cell);
+  std::vector<PendingCall> calls;
+  for (int i = 0; i < 6; ++i) {
+    calls.emplace_back(
+        cell, owner,
+        Call{.service = "booking", .body = FreshBody(milliseconds(1000))});
+  }
+  BOOST_REQUIRE(AwaitStarts(cell, calls));
+  SwitchAll(&cell, WorkerRelays(cell), R"({"silence_open": true})");
+  for (int i = 0; i < 10; ++i) {
+    Call call{.service = "screen", .body = FreshBody(milliseconds(5))};
+    auto start = NowMs();
+    auto reply = Send(cell, owner, call);
+    BOOST_TEST(IsOwnAnswer(reply, call), OutcomeOf(reply));
+    // Far below the caller's timeout of 15 s.
+    BOOST_TEST(NowMs() - start < 8000);
+  }
+  for (PendingCall& call : calls) (void)call.Reply();
+  WorkerLogs logs = ReadLogs(cell);
+  for (PendingCall& call : calls) JudgeOnce(logs, &call);
+  BOOST_TEST(WaitUntil([&] { return OwnedByAll(cell) == kWorkers; }));
+}
+
+// Story: a worker fails each task that it is given, and at once, so that it
+// always looks idle. Callers of an idempotent service must hardly notice: their
+// requests are tried elsewhere, the worker gets no more work, and it comes back
+// when it works again.
+BOOST_AUTO_TEST_CASE(
+    a_worker_that_fails_everything_is_left_out_and_comes_back) {
+  Cell& cell = SharedCell();
+  std::string owner = MainOwner(cell);
+  // Best fit gives one request at a time to the same worker of the owner.
+  WorkerLogs first = ReadLogs(cell);
+  BOOST_REQUIRE(CountAnswered(cell, owner, 10) == 10);
+  WorkerLogs second = ReadLogs(cell);
+  std::string sick;
+  std::int64_t most = 0;
+  for (const std::string& worker : cell.Workers()) {
+    std::int64_t starts = second.StartsOn(worker) - first.StartsOn(worker);
+    if (starts <= most) continue;
+    most = starts;
+    sick = worker;
+  }
+  BOOST_REQUIRE(cell.Switch(sick, R"({"fail_all": true})"));
+  constexpr int kCalls = 200;
+  int answered = CountAnswered(cell, owner, kCalls);
+  std::int64_t given = ReadLogs(cell).StartsOn(sick) - second.StartsOn(sick);
+  BOOST_TEST_MESSAGE("answered " << answered << " of " << kCalls << ", "
+                                 << given << " given to the worker");
+  BOOST_TEST(given > 0);
+  BOOST_TEST(answered >= kCalls * 95 / 100);
+  BOOST_TEST(given < kCalls / 5);
+  BOOST_REQUIRE(cell.Switch(sick, R"({"fail_all": false})"));
+  std::int64_t before = ReadLogs(cell).StartsOn(sick);
+  BOOST_TEST(WaitUntil([&] {
+    (void)CountAnswered(cell, owner, 5);
+    return ReadLogs(cell).StartsOn(sick) >= before + 10;
+  }));
+}
+
+// Story: workers send answers that belong to another task, are cut short, or
+// come late. A caller must get the whole answer to its own request or an error,
+// and a booking whose answer was spoilt must not run again.
+BOOST_AUTO_TEST_CASE(nobody_gets_a_crossed_or_cut_answer) {
+  Cell& cell = SharedCell();
+  SwitchAll(&cell, cell.Workers(),
+            R"({"cut_answers": 3, "cross_answers": 3, "late_answers_ms": 30})");
+  std::vector<PendingCall> calls;
+  for (int i = 0; i < 48; ++i) {
+    std::string service = i % 2 == 0 ? "screen" : "booking";
+    calls.emplace_back(
+        cell, cell.Entries()[static_cast<std::size_t>(i / 2 % 2)],
+        Call{.service = service, .body = FreshBody(milliseconds(20))});
+  }
+  int spoilt = 0;
+  for (PendingCall& call : calls) {
+    if (OutcomeOf(call.Reply()) != "completed") {
+      ++spoilt;
+      continue;
+    }
+    BOOST_TEST(call.Reply()->body == call.Sent().body);
+  }
+  SwitchAll(&cell, cell.Workers(),
+            R"({"cut_answers": 0, "cross_answers": 0, "late_answers_ms": 0})");
+  BOOST_TEST_MESSAGE(spoilt << " of " << calls.size() << " not completed");
+  WorkerLogs logs = ReadLogs(cell);
+  for (PendingCall& call : calls) {
+    if (call.Sent().service == "booking") JudgeOnce(logs, &call);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace mustardproxy::process_faults
