--- /dev/null
+++ b/packages/core/src/lifecycle/deferred_acceptance.cc
@@ -0,0 +1,110 @@
+#include <algorithm>
+#include <utility>
+
+#include "lifecycle/deferred_flow.h"
+#include "lifecycle/parts.h"
+#include "mustardproxy/core/error.h"
+
+// How deferred work is taken on.
+namespace mustardproxy::detail {
+
+namespace {
+
+/// Longest time until the caller learns that the work was not accepted.
+constexpr Duration kAcceptPatience = std::chrono::seconds(5);
+
+}  // namespace
+
+void DeferredFlow::Accept(ActiveRequest* entry) {
+  Admission admission;
+  const bool fits_now =
+      !this->parts->ledger
+           .FindGang(entry->terms.resources, entry->terms.tasks,
+                     Packing::kFirstFit, {})
+           .empty();
+  const bool admitted = this->AdmitHere(entry, &admission);
+  if (!admitted || !fits_now) {
+    const bool forwarded =
+        admitted
+            ? this->parts->forwarding.TryForward(entry, Reach::kOwnDataCenter)
+            : this->parts->forwarding.TryForwardDeferred(entry);
+    if (forwarded) {
+      return;
+    }
+  }
+  if (!admitted) {
+    this->parts->answers.RefuseAdmission(entry, admission);
+    return;
+  }
+  const bool taken =
+      this->parts->journals.Healthy() &&
+      this->parts->journals.TryAppend(this->parts->journals.Own(),
+                                      AcceptedRecord{entry->request});
+  if (!taken) {
+    this->parts->answers.Refuse(entry, Error::kJournalUnavailable,
+                                kUnavailableStatus,
+                                "deferred work can not be recorded now");
+    return;
+  }
+  entry->phase = RequestPhase::kJournalling;
+  this->parts->table.SetDeadline(
+      entry->request.id,
+      std::min(entry->deadline, this->parts->context.now + kAcceptPatience));
+}
+
+bool DeferredFlow::AdmitHere(ActiveRequest* entry, Admission* admission) {
+  const Instant now = this->parts->context.now;
+  if (this->parts->ledger.WorkerCount() == 0) {
+    admission->refusal = Error::kNoWorker;
+    admission->detail = "this entry process owns no worker";
+    admission->retry_after = this->parts->scheduler.RetryAfter(now);
+    return false;
+  }
+  QueuedRequest queued;
+  queued.request = entry->request.id;
+  queued.service = entry->request.service;
+  queued.team = entry->request.team;
+  queued.arrived = entry->arrived;
+  queued.place_by = entry->arrived + entry->terms.max_wait;
+  *admission = this->parts->scheduler.Enqueue(now, this->parts->ledger,
+                                              std::move(queued));
+  // Only a check: it joins the queue once its record is durable.
+  this->parts->scheduler.Cancel(entry->request.id);
+  return !admission->refusal;
+}
+
+void DeferredFlow::OnAcceptTimeout(ActiveRequest* entry) {
+  // The append was sent, and may take effect though no answer came: then this
+  // process or an adopter runs the work. So "not run" would be a lie.
+  this->parts->answers.Unknown(
+      entry, Error::kJournalUnavailable,
+      "it is not known whether the work was recorded; ask for its state");
+}
+
+void DeferredFlow::OnDurable(const JournalId& journal,
+                             const AcceptedRecord& record) {
+  if (this->parts->store.Find(record.request.id) == nullptr ||
+      this->Get(record.request.id) != nullptr) {
+    return;
+  }
+  DeferredWork work;
+  work.request = record.request;
+  work.journal = journal;
+  work.accepted = this->parts->context.now;
+  ++this->sizes[journal];
+  DeferredWork* added =
+      &this->works.emplace(record.request.id, std::move(work)).first->second;
+  ActiveRequest* entry = this->parts->table.Find(record.request.id);
+  if (entry != nullptr && entry->phase == RequestPhase::kJournalling) {
+    this->parts->context.Emit(ReplyAccepted{record.request.id});
+    this->parts->context.Record(RequestEvent(TimelineKind::kRequestQueued,
+                                             record.request.id, "deferred"));
+    if (entry->claimed) {
+      this->parts->claims.SettleAccepted(entry->request);
+    }
+    this->parts->table.Remove(record.request.id);
+  }
+  this->Enqueue(added);
+}
+
+}  // namespace mustardproxy::detail
--- a/packages/core/src/lifecycle/deferred_flow.cc
+++ b/packages/core/src/lifecycle/deferred_flow.cc
@@ -15,26 +15,11 @@
 /// Longest time that a placement may wait for its *started* records while it
 /// keeps its room from other work.
 constexpr Duration kRecordPatience = std::chrono::seconds(1);
-/// Longest time until the caller learns that the work was not accepted.
-constexpr Duration kAcceptPatience = std::chrono::seconds(5);
 /// Pause after a failed attempt.
 constexpr Duration kRetryPause = std::chrono::milliseconds(500);
-/// Attempts that were not started and are repeated without a pause.
-constexpr std::int32_t kQuickRetries = 2;
-constexpr Duration kLongestRetryPause = std::chrono::seconds(5);
 /// Longest time that work waits for another worker than those it failed on.
 constexpr Duration kAvoidTime = std::chrono::seconds(3);
 constexpr Duration kParkPause = std::chrono::seconds(1);
-constexpr std::int32_t kBadGatewayStatus = 502;
-
-Answer UnknownEnd(std::string text) {
-  Answer answer;
-  answer.outcome = Outcome::kUnknown;
-  answer.status = kBadGatewayStatus;
-  answer.error = Error::kWorkerLost;
-  answer.detail = std::move(text);
-  return answer;
-}
 
 }  // namespace
 
@@ -53,98 +38,6 @@
   return found == this->sizes.end() ? 0 : found->second;
 }
 
-void DeferredFlow::Accept(ActiveRequest* entry) {
-  Admission admission;
-  const bool fits_now =
-      !this->parts->ledger
-           .FindGang(entry->terms.resources, entry->terms.tasks,
-                     Packing::kFirstFit, {})
-           .empty();
-  const bool admitted = this->AdmitHere(entry, &admission);
-  if (!admitted || !fits_now) {
-    const bool forwarded =
-        admitted
-            ? this->parts->forwarding.TryForward(entry, Reach::kOwnDataCenter)
-            : this->parts->forwarding.TryForwardDeferred(entry);
-    if (forwarded) {
-      return;
-    }
-  }
-  if (!admitted) {
-    this->parts->requests.RefuseAdmission(entry, admission);
-    return;
-  }
-  const bool taken =
-      this->parts->journals.Healthy() &&
-      this->parts->journals.TryAppend(this->parts->journals.Own(),
-                                      AcceptedRecord{entry->request});
-  if (!taken) {
-    this->parts->requests.Refuse(entry, Error::kJournalUnavailable,
-                                 kUnavailableStatus,
-                                 "deferred work can not be recorded now");
-    return;
-  }
-  entry->phase = RequestPhase::kJournalling;
-  this->parts->table.SetDeadline(
-      entry->request.id,
-      std::min(entry->deadline, this->parts->context.now + kAcceptPatience));
-}
-
-bool DeferredFlow::AdmitHere(ActiveRequest* entry, Admission* admission) {
-  const Instant now = this->parts->context.now;
-  if (this->parts->ledger.WorkerCount() == 0) {
-    admission->refusal = Error::kNoWorker;
-    admission->detail = "this entry process owns no worker";
-    admission->retry_after = this->parts->scheduler.RetryAfter(now);
-    return false;
-  }
-  QueuedRequest queued;
-  queued.request = entry->request.id;
-  queued.service = entry->request.service;
-  queued.team = entry->request.team;
-  queued.arrived = entry->arrived;
-  queued.place_by = entry->arrived + entry->terms.max_wait;
-  *admission = this->parts->scheduler.Enqueue(now, this->parts->ledger,
-                                              std::move(queued));
-  // Only a check: it joins the queue once its record is durable.
-  this->parts->scheduler.Cancel(entry->request.id);
-  return !admission->refusal;
-}
-
-void DeferredFlow::OnAcceptTimeout(ActiveRequest* entry) {
-  // The append was sent, and may take effect though no answer came: then this
-  // process or an adopter runs the work. So "not run" would be a lie.
-  this->parts->requests.AnswerUnknown(
-      entry, Error::kJournalUnavailable,
-      "it is not known whether the work was recorded; ask for its state");
-}
-
-void DeferredFlow::OnDurable(const JournalId& journal,
-                             const AcceptedRecord& record) {
-  if (this->parts->store.Find(record.request.id) == nullptr ||
-      this->Get(record.request.id) != nullptr) {
-    return;
-  }
-  DeferredWork work;
-  work.request = record.request;
-  work.journal = journal;
-  work.accepted = this->parts->context.now;
-  ++this->sizes[journal];
-  DeferredWork* added =
-      &this->works.emplace(record.request.id, std::move(work)).first->second;
-  ActiveRequest* entry = this->parts->table.Find(record.request.id);
-  if (entry != nullptr && entry->phase == RequestPhase::kJournalling) {
-    this->parts->context.Emit(ReplyAccepted{record.request.id});
-    this->parts->context.Record(RequestEvent(TimelineKind::kRequestQueued,
-                                             record.request.id, "deferred"));
-    if (entry->claimed) {
-      this->parts->claims.SettleAccepted(entry->request);
-    }
-    this->parts->table.Remove(record.request.id);
-  }
-  this->Enqueue(added);
-}
-
 bool DeferredFlow::MayStart() const {
   return !this->parts->context.stopping && this->parts->journals.Healthy();
 }
@@ -187,20 +80,21 @@
 void DeferredFlow::OnPlaced(std::span<const Placement> placements) {
   DeferredWork* work = this->Get(placements.front().request);
   if (work == nullptr || work->phase != DeferredPhase::kQueued) {
-    this->parts->Unplace(placements);
+    this->parts->placing.Unplace(placements);
     return;
   }
   const auto terms =
       TermsOf(this->parts->context.configuration, work->request.service);
-  this->parts->SampleWait(terms ? terms->profile : ProfileId(), work->accepted);
+  this->parts->placing.SampleWait(terms ? terms->profile : ProfileId(),
+                                  work->accepted);
   work->phase = DeferredPhase::kRecording;
   work->attempt = Attempt{};
   work->attempt.number = work->last_attempt;
   work->records_left = placements.size();
   for (const Placement& placement : placements) {
     const TaskPlan plan =
-        this->parts->PlanTask(placement, work->request.service,
-                              terms ? terms->max_run : Duration{0}, true);
+        this->parts->placing.Plan(placement, work->request.service,
+                                  terms ? terms->max_run : Duration{0}, true);
     work->attempt.slots.push_back(
         {placement.task, placement.worker, SlotState::kPending, {}});
     StartedRecord record;
@@ -250,7 +144,7 @@
   if (work == nullptr || work->attempt.Find(news.task) == nullptr) {
     return;
   }
-  this->parts->NoteHealth(news, work->request.service);
+  this->parts->placing.NoteHealth(news, work->request.service);
   this->UpdateSlot(work, news);
   if (work->phase == DeferredPhase::kRecording) {
     // A placement that is not sent yet has lost its worker.
@@ -311,166 +205,6 @@
   }
 }
 
-void DeferredFlow::Settled(DeferredWork* work) {
-  const Attempt& attempt = work->attempt;
-  if (!attempt.preempted) {
-    this->parts->Avoid(&work->avoid, attempt.FailedWorkers());
-  }
-  work->may_have_run = work->may_have_run || attempt.MayHaveRun();
-  const Verdict verdict = attempt.Judge();
-  if (verdict == Verdict::kFinished) {
-    this->End(work, DeferredState::kFinished, attempt.MergedAnswer());
-    return;
-  }
-  if (work->cancel_wanted) {
-    this->EndCancelled(work);
-    return;
-  }
-  if (verdict == Verdict::kNeverStarted) {
-    this->AfterRefusal(work);
-    return;
-  }
-  work->refusals = 0;
-  this->AfterFailure(work, verdict);
-}
-
-void DeferredFlow::AfterRefusal(DeferredWork* work) {
-  // Each attempt costs a write at the platform, so a worker that refuses again
-  // and again must not be tried at full speed.
-  ++work->refusals;
-  if (work->refusals <= kQuickRetries) {
-    this->Requeue(work);
-    return;
-  }
-  const Duration pause = kRetryPause * (work->refusals - kQuickRetries);
-  this->Park(work, std::min<Duration>(pause, kLongestRetryPause));
-}
-
-void DeferredFlow::AfterFailure(DeferredWork* work, Verdict verdict) {
-  const auto terms =
-      TermsOf(this->parts->context.configuration, work->request.service);
-  const bool idempotent = terms && terms->idempotent;
-  const bool failed = verdict == Verdict::kFailed;
-  if (!idempotent) {
-    this->End(work, failed ? DeferredState::kFailed : DeferredState::kUnknown,
-              failed ? work->attempt.MergedAnswer()
-                     : UnknownEnd("the end of a task can not be learnt"));
-    return;
-  }
-  const bool own_fault =
-      failed || (verdict == Verdict::kStopped && !work->attempt.stopping);
-  if (own_fault) {
-    ++work->failures;
-  }
-  const bool at_fault = this->parts->health.TaskAtFault(work->request.id);
-  if (at_fault || work->failures >= terms->max_attempts) {
-    Answer answer = failed ? work->attempt.MergedAnswer()
-                           : UnknownEnd("the task was stopped each time");
-    answer.error = Error::kTaskFailed;
-    this->End(work, DeferredState::kFailed, std::move(answer));
-    return;
-  }
-  if (own_fault) {
-    this->Park(work, kRetryPause);
-    return;
-  }
-  this->Requeue(work);
-}
-
-void DeferredFlow::Requeue(DeferredWork* work) {
-  if (work->cancel_wanted) {
-    this->EndCancelled(work);
-    return;
-  }
-  work->adopted = false;
-  this->Enqueue(work);
-}
-
-void DeferredFlow::End(DeferredWork* work, DeferredState state, Answer answer) {
-  work->phase = DeferredPhase::kEnding;
-  this->timers.Clear(work->request.id);
-  FinishedRecord record;
-  record.request = work->request.id;
-  record.state = state;
-  record.answer = std::move(answer);
-  this->parts->journals.Append(work->journal,
-                               this->parts->Bounded(std::move(record)));
-}
-
-void DeferredFlow::EndCancelled(DeferredWork* work) {
-  work->phase = DeferredPhase::kEnding;
-  this->timers.Clear(work->request.id);
-  this->parts->journals.Append(
-      work->journal, CancelledRecord{work->request.id, work->may_have_run});
-}
-
-void DeferredFlow::OnDurable(const JournalId& /*journal*/,
-                             const FinishedRecord& record) {
-  this->Remove(record.request);
-}
-
-void DeferredFlow::OnDurable(const JournalId& /*journal*/,
-                             const CancelledRecord& record) {
-  this->Remove(record.request);
-}
-
-void DeferredFlow::Remove(const RequestId& request) {
-  auto removed = this->works.extract(request);
-  if (removed.empty()) {
-    return;
-  }
-  const RequestId& id = removed.key();
-  this->AnswerCancelQueries(&removed.mapped());
-  this->parts->context.Record(
-      RequestEvent(TimelineKind::kRequestAnswered, id, "deferred"));
-  this->parts->health.Forget(id);
-  this->timers.Clear(id);
-  --this->sizes[removed.mapped().journal];
-}
-
-void DeferredFlow::AnswerCancelQueries(DeferredWork* work) {
-  for (const std::uint64_t query : std::exchange(work->cancel_queries, {})) {
-    this->parts->queries.AnswerFromStore(query, work->request.id);
-  }
-}
-
-bool DeferredFlow::Cancel(const RequestId& request, std::uint64_t query) {
-  DeferredWork* work = this->Get(request);
-  if (work == nullptr) {
-    return false;
-  }
-  work->cancel_queries.push_back(query);
-  if (work->cancel_wanted) {
-    return true;
-  }
-  work->cancel_wanted = true;
-  switch (work->phase) {
-    case DeferredPhase::kParked:
-    case DeferredPhase::kQueued:
-      this->parts->scheduler.Cancel(request);
-      this->EndCancelled(work);
-      break;
-    case DeferredPhase::kRecording:
-      this->WithdrawRecording(work);
-      this->EndCancelled(work);
-      break;
-    case DeferredPhase::kRunning:
-      this->StopTasks(work, false);
-      break;
-    case DeferredPhase::kEnding:
-      break;
-  }
-  return true;
-}
-
-void DeferredFlow::ForgetCancelQuery(const RequestId& request,
-                                     std::uint64_t query) {
-  DeferredWork* work = this->Get(request);
-  if (work != nullptr) {
-    std::erase(work->cancel_queries, query);
-  }
-}
-
 void DeferredFlow::OnPreempted(const Preemption& preemption) {
   DeferredWork* work = this->Get(preemption.request);
   if (work == nullptr || work->attempt.Find(preemption.task) == nullptr) {
@@ -548,7 +282,7 @@
         {started.task, started.worker, SlotState::kPending, {}});
   }
   for (const StartedRecord& started : entry.started) {
-    this->parts->WatchTask(started, entry.request);
+    this->parts->placing.Watch(started, entry.request);
   }
   const auto terms =
       TermsOf(this->parts->context.configuration, entry.request.service);
--- a/packages/core/src/lifecycle/forwarding.cc
+++ b/packages/core/src/lifecycle/forwarding.cc
@@ -140,13 +140,13 @@
     this->parts->table.Remove(event.request);
     return;
   }
-  this->parts->requests.Finish(entry, event.answer);
+  this->parts->answers.Finish(entry, event.answer);
 }
 
 void Forwarding::Return(ActiveRequest* entry, Answer answer) {
   entry->avoid_peers.push_back(entry->peer);
   if (Final(answer.error)) {
-    this->parts->requests.Finish(entry, std::move(answer));
+    this->parts->answers.Finish(entry, std::move(answer));
     return;
   }
   this->parts->requests.TryAgain(entry, std::move(answer));
@@ -172,7 +172,7 @@
   const bool recall = entry->terms.idempotent && !entry->terms.deferred &&
                       this->parts->membership.Alive(event.peer);
   if (!recall) {
-    this->parts->requests.AnswerUnknown(
+    this->parts->answers.Unknown(
         entry, Error::kPeerLost,
         "peer " + event.peer.Text() + " was lost while it had the request");
     return;
@@ -205,8 +205,8 @@
   const bool stopped =
       event.status && event.status->state == DeferredState::kCancelled;
   if (!stopped) {
-    this->parts->requests.AnswerUnknown(entry, Error::kPeerLost,
-                                        "a peer lost sight of the request");
+    this->parts->answers.Unknown(entry, Error::kPeerLost,
+                                 "a peer lost sight of the request");
     return true;
   }
   Answer last;
--- a/packages/core/src/lifecycle/key_claims.cc
+++ b/packages/core/src/lifecycle/key_claims.cc
@@ -52,14 +52,14 @@
 }
 
 void KeyClaims::AnswerRepeat(ActiveRequest* entry, const KeyClaim& claim) {
-  RequestFlow& requests = this->parts->requests;
+  RequestAnswers& answers = this->parts->answers;
   if (claim.body_hash != BodyHash(View(entry->request.body))) {
-    requests.Refuse(entry, Error::kKeyReused, kUnprocessableStatus,
-                    "the idempotency key came with another body before");
+    answers.Refuse(entry, Error::kKeyReused, kUnprocessableStatus,
+                   "the idempotency key came with another body before");
     return;
   }
   if (claim.answer) {
-    requests.Finish(entry, *claim.answer);
+    answers.Finish(entry, *claim.answer);
     return;
   }
   if (this->HolderGone(claim.request)) {
@@ -68,7 +68,7 @@
     answer.status = kBadGatewayStatus;
     answer.error = Error::kPeerLost;
     answer.detail = "the process that held the key is gone";
-    requests.Finish(entry, std::move(answer));
+    answers.Finish(entry, std::move(answer));
     return;
   }
   const auto left = this->abandoned.find(claim.request);
@@ -80,7 +80,7 @@
   answer.error = Error::kKeyInProgress;
   answer.detail = "request " + claim.request.Text() + " holds the key";
   answer.retry_after = kRepeatPause;
-  requests.Finish(entry, std::move(answer));
+  answers.Finish(entry, std::move(answer));
 }
 
 bool KeyClaims::HolderGone(const RequestId& holder) const {
@@ -109,9 +109,9 @@
   if (event.maybe_claimed) {
     this->Abandon(entry->request);
   }
-  this->parts->requests.Refuse(entry, Error::kJournalUnavailable,
-                               kUnavailableStatus,
-                               "the idempotency key can not be claimed");
+  this->parts->answers.Refuse(entry, Error::kJournalUnavailable,
+                              kUnavailableStatus,
+                              "the idempotency key can not be claimed");
 }
 
 void KeyClaims::Settle(const ActiveRequest& entry, const Answer& answer) {
--- a/packages/core/src/lifecycle/parts.cc
+++ b/packages/core/src/lifecycle/parts.cc
@@ -15,15 +15,10 @@
 /// Retries per first attempt, and those always allowed.
 constexpr double kRetryShare = 0.1;
 constexpr double kMinRetriesPerSecond = 10;
-/// Most tasks placed in one event; bounds the time that other events wait.
-constexpr std::size_t kPlacementLimit = 64;
-constexpr Duration kVictimInterval = std::chrono::milliseconds(5);
 constexpr Duration kHousekeepingInterval = std::chrono::seconds(1);
 /// Deferred work of a process that has owned no worker for so long is handed to
 /// a peer that does.
 constexpr Duration kStrandedPatience = std::chrono::seconds(3);
-/// Workers that one request keeps away from.
-constexpr std::size_t kMaxAvoided = 8;
 
 CoreContext MakeContext(CoreOptions options) {
   CoreContext context;
@@ -32,16 +27,6 @@
   return context;
 }
 
-/// Placements of one request stand together.
-std::span<const Placement> FirstRequest(std::span<const Placement> placements) {
-  std::size_t count = 1;
-  while (count < placements.size() &&
-         placements[count].request == placements.front().request) {
-    ++count;
-  }
-  return placements.first(count);
-}
-
 }  // namespace
 
 Parts::Parts(CoreOptions options)
@@ -53,7 +38,9 @@
       retry_budget(kRetryShare, kMinRetriesPerSecond),
       tasks(this),
       workers(this),
+      placing(this),
       requests(this),
+      answers(this),
       claims(this),
       forwarding(this),
       journals(this),
@@ -77,7 +64,6 @@
 void Parts::Boot() {
   this->context.Record(
       TextEvent(TimelineKind::kProcessStarted, this->context.Self().Text()));
-  this->next_victims = this->context.now;
   this->next_housekeeping = this->context.now + kHousekeepingInterval;
   this->journals.Boot();
   this->workers.Boot();
@@ -91,9 +77,9 @@
   this->queries.Tick();
   this->orphan_gangs.Tick();
   this->tasks.Tick();
-  this->Expire();
-  this->RunScheduler();
-  this->ChooseVictims();
+  this->placing.Expire();
+  this->placing.Run();
+  this->placing.ChooseVictims();
   this->RouteNews();
   this->workers.Tick();
   this->TickMembership();
@@ -122,48 +108,6 @@
   }
 }
 
-void Parts::RunScheduler() {
-  const std::vector<Placement> placed = this->scheduler.Schedule(
-      this->context.now, &this->ledger, kPlacementLimit);
-  this->more_to_place = placed.size() >= kPlacementLimit;
-  std::span<const Placement> left = placed;
-  while (!left.empty()) {
-    const std::span<const Placement> together = FirstRequest(left);
-    left = left.subspan(together.size());
-    if (this->deferred.Find(together.front().request) != nullptr) {
-      this->deferred.OnPlaced(together);
-    } else {
-      this->requests.OnPlaced(together);
-    }
-  }
-}
-
-void Parts::Expire() {
-  for (const RequestId& request : this->scheduler.Expire(this->context.now)) {
-    if (this->deferred.Find(request) != nullptr) {
-      this->deferred.OnGivenUp(request);
-    } else {
-      this->requests.OnGivenUp(request);
-    }
-  }
-}
-
-void Parts::ChooseVictims() {
-  if (this->scheduler.QueuedCount() == 0 ||
-      this->context.now < this->next_victims) {
-    return;
-  }
-  this->next_victims = this->context.now + kVictimInterval;
-  for (const Preemption& victim :
-       this->scheduler.ChooseVictims(this->context.now, this->ledger)) {
-    if (this->deferred.Find(victim.request) != nullptr) {
-      this->deferred.OnPreempted(victim);
-    } else {
-      this->requests.OnPreempted(victim);
-    }
-  }
-}
-
 void Parts::TickMembership() {
   const Instant now = this->context.now;
   const PeerNews news{this->context.configuration.version,
@@ -225,9 +169,6 @@
 }
 
 Instant Parts::NextWakeup() const {
-  if (this->more_to_place) {
-    return this->context.now;
-  }
   Instant next =
       std::min({this->membership.NextWakeup(), this->ownership.NextWakeup(),
                 this->health.NextWakeup(), this->requests.NextWakeup(),
@@ -235,13 +176,8 @@
                 this->queries.NextWakeup(), this->orphan_gangs.NextWakeup(),
                 this->tasks.NextWakeup(), this->journals.NextWakeup(),
                 this->adoption.NextWakeup(), this->configuration.NextWakeup(),
-                this->shutdown.NextWakeup(), this->next_housekeeping});
-  if (const auto due = this->scheduler.NextWakeup()) {
-    next = std::min(next, *due);
-  }
-  if (this->scheduler.QueuedCount() > 0) {
-    next = std::min(next, this->next_victims);
-  }
+                this->shutdown.NextWakeup(), this->placing.NextWakeup(),
+                this->next_housekeeping});
   return next;
 }
 
@@ -318,83 +254,6 @@
                           : this->context.configuration.default_team;
 }
 
-void Parts::Unplace(std::span<const Placement> placements) {
-  for (const Placement& placement : placements) {
-    this->scheduler.TaskDone(this->context.now, &this->ledger, placement.task,
-                             false);
-  }
-}
-
-TaskPlan Parts::PlanTask(const Placement& placement, const ServiceId& service,
-                         Duration max_run, bool detached) {
-  TaskPlan plan;
-  plan.task = placement.task;
-  plan.request = placement.request;
-  plan.service = service;
-  plan.worker = placement.worker;
-  plan.resources = placement.resources;
-  plan.max_run = max_run;
-  plan.detached = detached;
-  const std::optional<OwnedWorker> owned =
-      this->ownership.Owned(this->context.now, placement.worker);
-  if (owned) {
-    plan.epoch = owned->epoch;
-    plan.worker_incarnation = owned->incarnation;
-  } else {
-    this->workers.Suspend(placement.worker);
-  }
-  this->tasks.Plan(plan);
-  return plan;
-}
-
-void Parts::WatchTask(const StartedRecord& started, const Request& request) {
-  const auto terms = TermsOf(this->context.configuration, request.service);
-  TaskPlan plan;
-  plan.task = started.task;
-  plan.request = started.request;
-  plan.service = request.service;
-  plan.worker = started.worker;
-  plan.epoch = started.epoch;
-  plan.worker_incarnation = started.worker_incarnation;
-  plan.max_run = terms ? terms->max_run : Duration{0};
-  plan.detached = true;
-  this->tasks.Watch(std::move(plan));
-}
-
-void Parts::Avoid(std::vector<WorkerId>* avoid,
-                  std::span<const WorkerId> failed) const {
-  for (const WorkerId& worker : failed) {
-    std::erase(*avoid, worker);
-    avoid->push_back(worker);
-  }
-  const std::size_t most =
-      std::min(kMaxAvoided, this->ledger.WorkerCount() / 2);
-  while (avoid->size() > std::max<std::size_t>(most, 1)) {
-    avoid->erase(avoid->begin());
-  }
-}
-
-void Parts::NoteHealth(const TaskNews& news, const ServiceId& service) {
-  const Instant now = this->context.now;
-  const bool failed =
-      news.kind == TaskNews::Kind::kEnded && news.ended.end == TaskEnd::kFailed;
-  const bool fine = news.kind == TaskNews::Kind::kEnded &&
-                    news.ended.end == TaskEnd::kFinished;
-  if (failed || news.unreachable) {
-    this->health.OnFailure(now, news.worker, service, news.request);
-    this->health_changed = true;
-  } else if (fine) {
-    this->health.OnSuccess(now, news.worker, service);
-  }
-}
-
-void Parts::SampleWait(const ProfileId& profile, Instant arrived) {
-  RecordSample sample;
-  sample.profile = profile;
-  sample.value = (this->context.now - arrived).count();
-  this->context.Emit(std::move(sample));
-}
-
 void Parts::SettleLateAnswer(const TaskNews& news) {
   const bool whole = news.ended.end == TaskEnd::kFinished ||
                      news.ended.end == TaskEnd::kFailed;
--- a/packages/core/src/lifecycle/parts.h
+++ b/packages/core/src/lifecycle/parts.h
@@ -14,7 +14,9 @@
 #include "lifecycle/journals.h"
 #include "lifecycle/key_claims.h"
 #include "lifecycle/orphan_gangs.h"
+#include "lifecycle/placing.h"
 #include "lifecycle/query_flow.h"
+#include "lifecycle/request_answers.h"
 #include "lifecycle/request_flow.h"
 #include "lifecycle/request_table.h"
 #include "lifecycle/shutdown_flow.h"
@@ -59,7 +61,9 @@
   RequestTable table;
   TaskTracker tasks;
   WorkerFlow workers;
+  Placing placing;
   RequestFlow requests;
+  RequestAnswers answers;
   KeyClaims claims;
   Forwarding forwarding;
   Journals journals;
@@ -77,8 +81,6 @@
   void Boot();
   /// Does all that is due after an event.
   void Advance();
-  /// Places what fits, within a bound on the time.
-  void RunScheduler();
   [[nodiscard]] Instant NextWakeup() const;
   [[nodiscard]] Digest OwnDigest() const;
 
@@ -97,24 +99,6 @@
   [[nodiscard]] std::uint64_t NewQuery() { return ++this->last_query; }
   [[nodiscard]] TeamId TeamOf(const RequestId& request);
 
-  /// Gives placements back that nobody wants any more.
-  void Unplace(std::span<const Placement> placements);
-  /// Follows a placed task from now on.
-  TaskPlan PlanTask(const Placement& placement, const ServiceId& service,
-                    Duration max_run, bool detached);
-  /// Follows a task that the writer of an adopted journal has started.
-  void WatchTask(const StartedRecord& started, const Request& request);
-  /// Keeps failed workers out of the next attempt; the oldest are allowed again
-  /// when too few are left.
-  void Avoid(std::vector<WorkerId>* avoid,
-             std::span<const WorkerId> failed) const;
-  /// Feeds the health of workers.
-  void NoteHealth(const TaskNews& news, const ServiceId& service);
-  /// @return true if the health of a worker may have changed since last time
-  [[nodiscard]] bool TakeHealthChanged() {
-    return std::exchange(this->health_changed, false);
-  }
-  void SampleWait(const ProfileId& profile, Instant arrived);
   /// A task has ended after its request was answered "unknown".
   void SettleLateAnswer(const TaskNews& news);
   /// Stops tasks of a request at workers that peers own.
@@ -124,18 +108,13 @@
 
  private:
   void RouteNews();
-  void ChooseVictims();
-  void Expire();
   void TickMembership();
   void Housekeep();
   void HandOverStranded();
 
   std::int32_t process_number = 0;
   std::uint64_t last_query = 0;
-  bool health_changed = false;
-  bool more_to_place = false;
   PeerNews told_peers;
-  Instant next_victims;
   Instant next_housekeeping;
   Instant stranded_since = Instant::max();
 };
--- a/packages/core/src/lifecycle/request_flow.cc
+++ b/packages/core/src/lifecycle/request_flow.cc
@@ -8,11 +8,7 @@
 namespace mustardproxy::detail {
 namespace {
 
-constexpr std::int32_t kBadRequestStatus = 400;
-constexpr std::int32_t kNotFoundStatus = 404;
-constexpr std::int32_t kUnprocessableStatus = 422;
 constexpr std::int32_t kBadGatewayStatus = 502;
-constexpr std::int32_t kGatewayTimeoutStatus = 504;
 /// A queued request may move to a peer that shows room after this wait.
 constexpr Duration kMoveAfter = std::chrono::milliseconds(200);
 constexpr Duration kMoveInterval = std::chrono::milliseconds(100);
@@ -26,18 +22,6 @@
 /// Answers of the worker that arrive this late still count.
 constexpr Duration kAnswerGrace = std::chrono::milliseconds(100);
 
-std::int32_t StatusOf(std::error_code error) {
-  if (error == Error::kUnknownService) {
-    return kNotFoundStatus;
-  }
-  if (error == Error::kUnknownTeam) {
-    return kBadRequestStatus;
-  }
-  const bool never =
-      error == Error::kNeverFits || error == Error::kGangImpossible;
-  return never ? kUnprocessableStatus : kUnavailableStatus;
-}
-
 }  // namespace
 
 void RequestFlow::On(const RequestArrived& event) {
@@ -78,7 +62,7 @@
 bool RequestFlow::Admit(const Request& request) {
   const CoreContext& context = this->parts->context;
   const auto refuse = [&](Error error, std::string text) {
-    this->RefuseArrival(request, error, StatusOf(error), std::move(text));
+    this->parts->answers.RefuseArrival(request, error, std::move(text));
     return false;
   };
   if (context.stopping) {
@@ -103,21 +87,6 @@
   return true;
 }
 
-void RequestFlow::RefuseArrival(const Request& request, std::error_code error,
-                                std::int32_t status, std::string text) {
-  Answer answer;
-  answer.status = status;
-  answer.error = error;
-  answer.detail = std::move(text);
-  if (status == kUnavailableStatus) {
-    answer.retry_after =
-        this->parts->scheduler.RetryAfter(this->parts->context.now);
-  }
-  this->parts->context.Record(
-      RequestEvent(TimelineKind::kRequestRefused, request.id, answer.detail));
-  this->parts->context.Emit(Reply{request.id, std::move(answer)});
-}
-
 void RequestFlow::Place(ActiveRequest* entry) {
   if (entry->terms.deferred) {
     this->parts->deferred.Accept(entry);
@@ -126,12 +95,12 @@
   Admission admission;
   if (!this->TryQueue(entry, &admission)) {
     if (!this->parts->forwarding.TryForward(entry, Reach::kAnywhere)) {
-      this->RefuseAdmission(entry, admission);
+      this->parts->answers.RefuseAdmission(entry, admission);
     }
     return;
   }
   const RequestId id = entry->request.id;
-  this->parts->RunScheduler();
+  this->parts->placing.Run();
   // Placing may have changed the table, though it never answers.
   entry = this->parts->table.Find(id);
   if (entry == nullptr || entry->phase != RequestPhase::kQueued) {
@@ -177,7 +146,7 @@
   const CoreContext& context = this->parts->context;
   ActiveRequest* entry = this->parts->table.Find(placements.front().request);
   if (entry == nullptr || entry->phase != RequestPhase::kQueued) {
-    this->parts->Unplace(placements);
+    this->parts->placing.Unplace(placements);
     return;
   }
   entry->phase = RequestPhase::kRunning;
@@ -186,10 +155,10 @@
   const bool detached = placements.size() > 1;
   const Duration left = entry->deadline - context.now + kAnswerGrace;
   const Duration timeout = detached ? kDetachedStartTimeout : left;
-  this->parts->SampleWait(entry->terms.profile, entry->arrived);
+  this->parts->placing.SampleWait(entry->terms.profile, entry->arrived);
   for (const Placement& placement : placements) {
-    this->parts->PlanTask(placement, entry->request.service,
-                          entry->terms.max_run, detached);
+    this->parts->placing.Plan(placement, entry->request.service,
+                              entry->terms.max_run, detached);
     entry->attempt.slots.push_back(
         {placement.task, placement.worker, SlotState::kPending, {}});
   }
@@ -210,7 +179,7 @@
   if (slot == nullptr) {
     return;
   }
-  this->parts->NoteHealth(news, entry->request.service);
+  this->parts->placing.NoteHealth(news, entry->request.service);
   switch (news.kind) {
     case TaskNews::Kind::kStarted:
       slot->state = SlotState::kRunning;
@@ -246,7 +215,7 @@
   // Nothing more can be learnt in time that would allow a second start, so a
   // non-idempotent request is answered now instead of at its deadline.
   if (!entry->terms.idempotent) {
-    this->AnswerUnknown(
+    this->parts->answers.Unknown(
         entry, Error::kAnswerIncomplete,
         "the answer of worker " + news.worker.Text() + " was lost");
   }
@@ -274,18 +243,19 @@
     ++entry->runs;
   }
   if (!attempt.preempted) {
-    this->parts->Avoid(&entry->avoid, attempt.FailedWorkers());
+    this->parts->placing.Avoid(&entry->avoid, attempt.FailedWorkers());
   }
   const Verdict verdict = attempt.Judge();
   if (verdict == Verdict::kFinished) {
-    this->Finish(entry, attempt.MergedAnswer());
+    this->parts->answers.Finish(entry, attempt.MergedAnswer());
     return;
   }
   if (!entry->recalls.empty()) {
-    this->AnswerRecalls(entry, entry->may_have_run, DeferredState::kCancelled);
+    this->parts->answers.Recalls(entry, entry->may_have_run,
+                                 DeferredState::kCancelled);
     Answer cancelled;
     cancelled.error = Error::kCancelled;
-    this->Finish(entry, std::move(cancelled));
+    this->parts->answers.Finish(entry, std::move(cancelled));
     return;
   }
   Answer last;
@@ -324,7 +294,7 @@
       last.error = Error::kTaskFailed;
       last.detail = "the task failed on several healthy workers";
     }
-    this->Finish(entry, std::move(last));
+    this->parts->answers.Finish(entry, std::move(last));
     return;
   }
   this->TryAgain(entry, std::move(last));
@@ -341,7 +311,7 @@
     if (last.outcome == Outcome::kNotRun && last.retry_after == Duration{0}) {
       last.retry_after = this->parts->scheduler.RetryAfter(now);
     }
-    this->Finish(entry, std::move(last));
+    this->parts->answers.Finish(entry, std::move(last));
     return;
   }
   this->Place(entry);
@@ -366,9 +336,10 @@
   if (entry == nullptr || entry->phase != RequestPhase::kQueued) {
     return;
   }
-  this->Refuse(entry, Error::kWaitTooLong, kUnavailableStatus,
-               "no room within the longest wait",
-               this->parts->scheduler.RetryAfter(this->parts->context.now));
+  this->parts->answers.Refuse(
+      entry, Error::kWaitTooLong, kUnavailableStatus,
+      "no room within the longest wait",
+      this->parts->scheduler.RetryAfter(this->parts->context.now));
 }
 
 void RequestFlow::On(const CancelRequested& event) {
@@ -380,11 +351,13 @@
   switch (entry->phase) {
     case RequestPhase::kClaiming:
       this->parts->claims.Abandon(entry->request);
-      this->Refuse(entry, Error::kCancelled, kUnavailableStatus, "cancelled");
+      this->parts->answers.Refuse(entry, Error::kCancelled, kUnavailableStatus,
+                                  "cancelled");
       return;
     case RequestPhase::kQueued:
       this->parts->scheduler.Cancel(event.request);
-      this->Refuse(entry, Error::kCancelled, kUnavailableStatus, "cancelled");
+      this->parts->answers.Refuse(entry, Error::kCancelled, kUnavailableStatus,
+                                  "cancelled");
       return;
     case RequestPhase::kRunning:
       // A non-idempotent task that was cut short could leave half an effect
@@ -408,88 +381,20 @@
   switch (entry->phase) {
     case RequestPhase::kQueued:
       this->parts->scheduler.Cancel(entry->request.id);
-      this->AnswerRecalls(entry, entry->may_have_run,
-                          DeferredState::kCancelled);
-      this->Refuse(entry, Error::kCancelled, kUnavailableStatus, "recalled");
+      this->parts->answers.Recalls(entry, entry->may_have_run,
+                                   DeferredState::kCancelled);
+      this->parts->answers.Refuse(entry, Error::kCancelled, kUnavailableStatus,
+                                  "recalled");
       return;
     case RequestPhase::kRunning:
       this->StopTasks(entry);
       return;
     default:
-      this->AnswerRecalls(entry, true, DeferredState::kUnknown);
+      this->parts->answers.Recalls(entry, true, DeferredState::kUnknown);
       return;
   }
 }
 
-void RequestFlow::AnswerRecalls(ActiveRequest* entry, bool ran,
-                                DeferredState state) {
-  for (const std::uint64_t query : std::exchange(entry->recalls, {})) {
-    DeferredStatus status;
-    status.id = entry->request.id;
-    status.state = state;
-    status.ran = ran;
-    this->parts->context.Emit(AnswerQuery{query, std::move(status)});
-  }
-}
-
-void RequestFlow::Refuse(ActiveRequest* entry, std::error_code error,
-                         std::int32_t status, std::string text,
-                         Duration retry_after) {
-  Answer answer;
-  answer.status = status;
-  answer.error = error;
-  answer.detail = std::move(text);
-  answer.retry_after = retry_after;
-  if (status == kUnavailableStatus && retry_after == Duration{0}) {
-    answer.retry_after =
-        this->parts->scheduler.RetryAfter(this->parts->context.now);
-  }
-  this->Finish(entry, std::move(answer));
-}
-
-void RequestFlow::RefuseAdmission(ActiveRequest* entry,
-                                  const Admission& admission) {
-  this->Refuse(entry, admission.refusal, StatusOf(admission.refusal),
-               admission.detail, admission.retry_after);
-}
-
-void RequestFlow::AnswerUnknown(ActiveRequest* entry, std::error_code error,
-                                std::string text) {
-  Answer answer;
-  answer.outcome = Outcome::kUnknown;
-  answer.status = error == Error::kDeadlineExceeded ? kGatewayTimeoutStatus
-                                                    : kBadGatewayStatus;
-  answer.error = error;
-  answer.detail = std::move(text);
-  this->Finish(entry, std::move(answer));
-}
-
-void RequestFlow::Finish(ActiveRequest* entry, Answer answer) {
-  // "Not run" must be true of all attempts, not only of the last one.
-  if (answer.outcome == Outcome::kNotRun && entry->may_have_run) {
-    if (entry->last_failure) {
-      answer = *entry->last_failure;
-    } else {
-      answer.outcome = Outcome::kUnknown;
-      answer.status = kBadGatewayStatus;
-      answer.retry_after = Duration{0};
-    }
-  }
-  if (entry->claimed) {
-    this->parts->claims.Settle(*entry, answer);
-  }
-  const bool refused = answer.outcome == Outcome::kNotRun;
-  const RequestId id = entry->request.id;
-  this->parts->context.Record(RequestEvent(
-      refused ? TimelineKind::kRequestRefused : TimelineKind::kRequestAnswered,
-      id, answer.detail));
-  this->AnswerRecalls(entry, answer.outcome != Outcome::kNotRun,
-                      DeferredState::kUnknown);
-  this->parts->health.Forget(id);
-  this->parts->table.Remove(id);
-  this->parts->context.Emit(Reply{id, std::move(answer)});
-}
-
 void RequestFlow::OnDeadline(const RequestId& request) {
   ActiveRequest* entry = this->parts->table.Find(request);
   if (entry == nullptr) {
@@ -498,8 +403,9 @@
   switch (entry->phase) {
     case RequestPhase::kClaiming:
       this->parts->claims.Abandon(entry->request);
-      this->Refuse(entry, Error::kJournalUnavailable, kUnavailableStatus,
-                   "the idempotency key was not claimed in time");
+      this->parts->answers.Refuse(
+          entry, Error::kJournalUnavailable, kUnavailableStatus,
+          "the idempotency key was not claimed in time");
       return;
     case RequestPhase::kQueued:
       this->parts->scheduler.Cancel(request);
@@ -507,17 +413,19 @@
       return;
     case RequestPhase::kRunning:
       this->StopTasks(entry);
-      this->AnswerUnknown(entry, Error::kDeadlineExceeded,
-                          "the caller's timeout passed while the task ran");
+      this->parts->answers.Unknown(
+          entry, Error::kDeadlineExceeded,
+          "the caller's timeout passed while the task ran");
       return;
     case RequestPhase::kForwarded:
       this->parts->context.Emit(ForwardCancel{entry->peer, request});
-      this->AnswerUnknown(entry, Error::kDeadlineExceeded,
-                          "the caller's timeout passed at a peer");
+      this->parts->answers.Unknown(entry, Error::kDeadlineExceeded,
+                                   "the caller's timeout passed at a peer");
       return;
     case RequestPhase::kRecalling:
-      this->AnswerUnknown(entry, Error::kPeerLost,
-                          "a peer was lost and its fate not learnt in time");
+      this->parts->answers.Unknown(
+          entry, Error::kPeerLost,
+          "a peer was lost and its fate not learnt in time");
       return;
     case RequestPhase::kJournalling:
       this->parts->deferred.OnAcceptTimeout(entry);
--- a/packages/core/src/lifecycle/request_flow.h
+++ b/packages/core/src/lifecycle/request_flow.h
@@ -17,9 +17,6 @@
 
 struct Parts;
 
-/// HTTP status of a refusal that may pass.
-inline constexpr std::int32_t kUnavailableStatus = 503;
-
 /// A request from its arrival to its one answer: admission, placement here or
 /// at a peer, attempts, and what the caller is told.
 class RequestFlow {
@@ -43,17 +40,6 @@
   /// Places a request that is allowed to start: here if it fits now, else at a
   /// peer, else in the queue; else it is refused.
   void Place(ActiveRequest* entry);
-  /// Answers, once and for all. Turns "not run" into what is true if an
-  /// attempt may have run.
-  void Finish(ActiveRequest* entry, Answer answer);
-  /// Answers "not run".
-  void Refuse(ActiveRequest* entry, std::error_code error, std::int32_t status,
-              std::string text, Duration retry_after = Duration{0});
-  /// Answers "not run" with what the scheduler said.
-  void RefuseAdmission(ActiveRequest* entry, const Admission& admission);
-  /// Answers "unknown".
-  void AnswerUnknown(ActiveRequest* entry, std::error_code error,
-                     std::string text);
   /// A peer lost sight of a request that it forwarded here, and wants its tasks
   /// stopped; the question is answered when no task of it runs any more.
   void Recall(ActiveRequest* entry, std::uint64_t query);
@@ -62,8 +48,6 @@
   void TryAgain(ActiveRequest* entry, Answer last);
 
  private:
-  void RefuseArrival(const Request& request, std::error_code error,
-                     std::int32_t status, std::string text);
   [[nodiscard]] bool Admit(const Request& request);
   [[nodiscard]] bool TryQueue(ActiveRequest* entry, Admission* admission);
   void StopTasks(ActiveRequest* entry);
@@ -72,7 +56,6 @@
   void OnUnclear(ActiveRequest* entry, const TaskNews& news);
   void OnDeadline(const RequestId& request);
   void MoveWaiting();
-  void AnswerRecalls(ActiveRequest* entry, bool ran, DeferredState state);
   [[nodiscard]] bool TimeLeft(const ActiveRequest& entry) const;
 
   Parts* parts;
--- a/packages/core/src/lifecycle/task_tracker.cc
+++ b/packages/core/src/lifecycle/task_tracker.cc
@@ -12,7 +12,6 @@
 
 /// First pause before a task whose answer was lost is asked about again.
 constexpr Duration kFirstPause = std::chrono::milliseconds(100);
-constexpr Duration kLongestPause = std::chrono::seconds(1);
 /// Pause between questions about a detached task whose end should come with a
 /// renewal.
 constexpr Duration kBackupPause = std::chrono::seconds(10);
@@ -20,12 +19,6 @@
 constexpr Duration kStopPatience = std::chrono::seconds(1);
 /// Time after a start's timeout in which its result is surely reported.
 constexpr Duration kReportPatience = std::chrono::seconds(5);
-/// Covers the time a renewal travels and the drift between two clocks over one
-/// task lease.
-constexpr Duration kLeaseMargin = std::chrono::seconds(1);
-/// Another renewal may be on its way already when one is sent on purpose, so
-/// only the second answer surely belongs to a renewal sent later.
-constexpr std::int32_t kConfirmingRenewals = 2;
 constexpr std::size_t kRecentTasks = 4096;
 
 }  // namespace
@@ -177,28 +170,6 @@
   this->Ask(tracked);
 }
 
-void TaskTracker::On(const TaskQueried& event) {
-  Tracked* tracked = this->Find(event.task);
-  if (tracked == nullptr || !tracked->asking) {
-    return;
-  }
-  tracked->asking = false;
-  switch (event.state) {
-    case TaskQueried::State::kNeverStarted:
-      this->ConfirmNeverStarted(tracked, event.incarnation);
-      return;
-    case TaskQueried::State::kEnded:
-      this->Settle(event.task, TaskNews::Kind::kEnded, event.ended);
-      return;
-    case TaskQueried::State::kRunning:
-      this->OnStillRunning(tracked);
-      return;
-    case TaskQueried::State::kUnreachable:
-      this->OnNotReachable(tracked);
-      return;
-  }
-}
-
 void TaskTracker::On(const TaskStopAnswered& event) {
   Tracked* tracked = this->Find(event.task);
   if (tracked == nullptr) {
@@ -235,37 +206,6 @@
   this->CountConfirmations(report);
 }
 
-void TaskTracker::AskMissing(const WorkerReport& report) {
-  std::set<TaskId> running;
-  for (const RunningTask& each : report.running) {
-    running.insert(each.task);
-  }
-  for (const TaskId& task : this->TasksAt(report.worker)) {
-    Tracked* tracked = this->Find(task);
-    const bool missing =
-        tracked->phase == Phase::kRunning && !running.contains(task);
-    // The report may be older than the start, or the end may have been dropped
-    // from the worker's bounded list: only a question tells.
-    if (missing && !tracked->asking) {
-      this->Ask(tracked);
-    }
-  }
-}
-
-void TaskTracker::CountConfirmations(const WorkerReport& report) {
-  for (const TaskId& task : this->TasksAt(report.worker)) {
-    Tracked* tracked = this->Find(task);
-    if (tracked->confirmations == 0) {
-      continue;
-    }
-    if (report.incarnation != tracked->plan.worker_incarnation) {
-      this->Settle(task, TaskNews::Kind::kLost);
-    } else if (--tracked->confirmations == 0) {
-      this->Settle(task, TaskNews::Kind::kNeverStarted);
-    }
-  }
-}
-
 void TaskTracker::OnWorkerRestarted(const WorkerId& worker,
                                     Incarnation incarnation) {
   for (const TaskId& task : this->TasksAt(worker)) {
@@ -327,89 +267,10 @@
   return std::exchange(this->news, {});
 }
 
-void TaskTracker::Ask(Tracked* tracked) {
-  if (tracked->asking) {
-    return;
-  }
-  const std::string address =
-      this->parts->workers.AddressOf(tracked->plan.worker);
-  this->CheckAfter(tracked, kReportPatience);
-  if (address.empty()) {
-    this->OnNotReachable(tracked);
-    return;
-  }
-  tracked->asking = true;
-  QueryTask query;
-  query.worker = tracked->plan.worker;
-  query.address = address;
-  query.task = tracked->plan.task;
-  this->parts->context.Emit(std::move(query));
-}
-
 void TaskTracker::CheckAfter(Tracked* tracked, Duration pause) {
   this->checks.Set(tracked->plan.task, this->parts->context.now + pause);
 }
 
-void TaskTracker::ConfirmNeverStarted(Tracked* tracked,
-                                      Incarnation answered_by) {
-  const TaskPlan& plan = tracked->plan;
-  const bool same_run =
-      answered_by != 0 && answered_by == plan.worker_incarnation;
-  if (same_run) {
-    this->Settle(plan.task, TaskNews::Kind::kNeverStarted);
-    return;
-  }
-  // A worker that has restarted answers "never started" about a task that it
-  // ran before: the caller of a non-idempotent request would be told "not run"
-  // though it ran. Renewals are refused by a restarted worker, so an accepted
-  // one that was sent after the question shows that the answer counts.
-  const std::optional<OwnedWorker> owned =
-      this->parts->ownership.Held(plan.worker);
-  const bool can_confirm = answered_by == 0 && plan.worker_incarnation != 0 &&
-                           owned &&
-                           owned->incarnation == plan.worker_incarnation;
-  if (!can_confirm) {
-    this->Settle(plan.task, TaskNews::Kind::kLost);
-    return;
-  }
-  tracked->confirmations = kConfirmingRenewals;
-  this->CheckAfter(tracked, kStopPatience);
-  for (std::int32_t i = 0; i < kConfirmingRenewals; ++i) {
-    this->parts->workers.RenewNow(plan.worker, *owned);
-  }
-}
-
-void TaskTracker::OnStillRunning(Tracked* tracked) {
-  this->OnReportedRunning(tracked);
-  if (tracked->stop_wanted) {
-    this->SendStop(tracked);
-    return;
-  }
-  const bool owned =
-      this->parts->ownership.Held(tracked->plan.worker).has_value();
-  if (tracked->plan.detached && owned) {
-    this->CheckAfter(tracked, kBackupPause);
-    return;
-  }
-  if (tracked->unclear && !tracked->plan.detached) {
-    this->Report(*tracked, TaskNews::Kind::kUnclear);
-  }
-  tracked->pause = std::clamp(2 * tracked->pause, kFirstPause, kLongestPause);
-  this->CheckAfter(tracked, tracked->pause);
-}
-
-void TaskTracker::OnNotReachable(Tracked* tracked) {
-  if (this->LeaseLapsed(*tracked)) {
-    this->Settle(tracked->plan.task, TaskNews::Kind::kLost, {},
-                 Error::kWorkerLost);
-    return;
-  }
-  this->Report(*tracked, TaskNews::Kind::kUnclear);
-  this->news.back().unreachable = true;
-  tracked->pause = std::clamp(2 * tracked->pause, kFirstPause, kLongestPause);
-  this->CheckAfter(tracked, tracked->pause);
-}
-
 void TaskTracker::OnReportedRunning(Tracked* tracked) {
   tracked->confirmations = 0;
   if (tracked->phase != Phase::kSent) {
@@ -422,28 +283,6 @@
   }
 }
 
-bool TaskTracker::LeaseLapsed(const Tracked& tracked) const {
-  const WorkerId& worker = tracked.plan.worker;
-  Instant last = tracked.since;
-  const auto renewed = this->renewals.find(worker);
-  if (renewed != this->renewals.end()) {
-    last = std::max(last, renewed->second);
-  }
-  Instant lapse = last + this->parts->context.options.task_lease + kLeaseMargin;
-  if (tracked.phase == Phase::kSent) {
-    lapse = std::max(
-        lapse, tracked.since +
-                   this->parts->context.options.unconfirmed_start_patience);
-  }
-  // Another owner may reach the worker and renew the leases of all its tasks,
-  // though this process does not: then only the time limit ends them.
-  if (this->parts->workers.HeldByOther(worker)) {
-    lapse = std::max(lapse, tracked.since + tracked.plan.max_run +
-                                this->parts->context.options.task_lease);
-  }
-  return this->parts->context.now >= lapse;
-}
-
 void TaskTracker::Report(const Tracked& tracked, TaskNews::Kind kind) {
   TaskNews each;
   each.kind = kind;
--- a/packages/core/src/lifecycle/worker_flow.cc
+++ b/packages/core/src/lifecycle/worker_flow.cc
@@ -200,7 +200,7 @@
     this->NoteRenewals(first);
   }
   const bool due = this->parts->health.NextWakeup() <= context.now;
-  if (due || this->parts->TakeHealthChanged()) {
+  if (due || this->parts->placing.TakeHealthChanged()) {
     for (const WorkerId& worker :
          this->parts->health.TakeChanged(context.now)) {
       this->ApplyStanding(worker);
