Lint: reserve, references, and a send that is not the parent's

The linter objected to a call of a grandparent's sendBytes; the socket now calls send itself. Tests of the gateway, the application, the load and the cell pass.

--- a/apps/mustardproxy/src/program.cc
+++ b/apps/mustardproxy/src/program.cc
@@ -49,6 +49,7 @@
 /// The arguments as `main` would get them.
 std::vector<const char*> Pointers(const std::vector<std::string>& arguments) {
   std::vector<const char*> pointers;
+  pointers.reserve(arguments.size());
   for (const std::string& argument : arguments) {
     pointers.push_back(argument.c_str());
   }
--- a/packages/gateway/src/body_reader.cc
+++ b/packages/gateway/src/body_reader.cc
@@ -78,7 +78,8 @@
   std::string line;
   BodyEnd end = ReadLine(session, &line);
   if (end != BodyEnd::kWhole) return end;
-  std::string_view digits = std::string_view(line).substr(0, line.find(';'));
+  std::string_view digits = line;
+  digits = digits.substr(0, digits.find(';'));
   while (!digits.empty() && digits.back() == ' ') digits.remove_suffix(1);
   std::optional<std::int64_t> parsed = ParseNumber(digits, kHexadecimal);
   if (!parsed) return BodyEnd::kMalformed;
--- a/packages/gateway/src/bounded_socket.cc
+++ b/packages/gateway/src/bounded_socket.cc
@@ -3,6 +3,7 @@
 #include <Poco/Exception.h>
 #include <Poco/Net/NetException.h>
 #include <sys/socket.h>
+#include <sys/types.h>
 
 #include <cerrno>
 #include <thread>
@@ -82,10 +83,12 @@
     if (!this->poll(Left(this->send_deadline), SELECT_WRITE)) {
       throw Poco::TimeoutException();
     }
-    int sent = SocketImpl::sendBytes(next, left, flags | MSG_DONTWAIT);
+    ssize_t sent = send(this->sockfd(), next, static_cast<std::size_t>(left),
+                        flags | MSG_DONTWAIT | MSG_NOSIGNAL);
+    if (sent < 0 && errno != EAGAIN && errno != EINTR) error();
     if (sent < 0) continue;
     next += sent;
-    left -= sent;
+    left -= static_cast<int>(sent);
   }
   return length;
 }
--- a/packages/gateway/src/listener.cc
+++ b/packages/gateway/src/listener.cc
@@ -83,7 +83,7 @@
 
 }  // namespace
 
-Listener::Listener(std::string name, ConnectionLimits limits,
+Listener::Listener(const std::string& name, ConnectionLimits limits,
                    std::int32_t max_connections, Surface* surface)
     : limits(limits),
       surface(surface),
--- a/packages/gateway/src/listener.h
+++ b/packages/gateway/src/listener.h
@@ -19,7 +19,7 @@
 class Listener {
  public:
   /// @param max_connections connections served at once; some more get a refusal
-  Listener(std::string name, ConnectionLimits limits,
+  Listener(const std::string& name, ConnectionLimits limits,
            std::int32_t max_connections, Surface* surface);
   ~Listener();
 
--- a/packages/gateway/tests/deferred_test.cc
+++ b/packages/gateway/tests/deferred_test.cc
@@ -8,7 +8,7 @@
 
 struct DeferredFixture : GatewayFixture {
   /// Answers each question with `status`.
-  void Tell(std::optional<DeferredStatus> status) {
+  void Tell(const std::optional<DeferredStatus>& status) {
     this->core.Behave([this, status](const Event& event) {
       const auto* asked = std::get_if<QueryArrived>(&event);
       if (asked != nullptr) {
--- a/packages/gateway/tests/waiting_test.cc
+++ b/packages/gateway/tests/waiting_test.cc
@@ -11,7 +11,8 @@
 
 struct WaitingFixture : GatewayFixture {
   std::future<ReceivedAnswer> SendLater(
-      std::string body, std::map<std::string, std::string> headers = {}) {
+      std::string body,
+      const std::map<std::string, std::string>& headers = {}) {
     return std::async(
         std::launch::async, [this, body = std::move(body), headers] {
           return this->Send("POST", "/v1/services/a", body, headers);
--- a/testing/cell/program/main.cc
+++ b/testing/cell/program/main.cc
@@ -67,6 +67,7 @@
 std::vector<std::string> Urls(const Cell& cell,
                               const std::vector<std::string>& names) {
   std::vector<std::string> urls;
+  urls.reserve(names.size());
   for (const std::string& name : names) urls.push_back(cell.Url(name));
   return urls;
 }
--- a/testing/load/src/figures.cc
+++ b/testing/load/src/figures.cc
@@ -32,6 +32,7 @@
                      const std::vector<EntryMetrics>& entries,
                      std::ostream* out) {
   std::vector<std::vector<MetricSample>> processes;
+  processes.reserve(entries.size());
   for (const EntryMetrics& entry : entries) {
     processes.push_back(entry.samples);
   }
--- a/testing/load/src/judge.cc
+++ b/testing/load/src/judge.cc
@@ -156,11 +156,13 @@
       this->Doubled(item.first, "ran more than once");
       continue;
     }
-    for (std::size_t i = 1; i < runs.size(); ++i) {
-      bool twice = std::any_of(
-          runs.begin(), runs.begin() + i,
-          [&](const TaskRun* earlier) { return Overlap(*earlier, *runs[i]); });
-      if (twice) this->Doubled(item.first, "ran in two places at once");
+    for (auto run = runs.begin(); run != runs.end(); ++run) {
+      auto overlaps = [&](const TaskRun* earlier) {
+        return Overlap(*earlier, **run);
+      };
+      if (std::any_of(runs.begin(), run, overlaps)) {
+        this->Doubled(item.first, "ran in two places at once");
+      }
     }
   }
 }
--- a/testing/load/src/load_run.cc
+++ b/testing/load/src/load_run.cc
@@ -135,6 +135,7 @@
     }
   };
   std::vector<std::thread> senders;
+  senders.reserve(static_cast<std::size_t>(options.senders));
   for (std::int32_t i = 0; i < options.senders; ++i) {
     senders.emplace_back(send_some);
   }
