Graceful stop: tests of what is cut, and no wait without a control thread

A start that could not listen waited the whole shutdown timeout before it ended, since the control thread that finishes a shutdown had not begun. Tests: a stop while a booking runs lets its caller have the whole answer and exits 0; a stop that runs out of time answers "unknown" and exits 3; a port in use exits 1 at once. A rejected configuration document is logged. Counters of the gateway by end of request.

--- a/apps/mustardproxy/src/control_loop.cc
+++ b/apps/mustardproxy/src/control_loop.cc
@@ -76,7 +76,7 @@
     this->parts.performer->Refuse(AnswerQuery{asked->query, status});
   }
   if (full) {
-    this->parts.metrics->Count("control_refused_total", EventLabel(event));
+    this->parts.metrics->Count("control_refused", EventLabel(event));
   }
 }
 
--- a/apps/mustardproxy/src/runtime.cc
+++ b/apps/mustardproxy/src/runtime.cc
@@ -31,6 +31,9 @@
   if (auto* configuration = std::get_if<Configuration>(&parsed)) {
     return std::move(*configuration);
   }
+  const Problem& first = std::get<Problems>(parsed).front();
+  Log(Part::kControl, Level::kWarn,
+      "Ignored a configuration document: " + FormatProblem(first) + ".");
   return std::nullopt;
 }
 
@@ -105,6 +108,7 @@
   std::unique_ptr<PeerLink> peer;
   std::unique_ptr<PlatformLink> platform;
   std::unique_ptr<Gateway> gateway;
+  bool started = false;
   bool stopped = false;
 };
 
@@ -193,6 +197,7 @@
       .operators = JoinAddress(settings.operators, ports.value().operators),
       .peers = JoinAddress(settings.peers_listen, peers.value())};
   process.loop.Start();
+  process.started = true;
   process.platform->Start();
   process.platform->RegisterMember(
       settings.process.Text(),
@@ -205,8 +210,10 @@
   process.stopped = true;
   process.gateway->Drain();
   process.loop.Post(ShutdownRequested{});
-  bool finished = process.dispatcher.AwaitFinished(
-      process.settings.limits.shutdown_timeout);
+  // Without a control thread nobody would finish.
+  bool finished =
+      !process.started || process.dispatcher.AwaitFinished(
+                              process.settings.limits.shutdown_timeout);
   // The loop first, so that no action meets a link that has stopped. Answers
   // that were already handed over are still written out.
   process.loop.Stop();
--- a/apps/mustardproxy/tests/program_test.cc
+++ b/apps/mustardproxy/tests/program_test.cc
@@ -1,9 +1,11 @@
 #include "program.h"
 
+#include <Poco/Net/ServerSocket.h>
 #include <Poco/TemporaryFile.h>
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <chrono>
 #include <fstream>
 #include <iterator>
 #include <sstream>
@@ -61,6 +63,20 @@
   BOOST_TEST(Lines(this->errors.str()) == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(port_in_use_ends_the_program_at_once) {
+  Poco::Net::ServerSocket taken(Poco::Net::SocketAddress("127.0.0.1", 0));
+  std::string path = this->Write(R"({
+    "customer": "dlonie", "process": "entry-1", "data_center": "warszawa",
+    "platform_url": "http://127.0.0.1:1",
+    "callers": {"port": )" + std::to_string(taken.address().port()) +
+                                 "}}");
+  auto start = std::chrono::steady_clock::now();
+  BOOST_TEST(this->Run({"--settings", path}) == kExitCannotStart);
+  BOOST_TEST(this->errors.str().find("can not listen") == 0U);
+  auto taken_time = std::chrono::steady_clock::now() - start;
+  BOOST_TEST((taken_time < std::chrono::seconds(30)));
+}
+
 BOOST_AUTO_TEST_CASE(bad_command_lines_are_refused) {
   BOOST_TEST(this->Run({}) == kExitBadSettings);
   BOOST_TEST(this->Run({"--nonsense"}) == kExitBadSettings);
--- a/packages/gateway/src/caller_surface.cc
+++ b/packages/gateway/src/caller_surface.cc
@@ -72,6 +72,22 @@
                         .retry_after = kDefaultRetryAfter});
 }
 
+/// @return the metrics label of how a request ended here
+std::string_view EndLabel(const Settlement& settlement) {
+  if (const auto* answer = std::get_if<Answer>(&settlement)) {
+    switch (answer->outcome) {
+      case Outcome::kCompleted:
+        return "end=completed";
+      case Outcome::kNotRun:
+        return "end=not-run";
+      case Outcome::kUnknown:
+        return "end=unknown";
+    }
+  }
+  return std::holds_alternative<Accepted>(settlement) ? "end=accepted"
+                                                      : "end=unknown";
+}
+
 HttpAnswer SettledAnswer(const RequestId& request,
                          const Settlement& settlement) {
   if (const auto* answer = std::get_if<Answer>(&settlement)) {
@@ -135,10 +151,7 @@
                                         std::int32_t status,
                                         std::error_code error,
                                         std::string detail) {
-  if (this->options.metrics != nullptr) {
-    this->options.metrics->Count("gateway_refused_total",
-                                 "code=" + std::to_string(error.value()));
-  }
+  this->Count("gateway_refused", "code=" + std::to_string(error.value()));
   Problem problem{.status = status,
                   .error = error,
                   .detail = std::move(detail),
@@ -189,10 +202,14 @@
   this->options.sink->Post(RequestArrived{std::move(request)});
   Waiter::End end = scope.Get()->Wait(descriptor, guard);
   if (end == Waiter::End::kSettled) {
-    return SettledAnswer(id, scope.Get()->Take());
+    Settlement settlement = scope.Get()->Take();
+    this->Count("gateway_requests", EndLabel(settlement));
+    return SettledAnswer(id, settlement);
   }
   this->options.sink->Post(CancelRequested{id});
-  if (end == Waiter::End::kCallerGone) return std::nullopt;
+  bool gone = end == Waiter::End::kCallerGone;
+  this->Count("gateway_requests", gone ? "end=caller-gone" : "end=unknown");
+  if (gone) return std::nullopt;
   return FateUnknown(id, "No answer came within the timeout.");
 }
 
@@ -240,6 +257,11 @@
   return StateAnswer(request, *reply->status, question == Question::kCancel);
 }
 
+void CallerSurface::Count(std::string_view name, std::string_view label) {
+  if (this->options.metrics == nullptr) return;
+  this->options.metrics->Count(name, label);
+}
+
 RequestId CallerSurface::NextId() {
   std::uint64_t number = this->next_request.fetch_add(1);
   return RequestId(this->id_prefix + std::to_string(number));
--- a/packages/gateway/src/caller_surface.h
+++ b/packages/gateway/src/caller_surface.h
@@ -51,6 +51,7 @@
                                     int descriptor);
   HttpAnswer RefuseRequest(const RequestId& request, std::int32_t status,
                            std::error_code error, std::string detail);
+  void Count(std::string_view name, std::string_view label);
   RequestId NextId();
 
   CallerOptions options;
--- a/packages/gateway/tests/requests_test.cc
+++ b/packages/gateway/tests/requests_test.cc
@@ -21,6 +21,9 @@
   BOOST_TEST(answer.Header("Content-Type") == "text/plain");
   BOOST_TEST(answer.Header("Mustardproxy-Outcome") == "completed");
   BOOST_TEST(answer.Header("Mustardproxy-Request-Id") == "entry-1.ab.1");
+  BOOST_TEST(
+      this->metrics.Format().find(R"(gateway_requests{end="completed"} 1)") !=
+      std::string::npos);
 }
 
 BOOST_AUTO_TEST_CASE(headers_reach_the_core) {
--- a/testing/cell/tests/cell_test.cc
+++ b/testing/cell/tests/cell_test.cc
@@ -2,6 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 #include <csignal>
+#include <future>
 
 #include "cell/reserved_port.h"
 
@@ -60,6 +61,65 @@
   BOOST_TEST(cell.StopEntries(), cell.Trouble());
 }
 
+/// One entry process with workers, and settings for it.
+CellLayout SmallCell(const std::string& extra_settings) {
+  CellLayout layout;
+  layout.data_centers = 1;
+  layout.entries_per_data_center = 1;
+  layout.workers_per_data_center = 2;
+  layout.extra_settings = extra_settings;
+  return layout;
+}
+
+/// Sends a request that runs for `run_ms` and waits until it runs.
+std::future<std::optional<HttpReply>> SendLong(Cell* cell, int run_ms) {
+  std::string url = cell->Url("entry-1-1");
+  std::string body = R"({"run_ms":)" + std::to_string(run_ms) + "}";
+  auto reply = std::async(std::launch::async, [url, body] {
+    return SendOnce(url, Post("/v1/services/booking", body), kPatience);
+  });
+  bool runs = WaitUntil([cell] {
+    for (const std::string& worker : cell->Workers()) {
+      auto log = SendOnce(
+          cell->Url(worker),
+          {.method = "GET", .path = "/log", .body = "", .headers = {}});
+      if (log && log->body.find("start") != std::string::npos) return true;
+    }
+    return false;
+  });
+  BOOST_REQUIRE(runs);
+  return reply;
+}
+
+BOOST_AUTO_TEST_CASE(graceful_stop_cuts_no_request) {
+  // An operator stops an entry process while a booking runs. Its caller must
+  // get the whole answer, and the process must end as if nothing was cut.
+  Cell cell(SmallCell(""));
+  BOOST_REQUIRE_MESSAGE(cell.Start(), cell.Trouble());
+  auto reply = SendLong(&cell, 1500);
+  auto end = cell.Terminate("entry-1-1");
+  BOOST_REQUIRE(end.has_value());
+  BOOST_TEST(end->exit_code == 0);
+  auto answer = reply.get();
+  BOOST_REQUIRE(answer.has_value());
+  BOOST_TEST(answer->status == kOk);
+  BOOST_TEST(answer->body == R"({"run_ms":1500})");
+}
+
+BOOST_AUTO_TEST_CASE(stop_that_runs_out_of_time_says_so) {
+  // The time for a graceful stop runs out while a booking runs. Its caller
+  // must not hear "not run", and the exit code tells the operator of the cut.
+  Cell cell(SmallCell(R"("limits": {"shutdown_timeout_ms": 300})"));
+  BOOST_REQUIRE_MESSAGE(cell.Start(), cell.Trouble());
+  auto reply = SendLong(&cell, 30'000);
+  auto end = cell.Terminate("entry-1-1");
+  BOOST_REQUIRE(end.has_value());
+  BOOST_TEST(end->exit_code == 3);
+  auto answer = reply.get();
+  BOOST_REQUIRE(answer.has_value());
+  BOOST_TEST(answer->Header("Mustardproxy-Outcome") == "unknown");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
