--- a/packages/gateway/src/body_reader.h
+++ b/packages/gateway/src/body_reader.h
@@ -7,7 +7,7 @@
 #include <cstdint>
 #include <string>
 
-namespace mustardproxy::detail::gateway {
+namespace mustardproxy::gateway_detail {
 
 /// POCO's session with its buffered reads made public.
 class CallerSession final : public Poco::Net::HTTPServerSession {
@@ -47,6 +47,6 @@
 [[nodiscard]] BodyEnd CheckBodyHeader(const Poco::Net::HTTPRequest& header,
                                       std::int64_t limit);
 
-}  // namespace mustardproxy::detail::gateway
+}  // namespace mustardproxy::gateway_detail
 
 #endif  // MUSTARDPROXY_GATEWAY_BODY_READER_H_
--- a/packages/gateway/src/bounded_socket.h
+++ b/packages/gateway/src/bounded_socket.h
@@ -8,7 +8,7 @@
 #include <chrono>
 #include <cstdint>
 
-namespace mustardproxy::detail::gateway {
+namespace mustardproxy::gateway_detail {
 
 /// Socket of one caller with bounds on time and bytes over several calls. A
 /// timeout on each single call would start again with every byte, so a caller
@@ -45,6 +45,6 @@
   BoundedServerSocket();
 };
 
-}  // namespace mustardproxy::detail::gateway
+}  // namespace mustardproxy::gateway_detail
 
 #endif  // MUSTARDPROXY_GATEWAY_BOUNDED_SOCKET_H_
--- a/packages/gateway/src/caller_surface.cc
+++ b/packages/gateway/src/caller_surface.cc
@@ -10,7 +10,7 @@
 #include "mustardproxy/core/events.h"
 #include "problem.h"
 
-namespace mustardproxy::detail::gateway {
+namespace mustardproxy::gateway_detail {
 namespace {
 
 constexpr std::int32_t kAccepted = 202;
@@ -280,4 +280,4 @@
   this->queries.StopAll();
 }
 
-}  // namespace mustardproxy::detail::gateway
+}  // namespace mustardproxy::gateway_detail
--- a/packages/gateway/src/caller_surface.h
+++ b/packages/gateway/src/caller_surface.h
@@ -11,7 +11,7 @@
 #include "mustardproxy/telemetry/metrics.h"
 #include "waiting.h"
 
-namespace mustardproxy::detail::gateway {
+namespace mustardproxy::gateway_detail {
 
 /// What the callers' surface is made with.
 struct CallerOptions {
@@ -64,6 +64,6 @@
   WaitingTable<std::uint64_t> queries;
 };
 
-}  // namespace mustardproxy::detail::gateway
+}  // namespace mustardproxy::gateway_detail
 
 #endif  // MUSTARDPROXY_GATEWAY_CALLER_SURFACE_H_
--- a/packages/gateway/src/connection.cc
+++ b/packages/gateway/src/connection.cc
@@ -13,7 +13,7 @@
 
 #include "mustardproxy/core/error.h"
 
-namespace mustardproxy::detail::gateway {
+namespace mustardproxy::gateway_detail {
 namespace {
 
 using Breach = BoundedSocketImpl::Breach;
@@ -253,4 +253,4 @@
   }
 }
 
-}  // namespace mustardproxy::detail::gateway
+}  // namespace mustardproxy::gateway_detail
--- a/packages/gateway/src/connection.h
+++ b/packages/gateway/src/connection.h
@@ -11,7 +11,7 @@
 #include "connection_table.h"
 #include "http_message.h"
 
-namespace mustardproxy::detail::gateway {
+namespace mustardproxy::gateway_detail {
 
 /// Bounds on one connection.
 struct ConnectionLimits {
@@ -60,6 +60,6 @@
   ConnectionTable::Admission admission;
 };
 
-}  // namespace mustardproxy::detail::gateway
+}  // namespace mustardproxy::gateway_detail
 
 #endif  // MUSTARDPROXY_GATEWAY_CONNECTION_H_
--- a/packages/gateway/src/connection_table.cc
+++ b/packages/gateway/src/connection_table.cc
@@ -2,7 +2,7 @@
 
 #include <Poco/Exception.h>
 
-namespace mustardproxy::detail::gateway {
+namespace mustardproxy::gateway_detail {
 namespace {
 
 /// What has already arrived can still be read afterwards, so a request that
@@ -55,4 +55,4 @@
   return this->served;
 }
 
-}  // namespace mustardproxy::detail::gateway
+}  // namespace mustardproxy::gateway_detail
--- a/packages/gateway/src/connection_table.h
+++ b/packages/gateway/src/connection_table.h
@@ -7,7 +7,7 @@
 #include <map>
 #include <mutex>
 
-namespace mustardproxy::detail::gateway {
+namespace mustardproxy::gateway_detail {
 
 /// The connections of one listener, to bound their number and to end the idle
 /// ones. Safe from any thread.
@@ -43,6 +43,6 @@
   std::map<poco_socket_t, Entry> entries;
 };
 
-}  // namespace mustardproxy::detail::gateway
+}  // namespace mustardproxy::gateway_detail
 
 #endif  // MUSTARDPROXY_GATEWAY_CONNECTION_TABLE_H_
--- a/packages/gateway/src/deferred_answer.cc
+++ b/packages/gateway/src/deferred_answer.cc
@@ -8,7 +8,7 @@
 #include "mustardproxy/core/error.h"
 #include "problem.h"
 
-namespace mustardproxy::detail::gateway {
+namespace mustardproxy::gateway_detail {
 namespace {
 
 constexpr std::int32_t kOk = 200;
@@ -123,4 +123,4 @@
   return FinalAnswer(request, status.result);
 }
 
-}  // namespace mustardproxy::detail::gateway
+}  // namespace mustardproxy::gateway_detail
--- a/packages/gateway/src/deferred_answer.h
+++ b/packages/gateway/src/deferred_answer.h
@@ -6,7 +6,7 @@
 #include "http_message.h"
 #include "mustardproxy/core/request.h"
 
-namespace mustardproxy::detail::gateway {
+namespace mustardproxy::gateway_detail {
 
 /// @return a problem if the question could not be answered: the request is
 ///   unknown, or the core was too busy to look
@@ -20,6 +20,6 @@
 [[nodiscard]] HttpAnswer ResultAnswer(const RequestId& request,
                                       const DeferredStatus& status);
 
-}  // namespace mustardproxy::detail::gateway
+}  // namespace mustardproxy::gateway_detail
 
 #endif  // MUSTARDPROXY_GATEWAY_DEFERRED_ANSWER_H_
--- a/packages/gateway/src/gateway.cc
+++ b/packages/gateway/src/gateway.cc
@@ -14,7 +14,7 @@
 /// Operators and scrapers are few.
 constexpr std::int32_t kOperatorConnections = 32;
 
-detail::gateway::ConnectionLimits MakeLimits(const GatewayLimits& limits) {
+gateway_detail::ConnectionLimits MakeLimits(const GatewayLimits& limits) {
   return {.max_header_bytes = limits.max_header_bytes,
           .max_body_bytes = limits.max_body_bytes,
           .header_time = limits.header_time,
@@ -25,8 +25,8 @@
 }  // namespace
 
 struct Gateway::State {
-  State(detail::gateway::CallerOptions options,
-        detail::gateway::OperatorSources sources, const GatewayLimits& limits)
+  State(gateway_detail::CallerOptions options,
+        gateway_detail::OperatorSources sources, const GatewayLimits& limits)
       : operators(std::move(sources), &this->draining),
         callers(std::move(options), &this->operators, &this->draining),
         caller_listener("callers", MakeLimits(limits), limits.max_connections,
@@ -39,10 +39,10 @@
   std::string operators_host;
   std::uint16_t operators_port = 0;
   std::atomic<bool> draining = false;
-  detail::gateway::OperatorSurface operators;
-  detail::gateway::CallerSurface callers;
-  detail::gateway::Listener caller_listener;
-  detail::gateway::Listener operator_listener;
+  gateway_detail::OperatorSurface operators;
+  gateway_detail::CallerSurface callers;
+  gateway_detail::Listener caller_listener;
+  gateway_detail::Listener operator_listener;
 };
 
 Gateway::Gateway(std::unique_ptr<State> state) : state(std::move(state)) {}
@@ -78,12 +78,12 @@
 }
 
 void Gateway::Perform(const ReplyAccepted& action) {
-  this->state->callers.Settle(action.request, detail::gateway::Accepted{});
+  this->state->callers.Settle(action.request, gateway_detail::Accepted{});
 }
 
 void Gateway::Perform(const AnswerQuery& action) {
   this->state->callers.Settle(action.query,
-                              detail::gateway::QueryReply{action.status});
+                              gateway_detail::QueryReply{action.status});
 }
 
 Gateway::Builder& Gateway::Builder::Self(ProcessId process,
@@ -139,16 +139,15 @@
 }
 
 std::unique_ptr<Gateway> Gateway::Builder::Build() {
-  detail::gateway::CallerOptions options{
-      .process = this->process,
-      .incarnation = this->incarnation,
-      .max_timeout = this->limits.max_timeout,
-      .sink = this->sink,
-      .metrics = this->metrics};
-  detail::gateway::OperatorSources sources{.status = this->status,
-                                           .ready = this->ready,
-                                           .timeline = this->timeline,
-                                           .metrics = this->metrics};
+  gateway_detail::CallerOptions options{.process = this->process,
+                                        .incarnation = this->incarnation,
+                                        .max_timeout = this->limits.max_timeout,
+                                        .sink = this->sink,
+                                        .metrics = this->metrics};
+  gateway_detail::OperatorSources sources{.status = this->status,
+                                          .ready = this->ready,
+                                          .timeline = this->timeline,
+                                          .metrics = this->metrics};
   auto made = std::make_unique<State>(std::move(options), std::move(sources),
                                       this->limits);
   made->callers_host = this->callers_host;
--- a/packages/gateway/src/header_check.cc
+++ b/packages/gateway/src/header_check.cc
@@ -9,7 +9,7 @@
 #include "http_message.h"
 #include "mustardproxy/core/request.h"
 
-namespace mustardproxy::detail::gateway {
+namespace mustardproxy::gateway_detail {
 namespace {
 
 constexpr std::string_view kNameMarks = "-_.";
@@ -91,4 +91,4 @@
                "a whole number from 1 to " + std::to_string(most.count()));
 }
 
-}  // namespace mustardproxy::detail::gateway
+}  // namespace mustardproxy::gateway_detail
--- a/packages/gateway/src/header_check.h
+++ b/packages/gateway/src/header_check.h
@@ -8,7 +8,7 @@
 
 #include "mustardproxy/core/time.h"
 
-namespace mustardproxy::detail::gateway {
+namespace mustardproxy::gateway_detail {
 
 inline constexpr std::size_t kMaxKeyLength = 128;
 inline constexpr std::size_t kMaxNameLength = 64;
@@ -35,6 +35,6 @@
                                        Duration max_timeout,
                                        CallerHeaders* headers);
 
-}  // namespace mustardproxy::detail::gateway
+}  // namespace mustardproxy::gateway_detail
 
 #endif  // MUSTARDPROXY_GATEWAY_HEADER_CHECK_H_
--- a/packages/gateway/src/http_message.h
+++ b/packages/gateway/src/http_message.h
@@ -11,7 +11,7 @@
 
 #include "mustardproxy/core/request.h"
 
-namespace mustardproxy::detail::gateway {
+namespace mustardproxy::gateway_detail {
 
 /// Methods that any surface knows.
 enum class Method { kGet, kPost, kDelete, kOther };
@@ -77,6 +77,6 @@
 inline constexpr std::string_view kTimeoutHeader = "Mustardproxy-Timeout-Ms";
 inline constexpr std::string_view kKeyHeader = "Idempotency-Key";
 
-}  // namespace mustardproxy::detail::gateway
+}  // namespace mustardproxy::gateway_detail
 
 #endif  // MUSTARDPROXY_GATEWAY_HTTP_MESSAGE_H_
--- a/packages/gateway/src/listener.cc
+++ b/packages/gateway/src/listener.cc
@@ -12,7 +12,7 @@
 
 #include "bounded_socket.h"
 
-namespace mustardproxy::detail::gateway {
+namespace mustardproxy::gateway_detail {
 namespace {
 
 /// Threads kept for refusals when all others serve.
@@ -124,4 +124,4 @@
   this->server.reset();
 }
 
-}  // namespace mustardproxy::detail::gateway
+}  // namespace mustardproxy::gateway_detail
--- a/packages/gateway/src/listener.h
+++ b/packages/gateway/src/listener.h
@@ -13,7 +13,7 @@
 #include "http_message.h"
 #include "mustardproxy/core/result.h"
 
-namespace mustardproxy::detail::gateway {
+namespace mustardproxy::gateway_detail {
 
 /// One listening socket and the threads of its connections.
 class Listener {
@@ -42,6 +42,6 @@
   std::unique_ptr<Poco::Net::TCPServer> server;
 };
 
-}  // namespace mustardproxy::detail::gateway
+}  // namespace mustardproxy::gateway_detail
 
 #endif  // MUSTARDPROXY_GATEWAY_LISTENER_H_
--- a/packages/gateway/src/operator_surface.cc
+++ b/packages/gateway/src/operator_surface.cc
@@ -6,7 +6,7 @@
 #include "mustardproxy/core/error.h"
 #include "problem.h"
 
-namespace mustardproxy::detail::gateway {
+namespace mustardproxy::gateway_detail {
 namespace {
 
 constexpr std::int32_t kOk = 200;
@@ -102,4 +102,4 @@
   return TextAnswer(kOk, std::string(kJson), FormatEvents(events));
 }
 
-}  // namespace mustardproxy::detail::gateway
+}  // namespace mustardproxy::gateway_detail
--- a/packages/gateway/src/operator_surface.h
+++ b/packages/gateway/src/operator_surface.h
@@ -9,7 +9,7 @@
 #include "mustardproxy/telemetry/metrics.h"
 #include "mustardproxy/telemetry/timeline.h"
 
-namespace mustardproxy::detail::gateway {
+namespace mustardproxy::gateway_detail {
 
 /// Where the operators' calls get their content.
 struct OperatorSources {
@@ -37,6 +37,6 @@
   const std::atomic<bool>* draining;
 };
 
-}  // namespace mustardproxy::detail::gateway
+}  // namespace mustardproxy::gateway_detail
 
 #endif  // MUSTARDPROXY_GATEWAY_OPERATOR_SURFACE_H_
--- a/packages/gateway/src/problem.cc
+++ b/packages/gateway/src/problem.cc
@@ -6,7 +6,7 @@
 #include <chrono>
 #include <sstream>
 
-namespace mustardproxy::detail::gateway {
+namespace mustardproxy::gateway_detail {
 namespace {
 
 constexpr std::int32_t kLowestFinalStatus = 200;
@@ -95,4 +95,4 @@
   return result;
 }
 
-}  // namespace mustardproxy::detail::gateway
+}  // namespace mustardproxy::gateway_detail
--- a/packages/gateway/src/problem.h
+++ b/packages/gateway/src/problem.h
@@ -8,7 +8,7 @@
 #include "http_message.h"
 #include "mustardproxy/core/request.h"
 
-namespace mustardproxy::detail::gateway {
+namespace mustardproxy::gateway_detail {
 
 /// What a problem document says.
 struct Problem {
@@ -34,6 +34,6 @@
 /// @return `completed`, `not-run` or `unknown`
 [[nodiscard]] std::string_view Name(Outcome outcome);
 
-}  // namespace mustardproxy::detail::gateway
+}  // namespace mustardproxy::gateway_detail
 
 #endif  // MUSTARDPROXY_GATEWAY_PROBLEM_H_
--- a/packages/gateway/src/waiting.cc
+++ b/packages/gateway/src/waiting.cc
@@ -9,7 +9,7 @@
 #include <cerrno>
 #include <chrono>
 
-namespace mustardproxy::detail::gateway {
+namespace mustardproxy::gateway_detail {
 namespace {
 
 using SteadyClock = std::chrono::steady_clock;
@@ -54,4 +54,4 @@
   return std::move(*this->settlement);
 }
 
-}  // namespace mustardproxy::detail::gateway
+}  // namespace mustardproxy::gateway_detail
--- a/packages/gateway/src/waiting.h
+++ b/packages/gateway/src/waiting.h
@@ -12,7 +12,7 @@
 #include "mustardproxy/core/request.h"
 #include "mustardproxy/core/time.h"
 
-namespace mustardproxy::detail::gateway {
+namespace mustardproxy::gateway_detail {
 
 /// Deferred work was accepted.
 struct Accepted {};
@@ -96,6 +96,6 @@
   bool stopped = false;
 };
 
-}  // namespace mustardproxy::detail::gateway
+}  // namespace mustardproxy::gateway_detail
 
 #endif  // MUSTARDPROXY_GATEWAY_WAITING_H_
--- a/packages/platform/src/claim_keeper.cc
+++ b/packages/platform/src/claim_keeper.cc
@@ -10,7 +10,7 @@
 #include "mustardproxy/telemetry/log.h"
 #include "stored_codec.h"
 
-namespace mustardproxy::detail {
+namespace mustardproxy::platform_detail {
 namespace {
 
 constexpr std::uint64_t kFnvOffset = 0xcbf29ce484222325;
@@ -201,4 +201,4 @@
   return client->Swap(name, value, read->index) == SwapEnd::kSwapped;
 }
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::platform_detail
--- a/packages/platform/src/claim_keeper.h
+++ b/packages/platform/src/claim_keeper.h
@@ -11,7 +11,7 @@
 /// Claims on idempotency keys. All keys of a team with the same hash share one
 /// value, which only compare-and-swap changes: a removal that is delayed on its
 /// way could take away a later claim, so a dropped claim leaves an empty value.
-namespace mustardproxy::detail {
+namespace mustardproxy::platform_detail {
 
 /// @return `claim/<team>/<FNV-1a of key in hex>`
 [[nodiscard]] std::string ClaimKeyName(const TeamId& team,
@@ -26,6 +26,6 @@
 /// @return false if it is to be tried again; repeating it is safe
 [[nodiscard]] bool SettleClaim(KeyValueClient* client, const SettleKey& action);
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::platform_detail
 
 #endif  // MUSTARDPROXY_PLATFORM_SRC_CLAIM_KEEPER_H_
--- a/packages/platform/src/configuration_watch.cc
+++ b/packages/platform/src/configuration_watch.cc
@@ -6,7 +6,7 @@
 #include "mustardproxy/telemetry/clock.h"
 #include "mustardproxy/telemetry/log.h"
 
-namespace mustardproxy::detail {
+namespace mustardproxy::platform_detail {
 namespace {
 
 /// Pause after a call that failed, found nothing, or did not wait: a platform
@@ -84,4 +84,4 @@
   this->sink->Post(ConfigurationArrived{std::move(*configuration)});
 }
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::platform_detail
--- a/packages/platform/src/configuration_watch.h
+++ b/packages/platform/src/configuration_watch.h
@@ -9,7 +9,7 @@
 #include "mustardproxy/core/event_sink.h"
 #include "mustardproxy/platform/platform_link.h"
 
-namespace mustardproxy::detail {
+namespace mustardproxy::platform_detail {
 
 /// Reads the configuration document once, and then keeps a waiting call on it
 /// for as long as it is asked to.
@@ -42,6 +42,6 @@
   std::uint64_t index = 0;
 };
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::platform_detail
 
 #endif  // MUSTARDPROXY_PLATFORM_SRC_CONFIGURATION_WATCH_H_
--- a/packages/platform/src/http_caller.cc
+++ b/packages/platform/src/http_caller.cc
@@ -19,7 +19,7 @@
 #include "mustardproxy/telemetry/clock.h"
 #include "mustardproxy/telemetry/log.h"
 
-namespace mustardproxy::detail {
+namespace mustardproxy::platform_detail {
 namespace {
 
 /// Longest time that `Abort` goes unnoticed.
@@ -185,4 +185,4 @@
   return false;
 }
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::platform_detail
--- a/packages/platform/src/http_caller.h
+++ b/packages/platform/src/http_caller.h
@@ -14,7 +14,7 @@
 #include "mustardproxy/core/time.h"
 #include "mustardproxy/platform/call_observer.h"
 
-namespace mustardproxy::detail {
+namespace mustardproxy::platform_detail {
 
 /// One HTTP call.
 struct HttpCall {
@@ -60,6 +60,6 @@
   std::atomic<bool> aborted = false;
 };
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::platform_detail
 
 #endif  // MUSTARDPROXY_PLATFORM_SRC_HTTP_CALLER_H_
--- a/packages/platform/src/job_pool.cc
+++ b/packages/platform/src/job_pool.cc
@@ -4,7 +4,7 @@
 
 #include "mustardproxy/telemetry/clock.h"
 
-namespace mustardproxy::detail {
+namespace mustardproxy::platform_detail {
 
 JobPool::JobPool(JobPoolOptions options) : options(std::move(options)) {}
 
@@ -84,4 +84,4 @@
   }
 }
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::platform_detail
--- a/packages/platform/src/job_pool.h
+++ b/packages/platform/src/job_pool.h
@@ -15,7 +15,7 @@
 #include "mustardproxy/core/time.h"
 #include "mustardproxy/platform/key_value_client.h"
 
-namespace mustardproxy::detail {
+namespace mustardproxy::platform_detail {
 
 /// Work that calls the platform.
 /// @return nothing once it is done, or the pause until it is to run again
@@ -65,6 +65,6 @@
   bool stopped = false;
 };
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::platform_detail
 
 #endif  // MUSTARDPROXY_PLATFORM_SRC_JOB_POOL_H_
--- a/packages/platform/src/journal_archive.cc
+++ b/packages/platform/src/journal_archive.cc
@@ -9,7 +9,7 @@
 #include "mustardproxy/telemetry/log.h"
 #include "stored_codec.h"
 
-namespace mustardproxy::detail {
+namespace mustardproxy::platform_detail {
 namespace {
 
 /// Highest numbers seen among the keys of one journal.
@@ -132,4 +132,4 @@
   return removable;
 }
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::platform_detail
--- a/packages/platform/src/journal_archive.h
+++ b/packages/platform/src/journal_archive.h
@@ -11,7 +11,7 @@
 
 /// Lists, reads and trims journals. Each function gives nothing when the
 /// platform is away.
-namespace mustardproxy::detail {
+namespace mustardproxy::platform_detail {
 
 /// @return journals with batches that are not trimmed
 [[nodiscard]] std::optional<JournalsListed> ListLiveJournals(
@@ -28,6 +28,6 @@
 [[nodiscard]] std::optional<std::vector<std::string>> BeginTrim(
     KeyValueClient* client, const JournalId& journal, std::uint64_t through);
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::platform_detail
 
 #endif  // MUSTARDPROXY_PLATFORM_SRC_JOURNAL_ARCHIVE_H_
--- a/packages/platform/src/journal_keys.cc
+++ b/packages/platform/src/journal_keys.cc
@@ -5,7 +5,7 @@
 
 #include "mustardproxy/platform/key_value_client.h"
 
-namespace mustardproxy::detail {
+namespace mustardproxy::platform_detail {
 namespace {
 
 constexpr std::size_t kDigits = 20;
@@ -54,4 +54,4 @@
   return whole ? std::optional(parts) : std::nullopt;
 }
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::platform_detail
--- a/packages/platform/src/journal_keys.h
+++ b/packages/platform/src/journal_keys.h
@@ -12,7 +12,7 @@
 /// `journal/<journal>/<sequence>` for its batches, and
 /// `journal/<journal>/trimmed-<sequence>` for the number up to which its
 /// batches no longer count. Numbers have 20 digits, so that keys sort by them.
-namespace mustardproxy::detail {
+namespace mustardproxy::platform_detail {
 
 /// What a key below `journal/` stands for.
 struct JournalKeyParts {
@@ -31,6 +31,6 @@
 [[nodiscard]] std::optional<JournalKeyParts> ParseJournalKey(
     std::string_view key);
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::platform_detail
 
 #endif  // MUSTARDPROXY_PLATFORM_SRC_JOURNAL_KEYS_H_
--- a/packages/platform/src/journal_writer.cc
+++ b/packages/platform/src/journal_writer.cc
@@ -7,7 +7,7 @@
 #include "mustardproxy/telemetry/log.h"
 #include "stored_codec.h"
 
-namespace mustardproxy::detail {
+namespace mustardproxy::platform_detail {
 namespace {
 
 /// A write whose reply was lost, or whose earlier copy took effect, shows as
@@ -53,4 +53,4 @@
   return Settle(client, batch, key);
 }
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::platform_detail
--- a/packages/platform/src/journal_writer.h
+++ b/packages/platform/src/journal_writer.h
@@ -5,7 +5,7 @@
 #include "mustardproxy/core/journal_record.h"
 #include "mustardproxy/platform/key_value_client.h"
 
-namespace mustardproxy::detail {
+namespace mustardproxy::platform_detail {
 
 /// Appends one batch to its journal by create-if-absent, and settles a lost
 /// reply or a conflict by reading.
@@ -13,6 +13,6 @@
 [[nodiscard]] Event AppendBatch(KeyValueClient* client,
                                 const JournalBatch& batch);
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::platform_detail
 
 #endif  // MUSTARDPROXY_PLATFORM_SRC_JOURNAL_WRITER_H_
--- a/packages/platform/src/key_value_client.cc
+++ b/packages/platform/src/key_value_client.cc
@@ -12,8 +12,8 @@
 namespace mustardproxy {
 namespace {
 
-using detail::HttpCall;
-using detail::HttpReply;
+using platform_detail::HttpCall;
+using platform_detail::HttpReply;
 using Status = Poco::Net::HTTPResponse::HTTPStatus;
 
 constexpr std::string_view kReservedInKeys = "?#[]@!$&'()*+,;= %";
@@ -60,7 +60,7 @@
   std::optional<HttpReply> Do(CallKind kind, const HttpCall& call);
   Result<std::optional<KeyValue>> GetOne(CallKind kind, const HttpCall& call);
 
-  detail::HttpCaller caller;
+  platform_detail::HttpCaller caller;
   CallObserver* observer = nullptr;
   CallEnd last_end = CallEnd::kNotSent;
 };
@@ -87,7 +87,8 @@
   if (reply->status != Status::HTTP_OK) {
     return make_error_code(Error::kPlatformUnavailable);
   }
-  Result<std::vector<KeyValue>> values = detail::ParseKeyValues(reply->body);
+  Result<std::vector<KeyValue>> values =
+      platform_detail::ParseKeyValues(reply->body);
   if (!values || values.value().size() != 1) {
     return make_error_code(Error::kMalformedReply);
   }
@@ -118,7 +119,7 @@
   if (!reply || reply->status != Status::HTTP_OK) {
     return make_error_code(Error::kPlatformUnavailable);
   }
-  return detail::ParseKeyValues(reply->body);
+  return platform_detail::ParseKeyValues(reply->body);
 }
 
 Result<std::vector<std::string>> KeyValueClient::Keys(std::string_view prefix) {
@@ -130,7 +131,7 @@
   if (!reply || reply->status != Status::HTTP_OK) {
     return make_error_code(Error::kPlatformUnavailable);
   }
-  return detail::ParseKeys(reply->body);
+  return platform_detail::ParseKeys(reply->body);
 }
 
 SwapEnd KeyValueClient::Swap(std::string_view key, std::string_view value,
@@ -163,7 +164,7 @@
   if (!reply || reply->status != Status::HTTP_OK) {
     return make_error_code(Error::kPlatformUnavailable);
   }
-  return detail::ParseHosts(reply->body);
+  return platform_detail::ParseHosts(reply->body);
 }
 
 CallEnd KeyValueClient::LastEnd() const { return this->state->last_end; }
--- a/packages/platform/src/key_value_json.cc
+++ b/packages/platform/src/key_value_json.cc
@@ -12,7 +12,7 @@
 
 #include "mustardproxy/core/error.h"
 
-namespace mustardproxy::detail {
+namespace mustardproxy::platform_detail {
 namespace {
 
 std::string DecodeBase64(const std::string& text) {
@@ -108,4 +108,4 @@
   }
 }
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::platform_detail
--- a/packages/platform/src/key_value_json.h
+++ b/packages/platform/src/key_value_json.h
@@ -10,7 +10,7 @@
 
 /// Reads the JSON of the platform's replies. Each fails with
 /// `Error::kMalformedReply`.
-namespace mustardproxy::detail {
+namespace mustardproxy::platform_detail {
 
 [[nodiscard]] Result<std::vector<KeyValue>> ParseKeyValues(
     const std::string& json);
@@ -20,6 +20,6 @@
 [[nodiscard]] Result<std::vector<WorkerDescription>> ParseHosts(
     const std::string& json);
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::platform_detail
 
 #endif  // MUSTARDPROXY_PLATFORM_SRC_KEY_VALUE_JSON_H_
--- a/packages/platform/src/platform_link.cc
+++ b/packages/platform/src/platform_link.cc
@@ -17,9 +17,9 @@
 namespace mustardproxy {
 namespace {
 
-using detail::Job;
-using detail::JobPool;
-using detail::JobPoolOptions;
+using platform_detail::Job;
+using platform_detail::JobPool;
+using platform_detail::JobPoolOptions;
 
 /// Pause before work in the background is tried again.
 constexpr Duration kRetryPause = std::chrono::seconds(1);
@@ -70,8 +70,8 @@
 
  private:
   std::optional<Duration> Begin(KeyValueClient* client) {
-    auto keys =
-        detail::BeginTrim(client, this->action.journal, this->action.through);
+    auto keys = platform_detail::BeginTrim(client, this->action.journal,
+                                           this->action.through);
     if (!keys) {
       return std::nullopt;
     }
@@ -92,7 +92,7 @@
   explicit SettleJob(SettleKey action) : action(std::move(action)) {}
 
   std::optional<Duration> operator()(KeyValueClient* client) {
-    if (detail::SettleClaim(client, this->action)) {
+    if (platform_detail::SettleClaim(client, this->action)) {
       return std::nullopt;
     }
     const Duration now = this->pause;
@@ -117,13 +117,13 @@
   EventSink* sink;
   Duration timeout;
   Duration host_interval;
-  detail::Reachability reachability;
+  platform_detail::Reachability reachability;
   JobPool watch_pool;
   JobPool host_pool;
   JobPool journal_pool;
   JobPool claim_pool;
   JobPool background_pool;
-  detail::ConfigurationWatch watch;
+  platform_detail::ConfigurationWatch watch;
   /// Last list that was posted; used by the poll alone.
   std::optional<std::vector<WorkerDescription>> hosts;
 };
@@ -205,7 +205,7 @@
   const bool added = this->state->journal_pool.Add(
       [sink, batch = action.batch](
           KeyValueClient* client) -> std::optional<Duration> {
-        sink->Post(detail::AppendBatch(client, batch));
+        sink->Post(platform_detail::AppendBatch(client, batch));
         return std::nullopt;
       });
   if (!added) {
@@ -217,7 +217,7 @@
   EventSink* sink = this->state->sink;
   this->state->background_pool.Add(
       [sink](KeyValueClient* client) -> std::optional<Duration> {
-        PostIf(sink, detail::ListLiveJournals(client));
+        PostIf(sink, platform_detail::ListLiveJournals(client));
         return std::nullopt;
       });
 }
@@ -226,7 +226,7 @@
   EventSink* sink = this->state->sink;
   this->state->background_pool.Add(
       [sink, action](KeyValueClient* client) -> std::optional<Duration> {
-        PostIf(sink, detail::ReadBatches(client, action.journal));
+        PostIf(sink, platform_detail::ReadBatches(client, action.journal));
         return std::nullopt;
       });
 }
@@ -246,7 +246,7 @@
         if (SteadyNow() >= give_up) {
           sink->Post(KeyUnavailable{action.request, false});
         } else {
-          sink->Post(detail::TakeClaim(client, action));
+          sink->Post(platform_detail::TakeClaim(client, action));
         }
         return std::nullopt;
       });
--- a/packages/platform/src/reachability.cc
+++ b/packages/platform/src/reachability.cc
@@ -4,7 +4,7 @@
 
 #include "mustardproxy/telemetry/log.h"
 
-namespace mustardproxy::detail {
+namespace mustardproxy::platform_detail {
 namespace {
 
 constexpr int kFailuresToLose = 3;
@@ -50,4 +50,4 @@
   this->sink->Post(PlatformReachability{now_reachable});
 }
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::platform_detail
--- a/packages/platform/src/reachability.h
+++ b/packages/platform/src/reachability.h
@@ -8,7 +8,7 @@
 #include "mustardproxy/platform/call_observer.h"
 #include "mustardproxy/telemetry/metrics.h"
 
-namespace mustardproxy::detail {
+namespace mustardproxy::platform_detail {
 
 /// Tells the core when the platform stops and begins to answer, and counts the
 /// calls. A change needs several calls in a row with the same end, so that one
@@ -32,6 +32,6 @@
   int successes = 0;
 };
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::platform_detail
 
 #endif  // MUSTARDPROXY_PLATFORM_SRC_REACHABILITY_H_
--- a/packages/platform/src/stored_codec.cc
+++ b/packages/platform/src/stored_codec.cc
@@ -9,7 +9,7 @@
 
 #include "mustardproxy/core/error.h"
 
-namespace mustardproxy::detail {
+namespace mustardproxy::platform_detail {
 namespace {
 
 Body ToBody(const std::string& bytes) {
@@ -255,4 +255,4 @@
   return bucket;
 }
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::platform_detail
--- a/packages/platform/src/stored_codec.h
+++ b/packages/platform/src/stored_codec.h
@@ -11,7 +11,7 @@
 
 /// Turns what is kept in the platform into bytes and back. The journal and the
 /// sequence number of a batch are in its key, not in its bytes.
-namespace mustardproxy::detail {
+namespace mustardproxy::platform_detail {
 
 /// A claim with the key that it is on.
 struct StoredClaim {
@@ -28,6 +28,6 @@
 /// @return nothing if the bytes are not a bucket
 [[nodiscard]] std::optional<ClaimBucket> DecodeBucket(std::string_view bytes);
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::platform_detail
 
 #endif  // MUSTARDPROXY_PLATFORM_SRC_STORED_CODEC_H_
--- a/packages/platform/tests/claim_test.cc
+++ b/packages/platform/tests/claim_test.cc
@@ -30,7 +30,7 @@
 using mustardproxy::SwapEnd;
 using mustardproxy::TeamId;
 using mustardproxy::View;
-namespace detail = mustardproxy::detail;
+namespace platform_detail = mustardproxy::platform_detail;
 using mustardproxy::standin::StandinPlatform;
 using mustardproxy::testing::EventList;
 using mustardproxy::testing::Eventually;
@@ -64,12 +64,12 @@
 };
 
 struct Fixture {
-  detail::ClaimBucket Stored() const {
+  platform_detail::ClaimBucket Stored() const {
     const auto values = this->platform.Values(kClaimPrefix);
     if (values.size() != 1) {
       return {};
     }
-    return detail::DecodeBucket(values.begin()->second).value();
+    return platform_detail::DecodeBucket(values.begin()->second).value();
   }
 
   StandinPlatform platform;
@@ -82,8 +82,9 @@
 BOOST_FIXTURE_TEST_SUITE(claims, Fixture)
 
 BOOST_AUTO_TEST_CASE(the_name_of_a_claim_holds_the_hash_of_its_key) {
-  BOOST_TEST(detail::ClaimKeyName(kTeam, "") == "claim/addis/cbf29ce484222325");
-  BOOST_TEST(detail::ClaimKeyName(kTeam, "a") ==
+  BOOST_TEST(platform_detail::ClaimKeyName(kTeam, "") ==
+             "claim/addis/cbf29ce484222325");
+  BOOST_TEST(platform_detail::ClaimKeyName(kTeam, "a") ==
              "claim/addis/af63dc4c8601ec8c");
 }
 
@@ -177,11 +178,11 @@
 BOOST_AUTO_TEST_CASE(a_late_drop_leaves_a_later_claim) {
   KeyValueClient client(this->platform.Url(), 10s);
   BOOST_TEST(std::holds_alternative<KeyClaimed>(
-      detail::TakeClaim(&client, Claim("r1"))));
-  BOOST_TEST(detail::SettleClaim(&client, Settle("r1", true)));
+      platform_detail::TakeClaim(&client, Claim("r1"))));
+  BOOST_TEST(platform_detail::SettleClaim(&client, Settle("r1", true)));
   BOOST_TEST(std::holds_alternative<KeyClaimed>(
-      detail::TakeClaim(&client, Claim("r2"))));
-  BOOST_TEST(detail::SettleClaim(&client, Settle("r1", true)));
+      platform_detail::TakeClaim(&client, Claim("r2"))));
+  BOOST_TEST(platform_detail::SettleClaim(&client, Settle("r1", true)));
   BOOST_REQUIRE(this->Stored().size() == 1U);
   BOOST_TEST(this->Stored()[0].claim.request == RequestId("r2"));
 }
@@ -190,19 +191,20 @@
 // dropped, the late write must not block the key for good.
 BOOST_AUTO_TEST_CASE(a_drop_refuses_a_claim_that_arrives_late) {
   KeyValueClient client(this->platform.Url(), 10s);
-  BOOST_TEST(detail::SettleClaim(&client, Settle("r1", true)));
-  const std::string name = detail::ClaimKeyName(kTeam, "key");
+  BOOST_TEST(platform_detail::SettleClaim(&client, Settle("r1", true)));
+  const std::string name = platform_detail::ClaimKeyName(kTeam, "key");
   BOOST_TEST((client.Swap(name, "late", 0) == SwapEnd::kConflict));
   BOOST_TEST(std::holds_alternative<KeyClaimed>(
-      detail::TakeClaim(&client, Claim("r2"))));
+      platform_detail::TakeClaim(&client, Claim("r2"))));
 }
 
 // Two different keys with the same hash: neither may shut the other out, or see
 // the other's answer.
 BOOST_AUTO_TEST_CASE(keys_with_the_same_hash_are_kept_apart) {
-  const detail::ClaimBucket other = {{"other", {RequestId("r0"), 5, {}}}};
-  this->platform.Put(detail::ClaimKeyName(kTeam, "key"),
-                     detail::EncodeBucket(other));
+  const platform_detail::ClaimBucket other = {
+      {"other", {RequestId("r0"), 5, {}}}};
+  this->platform.Put(platform_detail::ClaimKeyName(kTeam, "key"),
+                     platform_detail::EncodeBucket(other));
   this->first.link->Perform(Claim("r1"));
   BOOST_TEST(this->first.events.Take<KeyClaimed>().has_value());
   this->second.link->Perform(Claim("r2"));
@@ -233,11 +235,11 @@
 BOOST_AUTO_TEST_CASE(an_answer_that_does_not_fit_is_told) {
   KeyValueClient client(this->platform.Url(), 10s);
   BOOST_TEST(std::holds_alternative<KeyClaimed>(
-      detail::TakeClaim(&client, Claim("r1"))));
+      platform_detail::TakeClaim(&client, Claim("r1"))));
   SettleKey settle = Settle("r1", false);
   settle.answer.body = std::make_shared<const std::string>(kMaxValueBytes, 'x');
-  BOOST_TEST(detail::SettleClaim(&client, settle));
-  const Event end = detail::TakeClaim(&client, Claim("r2"));
+  BOOST_TEST(platform_detail::SettleClaim(&client, settle));
+  const Event end = platform_detail::TakeClaim(&client, Claim("r2"));
   BOOST_REQUIRE(std::holds_alternative<KeyTaken>(end));
   const auto& answer = std::get<KeyTaken>(end).claim.answer;
   BOOST_REQUIRE(answer.has_value());
--- a/packages/platform/tests/journal_archive_test.cc
+++ b/packages/platform/tests/journal_archive_test.cc
@@ -31,7 +31,7 @@
 using mustardproxy::ReadJournal;
 using mustardproxy::RequestId;
 using mustardproxy::TrimJournal;
-namespace detail = mustardproxy::detail;
+namespace platform_detail = mustardproxy::platform_detail;
 using mustardproxy::standin::StandinPlatform;
 using mustardproxy::testing::EventList;
 using mustardproxy::testing::Eventually;
@@ -51,8 +51,8 @@
   void Store(const JournalId& journal, std::uint64_t sequence,
              JournalRecord record) {
     const JournalBatch batch{journal, sequence, sequence, {std::move(record)}};
-    this->platform.Put(detail::JournalKey(journal, sequence),
-                       detail::EncodeBatch(batch));
+    this->platform.Put(platform_detail::JournalKey(journal, sequence),
+                       platform_detail::EncodeBatch(batch));
   }
 
   std::vector<JournalBatch> Read(const JournalId& journal) {
@@ -71,7 +71,7 @@
     return Eventually([&] {
       std::size_t batches = 0;
       for (const auto& [key, value] : this->platform.Values(kJournalPrefix)) {
-        const auto parts = detail::ParseJournalKey(key);
+        const auto parts = platform_detail::ParseJournalKey(key);
         batches += parts && !parts->trim ? 1 : 0;
       }
       return batches == count;
@@ -159,7 +159,7 @@
 // An adopter that skipped what it can't read would lose work in silence.
 BOOST_AUTO_TEST_CASE(a_batch_that_can_not_be_read_ends_without_an_event) {
   this->Store(kJournal, 1, Cancelled());
-  this->platform.Put(detail::JournalKey(kJournal, 2), "\xff\xff\xff");
+  this->platform.Put(platform_detail::JournalKey(kJournal, 2), "\xff\xff\xff");
   this->link->Perform(ReadJournal{kJournal});
   this->link->Perform(ListJournals{});
   BOOST_TEST(this->events.Take<JournalsListed>().has_value());
--- a/packages/platform/tests/stored_codec_test.cc
+++ b/packages/platform/tests/stored_codec_test.cc
@@ -38,7 +38,7 @@
 using mustardproxy::TeamId;
 using mustardproxy::View;
 using mustardproxy::WorkerId;
-namespace detail = mustardproxy::detail;
+namespace platform_detail = mustardproxy::platform_detail;
 
 Body Bytes(std::string bytes) {
   return std::make_shared<const std::string>(std::move(bytes));
@@ -83,7 +83,8 @@
                    CancelledRecord{RequestId("p1.a.2"), true},
                    HandedOverRecord{},
                    AdoptedRecord{ProcessId("p3"), 0xffffffffffffffff}};
-  const auto read = detail::DecodeBatch(detail::EncodeBatch(batch));
+  const auto read =
+      platform_detail::DecodeBatch(platform_detail::EncodeBatch(batch));
   BOOST_REQUIRE(read.has_value());
   BOOST_TEST(read->batch_id == batch.batch_id);
   BOOST_REQUIRE(read->records.size() == 6U);
@@ -118,20 +119,21 @@
 }
 
 BOOST_AUTO_TEST_CASE(bytes_that_are_no_batch_are_told) {
-  BOOST_TEST(!detail::DecodeBatch("\xff\xff\xff").has_value());
+  BOOST_TEST(!platform_detail::DecodeBatch("\xff\xff\xff").has_value());
   JournalBatch batch;
   batch.records = {Accepted(100)};
-  const std::string bytes = detail::EncodeBatch(batch);
+  const std::string bytes = platform_detail::EncodeBatch(batch);
   const std::string_view cut(bytes.data(), bytes.size() - 1);
-  BOOST_TEST(!detail::DecodeBatch(cut).has_value());
-  BOOST_TEST(!detail::DecodeBucket("\xff\xff\xff").has_value());
+  BOOST_TEST(!platform_detail::DecodeBatch(cut).has_value());
+  BOOST_TEST(!platform_detail::DecodeBucket("\xff\xff\xff").has_value());
 }
 
 BOOST_AUTO_TEST_CASE(a_claim_survives_with_and_without_an_answer) {
-  const detail::ClaimBucket bucket = {
+  const platform_detail::ClaimBucket bucket = {
       {"k1", {RequestId("p1.a.1"), 0xffffffffffffffff, std::nullopt}},
       {"k2", {RequestId("p1.a.2"), 5, Finished().answer}}};
-  const auto read = detail::DecodeBucket(detail::EncodeBucket(bucket));
+  const auto read =
+      platform_detail::DecodeBucket(platform_detail::EncodeBucket(bucket));
   BOOST_REQUIRE(read.has_value());
   BOOST_REQUIRE(read->size() == 2U);
   BOOST_TEST((*read)[0].key == "k1");
@@ -160,7 +162,7 @@
     journal.Tick(Instant{}, &actions);
     BOOST_REQUIRE(actions.size() == 1U);
     const auto& batch = std::get<AppendJournal>(actions[0]).batch;
-    const std::size_t size = detail::EncodeBatch(batch).size();
+    const std::size_t size = platform_detail::EncodeBatch(batch).size();
     BOOST_TEST(size <= options.max_batch_bytes + 20);
     BOOST_TEST(size <= kMaxValueBytes);
   }
--- a/packages/settings/src/configuration_checks.cc
+++ b/packages/settings/src/configuration_checks.cc
@@ -6,7 +6,7 @@
 #include "mustardproxy/core/error.h"
 #include "paths.h"
 
-namespace mustardproxy::detail {
+namespace mustardproxy::settings_detail {
 namespace {
 
 /// Compares the parts of a configuration and adds what does not fit.
@@ -80,4 +80,4 @@
   ConfigurationChecker(configuration, problems).Check();
 }
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::settings_detail
--- a/packages/settings/src/configuration_schema.cc
+++ b/packages/settings/src/configuration_schema.cc
@@ -4,7 +4,7 @@
 
 #include "schema_builder.h"
 
-namespace mustardproxy::detail {
+namespace mustardproxy::settings_detail {
 namespace {
 
 constexpr std::int64_t kDay = 24LL * 60 * 60 * 1000;
@@ -130,4 +130,4 @@
   return schema;
 }
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::settings_detail
--- a/packages/settings/src/configuration_schema.h
+++ b/packages/settings/src/configuration_schema.h
@@ -4,7 +4,7 @@
 #include "mustardproxy/core/configuration.h"
 #include "schema.h"
 
-namespace mustardproxy::detail {
+namespace mustardproxy::settings_detail {
 
 /// @return the table of all fields of a configuration document
 [[nodiscard]] const Schema<Configuration>& ConfigurationSchema();
@@ -16,6 +16,6 @@
 /// contradict each other.
 void CheckConfiguration(const Configuration& configuration, Problems* problems);
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::settings_detail
 
 #endif  // MUSTARDPROXY_SETTINGS_CONFIGURATION_SCHEMA_H_
--- a/packages/settings/src/difference.cc
+++ b/packages/settings/src/difference.cc
@@ -10,8 +10,8 @@
 namespace mustardproxy {
 namespace {
 
-using detail::JsonMember;
-using detail::JsonNode;
+using settings_detail::JsonMember;
+using settings_detail::JsonNode;
 
 const JsonNode* Find(const JsonNode& node, std::string_view name) {
   const auto found = std::find_if(
@@ -31,11 +31,11 @@
   }
   for (const JsonMember& member : before.members) {
     if (Find(after, member.name) != nullptr) continue;
-    lines->push_back("- " + detail::JoinName(path, member.name) + ": " +
-                     PrintCompactJson(member.value));
+    lines->push_back("- " + settings_detail::JoinName(path, member.name) +
+                     ": " + PrintCompactJson(member.value));
   }
   for (const JsonMember& member : after.members) {
-    const std::string inner = detail::JoinName(path, member.name);
+    const std::string inner = settings_detail::JoinName(path, member.name);
     const JsonNode* const old_value = Find(before, member.name);
     if (old_value != nullptr) {
       Compare(*old_value, member.value, inner, lines);
@@ -51,7 +51,7 @@
                                             const Configuration& after) {
   Configuration same_version = after;
   same_version.version = before.version;
-  const auto& schema = detail::ConfigurationSchema();
+  const auto& schema = settings_detail::ConfigurationSchema();
   std::vector<std::string> lines;
   Compare(schema.Write(before), schema.Write(same_version), "", &lines);
   return lines;
--- a/packages/settings/src/faults.cc
+++ b/packages/settings/src/faults.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace mustardproxy::detail {
+namespace mustardproxy::settings_detail {
 
 Faults::Faults(const Problems& problems) {
   for (const Problem& problem : problems) this->paths.insert(problem.path);
@@ -14,4 +14,4 @@
       [this](std::string_view path) { return this->paths.contains(path); });
 }
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::settings_detail
--- a/packages/settings/src/faults.h
+++ b/packages/settings/src/faults.h
@@ -8,7 +8,7 @@
 
 #include "mustardproxy/settings/load.h"
 
-namespace mustardproxy::detail {
+namespace mustardproxy::settings_detail {
 
 /// Paths that already have a problem. A check that compares values leaves these
 /// out: there the default stands in for what the file says, and a comparison
@@ -24,6 +24,6 @@
   std::set<std::string, std::less<>> paths;
 };
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::settings_detail
 
 #endif  // MUSTARDPROXY_SETTINGS_FAULTS_H_
--- a/packages/settings/src/field.h
+++ b/packages/settings/src/field.h
@@ -8,7 +8,7 @@
 #include "json_tree.h"
 #include "mustardproxy/settings/fields.h"
 
-namespace mustardproxy::detail {
+namespace mustardproxy::settings_detail {
 
 enum class Presence { kOptional, kRequired };
 
@@ -55,6 +55,6 @@
   FieldHead head;
 };
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::settings_detail
 
 #endif  // MUSTARDPROXY_SETTINGS_FIELD_H_
--- a/packages/settings/src/fields.cc
+++ b/packages/settings/src/fields.cc
@@ -7,13 +7,13 @@
 
 std::vector<FieldDescription> SettingsFields() {
   std::vector<FieldDescription> fields;
-  detail::SettingsSchema().Describe("", &fields);
+  settings_detail::SettingsSchema().Describe("", &fields);
   return fields;
 }
 
 std::vector<FieldDescription> ConfigurationFields() {
   std::vector<FieldDescription> fields;
-  detail::ConfigurationSchema().Describe("", &fields);
+  settings_detail::ConfigurationSchema().Describe("", &fields);
   return fields;
 }
 
--- a/packages/settings/src/json_comments.cc
+++ b/packages/settings/src/json_comments.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <cstddef>
 
-namespace mustardproxy::detail {
+namespace mustardproxy::settings_detail {
 namespace {
 
 constexpr std::size_t kMarkSize = 2;
@@ -62,4 +62,4 @@
   return blanked;
 }
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::settings_detail
--- a/packages/settings/src/json_comments.h
+++ b/packages/settings/src/json_comments.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <string_view>
 
-namespace mustardproxy::detail {
+namespace mustardproxy::settings_detail {
 
 /// Replaces comments by blanks and keeps line breaks, so that a parser's line
 /// numbers stay right. POCO's own comment filter is not used: it knows block
@@ -13,6 +13,6 @@
 /// @return nothing if a block comment has no end; linear in the text's size
 [[nodiscard]] std::optional<std::string> BlankComments(std::string_view text);
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::settings_detail
 
 #endif  // MUSTARDPROXY_SETTINGS_JSON_COMMENTS_H_
--- a/packages/settings/src/json_parse.cc
+++ b/packages/settings/src/json_parse.cc
@@ -14,7 +14,7 @@
 #include "mustardproxy/core/error.h"
 #include "paths.h"
 
-namespace mustardproxy::detail {
+namespace mustardproxy::settings_detail {
 namespace {
 
 /// Builds the tree and sees every field name, which POCO's own tree does not:
@@ -157,4 +157,4 @@
   return {std::move(builder->root), std::move(builder->problems)};
 }
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::settings_detail
--- a/packages/settings/src/json_print.cc
+++ b/packages/settings/src/json_print.cc
@@ -6,7 +6,7 @@
 
 #include "json_tree.h"
 
-namespace mustardproxy::detail {
+namespace mustardproxy::settings_detail {
 namespace {
 
 constexpr std::size_t kIndent = 2;
@@ -115,4 +115,4 @@
   return printer.out;
 }
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::settings_detail
--- a/packages/settings/src/json_tree.cc
+++ b/packages/settings/src/json_tree.cc
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-namespace mustardproxy::detail {
+namespace mustardproxy::settings_detail {
 
 JsonNode JsonNode::Bool(bool flag) {
   JsonNode node;
@@ -44,4 +44,4 @@
   return node;
 }
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::settings_detail
--- a/packages/settings/src/json_tree.h
+++ b/packages/settings/src/json_tree.h
@@ -9,7 +9,7 @@
 
 #include "mustardproxy/settings/load.h"
 
-namespace mustardproxy::detail {
+namespace mustardproxy::settings_detail {
 
 struct JsonMember;
 
@@ -63,6 +63,6 @@
 /// @return the node as JSON on one line
 [[nodiscard]] std::string PrintCompactJson(const JsonNode& node);
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::settings_detail
 
 #endif  // MUSTARDPROXY_SETTINGS_JSON_TREE_H_
--- a/packages/settings/src/load.cc
+++ b/packages/settings/src/load.cc
@@ -14,10 +14,10 @@
 namespace {
 
 constexpr std::size_t kMostProblems = 200;
-constexpr detail::JsonLimits kSettingsLimits{
+constexpr settings_detail::JsonLimits kSettingsLimits{
     .max_bytes = 4'194'304, .max_depth = 16, .max_values = 200'000};
 /// The document has to fit into one value of the platform.
-constexpr detail::JsonLimits kConfigurationLimits{
+constexpr settings_detail::JsonLimits kConfigurationLimits{
     .max_bytes = 1'048'576, .max_depth = 16, .max_values = 200'000};
 
 /// A bad file may hold a hundred thousand problems; nobody reads so many.
@@ -31,12 +31,13 @@
 
 template <typename T>
 std::variant<T, Problems> Parse(std::string_view text,
-                                const detail::JsonLimits& limits,
-                                const detail::Schema<T>& schema,
+                                const settings_detail::JsonLimits& limits,
+                                const settings_detail::Schema<T>& schema,
                                 void (*check)(const T&, Problems*)) {
-  detail::ParsedJson parsed = detail::ParseJson(text, limits);
+  settings_detail::ParsedJson parsed = settings_detail::ParseJson(text, limits);
   Problems problems = std::move(parsed.problems);
-  const bool unreadable = parsed.root.kind == detail::JsonNode::Kind::kNull;
+  const bool unreadable =
+      parsed.root.kind == settings_detail::JsonNode::Kind::kNull;
   if (unreadable && !problems.empty()) return problems;
   T value = schema.Defaults();
   schema.Read(parsed.root, "", &value, &problems);
@@ -68,22 +69,25 @@
 }
 
 std::variant<Settings, Problems> ParseSettings(std::string_view text) {
-  return Parse(text, kSettingsLimits, detail::SettingsSchema(),
-               detail::CheckSettings);
+  return Parse(text, kSettingsLimits, settings_detail::SettingsSchema(),
+               settings_detail::CheckSettings);
 }
 
 std::variant<Configuration, Problems> ParseConfiguration(
     std::string_view text) {
-  return Parse(text, kConfigurationLimits, detail::ConfigurationSchema(),
-               detail::CheckConfiguration);
+  return Parse(text, kConfigurationLimits,
+               settings_detail::ConfigurationSchema(),
+               settings_detail::CheckConfiguration);
 }
 
 std::string FormatConfiguration(const Configuration& configuration) {
-  return detail::PrintJson(detail::ConfigurationSchema().Write(configuration));
+  return settings_detail::PrintJson(
+      settings_detail::ConfigurationSchema().Write(configuration));
 }
 
 std::string FormatProfile(const Profile& profile) {
-  return detail::PrintJson(detail::ProfileSchema().Write(profile));
+  return settings_detail::PrintJson(
+      settings_detail::ProfileSchema().Write(profile));
 }
 
 std::string FormatProblem(const Problem& problem) {
--- a/packages/settings/src/nested_fields.h
+++ b/packages/settings/src/nested_fields.h
@@ -10,7 +10,7 @@
 #include "schema.h"
 #include "simple_fields.h"
 
-namespace mustardproxy::detail {
+namespace mustardproxy::settings_detail {
 
 /// An object inside the object.
 template <typename T, typename Value>
@@ -144,6 +144,6 @@
   NameRule rule;
 };
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::settings_detail
 
 #endif  // MUSTARDPROXY_SETTINGS_NESTED_FIELDS_H_
--- a/packages/settings/src/paths.cc
+++ b/packages/settings/src/paths.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace mustardproxy::detail {
+namespace mustardproxy::settings_detail {
 namespace {
 
 constexpr std::size_t kLongestExcerpt = 100;
@@ -38,4 +38,4 @@
   return std::string(parent) + "[" + std::to_string(index) + "]";
 }
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::settings_detail
--- a/packages/settings/src/paths.h
+++ b/packages/settings/src/paths.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <string_view>
 
-namespace mustardproxy::detail {
+namespace mustardproxy::settings_detail {
 
 /// @return text from a file as one short line of printable ASCII: long text is
 ///   cut, other bytes are replaced
@@ -18,6 +18,6 @@
 /// @return `parent[index]`
 [[nodiscard]] std::string JoinIndex(std::string_view parent, std::size_t index);
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::settings_detail
 
 #endif  // MUSTARDPROXY_SETTINGS_PATHS_H_
--- a/packages/settings/src/schema.h
+++ b/packages/settings/src/schema.h
@@ -12,7 +12,7 @@
 #include "paths.h"
 #include "values.h"
 
-namespace mustardproxy::detail {
+namespace mustardproxy::settings_detail {
 
 /// The fields of a JSON object that fills a `T`: one table from which files are
 /// read, written and documented, so that the three can not differ.
@@ -101,6 +101,6 @@
   std::vector<FieldPointer> fields;
 };
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::settings_detail
 
 #endif  // MUSTARDPROXY_SETTINGS_SCHEMA_H_
--- a/packages/settings/src/schema_builder.h
+++ b/packages/settings/src/schema_builder.h
@@ -10,7 +10,7 @@
 #include "schema.h"
 #include "simple_fields.h"
 
-namespace mustardproxy::detail {
+namespace mustardproxy::settings_detail {
 
 /// Makes a `Schema`, one field a call. A field is optional unless `Required()`
 /// comes before it.
@@ -105,6 +105,6 @@
   Presence presence = Presence::kOptional;
 };
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::settings_detail
 
 #endif  // MUSTARDPROXY_SETTINGS_SCHEMA_BUILDER_H_
--- a/packages/settings/src/settings_checks.cc
+++ b/packages/settings/src/settings_checks.cc
@@ -7,7 +7,7 @@
 #include "paths.h"
 #include "settings_schema.h"
 
-namespace mustardproxy::detail {
+namespace mustardproxy::settings_detail {
 namespace {
 
 /// Compares two values of the settings and adds what does not fit.
@@ -114,4 +114,4 @@
   CheckListeners(settings, &checker);
 }
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::settings_detail
--- a/packages/settings/src/settings_schema.cc
+++ b/packages/settings/src/settings_schema.cc
@@ -4,7 +4,7 @@
 
 #include "schema_builder.h"
 
-namespace mustardproxy::detail {
+namespace mustardproxy::settings_detail {
 namespace {
 
 constexpr std::int64_t kSecond = 1000;
@@ -189,4 +189,4 @@
   return schema;
 }
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::settings_detail
--- a/packages/settings/src/settings_schema.h
+++ b/packages/settings/src/settings_schema.h
@@ -4,7 +4,7 @@
 #include "mustardproxy/settings/settings.h"
 #include "schema.h"
 
-namespace mustardproxy::detail {
+namespace mustardproxy::settings_detail {
 
 /// @return the table of all fields of a settings file
 [[nodiscard]] const Schema<Settings>& SettingsSchema();
@@ -13,6 +13,6 @@
 /// that already have a problem are left out.
 void CheckSettings(const Settings& settings, Problems* problems);
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::settings_detail
 
 #endif  // MUSTARDPROXY_SETTINGS_SETTINGS_SCHEMA_H_
--- a/packages/settings/src/simple_fields.h
+++ b/packages/settings/src/simple_fields.h
@@ -12,7 +12,7 @@
 #include "mustardproxy/core/time.h"
 #include "values.h"
 
-namespace mustardproxy::detail {
+namespace mustardproxy::settings_detail {
 
 /// An integer member of any width; the range keeps it within that width.
 template <typename T, typename Value>
@@ -33,7 +33,7 @@
                 std::vector<FieldDescription>* fields) const override {
     FieldDescription row = this->Row(path, defaults);
     row.type = "integer";
-    row.allowed = detail::Describe(this->range);
+    row.allowed = settings_detail::Describe(this->range);
     fields->push_back(std::move(row));
   }
 
@@ -63,7 +63,7 @@
                 std::vector<FieldDescription>* fields) const override {
     FieldDescription row = this->Row(path, defaults);
     row.type = "milliseconds";
-    row.allowed = detail::Describe(this->range);
+    row.allowed = settings_detail::Describe(this->range);
     fields->push_back(std::move(row));
   }
 
@@ -91,7 +91,7 @@
                 std::vector<FieldDescription>* fields) const override {
     FieldDescription row = this->Row(path, defaults);
     row.type = "number";
-    row.allowed = detail::Describe(this->range);
+    row.allowed = settings_detail::Describe(this->range);
     fields->push_back(std::move(row));
   }
 
@@ -217,6 +217,6 @@
   ChoiceRule rule;
 };
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::settings_detail
 
 #endif  // MUSTARDPROXY_SETTINGS_SIMPLE_FIELDS_H_
--- a/packages/settings/src/text_rule.cc
+++ b/packages/settings/src/text_rule.cc
@@ -7,7 +7,7 @@
 #include <cstdint>
 #include <utility>
 
-namespace mustardproxy::detail {
+namespace mustardproxy::settings_detail {
 namespace {
 
 constexpr std::size_t kLongestName = 64;
@@ -117,4 +117,4 @@
   return words;
 }
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::settings_detail
--- a/packages/settings/src/text_rule.h
+++ b/packages/settings/src/text_rule.h
@@ -5,7 +5,7 @@
 #include <string_view>
 #include <vector>
 
-namespace mustardproxy::detail {
+namespace mustardproxy::settings_detail {
 
 /// Which texts a field takes.
 class TextRule {
@@ -68,6 +68,6 @@
   std::vector<std::string_view> choices;
 };
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::settings_detail
 
 #endif  // MUSTARDPROXY_SETTINGS_TEXT_RULE_H_
--- a/packages/settings/src/values.cc
+++ b/packages/settings/src/values.cc
@@ -3,7 +3,7 @@
 #include "mustardproxy/core/error.h"
 #include "paths.h"
 
-namespace mustardproxy::detail {
+namespace mustardproxy::settings_detail {
 namespace {
 
 std::string_view KindName(JsonNode::Kind kind) {
@@ -133,4 +133,4 @@
   return false;
 }
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::settings_detail
--- a/packages/settings/src/values.h
+++ b/packages/settings/src/values.h
@@ -9,7 +9,7 @@
 #include "json_tree.h"
 #include "text_rule.h"
 
-namespace mustardproxy::detail {
+namespace mustardproxy::settings_detail {
 
 /// Both ends are allowed.
 struct IntegerRange {
@@ -52,6 +52,6 @@
 bool CheckCount(std::size_t count, std::size_t most, std::string_view path,
                 Problems* problems);
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::settings_detail
 
 #endif  // MUSTARDPROXY_SETTINGS_VALUES_H_
--- a/packages/settings/tests/json_test.cc
+++ b/packages/settings/tests/json_test.cc
@@ -8,10 +8,10 @@
 namespace mustardproxy {
 namespace {
 
-using detail::JsonLimits;
-using detail::JsonNode;
-using detail::ParsedJson;
-using detail::ParseJson;
+using settings_detail::JsonLimits;
+using settings_detail::JsonNode;
+using settings_detail::ParsedJson;
+using settings_detail::ParseJson;
 
 constexpr JsonLimits kLimits{
     .max_bytes = 100'000, .max_depth = 4, .max_values = 100};
@@ -28,12 +28,12 @@
 BOOST_AUTO_TEST_SUITE(json)
 
 BOOST_AUTO_TEST_CASE(comments_are_blanked_but_not_inside_strings) {
-  const auto blanked = detail::BlankComments(
+  const auto blanked = settings_detail::BlankComments(
       "{\"a\": \"// no\", // yes\n\"b\\\"/*\": 1 /* x\ny */}");
   BOOST_REQUIRE(blanked.has_value());
   BOOST_TEST(*blanked ==
              "{\"a\": \"// no\",       \n\"b\\\"/*\": 1     \n    }");
-  BOOST_TEST(!detail::BlankComments("{} /* open").has_value());
+  BOOST_TEST(!settings_detail::BlankComments("{} /* open").has_value());
 }
 
 BOOST_AUTO_TEST_CASE(a_comment_does_not_join_two_numbers) {
--- a/packages/worker/src/answer_poller.cc
+++ b/packages/worker/src/answer_poller.cc
@@ -9,7 +9,7 @@
 #include "mustardproxy/telemetry/clock.h"
 #include "mustardproxy/telemetry/log.h"
 
-namespace mustardproxy::detail {
+namespace mustardproxy::worker_detail {
 namespace {
 
 constexpr int kStackBytes = 256 * 1024;
@@ -150,4 +150,4 @@
   return due;
 }
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::worker_detail
--- a/packages/worker/src/answer_poller.h
+++ b/packages/worker/src/answer_poller.h
@@ -14,7 +14,7 @@
 #include "mustardproxy/core/time.h"
 #include "start_call.h"
 
-namespace mustardproxy::detail {
+namespace mustardproxy::worker_detail {
 
 /// Told by the poller's thread; must return at once.
 class AnswerHandler {
@@ -78,6 +78,6 @@
   bool stopping = false;
 };
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::worker_detail
 
 #endif  // MUSTARDPROXY_WORKER_ANSWER_POLLER_H_
--- a/packages/worker/src/connection.cc
+++ b/packages/worker/src/connection.cc
@@ -11,7 +11,7 @@
 #include "mustardproxy/core/error.h"
 #include "mustardproxy/telemetry/clock.h"
 
-namespace mustardproxy::detail {
+namespace mustardproxy::worker_detail {
 namespace {
 
 using Poco::Net::HTTPRequest;
@@ -114,4 +114,4 @@
   return this->guard->BytesSent() + this->guard->BytesReceived();
 }
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::worker_detail
--- a/packages/worker/src/connection.h
+++ b/packages/worker/src/connection.h
@@ -17,7 +17,7 @@
 #include "mustardproxy/core/result.h"
 #include "mustardproxy/core/time.h"
 
-namespace mustardproxy::detail {
+namespace mustardproxy::worker_detail {
 
 struct HttpHeader {
   std::string name;
@@ -100,6 +100,6 @@
   bool reusable = false;
 };
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::worker_detail
 
 #endif  // MUSTARDPROXY_WORKER_CONNECTION_H_
--- a/packages/worker/src/connection_pool.cc
+++ b/packages/worker/src/connection_pool.cc
@@ -7,7 +7,7 @@
 
 #include "mustardproxy/telemetry/clock.h"
 
-namespace mustardproxy::detail {
+namespace mustardproxy::worker_detail {
 namespace {
 
 constexpr std::size_t kMaxIdle = 64;
@@ -103,4 +103,4 @@
   return entry == this->entries.end() ? 0 : entry->second.idle.size();
 }
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::worker_detail
--- a/packages/worker/src/connection_pool.h
+++ b/packages/worker/src/connection_pool.h
@@ -11,7 +11,7 @@
 #include "mustardproxy/core/result.h"
 #include "mustardproxy/core/time.h"
 
-namespace mustardproxy::detail {
+namespace mustardproxy::worker_detail {
 
 /// Idle connections to each worker. Safe from any thread.
 class ConnectionPool {
@@ -43,6 +43,6 @@
   Instant swept;
 };
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::worker_detail
 
 #endif  // MUSTARDPROXY_WORKER_CONNECTION_POOL_H_
--- a/packages/worker/src/control_client.cc
+++ b/packages/worker/src/control_client.cc
@@ -6,7 +6,7 @@
 #include "mustardproxy/telemetry/clock.h"
 #include "mustardproxy/telemetry/log.h"
 
-namespace mustardproxy::detail {
+namespace mustardproxy::worker_detail {
 namespace {
 
 constexpr std::int32_t kThreads = 16;
@@ -107,4 +107,4 @@
   this->silent_threads.Stop();
 }
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::worker_detail
--- a/packages/worker/src/control_client.h
+++ b/packages/worker/src/control_client.h
@@ -13,7 +13,7 @@
 #include "mustardproxy/telemetry/metrics.h"
 #include "work_pool.h"
 
-namespace mustardproxy::detail {
+namespace mustardproxy::worker_detail {
 
 /// Control calls: short, idempotent, and repeated on a new connection when an
 /// old one says nothing. Safe from any thread.
@@ -54,6 +54,6 @@
   WorkPool silent_threads;
 };
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::worker_detail
 
 #endif  // MUSTARDPROXY_WORKER_CONTROL_CLIENT_H_
--- a/packages/worker/src/guarded_socket.cc
+++ b/packages/worker/src/guarded_socket.cc
@@ -8,7 +8,7 @@
 
 #include "mustardproxy/telemetry/clock.h"
 
-namespace mustardproxy::detail {
+namespace mustardproxy::worker_detail {
 namespace {
 
 Poco::Timespan Until(Instant until) {
@@ -78,4 +78,4 @@
   return count >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::worker_detail
--- a/packages/worker/src/guarded_socket.h
+++ b/packages/worker/src/guarded_socket.h
@@ -7,7 +7,7 @@
 
 #include "mustardproxy/core/time.h"
 
-namespace mustardproxy::detail {
+namespace mustardproxy::worker_detail {
 
 /// A socket that knows how many bytes the operating system has taken, keeps
 /// deadlines, and never sends again after a failure.
@@ -48,6 +48,6 @@
   bool failed = false;
 };
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::worker_detail
 
 #endif  // MUSTARDPROXY_WORKER_GUARDED_SOCKET_H_
--- a/packages/worker/src/hash.cc
+++ b/packages/worker/src/hash.cc
@@ -5,7 +5,7 @@
 
 #include <cstdint>
 
-namespace mustardproxy::detail {
+namespace mustardproxy::worker_detail {
 
 std::string BodyHash(std::string_view bytes) {
   constexpr std::uint64_t kOffset = 0xcbf29ce484222325U;
@@ -21,4 +21,4 @@
   return Poco::toLower(upper);
 }
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::worker_detail
--- a/packages/worker/src/hash.h
+++ b/packages/worker/src/hash.h
@@ -4,11 +4,11 @@
 #include <string>
 #include <string_view>
 
-namespace mustardproxy::detail {
+namespace mustardproxy::worker_detail {
 
 /// @return FNV-1a, 64 bits, as sixteen lower-case hexadecimal digits
 std::string BodyHash(std::string_view bytes);
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::worker_detail
 
 #endif  // MUSTARDPROXY_WORKER_HASH_H_
--- a/packages/worker/src/in_flight.cc
+++ b/packages/worker/src/in_flight.cc
@@ -2,7 +2,7 @@
 
 #include "start_calls.h"
 
-namespace mustardproxy::detail {
+namespace mustardproxy::worker_detail {
 namespace {
 
 /// Connections of a worker that has not told its own number.
@@ -49,4 +49,4 @@
   return this->closed;
 }
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::worker_detail
--- a/packages/worker/src/json.cc
+++ b/packages/worker/src/json.cc
@@ -8,7 +8,7 @@
 #include <chrono>
 #include <sstream>
 
-namespace mustardproxy::detail {
+namespace mustardproxy::worker_detail {
 namespace {
 
 constexpr std::size_t kMaxDepth = 8;
@@ -79,4 +79,4 @@
   return bytes;
 }
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::worker_detail
--- a/packages/worker/src/json.h
+++ b/packages/worker/src/json.h
@@ -12,7 +12,7 @@
 
 /// Access to parsed JSON. All of these throw Poco's exceptions for a missing
 /// member or one of another type; `messages.cc` catches them.
-namespace mustardproxy::detail {
+namespace mustardproxy::worker_detail {
 
 Poco::JSON::Object::Ptr ParseObject(const std::string& text);
 std::uint64_t ReadUnsigned(const Poco::JSON::Object& object,
@@ -28,6 +28,6 @@
 std::string ReadBase64(const Poco::JSON::Object& object,
                        const std::string& name);
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::worker_detail
 
 #endif  // MUSTARDPROXY_WORKER_JSON_H_
--- a/packages/worker/src/messages.cc
+++ b/packages/worker/src/messages.cc
@@ -13,7 +13,7 @@
 #include "json.h"
 #include "mustardproxy/core/error.h"
 
-namespace mustardproxy::detail {
+namespace mustardproxy::worker_detail {
 namespace {
 
 using Poco::JSON::Object;
@@ -270,4 +270,4 @@
   return ended;
 }
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::worker_detail
--- a/packages/worker/src/messages.h
+++ b/packages/worker/src/messages.h
@@ -12,7 +12,7 @@
 #include "mustardproxy/core/worker.h"
 
 /// The worker protocol of docs/PROTOCOLS.md: texts out, typed messages in.
-namespace mustardproxy::detail {
+namespace mustardproxy::worker_detail {
 
 /// Who sends orders.
 struct Sender {
@@ -69,6 +69,6 @@
 /// @return kAnswerIncomplete if it is not whole, or another task's
 Result<EndedTask> ReadEnded(const HttpAnswer& answer, const StartTask& action);
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::worker_detail
 
 #endif  // MUSTARDPROXY_WORKER_MESSAGES_H_
--- a/packages/worker/src/start_call.h
+++ b/packages/worker/src/start_call.h
@@ -8,7 +8,7 @@
 #include "mustardproxy/core/actions.h"
 #include "mustardproxy/core/time.h"
 
-namespace mustardproxy::detail {
+namespace mustardproxy::worker_detail {
 
 /// One start on its way, from `Perform` to its one result.
 struct StartCall {
@@ -25,6 +25,6 @@
 
 using StartCallPtr = std::shared_ptr<StartCall>;
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::worker_detail
 
 #endif  // MUSTARDPROXY_WORKER_START_CALL_H_
--- a/packages/worker/src/start_calls.cc
+++ b/packages/worker/src/start_calls.cc
@@ -10,7 +10,7 @@
 #include "mustardproxy/telemetry/clock.h"
 #include "mustardproxy/telemetry/log.h"
 
-namespace mustardproxy::detail {
+namespace mustardproxy::worker_detail {
 namespace {
 
 constexpr std::size_t kMaxQueued = 4096;
@@ -269,4 +269,4 @@
   this->in_flight.Leave(call->action.worker);
 }
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::worker_detail
--- a/packages/worker/src/start_calls.h
+++ b/packages/worker/src/start_calls.h
@@ -15,7 +15,7 @@
 #include "start_call.h"
 #include "work_pool.h"
 
-namespace mustardproxy::detail {
+namespace mustardproxy::worker_detail {
 
 /// Counts what is in flight, per worker and in all.
 class InFlight {
@@ -89,6 +89,6 @@
   AnswerPoller poller;
 };
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::worker_detail
 
 #endif  // MUSTARDPROXY_WORKER_START_CALLS_H_
--- a/packages/worker/src/work_pool.cc
+++ b/packages/worker/src/work_pool.cc
@@ -5,7 +5,7 @@
 #include <chrono>
 #include <utility>
 
-namespace mustardproxy::detail {
+namespace mustardproxy::worker_detail {
 namespace {
 
 constexpr int kStackBytes = 256 * 1024;
@@ -118,4 +118,4 @@
   JoinAll(&finished);
 }
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::worker_detail
--- a/packages/worker/src/work_pool.h
+++ b/packages/worker/src/work_pool.h
@@ -13,7 +13,7 @@
 #include <mutex>
 #include <string>
 
-namespace mustardproxy::detail {
+namespace mustardproxy::worker_detail {
 
 /// Threads that are made when there is work for them and end when there has
 /// been none for a while, with a bounded queue before them. An idle process
@@ -58,6 +58,6 @@
   bool stopping = false;
 };
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::worker_detail
 
 #endif  // MUSTARDPROXY_WORKER_WORK_POOL_H_
--- a/packages/worker/src/worker_link.cc
+++ b/packages/worker/src/worker_link.cc
@@ -12,10 +12,10 @@
 namespace mustardproxy {
 namespace {
 
-using detail::HttpAnswer;
-using detail::HttpRequest;
-using detail::Refusal;
-using detail::RefusalReason;
+using worker_detail::HttpAnswer;
+using worker_detail::HttpRequest;
+using worker_detail::Refusal;
+using worker_detail::RefusalReason;
 
 constexpr int kOk = 200;
 constexpr int kConflict = 409;
@@ -33,7 +33,7 @@
   if (answer.Status() != kConflict) {
     return make_error_code(Error::kMalformedReply);
   }
-  return detail::ParseRefusal(answer.body);
+  return worker_detail::ParseRefusal(answer.body);
 }
 
 WorkerRefused Refused(const WorkerId& worker, Epoch epoch,
@@ -44,8 +44,8 @@
 }  // namespace
 
 struct WorkerLink::State {
-  State(detail::Sender sender, std::int32_t threads, Duration control_timeout,
-        EventSink* sink, Metrics* metrics)
+  State(worker_detail::Sender sender, std::int32_t threads,
+        Duration control_timeout, EventSink* sink, Metrics* metrics)
       : sender(std::move(sender)),
         sink(sink),
         control(&this->connections, control_timeout, metrics),
@@ -70,11 +70,11 @@
                                      const std::string& path,
                                      const std::string& body);
 
-  detail::Sender sender;
+  worker_detail::Sender sender;
   EventSink* sink;
-  detail::ConnectionPool connections;
-  detail::ControlClient control;
-  detail::StartCalls starts;
+  worker_detail::ConnectionPool connections;
+  worker_detail::ControlClient control;
+  worker_detail::StartCalls starts;
 };
 
 template <typename Action>
@@ -111,7 +111,7 @@
     this->sink->Post(Refused(action.worker, action.epoch, refusal.value()));
     return make_error_code(Error::kStaleEpoch);
   }
-  auto report = detail::ParseReport(answer.value().body);
+  auto report = worker_detail::ParseReport(answer.value().body);
   const bool ours = report && answer.value().Status() == kOk &&
                     report.value().worker == action.worker &&
                     report.value().epoch == action.epoch;
@@ -124,21 +124,21 @@
 }
 
 void WorkerLink::State::Run(const AttachWorker& action) {
-  auto report = this->CallForReport(action, "/v1/attach",
-                                    detail::AttachBody(this->sender, action));
+  auto report = this->CallForReport(
+      action, "/v1/attach", worker_detail::AttachBody(this->sender, action));
   if (report) this->sink->Post(WorkerAttached{std::move(report.value())});
 }
 
 void WorkerLink::State::Run(const RenewWorker& action) {
-  auto report = this->CallForReport(action, "/v1/renew",
-                                    detail::RenewBody(this->sender, action));
+  auto report = this->CallForReport(
+      action, "/v1/renew", worker_detail::RenewBody(this->sender, action));
   if (report) this->sink->Post(WorkerRenewed{std::move(report.value())});
 }
 
 void WorkerLink::State::Run(const ReleaseWorker& action) {
   const auto answer = this->control.Call(
       action.address,
-      Post("/v1/release", detail::ReleaseBody(this->sender, action)));
+      Post("/v1/release", worker_detail::ReleaseBody(this->sender, action)));
   if (!answer) {
     this->ReportUnreachable(action);
     return;
@@ -159,8 +159,8 @@
 
 void WorkerLink::State::Run(const StopTask& action) {
   const auto answer = this->control.Call(
-      action.address,
-      Post(detail::TaskPath(action.task) + "/stop", detail::StopBody(action)));
+      action.address, Post(worker_detail::TaskPath(action.task) + "/stop",
+                           worker_detail::StopBody(action)));
   if (!answer) {
     this->ReportUnreachable(action);
     return;
@@ -173,7 +173,7 @@
     this->sink->Post(Refused(action.worker, action.epoch, refusal.value()));
     return;
   }
-  const auto stopped = detail::ParseStopped(answer.value().body);
+  const auto stopped = worker_detail::ParseStopped(answer.value().body);
   if (!stopped || answer.value().Status() != kOk) {
     this->ReportUnreachable(action);
     return;
@@ -263,7 +263,7 @@
 
 std::unique_ptr<WorkerLink> WorkerLink::Builder::Build() {
   return std::unique_ptr<WorkerLink>(new WorkerLink(std::make_unique<State>(
-      detail::Sender{this->process, this->incarnation, this->task_lease},
+      worker_detail::Sender{this->process, this->incarnation, this->task_lease},
       this->threads, this->control_timeout, this->sink, this->metrics)));
 }
 
--- a/packages/worker/tests/connection_test.cc
+++ b/packages/worker/tests/connection_test.cc
@@ -16,7 +16,7 @@
 #include "mustardproxy/core/error.h"
 #include "mustardproxy/telemetry/clock.h"
 
-namespace mustardproxy::detail {
+namespace mustardproxy::worker_detail {
 namespace {
 
 using Poco::Net::ServerSocket;
@@ -174,4 +174,4 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::worker_detail
--- a/packages/worker/tests/kept_connection_test.cc
+++ b/packages/worker/tests/kept_connection_test.cc
@@ -54,7 +54,7 @@
   static std::string AnswerTo(const std::string& task,
                               const std::string& body) {
     return "HTTP/1.1 200 OK\r\nMustardproxy-Task-Id: " + task +
-           "\r\nMustardproxy-Body-Hash: " + detail::BodyHash(body) +
+           "\r\nMustardproxy-Body-Hash: " + worker_detail::BodyHash(body) +
            "\r\nMustardproxy-Task-End: finished\r\nContent-Length: " +
            std::to_string(body.size()) + "\r\n\r\n" + body;
   }
--- a/packages/worker/tests/work_pool_test.cc
+++ b/packages/worker/tests/work_pool_test.cc
@@ -6,7 +6,7 @@
 #include <mutex>
 #include <vector>
 
-namespace mustardproxy::detail {
+namespace mustardproxy::worker_detail {
 namespace {
 
 /// Holds jobs until it is opened.
@@ -86,4 +86,4 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy::worker_detail
