--- a/testing/process_faults/request_cell.h
+++ b/testing/process_faults/request_cell.h
@@ -32,6 +32,21 @@
   return layout;
 }
 
+/// Waits until each entry process has served a request; one that owns no worker
+/// must first hear from its peer.
+/// @return true once they have
+inline bool AwaitServing(const Cell& cell) {
+  for (const std::string& entry : cell.Entries()) {
+    bool serves = WaitUntil([&] {
+      Call call{.service = "screen",
+                .body = FreshBody(std::chrono::milliseconds(1))};
+      return IsOwnAnswer(Send(cell, entry, call), call);
+    });
+    if (!serves) return false;
+  }
+  return true;
+}
+
 /// The cell that tests share when they leave it whole; each test gets it ready.
 inline Cell& SharedCell() {
   static std::unique_ptr<Cell> shared;
@@ -40,6 +55,7 @@
     BOOST_REQUIRE_MESSAGE(shared->Start(), shared->Trouble());
   }
   BOOST_REQUIRE_MESSAGE(shared->AwaitReady(), shared->Trouble());
+  BOOST_REQUIRE(AwaitServing(*shared));
   return *shared;
 }
 
@@ -50,13 +66,15 @@
 /// @return true once each call's body was started by a worker
 inline bool AwaitStarts(const Cell& cell,
                         const std::vector<PendingCall>& calls) {
-  return WaitUntil([&] {
-    WorkerLogs logs = ReadLogs(cell);
-    for (const PendingCall& call : calls) {
-      if (logs.Starts(call.Sent().body) == 0) return false;
-    }
-    return true;
-  });
+  return WaitUntil(
+      [&] {
+        WorkerLogs logs = ReadLogs(cell);
+        for (const PendingCall& call : calls) {
+          if (logs.Starts(call.Sent().body) == 0) return false;
+        }
+        return true;
+      },
+      std::chrono::seconds(20));
 }
 
 /// Checks what a caller of a non-idempotent service was told against the log.
--- a/testing/process_faults/request_owner_death_test.cc
+++ b/testing/process_faults/request_owner_death_test.cc
@@ -25,6 +25,7 @@
   layout.extra_settings = kQuickSettings;
   Cell cell(layout);
   BOOST_REQUIRE_MESSAGE(cell.Start(), cell.Trouble());
+  BOOST_REQUIRE(AwaitServing(cell));
   std::string owner = MainOwner(cell);
   std::string peer = PeerOf(owner);
   constexpr int kCalls = 4;
