--- a/packages/core/src/lifecycle/deferred_flow.cc
+++ b/packages/core/src/lifecycle/deferred_flow.cc
@@ -65,7 +65,7 @@
     const bool forwarded =
         admitted
             ? this->parts->forwarding.TryForward(entry, Reach::kOwnDataCenter)
-            : this->parts->forwarding.TryForwardDeferred(entry);
+            : this->parts->forwarding.TryForwardToOwner(entry);
     if (forwarded) {
       return;
     }
--- a/packages/core/src/lifecycle/forwarding.cc
+++ b/packages/core/src/lifecycle/forwarding.cc
@@ -79,7 +79,7 @@
   return true;
 }
 
-bool Forwarding::TryForwardDeferred(ActiveRequest* entry) {
+bool Forwarding::TryForwardToOwner(ActiveRequest* entry) {
   if (this->TryForward(entry, Reach::kAnywhere)) {
     return true;
   }
--- a/packages/core/src/lifecycle/forwarding.h
+++ b/packages/core/src/lifecycle/forwarding.h
@@ -28,8 +28,9 @@
   /// queue if it waits there.
   /// @return false if no peer shows room, or the hops are used up
   [[nodiscard]] bool TryForward(ActiveRequest* entry, Reach reach);
-  /// Hands deferred work to any peer that owns workers, if there is one.
-  [[nodiscard]] bool TryForwardDeferred(ActiveRequest* entry);
+  /// Hands the request to a peer that shows room, else to one of the own data
+  /// centre that owns workers, which queues or refuses it.
+  [[nodiscard]] bool TryForwardToOwner(ActiveRequest* entry);
   void On(const ForwardAnswered& event);
   void On(const ForwardFailed& event);
   /// @return true if the answer was to a question that this part asked
--- a/packages/core/src/lifecycle/request_flow.cc
+++ b/packages/core/src/lifecycle/request_flow.cc
@@ -125,7 +125,7 @@
   }
   Admission admission;
   if (!this->TryQueue(entry, &admission)) {
-    if (!this->parts->forwarding.TryForward(entry, Reach::kAnywhere)) {
+    if (!this->ForwardUnqueued(entry, admission)) {
       this->RefuseAdmission(entry, admission);
     }
     return;
@@ -146,6 +146,19 @@
       std::min(this->next_move, this->parts->context.now + kMoveAfter);
 }
 
+bool RequestFlow::ForwardUnqueued(ActiveRequest* entry,
+                                  const Admission& admission) {
+  // Failure: a process that owns no worker has sent its peer as much as the
+  // peer's last digest had room for, and refuses all else until the next
+  // digest, though the peer has long ended the work and would queue more.
+  // Callers of this process see refusals while workers idle. So the peer
+  // decides itself.
+  if (admission.refusal == Error::kNoWorker) {
+    return this->parts->forwarding.TryForwardToOwner(entry);
+  }
+  return this->parts->forwarding.TryForward(entry, Reach::kAnywhere);
+}
+
 bool RequestFlow::TryQueue(ActiveRequest* entry, Admission* admission) {
   const Instant now = this->parts->context.now;
   if (this->parts->ledger.WorkerCount() == 0) {
--- a/packages/core/src/lifecycle/request_flow.h
+++ b/packages/core/src/lifecycle/request_flow.h
@@ -66,6 +66,9 @@
                      std::int32_t status, std::string text);
   [[nodiscard]] bool Admit(const Request& request);
   [[nodiscard]] bool TryQueue(ActiveRequest* entry, Admission* admission);
+  /// Forwards what could not be queued here.
+  [[nodiscard]] bool ForwardUnqueued(ActiveRequest* entry,
+                                     const Admission& admission);
   void StopTasks(ActiveRequest* entry);
   void Settled(ActiveRequest* entry);
   void AfterFailure(ActiveRequest* entry);
--- a/packages/core/tests/core_forward_test.cc
+++ b/packages/core/tests/core_forward_test.cc
@@ -32,6 +32,19 @@
   BOOST_TEST((harness.TakeReply().answer.outcome == Outcome::kCompleted));
 }
 
+// Story: all workers of a data centre belong to one process. Callers of its
+// peer see screens refused while the workers idle: the peer had sent as many as
+// the owner's last digest showed room for, and refused all else until the next
+// digest. Regression of "this entry process owns no worker".
+BOOST_AUTO_TEST_CASE(a_process_without_workers_forwards_past_the_digest) {
+  CoreHarness harness(0);
+  harness.PeerWithRoom("p2", "dc1");
+  constexpr std::size_t kMany = 500;
+  for (std::size_t i = 0; i < kMany; ++i) (void)harness.Arrive("booking");
+  BOOST_TEST(harness.Take<ForwardRequest>().size() == kMany);
+  BOOST_TEST(harness.Take<Reply>().empty());
+}
+
 // The connection to the peer is refused, so the booking never left this
 // process: it goes to a peer of the other data centre instead.
 BOOST_AUTO_TEST_CASE(a_forward_that_was_not_sent_goes_to_another_peer) {
