--- a/testing/fault_matrix/src/cell.cc
+++ b/testing/fault_matrix/src/cell.cc
@@ -274,8 +274,7 @@
   if (arrival.cancelled) {
     this->simulation.After(
         this->simulation.Draw(milliseconds(1), milliseconds(500)),
-        [this, entry, id, run = entry->Run()] {
-          this->promises.OnCallerGone(id);
+        [entry, id, run = entry->Run()] {
           if (entry->Run() == run) {
             entry->Deliver(CancelRequested{id});
           }
--- a/testing/fault_matrix/src/promises.cc
+++ b/testing/fault_matrix/src/promises.cc
@@ -102,10 +102,6 @@
   }
 }
 
-void Promises::OnCallerGone(const RequestId& request) {
-  this->requests[request].entry_gone = true;
-}
-
 void Promises::OnGracefulEnd(const ProcessId& entry) {
   for (const auto& [request, seen] : this->requests) {
     if (seen.entry == entry && seen.answers == 0 && !seen.entry_gone) {
--- a/testing/fault_matrix/src/promises.h
+++ b/testing/fault_matrix/src/promises.h
@@ -36,8 +36,7 @@
   /// The entry process of the request died or was stopped, so its caller may
   /// get no answer.
   void OnEntryGone(const ProcessId& entry);
-  /// The caller no longer waits.
-  void OnCallerGone(const RequestId& request);
+
   /// The entry process says that everything in progress has ended.
   void OnGracefulEnd(const ProcessId& entry);
 
