--- a/packages/core/src/lifecycle/attempt.cc
+++ b/packages/core/src/lifecycle/attempt.cc
@@ -60,6 +60,10 @@
   return whole ? Verdict::kFinished : Verdict::kStopped;
 }
 
+bool Attempt::LeaseLost() const {
+  return std::ranges::all_of(this->slots, &AttemptSlot::lease_lost);
+}
+
 std::vector<WorkerId> Attempt::FailedWorkers() const {
   std::vector<WorkerId> failed;
   for (const AttemptSlot& slot : this->slots) {
--- a/packages/core/src/lifecycle/attempt.h
+++ b/packages/core/src/lifecycle/attempt.h
@@ -55,6 +55,8 @@
   /// Stopped to make room for more urgent work.
   bool preempted = false;
 
+  /// @return true if nothing was sent, since this process had lost the lease
+  [[nodiscard]] bool LeaseLost() const;
   /// @return workers that failed in this attempt
   [[nodiscard]] std::vector<WorkerId> FailedWorkers() const;
   [[nodiscard]] AttemptSlot* Find(const TaskId& task);
--- a/packages/core/src/lifecycle/journals.cc
+++ b/packages/core/src/lifecycle/journals.cc
@@ -34,6 +34,7 @@
                  this->parts->context.random());
   OpenJournal added{std::move(writer)};
   added.opened = this->parts->context.now;
+  ++this->generation;
   this->open.emplace(journal, std::move(added));
 }
 
@@ -128,6 +129,7 @@
 
 void Journals::Drop(const JournalId& journal) {
   this->open.erase(journal);
+  ++this->generation;
   if (journal == this->own) {
     this->OpenOwn();
   }
--- a/packages/core/src/lifecycle/journals.h
+++ b/packages/core/src/lifecycle/journals.h
@@ -29,6 +29,8 @@
     return this->open.contains(journal);
   }
   [[nodiscard]] std::vector<JournalId> Names() const;
+  /// Grows whenever `Names` changes.
+  [[nodiscard]] std::uint64_t Generation() const { return this->generation; }
   /// @return true if nothing was ever written to it
   [[nodiscard]] bool Unused(const JournalId& journal) const;
   /// Removes adopted journals that nobody needs any more.
@@ -84,6 +86,7 @@
 
   Parts* parts;
   JournalId own;
+  std::uint64_t generation = 0;
   std::int32_t opened_count = 0;
   std::map<JournalId, OpenJournal> open;
 };
--- a/packages/core/src/lifecycle/key_claims.cc
+++ b/packages/core/src/lifecycle/key_claims.cc
@@ -17,6 +17,9 @@
 /// An order to drop a claim has no answer, and the claim it follows may still
 /// be on its way, so it is sent several times.
 constexpr std::int32_t kDropsOfAClaim = 4;
+/// Bounds the memory in a long outage; repeats of what is beyond it are told
+/// that the key is in use.
+constexpr std::size_t kMostAbandoned = 4096;
 constexpr Duration kDropInterval = std::chrono::seconds(5);
 
 }  // namespace
@@ -119,7 +122,9 @@
               BodyHash(View(entry.request.body)), 0};
   const bool drop = answer.outcome == Outcome::kNotRun;
   this->EmitSettle(entry.request.id, claim, answer, drop);
-  if (answer.outcome == Outcome::kUnknown) {
+  const bool may_come =
+      entry.phase == RequestPhase::kRunning && entry.attempt.slots.size() == 1;
+  if (answer.outcome == Outcome::kUnknown && may_come) {
     this->late[entry.request.id] = std::move(claim);
   }
 }
@@ -149,6 +154,9 @@
 }
 
 void KeyClaims::Abandon(const Request& request) {
+  if (this->abandoned.size() >= kMostAbandoned) {
+    return;
+  }
   this->abandoned[request.id] =
       Claim{request.team, request.idempotency_key, BodyHash(View(request.body)),
             kDropsOfAClaim};
--- a/packages/core/src/lifecycle/parts.cc
+++ b/packages/core/src/lifecycle/parts.cc
@@ -112,7 +112,7 @@
   const Instant now = this->context.now;
   const PeerNews news{this->context.configuration.version,
                       this->context.stopping, this->context.platform_reachable,
-                      this->journals.Names()};
+                      this->journals.Generation()};
   const bool due = this->membership.NextWakeup() <= now;
   if (due || news != this->told_peers) {
     this->told_peers = news;
@@ -255,8 +255,14 @@
 }
 
 void Parts::SettleLateAnswer(const TaskNews& news) {
-  const bool whole = news.ended.end == TaskEnd::kFinished ||
-                     news.ended.end == TaskEnd::kFailed;
+  const bool running = news.kind == TaskNews::Kind::kStarted ||
+                       news.kind == TaskNews::Kind::kUnclear;
+  if (running) {
+    return;
+  }
+  const bool whole = news.kind == TaskNews::Kind::kEnded &&
+                     (news.ended.end == TaskEnd::kFinished ||
+                      news.ended.end == TaskEnd::kFailed);
   if (!whole) {
     this->claims.ForgetLate(news.request);
     return;
--- a/packages/core/src/lifecycle/parts.h
+++ b/packages/core/src/lifecycle/parts.h
@@ -37,7 +37,7 @@
   ConfigurationVersion configuration = 0;
   bool stopping = false;
   bool platform_reachable = true;
-  std::vector<JournalId> journals;
+  std::uint64_t journals = 0;
 
   friend bool operator==(const PeerNews&, const PeerNews&) = default;
 };
--- a/packages/core/src/lifecycle/request_flow.cc
+++ b/packages/core/src/lifecycle/request_flow.cc
@@ -170,9 +170,7 @@
 void RequestFlow::OnNews(const TaskNews& news) {
   ActiveRequest* entry = this->parts->table.Find(news.request);
   if (entry == nullptr) {
-    if (news.kind == TaskNews::Kind::kEnded) {
-      this->parts->SettleLateAnswer(news);
-    }
+    this->parts->SettleLateAnswer(news);
     return;
   }
   AttemptSlot* slot = entry->attempt.Find(news.task);
@@ -304,9 +302,13 @@
   const Instant now = this->parts->context.now;
   const std::int32_t starts =
       entry->last_attempt % kAttemptsPerProcess + entry->forwards;
+  if (entry->runs > 0) {
+    // The limit on waiting holds for each attempt that runs, the caller's
+    // timeout for all of them.
+    entry->place_by = std::min(entry->deadline, now + entry->terms.max_wait);
+  }
   const bool may = this->TimeLeft(*entry) && !entry->caller_gone &&
-                   starts < kMaxStarts &&
-                   this->parts->retry_budget.TryRetry(now);
+                   starts < kMaxStarts && this->MayRetry(*entry);
   if (!may) {
     if (last.outcome == Outcome::kNotRun && last.retry_after == Duration{0}) {
       last.retry_after = this->parts->scheduler.RetryAfter(now);
@@ -317,6 +319,14 @@
   this->Place(entry);
 }
 
+bool RequestFlow::MayRetry(const ActiveRequest& entry) {
+  // A start that was not even sent cost nothing.
+  const bool free = entry.phase == RequestPhase::kRunning &&
+                    entry.attempt.Judge() == Verdict::kNeverStarted &&
+                    entry.attempt.LeaseLost();
+  return free || this->parts->retry_budget.TryRetry(this->parts->context.now);
+}
+
 bool RequestFlow::TimeLeft(const ActiveRequest& entry) const {
   return this->parts->context.now < entry.place_by;
 }
--- a/packages/core/src/lifecycle/request_flow.h
+++ b/packages/core/src/lifecycle/request_flow.h
@@ -56,6 +56,7 @@
   void OnUnclear(ActiveRequest* entry, const TaskNews& news);
   void OnDeadline(const RequestId& request);
   void MoveWaiting();
+  [[nodiscard]] bool MayRetry(const ActiveRequest& entry);
   [[nodiscard]] bool TimeLeft(const ActiveRequest& entry) const;
 
   Parts* parts;
--- a/packages/core/src/lifecycle/task_questions.cc
+++ b/packages/core/src/lifecycle/task_questions.cc
@@ -152,8 +152,29 @@
   this->CheckAfter(tracked, tracked->pause);
 }
 
+bool TaskTracker::StopsAtPeersFirst(Tracked* tracked) {
+  // Failure: this process can't reach the worker of a task that it adopted, but
+  // the worker's present owner does, and renews the leases of all that runs
+  // there. The review would go on there while it is started elsewhere. So the
+  // owner, if it is a live peer, is told to stop it first.
+  const auto terms =
+      TermsOf(this->parts->context.configuration, tracked->plan.service);
+  const bool needed =
+      !tracked->placed && !tracked->peers_told && terms && terms->idempotent;
+  if (!needed) {
+    return false;
+  }
+  tracked->peers_told = true;
+  this->parts->StopAtPeers(tracked->plan.request);
+  this->CheckAfter(tracked, kReportPatience);
+  return true;
+}
+
 void TaskTracker::OnNotReachable(Tracked* tracked) {
   if (this->LeaseLapsed(*tracked)) {
+    if (this->StopsAtPeersFirst(tracked)) {
+      return;
+    }
     this->Settle(tracked->plan.task, TaskNews::Kind::kLost, {},
                  Error::kWorkerLost);
     return;
--- a/packages/core/src/lifecycle/task_tracker.h
+++ b/packages/core/src/lifecycle/task_tracker.h
@@ -135,6 +135,8 @@
     bool asking = false;
     bool stop_wanted = false;
     bool stop_sent = false;
+    /// Peers were told to stop it if it runs at a worker of theirs.
+    bool peers_told = false;
     bool checkpoint = false;
     /// Renewals still to be seen before "never started" counts.
     std::int32_t confirmations = 0;
@@ -149,6 +151,7 @@
   void ConfirmNeverStarted(Tracked* tracked, Incarnation answered_by);
   void OnStillRunning(Tracked* tracked);
   void OnNotReachable(Tracked* tracked);
+  [[nodiscard]] bool StopsAtPeersFirst(Tracked* tracked);
   void OnReportedRunning(Tracked* tracked);
   void AskMissing(const WorkerReport& report);
   void CountConfirmations(const WorkerReport& report);
--- a/packages/core/tests/core_recovery_test.cc
+++ b/packages/core/tests/core_recovery_test.cc
@@ -177,6 +177,46 @@
   BOOST_TEST(harness.Take<StartTask>().size() == 1U);
 }
 
+// A screen runs for longer than its profile may wait, and then its worker
+// reports failure. The caller still has time, so it is tried elsewhere.
+BOOST_AUTO_TEST_CASE(a_failure_after_a_long_run_is_still_tried_again) {
+  CoreHarness harness(2);
+  harness.Arrive("screen");
+  const StartTask first = harness.TakeStart();
+  harness.Advance(std::chrono::seconds(3));
+  harness.End(first, 500, TaskEnd::kFailed);
+  const StartTask second = harness.TakeStart();
+  BOOST_TEST(second.worker != first.worker);
+}
+
+// An adopted review may run at a worker that only a peer reaches, and the peer
+// renews its lease there. The peer is told to stop it before it starts here.
+BOOST_AUTO_TEST_CASE(peers_stop_an_adopted_task_before_it_runs_again) {
+  CoreHarness harness(1);
+  const JournalId journal("p2.b2");
+  Request request = harness.Make("review");
+  request.id = RequestId("p2.b2.1");
+  request.team = TeamId("dlonie");
+  StartedRecord started;
+  started.request = request.id;
+  started.task = TaskId("p2.b2.1/0/1");
+  started.worker = WorkerId("w9");
+  harness.Send(JournalsListed{{journal}});
+  harness.Send(
+      JournalRead{journal,
+                  {{journal, 1, 11, {AcceptedRecord{request}, started}},
+                   {journal, 2, 12, {HandedOverRecord{}}}}});
+  harness.PeerWithRoom("p2", "dc1");
+  for (int i = 0; i < 70 && harness.Take<AskPeer>().empty(); ++i) {
+    BOOST_TEST(harness.Take<StartTask>().empty());
+    harness.PeerWithRoom("p2", "dc1");
+    harness.Advance(std::chrono::seconds(1));
+  }
+  BOOST_TEST(harness.Take<StartTask>().empty());
+  harness.Advance(std::chrono::seconds(8));
+  BOOST_TEST(harness.Take<StartTask>().size() == 1U);
+}
+
 // A screen ran and failed, and is given up while it waits for another try. The
 // caller must not be told "not run".
 BOOST_AUTO_TEST_CASE(a_request_that_ran_is_never_called_not_run) {
