--- a/packages/gateway/src/body_reader.cc
+++ b/packages/gateway/src/body_reader.cc
@@ -7,7 +7,7 @@
 #include <optional>
 #include <string_view>
 
-namespace mustardproxy::detail::gateway {
+namespace mustardproxy::gateway_detail {
 namespace {
 
 constexpr std::int64_t kMaxChunkLine = 256;
@@ -78,7 +78,8 @@
   std::string line;
   BodyEnd end = ReadLine(session, &line);
   if (end != BodyEnd::kWhole) return end;
-  std::string_view digits = std::string_view(line).substr(0, line.find(';'));
+  std::string_view digits = line;
+  digits = digits.substr(0, digits.find(';'));
   while (!digits.empty() && digits.back() == ' ') digits.remove_suffix(1);
   std::optional<std::int64_t> parsed = ParseNumber(digits, kHexadecimal);
   if (!parsed) return BodyEnd::kMalformed;
@@ -133,4 +134,4 @@
   return Append(session, length.value_or(0), body);
 }
 
-}  // namespace mustardproxy::detail::gateway
+}  // namespace mustardproxy::gateway_detail
--- a/packages/gateway/src/caller_surface.h
+++ b/packages/gateway/src/caller_surface.h
@@ -11,7 +11,7 @@
 #include "mustardproxy/telemetry/metrics.h"
 #include "waiting.h"
 
-namespace mustardproxy::detail::gateway {
+namespace mustardproxy::gateway_detail {
 
 /// What the callers' surface is made with.
 struct CallerOptions {
@@ -51,6 +51,7 @@
                                     int descriptor);
   HttpAnswer RefuseRequest(const RequestId& request, std::int32_t status,
                            std::error_code error, std::string detail);
+  void Count(std::string_view name, std::string_view label);
   RequestId NextId();
 
   CallerOptions options;
@@ -63,6 +64,6 @@
   WaitingTable<std::uint64_t> queries;
 };
 
-}  // namespace mustardproxy::detail::gateway
+}  // namespace mustardproxy::gateway_detail
 
 #endif  // MUSTARDPROXY_GATEWAY_CALLER_SURFACE_H_
--- a/packages/gateway/src/listener.cc
+++ b/packages/gateway/src/listener.cc
@@ -12,7 +12,7 @@
 
 #include "bounded_socket.h"
 
-namespace mustardproxy::detail::gateway {
+namespace mustardproxy::gateway_detail {
 namespace {
 
 /// Threads kept for refusals when all others serve.
@@ -83,7 +83,7 @@
 
 }  // namespace
 
-Listener::Listener(std::string name, ConnectionLimits limits,
+Listener::Listener(const std::string& name, ConnectionLimits limits,
                    std::int32_t max_connections, Surface* surface)
     : limits(limits),
       surface(surface),
@@ -124,4 +124,4 @@
   this->server.reset();
 }
 
-}  // namespace mustardproxy::detail::gateway
+}  // namespace mustardproxy::gateway_detail
--- a/packages/gateway/src/listener.h
+++ b/packages/gateway/src/listener.h
@@ -13,13 +13,13 @@
 #include "http_message.h"
 #include "mustardproxy/core/result.h"
 
-namespace mustardproxy::detail::gateway {
+namespace mustardproxy::gateway_detail {
 
 /// One listening socket and the threads of its connections.
 class Listener {
  public:
   /// @param max_connections connections served at once; some more get a refusal
-  Listener(std::string name, ConnectionLimits limits,
+  Listener(const std::string& name, ConnectionLimits limits,
            std::int32_t max_connections, Surface* surface);
   ~Listener();
 
@@ -42,6 +42,6 @@
   std::unique_ptr<Poco::Net::TCPServer> server;
 };
 
-}  // namespace mustardproxy::detail::gateway
+}  // namespace mustardproxy::gateway_detail
 
 #endif  // MUSTARDPROXY_GATEWAY_LISTENER_H_
