--- a/testing/process_faults/request_cell.h
+++ b/testing/process_faults/request_cell.h
@@ -37,12 +37,19 @@
 /// @return true once they have
 inline bool AwaitServing(const Cell& cell) {
   for (const std::string& entry : cell.Entries()) {
-    bool serves = WaitUntil([&] {
-      Call call{.service = "screen",
-                .body = FreshBody(std::chrono::milliseconds(1))};
-      return IsOwnAnswer(Send(cell, entry, call), call);
-    });
-    if (!serves) return false;
+    std::optional<HttpReply> reply;
+    bool serves = WaitUntil(
+        [&] {
+          Call call{.service = "screen",
+                    .body = FreshBody(std::chrono::milliseconds(1))};
+          reply = Send(cell, entry, call);
+          return IsOwnAnswer(reply, call);
+        },
+        std::chrono::seconds(20));
+    if (serves) continue;
+    BOOST_TEST_MESSAGE(entry << " does not serve: " << OutcomeOf(reply) << " "
+                             << (reply ? reply->body : ""));
+    return false;
   }
   return true;
 }
