--- a/packages/gateway/src/gateway.cc
+++ b/packages/gateway/src/gateway.cc
@@ -1,9 +1,11 @@
 #include "mustardproxy/gateway/gateway.h"
 
 #include <atomic>
+#include <optional>
 #include <utility>
 
 #include "caller_surface.h"
+#include "housekeeper.h"
 #include "listener.h"
 #include "mustardproxy/telemetry/log.h"
 #include "operator_surface.h"
@@ -43,6 +45,7 @@
   detail::gateway::CallerSurface callers;
   detail::gateway::Listener caller_listener;
   detail::gateway::Listener operator_listener;
+  std::optional<detail::gateway::Housekeeper> housekeeper;
 };
 
 Gateway::Gateway(std::unique_ptr<State> state) : state(std::move(state)) {}
@@ -57,6 +60,10 @@
   auto operators = gateway.operator_listener.Start(gateway.operators_host,
                                                    gateway.operators_port);
   if (!operators) return operators.error();
+  gateway.housekeeper.emplace([&gateway] {
+    gateway.caller_listener.CollectIdleThreads();
+    gateway.operator_listener.CollectIdleThreads();
+  });
   Log(Part::kGateway, Level::kInfo,
       "Listening for callers on port " + std::to_string(callers.value()) +
           " and for operators on port " + std::to_string(operators.value()) +
@@ -68,6 +75,7 @@
 
 void Gateway::Stop() {
   this->Drain();
+  this->state->housekeeper.reset();
   this->state->callers.Stop();
   this->state->caller_listener.Stop();
   this->state->operator_listener.Stop();
--- a/packages/gateway/src/listener.h
+++ b/packages/gateway/src/listener.h
@@ -29,6 +29,9 @@
   /// Takes no new connections, lets requests in progress finish, joins all
   /// threads.
   void Stop();
+  /// Ends threads that have been idle for some seconds. POCO does that only
+  /// when the next connection comes, which after a burst may be long.
+  void CollectIdleThreads() { this->threads.collect(); }
   [[nodiscard]] std::int32_t Connections() const {
     return this->table.Served();
   }
--- a/packages/gateway/tests/bounds_test.cc
+++ b/packages/gateway/tests/bounds_test.cc
@@ -1,4 +1,6 @@
 #include <boost/test/unit_test.hpp>
+#include <filesystem>
+#include <iterator>
 
 #include "gateway_fixture.h"
 
@@ -220,6 +222,35 @@
   BOOST_TEST(status == 200);
 }
 
+std::ptrdiff_t ThreadCount() {
+  return std::distance(std::filesystem::directory_iterator("/proc/self/task"),
+                       std::filesystem::directory_iterator());
+}
+
+BOOST_AUTO_TEST_CASE(threads_of_a_burst_go_away) {
+  // A burst of callers comes and goes, and then it is quiet. The threads it
+  // took would keep their memory until the next caller, which may be long.
+  constexpr std::ptrdiff_t kBurst = 40;
+  this->Start();
+  std::ptrdiff_t before = ThreadCount();
+  {
+    std::vector<std::unique_ptr<RawCaller>> callers;
+    for (std::ptrdiff_t i = 0; i < kBurst; ++i) {
+      callers.push_back(std::make_unique<RawCaller>(this->ports.callers));
+      callers.back()->Send(
+          "POST /v1/services/a HTTP/1.1\r\nContent-Length: 0\r\n\r\n");
+      BOOST_REQUIRE(callers.back()->ReadUntil("ran"));
+    }
+    BOOST_TEST(ThreadCount() >= before + kBurst - 1);
+  }
+  auto limit = std::chrono::steady_clock::now() + 2 * kGenerousLimit;
+  while (ThreadCount() > before + 2 &&
+         std::chrono::steady_clock::now() < limit) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  }
+  BOOST_TEST(ThreadCount() <= before + 2);
+}
+
 BOOST_AUTO_TEST_CASE(broken_request_lines_are_refused) {
   this->Start();
   std::string all = this->Exchange("NONSENSE\r\n\r\n");
