--- a/testing/cell/tests/cell_test.cc
+++ b/testing/cell/tests/cell_test.cc
@@ -61,6 +61,27 @@
   BOOST_TEST(cell.StopEntries(), cell.Trouble());
 }
 
+BOOST_AUTO_TEST_CASE(relays_stand_between_any_two) {
+  CellLayout layout;
+  layout.data_centers = 1;
+  layout.workers_per_data_center = 3;
+  layout.relays = {{.from = "entry-1-1", .to = "entry-1-2"},
+                   {.from = "entry-1-1", .to = "worker-1-1"},
+                   {.from = "", .to = "worker-1-2"},
+                   {.from = "", .to = "platform"}};
+  Cell cell(layout);
+  BOOST_REQUIRE_MESSAGE(cell.Start(), cell.Trouble());
+  BOOST_TEST(cell.Relays().size() == 4U);
+  // Every connection to these now fails, so the one worker without a relay
+  // gets the work.
+  BOOST_TEST(cell.Switch("relay:*>worker-1-2", R"({"cut": true})"));
+  BOOST_TEST(cell.Switch("relay:entry-1-1>worker-1-1", R"({"cut": true})"));
+  auto reply =
+      SendOnce(cell.Url("entry-1-1"), Post("/v1/services/screen", "hello"));
+  BOOST_REQUIRE(reply.has_value());
+  BOOST_TEST(reply->status == kOk);
+}
+
 /// One entry process with workers, and settings for it.
 CellLayout SmallCell(const std::string& extra_settings) {
   CellLayout layout;
