--- a/packages/gateway/src/housekeeper.cc
+++ b/packages/gateway/src/housekeeper.cc
@@ -3,7 +3,7 @@
 #include <chrono>
 #include <utility>
 
-namespace mustardproxy::detail::gateway {
+namespace mustardproxy::gateway_detail {
 namespace {
 
 constexpr std::chrono::seconds kInterval(5);
@@ -30,4 +30,4 @@
   }
 }
 
-}  // namespace mustardproxy::detail::gateway
+}  // namespace mustardproxy::gateway_detail
--- a/packages/gateway/src/housekeeper.h
+++ b/packages/gateway/src/housekeeper.h
@@ -6,7 +6,7 @@
 #include <mutex>
 #include <thread>
 
-namespace mustardproxy::detail::gateway {
+namespace mustardproxy::gateway_detail {
 
 /// Calls a function every few seconds on a thread of its own.
 class Housekeeper {
@@ -26,6 +26,6 @@
   std::thread thread;
 };
 
-}  // namespace mustardproxy::detail::gateway
+}  // namespace mustardproxy::gateway_detail
 
 #endif  // MUSTARDPROXY_GATEWAY_HOUSEKEEPER_H_
