--- a/testing/process_faults/request_cell.h
+++ b/testing/process_faults/request_cell.h
@@ -2,6 +2,7 @@
 #define MUSTARDPROXY_PROCESS_FAULTS_REQUEST_CELL_H_
 
 #include <boost/test/unit_test.hpp>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -9,6 +10,9 @@
 
 namespace mustardproxy::process_faults {
 
+/// Calls of a test at most.
+inline constexpr std::size_t kMostCalls = 64;
+
 /// Short leases and ejections, so that takeovers and returns come soon.
 inline const char* const kQuickSettings =
     R"("ownership": {"lease_ms": 1500, "renew_interval_ms": 300,
--- a/testing/process_faults/request_owner_death_test.cc
+++ b/testing/process_faults/request_owner_death_test.cc
@@ -30,6 +30,7 @@
   std::string peer = PeerOf(owner);
   constexpr int kCalls = 4;
   std::vector<PendingCall> calls;
+  calls.reserve(kMostCalls);
   for (int i = 0; i < kCalls; ++i) {
     std::string key = i % 2 == 0 ? "" : "killed-" + std::to_string(i);
     std::string door = i < 2 ? owner : peer;
--- a/testing/process_faults/request_partition_test.cc
+++ b/testing/process_faults/request_partition_test.cc
@@ -14,6 +14,7 @@
                                       const std::string& entry, int count,
                                       milliseconds run_time) {
   std::vector<PendingCall> calls;
+  calls.reserve(kMostCalls);
   for (int i = 0; i < count; ++i) {
     calls.emplace_back(cell, entry,
                        Call{.service = "booking", .body = FreshBody(run_time)});
@@ -58,6 +59,7 @@
         [&] { return StatusNumber(cell, entry, "live_peers") == 0; }));
   }
   std::vector<PendingCall> calls;
+  calls.reserve(kMostCalls);
   for (const std::string& entry : cell.Entries()) {
     auto some = SendBookings(cell, entry, 16, milliseconds(100));
     for (PendingCall& call : some) calls.push_back(std::move(call));
--- a/testing/process_faults/request_shutdown_test.cc
+++ b/testing/process_faults/request_shutdown_test.cc
@@ -30,6 +30,7 @@
   std::string owner = MainOwner(cell);
   std::string peer = PeerOf(owner);
   std::vector<PendingCall> calls;
+  calls.reserve(kMostCalls);
   for (int i = 0; i < 6; ++i) {
     calls.emplace_back(
         cell, i % 2 == 0 ? owner : peer,
@@ -63,6 +64,7 @@
   BOOST_REQUIRE_MESSAGE(cell.Start(), cell.Trouble());
   BOOST_REQUIRE(AwaitServing(cell));
   std::vector<PendingCall> calls;
+  calls.reserve(kMostCalls);
   for (int i = 0; i < 8; ++i) {
     Call call{.service = "booking",
               .body = FreshBody(milliseconds(100)),
--- a/testing/process_faults/request_worker_faults_test.cc
+++ b/testing/process_faults/request_worker_faults_test.cc
@@ -61,6 +61,7 @@
   Cell& cell = SharedCell();
   std::string owner = MainOwner(cell);
   std::vector<PendingCall> calls;
+  calls.reserve(kMostCalls);
   for (int i = 0; i < 6; ++i) {
     calls.emplace_back(
         cell, owner,
@@ -127,6 +128,7 @@
   SwitchAll(&cell, cell.Workers(),
             R"({"cut_answers": 3, "cross_answers": 3, "late_answers_ms": 30})");
   std::vector<PendingCall> calls;
+  calls.reserve(kMostCalls);
   for (int i = 0; i < 48; ++i) {
     std::string service = i % 2 == 0 ? "screen" : "booking";
     calls.emplace_back(
