--- a/testing/process_faults/request_cell.h
+++ b/testing/process_faults/request_cell.h
@@ -2,6 +2,7 @@
 #define MUSTARDPROXY_PROCESS_FAULTS_REQUEST_CELL_H_
 
 #include <boost/test/unit_test.hpp>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -9,6 +10,9 @@
 
 namespace mustardproxy::process_faults {
 
+/// Calls of a test at most.
+inline constexpr std::size_t kMostCalls = 64;
+
 /// Short leases and ejections, so that takeovers and returns come soon.
 inline const char* const kQuickSettings =
     R"("ownership": {"lease_ms": 1500, "renew_interval_ms": 300,
@@ -45,10 +49,16 @@
           reply = Send(cell, entry, call);
           return IsOwnAnswer(reply, call);
         },
-        std::chrono::seconds(20));
+        std::chrono::seconds(15));
     if (serves) continue;
     BOOST_TEST_MESSAGE(entry << " does not serve: " << OutcomeOf(reply) << " "
                              << (reply ? reply->body : ""));
+    for (const std::string& each : cell.Entries()) {
+      auto status = cell::SendOnce(
+          cell.OperatorUrl(each),
+          {.method = "GET", .path = "/v1/status", .body = "", .headers = {}});
+      BOOST_TEST_MESSAGE(each << ": " << (status ? status->body : ""));
+    }
     return false;
   }
   return true;
