Digests answer with the present; a long lease that is released early is taken over

Two causes behind one red test of the graceful stop at process level. 1. The digest that answers a peer's heartbeat was published only together with the process's own heartbeats. One exchange serves both ends, so a process that is beaten to beats to nobody, and its first digest, 'owns no worker', stood for good. Its peer then refused its callers with 206 while the workers idled. The control loop now publishes it with the status, every 100 ms at most. 2. A refused attach is asked again after 3 s at most, the usual lease, so usual settings send no call more.

--- a/apps/mustardproxy/src/control_loop.cc
+++ b/apps/mustardproxy/src/control_loop.cc
@@ -140,6 +140,10 @@
 
 void ControlLoop::PublishStatus(Instant now) {
   CoreStatus status = this->parts.decisions->Status(now);
+  // Failure: peers beat to us, so we beat to nobody, and a digest that was
+  // published only with our own heartbeats stays the first one: "owns no
+  // worker". A peer without workers then refuses its callers while ours idle.
+  this->parts.performer->OnDigest(status.digest);
   Metrics& metrics = *this->parts.metrics;
   metrics.Set("queued_requests", "", status.queued);
   metrics.Set("running_tasks", "", status.running);
--- a/apps/mustardproxy/src/dispatcher.cc
+++ b/apps/mustardproxy/src/dispatcher.cc
@@ -32,16 +32,7 @@
 }  // namespace
 
 void Dispatcher::Perform(const Actions& actions) {
-  bool published = false;
-  for (const Action& action : actions) {
-    const auto* send = std::get_if<SendDigest>(&action);
-    // All heartbeats of one moment carry the same digest.
-    if (send != nullptr && !published) {
-      this->PublishDigest(send->digest);
-      published = true;
-    }
-    this->Begin(action);
-  }
+  for (const Action& action : actions) this->Begin(action);
 }
 
 void Dispatcher::Begin(const Action& action) {
@@ -83,7 +74,7 @@
                               static_cast<double>(sample.value));
 }
 
-void Dispatcher::PublishDigest(const Digest& digest) {
+void Dispatcher::OnDigest(const Digest& digest) {
   this->digest = digest;
   this->links.peer->Publish(this->digest, this->configuration_json);
 }
--- a/apps/mustardproxy/src/dispatcher.h
+++ b/apps/mustardproxy/src/dispatcher.h
@@ -37,6 +37,7 @@
 
   void Perform(const Actions& actions) override;
   void OnConfiguration(const Configuration& configuration) override;
+  void OnDigest(const Digest& digest) override;
   void Refuse(const Action& answer) override;
 
   /// Waits until the core has finished its shutdown.
@@ -53,7 +54,6 @@
     }
   }
   void Record(const RecordSample& sample);
-  void PublishDigest(const Digest& digest);
   void Finish();
 
   Links links;
--- a/apps/mustardproxy/src/performer.h
+++ b/apps/mustardproxy/src/performer.h
@@ -18,6 +18,8 @@
   virtual void Perform(const Actions& actions) = 0;
   /// Called by the control thread when another document is in force.
   virtual void OnConfiguration(const Configuration& configuration) = 0;
+  /// Called by the control thread when the digest may have changed.
+  virtual void OnDigest(const Digest& digest) = 0;
   /// Answers a request or question that never reached the core. Called by the
   /// thread that posted it.
   virtual void Refuse(const Action& answer) = 0;
--- a/apps/mustardproxy/tests/app_fakes.h
+++ b/apps/mustardproxy/tests/app_fakes.h
@@ -67,6 +67,11 @@
     std::lock_guard lock(this->mutex);
     this->versions.push_back(configuration.version);
   }
+  void OnDigest(const Digest& digest) override {
+    std::lock_guard lock(this->mutex);
+    this->owned_workers = digest.owned_workers;
+    this->changed.notify_all();
+  }
   void Refuse(const Action& answer) override {
     std::lock_guard lock(this->mutex);
     this->refused.push_back(answer);
@@ -78,6 +83,12 @@
                            [&] { return this->performed.size() >= count; });
     return this->performed;
   }
+  /// @return true once a digest with that many owned workers was published
+  bool WaitForOwnedWorkers(std::int32_t count) {
+    std::unique_lock lock(this->mutex);
+    return this->changed.wait_for(lock, kGenerousLimit,
+                                  [&] { return this->owned_workers == count; });
+  }
   std::vector<Action> Refused() {
     std::lock_guard lock(this->mutex);
     return this->refused;
@@ -93,6 +104,7 @@
   std::vector<Action> performed;
   std::vector<Action> refused;
   std::vector<ConfigurationVersion> versions;
+  std::int32_t owned_workers = 0;
 };
 
 }  // namespace mustardproxy::testing
--- a/apps/mustardproxy/tests/control_loop_test.cc
+++ b/apps/mustardproxy/tests/control_loop_test.cc
@@ -52,6 +52,23 @@
   BOOST_TEST(std::holds_alternative<CancelRequested>(seen[1]));
 }
 
+// Story: a process attaches to all workers and never beats to its peer, since
+// the peer beats to it. The peer's callers are refused with "owns no worker"
+// for as long as the cell is idle. Cause: the digest that answers a peer's
+// heartbeat was renewed only with the process's own heartbeats, so it stayed
+// the first.
+BOOST_AUTO_TEST_CASE(digest_is_published_without_own_heartbeats) {
+  this->decisions.behaviour = [&](const Event& event, Actions*) {
+    const bool attached = std::holds_alternative<WorkerAttached>(event);
+    if (attached) this->decisions.status.digest.owned_workers = 2;
+  };
+  ControlLoop loop(this->Parts(100));
+  loop.Start();
+  loop.Post(WorkerAttached{});
+  BOOST_TEST(this->performer.WaitForOwnedWorkers(2));
+  loop.Stop();
+}
+
 BOOST_AUTO_TEST_CASE(wakeup_brings_a_tick_without_any_event) {
   Instant due = SteadyNow() + std::chrono::milliseconds(20);
   bool ticked = false;
--- a/packages/core/include/mustardproxy/core/core.h
+++ b/packages/core/include/mustardproxy/core/core.h
@@ -8,6 +8,7 @@
 
 #include "mustardproxy/core/actions.h"
 #include "mustardproxy/core/configuration.h"
+#include "mustardproxy/core/digest.h"
 #include "mustardproxy/core/events.h"
 #include "mustardproxy/core/journal.h"
 #include "mustardproxy/core/membership.h"
@@ -60,6 +61,8 @@
   Resources capacity;
   Resources free;
   std::vector<JournalId> journals;
+  /// What peers are told when they ask at this moment.
+  Digest digest;
 };
 
 /// The decisions of one entry process, without input or output: events in,
--- a/packages/core/src/core.cc
+++ b/packages/core/src/core.cc
@@ -161,6 +161,7 @@
   const detail::CoreContext& context = parts.context;
   CoreStatus status;
   status.process = context.options.self.process;
+  status.digest = parts.OwnDigest();
   status.data_center = context.options.self.data_center;
   status.incarnation = context.options.incarnation;
   status.configuration_version = context.configuration.version;
--- a/packages/core/src/ownership.cc
+++ b/packages/core/src/ownership.cc
@@ -27,6 +27,9 @@
 constexpr Duration kSettleCheck = std::chrono::milliseconds(100);
 /// A call that was reported unreachable may still be answered for so long.
 constexpr Duration kLateAnswer = std::chrono::seconds(5);
+/// Longest time for which a refused attach is put off; as long as the usual
+/// lease, so that it adds no calls there.
+constexpr Duration kEarlyReleaseInterval = std::chrono::seconds(3);
 
 }  // namespace
 
@@ -232,8 +235,11 @@
   const bool free = refused.lease_left <= Duration(0);
   const bool first = lease->refusals++ == 0;
   const Duration pause = all.BackOff(lease->refusals - 1, all.options.lease);
-  lease->not_before =
-      now + refused.lease_left + (free && first ? Duration(0) : pause);
+  // Failure: a process in a graceful stop releases its workers long before the
+  // lease runs out, and its successor, refused once before that, would leave
+  // them idle for the rest of the lease. So a long lease is asked about again.
+  const Duration wait = std::min(refused.lease_left, kEarlyReleaseInterval);
+  lease->not_before = now + wait + (free && first ? Duration(0) : pause);
   // A worker that has an owner after all is left alone.
   if (!free && !all.Preferred(*lease)) {
     lease->not_before = now + OrphanWatch::kWindow;
