Log: begin the library without an object that nobody holds

The address sanitizer reported one leaked byte at the end of telemetry_tests: the object that begins log4cplus was kept by a pointer that the compiler left out. The library's own function for it needs no object. After the change the sanitizer reports nothing.

--- a/packages/telemetry/src/log.cc
+++ b/packages/telemetry/src/log.cc
@@ -1,7 +1,6 @@
 #include "mustardproxy/telemetry/log.h"
 
 #include <log4cplus/consoleappender.h>
-#include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loglevel.h>
@@ -17,8 +16,6 @@
 namespace mustardproxy {
 namespace {
 
-// A log line must never be lost to the order of destruction at exit, so the
-// library is never torn down.
 std::atomic<bool> started = false;
 
 std::string_view Prefix(Part part) {
@@ -97,8 +94,8 @@
 void StartLog(std::string_view level, std::string_view process) {
   static std::mutex mutex;
   const std::lock_guard lock(mutex);
-  static auto* const library = new log4cplus::Initializer();  // never destroyed
-  static_cast<void>(library);
+  // Without a counterpart: a line written late in the exit must not be lost.
+  log4cplus::initialize();
   // The library's pool serves appenders of another thread, which are not used.
   log4cplus::setThreadPoolSize(1);
   log4cplus::SharedAppenderPtr appender(
