Core: tests for three guards that no test had covered

Found by taking guards out on a scratch copy: the fence before adopted work is touched, the epoch at a delayed start, the half gang of deferred work.

--- a/packages/core/src/lifecycle/task_tracker.cc
+++ b/packages/core/src/lifecycle/task_tracker.cc
@@ -58,8 +58,9 @@
       this->parts->ownership.Owned(now, plan.worker);
   // The lease may have been lost, or the host may have begun to leave, between
   // the placement and this send, for example while a *started* record was on
-  // its way to the platform. Such a task is placed again.
-  if (!owned || owned->epoch != plan.epoch || owned->description.leaving) {
+  // its way to the platform. Then there is no lease to send under, or a newer
+  // one, under which the room was not counted. Such a task is placed again.
+  if (!owned || owned->epoch != plan.epoch) {
     this->Settle(task, TaskNews::Kind::kNeverStarted, {}, Error::kStaleEpoch);
     return;
   }
--- a/packages/core/tests/core_deferred_test.cc
+++ b/packages/core/tests/core_deferred_test.cc
@@ -70,6 +70,38 @@
   BOOST_TEST(refused.answer.retry_after.count() > 0);
 }
 
+// The worker's lease is lost and taken again while the *started* record is on
+// its way. The new report was made without this task, so its room may be taken:
+// it must be placed anew instead of being sent under the new lease.
+BOOST_AUTO_TEST_CASE(a_start_is_not_sent_under_another_lease) {
+  CoreHarness harness(1);
+  harness.journal_answers = false;
+  harness.Arrive("review");
+  const JournalBatch accepted = harness.Take<AppendJournal>().front().batch;
+  harness.Send(JournalAppended{accepted.journal, accepted.sequence});
+  const JournalBatch started = harness.Take<AppendJournal>().front().batch;
+  harness.Send(WorkerRefused{WorkerId("w1"), 1, 5, ProcessId("p2"), {}});
+  harness.Advance(std::chrono::milliseconds(900));
+  BOOST_TEST_REQUIRE(harness.core.Status(harness.Now()).owned_workers == 1);
+  harness.Take<AppendJournal>();
+  harness.Send(JournalAppended{started.journal, started.sequence});
+  BOOST_TEST(harness.Take<StartTask>().empty());
+}
+
+// The host begins to leave while the *started* record is on its way.
+BOOST_AUTO_TEST_CASE(a_start_is_not_sent_to_a_host_that_began_to_leave) {
+  CoreHarness harness(1);
+  harness.journal_answers = false;
+  harness.Arrive("review");
+  const JournalBatch accepted = harness.Take<AppendJournal>().front().batch;
+  harness.Send(JournalAppended{accepted.journal, accepted.sequence});
+  const JournalBatch started = harness.Take<AppendJournal>().front().batch;
+  harness.Send(HostListArrived{
+      {{WorkerId("w1"), "w1:80", DataCenterId("dc1"), RackId("r1"), true}}});
+  harness.Send(JournalAppended{started.journal, started.sequence});
+  BOOST_TEST(harness.Take<StartTask>().empty());
+}
+
 // A peer adopted this process's journal while it was paused. Its next append
 // finds the sequence number taken: nothing of that journal starts here again.
 BOOST_AUTO_TEST_CASE(a_fenced_journal_stops_its_deferred_work) {
@@ -133,6 +165,47 @@
   BOOST_TEST((Ask(&harness, request.id).state == DeferredState::kFinished));
 }
 
+// Two processes read the journal of a dead one. The one whose fence comes too
+// late must not have touched the work: no start, no question, no stop.
+BOOST_AUTO_TEST_CASE(nothing_adopted_is_touched_before_the_fence_is_durable) {
+  CoreHarness harness(1);
+  harness.journal_answers = false;
+  const JournalId journal("p2.b2");
+  Request request = harness.Make("review");
+  request.id = RequestId("p2.b2.1");
+  request.team = TeamId("dlonie");
+  harness.Send(JournalsListed{{journal}});
+  harness.Send(JournalRead{journal,
+                           {{journal, 1, 11, {AcceptedRecord{request}}},
+                            {journal, 2, 12, {HandedOverRecord{}}}}});
+  const auto appends = harness.Take<AppendJournal>();
+  BOOST_TEST_REQUIRE(appends.size() == 1U);
+  harness.Advance(std::chrono::milliseconds(500));
+  BOOST_TEST(harness.core.Status(harness.Now()).deferred == 0);
+  harness.Send(JournalFenced{journal, 3});
+  harness.Advance(std::chrono::seconds(3));
+  BOOST_TEST(harness.Take<AppendJournal>().empty());
+  BOOST_TEST(harness.Take<StartTask>().empty());
+}
+
+// One task of a deferred gang is refused. The other must not run on alone.
+BOOST_AUTO_TEST_CASE(a_half_started_deferred_gang_is_stopped) {
+  CoreHarness harness(2);
+  harness.Arrive("means");
+  const auto starts = harness.Take<StartTask>();
+  BOOST_TEST_REQUIRE(starts.size() == 2U);
+  harness.Send(TaskStarted{starts[0].worker, starts[0].order.task});
+  harness.Send(
+      TaskNotStarted{starts[1].worker, starts[1].order.task, Error::kNoWorker});
+  const auto stops = harness.Take<StopTask>();
+  BOOST_TEST_REQUIRE(stops.size() == 1U);
+  BOOST_TEST(stops.front().task == starts[0].order.task);
+  harness.Send(
+      TaskStopAnswered{stops.front().worker, stops.front().task, true});
+  harness.Advance(std::chrono::seconds(5));
+  BOOST_TEST(harness.Take<StartTask>().size() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(a_queued_cancellation_says_that_it_did_not_run) {
   CoreHarness harness(1);
   for (int i = 0; i < 8; ++i) {
--- a/packages/core/tests/core_harness.cc
+++ b/packages/core/tests/core_harness.cc
@@ -76,6 +76,11 @@
   AddService(&cell, "review", "batch", true, 1);
   AddService(&cell, "letter", "batch", false, 1);
   AddService(&cell, "rota", "gang", true, 2);
+  Profile batch_gang = batch;
+  batch_gang.id = ProfileId("batch-gang");
+  batch_gang.gang = true;
+  cell.profiles[batch_gang.id] = batch_gang;
+  AddService(&cell, "means", "batch-gang", true, 2);
   return cell;
 }
 
--- a/packages/core/tests/core_harness.h
+++ b/packages/core/tests/core_harness.h
@@ -58,7 +58,8 @@
 
   /// Services: `screen` (urgent, idempotent), `booking` (urgent,
   /// non-idempotent), `review` (deferred, idempotent), `letter` (deferred,
-  /// non-idempotent), `rota` (gang of two).
+  /// non-idempotent), `rota` (gang of two), `means`
+  /// (deferred gang of two).
   static Configuration Cell();
 
   Core core;
