--- a/testing/fault_matrix/src/cell.cc
+++ b/testing/fault_matrix/src/cell.cc
@@ -382,6 +382,13 @@
   }
 }
 
+bool Cell::AnyPaused() const {
+  const auto paused = [](const auto& node) { return node->Paused(); };
+  return this->platform.Paused() ||
+         std::ranges::any_of(this->workers, paused) ||
+         std::ranges::any_of(this->processes, paused);
+}
+
 void Cell::AskResults() {
   std::uint64_t question = kFirstQuestion;
   std::size_t turn = 0;
@@ -423,7 +430,7 @@
   const Instant last = begin + kHealed + kRecovery;
   const auto at_rest = [&] {
     return this->simulation.Now() > loaded && this->promises.AllSettled() &&
-           this->network.LateMessages() == 0;
+           this->network.LateMessages() == 0 && !this->AnyPaused();
   };
   while (!at_rest() && this->simulation.Step(last)) {
   }
--- a/testing/fault_matrix/src/cell.h
+++ b/testing/fault_matrix/src/cell.h
@@ -80,6 +80,8 @@
   void StopGracefully();
   void Heal();
   void AskResults();
+  /// What a paused node has received is not known to the promises yet.
+  [[nodiscard]] bool AnyPaused() const;
   [[nodiscard]] bool Reaches(const EntryProcess& process) const;
   [[nodiscard]] TaskScript Script(const RequestId& request);
 
--- a/testing/fault_matrix/src/node.h
+++ b/testing/fault_matrix/src/node.h
@@ -25,6 +25,7 @@
 
   [[nodiscard]] const std::string& Name() const { return this->name; }
   [[nodiscard]] bool Alive() const { return this->alive; }
+  [[nodiscard]] bool Paused() const { return this->paused; }
   /// @return when this run began
   [[nodiscard]] Instant Began() const { return this->began; }
   /// Grows with each start; what belongs to an earlier run is dropped.
