--- a/testing/process_faults/deferred_paused_writer_test.cc
+++ b/testing/process_faults/deferred_paused_writer_test.cc
@@ -18,6 +18,7 @@
   std::string peer = paused == "entry-1-1" ? "entry-1-2" : "entry-1-1";
   constexpr int kReviews = 5;
   std::vector<AcceptedWork> reviews;
+  reviews.reserve(kReviews);
   for (int i = 0; i < kReviews; ++i) {
     reviews.push_back(
         Accept(cell, paused, "detainee", std::chrono::milliseconds(800)));
--- a/testing/process_faults/platform_down_test.cc
+++ b/testing/process_faults/platform_down_test.cc
@@ -124,6 +124,7 @@
   std::vector<Class> classes = AllClasses();
   auto end = std::chrono::steady_clock::now() + OutageLength();
   std::vector<std::thread> senders;
+  senders.reserve(classes.size());
   for (Class& item : classes) {
     senders.emplace_back([&] { SendUntil(cell, end, &item); });
   }
