Core: no review is started again while a peer may keep it alive; half answers of gangs

Each process of the data centre now has to say that nothing of the request is left before it runs again.

--- a/packages/core/src/core.cc
+++ b/packages/core/src/core.cc
@@ -22,7 +22,8 @@
 }
 void Dispatch(Parts* parts, const QueryAnswered& event) {
   const bool taken = parts->forwarding.OnQueryAnswered(event) ||
-                     parts->orphan_gangs.OnQueryAnswered(event);
+                     parts->orphan_gangs.OnQueryAnswered(event) ||
+                     parts->consent.OnQueryAnswered(event);
   if (!taken) {
     parts->queries.On(event);
   }
--- a/packages/core/src/lifecycle/attempt.cc
+++ b/packages/core/src/lifecycle/attempt.cc
@@ -48,16 +48,20 @@
       })) {
     return Verdict::kLost;
   }
-  if (any([](const AttemptSlot& slot) {
-        return EndedWith(slot, TaskEnd::kFailed);
-      })) {
-    return Verdict::kFailed;
-  }
+  // With a task that was stopped there is no whole answer, whatever the others
+  // reported.
   const bool whole =
       std::ranges::all_of(this->slots, [](const AttemptSlot& slot) {
-        return EndedWith(slot, TaskEnd::kFinished);
+        return EndedWith(slot, TaskEnd::kFinished) ||
+               EndedWith(slot, TaskEnd::kFailed);
       });
-  return whole ? Verdict::kFinished : Verdict::kStopped;
+  if (!whole) {
+    return Verdict::kStopped;
+  }
+  const bool failed = any([](const AttemptSlot& slot) {
+    return EndedWith(slot, TaskEnd::kFailed);
+  });
+  return failed ? Verdict::kFailed : Verdict::kFinished;
 }
 
 bool Attempt::LeaseLost() const {
--- a/packages/core/src/lifecycle/attempt.h
+++ b/packages/core/src/lifecycle/attempt.h
@@ -38,7 +38,7 @@
   /// No task of it ran.
   kNeverStarted,
   kFinished,
-  /// A task reported failure.
+  /// All tasks ended by themselves, and one reported failure.
   kFailed,
   /// A task was stopped, or did not start while others of its gang ran.
   kStopped,
--- a/packages/core/src/lifecycle/parts.cc
+++ b/packages/core/src/lifecycle/parts.cc
@@ -48,6 +48,7 @@
       adoption(this),
       queries(this),
       orphan_gangs(this),
+      consent(this),
       configuration(this),
       shutdown(this) {
   const PeerDescription& self = this->context.options.self;
@@ -165,6 +166,7 @@
   }
   this->journals.EraseOld();
   this->HandOverStranded();
+  this->workers.CloseLost();
   this->workers.ProbeIdle();
 }
 
--- a/packages/core/src/lifecycle/parts.h
+++ b/packages/core/src/lifecycle/parts.h
@@ -14,6 +14,7 @@
 #include "lifecycle/journals.h"
 #include "lifecycle/key_claims.h"
 #include "lifecycle/orphan_gangs.h"
+#include "lifecycle/peer_consent.h"
 #include "lifecycle/placing.h"
 #include "lifecycle/query_flow.h"
 #include "lifecycle/request_answers.h"
@@ -71,6 +72,7 @@
   Adoption adoption;
   QueryFlow queries;
   OrphanGangs orphan_gangs;
+  PeerConsent consent;
   ConfigurationFlow configuration;
   ShutdownFlow shutdown;
 
--- a/packages/core/src/lifecycle/query_flow.cc
+++ b/packages/core/src/lifecycle/query_flow.cc
@@ -19,7 +19,8 @@
 
 void QueryFlow::On(const QueryArrived& event) {
   if (event.stop_orphans) {
-    this->parts->workers.StopOrphansOf(event.request);
+    this->StopOrphans(event);
+    return;
   }
   if (this->AnswerHere(event)) {
     return;
@@ -33,6 +34,16 @@
   this->AskNext(std::move(next));
 }
 
+void QueryFlow::StopOrphans(const QueryArrived& event) {
+  this->parts->workers.StopOrphansOf(event.request);
+  const bool followed = this->StatusHere(event.request).has_value();
+  DeferredStatus status;
+  status.id = event.request;
+  status.state = followed ? DeferredState::kRunning : DeferredState::kUnknown;
+  status.ran = followed || this->parts->workers.RunsOrphanOf(event.request);
+  this->Answer(event.query, std::move(status));
+}
+
 bool QueryFlow::AnswerHere(const QueryArrived& event) {
   if (event.cancel &&
       this->parts->deferred.Cancel(event.request, event.query)) {
--- a/packages/core/src/lifecycle/query_flow.h
+++ b/packages/core/src/lifecycle/query_flow.h
@@ -38,6 +38,9 @@
     std::vector<ProcessId> peers_left;
   };
 
+  /// Stops what other processes have started of the request, and says whether
+  /// anything of it is left here.
+  void StopOrphans(const QueryArrived& event);
   [[nodiscard]] bool AnswerHere(const QueryArrived& event);
   [[nodiscard]] std::optional<DeferredStatus> StatusHere(
       const RequestId& request) const;
--- a/packages/core/src/lifecycle/task_questions.cc
+++ b/packages/core/src/lifecycle/task_questions.cc
@@ -152,29 +152,8 @@
   this->CheckAfter(tracked, tracked->pause);
 }
 
-bool TaskTracker::StopsAtPeersFirst(Tracked* tracked) {
-  // Failure: this process can't reach the worker of a task that it adopted, but
-  // the worker's present owner does, and renews the leases of all that runs
-  // there. The review would go on there while it is started elsewhere. So the
-  // owner, if it is a live peer, is told to stop it first.
-  const auto terms =
-      TermsOf(this->parts->context.configuration, tracked->plan.service);
-  const bool needed =
-      !tracked->placed && !tracked->peers_told && terms && terms->idempotent;
-  if (!needed) {
-    return false;
-  }
-  tracked->peers_told = true;
-  this->parts->StopAtPeers(tracked->plan.request);
-  this->CheckAfter(tracked, kReportPatience);
-  return true;
-}
-
 void TaskTracker::OnNotReachable(Tracked* tracked) {
-  if (this->LeaseLapsed(*tracked)) {
-    if (this->StopsAtPeersFirst(tracked)) {
-      return;
-    }
+  if (this->SurelyOver(*tracked)) {
     this->Settle(tracked->plan.task, TaskNews::Kind::kLost, {},
                  Error::kWorkerLost);
     return;
@@ -185,26 +164,42 @@
   this->CheckAfter(tracked, tracked->pause);
 }
 
-bool TaskTracker::LeaseLapsed(const Tracked& tracked) const {
+bool TaskTracker::SurelyOver(const Tracked& tracked) {
+  const Instant now = this->parts->context.now;
+  const Duration lease = this->parts->context.options.task_lease + kLeaseMargin;
+  // Whoever renews its lease, the worker ends it at its time limit.
+  if (now >= tracked.since + tracked.plan.max_run + lease &&
+      now >= this->LapseOf(tracked)) {
+    return true;
+  }
+  if (now < this->LapseOf(tracked)) {
+    return false;
+  }
+  const auto terms =
+      TermsOf(this->parts->context.configuration, tracked.plan.service);
+  // What must not run twice is not started again anyway.
+  if (!terms || !terms->idempotent) {
+    return true;
+  }
+  this->parts->consent.Ask(tracked.plan.request);
+  const Instant consent = this->parts->consent.Since(tracked.plan.request);
+  // A peer that says so may have lost the worker just before.
+  return consent != Instant::max() && now >= consent + lease;
+}
+
+Instant TaskTracker::LapseOf(const Tracked& tracked) const {
   const WorkerId& worker = tracked.plan.worker;
+  const CoreOptions& options = this->parts->context.options;
   Instant last = tracked.since;
   const auto renewed = this->renewals.find(worker);
   if (renewed != this->renewals.end()) {
     last = std::max(last, renewed->second);
   }
-  Instant lapse = last + this->parts->context.options.task_lease + kLeaseMargin;
-  if (tracked.phase == Phase::kSent) {
-    lapse = std::max(
-        lapse, tracked.since +
-                   this->parts->context.options.unconfirmed_start_patience);
-  }
-  // Another owner may reach the worker and renew the leases of all its tasks,
-  // though this process does not: then only the time limit ends them.
-  if (this->parts->workers.HeldByOther(worker)) {
-    lapse = std::max(lapse, tracked.since + tracked.plan.max_run +
-                                this->parts->context.options.task_lease);
+  const Instant lapse = last + options.task_lease + kLeaseMargin;
+  if (tracked.phase != Phase::kSent) {
+    return lapse;
   }
-  return this->parts->context.now >= lapse;
+  return std::max(lapse, tracked.since + options.unconfirmed_start_patience);
 }
 
 }  // namespace mustardproxy::detail
--- a/packages/core/src/lifecycle/task_tracker.cc
+++ b/packages/core/src/lifecycle/task_tracker.cc
@@ -323,6 +323,7 @@
     this->by_worker.erase(at);
   }
   this->checks.Clear(id);
+  this->parts->consent.Forget(plan.request);
   this->Remember(id);
 }
 
--- a/packages/core/src/lifecycle/task_tracker.h
+++ b/packages/core/src/lifecycle/task_tracker.h
@@ -135,8 +135,6 @@
     bool asking = false;
     bool stop_wanted = false;
     bool stop_sent = false;
-    /// Peers were told to stop it if it runs at a worker of theirs.
-    bool peers_told = false;
     bool checkpoint = false;
     /// Renewals still to be seen before "never started" counts.
     std::int32_t confirmations = 0;
@@ -151,11 +149,14 @@
   void ConfirmNeverStarted(Tracked* tracked, Incarnation answered_by);
   void OnStillRunning(Tracked* tracked);
   void OnNotReachable(Tracked* tracked);
-  [[nodiscard]] bool StopsAtPeersFirst(Tracked* tracked);
   void OnReportedRunning(Tracked* tracked);
   void AskMissing(const WorkerReport& report);
   void CountConfirmations(const WorkerReport& report);
-  [[nodiscard]] bool LeaseLapsed(const Tracked& tracked) const;
+  /// @return true if the task does not run anywhere, though its worker can't be
+  ///   asked
+  [[nodiscard]] bool SurelyOver(const Tracked& tracked);
+  /// @return when its lease has lapsed, unless somebody else renews it
+  [[nodiscard]] Instant LapseOf(const Tracked& tracked) const;
   void Report(const Tracked& tracked, TaskNews::Kind kind);
   void Settle(const TaskId& task, TaskNews::Kind kind, EndedTask ended = {},
               std::error_code reason = {});
--- a/packages/core/src/lifecycle/worker_flow.cc
+++ b/packages/core/src/lifecycle/worker_flow.cc
@@ -47,7 +47,6 @@
   if (!owned || owned->epoch != report.epoch) {
     return;
   }
-  this->held_by_other.erase(report.worker);
   if (rebuild) {
     this->parts->tasks.OnWorkerRestarted(report.worker, report.incarnation);
   }
@@ -61,6 +60,7 @@
 void WorkerFlow::Open(const OwnedWorker& owned, const WorkerReport& report) {
   const WorkerId& worker = report.worker;
   this->parts->ledger.Open(owned.description, report);
+  this->open.insert(worker);
   // Tasks sent under this very epoch may have reached the worker after it made
   // the report; leaving them out would overcommit it.
   const std::vector<RunningTask> on_the_way =
@@ -140,9 +140,6 @@
   this->releasing.erase(event.worker);
   const bool lost =
       this->parts->ownership.OnRefused(this->parts->context.now, event);
-  if (!event.holder.Empty() && event.holder != this->parts->context.Self()) {
-    this->held_by_other.insert(event.worker);
-  }
   if (lost) {
     this->Close(event.worker);
   }
@@ -175,6 +172,7 @@
 }
 
 void WorkerFlow::Close(const WorkerId& worker) {
+  this->open.erase(worker);
   this->parts->ledger.Close(worker);
   this->parts->health.Remove(worker);
   this->capped.erase(worker);
@@ -247,10 +245,6 @@
   return known == this->directory.end() ? std::string() : known->second.address;
 }
 
-bool WorkerFlow::HeldByOther(const WorkerId& worker) const {
-  return this->held_by_other.contains(worker);
-}
-
 bool WorkerFlow::RunsOrphanOf(const RequestId& request) const {
   return std::ranges::any_of(this->found, [&](const auto& at) {
     return std::ranges::any_of(
@@ -276,6 +270,18 @@
   }
 }
 
+void WorkerFlow::CloseLost() {
+  // Failure: a release got no answer for so long that the lease counts as
+  // given up. Nothing reports that, and the ledger would go on to show a worker
+  // on which nothing can be started.
+  const std::set<WorkerId> counted = this->open;
+  for (const WorkerId& worker : counted) {
+    if (!this->parts->ownership.Held(worker)) {
+      this->Close(worker);
+    }
+  }
+}
+
 void WorkerFlow::ProbeIdle() {
   // Failure: a worker that failed everything is kept to a few slots until a
   // task succeeds there. If all that waits are gangs, which need more slots,
--- a/packages/core/src/lifecycle/worker_flow.h
+++ b/packages/core/src/lifecycle/worker_flow.h
@@ -41,8 +41,7 @@
   void RenewNow(const WorkerId& worker, const OwnedWorker& owned);
   /// @return `ip:port`, empty if the worker is not known
   [[nodiscard]] std::string AddressOf(const WorkerId& worker) const;
-  /// @return true if the worker is known to have another owner
-  [[nodiscard]] bool HeldByOther(const WorkerId& worker) const;
+
   /// @return true if a task of the request, started by another process, runs at
   ///   a worker of this one
   [[nodiscard]] bool RunsOrphanOf(const RequestId& request) const;
@@ -50,6 +49,8 @@
   void StopOrphansOf(const RequestId& request);
   /// Places nothing more on a worker whose lease may be gone.
   void Suspend(const WorkerId& worker);
+  /// Closes workers whose lease was given up without an answer.
+  void CloseLost();
   /// Lets work onto workers that would else never show whether they are well.
   void ProbeIdle();
   [[nodiscard]] std::size_t KnownCount() const {
@@ -71,7 +72,8 @@
   /// Tasks at owned workers that this process did not start, with what runs
   /// them.
   std::map<WorkerId, std::map<TaskId, RequestId>> found;
-  std::set<WorkerId> held_by_other;
+  /// Workers that the ledger counts.
+  std::set<WorkerId> open;
   std::set<WorkerId> ejected;
   /// Workers of which only a share may be used, with when they were seen idle.
   std::map<WorkerId, Instant> capped;
--- a/packages/core/tests/core_recovery_test.cc
+++ b/packages/core/tests/core_recovery_test.cc
@@ -19,6 +19,19 @@
   }
 }
 
+/// Answers questions of the peer `p2` whether something of a request is left.
+void AnswerPeers(CoreHarness* harness, std::optional<bool> left) {
+  for (const AskPeer& ask : harness->Take<AskPeer>()) {
+    BOOST_TEST(ask.stop_orphans);
+    std::optional<DeferredStatus> status;
+    if (left) {
+      status.emplace();
+      status->ran = *left;
+    }
+    harness->Send(QueryAnswered{ask.query, status});
+  }
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(core_recovery)
@@ -129,8 +142,10 @@
     harness.Advance(std::chrono::seconds(1));
   }
   BOOST_TEST(harness.Take<StartTask>().empty());
-  for (int i = 0; i < 20; ++i) {
+  BOOST_TEST(harness.Take<AskPeer>().empty());
+  for (int i = 0; i < 30; ++i) {
     AnswerQueries(&harness, TaskQueried::State::kUnreachable);
+    AnswerPeers(&harness, false);
     harness.Advance(std::chrono::seconds(1));
   }
   BOOST_TEST(harness.Take<StartTask>().size() == 1U);
@@ -189,34 +204,68 @@
   BOOST_TEST(second.worker != first.worker);
 }
 
-// An adopted review may run at a worker that only a peer reaches, and the peer
-// renews its lease there. The peer is told to stop it before it starts here.
-BOOST_AUTO_TEST_CASE(peers_stop_an_adopted_task_before_it_runs_again) {
-  CoreHarness harness(1);
-  const JournalId journal("p2.b2");
-  Request request = harness.Make("review");
-  request.id = RequestId("p2.b2.1");
-  request.team = TeamId("dlonie");
-  StartedRecord started;
-  started.request = request.id;
-  started.task = TaskId("p2.b2.1/0/1");
-  started.worker = WorkerId("w9");
-  harness.Send(JournalsListed{{journal}});
-  harness.Send(
-      JournalRead{journal,
-                  {{journal, 1, 11, {AcceptedRecord{request}, started}},
-                   {journal, 2, 12, {HandedOverRecord{}}}}});
-  harness.PeerWithRoom("p2", "dc1");
-  for (int i = 0; i < 70 && harness.Take<AskPeer>().empty(); ++i) {
+// A review runs at a worker that this process lost sight of. A peer reaches it,
+// owns it and renews the review's lease there. Only when the peer has stopped
+// it, and every peer has answered, may the review start elsewhere.
+BOOST_AUTO_TEST_CASE(a_review_that_a_peer_keeps_alive_is_not_run_again) {
+  CoreHarness harness(2);
+  harness.Arrive("review");
+  const StartTask first = harness.TakeStart();
+  harness.Send(TaskStarted{first.worker, first.order.task});
+  harness.silent.insert(first.worker);
+  for (const std::optional<bool> left :
+       {std::optional<bool>(), std::optional<bool>(true)}) {
+    for (int i = 0; i < 25; ++i) {
+      AnswerQueries(&harness, TaskQueried::State::kUnreachable);
+      AnswerPeers(&harness, left);
+      harness.Advance(std::chrono::seconds(1));
+    }
     BOOST_TEST(harness.Take<StartTask>().empty());
-    harness.PeerWithRoom("p2", "dc1");
+  }
+  for (int i = 0; i < 20; ++i) {
+    AnswerQueries(&harness, TaskQueried::State::kUnreachable);
+    AnswerPeers(&harness, false);
     harness.Advance(std::chrono::seconds(1));
   }
-  BOOST_TEST(harness.Take<StartTask>().empty());
-  harness.Advance(std::chrono::seconds(8));
   BOOST_TEST(harness.Take<StartTask>().size() == 1U);
 }
 
+// The other side of it: this process owns the worker, and stops what another
+// one has started there before it says that nothing is left.
+BOOST_AUTO_TEST_CASE(an_orphan_is_stopped_for_a_peer) {
+  CoreHarness harness(1);
+  const WorkerId worker("w1");
+  RunningTask orphan;
+  orphan.task = TaskId("p2.b2.1/0/1");
+  orphan.request = RequestId("p2.b2.1");
+  orphan.service = ServiceId("review");
+  orphan.resources = {1000, 1000, 0, 1};
+  harness.running[worker].push_back(orphan);
+  harness.Advance(std::chrono::seconds(12));
+  harness.Send(QueryArrived{1, orphan.request, true, false, true});
+  const auto stops = harness.Take<StopTask>();
+  BOOST_TEST_REQUIRE(stops.size() == 1U);
+  BOOST_TEST(stops.front().task == orphan.task);
+  BOOST_TEST(harness.Take<AnswerQuery>().front().status->ran);
+  harness.running.clear();
+  harness.Advance(std::chrono::seconds(12));
+  harness.Send(QueryArrived{2, orphan.request, true, false, true});
+  BOOST_TEST(!harness.Take<AnswerQuery>().front().status->ran);
+}
+
+// A task of a gang fails by itself and the other is stopped, since its caller
+// has gone. Half an answer must not be passed off as the whole one.
+BOOST_AUTO_TEST_CASE(a_gang_with_a_stopped_task_has_no_whole_answer) {
+  CoreHarness harness(2);
+  const RequestId id = harness.Arrive("rota");
+  const auto starts = harness.Take<StartTask>();
+  BOOST_TEST_REQUIRE(starts.size() == 2U);
+  harness.Send(CancelRequested{id});
+  harness.End(starts[0], 0, TaskEnd::kStopped);
+  harness.End(starts[1], 500, TaskEnd::kFailed);
+  BOOST_TEST((harness.TakeReply().answer.outcome == Outcome::kUnknown));
+}
+
 // A screen ran and failed, and is given up while it waits for another try. The
 // caller must not be told "not run".
 BOOST_AUTO_TEST_CASE(a_request_that_ran_is_never_called_not_run) {
