--- a/testing/process_faults/request_cell.h
+++ b/testing/process_faults/request_cell.h
@@ -2,6 +2,7 @@
 #define MUSTARDPROXY_PROCESS_FAULTS_REQUEST_CELL_H_
 
 #include <boost/test/unit_test.hpp>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -9,6 +10,9 @@
 
 namespace mustardproxy::process_faults {
 
+/// Calls of a test at most.
+inline constexpr std::size_t kMostCalls = 64;
+
 /// Short leases and ejections, so that takeovers and returns come soon.
 inline const char* const kQuickSettings =
     R"("ownership": {"lease_ms": 1500, "renew_interval_ms": 300,
@@ -32,6 +36,34 @@
   return layout;
 }
 
+/// Waits until each entry process has served a request; one that owns no worker
+/// must first hear from its peer.
+/// @return true once they have
+inline bool AwaitServing(const Cell& cell) {
+  for (const std::string& entry : cell.Entries()) {
+    std::optional<HttpReply> reply;
+    bool serves = WaitUntil(
+        [&] {
+          Call call{.service = "screen",
+                    .body = FreshBody(std::chrono::milliseconds(1))};
+          reply = Send(cell, entry, call);
+          return IsOwnAnswer(reply, call);
+        },
+        std::chrono::seconds(15));
+    if (serves) continue;
+    BOOST_TEST_MESSAGE(entry << " does not serve: " << OutcomeOf(reply) << " "
+                             << (reply ? reply->body : ""));
+    for (const std::string& each : cell.Entries()) {
+      auto status = cell::SendOnce(
+          cell.OperatorUrl(each),
+          {.method = "GET", .path = "/v1/status", .body = "", .headers = {}});
+      BOOST_TEST_MESSAGE(each << ": " << (status ? status->body : ""));
+    }
+    return false;
+  }
+  return true;
+}
+
 /// The cell that tests share when they leave it whole; each test gets it ready.
 inline Cell& SharedCell() {
   static std::unique_ptr<Cell> shared;
@@ -40,6 +72,7 @@
     BOOST_REQUIRE_MESSAGE(shared->Start(), shared->Trouble());
   }
   BOOST_REQUIRE_MESSAGE(shared->AwaitReady(), shared->Trouble());
+  BOOST_REQUIRE(AwaitServing(*shared));
   return *shared;
 }
 
@@ -50,13 +83,15 @@
 /// @return true once each call's body was started by a worker
 inline bool AwaitStarts(const Cell& cell,
                         const std::vector<PendingCall>& calls) {
-  return WaitUntil([&] {
-    WorkerLogs logs = ReadLogs(cell);
-    for (const PendingCall& call : calls) {
-      if (logs.Starts(call.Sent().body) == 0) return false;
-    }
-    return true;
-  });
+  return WaitUntil(
+      [&] {
+        WorkerLogs logs = ReadLogs(cell);
+        for (const PendingCall& call : calls) {
+          if (logs.Starts(call.Sent().body) == 0) return false;
+        }
+        return true;
+      },
+      std::chrono::seconds(20));
 }
 
 /// Checks what a caller of a non-idempotent service was told against the log.
--- a/testing/process_faults/request_owner_death_test.cc
+++ b/testing/process_faults/request_owner_death_test.cc
@@ -25,10 +25,12 @@
   layout.extra_settings = kQuickSettings;
   Cell cell(layout);
   BOOST_REQUIRE_MESSAGE(cell.Start(), cell.Trouble());
+  BOOST_REQUIRE(AwaitServing(cell));
   std::string owner = MainOwner(cell);
   std::string peer = PeerOf(owner);
   constexpr int kCalls = 4;
   std::vector<PendingCall> calls;
+  calls.reserve(kMostCalls);
   for (int i = 0; i < kCalls; ++i) {
     std::string key = i % 2 == 0 ? "" : "killed-" + std::to_string(i);
     std::string door = i < 2 ? owner : peer;
