--- a/testing/cell/tests/cell_test.cc
+++ b/testing/cell/tests/cell_test.cc
@@ -76,10 +76,12 @@
   // gets the work.
   BOOST_TEST(cell.Switch("relay:*>worker-1-2", R"({"cut": true})"));
   BOOST_TEST(cell.Switch("relay:entry-1-1>worker-1-1", R"({"cut": true})"));
-  auto reply =
-      SendOnce(cell.Url("entry-1-1"), Post("/v1/services/screen", "hello"));
-  BOOST_REQUIRE(reply.has_value());
-  BOOST_TEST(reply->status == kOk);
+  // Until an entry process has a worker it refuses as not run.
+  BOOST_TEST(WaitUntil([&] {
+    auto reply =
+        SendOnce(cell.Url("entry-1-1"), Post("/v1/services/screen", "hello"));
+    return reply.has_value() && reply->status == kOk;
+  }));
 }
 
 /// One entry process with workers, and settings for it.
