Core: a cancellation is said again until the peer has answered

Cause: a forwarded request and its cancellation are two calls. When the caller hangs up at once, the peer can see the cancellation first, knows no such request and drops it; the screen then runs to its own end for nobody. A cancellation that is lost on the way has the same effect.

Ruled out: leases that move to the other process while callers hang up (a trial with a paused owner ended within 6 s, since the preferred owner takes its workers back and stops the tasks then); load alone (14 runs of the suite beside other suites were green).

Shown: the new case callers_that_hang_up_at_once_leave_nothing_behind sends 1,200 requests and hangs up at once.

Weighed: remembering cancellations of unknown requests at the peer. It would not mend a lost message, and strangers could fill the memory.

--- a/packages/core/src/lifecycle/forwarding.cc
+++ b/packages/core/src/lifecycle/forwarding.cc
@@ -14,6 +14,9 @@
 constexpr std::int32_t kMaxForwards = 3;
 /// The peer gives up this much earlier, so that its answer arrives in time.
 constexpr Duration kForwardMargin = std::chrono::milliseconds(20);
+/// Pauses before a cancellation is said again; each is twice the one before.
+constexpr Duration kFirstCancelPause = std::chrono::milliseconds(200);
+constexpr Duration kLongestCancelPause = std::chrono::seconds(5);
 constexpr std::int32_t kAcceptedStatus = 202;
 constexpr std::int32_t kBadGatewayStatus = 502;
 /// Remembered peers that took deferred work on; bounds the memory.
@@ -119,6 +122,29 @@
   context.Emit(std::move(forward));
 }
 
+void Forwarding::Cancel(ActiveRequest* entry) {
+  // Failure: a cancellation is a call of its own and can be lost, or reach the
+  // peer before the request that it belongs to; the peer knows no such request
+  // then. It shows as work that holds a worker until its own end although its
+  // caller has hung up. The peer's answer to the request ends the repeats, so
+  // one of them arrives after the request did.
+  this->parts->context.Emit(ForwardCancel{entry->peer, entry->request.id});
+  entry->cancel_pause = std::clamp(2 * entry->cancel_pause, kFirstCancelPause,
+                                   kLongestCancelPause);
+  this->cancels.Set(entry->request.id,
+                    this->parts->context.now + entry->cancel_pause);
+}
+
+void Forwarding::Tick() {
+  for (const RequestId& request :
+       this->cancels.TakeDue(this->parts->context.now)) {
+    ActiveRequest* entry = this->parts->table.Find(request);
+    if (entry != nullptr && entry->phase == RequestPhase::kForwarded) {
+      this->Cancel(entry);
+    }
+  }
+}
+
 void Forwarding::On(const ForwardAnswered& event) {
   ActiveRequest* entry = this->parts->table.Find(event.request);
   const bool waiting = entry != nullptr && entry->peer == event.peer &&
--- a/packages/core/src/lifecycle/forwarding.h
+++ b/packages/core/src/lifecycle/forwarding.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "lifecycle/request_table.h"
+#include "lifecycle/timer_queue.h"
 #include "mustardproxy/core/events.h"
 #include "mustardproxy/core/ids.h"
 
@@ -31,6 +32,12 @@
   /// Hands the request to a peer that shows room, else to one of the own data
   /// centre that owns workers, which queues or refuses it.
   [[nodiscard]] bool TryForwardToOwner(ActiveRequest* entry);
+  /// Tells the peer that nobody waits for the answer any more, and says so
+  /// again until the peer has answered the request.
+  void Cancel(ActiveRequest* entry);
+  /// Repeats cancellations that are due.
+  void Tick();
+  [[nodiscard]] Instant NextWakeup() const { return this->cancels.Next(); }
   void On(const ForwardAnswered& event);
   void On(const ForwardFailed& event);
   /// @return true if the answer was to a question that this part asked
@@ -49,6 +56,7 @@
 
   Parts* parts;
   std::map<std::uint64_t, RequestId> recalls;
+  TimerQueue<RequestId> cancels;
   std::unordered_map<RequestId, ProcessId> taken_on;
   std::deque<RequestId> taken_on_order;
 };
--- a/packages/core/src/lifecycle/parts.cc
+++ b/packages/core/src/lifecycle/parts.cc
@@ -93,6 +93,7 @@
 void Parts::Advance() {
   this->RouteNews();
   this->requests.Tick();
+  this->forwarding.Tick();
   this->deferred.Tick();
   this->claims.Tick();
   this->queries.Tick();
@@ -194,12 +195,12 @@
   Instant next =
       std::min({this->membership.NextWakeup(), this->ownership.NextWakeup(),
                 this->health.NextWakeup(), this->requests.NextWakeup(),
-                this->deferred.NextWakeup(), this->claims.NextWakeup(),
-                this->queries.NextWakeup(), this->orphan_gangs.NextWakeup(),
-                this->tasks.NextWakeup(), this->journals.NextWakeup(),
-                this->adoption.NextWakeup(), this->configuration.NextWakeup(),
-                this->shutdown.NextWakeup(), this->placing.NextWakeup(),
-                this->next_housekeeping});
+                this->forwarding.NextWakeup(), this->deferred.NextWakeup(),
+                this->claims.NextWakeup(), this->queries.NextWakeup(),
+                this->orphan_gangs.NextWakeup(), this->tasks.NextWakeup(),
+                this->journals.NextWakeup(), this->adoption.NextWakeup(),
+                this->configuration.NextWakeup(), this->shutdown.NextWakeup(),
+                this->placing.NextWakeup(), this->next_housekeeping});
   return next;
 }
 
--- a/packages/core/src/lifecycle/request_flow.cc
+++ b/packages/core/src/lifecycle/request_flow.cc
@@ -389,7 +389,7 @@
       }
       return;
     case RequestPhase::kForwarded:
-      this->parts->context.Emit(ForwardCancel{entry->peer, event.request});
+      this->parts->forwarding.Cancel(entry);
       return;
     case RequestPhase::kRecalling:
     case RequestPhase::kJournalling:
--- a/packages/core/src/lifecycle/request_table.h
+++ b/packages/core/src/lifecycle/request_table.h
@@ -60,6 +60,8 @@
   /// The key's claim is held by this process.
   bool claimed = false;
   bool caller_gone = false;
+  /// Time between the last two times that the peer was told so.
+  Duration cancel_pause{0};
   /// Questions of peers that wait for its tasks to be stopped.
   std::vector<std::uint64_t> recalls;
   /// Upstream's last answer, a failure.
--- a/packages/core/tests/core_forward_test.cc
+++ b/packages/core/tests/core_forward_test.cc
@@ -45,6 +45,32 @@
   BOOST_TEST(harness.Take<Reply>().empty());
 }
 
+// A caller hangs up right after its screen was forwarded, and the cancellation
+// overtakes the screen on the way to the peer, which knows no such request yet.
+// The screen then ran to its end for nobody; so the cancellation is said again
+// until the peer answers.
+BOOST_AUTO_TEST_CASE(a_cancellation_is_said_again_until_the_peer_answers) {
+  CoreHarness harness(0);
+  harness.PeerWithRoom("p2", "dc1");
+  const RequestId id = harness.Arrive("screen");
+  const ForwardRequest forward = TakeForward(&harness);
+  harness.Send(CancelRequested{id});
+  BOOST_TEST(harness.Take<ForwardCancel>().size() == 1U);
+  harness.Advance(std::chrono::seconds(1));
+  const auto again = harness.Take<ForwardCancel>();
+  BOOST_TEST(again.size() == 2U);
+  for (const ForwardCancel& cancel : again) {
+    BOOST_TEST(cancel.peer == forward.peer);
+    BOOST_TEST(cancel.request == id);
+  }
+  Answer answer;
+  answer.error = Error::kCancelled;
+  harness.Send(ForwardAnswered{id, forward.peer, answer});
+  BOOST_TEST(harness.Take<Reply>().size() == 1U);
+  harness.Advance(std::chrono::seconds(5));
+  BOOST_TEST(harness.Take<ForwardCancel>().empty());
+}
+
 // The connection to the peer is refused, so the booking never left this
 // process: it goes to a peer of the other data centre instead.
 BOOST_AUTO_TEST_CASE(a_forward_that_was_not_sent_goes_to_another_peer) {
--- a/testing/process_faults/request_callers_test.cc
+++ b/testing/process_faults/request_callers_test.cc
@@ -111,6 +111,35 @@
   BOOST_TEST(ReadLogs(cell).Count("overcommit-refused") == 0);
 }
 
+// Story: callers hang up in the same moment in which they have sent their
+// request. The entry process has forwarded it by then, and its cancellation can
+// reach the peer before the request does. The peer ran such screens to their
+// own end, for callers that had long gone.
+BOOST_AUTO_TEST_CASE(callers_that_hang_up_at_once_leave_nothing_behind) {
+  Cell& cell = SharedCell();
+  constexpr int kRounds = 60;
+  constexpr int kCallers = 10;
+  constexpr std::int64_t kLongMs = 40'000;
+  std::string body = FreshBody(milliseconds(kLongMs));
+  std::int64_t sent = NowMs();
+  for (int round = 0; round < kRounds; ++round) {
+    for (const std::string& entry : cell.Entries()) {
+      std::vector<StreamSocket> callers;
+      for (int i = 0; i < kCallers; ++i) {
+        callers.push_back(Connect(cell, entry));
+        SendText(&callers.back(), Post(body));
+      }
+    }
+  }
+  for (const std::string& entry : cell.Entries()) {
+    BOOST_TEST(
+        WaitUntil([&] { return StatusNumber(cell, entry, "requests") == 0; },
+                  std::chrono::seconds(25)));
+  }
+  // Before the first of the long tasks could have ended by itself.
+  BOOST_TEST(NowMs() - sent < kLongMs);
+}
+
 // Story: a hostile caller sends endless headers, a body beyond the limit, and
 // opens more connections than the process takes. Each is refused, the process
 // lives, and other callers are served once the connections are gone.
