--- a/packages/peer/src/client.cc
+++ b/packages/peer/src/client.cc
@@ -257,6 +257,7 @@
   if (call) {
     call->request->set_id(action.request.Text());
     call->request->set_cancel(action.cancel);
+    call->request->set_stop_orphans(action.stop_orphans);
     if (Begin(this->registry, call, method, done)) return;
   }
   this->sink->Post(QueryAnswered{action.query, std::nullopt});
--- a/packages/peer/src/service.cc
+++ b/packages/peer/src/service.cc
@@ -228,6 +228,7 @@
   arrived.request = RequestId(request->id());
   arrived.from_peer = true;
   arrived.cancel = request->cancel();
+  arrived.stop_orphans = request->stop_orphans();
   this->sink->Post(std::move(arrived));
   return call.get();
 }
--- a/packages/peer/tests/query_test.cc
+++ b/packages/peer/tests/query_test.cc
@@ -65,6 +65,25 @@
   BOOST_TEST(answered->status->ran);
 }
 
+// Story: a process loses sight of a worker with a review. The peer that now
+// holds the worker is told to stop the review there, so that it can run
+// elsewhere. The order left the process, but on the wire it was a mere
+// question, and the review waited for its longest run time instead.
+BOOST_AUTO_TEST_CASE(an_order_to_stop_orphans_arrives_as_one) {
+  Node b("e2");
+  Node a("e1", {b.Address()});
+  for (const bool stop : {true, false}) {
+    AskPeer ask = MakeQuestion(5, /*cancel=*/false);
+    ask.stop_orphans = stop;
+    a.link->Perform(ask);
+    const auto arrived = b.events.Take<QueryArrived>();
+    BOOST_REQUIRE(arrived);
+    BOOST_TEST(arrived->stop_orphans == stop);
+    BOOST_TEST(b.link->TryPerform(AnswerQuery{arrived->query, std::nullopt}));
+    BOOST_REQUIRE(a.events.Take<QueryAnswered>());
+  }
+}
+
 BOOST_AUTO_TEST_CASE(an_unknown_request_gives_an_empty_answer) {
   Node b("e2");
   Node a("e1", {b.Address()});
--- a/packages/platform/src/stored_codec.cc
+++ b/packages/platform/src/stored_codec.cc
@@ -120,6 +120,7 @@
     target->set_worker(record.worker.Text());
     target->set_epoch(record.epoch);
     target->set_attempt(record.attempt);
+    target->set_worker_incarnation(record.worker_incarnation);
   }
   void operator()(const FinishedRecord& record) const {
     stored::Finished* target = this->out->mutable_finished();
@@ -157,8 +158,12 @@
 }
 
 StartedRecord Read(const stored::Started& in) {
-  return {RequestId(in.request()), TaskId(in.task()), WorkerId(in.worker()),
-          in.epoch(), in.attempt()};
+  return {RequestId(in.request()),
+          TaskId(in.task()),
+          WorkerId(in.worker()),
+          in.epoch(),
+          in.attempt(),
+          in.worker_incarnation()};
 }
 
 std::optional<JournalRecord> Read(const stored::Record& in) {
--- a/packages/platform/tests/stored_codec_test.cc
+++ b/packages/platform/tests/stored_codec_test.cc
@@ -78,7 +78,7 @@
   batch.batch_id = 0xfedcba9876543210;
   batch.records = {Accepted(3),
                    StartedRecord{RequestId("p1.a.1"), TaskId("p1.a.1/0/2"),
-                                 WorkerId("w1"), 9, 2},
+                                 WorkerId("w1"), 9, 2, 0xfffffffffffffffe},
                    Finished(),
                    CancelledRecord{RequestId("p1.a.2"), true},
                    HandedOverRecord{},
@@ -102,6 +102,7 @@
   BOOST_TEST(started.worker == WorkerId("w1"));
   BOOST_TEST(started.epoch == 9U);
   BOOST_TEST(started.attempt == 2);
+  BOOST_TEST(started.worker_incarnation == 0xfffffffffffffffeU);
   const auto& finished = std::get<FinishedRecord>(read->records[2]);
   BOOST_TEST((finished.state == DeferredState::kFailed));
   BOOST_TEST((finished.answer.outcome == Outcome::kCompleted));
