Core: a stop at a worker that was taken over goes to its owner

Cause: a worker refuses stops of an older epoch. When a peer takes a worker over, tasks of callers that hang up afterwards could be stopped by nobody and held the worker to their own end, unless the former owner got the worker back.

Ruled out: asking the worker for the stop with the old epoch (it must refuse it), and taking the worker back for it (moves its lease to and fro).

Before: core_recovery/a_stop_at_a_worker_that_was_taken_over_goes_to_its_owner failed (no peer was told).

Conclusion: the order goes to all live peers of the data centre, once a second for each such task, since the owner is not known by name; it is rare.

--- a/packages/core/src/lifecycle/task_tracker.cc
+++ b/packages/core/src/lifecycle/task_tracker.cc
@@ -124,6 +124,7 @@
       this->parts->ownership.Held(tracked->plan.worker);
   this->CheckAfter(tracked, kStopPatience);
   if (!owned) {
+    this->StopAtOwner(*tracked);
     return;
   }
   StopTask stop;
@@ -136,6 +137,18 @@
   tracked->stop_sent = true;
 }
 
+void TaskTracker::StopAtOwner(const Tracked& tracked) {
+  // Failure: a worker is taken over while this process's tasks run there, and
+  // refuses its stops from then on. It shows as tasks of callers that have gone
+  // which hold the worker to their own end. The peer that owns the worker has
+  // found the task there and stops it; the others have nothing to stop. A task
+  // that another process follows by now is its own business, and progress that
+  // is to be kept is not cut off by a plain stop.
+  if (!tracked.disowned && !tracked.checkpoint) {
+    this->parts->StopAtPeers(tracked.plan.request);
+  }
+}
+
 void TaskTracker::On(const TaskStarted& event) {
   this->parts->ownership.OnTraffic(this->parts->context.now, event.worker);
   Tracked* tracked = this->Find(event.task);
--- a/packages/core/src/lifecycle/task_tracker.h
+++ b/packages/core/src/lifecycle/task_tracker.h
@@ -142,6 +142,7 @@
   void Ask(Tracked* tracked);
   void CheckAfter(Tracked* tracked, Duration pause);
   void SendStop(Tracked* tracked);
+  void StopAtOwner(const Tracked& tracked);
   void ConfirmNeverStarted(Tracked* tracked, Incarnation answered_by);
   void OnStillRunning(Tracked* tracked);
   void OnNotReachable(Tracked* tracked);
--- a/packages/core/tests/core_recovery_test.cc
+++ b/packages/core/tests/core_recovery_test.cc
@@ -310,6 +310,38 @@
   BOOST_TEST(harness.Take<StartTask>().size() == 2U);
 }
 
+// A screen runs when its worker is taken over by a peer, as after a pause of
+// this process. Its caller hangs up. A stop with the old epoch would be
+// refused, so the new owner is told, or the screen holds the worker to its own
+// end.
+BOOST_AUTO_TEST_CASE(a_stop_at_a_worker_that_was_taken_over_goes_to_its_owner) {
+  CoreHarness harness(1);
+  harness.PeerWithRoom("p2", "dc1");
+  const RequestId id = harness.Arrive("screen");
+  const StartTask start = harness.TakeStart();
+  harness.Send(TaskStarted{start.worker, start.order.task});
+  harness.workers_answer = false;
+  harness.Send(WorkerRefused{start.worker, harness.epochs[start.worker],
+                             ~Epoch{0} / 2, ProcessId("p2"),
+                             std::chrono::hours(1)});
+  harness.Send(CancelRequested{id});
+  BOOST_TEST(harness.Take<StopTask>().empty());
+  const auto asked = harness.Take<AskPeer>();
+  BOOST_TEST_REQUIRE(asked.size() == 1U);
+  BOOST_TEST(asked.front().peer == ProcessId("p2"));
+  BOOST_TEST(asked.front().request == id);
+  BOOST_TEST(asked.front().stop_orphans);
+  harness.Advance(std::chrono::milliseconds(1500));
+  AnswerQueries(&harness, TaskQueried::State::kRunning);
+  BOOST_TEST(harness.Take<AskPeer>().size() == 1U);
+  harness.Advance(std::chrono::milliseconds(1500));
+  EndedTask ended;
+  ended.task = start.order.task;
+  ended.end = TaskEnd::kStopped;
+  harness.Send(TaskEnded{start.worker, ended});
+  BOOST_TEST(harness.Take<Reply>().size() == 1U);
+}
+
 // A caller gives up while its start is on its way, and the stop overtakes the
 // start. "Not stopped" does not mean that nothing runs: the worker is asked, so
 // that it refuses the start from then on.
