Core: a claim that comes after the deadline starts nothing, shown

Looked for: a process that wakes from a pause sees the answer to its claim before it sees that the deadline has passed. Ruled out as a fault: the lease of every worker has lapsed by its own clock then, nothing is sent, the claim is dropped and the caller told not-run. core_key/a_claim_that_comes_after_the_deadline_starts_nothing passed at once; it is kept, since expiring claims rests on it. Not covered: a machine whose monotonic clock stands still while it is suspended.

--- a/packages/core/tests/core_harness.h
+++ b/packages/core/tests/core_harness.h
@@ -24,6 +24,8 @@
   void Send(Event event);
   /// Lets virtual time pass, with a tick whenever one is due.
   void Advance(Duration duration);
+  /// Lets virtual time pass without a tick, as for a process that is paused.
+  void Pause(Duration duration) { this->now += duration; }
   [[nodiscard]] Instant Now() const { return this->now; }
 
   /// Takes the collected actions of one kind out, in order.
--- a/packages/core/tests/core_key_test.cc
+++ b/packages/core/tests/core_key_test.cc
@@ -41,6 +41,23 @@
   BOOST_TEST((settled.front().answer.outcome == Outcome::kCompleted));
 }
 
+// Story: an entry process is paused while a booking claims its key, and wakes
+// when its caller has long given up and perhaps asked another one. The claim's
+// answer is the first thing it sees. The booking must not start now.
+BOOST_AUTO_TEST_CASE(a_claim_that_comes_after_the_deadline_starts_nothing) {
+  CoreHarness harness(1);
+  const RequestId id = harness.Arrive("booking", "k1");
+  (void)TakeClaim(&harness);
+  harness.Pause(std::chrono::minutes(5));
+  harness.Send(KeyClaimed{id});
+  BOOST_TEST(harness.Take<StartTask>().empty());
+  const Reply reply = harness.TakeReply();
+  BOOST_TEST((reply.answer.outcome == Outcome::kNotRun));
+  const auto settled = harness.Take<SettleKey>();
+  BOOST_TEST_REQUIRE(!settled.empty());
+  BOOST_TEST(settled.front().drop);
+}
+
 BOOST_AUTO_TEST_CASE(a_repeat_gets_the_first_answer) {
   CoreHarness harness(1);
   harness.Arrive("booking", "k1");
