Platform stand-in: leases, as sessions with a time to live

The service is met through the published HTTP interface of Consul's store, where a lease is a session.

PUT /v1/session/create, renew and destroy, and PUT /v1/kv/{key}?acquire. The keys of a session that lapses or is destroyed are removed, and a waiting call that nobody else wakes returns at the lapse. Sessions count as writes and obey down, delay and lost replies.

Ruled out: `release` behaviour (keys stay, without a holder), lock delay, the least time to live of 10 s. Nothing of ours would show the difference.

Before, each of these calls was answered 404.

--- a/testing/platform_standin/include/standin/standin_platform.h
+++ b/testing/platform_standin/include/standin/standin_platform.h
@@ -53,8 +53,8 @@
   /// @return all values below a prefix
   [[nodiscard]] std::map<std::string, std::string> Values(
       std::string_view prefix) const;
-  /// Calls by kind: `get`, `watch`, `list`, `keys`, `put`, `delete`, `hosts`,
-  /// and what became of them: `refused`, `lost`, `dropped`.
+  /// Calls by kind: `get`, `watch`, `list`, `keys`, `put`, `delete`, `session`,
+  /// `hosts`, and what became of them: `refused`, `lost`, `dropped`.
   [[nodiscard]] std::map<std::string, std::int64_t> Counters() const;
 
  private:
--- a/testing/platform_standin/src/key_value_store.cc
+++ b/testing/platform_standin/src/key_value_store.cc
@@ -1,11 +1,15 @@
 #include "key_value_store.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace mustardproxy::standin {
 
-std::optional<StoredValue> KeyValueStore::Get(const std::string& key) const {
+KeyValueStore::KeyValueStore(Clock clock) : clock(std::move(clock)) {}
+
+std::optional<StoredValue> KeyValueStore::Get(const std::string& key) {
   const std::lock_guard lock(this->mutex);
+  this->RemoveLapsed();
   return this->Find(key);
 }
 
@@ -14,24 +18,27 @@
     std::chrono::milliseconds limit) {
   std::unique_lock lock(this->mutex);
   const std::uint64_t interrupts_before = this->interrupts;
-  const auto deadline = std::chrono::steady_clock::now() + limit;
-  if (index != 0) {
-    this->changed.wait_until(lock, deadline, [&] {
-      return this->stopped || this->interrupts != interrupts_before ||
-             this->IndexOf(key) > index;
-    });
+  const auto deadline = this->clock() + limit;
+  this->RemoveLapsed();
+  while (index != 0 && this->IndexOf(key) <= index && !this->stopped &&
+         this->interrupts == interrupts_before && this->clock() < deadline) {
+    this->changed.wait_until(lock,
+                             std::min(deadline, this->sessions.NextLapse()));
+    this->RemoveLapsed();
   }
   return this->Find(key);
 }
 
-std::vector<StoredValue> KeyValueStore::List(std::string_view prefix) const {
+std::vector<StoredValue> KeyValueStore::List(std::string_view prefix) {
   const std::lock_guard lock(this->mutex);
+  this->RemoveLapsed();
   std::vector<StoredValue> found;
   for (auto each = this->cells.lower_bound(prefix);
        each != this->cells.end() && each->first.starts_with(prefix); ++each) {
-    if (!each->second.removed) {
+    const Cell& cell = each->second;
+    if (!cell.removed) {
       found.push_back(
-          {each->first, each->second.value, each->second.modify_index});
+          {each->first, cell.value, cell.modify_index, cell.session});
     }
   }
   return found;
@@ -40,28 +47,67 @@
 bool KeyValueStore::Put(const std::string& key, std::string value,
                         std::optional<std::uint64_t> index) {
   const std::lock_guard lock(this->mutex);
+  this->RemoveLapsed();
   if (index) {
     const std::optional<StoredValue> found = this->Find(key);
     if ((found ? found->modify_index : 0) != *index) {
       return false;
     }
   }
-  this->cells[key] = {std::move(value), ++this->last_index, false};
-  this->changed.notify_all();
+  this->Write(key, std::move(value));
   return true;
 }
 
+AcquireEnd KeyValueStore::Acquire(const std::string& key, std::string value,
+                                  const std::string& session) {
+  const std::lock_guard lock(this->mutex);
+  this->RemoveLapsed();
+  if (!this->sessions.Alive(session)) {
+    return AcquireEnd::kNoSuchSession;
+  }
+  const std::optional<StoredValue> found = this->Find(key);
+  if (found && !found->session.empty() && found->session != session) {
+    return AcquireEnd::kHeldByAnother;
+  }
+  this->Write(key, std::move(value));
+  this->cells[key].session = session;
+  return AcquireEnd::kAcquired;
+}
+
 void KeyValueStore::Remove(const std::string& key) {
   const std::lock_guard lock(this->mutex);
+  this->RemoveLapsed();
   const auto found = this->cells.find(key);
   if (found != this->cells.end() && !found->second.removed) {
-    found->second = {std::string(), ++this->last_index, true};
-    this->changed.notify_all();
+    this->MarkRemoved(&found->second);
   }
 }
 
-std::uint64_t KeyValueStore::LastIndex() const {
+std::string KeyValueStore::CreateSession(std::chrono::milliseconds ttl) {
+  const std::lock_guard lock(this->mutex);
+  std::string id = this->sessions.Create(this->clock(), ttl);
+  // A waiting read has to wake up earlier now.
+  this->changed.notify_all();
+  return id;
+}
+
+std::optional<std::chrono::milliseconds> KeyValueStore::RenewSession(
+    const std::string& id) {
+  const std::lock_guard lock(this->mutex);
+  this->RemoveLapsed();
+  return this->sessions.Renew(id, this->clock());
+}
+
+void KeyValueStore::DestroySession(const std::string& id) {
   const std::lock_guard lock(this->mutex);
+  if (this->sessions.Destroy(id)) {
+    this->RemoveHeldBy(id);
+  }
+}
+
+std::uint64_t KeyValueStore::LastIndex() {
+  const std::lock_guard lock(this->mutex);
+  this->RemoveLapsed();
   return this->last_index;
 }
 
@@ -77,12 +123,40 @@
   this->changed.notify_all();
 }
 
+void KeyValueStore::RemoveLapsed() {
+  for (const std::string& id : this->sessions.TakeLapsed(this->clock())) {
+    this->RemoveHeldBy(id);
+  }
+}
+
+void KeyValueStore::RemoveHeldBy(const std::string& session) {
+  for (auto& [key, cell] : this->cells) {
+    if (!cell.removed && cell.session == session) {
+      this->MarkRemoved(&cell);
+    }
+  }
+}
+
+void KeyValueStore::MarkRemoved(Cell* cell) {
+  *cell = {std::string(), ++this->last_index, true, std::string()};
+  this->changed.notify_all();
+}
+
+void KeyValueStore::Write(const std::string& key, std::string value) {
+  Cell& cell = this->cells[key];
+  cell.value = std::move(value);
+  cell.modify_index = ++this->last_index;
+  cell.removed = false;
+  this->changed.notify_all();
+}
+
 std::optional<StoredValue> KeyValueStore::Find(const std::string& key) const {
   const auto found = this->cells.find(key);
   if (found == this->cells.end() || found->second.removed) {
     return std::nullopt;
   }
-  return StoredValue{key, found->second.value, found->second.modify_index};
+  const Cell& cell = found->second;
+  return StoredValue{key, cell.value, cell.modify_index, cell.session};
 }
 
 std::uint64_t KeyValueStore::IndexOf(const std::string& key) const {
--- a/testing/platform_standin/src/platform_handler.cc
+++ b/testing/platform_standin/src/platform_handler.cc
@@ -12,11 +12,14 @@
 #include <Poco/StreamCopier.h>
 #include <Poco/URI.h>
 
-#include <charconv>
+#include <functional>
 #include <optional>
 #include <sstream>
 #include <utility>
 
+#include "query.h"
+#include "reply.h"
+#include "session_calls.h"
 #include "switch_json.h"
 
 namespace mustardproxy::standin {
@@ -25,64 +28,8 @@
 using Poco::Net::HTTPResponse;
 
 constexpr std::string_view kKeyValuePath = "/v1/kv/";
+constexpr std::string_view kSessionPath = "/v1/session/";
 constexpr std::size_t kMaxValueBytes = 1'048'576;
-constexpr std::chrono::milliseconds kDefaultWait = std::chrono::minutes(5);
-
-/// A reply that is ready to be sent.
-struct Reply {
-  HTTPResponse::HTTPStatus status = HTTPResponse::HTTP_OK;
-  std::string body;
-  /// Sent as `X-Consul-Index` unless 0.
-  std::uint64_t index = 0;
-};
-
-/// The parameters of a key-value call.
-struct Query {
-  bool recurse = false;
-  bool keys = false;
-  std::optional<std::uint64_t> index;
-  std::optional<std::uint64_t> cas;
-  std::chrono::milliseconds wait = kDefaultWait;
-};
-
-std::uint64_t ToNumber(std::string_view text) {
-  std::uint64_t number = 0;
-  const auto [end, error] =
-      std::from_chars(text.data(), text.data() + text.size(), number);
-  if (error != std::errc() || end != text.data() + text.size()) {
-    throw Poco::DataFormatException("not a number");
-  }
-  return number;
-}
-
-/// Reads `10s` or `250ms`.
-std::chrono::milliseconds ToWait(std::string_view text) {
-  if (text.ends_with("ms")) {
-    return std::chrono::milliseconds(ToNumber(text.substr(0, text.size() - 2)));
-  }
-  if (text.ends_with("s")) {
-    return std::chrono::seconds(ToNumber(text.substr(0, text.size() - 1)));
-  }
-  throw Poco::DataFormatException("not a time");
-}
-
-Query ParseQuery(const Poco::URI& uri) {
-  Query query;
-  for (const auto& [name, value] : uri.getQueryParameters()) {
-    if (name == "recurse") {
-      query.recurse = true;
-    } else if (name == "keys") {
-      query.keys = true;
-    } else if (name == "index") {
-      query.index = ToNumber(value);
-    } else if (name == "cas") {
-      query.cas = ToNumber(value);
-    } else if (name == "wait") {
-      query.wait = ToWait(value);
-    }
-  }
-  return query;
-}
 
 std::string EncodeBase64(const std::string& bytes) {
   std::ostringstream out;
@@ -108,6 +55,9 @@
   } else {
     object.set("Value", EncodeBase64(value.value));
   }
+  if (!value.session.empty()) {
+    object.set("Session", value.session);
+  }
   return object;
 }
 
@@ -126,6 +76,13 @@
   Reply Read(const Poco::URI& uri);
   std::optional<Reply> Write(const std::string& method, const std::string& key,
                              const Poco::URI& uri, std::string body);
+  Reply Put(const std::string& key, const Query& query, std::string body);
+  std::optional<Reply> ChangeSession(const std::string& method,
+                                     const std::string& call,
+                                     const std::string& body);
+  /// Carries out a write unless it is above the rate, and loses its reply if
+  /// that is switched on.
+  std::optional<Reply> CarryOut(const std::function<Reply()>& write);
   Reply ReadOne(const std::string& key, const Query& query);
   Reply ReadMany(const std::string& prefix, const Query& query);
   Reply Refuse();
@@ -219,6 +176,9 @@
                ? Reply{HTTPResponse::HTTP_OK, this->model->Hosts(), 0}
                : this->Refuse();
   }
+  if (path.starts_with(kSessionPath)) {
+    return this->ChangeSession(method, path.substr(kSessionPath.size()), body);
+  }
   if (!path.starts_with(kKeyValuePath)) {
     return Reply{HTTPResponse::HTTP_NOT_FOUND, "no such path", 0};
   }
@@ -289,20 +249,55 @@
     return Reply{HTTPResponse::HTTP_REQUEST_ENTITY_TOO_LARGE, "", 0};
   }
   const Query query = ParseQuery(uri);
+  return this->CarryOut([&] {
+    if (put) {
+      return this->Put(key, query, std::move(body));
+    }
+    this->model->store.Remove(key);
+    return Reply{HTTPResponse::HTTP_OK, "true", 0};
+  });
+}
+
+Reply PlatformHandler::Put(const std::string& key, const Query& query,
+                           std::string body) {
+  KeyValueStore& store = this->model->store;
+  if (!query.acquire) {
+    const bool done = store.Put(key, std::move(body), query.cas);
+    return {HTTPResponse::HTTP_OK, done ? "true" : "false", 0};
+  }
+  switch (store.Acquire(key, std::move(body), *query.acquire)) {
+    case AcquireEnd::kAcquired:
+      return {HTTPResponse::HTTP_OK, "true", 0};
+    case AcquireEnd::kHeldByAnother:
+      return {HTTPResponse::HTTP_OK, "false", 0};
+    case AcquireEnd::kNoSuchSession:
+      break;
+  }
+  return {HTTPResponse::HTTP_INTERNAL_SERVER_ERROR, "invalid session", 0};
+}
+
+std::optional<Reply> PlatformHandler::ChangeSession(const std::string& method,
+                                                    const std::string& call,
+                                                    const std::string& body) {
+  if (method != "PUT") {
+    return Reply{HTTPResponse::HTTP_METHOD_NOT_ALLOWED, "", 0};
+  }
+  this->model->Count("session");
+  return this->CarryOut(
+      [&] { return CallSession(call, body, &this->model->store); });
+}
+
+std::optional<Reply> PlatformHandler::CarryOut(
+    const std::function<Reply()>& write) {
   if (!this->model->TryWrite()) {
     return this->Refuse();
   }
-  bool done = true;
-  if (put) {
-    done = this->model->store.Put(key, std::move(body), query.cas);
-  } else {
-    this->model->store.Remove(key);
-  }
+  Reply reply = write();
   if (this->model->LoseReply()) {
     this->model->Count("lost");
     return std::nullopt;
   }
-  return Reply{HTTPResponse::HTTP_OK, done ? "true" : "false", 0};
+  return reply;
 }
 
 Reply PlatformHandler::Refuse() {
