Core: a result learnt while peers are asked is answered whole

Cause: a question about deferred work of a silent peer goes round the other peers. A cancellation passed the adopted work by in the same way. It now looks at its own work again once nobody else knows more. Tests first, red before the change: "check View(result.body) == "letter sent" has failed [ != letter sent]" and "stops.size() == 1U has failed [0 != 1]".

--- a/packages/core/src/lifecycle/query_flow.cc
+++ b/packages/core/src/lifecycle/query_flow.cc
@@ -159,6 +159,17 @@
 
 void QueryFlow::AskNext(Relayed next) {
   if (next.peers_left.empty()) {
+    // Failure: the journal was adopted here while the peers were asked, and
+    // only the state is looked up again. The caller reads "finished" with an
+    // empty body, or a cancellation passes the work by.
+    QueryArrived again;
+    again.query = next.query;
+    again.request = next.request;
+    again.from_peer = next.from_peer;
+    again.cancel = next.cancel;
+    if (this->AnswerHere(again)) {
+      return;
+    }
     // A peer goes on to ask others, who may know more.
     this->Answer(next.query,
                  next.from_peer ? std::nullopt : this->LastKnown(next.request));
--- a/packages/core/tests/core_deferred_test.cc
+++ b/packages/core/tests/core_deferred_test.cc
@@ -169,6 +169,62 @@
   BOOST_TEST((Ask(&harness, request.id).state == DeferredState::kFinished));
 }
 
+// A caller asks for a result whose process does not answer. While the peers are
+// still being asked, this process adopts that journal and reads the end there.
+// The caller then read "finished" with an empty body instead of the result,
+// since only the state was looked up once nobody else knew more.
+BOOST_AUTO_TEST_CASE(a_result_that_is_learnt_while_peers_are_asked_is_whole) {
+  CoreHarness harness(1);
+  const JournalId journal("p2.b2");
+  Request request = harness.Make("letter");
+  request.id = RequestId("p2.b2.1");
+  request.team = TeamId("dlonie");
+  FinishedRecord finished;
+  finished.request = request.id;
+  finished.answer.outcome = Outcome::kCompleted;
+  finished.answer.status = 200;
+  finished.answer.body = std::make_shared<const std::string>("letter sent");
+  harness.Send(QueryArrived{9, request.id, false, false, false});
+  harness.Send(JournalsListed{{journal}});
+  harness.Send(JournalRead{journal,
+                           {{journal, 1, 11, {AcceptedRecord{request}}},
+                            {journal, 2, 12, {finished}},
+                            {journal, 3, 13, {HandedOverRecord{}}}}});
+  BOOST_TEST(harness.Take<AnswerQuery>().empty());
+  for (auto asked = harness.Take<AskPeer>(); !asked.empty();
+       asked = harness.Take<AskPeer>()) {
+    harness.Send(QueryAnswered{asked.front().query, std::nullopt});
+  }
+  const auto answers = harness.Take<AnswerQuery>();
+  BOOST_TEST_REQUIRE(answers.size() == 1U);
+  BOOST_TEST_REQUIRE(answers.front().status.has_value());
+  BOOST_TEST((answers.front().status->state == DeferredState::kFinished));
+  BOOST_TEST(View(answers.front().status->result.body) == "letter sent");
+}
+
+// The same, but a caller cancels: the work is adopted here while its former
+// holder is asked in vain. The caller was told a state, and the work ran on.
+BOOST_AUTO_TEST_CASE(work_adopted_while_peers_are_asked_is_cancelled_here) {
+  CoreHarness harness(1);
+  const JournalId journal("p2.b2");
+  Request request = harness.Make("letter");
+  request.id = RequestId("p2.b2.1");
+  request.team = TeamId("dlonie");
+  harness.Send(QueryArrived{9, request.id, false, true, false});
+  harness.Send(JournalsListed{{journal}});
+  harness.Send(JournalRead{journal,
+                           {{journal, 1, 11, {AcceptedRecord{request}}},
+                            {journal, 2, 12, {HandedOverRecord{}}}}});
+  const StartTask start = harness.TakeStart();
+  for (auto asked = harness.Take<AskPeer>(); !asked.empty();
+       asked = harness.Take<AskPeer>()) {
+    harness.Send(QueryAnswered{asked.front().query, std::nullopt});
+  }
+  const auto stops = harness.Take<StopTask>();
+  BOOST_TEST_REQUIRE(stops.size() == 1U);
+  BOOST_TEST(stops.front().task == start.order.task);
+}
+
 // Two processes read the journal of a dead one. The one whose fence comes too
 // late must not have touched the work: no start, no question, no stop.
 BOOST_AUTO_TEST_CASE(nothing_adopted_is_touched_before_the_fence_is_durable) {
