Core: a worker that does not leave after all takes work again

Cause: a worker that the host list calls leaving is closed for placement. Called live again before it was empty and released, it is still owned, so no attach opened it again: it idled for good, and deferred work with no other worker never ended. Test first, red before the change: "harness.Take<StartTask>().size() == 1U has failed [0 != 1]".

--- a/packages/core/src/lifecycle/worker_flow.cc
+++ b/packages/core/src/lifecycle/worker_flow.cc
@@ -22,6 +22,7 @@
 }
 
 void WorkerFlow::On(const HostListArrived& event) {
+  const std::vector<WorkerId> staying = this->StayingAfterAll(event.workers);
   this->Remember(event.workers);
   const std::vector<WorkerId> leaving = this->parts->ownership.OnHostList(
       event.workers, this->parts->context.options.self.data_center);
@@ -30,6 +31,27 @@
     this->parts->context.Record(
         WorkerEvent(TimelineKind::kWorkerLeaving, worker));
   }
+  // Failure: a worker that is still owned when it is called live again is not
+  // attached anew, so nothing would open it, and it would idle for good.
+  for (const WorkerId& worker : staying) {
+    if (this->open.contains(worker)) {
+      this->ApplyStanding(worker);
+    }
+  }
+}
+
+std::vector<WorkerId> WorkerFlow::StayingAfterAll(
+    const std::vector<WorkerDescription>& workers) const {
+  std::vector<WorkerId> staying;
+  for (const WorkerDescription& worker : workers) {
+    const auto known = this->directory.find(worker.id);
+    const bool was_leaving =
+        known != this->directory.end() && known->second.leaving;
+    if (was_leaving && !worker.leaving) {
+      staying.push_back(worker.id);
+    }
+  }
+  return staying;
 }
 
 void WorkerFlow::Remember(const std::vector<WorkerDescription>& workers) {
--- a/packages/core/src/lifecycle/worker_flow.h
+++ b/packages/core/src/lifecycle/worker_flow.h
@@ -62,6 +62,9 @@
   void Close(const WorkerId& worker);
   void CountFound(const WorkerReport& report);
   void FreeVanished(const WorkerReport& report);
+  /// @return workers that were leaving and are not called so any more
+  [[nodiscard]] std::vector<WorkerId> StayingAfterAll(
+      const std::vector<WorkerDescription>& workers) const;
   void Remember(const std::vector<WorkerDescription>& workers);
   void ApplyStanding(const WorkerId& worker);
   void NoteRenewals(std::size_t first_action);
--- a/packages/core/tests/core_operations_test.cc
+++ b/packages/core/tests/core_operations_test.cc
@@ -49,6 +49,23 @@
   }
 }
 
+// The host list calls a worker leaving and, before that worker was empty and
+// released, live again. It must get work once more. Its lease never changed
+// hands, so nothing opened it again, and it idled while requests were refused.
+BOOST_AUTO_TEST_CASE(a_worker_that_does_not_leave_after_all_takes_work) {
+  CoreHarness harness(1);
+  WorkerDescription worker{WorkerId("w1"), "w1:80", DataCenterId("dc1"),
+                           RackId("r1"), true};
+  harness.Send(HostListArrived{{worker}});
+  harness.Advance(std::chrono::seconds(1));
+  worker.leaving = false;
+  harness.Send(HostListArrived{{worker}});
+  harness.Advance(std::chrono::seconds(1));
+  BOOST_TEST(harness.Take<ReleaseWorker>().empty());
+  harness.Arrive("screen");
+  BOOST_TEST(harness.Take<StartTask>().size() == 1U);
+}
+
 // A stop in good order: the screen in progress ends and is answered, a new one
 // is refused, the journal is handed over, and only then the worker is released.
 BOOST_AUTO_TEST_CASE(a_graceful_stop_cuts_nothing_off) {
