--- a/testing/process_faults/configuration_race_test.cc
+++ b/testing/process_faults/configuration_race_test.cc
@@ -1,12 +1,10 @@
 #include <boost/test/unit_test.hpp>
-#include <fstream>
-#include <iterator>
-#include <memory>
 #include <set>
 #include <string>
 #include <vector>
 
 #include "deferred_fixture.h"
+#include "operator.h"
 
 namespace mustardproxy::process_faults {
 namespace {
@@ -14,52 +12,6 @@
 constexpr int kConflict = 3;
 constexpr int kNotInForce = 4;
 
-/// @return the default configuration with another limit on urgent waits
-std::string WithUrgentWait(int milliseconds) {
-  std::string text = cell::DefaultConfiguration();
-  const std::string old = R"("urgent": {"max_wait_ms": 2000)";
-  std::size_t at = text.find(old);
-  BOOST_REQUIRE(at != std::string::npos);
-  return text.replace(
-      at, old.size(),
-      R"("urgent": {"max_wait_ms": )" + std::to_string(milliseconds));
-}
-
-/// An operator who runs `mustardctl profile apply`.
-class Operator {
- public:
-  Operator(const Cell& cell, const std::string& name, int urgent_wait_ms,
-           const std::vector<std::string>& options)
-      : output(cell.Folder() + "/" + name + ".out") {
-    std::string file = cell.Folder() + "/" + name + ".jsonc";
-    std::ofstream(file) << WithUrgentWait(urgent_wait_ms);
-    std::vector<std::string> command = {
-        MUSTARDCTL_PROGRAM, "--platform", cell.Url("platform"),
-        "profile",          "apply",      file};
-    command.insert(command.end(), options.begin(), options.end());
-    this->process = std::make_unique<cell::ChildProcess>(command, this->output);
-  }
-
-  /// @return its exit code, or -1
-  [[nodiscard]] int Exit() {
-    auto end = this->process->Wait(cell::kPatience);
-    return end ? end->exit_code : -1;
-  }
-  [[nodiscard]] std::string Output() const {
-    std::ifstream file(this->output);
-    return {std::istreambuf_iterator<char>(file),
-            std::istreambuf_iterator<char>()};
-  }
-
- private:
-  std::string output;
-  std::unique_ptr<cell::ChildProcess> process;
-};
-
-std::int64_t VersionAt(const Cell& cell, const std::string& entry) {
-  return StatusNumber(cell, entry, "configuration_version");
-}
-
 CellLayout CutOffCell() {
   CellLayout layout;
   layout.data_centers = 2;
--- a/testing/process_faults/platform_partition_test.cc
+++ b/testing/process_faults/platform_partition_test.cc
@@ -3,6 +3,7 @@
 #include <vector>
 
 #include "deferred_fixture.h"
+#include "operator.h"
 
 namespace mustardproxy::process_faults {
 namespace {
@@ -64,10 +65,6 @@
   }
 }
 
-std::int64_t VersionAt(const Cell& cell, const std::string& entry) {
-  return StatusNumber(cell, entry, "configuration_version");
-}
-
 /// Writes the configuration of the start again as version 2.
 void WriteVersionTwo(const Cell& cell) {
   std::string text = cell::DefaultConfiguration();
