Process faults: stops while workers are silent, callers hang up, the platform is slow

Cause: the row of shutdown was not proved for these faults.

What raw callers send moved out of request_callers_test.cc into a header, since two tests need it; that test checks the same as before.

--- a/testing/process_faults/request_callers_test.cc
+++ b/testing/process_faults/request_callers_test.cc
@@ -1,10 +1,8 @@
 #include <Poco/Exception.h>
-#include <Poco/Net/SocketAddress.h>
-#include <Poco/Net/StreamSocket.h>
-#include <Poco/URI.h>
 
 #include <boost/test/unit_test.hpp>
 
+#include "raw_caller.h"
 #include "request_cell.h"
 
 namespace mustardproxy::process_faults {
@@ -13,28 +11,6 @@
 using Poco::Net::StreamSocket;
 using std::chrono::milliseconds;
 
-/// A caller's connection, open until the object goes.
-StreamSocket Connect(const Cell& cell, const std::string& entry) {
-  Poco::URI url(cell.Url(entry));
-  return StreamSocket(Poco::Net::SocketAddress(url.getHost(), url.getPort()));
-}
-
-void SendText(StreamSocket* socket, const std::string& text) {
-  std::size_t sent = 0;
-  while (sent < text.size()) {
-    int part = socket->sendBytes(text.data() + sent,
-                                 static_cast<int>(text.size() - sent));
-    if (part <= 0) return;
-    sent += static_cast<std::size_t>(part);
-  }
-}
-
-std::string Post(const std::string& body) {
-  return "POST /v1/services/screen HTTP/1.1\r\nHost: cell\r\n"
-         "Mustardproxy-Timeout-Ms: 60000\r\nContent-Length: " +
-         std::to_string(body.size()) + "\r\n\r\n" + body;
-}
-
 bool Serves(const Cell& cell, const std::string& entry) {
   Call call{.service = "screen", .body = FreshBody(milliseconds(5))};
   return IsOwnAnswer(Send(cell, entry, call), call);
