Ownership: starts since the last report keep renewals close

Cause: the interval of renewals went back to its shortest only when a report named something that had ended.

Ruled out: resetting the interval at each start, which plans a timer on the path of each request.

Test: renewals_stay_close_while_starts_are_sent; before the change the longest gap was above 1.6 s and the last renewal more than 2 s before the end (both checks failed). After it: core_tests without errors.

--- a/packages/core/src/ownership.cc
+++ b/packages/core/src/ownership.cc
@@ -86,6 +86,10 @@
 
 void Ownership::State::TakeReport(Instant sent, const WorkerReport& report,
                                   Lease* lease) {
+  // Failure: a busy worker's reports name what runs and never what ended, since
+  // those answers came with their starts. The interval would grow as for long
+  // tasks, and the end of a short detached one be learnt seconds late.
+  const bool started = lease->start_sent >= lease->granted;
   lease->granted = sent;
   lease->unreachable = 0;
   lease->refusals = 0;
@@ -98,7 +102,8 @@
       std::ranges::any_of(report.running, [this](const RunningTask& task) {
         return task.running_for >= this->options.renew_interval;
       });
-  const bool news = !report.ended.empty() || (lease->active && !was_active);
+  const bool news =
+      started || !report.ended.empty() || (lease->active && !was_active);
   // Growing slowly keeps the delay of a task's end in proportion to its run.
   lease->interval =
       news ? this->options.renew_interval : lease->interval * 3 / 2;
--- a/packages/core/tests/ownership_basic_test.cc
+++ b/packages/core/tests/ownership_basic_test.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 
 #include "mustardproxy/core/ownership.h"
@@ -92,6 +93,34 @@
   BOOST_TEST(cell.Tick(Instant(4s)).empty());
 }
 
+// A worker is busy with short requests whose answers come with their starts, so
+// its reports name something that runs and nothing that ended. A short deferred
+// task starts among them; its end comes only with a renewal, and with renewals
+// stretched as for long runs its slot stays taken for seconds after it.
+BOOST_AUTO_TEST_CASE(renewals_stay_close_while_starts_are_sent) {
+  Alone cell;
+  BOOST_TEST(cell.Attach(Instant(1s)));
+  WorkerReport report;
+  report.worker = kWorker;
+  report.epoch = 1;
+  report.incarnation = 7;
+  report.running.resize(1);
+  Instant last(1s);
+  mustardproxy::Duration longest{0};
+  for (auto now = Instant(1s); now < Instant(60s); now += 100ms) {
+    if (now.time_since_epoch() % 900ms == 0ms) {
+      cell.ownership.OnStartSent(now, kWorker);
+      cell.ownership.OnTraffic(now, kWorker);
+    }
+    if (cell.Tick(now).empty()) continue;
+    longest = std::max(longest, now - last);
+    last = now;
+    cell.ownership.OnRenewed(now, report);
+  }
+  BOOST_TEST((longest <= 1600ms));
+  BOOST_TEST((last > Instant(58s)));
+}
+
 BOOST_AUTO_TEST_CASE(a_leaving_worker_is_kept_until_it_is_empty) {
   Alone cell;
   BOOST_TEST(cell.Attach(Instant(1s)));
