Worker link: renewals leave out the ends that came whole with their starts

Cause: a renewal's report repeated every end since the last one, with its body, though the answers to attached starts had brought them already.

Way taken: the answer to an attached start carries the worker's run (Mustardproxy-Incarnation) and the number of its end there (Mustardproxy-End-Sequence); the link keeps those numbers as ranges and names them in the next renewal ("received": {"incarnation", "ends": [[first, last]]}). The worker leaves out just these. A worker that knows neither sends all as before; attach reports, and so takeovers, are unchanged.

Weighed: leaving out all attached ends at the worker loses one whose answer was cut until the core asks for the task; a digest without body costs about 200 bytes an end, and a second call for those that were lost; task ids in place of numbers cost 35 bytes an end where a range costs 10 in all.

An end counts as received only when its answer came whole, was the call's one result, and stands in the core's queue. Numbers of a former run of the worker are ignored by it.

Tests: received_ends_test. With the member not sent, as before, four fail: the renewal goes on reporting the ends until the 20 s limit. With the run not compared, numbers_of_a_former_run_leave_nothing_out fails (no end reported). With numbers taken from answers that are not whole, an_end_whose_answer_was_crossed_comes_with_the_renewal fails.

--- a/packages/worker/src/messages.cc
+++ b/packages/worker/src/messages.cc
@@ -36,6 +36,20 @@
   return order;
 }
 
+Object FormatReceived(const ReceivedRanges& received) {
+  Poco::JSON::Array ranges;
+  for (const EndRange& range : received.ranges) {
+    Poco::JSON::Array pair;
+    pair.add(Poco::UInt64{range.first});
+    pair.add(Poco::UInt64{range.last});
+    ranges.add(pair);
+  }
+  Object result;
+  result.set("incarnation", Poco::UInt64{received.incarnation});
+  result.set("ends", ranges);
+  return result;
+}
+
 std::string FormatResources(const Resources& amount) {
   return "cpu_milli=" + std::to_string(amount.cpu_milli) +
          ",memory_mb=" + std::to_string(amount.memory_mb) +
@@ -178,10 +192,14 @@
   return Format(order);
 }
 
-std::string RenewBody(const Sender& sender, const RenewWorker& action) {
+std::string RenewBody(const Sender& sender, const RenewWorker& action,
+                      const ReceivedRanges& received) {
   Object order = OrderOf(sender, action.epoch);
   order.set("lease_ms", MillisOf(action.lease));
   order.set("ended_sequence", Poco::UInt64{action.ended_sequence});
+  if (!received.ranges.empty()) {
+    order.set("received", FormatReceived(received));
+  }
   return Format(order);
 }
 
@@ -270,4 +288,15 @@
   return ended;
 }
 
+EndNumber ReadEndNumber(const HttpAnswer& answer) {
+  const auto& header = answer.header;
+  EndNumber number;
+  const bool told =
+      Poco::NumberParser::tryParseUnsigned64(
+          header.get("Mustardproxy-Incarnation", ""), number.incarnation) &&
+      Poco::NumberParser::tryParseUnsigned64(
+          header.get("Mustardproxy-End-Sequence", ""), number.sequence);
+  return told ? number : EndNumber();
+}
+
 }  // namespace mustardproxy::worker_detail
--- a/packages/worker/src/messages.h
+++ b/packages/worker/src/messages.h
@@ -10,6 +10,7 @@
 #include "mustardproxy/core/ids.h"
 #include "mustardproxy/core/result.h"
 #include "mustardproxy/core/worker.h"
+#include "received_ends.h"
 
 /// The worker protocol of docs/PROTOCOLS.md: texts out, typed messages in.
 namespace mustardproxy::worker_detail {
@@ -23,7 +24,9 @@
 };
 
 std::string AttachBody(const Sender& sender, const AttachWorker& action);
-std::string RenewBody(const Sender& sender, const RenewWorker& action);
+/// @param received ends that the report may leave out
+std::string RenewBody(const Sender& sender, const RenewWorker& action,
+                      const ReceivedRanges& received);
 std::string ReleaseBody(const Sender& sender, const ReleaseWorker& action);
 std::string StopBody(const StopTask& action);
 /// @return path of a task, its id in percent encoding
@@ -68,6 +71,8 @@
 /// Reads the answer to an attached start.
 /// @return kAnswerIncomplete if it is not whole, or another task's
 Result<EndedTask> ReadEnded(const HttpAnswer& answer, const StartTask& action);
+/// @return the number that the answer to an attached start tells; 0 if none
+EndNumber ReadEndNumber(const HttpAnswer& answer);
 
 }  // namespace mustardproxy::worker_detail
 
--- a/packages/worker/src/start_calls.cc
+++ b/packages/worker/src/start_calls.cc
@@ -43,10 +43,11 @@
 }  // namespace
 
 StartCalls::StartCalls(Options options, ConnectionPool* connections,
-                       ControlClient* control)
+                       ControlClient* control, ReceivedEnds* received)
     : options(std::move(options)),
       connections(connections),
       control(control),
+      received(received),
       threads("starts", this->options.threads, kMaxQueued),
       poller(this) {}
 
@@ -167,7 +168,7 @@
     return;
   }
   this->connections->Put(std::move(connection));
-  this->Ended(call, std::move(ended.value()));
+  this->Ended(call, std::move(ended.value()), ReadEndNumber(answer));
 }
 
 void StartCalls::JudgeRefusal(const StartCallPtr& call,
@@ -239,7 +240,7 @@
   } else if (state.state == TaskQueried::State::kNeverStarted) {
     this->NotStarted(call, Error::kWorkerLost);
   } else if (state.has_ended) {
-    this->Ended(call, state.ended);
+    this->Ended(call, state.ended, {});
   } else {
     this->Uncertain(call, Error::kResultExpired);
   }
@@ -259,14 +260,23 @@
   this->Settle(call, TaskStarted{call->action.worker, call->action.order.task});
 }
 
-void StartCalls::Ended(const StartCallPtr& call, EndedTask ended) {
-  this->Settle(call, TaskEnded{call->action.worker, std::move(ended)});
+// Failure guarded against: an end is left out of renewals that the core was
+// never told of, and its caller waits for an answer that does not come. So an
+// end counts as received only if its answer came whole, was this call's one
+// result, and stands in the core's queue before the renewal that leaves it out
+// is written.
+void StartCalls::Ended(const StartCallPtr& call, EndedTask ended,
+                       const EndNumber& number) {
+  const WorkerId& worker = call->action.worker;
+  if (!this->Settle(call, TaskEnded{worker, std::move(ended)})) return;
+  this->received->Add(worker, number);
 }
 
-void StartCalls::Settle(const StartCallPtr& call, Event event) {
-  if (call->settled.exchange(true)) return;
+bool StartCalls::Settle(const StartCallPtr& call, Event event) {
+  if (call->settled.exchange(true)) return false;
   this->options.sink->Post(std::move(event));
   this->in_flight.Leave(call->action.worker);
+  return true;
 }
 
 }  // namespace mustardproxy::worker_detail
--- a/packages/worker/src/start_calls.h
+++ b/packages/worker/src/start_calls.h
@@ -12,6 +12,7 @@
 #include "messages.h"
 #include "mustardproxy/core/actions.h"
 #include "mustardproxy/core/event_sink.h"
+#include "received_ends.h"
 #include "start_call.h"
 #include "work_pool.h"
 
@@ -53,8 +54,9 @@
     EventSink* sink = nullptr;
   };
 
+  /// @param received told of each end that an answer brought whole
   StartCalls(Options options, ConnectionPool* connections,
-             ControlClient* control);
+             ControlClient* control, ReceivedEnds* received);
   ~StartCalls() override;
 
   void Begin(const StartTask& action);
@@ -78,12 +80,16 @@
   void NotStarted(const StartCallPtr& call, std::error_code reason);
   void Uncertain(const StartCallPtr& call, std::error_code reason);
   void Started(const StartCallPtr& call);
-  void Ended(const StartCallPtr& call, EndedTask ended);
-  void Settle(const StartCallPtr& call, Event event);
+  /// @param number of the end, if the worker's own answer brought it
+  void Ended(const StartCallPtr& call, EndedTask ended,
+             const EndNumber& number);
+  /// @return false if the call had its result already
+  bool Settle(const StartCallPtr& call, Event event);
 
   Options options;
   ConnectionPool* connections;
   ControlClient* control;
+  ReceivedEnds* received;
   InFlight in_flight;
   WorkPool threads;
   AnswerPoller poller;
--- a/packages/worker/src/worker_link.cc
+++ b/packages/worker/src/worker_link.cc
@@ -7,6 +7,7 @@
 #include "control_client.h"
 #include "messages.h"
 #include "mustardproxy/core/error.h"
+#include "received_ends.h"
 #include "start_calls.h"
 
 namespace mustardproxy {
@@ -50,7 +51,7 @@
         sink(sink),
         control(&this->connections, control_timeout, metrics),
         starts({this->sender, threads, control_timeout, sink},
-               &this->connections, &this->control) {}
+               &this->connections, &this->control, &this->received) {}
 
   /// Runs a control call, or reports that the worker can not be asked.
   template <typename Action>
@@ -74,6 +75,7 @@
   EventSink* sink;
   worker_detail::ConnectionPool connections;
   worker_detail::ControlClient control;
+  worker_detail::ReceivedEnds received;
   worker_detail::StartCalls starts;
 };
 
@@ -130,8 +132,10 @@
 }
 
 void WorkerLink::State::Run(const RenewWorker& action) {
+  const auto known = this->received.After(action.worker, action.ended_sequence);
   auto report = this->CallForReport(
-      action, "/v1/renew", worker_detail::RenewBody(this->sender, action));
+      action, "/v1/renew",
+      worker_detail::RenewBody(this->sender, action, known));
   if (report) this->sink->Post(WorkerRenewed{std::move(report.value())});
 }
 
@@ -143,6 +147,7 @@
     this->ReportUnreachable(action);
     return;
   }
+  this->received.Forget(action.worker);
   const auto refusal = RefusalIn(answer.value());
   // Refused under the same epoch: it was released before, for example by the
   // first try of this call, whose answer was lost.
--- a/testing/worker_standin/src/http_interface.cc
+++ b/testing/worker_standin/src/http_interface.cc
@@ -222,6 +222,9 @@
     this->Drop(response);
     return;
   }
+  response.set("Mustardproxy-Incarnation",
+               std::to_string(this->service->Run()));
+  response.set("Mustardproxy-End-Sequence", std::to_string(answer.sequence));
   this->SendEnded(response, *answer.ended);
 }
 
--- a/testing/worker_standin/src/task_table.cc
+++ b/testing/worker_standin/src/task_table.cc
@@ -19,6 +19,12 @@
   return due;
 }
 
+bool Contains(std::span<const SequenceRange> ranges, std::uint64_t sequence) {
+  return std::ranges::any_of(ranges, [sequence](const SequenceRange& range) {
+    return range.first <= sequence && sequence <= range.last;
+  });
+}
+
 std::shared_ptr<const EndedTask> Result(Instant now, const RunningEntry& entry,
                                         TaskEnd end) {
   auto ended = std::make_shared<EndedTask>();
@@ -152,7 +158,7 @@
 }
 
 std::vector<const EndedEntry*> TaskTable::EndedAfter(
-    std::uint64_t after) const {
+    std::uint64_t after, std::span<const SequenceRange> received) const {
   std::vector<const EndedEntry*> entries;
   std::size_t bytes = 0;
   auto entry =
@@ -161,6 +167,7 @@
                          return sequence < one.sequence;
                        });
   for (; entry != this->ended.end(); ++entry) {
+    if (Contains(received, entry->sequence)) continue;
     bytes += View(entry->ended->body).size();
     const bool full = bytes > kMaxReportedBytes && !entries.empty();
     if (full || entries.size() == kMaxReported) break;
@@ -181,15 +188,17 @@
   auto result = Result(now, entry->second, end);
   this->used -= entry->second.start.resources;
   this->usage -= entry->second.start.plan.uses;
-  entry->second.completion->ended = result;
-  entry->second.completion->changed.notify_all();
+  const auto completion = std::move(entry->second.completion);
   TaskStart start = std::move(entry->second.start);
   this->running.erase(entry);
-  this->KeepEnded(now, std::move(result), std::move(start));
+  completion->sequence = this->KeepEnded(now, result, std::move(start));
+  completion->ended = std::move(result);
+  completion->changed.notify_all();
 }
 
-void TaskTable::KeepEnded(Instant now, std::shared_ptr<const EndedTask> result,
-                          TaskStart start) {
+std::uint64_t TaskTable::KeepEnded(Instant now,
+                                   std::shared_ptr<const EndedTask> result,
+                                   TaskStart start) {
   EndedEntry entry;
   entry.sequence = ++this->sequence;
   entry.at = now;
@@ -204,6 +213,7 @@
     this->ended_bytes -= View(this->ended.front().ended->body).size();
     this->ended.pop_front();
   }
+  return this->sequence;
 }
 
 }  // namespace mustardproxy::standin
--- a/testing/worker_standin/src/task_table.h
+++ b/testing/worker_standin/src/task_table.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <unordered_set>
 #include <vector>
@@ -47,6 +48,14 @@
 struct Completion {
   std::condition_variable changed;
   std::shared_ptr<const EndedTask> ended;
+  /// Of the end, as in `EndedEntry`.
+  std::uint64_t sequence = 0;
+};
+
+/// Numbers of ends from `first` to `last`, both included.
+struct SequenceRange {
+  std::uint64_t first = 0;
+  std::uint64_t last = 0;
 };
 
 /// A task that runs: a timed wait, no processor time.
@@ -108,8 +117,10 @@
   [[nodiscard]] std::vector<const EndedEntry*> EndedSince(Instant since) const;
   /// Tasks that ended after a number, oldest first; the oldest if too many, so
   /// that the next call goes on behind them.
+  /// @param received left out
   [[nodiscard]] std::vector<const EndedEntry*> EndedAfter(
-      std::uint64_t sequence) const;
+      std::uint64_t sequence,
+      std::span<const SequenceRange> received = {}) const;
   [[nodiscard]] std::uint64_t EndedSequence() const { return this->sequence; }
   [[nodiscard]] const Resources& Capacity() const { return this->capacity; }
   /// Sum of the declared resources of what runs.
@@ -123,8 +134,9 @@
   using Entries = std::map<TaskId, RunningEntry>;
 
   void End(Instant now, Entries::iterator entry, TaskEnd end);
-  void KeepEnded(Instant now, std::shared_ptr<const EndedTask> ended,
-                 TaskStart start);
+  /// @return its number
+  std::uint64_t KeepEnded(Instant now, std::shared_ptr<const EndedTask> ended,
+                          TaskStart start);
 
   Resources capacity;
   EndObserver* observer;
--- a/testing/worker_standin/src/worker_service.cc
+++ b/testing/worker_standin/src/worker_service.cc
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <random>
 #include <utility>
+#include <vector>
 
 #include "json.h"
 #include "report.h"
@@ -25,10 +26,27 @@
   Epoch epoch = 0;
   Duration lease{0};
   std::uint64_t ended_sequence = 0;
+  /// Ends that the caller has, and the run of the worker they are of.
+  std::vector<SequenceRange> received;
+  Incarnation received_of = 0;
   std::int64_t cpu_milli = 0;
   bool checkpoint = false;
 };
 
+void ReadReceived(const Poco::JSON::Object& object, Order* order) {
+  const auto received = object.getObject("received");
+  if (!received) return;
+  order->received_of = NumberIn(*received, "incarnation").value_or(0);
+  const auto ends = received->getArray("ends");
+  if (!ends) return;
+  for (unsigned int i = 0; i < ends->size(); ++i) {
+    const auto pair = ends->getArray(i);
+    if (!pair || pair->size() != 2) continue;
+    order->received.push_back(
+        {pair->getElement<Poco::UInt64>(0), pair->getElement<Poco::UInt64>(1)});
+  }
+}
+
 Order ReadOrder(const std::string& body) {
   Order order;
   const auto object = ParseObject(body);
@@ -44,6 +62,7 @@
   order.cpu_milli =
       static_cast<std::int64_t>(NumberIn(*object, "cpu_milli").value_or(0));
   const Poco::Dynamic::Var checkpoint = object->get("checkpoint");
+  ReadReceived(*object, &order);
   order.checkpoint = checkpoint.isBoolean() && checkpoint.extract<bool>();
   return order;
 }
@@ -157,7 +176,7 @@
 }
 
 ControlAnswer WorkerService::Renew(const std::string& body) {
-  const Order order = ReadOrder(body);
+  Order order = ReadOrder(body);
   if (!order.valid) return Malformed("renew");
   const std::lock_guard lock(this->mutex);
   const Instant now = Now();
@@ -166,7 +185,10 @@
   }
   this->Settle(now);
   this->tasks.RenewLeases(now);
-  const auto ended = this->tasks.EndedAfter(order.ended_sequence);
+  // Numbers of a former run say nothing about the ends of this one.
+  if (order.received_of != this->incarnation) order.received.clear();
+  const auto ended =
+      this->tasks.EndedAfter(order.ended_sequence, order.received);
   const std::uint64_t through =
       ended.empty() ? this->tasks.EndedSequence() : ended.back()->sequence;
   return {200, this->Report(now, ended, through)};
@@ -268,7 +290,7 @@
   if (refusal) {
     refusal->task = task.Text();
     this->NoteRefused(now, noted, refusal->reason);
-    return {refusal, nullptr};
+    return {refusal, nullptr, 0};
   }
   this->lease.RenewByStart(now, noted.epoch);
   this->usage.Note(now, this->tasks.Usage());
@@ -278,7 +300,7 @@
   if (detached) return {};
   completion->changed.wait(lock,
                            [&] { return completion->ended || this->stopping; });
-  return {{}, completion->ended};
+  return {{}, completion->ended, completion->sequence};
 }
 
 void WorkerService::NoteRefused(Instant now, const TaskStart& start,
--- a/testing/worker_standin/src/worker_service.h
+++ b/testing/worker_standin/src/worker_service.h
@@ -29,6 +29,8 @@
   MaybeRefusal refusal;
   /// Set if it was attached and has ended.
   std::shared_ptr<const EndedTask> ended;
+  /// Place of the end among the ends of this run of the worker.
+  std::uint64_t sequence = 0;
 };
 
 /// What the fault switches do to one attached answer.
@@ -63,6 +65,7 @@
   /// Waits, or less when shutting down.
   void Pause(Duration length);
   [[nodiscard]] bool Stopping() const;
+  [[nodiscard]] Incarnation Run() const { return this->incarnation; }
   void Shutdown();
   [[nodiscard]] std::string Log() const;
 
