Bench of decisions: several seeds, failing workers, preemption, quotas, 1,200 workers

Cause: waiting times stood on one seed; ejection, preemption, quotas and the size to build towards had never been measured.

Ruled out: counting a placement that fails as the end of a wait; waits are counted to the placement that works. No retry budget is in these runs, so the baseline without ejection is flattered.

Not shown: what preemption costs with checkpoints; stopped tasks run again from their beginning here.

--- a/testing/bench_decisions/cell.cc
+++ b/testing/bench_decisions/cell.cc
@@ -39,11 +39,17 @@
 
 CellShape Addis() { return {"addis", 50, 6, {64'000, 256'000, 0, 8}}; }
 
+CellShape Large() { return {"large", 1200, 8, {16'000, 64'000, 0, 8}}; }
+
+WorkerId WorkerName(std::int32_t number) {
+  return WorkerId(std::string("w").append(std::to_string(number)));
+}
+
 Ledger OpenCell(const CellShape& cell) {
   Ledger ledger;
   for (std::int32_t i = 0; i < cell.workers; ++i) {
     WorkerDescription worker;
-    worker.id = WorkerId(std::string("w").append(std::to_string(i)));
+    worker.id = WorkerName(i);
     worker.rack = RackId(
         std::string("r").append(std::to_string(i / cell.workers_per_rack)));
     WorkerReport report;
--- a/testing/bench_decisions/cell.h
+++ b/testing/bench_decisions/cell.h
@@ -22,6 +22,12 @@
 [[nodiscard]] CellShape Dlonie();
 [[nodiscard]] CellShape Addis();
 
+/// The size to build towards: as many workers of Dlonie's shape.
+[[nodiscard]] CellShape Large();
+
+/// @return the name of a worker, counted from 0
+[[nodiscard]] WorkerId WorkerName(std::int32_t number);
+
 /// @return a ledger with all workers of the cell open and empty
 [[nodiscard]] Ledger OpenCell(const CellShape& cell);
 
--- a/testing/bench_decisions/dispatcher.cc
+++ b/testing/bench_decisions/dispatcher.cc
@@ -25,8 +25,70 @@
   return this->scheduler.Expire(now);
 }
 
-void ProductDispatcher::Done(Instant now, const Placement& placement) {
-  this->scheduler.TaskDone(now, this->ledger, placement.task, this->learns);
+void ProductDispatcher::Done(Instant now, const Placement& placement,
+                             bool ran) {
+  this->scheduler.TaskDone(now, this->ledger, placement.task,
+                           this->learns && ran);
+}
+
+void ProductDispatcher::Requeue(Instant now, const QueuedRequest& request) {
+  (void)this->scheduler.Enqueue(now, *this->ledger, request, true);
+}
+
+std::vector<Preemption> ProductDispatcher::ChooseVictims(Instant now) {
+  return this->scheduler.ChooseVictims(now, *this->ledger);
+}
+
+EjectingDispatcher::EjectingDispatcher(const CellShape& cell,
+                                       const Configuration& configuration,
+                                       Ledger* ledger)
+    : product(configuration, ledger),
+      ledger(ledger),
+      health(WorkerHealthOptions{}) {
+  for (std::int32_t i = 0; i < cell.workers; ++i) {
+    this->health.Add(WorkerName(i));
+  }
+}
+
+bool EjectingDispatcher::Enqueue(Instant now, const QueuedRequest& request) {
+  this->services[request.request] = request.service;
+  return this->product.Enqueue(now, request);
+}
+
+std::vector<Placement> EjectingDispatcher::Schedule(Instant now) {
+  if (this->health.NextWakeup() <= now) this->FollowHealth(now);
+  return this->product.Schedule(now);
+}
+
+std::vector<RequestId> EjectingDispatcher::Expire(Instant now) {
+  return this->product.Expire(now);
+}
+
+void EjectingDispatcher::Done(Instant now, const Placement& placement,
+                              bool ran) {
+  const ServiceId& service = this->services.at(placement.request);
+  if (ran) {
+    this->health.OnSuccess(now, placement.worker, service);
+  } else {
+    this->health.OnFailure(now, placement.worker, service, placement.request);
+  }
+  this->product.Done(now, placement, ran);
+  this->FollowHealth(now);
+}
+
+void EjectingDispatcher::Requeue(Instant now, const QueuedRequest& request) {
+  this->product.Requeue(now, request);
+}
+
+std::vector<Preemption> EjectingDispatcher::ChooseVictims(Instant now) {
+  return this->product.ChooseVictims(now);
+}
+
+void EjectingDispatcher::FollowHealth(Instant now) {
+  for (const WorkerId& worker : this->health.TakeChanged(now)) {
+    const WorkerStanding standing = this->health.Standing(now, worker);
+    this->ledger->SetPlaceable(worker, standing.placeable, standing.share);
+  }
 }
 
 FifoDispatcher::FifoDispatcher(const Configuration& configuration,
@@ -47,7 +109,8 @@
         service.resources, service.tasks, Packing::kFirstFit, {});
     if (workers.empty()) break;
     for (std::size_t i = 0; i < workers.size(); ++i) {
-      const TaskId task(head.request.Text() + "/" + std::to_string(i) + "/1");
+      const TaskId task(head.request.Text() + "/" + std::to_string(i) + "/" +
+                        std::to_string(head.attempt));
       if (!this->ledger->Reserve(workers[i], task, service.resources)) continue;
       placements.push_back({head.request, task, workers[i], service.resources});
     }
@@ -65,8 +128,17 @@
   return expired;
 }
 
-void FifoDispatcher::Done(Instant /*now*/, const Placement& placement) {
+void FifoDispatcher::Done(Instant /*now*/, const Placement& placement,
+                          bool /*ran*/) {
   this->ledger->Free(placement.worker, placement.task);
 }
 
+void FifoDispatcher::Requeue(Instant /*now*/, const QueuedRequest& request) {
+  this->queue.push_back(request);
+}
+
+std::vector<Preemption> FifoDispatcher::ChooseVictims(Instant /*now*/) {
+  return {};
+}
+
 }  // namespace mustardproxy::bench
--- a/testing/bench_decisions/driver.h
+++ b/testing/bench_decisions/driver.h
@@ -23,6 +23,10 @@
   std::vector<double> wait_ms;
   std::int64_t refused = 0;
   std::int64_t expired = 0;
+  /// Given up after the last attempt failed.
+  std::int64_t failed = 0;
+  /// Tasks that ran to their end.
+  std::int64_t finished_tasks = 0;
   /// Still waiting at the end of the run.
   std::int64_t waiting = 0;
 
@@ -38,6 +42,15 @@
   std::map<std::string, Outcomes> by_stream;
   /// Mean share in use of the part that is used most.
   double utilisation = 0;
+  /// Tasks started in all, and those of them that met a failing worker or were
+  /// stopped for urgent work.
+  std::int64_t tasks = 0;
+  std::int64_t failed_tasks = 0;
+  std::int64_t stopped_tasks = 0;
+  /// Run time that was lost with the stopped tasks.
+  double lost_seconds = 0;
+  /// Most that a team's tasks held at once: the part that it held most of.
+  std::map<TeamId, double> most_held;
   /// Adds up all streams of a service.
   [[nodiscard]] Outcomes OfService(const std::string& service) const;
   [[nodiscard]] Outcomes Of(const std::string& team,
@@ -53,6 +66,10 @@
   /// Requests that arrive in this first part are not counted.
   double warm_up_seconds = 10;
   std::uint64_t seed = 0;
+  /// Share of the workers that fail every task soon after its start.
+  double failing_share = 0;
+  /// Whether the dispatcher is asked for tasks to stop.
+  bool preempts = false;
 };
 
 /// Drives a dispatcher on an empty cell through random arrivals and ends. The
--- a/testing/bench_decisions/main.cc
+++ b/testing/bench_decisions/main.cc
@@ -21,6 +21,10 @@
     {"fairness", BenchFairness},
     {"gangs", BenchGangs},
     {"cancellations", BenchCancellations},
+    {"failing-workers", BenchFailingWorkers},
+    {"preemption", BenchPreemption},
+    {"quotas", BenchQuotas},
+    {"large-cell", BenchLargeCell},
 };
 
 int Run(int argc, char** argv) {
@@ -28,6 +32,8 @@
                           "Measures the decisions of the core in virtual time");
   parser.add_options()("seed", "seed of everything random",
                        cxxopts::value<std::uint64_t>()->default_value("1"))(
+      "seeds", "runs with seeds from there on, where a spread is printed",
+      cxxopts::value<std::int32_t>()->default_value("5"))(
       "seconds", "virtual seconds of each run",
       cxxopts::value<double>()->default_value("120"))(
       "section", "run only this section",
@@ -40,9 +46,11 @@
   BenchOptions options;
   options.seed = arguments["seed"].as<std::uint64_t>();
   options.seconds = arguments["seconds"].as<double>();
+  options.seeds = arguments["seeds"].as<std::int32_t>();
   const auto only = arguments["section"].as<std::string>();
-  std::printf("seed %llu, %.0f virtual seconds a run\n",
-              static_cast<unsigned long long>(options.seed), options.seconds);
+  std::printf("seed %llu and %d that follow, %.0f virtual seconds a run\n",
+              static_cast<unsigned long long>(options.seed), options.seeds - 1,
+              options.seconds);
   for (const Section& section : kSections) {
     if (!only.empty() && only != section.name) continue;
     std::printf("\n== %s\n", section.name);
--- a/testing/bench_decisions/sections.h
+++ b/testing/bench_decisions/sections.h
@@ -8,6 +8,8 @@
 /// What every section is run with.
 struct BenchOptions {
   std::uint64_t seed = 1;
+  /// Runs with seeds that follow each other, where mean and spread are printed.
+  std::int32_t seeds = 5;
   /// Virtual seconds of each run of a cell.
   double seconds = 120;
 };
@@ -22,6 +24,14 @@
 void BenchFairness(const BenchOptions& options);
 /// Gangs with backfill by measured run times against without.
 void BenchGangs(const BenchOptions& options);
+/// A fifth of the workers fails everything: with ejection against without.
+void BenchFailingWorkers(const BenchOptions& options);
+/// Urgent work with deferred tasks stopped for it against without.
+void BenchPreemption(const BenchOptions& options);
+/// A small team beside a large one with a quota against without.
+void BenchQuotas(const BenchOptions& options);
+/// Waiting time with 1,200 workers.
+void BenchLargeCell(const BenchOptions& options);
 /// A wave of cancellations.
 void BenchCancellations(const BenchOptions& options);
 
