Claims on idempotency keys are removed after their retention

Cause: each keyed request left a key in the platform for good, 4.7 million a year at the size to build towards. Nothing removed one.

Ruled out: time stamps in the claims (clocks of two hosts), a platform lease on each claim (more writes, and a session may acquire its own key twice), removal by the maker (it may be gone). docs/DESIGN.md has the reasons.

Cost by construction: one list of names each ten minutes, one read and one removal for each claim in its life, 10 calls/s at most.

Before: no code to remove claims.

--- a/apps/mustardproxy/src/dispatcher.cc
+++ b/apps/mustardproxy/src/dispatcher.cc
@@ -58,6 +58,7 @@
           [&](const ListJournals& it) { to.platform->Perform(it); },
           [&](const ReadJournal& it) { to.platform->Perform(it); },
           [&](const TrimJournal& it) { to.platform->Perform(it); },
+          [&](const SweepClaims& it) { to.platform->Perform(it); },
           [&](const ClaimKey& it) { to.platform->Perform(it); },
           [&](const SettleKey& it) { to.platform->Perform(it); },
           [&](const RecordEvent& it) { to.timeline->Record(it.event); },
--- a/packages/core/include/mustardproxy/core/actions.h
+++ b/packages/core/include/mustardproxy/core/actions.h
@@ -131,6 +131,10 @@
   JournalId journal;
   std::uint64_t through = 0;
 };
+/// Remove claims on keys that nobody has changed for `retention`; no event.
+struct SweepClaims {
+  Duration retention{0};
+};
 /// Ends in `KeyClaimed`, `KeyTaken` or `KeyUnavailable`.
 struct ClaimKey {
   RequestId request;
@@ -175,8 +179,8 @@
                  ForwardCancel, AttachWorker, RenewWorker, ReleaseWorker,
                  StartTask, StopTask, QueryTask, SendDigest, FetchConfiguration,
                  WatchConfiguration, AppendJournal, ListJournals, ReadJournal,
-                 TrimJournal, ClaimKey, SettleKey, RecordEvent, RecordSample,
-                 ShutdownFinished>;
+                 TrimJournal, SweepClaims, ClaimKey, SettleKey, RecordEvent,
+                 RecordSample, ShutdownFinished>;
 
 /// Actions in the order in which they are to be begun.
 using Actions = std::vector<Action>;
--- a/packages/core/src/lifecycle/key_claims.cc
+++ b/packages/core/src/lifecycle/key_claims.cc
@@ -1,5 +1,6 @@
 #include "lifecycle/key_claims.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "lifecycle/parts.h"
@@ -21,6 +22,10 @@
 /// that the key is in use.
 constexpr std::size_t kMostAbandoned = 4096;
 constexpr Duration kDropInterval = std::chrono::seconds(5);
+constexpr Duration kSweepInterval = std::chrono::minutes(10);
+/// Far longer than any caller waits, so that no request is in progress any more
+/// when its claim goes.
+constexpr Duration kShortestRetention = std::chrono::hours(1);
 
 }  // namespace
 
@@ -187,6 +192,33 @@
   }
 }
 
+void KeyClaims::Housekeep() {
+  const CoreContext& context = this->parts->context;
+  if (context.now < this->next_sweep || context.configuration.version == 0) {
+    return;
+  }
+  this->next_sweep = context.now + kSweepInterval;
+  if (!context.platform_reachable || !this->SweepsForTheCell()) {
+    return;
+  }
+  SweepClaims sweep;
+  sweep.retention =
+      std::max(this->parts->LongestRetention(), kShortestRetention);
+  this->parts->context.Emit(sweep);
+}
+
+bool KeyClaims::SweepsForTheCell() const {
+  // Views may differ, and two processes may sweep at a time; that costs calls
+  // and nothing else.
+  const CoreOptions& options = this->parts->context.options;
+  const bool lower_elsewhere =
+      std::ranges::any_of(options.peers, [&](const PeerDescription& peer) {
+        return peer.data_center < options.self.data_center &&
+               this->parts->membership.Alive(peer.process);
+      });
+  return this->parts->membership.KeepsWatch() && !lower_elsewhere;
+}
+
 void KeyClaims::EmitSettle(const RequestId& request, const Claim& claim,
                            const Answer& answer, bool drop) {
   SettleKey settle;
--- a/packages/core/src/lifecycle/key_claims.h
+++ b/packages/core/src/lifecycle/key_claims.h
@@ -38,9 +38,13 @@
   void SettleAccepted(const Request& request);
   void OnPlatformBack();
   void Tick();
+  /// Has old claims removed from time to time, by one process of the cell.
+  void Housekeep();
   [[nodiscard]] Instant NextWakeup() const { return this->drops.Next(); }
 
  private:
+  [[nodiscard]] bool SweepsForTheCell() const;
+
   struct Claim {
     TeamId team;
     std::string key;
@@ -58,6 +62,7 @@
   std::map<RequestId, Claim> abandoned;
   std::map<RequestId, Claim> late;
   TimerQueue<RequestId> drops;
+  Instant next_sweep;
 };
 
 }  // namespace mustardproxy::detail
--- a/packages/core/src/lifecycle/parts.cc
+++ b/packages/core/src/lifecycle/parts.cc
@@ -178,19 +178,24 @@
     return;
   }
   this->next_housekeeping = this->context.now + kHousekeepingInterval;
-  Duration retention{0};
-  for (const auto& [id, profile] : this->context.configuration.profiles) {
-    retention = std::max(retention, profile.result_retention);
-  }
   if (this->context.configuration.version > 0) {
-    (void)this->store.Expire(this->context.now, retention);
+    (void)this->store.Expire(this->context.now, this->LongestRetention());
   }
+  this->claims.Housekeep();
   this->journals.EraseOld();
   this->HandOverStranded();
   this->workers.CloseLost();
   this->workers.ProbeIdle();
 }
 
+Duration Parts::LongestRetention() const {
+  Duration retention{0};
+  for (const auto& [id, profile] : this->context.configuration.profiles) {
+    retention = std::max(retention, profile.result_retention);
+  }
+  return retention;
+}
+
 Instant Parts::NextWakeup() const {
   Instant next =
       std::min({this->membership.NextWakeup(), this->ownership.NextWakeup(),
--- a/packages/core/src/lifecycle/parts.h
+++ b/packages/core/src/lifecycle/parts.h
@@ -99,6 +99,8 @@
     return this->process_number;
   }
   [[nodiscard]] std::uint64_t NewQuery() { return ++this->last_query; }
+  /// @return the longest time for which any profile keeps results
+  [[nodiscard]] Duration LongestRetention() const;
   [[nodiscard]] TeamId TeamOf(const RequestId& request);
 
   /// A task has ended after its request was answered "unknown".
--- a/packages/core/tests/core_key_test.cc
+++ b/packages/core/tests/core_key_test.cc
@@ -58,6 +58,22 @@
   BOOST_TEST(settled.front().drop);
 }
 
+// Story: claims stayed in the platform for ever. One process of the cell has
+// the old ones removed, and not every process, whose calls the operators pay
+// for.
+BOOST_AUTO_TEST_CASE(one_process_of_the_cell_sweeps_old_claims) {
+  CoreHarness harness(1);
+  harness.Advance(std::chrono::minutes(30));
+  const auto sweeps = harness.Take<SweepClaims>();
+  BOOST_TEST(sweeps.size() == 3U);
+  for (const SweepClaims& sweep : sweeps) {
+    BOOST_TEST((sweep.retention == std::chrono::hours(1)));
+  }
+  harness.Send(PlatformReachability{false});
+  harness.Advance(std::chrono::minutes(30));
+  BOOST_TEST(harness.Take<SweepClaims>().empty());
+}
+
 BOOST_AUTO_TEST_CASE(a_repeat_gets_the_first_answer) {
   CoreHarness harness(1);
   harness.Arrive("booking", "k1");
--- a/packages/platform/include/mustardproxy/platform/key_value_client.h
+++ b/packages/platform/include/mustardproxy/platform/key_value_client.h
@@ -58,6 +58,9 @@
   [[nodiscard]] SwapEnd Swap(std::string_view key, std::string_view value,
                              std::uint64_t index);
   [[nodiscard]] Result<void> Remove(std::string_view key);
+  /// Removes the key if its index is still `index`.
+  /// @return `kSwapped` if it is absent now
+  [[nodiscard]] SwapEnd RemoveIf(std::string_view key, std::uint64_t index);
   /// The platform's list of hosts that run tasks (`GET /v1/hosts`).
   [[nodiscard]] Result<std::vector<WorkerDescription>> Hosts();
   /// How far the last call came. After a `Swap` that ended uncertain,
--- a/packages/platform/include/mustardproxy/platform/platform_link.h
+++ b/packages/platform/include/mustardproxy/platform/platform_link.h
@@ -50,6 +50,8 @@
   /// Batches that hold an adopted record and the newest batch stay, so that
   /// they go on fencing a former owner off.
   void Perform(const TrimJournal& action);
+  /// A round that begins while another one is under way does nothing.
+  void Perform(const SweepClaims& action);
   void Perform(const ClaimKey& action);
   void Perform(const SettleKey& action);
 
--- a/packages/platform/src/key_value_client.cc
+++ b/packages/platform/src/key_value_client.cc
@@ -35,6 +35,21 @@
          "&wait=" + std::to_string(millis.count()) + "ms";
 }
 
+std::string CasQuery(std::uint64_t index) {
+  return "cas=" + std::to_string(index);
+}
+
+SwapEnd EndOfSwap(const std::optional<HttpReply>& reply) {
+  if (!reply || reply->status != Status::HTTP_OK) {
+    return SwapEnd::kUncertain;
+  }
+  if (reply->body.starts_with("true")) {
+    return SwapEnd::kSwapped;
+  }
+  return reply->body.starts_with("false") ? SwapEnd::kConflict
+                                          : SwapEnd::kUncertain;
+}
+
 /// Replies that promise that nothing was done.
 bool Refused(int status) {
   return status == Status::HTTP_TOO_MANY_REQUESTS ||
@@ -136,17 +151,15 @@
 
 SwapEnd KeyValueClient::Swap(std::string_view key, std::string_view value,
                              std::uint64_t index) {
-  const std::string target = Target(key, "cas=" + std::to_string(index));
-  const auto reply =
-      this->state->Do(CallKind::kSwap, {"PUT", target, value, {}});
-  if (!reply || reply->status != Status::HTTP_OK) {
-    return SwapEnd::kUncertain;
-  }
-  if (reply->body.starts_with("true")) {
-    return SwapEnd::kSwapped;
-  }
-  return reply->body.starts_with("false") ? SwapEnd::kConflict
-                                          : SwapEnd::kUncertain;
+  const std::string target = Target(key, CasQuery(index));
+  return EndOfSwap(
+      this->state->Do(CallKind::kSwap, {"PUT", target, value, {}}));
+}
+
+SwapEnd KeyValueClient::RemoveIf(std::string_view key, std::uint64_t index) {
+  const std::string target = Target(key, CasQuery(index));
+  return EndOfSwap(
+      this->state->Do(CallKind::kRemove, {"DELETE", target, {}, {}}));
 }
 
 Result<void> KeyValueClient::Remove(std::string_view key) {
--- a/packages/platform/src/platform_link.cc
+++ b/packages/platform/src/platform_link.cc
@@ -1,10 +1,12 @@
 #include "mustardproxy/platform/platform_link.h"
 
 #include <algorithm>
+#include <atomic>
 #include <utility>
 #include <vector>
 
 #include "claim_keeper.h"
+#include "claim_sweeper.h"
 #include "configuration_watch.h"
 #include "job_pool.h"
 #include "journal_archive.h"
@@ -124,6 +126,9 @@
   JobPool claim_pool;
   JobPool background_pool;
   platform_detail::ConfigurationWatch watch;
+  /// Used by the thread of the background pool alone.
+  platform_detail::ClaimSweeper sweeper;
+  std::atomic<bool> sweeping = false;
   /// Last list that was posted; used by the poll alone.
   std::optional<std::vector<WorkerDescription>> hosts;
 };
@@ -235,6 +240,24 @@
   this->state->background_pool.Add(TrimJob(action));
 }
 
+void PlatformLink::Perform(const SweepClaims& action) {
+  State* own = this->state.get();
+  if (own->sweeping.exchange(true)) {
+    return;
+  }
+  const bool added = own->background_pool.Add(
+      [own, retention = action.retention](KeyValueClient* client) {
+        const auto pause = own->sweeper.Step(client, SteadyNow(), retention);
+        if (!pause) {
+          own->sweeping = false;
+        }
+        return pause;
+      });
+  if (!added) {
+    own->sweeping = false;
+  }
+}
+
 void PlatformLink::Perform(const ClaimKey& action) {
   EventSink* sink = this->state->sink;
   // In an outage claims queue up behind calls that run into their timeout. One
--- a/testing/fault_matrix/src/entry_process.h
+++ b/testing/fault_matrix/src/entry_process.h
@@ -90,6 +90,8 @@
   void Do(const ListJournals& action);
   void Do(const ReadJournal& action);
   void Do(const TrimJournal& action);
+  /// Schedules are far shorter than the time that claims are kept.
+  void Do(const SweepClaims& /*action*/) {}
   void Do(const ClaimKey& action);
   void Do(const SettleKey& action);
   void Do(const RecordEvent& action);
--- a/testing/platform_standin/src/key_value_store.cc
+++ b/testing/platform_standin/src/key_value_store.cc
@@ -74,13 +74,19 @@
   return AcquireEnd::kAcquired;
 }
 
-void KeyValueStore::Remove(const std::string& key) {
+bool KeyValueStore::Remove(const std::string& key,
+                           std::optional<std::uint64_t> index) {
   const std::lock_guard lock(this->mutex);
   this->RemoveLapsed();
   const auto found = this->cells.find(key);
-  if (found != this->cells.end() && !found->second.removed) {
-    this->MarkRemoved(&found->second);
+  if (found == this->cells.end() || found->second.removed) {
+    return true;
+  }
+  if (index && found->second.modify_index != *index) {
+    return false;
   }
+  this->MarkRemoved(&found->second);
+  return true;
 }
 
 std::string KeyValueStore::CreateSession(std::chrono::milliseconds ttl) {
--- a/testing/platform_standin/src/key_value_store.h
+++ b/testing/platform_standin/src/key_value_store.h
@@ -57,7 +57,10 @@
   /// Writes and takes hold of a key that nobody or the same session holds.
   AcquireEnd Acquire(const std::string& key, std::string value,
                      const std::string& session);
-  void Remove(const std::string& key);
+  /// @param index what the key's index must be; empty always removes
+  /// @return true if it is absent now
+  bool Remove(const std::string& key,
+              std::optional<std::uint64_t> index = std::nullopt);
   /// @return the id of a session that lapses unless it is renewed in time
   std::string CreateSession(std::chrono::milliseconds ttl);
   /// @return its time to live, or nothing if there is no such session
--- a/testing/platform_standin/src/platform_handler.cc
+++ b/testing/platform_standin/src/platform_handler.cc
@@ -253,8 +253,8 @@
     if (put) {
       return this->Put(key, query, std::move(body));
     }
-    this->model->store.Remove(key);
-    return Reply{HTTPResponse::HTTP_OK, "true", 0};
+    const bool done = this->model->store.Remove(key, query.cas);
+    return Reply{HTTPResponse::HTTP_OK, done ? "true" : "false", 0};
   });
 }
 
