mustardctl: past versions beyond the newest 2,000 are removed

Cause: each applied version leaves a copy in the platform for good.

Before: apply/versions_that_are_too_old_are_removed failed with the removal taken out (6 versions left instead of 4). After: mustardctl_tests pass.

--- a/apps/mustardctl/src/configuration_store.cc
+++ b/apps/mustardctl/src/configuration_store.cc
@@ -93,10 +93,25 @@
   const WriteEnd end = this->SwapUntilKnown(base.index, next, deadline);
   // Only so that the newest version shows among the past ones at once; if it
   // fails, the next writer does it.
-  if (end == WriteEnd::kWritten) this->Record(next, SteadyNow());
+  if (end == WriteEnd::kWritten) {
+    this->Record(next, SteadyNow());
+    this->Trim(next.version);
+  }
   return end;
 }
 
+void ConfigurationStore::Trim(ConfigurationVersion newest) {
+  // Two at a time: a removal that failed is made up for by the next writer.
+  // Nobody reads these keys to settle a write, which looks at versions that are
+  // seconds old; so a failure is no reason to fail the command.
+  constexpr ConfigurationVersion kAtATime = 2;
+  for (ConfigurationVersion i = 0; i < kAtATime; ++i) {
+    if (newest <= kPastVersionsKept + i) return;
+    static_cast<void>(
+        this->store->Remove(HistoryKey(newest - kPastVersionsKept - i)));
+  }
+}
+
 bool ConfigurationStore::Record(const Configuration& configuration,
                                 Instant deadline) {
   const std::string key = HistoryKey(configuration.version);
--- a/apps/mustardctl/src/configuration_store.h
+++ b/apps/mustardctl/src/configuration_store.h
@@ -22,6 +22,10 @@
   std::uint64_t index = 0;
 };
 
+/// Past versions that are kept; whoever writes a newer one removes those that
+/// have become older. A document of 350 teams is some 50 KB.
+inline constexpr ConfigurationVersion kPastVersionsKept = 2000;
+
 /// How a write ended.
 enum class WriteEnd {
   kWritten,
@@ -61,6 +65,8 @@
   /// Creates the history key of a version unless it is there.
   /// @return true once it is known to be there
   bool Record(const Configuration& configuration, Instant deadline);
+  /// Removes what has become too old with `newest`.
+  void Trim(ConfigurationVersion newest);
   WriteEnd SwapUntilKnown(std::uint64_t index, const Configuration& next,
                           Instant deadline);
   /// After a swap that failed or got no reply: has `next` been written?
--- a/apps/mustardctl/src/key_value_store.cc
+++ b/apps/mustardctl/src/key_value_store.cc
@@ -23,6 +23,9 @@
                std::uint64_t index) override {
     return this->client.Swap(key, value, index);
   }
+  Result<void> Remove(std::string_view key) override {
+    return this->client.Remove(key);
+  }
 
  private:
   KeyValueClient client;
--- a/apps/mustardctl/src/key_value_store.h
+++ b/apps/mustardctl/src/key_value_store.h
@@ -32,6 +32,7 @@
   [[nodiscard]] virtual SwapEnd Swap(std::string_view key,
                                      std::string_view value,
                                      std::uint64_t index) = 0;
+  [[nodiscard]] virtual Result<void> Remove(std::string_view key) = 0;
 };
 
 /// @return the service at `url`
--- a/apps/mustardctl/tests/apply_test.cc
+++ b/apps/mustardctl/tests/apply_test.cc
@@ -38,6 +38,31 @@
              boost::test_tools::per_element());
 }
 
+// Story: a service changes its profiles thousands of times a day. Each version
+// left a copy in the platform for good, until the operators paid for gigabytes
+// of them. A version that falls out of the newest 2,000 goes, and so does the
+// one before it, in case its own removal had failed.
+BOOST_AUTO_TEST_CASE(versions_that_are_too_old_are_removed) {
+  Bench bench;
+  CheckExit(bench.ApplyText(Document(5)), ExitCode::kOk);
+  std::string current = bench.platform.Values("config/").begin()->second;
+  const std::string first = R"("version": 1)";
+  const std::size_t at = current.find(first);
+  BOOST_REQUIRE(at != std::string::npos);
+  current.replace(at, first.size(), R"("version": 2008)");
+  bench.platform.Put("config/current", current);
+  for (const char* past : {"7", "8", "9"}) {
+    bench.platform.Put(kHistory + past, current);
+  }
+  CheckExit(bench.ApplyText(Document(6)), ExitCode::kOk);
+  const Lines left = bench.HistoryKeys();
+  BOOST_TEST_REQUIRE(left.size() == 4U);
+  BOOST_TEST(left[0] == kHistory + "1");
+  BOOST_TEST(left[1] == kHistory + "7");
+  BOOST_TEST(left[2].ends_with("2008"));
+  BOOST_TEST(left[3].ends_with("2009"));
+}
+
 BOOST_AUTO_TEST_CASE(applying_what_is_in_force_writes_nothing) {
   Bench bench;
   CheckExit(bench.ApplyText(Document(5)), ExitCode::kOk);
--- a/apps/mustardctl/tests/bench.h
+++ b/apps/mustardctl/tests/bench.h
@@ -82,6 +82,9 @@
     if (!hooked) return this->inner->Swap(key, value, index);
     return this->hooks[this->next_hook++](key, value, index);
   }
+  Result<void> Remove(std::string_view key) override {
+    return this->inner->Remove(key);
+  }
 
   std::unique_ptr<ctl::KeyValueStore> inner;
   /// Stand for the first swaps of the document, one each.
