Core: half a gang is stopped also once its last follower gives up

Cause: the next owner of a worker that runs a part of a gang asks the peers who follows it. One "running" ended the matter. The owner now asks again after 2 s, doubling up to 30 s, for as long as the part runs there, and stops it when nobody follows it. Ruled out: a stop sent by the follower at its timeout (it holds no lease there), and an answer that tells a forwarder from a follower (a follower can lose its workers right after it has answered). Test first, red before the change: "critical check !stops.empty() has failed".

--- a/packages/core/src/lifecycle/orphan_gangs.cc
+++ b/packages/core/src/lifecycle/orphan_gangs.cc
@@ -1,5 +1,6 @@
 #include "lifecycle/orphan_gangs.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "lifecycle/parts.h"
@@ -9,6 +10,9 @@
 
 /// A stop order may be lost.
 constexpr Duration kStopAgain = std::chrono::seconds(2);
+/// First and longest pause until a peer that follows a gang is asked again.
+constexpr Duration kFirstPause = std::chrono::seconds(2);
+constexpr Duration kLongestPause = std::chrono::seconds(30);
 
 }  // namespace
 
@@ -20,7 +24,12 @@
   if (!candidate) {
     return;
   }
+  this->AskAll(request);
+}
+
+void OrphanGangs::AskAll(const RequestId& request) {
   std::vector<ProcessId>& peers = this->asking[request];
+  peers.clear();
   for (const auto* group :
        {&this->parts->local_peers, &this->parts->remote_peers}) {
     for (const ProcessId& peer : *group) {
@@ -55,8 +64,13 @@
   const RequestId request = found->second;
   this->questions.erase(found);
   if (event.status) {
-    // Somebody follows it, and stops it if it is not whole.
-    this->asking.erase(request);
+    // Somebody follows it, and stops it if it is not whole. Failure: that was
+    // only the process that had forwarded it, or it dies or loses the workers,
+    // and gives up at the caller's timeout. A part of the gang would run on and
+    // hold its worker until its time limit, so the peers are asked again.
+    Duration& pause = this->pauses[request];
+    pause = std::clamp(2 * pause, kFirstPause, kLongestPause);
+    this->followed.Set(request, this->parts->context.now + pause);
     return true;
   }
   this->AskNext(request);
@@ -67,12 +81,24 @@
   const Instant now = this->parts->context.now;
   for (const RequestId& request : this->retries.TakeDue(now)) {
     if (!this->parts->workers.RunsOrphanOf(request)) {
-      this->asking.erase(request);
+      this->Forget(request);
       continue;
     }
     this->parts->workers.StopOrphansOf(request);
     this->retries.Set(request, now + kStopAgain);
   }
+  for (const RequestId& request : this->followed.TakeDue(now)) {
+    if (this->parts->workers.RunsOrphanOf(request)) {
+      this->AskAll(request);
+    } else {
+      this->Forget(request);
+    }
+  }
+}
+
+void OrphanGangs::Forget(const RequestId& request) {
+  this->asking.erase(request);
+  this->pauses.erase(request);
 }
 
 }  // namespace mustardproxy::detail
--- a/packages/core/src/lifecycle/orphan_gangs.h
+++ b/packages/core/src/lifecycle/orphan_gangs.h
@@ -1,6 +1,7 @@
 #ifndef MUSTARDPROXY_CORE_LIFECYCLE_ORPHAN_GANGS_H_
 #define MUSTARDPROXY_CORE_LIFECYCLE_ORPHAN_GANGS_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <vector>
@@ -29,16 +30,24 @@
   /// @return true if the answer was to a question that this part asked
   [[nodiscard]] bool OnQueryAnswered(const QueryAnswered& event);
   void Tick();
-  [[nodiscard]] Instant NextWakeup() const { return this->retries.Next(); }
+  [[nodiscard]] Instant NextWakeup() const {
+    return std::min(this->retries.Next(), this->followed.Next());
+  }
 
  private:
+  void AskAll(const RequestId& request);
   void AskNext(const RequestId& request);
+  void Forget(const RequestId& request);
 
   Parts* parts;
   /// Peers still to be asked whether they follow the request.
   std::map<RequestId, std::vector<ProcessId>> asking;
   std::map<std::uint64_t, RequestId> questions;
   TimerQueue<RequestId> retries;
+  /// When a gang that a peer says it follows is asked about again, and the
+  /// pause until then.
+  TimerQueue<RequestId> followed;
+  std::map<RequestId, Duration> pauses;
 };
 
 }  // namespace mustardproxy::detail
--- a/packages/core/tests/core_recovery_test.cc
+++ b/packages/core/tests/core_recovery_test.cc
@@ -129,6 +129,46 @@
   BOOST_TEST(stops.front().task == half.task);
 }
 
+// A rota was forwarded to a process that died after it had started one of two
+// tasks. The next owner of the worker asks around, and the forwarding process
+// still waits for the answer, so it says "running". It gives up at its caller's
+// timeout and stops nothing: the half rota then held its worker to the end.
+BOOST_AUTO_TEST_CASE(a_half_gang_is_stopped_once_nobody_follows_it_any_more) {
+  CoreHarness harness(1);
+  harness.PeerWithRoom("p2", "dc1");
+  RunningTask half;
+  half.task = TaskId("p2.b2.1/0/1");
+  half.request = RequestId("p2.b2.1");
+  half.service = ServiceId("rota");
+  half.resources = {1000, 1000, 0, 1};
+  harness.running[WorkerId("w1")].push_back(half);
+  harness.Take<AskPeer>();
+  DeferredStatus waiting;
+  waiting.id = half.request;
+  waiting.state = DeferredState::kRunning;
+  std::size_t told = 0;
+  for (int i = 0; i < 12; ++i) {
+    harness.Advance(std::chrono::seconds(1));
+    harness.PeerWithRoom("p2", "dc1");
+    for (const AskPeer& ask : harness.Take<AskPeer>()) {
+      harness.Send(QueryAnswered{ask.query, waiting});
+      ++told;
+    }
+  }
+  BOOST_TEST_REQUIRE(told > 0U);
+  BOOST_TEST(harness.Take<StopTask>().empty());
+  for (int i = 0; i < 12; ++i) {
+    harness.Advance(std::chrono::seconds(1));
+    harness.PeerWithRoom("p2", "dc1");
+    for (const AskPeer& ask : harness.Take<AskPeer>()) {
+      harness.Send(QueryAnswered{ask.query, std::nullopt});
+    }
+  }
+  const auto stops = harness.Take<StopTask>();
+  BOOST_TEST_REQUIRE(!stops.empty());
+  BOOST_TEST(stops.front().task == half.task);
+}
+
 // A review was sent to a worker that froze before it read the order, and would
 // run it as soon as it goes on. The review must not be started elsewhere when
 // only the length of a task lease has passed.
