Fault matrix: seven more faults and seven more steps

New faults: silent-connection, lease-lapse, worker-killed, cancellation-wave, host-leaving, data-centre-cut, operator-race. New steps: task-runs, detached-task-runs, takeover, cancel, cancel-deferred, ask-result, configuration-start. New promises: what a caller is told of deferred work never changes once it is an end, "cancelled before it ran" is true, and nothing runs after its recorded end. A fault counts only when it had its effect (a reply that was dropped, a lease that was held, a caller who hung up). Before, some that can not strike were counted, for example request-twice at a start. The cell now rests only after a quiet second, and each long gang adds its own run time to the deadline.

--- a/testing/fault_matrix/program/main.cc
+++ b/testing/fault_matrix/program/main.cc
@@ -23,7 +23,7 @@
 constexpr std::int64_t kMostPrinted = 20;
 
 struct Arguments {
-  std::uint64_t schedules = 437;
+  std::uint64_t schedules = 1200;
   ScheduleOptions schedule;
   bool cells = false;
 };
--- a/testing/fault_matrix/src/cell.cc
+++ b/testing/fault_matrix/src/cell.cc
@@ -19,15 +19,20 @@
 constexpr Duration kHealed = seconds(12);
 /// By then all must be answered and ended.
 constexpr Duration kRecovery = seconds(90);
-constexpr Duration kShortestFault = milliseconds(300);
-constexpr Duration kLongestFault = seconds(8);
-/// Which time that its step is reached a fault strikes, at most.
-constexpr std::int32_t kMostOccurrences = 4;
-constexpr std::int32_t kMostOccurrencesOfHeartbeats = 40;
 /// Some gangs run so long that a half of one would be noticed.
 constexpr double kLongGangs = 0.25;
 constexpr Duration kLongGangRun = seconds(28);
-constexpr std::uint64_t kFirstQuestion = 1000;
+/// A process that was killed to be missed stays away for so long, and what was
+/// broken works again later then.
+constexpr Duration kMissed = seconds(10);
+constexpr Duration kHealedAfterLoss = seconds(18);
+constexpr Duration kLongestReview = seconds(2);
+/// Some still run when their dead owner's journal is adopted.
+constexpr Duration kLongReview = seconds(12);
+/// Nothing may be left to do for so long before the cell counts as at rest.
+constexpr Duration kRest = seconds(1);
+constexpr double kCancelled = 0.08;
+constexpr double kOftenCancelled = 0.5;
 
 struct KnownService {
   const char* name;
@@ -87,44 +92,12 @@
   return configuration;
 }
 
-std::vector<PlannedFault> DrawFaults(const ScheduleOptions& options) {
-  Simulation random(options.seed * 2654435761U + 17);
-  const auto draw_step = [&] {
-    return static_cast<Step>(random.Draw(0, kStepCount - 1));
-  };
-  const auto draw_fault = [&] {
-    return static_cast<Fault>(random.Draw(0, kFaultCount - 1));
-  };
-  // Consecutive seeds go through every step with every fault.
-  const auto seed = static_cast<std::int64_t>(options.seed);
-  PlannedFault first;
-  first.step = options.step.value_or(static_cast<Step>(seed % kStepCount));
-  first.fault = options.fault.value_or(
-      static_cast<Fault>(seed / kStepCount % kFaultCount));
-  std::vector<PlannedFault> faults = {first};
-  constexpr double kSecondFault = 0.6;
-  constexpr double kThirdFault = 0.3;
-  if (random.Chance(kSecondFault)) {
-    faults.push_back({draw_step(), draw_fault(), 1, {}, false});
-  }
-  if (random.Chance(kThirdFault)) {
-    faults.push_back({draw_step(), draw_fault(), 1, {}, false});
-  }
-  for (PlannedFault& fault : faults) {
-    const bool often =
-        fault.step == Step::kRenew || fault.step == Step::kHeartbeat;
-    fault.occurrence = static_cast<std::int32_t>(random.Draw(
-        1, often ? kMostOccurrencesOfHeartbeats : kMostOccurrences));
-    fault.lasting = random.Draw(kShortestFault, kLongestFault);
-  }
-  return faults;
-}
-
 }  // namespace
 
 Cell::Cell(const ScheduleOptions& options)
     : options(options),
       simulation(options.seed),
+      preparation(PreparationFor(DrawFaults(options).front().step)),
       plan(DrawFaults(options)),
       network(&this->simulation, &this->plan, this),
       platform(&this->simulation, &this->promises),
@@ -160,12 +133,19 @@
   };
   this->around.on_accepted = [this](const RequestId& id) {
     this->promises.OnAccepted(id);
+    this->simulation.After(this->simulation.Draw(milliseconds(100), seconds(6)),
+                           [this, id] { this->AskForResult(id); });
   };
   this->around.on_answer = [this](const RequestId& id, const Answer& answer) {
     this->promises.OnAnswer(id, answer);
   };
   this->around.on_query_answer =
       [this](std::uint64_t query, const std::optional<DeferredStatus>& status) {
+        const auto early = this->early_questions.find(query);
+        if (early != this->early_questions.end()) {
+          this->promises.OnStatus(early->second, status);
+          this->early_questions.erase(early);
+        }
         const auto found = this->questions.find(query);
         if (found != this->questions.end()) {
           this->promises.CheckResult(found->second, status);
@@ -204,7 +184,8 @@
     arrival.service = kServices[kind].name;
     arrival.entry = static_cast<std::size_t>(this->simulation.Draw(0, 2));
     arrival.at = moment();
-    arrival.cancelled = this->simulation.Chance(0.08);
+    arrival.cancelled = this->simulation.Chance(
+        this->preparation.many_cancels ? kOftenCancelled : kCancelled);
     if (this->simulation.Chance(0.2)) {
       arrival.key = std::string("key").append(std::to_string(i));
       // The same key at another process, at about the same time.
@@ -219,15 +200,41 @@
   if (this->simulation.Chance(0.5)) {
     this->simulation.At(moment(), [this] { this->ChangeHostList(); });
   }
-  if (this->simulation.Chance(0.25)) {
+  if (this->preparation.stop_process || this->simulation.Chance(0.25)) {
+    this->simulation.At(moment(), [this] { this->StopGracefully(); });
+  }
+  if (this->preparation.stop_process) {
     this->simulation.At(moment(), [this] { this->StopGracefully(); });
   }
+  this->PlanPreparation(from);
+}
+
+void Cell::PlanPreparation(Instant from) {
+  const auto victim = static_cast<std::size_t>(this->simulation.Draw(0, 1));
+  if (this->preparation.reviews) {
+    for (const char* key : {"", "prepared"}) {
+      Arrival review;
+      review.service = "review";
+      review.key = key;
+      review.entry = victim;
+      review.at = from + this->simulation.Draw(Duration{0}, kLoadTime / 4);
+      this->simulation.At(review.at, [this, review] { this->Send(review); });
+    }
+  }
+  if (this->preparation.kill_process) {
+    this->simulation.At(
+        from + this->simulation.Draw(kLoadTime / 3, kLoadTime),
+        [this, victim] { this->processes[victim]->Kill(kMissed); });
+  }
+}
+
+EntryProcess* Cell::AnyProcess() {
+  return this->processes[static_cast<std::size_t>(this->simulation.Draw(0, 2))]
+      .get();
 }
 
 void Cell::StopGracefully() {
-  EntryProcess* process =
-      this->processes[static_cast<std::size_t>(this->simulation.Draw(0, 2))]
-          .get();
+  EntryProcess* process = this->AnyProcess();
   Call call;
   call.from = &this->callers;
   call.to = process;
@@ -263,26 +270,78 @@
       request.id, {request.service, known.idempotent, deferred, known.tasks},
       entry->Id());
   TaskScript script;
+  const Duration longest =
+      this->preparation.kill_process ? kLongReview : kLongestReview;
   script.run = deferred
-                   ? this->simulation.Draw(milliseconds(200), seconds(2))
+                   ? this->simulation.Draw(milliseconds(200), longest)
                    : this->simulation.Draw(milliseconds(5), milliseconds(600));
-  if (known.tasks > 1 && this->simulation.Chance(kLongGangs)) {
+  if (known.tasks > 1 && !this->preparation.stop_process &&
+      this->simulation.Chance(kLongGangs)) {
     script.run = kLongGangRun;
+    this->long_runs += kLongGangRun;
   }
   this->scripts[request.id] = script;
   const RequestId id = request.id;
+  this->places[id] = Place{entry, entry->Run()};
   if (arrival.cancelled) {
-    this->simulation.After(
-        this->simulation.Draw(milliseconds(1), milliseconds(500)),
-        [entry, id, run = entry->Run()] {
-          if (entry->Run() == run) {
-            entry->Deliver(CancelRequested{id});
-          }
-        });
+    this->PlanCancellation(id, deferred);
   }
   entry->Deliver(RequestArrived{std::move(request)});
 }
 
+void Cell::PlanCancellation(const RequestId& request, bool deferred) {
+  this->simulation.After(
+      this->simulation.Draw(milliseconds(1), milliseconds(500)),
+      [this, request] { this->HangUp(request); });
+  if (deferred) {
+    this->simulation.After(
+        this->simulation.Draw(milliseconds(5), milliseconds(1500)),
+        [this, request] { this->CancelDeferred(request); });
+  }
+}
+
+void Cell::HangUp(const RequestId& request) {
+  const Place place = this->places.at(request);
+  Call call;
+  call.from = &this->callers;
+  call.to = place.entry;
+  call.step = Step::kCancel;
+  call.work = [place, request](const Respond& /*respond*/) {
+    if (place.entry->Run() == place.run) {
+      place.entry->Deliver(CancelRequested{request});
+    }
+  };
+  this->network.Send(std::move(call));
+}
+
+void Cell::CancelDeferred(const RequestId& request) {
+  if (!this->promises.Accepted(request)) {
+    return;
+  }
+  EntryProcess* process = this->AnyProcess();
+  QueryArrived asked;
+  asked.query = ++this->last_question;
+  asked.request = request;
+  asked.cancel = true;
+  this->early_questions[asked.query] = request;
+  Call call;
+  call.from = &this->callers;
+  call.to = process;
+  call.step = Step::kCancelDeferred;
+  call.work = [process, asked](const Respond& /*respond*/) {
+    process->Deliver(asked);
+  };
+  this->network.Send(std::move(call));
+}
+
+void Cell::AskForResult(const RequestId& request) {
+  QueryArrived asked;
+  asked.query = ++this->last_question;
+  asked.request = request;
+  this->early_questions[asked.query] = request;
+  this->AnyProcess()->Deliver(asked);
+}
+
 void Cell::ChangeConfiguration() {
   ++this->platform.configuration.version;
   this->PushNews();
@@ -333,46 +392,6 @@
   this->network.Send(std::move(call));
 }
 
-void Cell::Apply(const PlannedFault& fault, const Call& call) {
-  switch (fault.fault) {
-    case Fault::kPlatformDown:
-      this->platform.GoDown(fault.lasting);
-      return;
-    case Fault::kPlatformSlow:
-      this->platform.BeSlow(fault.lasting);
-      return;
-    case Fault::kPlatformRepliesLost:
-      this->platform.LoseReplies(fault.lasting);
-      return;
-    case Fault::kWorkerFailsAll: {
-      const auto worker = this->around.workers.find(WorkerId(call.to->Name()));
-      ModelWorker* chosen =
-          worker != this->around.workers.end()
-              ? worker->second
-              : this->workers[static_cast<std::size_t>(
-                                  this->simulation.Draw(0, 3))]
-                    .get();
-      chosen->FailAll(fault.lasting);
-      return;
-    }
-    case Fault::kGracefulStop: {
-      const auto process =
-          this->around.processes.find(ProcessId(call.from->Name()));
-      EntryProcess* chosen =
-          process != this->around.processes.end()
-              ? process->second
-              : this->processes[static_cast<std::size_t>(
-                                    this->simulation.Draw(0, 2))]
-                    .get();
-      this->simulation.After(
-          Duration{0}, [chosen] { chosen->Deliver(ShutdownRequested{}); });
-      return;
-    }
-    default:
-      return;
-  }
-}
-
 void Cell::Heal() {
   this->plan.End();
   this->network.Heal();
@@ -380,17 +399,20 @@
   for (const auto& worker : this->workers) {
     worker->Heal();
   }
+  const std::set<std::size_t> left = this->leaving_hosts;
+  for (const std::size_t host : left) {
+    this->ReturnHost(host, false);
+  }
 }
 
 bool Cell::AnyPaused() const {
   const auto paused = [](const auto& node) { return node->Paused(); };
-  return this->platform.Paused() ||
+  return this->platform.Paused() || this->callers.Paused() ||
          std::ranges::any_of(this->workers, paused) ||
          std::ranges::any_of(this->processes, paused);
 }
 
 void Cell::AskResults() {
-  std::uint64_t question = kFirstQuestion;
   std::size_t turn = 0;
   for (const RequestId& request : this->promises.AcceptedRequests()) {
     EntryProcess* process =
@@ -398,7 +420,7 @@
     if (!process->Alive()) {
       continue;
     }
-    const std::uint64_t query = ++question;
+    const std::uint64_t query = ++this->last_question;
     this->questions[query] = request;
     QueryArrived asked;
     asked.query = query;
@@ -425,14 +447,26 @@
   };
   this->simulation.After(milliseconds(300), news);
   this->PlanWork();
-  this->simulation.At(begin + kHealed, [this] { this->Heal(); });
+  const Duration healed =
+      this->preparation.kill_process ? kHealedAfterLoss : kHealed;
+  this->simulation.At(begin + healed, [this] { this->Heal(); });
   const Instant loaded = begin + kWarmUp + kLoadTime + seconds(1);
-  const Instant last = begin + kHealed + kRecovery;
+  // Long gangs may have to run one after the other.
+  const auto last = [&] {
+    return begin + healed + kRecovery + this->long_runs;
+  };
+  // A call of a caller that was paused may still be on its way.
+  Instant busy = begin;
   const auto at_rest = [&] {
-    return this->simulation.Now() > loaded && this->promises.AllSettled() &&
-           this->network.LateMessages() == 0 && !this->AnyPaused();
+    const Instant now = this->simulation.Now();
+    const bool quiet = now > loaded && this->promises.AllSettled() &&
+                       this->network.LateMessages() == 0 && !this->AnyPaused();
+    if (!quiet) {
+      busy = now;
+    }
+    return now - busy > kRest;
   };
-  while (!at_rest() && this->simulation.Step(last)) {
+  while (!at_rest() && this->simulation.Step(last())) {
   }
   // Nothing may follow once all seems over; the configuration still spreads.
   this->Heal();
--- a/testing/fault_matrix/src/cell.h
+++ b/testing/fault_matrix/src/cell.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -14,21 +15,11 @@
 #include "model_worker.h"
 #include "network.h"
 #include "promises.h"
+#include "schedule.h"
 #include "simulation.h"
 
 namespace mustardproxy::fault_matrix {
 
-/// One schedule: a seed, and what the faults in it are limited to.
-struct ScheduleOptions {
-  std::uint64_t seed = 1;
-  /// Set: the first fault strikes there, or is this one.
-  std::optional<Step> step;
-  std::optional<Fault> fault;
-  ModelWorker::Rules rules;
-  /// Prints what happens.
-  bool verbose = false;
-};
-
 /// What one schedule came to.
 struct ScheduleResult {
   std::vector<PlannedFault> faults;
@@ -43,7 +34,8 @@
 /// A callers' end of the network; it never fails by itself.
 class CallerNode : public Node {
  public:
-  explicit CallerNode(Simulation* simulation) : Node(simulation, "callers") {}
+  explicit CallerNode(Simulation* simulation)
+      : Node(simulation, std::string(kCallersName)) {}
   void Start() { this->Begin(); }
 
  protected:
@@ -58,7 +50,7 @@
   explicit Cell(const ScheduleOptions& options);
 
   ScheduleResult Run();
-  void Apply(const PlannedFault& fault, const Call& call) override;
+  bool Apply(const PlannedFault& fault, const Call& call) override;
 
  private:
   struct Arrival {
@@ -68,6 +60,11 @@
     Instant at;
     bool cancelled = false;
   };
+  /// The run of an entry process that a request arrived at.
+  struct Place {
+    EntryProcess* entry = nullptr;
+    std::uint64_t run = 0;
+  };
 
   void Build();
   void PlanWork();
@@ -78,7 +75,28 @@
   void PushNews();
   void Push(EntryProcess* process, Step step, std::function<Event()> news);
   void StopGracefully();
+  void PlanPreparation(Instant from);
+  void PlanCancellation(const RequestId& request, bool deferred);
+  void HangUp(const RequestId& request);
+  void CancelDeferred(const RequestId& request);
+  void AskForResult(const RequestId& request);
+  EntryProcess* AnyProcess();
   void Heal();
+
+  bool FailWorker(const PlannedFault& fault, const Call& call);
+  bool KillWorker(const PlannedFault& fault, const Call& call);
+  bool StopProcess(const Call& call);
+  bool LapseLeases(const PlannedFault& fault, const Call& call);
+  bool CancelNearlyAll();
+  bool LetHostLeave(const PlannedFault& fault, const Call& call);
+  void ReturnHost(std::size_t host, bool replaced);
+  bool CutDataCenter(const PlannedFault& fault, const Call& call);
+  bool RaceOperators();
+  /// @return the process at one end of a call, if there is one
+  [[nodiscard]] EntryProcess* ProcessOf(const Call& call) const;
+  /// @return the worker at one end of a call, or one with which the process
+  ///   there has to do
+  std::size_t WorkerFor(const Call& call);
   void AskResults();
   /// What a paused node has received is not known to the promises yet.
   [[nodiscard]] bool AnyPaused() const;
@@ -87,6 +105,7 @@
 
   ScheduleOptions options;
   Simulation simulation;
+  Preparation preparation;
   FaultPlan plan;
   Network network;
   Promises promises;
@@ -96,9 +115,15 @@
   std::vector<std::unique_ptr<EntryProcess>> processes;
   Surroundings around;
   std::map<RequestId, TaskScript> scripts;
+  std::map<RequestId, Place> places;
+  Duration long_runs{0};
   std::map<std::string, ConfigurationVersion> pushed_configuration;
   std::map<std::string, std::int32_t> pushed_hosts;
   std::int32_t hosts_version = 1;
+  std::set<std::size_t> leaving_hosts;
+  std::uint64_t last_question = 0;
+  /// Questions under load, and those at the end.
+  std::map<std::uint64_t, RequestId> early_questions;
   std::map<std::uint64_t, RequestId> questions;
 };
 
--- a/testing/fault_matrix/src/entry_peer_calls.cc
+++ b/testing/fault_matrix/src/entry_peer_calls.cc
@@ -10,6 +10,17 @@
 
 }  // namespace
 
+Step EntryProcess::StepOf(const AskPeer& action) const {
+  const bool result = !action.cancel && !action.stop_orphans &&
+                      this->around->promises->Accepted(action.request);
+  return result ? Step::kAskResult : Step::kAskPeer;
+}
+
+bool EntryProcess::Configured() const {
+  return this->core != nullptr &&
+         this->core->ConfigurationInForce().version > 0;
+}
+
 void EntryProcess::Do(const AskPeer& action) {
   const auto found = this->around->processes.find(action.peer);
   if (found == this->around->processes.end()) {
@@ -20,7 +31,7 @@
   Call call;
   call.from = this;
   call.to = peer;
-  call.step = Step::kAskPeer;
+  call.step = this->StepOf(action);
   call.timeout = std::chrono::seconds(6);
   call.work = [this, peer, action](const Respond& respond) {
     const std::uint64_t query = ++peer->last_peer_query;
@@ -110,7 +121,8 @@
   Call call;
   call.from = this;
   call.to = peer;
-  call.step = Step::kFetchConfiguration;
+  call.step = this->Configured() ? Step::kFetchConfiguration
+                                 : Step::kConfigurationStart;
   call.work = [this, peer](const Respond& respond) {
     if (peer->core == nullptr) {
       return;
--- a/testing/fault_matrix/src/entry_platform_calls.cc
+++ b/testing/fault_matrix/src/entry_platform_calls.cc
@@ -12,7 +12,7 @@
 constexpr Duration kSettlePause = std::chrono::seconds(1);
 constexpr std::int32_t kSettleTries = 5;
 
-Step StepOf(const JournalBatch& batch) {
+Step AppendStep(const JournalBatch& batch) {
   if (batch.records.empty()) {
     return Step::kAppendEnded;
   }
@@ -39,7 +39,8 @@
   this->watches = action.watch;
   if (begins) {
     this->CallPlatform(
-        Step::kConfigurationChange,
+        this->Configured() ? Step::kConfigurationChange
+                           : Step::kConfigurationStart,
         [this](const Respond& respond) {
           respond([this, now = this->around->platform->configuration] {
             this->Handle(ConfigurationArrived{now});
@@ -110,7 +111,7 @@
   const JournalBatch batch = action.batch;
   ModelPlatform* platform = this->around->platform;
   this->CallPlatform(
-      StepOf(batch),
+      AppendStep(batch),
       [this, platform, batch](const Respond& respond) {
         const bool ours = platform->Append(batch);
         respond([this, batch, ours] {
--- a/testing/fault_matrix/src/entry_process.cc
+++ b/testing/fault_matrix/src/entry_process.cc
@@ -65,6 +65,8 @@
     for (const WorkerDescription& worker : list->workers) {
       if (worker.leaving) {
         this->leaving_since.emplace(worker.id, this->simulation->Now());
+      } else {
+        this->leaving_since.erase(worker.id);
       }
     }
   }
--- a/testing/fault_matrix/src/entry_process.h
+++ b/testing/fault_matrix/src/entry_process.h
@@ -99,6 +99,10 @@
   /// A call to a worker that ends in the event it answers with.
   void CallWorker(const WorkerId& worker, Step step,
                   std::function<Event(ModelWorker*)> work, Event lost);
+  /// Reaches the step "runs" some time in the run of a task that has started.
+  void WatchRun(const StartTask& action, ModelWorker* worker, Duration run);
+  [[nodiscard]] Step StepOf(const AskPeer& action) const;
+  [[nodiscard]] bool Configured() const;
   void CallPlatform(Step step, std::function<void(Respond)> work,
                     std::function<void()> lost);
   void ReadBack(const JournalBatch& batch);
--- a/testing/fault_matrix/src/entry_worker_calls.cc
+++ b/testing/fault_matrix/src/entry_worker_calls.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <utility>
 
 #include "entry_process.h"
@@ -10,6 +11,8 @@
 /// A start to a leaving worker is allowed for this long after the process
 /// learnt of it.
 constexpr Duration kLeavingGrace = std::chrono::seconds(2);
+/// Faults strike a running task within this time of its start.
+constexpr Duration kLatestMoment = std::chrono::seconds(2);
 
 }  // namespace
 
@@ -30,8 +33,10 @@
 }
 
 void EntryProcess::Do(const AttachWorker& action) {
+  const ProcessId& last = this->around->workers.at(action.worker)->LastHolder();
+  const bool takeover = !last.Empty() && last != this->Id();
   this->CallWorker(
-      action.worker, Step::kAttach,
+      action.worker, takeover ? Step::kTakeover : Step::kAttach,
       [this, action,
        process_run = this->options.incarnation](ModelWorker* worker) {
         return worker->Attach(action, this->Id(), process_run);
@@ -85,10 +90,11 @@
       action.order.detached ? Step::kStartDetached : Step::kStartAttached;
   call.timeout = action.timeout;
   call.work = [this, worker, action](const Respond& respond) {
-    worker->StartTaskHere(action, this->around->script(action.order.request),
-                          [this, respond](const Event& event) {
-                            respond([this, event] { this->Handle(event); });
-                          });
+    const TaskScript script = this->around->script(action.order.request);
+    worker->StartTaskHere(action, script, [this, respond](const Event& event) {
+      respond([this, event] { this->Handle(event); });
+    });
+    this->WatchRun(action, worker, script.run);
   };
   call.not_sent = [this, id = action.worker, task] {
     this->Handle(TaskNotStarted{id, task, {}});
@@ -99,4 +105,26 @@
   this->around->network->Send(std::move(call));
 }
 
+void EntryProcess::WatchRun(const StartTask& action, ModelWorker* worker,
+                            Duration run) {
+  const TaskId& task = action.order.task;
+  if (!worker->Runs(task)) {
+    return;
+  }
+  const Step step =
+      action.order.detached ? Step::kDetachedTaskRuns : Step::kTaskRuns;
+  const Duration pause =
+      this->simulation->Draw(Duration{1}, std::min(run, kLatestMoment));
+  this->simulation->After(pause, [this, task, worker, step] {
+    if (!this->Alive() || !worker->Runs(task)) {
+      return;
+    }
+    Call moment;
+    moment.from = this;
+    moment.to = worker;
+    moment.step = step;
+    this->around->network->Reach(moment);
+  });
+}
+
 }  // namespace mustardproxy::fault_matrix
--- a/testing/fault_matrix/src/faults.cc
+++ b/testing/fault_matrix/src/faults.cc
@@ -30,6 +30,13 @@
     "claim-key",
     "settle-key",
     "shutdown",
+    "task-runs",
+    "detached-task-runs",
+    "takeover",
+    "cancel",
+    "cancel-deferred",
+    "ask-result",
+    "configuration-start",
 };
 
 constexpr std::array<std::string_view, kFaultCount> kFaultNames = {
@@ -52,6 +59,13 @@
     "platform-replies-lost",
     "worker-fails-all",
     "graceful-stop",
+    "silent-connection",
+    "lease-lapse",
+    "worker-killed",
+    "cancellation-wave",
+    "host-leaving",
+    "data-centre-cut",
+    "operator-race",
 };
 
 template <std::size_t kSize>
@@ -90,24 +104,22 @@
   return static_cast<Fault>(*position);
 }
 
-std::optional<PlannedFault> FaultPlan::Reach(Step step) {
+bool MayArriveTwice(Step step) {
+  return step == Step::kForward || step == Step::kHeartbeat ||
+         step == Step::kAskPeer || step == Step::kAskResult;
+}
+
+PlannedFault* FaultPlan::Reach(Step step) {
   if (this->ended) {
-    return std::nullopt;
+    return nullptr;
   }
   const std::int32_t count = ++this->reached[static_cast<std::size_t>(step)];
   for (PlannedFault& planned : this->faults) {
-    if (!planned.struck && planned.step == step &&
-        planned.occurrence == count) {
-      planned.struck = true;
-      return planned;
+    if (!planned.begun && planned.step == step && planned.occurrence <= count) {
+      return &planned;
     }
   }
-  return std::nullopt;
-}
-
-std::int32_t FaultPlan::StruckCount() const {
-  return static_cast<std::int32_t>(
-      std::ranges::count_if(this->faults, &PlannedFault::struck));
+  return nullptr;
 }
 
 }  // namespace mustardproxy::fault_matrix
--- a/testing/fault_matrix/src/faults.h
+++ b/testing/fault_matrix/src/faults.h
@@ -37,8 +37,22 @@
   kClaimKey,
   kSettleKey,
   kShutdown,
+  /// A task runs whose answer is awaited; no message travels.
+  kTaskRuns,
+  /// A detached task runs; no message travels.
+  kDetachedTaskRuns,
+  /// An attach to a worker that another process held last.
+  kTakeover,
+  /// A caller hangs up.
+  kCancel,
+  /// A caller cancels deferred work.
+  kCancelDeferred,
+  /// A peer is asked for the state or result of deferred work.
+  kAskResult,
+  /// A process without a configuration asks for one.
+  kConfigurationStart,
 };
-inline constexpr std::int32_t kStepCount = 23;
+inline constexpr std::int32_t kStepCount = 30;
 
 /// What goes wrong at a step.
 enum class Fault {
@@ -75,21 +89,41 @@
   kWorkerFailsAll,
   /// A process is told to stop in good order.
   kGracefulStop,
+  /// What is open between the two ends gets no answer any more; later calls do.
+  kSilentConnection,
+  /// A process pauses for longer than the leases that it holds.
+  kLeaseLapse,
+  kWorkerKilled,
+  /// Nearly all callers hang up or cancel their deferred work.
+  kCancellationWave,
+  /// The host list calls a worker leaving for a while; it may be replaced then.
+  kHostLeaving,
+  /// A data centre is cut off from the other one, mostly also from the
+  /// platform.
+  kDataCenterCut,
+  /// Two operators change the configuration at the same moment.
+  kOperatorRace,
 };
-inline constexpr std::int32_t kFaultCount = 19;
+inline constexpr std::int32_t kFaultCount = 26;
 
 [[nodiscard]] std::string_view NameOf(Step step);
 [[nodiscard]] std::string_view NameOf(Fault fault);
 [[nodiscard]] std::optional<Step> StepNamed(std::string_view name);
 [[nodiscard]] std::optional<Fault> FaultNamed(std::string_view name);
 
+/// @return true for requests that a sender repeats unasked
+[[nodiscard]] bool MayArriveTwice(Step step);
+
 /// One fault of a schedule: it strikes when the step is reached for the
-/// `occurrence`th time.
+/// `occurrence`th time, or the first time after that where it can.
 struct PlannedFault {
   Step step = Step::kArrival;
   Fault fault = Fault::kNotSent;
   std::int32_t occurrence = 1;
   Duration lasting{0};
+  /// It was tried, and is not tried again.
+  bool begun = false;
+  /// It had its effect.
   bool struck = false;
 };
 
@@ -100,12 +134,11 @@
       : faults(std::move(faults)) {}
 
   /// Counts that the step is reached.
-  /// @return the fault that strikes now, if any
-  std::optional<PlannedFault> Reach(Step step);
+  /// @return the fault that is to be tried now, if any
+  PlannedFault* Reach(Step step);
   [[nodiscard]] const std::vector<PlannedFault>& All() const {
     return this->faults;
   }
-  [[nodiscard]] std::int32_t StruckCount() const;
   /// No more faults strike: the cell is given time to recover.
   void End() { this->ended = true; }
 
--- a/testing/fault_matrix/src/model_worker.cc
+++ b/testing/fault_matrix/src/model_worker.cc
@@ -49,6 +49,13 @@
 
 void ModelWorker::OnResumed() { this->Lapse(); }
 
+bool ModelWorker::HeldBy(const ProcessId& process,
+                         Incarnation process_run) const {
+  return this->attached && this->holder == process &&
+         this->holder_run == process_run &&
+         this->simulation->Now() < this->lease_until;
+}
+
 void ModelWorker::FailAll(Duration lasting) {
   this->fails_until = this->simulation->Now() + lasting;
 }
--- a/testing/fault_matrix/src/model_worker.h
+++ b/testing/fault_matrix/src/model_worker.h
@@ -39,6 +39,15 @@
   [[nodiscard]] const WorkerDescription& Description() const {
     return this->description;
   }
+  [[nodiscard]] bool Runs(const TaskId& task) const {
+    return this->tasks.contains(task);
+  }
+  [[nodiscard]] bool Busy() const { return !this->tasks.empty(); }
+  /// @return true if that run of the process has a lease in force here
+  [[nodiscard]] bool HeldBy(const ProcessId& process,
+                            Incarnation process_run) const;
+  /// @return who attached last, if anybody did since this worker's start
+  [[nodiscard]] const ProcessId& LastHolder() const { return this->holder; }
   void FailAll(Duration lasting);
   void Heal();
 
--- a/testing/fault_matrix/src/network.cc
+++ b/testing/fault_matrix/src/network.cc
@@ -18,6 +18,7 @@
 struct Network::Flight {
   Call call;
   Mishap mishap;
+  Instant sent;
   std::uint64_t caller_run = 0;
   bool done = false;
   std::shared_ptr<std::function<void()>> on_death;
@@ -34,11 +35,25 @@
     return found != cuts.end() && now < found->second;
   };
   const auto& [low, high] = std::minmax(a.Name(), b.Name());
-  return in_force(this->cuts, Link{low, high}) ||
+  const bool callers = a.Name() == kCallersName || b.Name() == kCallersName;
+  const bool group =
+      !callers && std::ranges::any_of(this->groups, [&](const Group& each) {
+        const bool across =
+            each.names.contains(a.Name()) != each.names.contains(b.Name());
+        return across && now < each.until;
+      });
+  return group || in_force(this->cuts, Link{low, high}) ||
          in_force(this->isolated, a.Name()) ||
          in_force(this->isolated, b.Name());
 }
 
+bool Network::IsSilenced(const Flight& flight) const {
+  const auto& [low, high] =
+      std::minmax(flight.call.from->Name(), flight.call.to->Name());
+  const auto found = this->silenced.find(Link{low, high});
+  return found != this->silenced.end() && flight.sent <= found->second;
+}
+
 void Network::CutLink(const std::string& a, const std::string& b,
                       Duration lasting) {
   const auto& [low, high] = std::minmax(a, b);
@@ -49,65 +64,110 @@
   this->isolated[name] = this->simulation->Now() + lasting;
 }
 
+void Network::CutGroup(std::set<std::string> names, Duration lasting) {
+  this->groups.push_back({std::move(names), this->simulation->Now() + lasting});
+}
+
 void Network::Heal() {
   this->cuts.clear();
   this->isolated.clear();
+  this->groups.clear();
 }
 
 void Network::Send(Call call) {
-  const std::optional<PlannedFault> fault = this->plan->Reach(call.step);
-  if (!fault) {
+  PlannedFault* fault = this->plan->Reach(call.step);
+  if (fault == nullptr) {
     this->Transmit(call, {});
     return;
   }
   if (fault->fault == Fault::kSenderKilled) {
-    call.from->Kill(fault->lasting);
+    this->StrikeAll(fault, call);
     return;
   }
-  if (fault->fault == Fault::kSenderPaused) {
-    call.from->Pause(fault->lasting);
-    call.from->Receive([this, call] { this->Transmit(call, {}); });
+  const Mishap mishap = this->Strike(fault, call);
+  if (call.from->Paused()) {
+    // What was decided before the pause is sent after it.
+    call.from->Receive([this, call, mishap] { this->Transmit(call, mishap); });
     return;
   }
-  const Mishap mishap = this->Strike(*fault, call);
   this->Transmit(call, mishap);
   if (mishap.kill_sender) {
     call.from->Kill(fault->lasting);
   }
 }
 
-Network::Mishap Network::Strike(const PlannedFault& fault, const Call& call) {
+void Network::Reach(const Call& call) {
+  PlannedFault* fault = this->plan->Reach(call.step);
+  if (fault != nullptr) {
+    this->StrikeAll(fault, call);
+  }
+}
+
+void Network::StrikeAll(PlannedFault* fault, const Call& call) {
+  fault->begun = true;
+  fault->struck = true;
+  switch (fault->fault) {
+    case Fault::kSenderKilled:
+      call.from->Kill(fault->lasting);
+      return;
+    case Fault::kSenderPaused:
+      call.from->Pause(fault->lasting);
+      return;
+    case Fault::kReceiverKilled:
+      call.to->Kill(fault->lasting);
+      return;
+    case Fault::kReceiverPaused:
+      call.to->Pause(fault->lasting);
+      return;
+    case Fault::kLinkCut:
+      this->CutLink(call.from->Name(), call.to->Name(), fault->lasting);
+      return;
+    case Fault::kSenderCut:
+      this->CutNode(call.from->Name(), fault->lasting);
+      return;
+    case Fault::kSilentConnection: {
+      const auto& [low, high] = std::minmax(call.from->Name(), call.to->Name());
+      this->silenced[Link{low, high}] = this->simulation->Now();
+      return;
+    }
+    default:
+      // The other faults of messages have nothing to strike: Apply says so.
+      fault->struck = this->effects->Apply(*fault, call);
+      fault->begun = fault->struck;
+  }
+}
+
+Network::Mishap Network::Strike(PlannedFault* fault, const Call& call) {
   Mishap mishap;
-  mishap.lasting = fault.lasting;
-  switch (fault.fault) {
+  mishap.fault = fault;
+  mishap.lasting = fault->lasting;
+  fault->begun = true;
+  switch (fault->fault) {
     case Fault::kNotSent:
       mishap.not_sent = true;
+      fault->struck = true;
       break;
     case Fault::kRequestLost:
       mishap.lose_request = true;
-      break;
-    case Fault::kReplyLost:
-      mishap.lose_reply = true;
+      fault->struck = true;
       break;
     case Fault::kRequestLate:
       mishap.late_request = true;
-      break;
-    case Fault::kReplyLate:
-      mishap.late_reply = true;
+      fault->struck = true;
       break;
     case Fault::kRequestTwice:
-      mishap.twice = call.step == Step::kForward ||
-                     call.step == Step::kHeartbeat ||
-                     call.step == Step::kAskPeer;
-      break;
-    case Fault::kLinkCut:
-      this->CutLink(call.from->Name(), call.to->Name(), fault.lasting);
-      break;
-    case Fault::kSenderCut:
-      this->CutNode(call.from->Name(), fault.lasting);
+      mishap.twice = MayArriveTwice(call.step);
+      fault->struck = mishap.twice;
       break;
     case Fault::kSenderKilledAfter:
       mishap.kill_sender = true;
+      fault->struck = true;
+      break;
+    case Fault::kReplyLost:
+      mishap.lose_reply = true;
+      break;
+    case Fault::kReplyLate:
+      mishap.late_reply = true;
       break;
     case Fault::kReceiverPaused:
       mishap.pause_receiver = true;
@@ -119,7 +179,7 @@
       mishap.kill_receiver_after = true;
       break;
     default:
-      this->effects->Apply(fault, call);
+      this->StrikeAll(fault, call);
   }
   return mishap;
 }
@@ -128,6 +188,7 @@
   auto flight = std::make_shared<Flight>();
   flight->call = call;
   flight->mishap = mishap;
+  flight->sent = this->simulation->Now();
   flight->caller_run = call.from->Run();
   const bool refused =
       mishap.not_sent || !call.to->Alive() ||
@@ -156,7 +217,7 @@
 
 void Network::Arrive(const std::shared_ptr<Flight>& flight) {
   const Call& call = flight->call;
-  if (this->IsCut(*call.from, *call.to)) {
+  if (this->IsCut(*call.from, *call.to) || this->IsSilenced(*flight)) {
     return;
   }
   if (!call.to->Alive()) {
@@ -166,9 +227,11 @@
   }
   if (flight->mishap.pause_receiver) {
     call.to->Pause(flight->mishap.lasting);
+    flight->mishap.fault->struck = true;
   }
   if (flight->mishap.kill_receiver) {
     call.to->Kill(flight->mishap.lasting);
+    flight->mishap.fault->struck = true;
     this->simulation->After(this->Latency(),
                             [this, flight] { this->Lose(flight); });
     return;
@@ -190,6 +253,7 @@
     });
     if (flight->mishap.kill_receiver_after) {
       flight->call.to->Kill(flight->mishap.lasting);
+      flight->mishap.fault->struck = true;
     }
   });
 }
@@ -197,7 +261,11 @@
 void Network::Reply(const std::shared_ptr<Flight>& flight,
                     std::function<void()> at_caller) {
   const Call& call = flight->call;
-  if (flight->mishap.lose_reply || this->IsCut(*call.from, *call.to)) {
+  if (flight->mishap.lose_reply || flight->mishap.late_reply) {
+    flight->mishap.fault->struck = true;
+  }
+  if (flight->mishap.lose_reply || this->IsCut(*call.from, *call.to) ||
+      this->IsSilenced(*flight)) {
     return;
   }
   const Duration trip =
@@ -206,7 +274,8 @@
                                  at_caller = std::move(at_caller)] {
     const Call& back = flight->call;
     const bool stale = flight->done || back.from->Run() != flight->caller_run;
-    if (stale || this->IsCut(*back.from, *back.to)) {
+    if (stale || this->IsCut(*back.from, *back.to) ||
+        this->IsSilenced(*flight)) {
       return;
     }
     flight->done = true;
--- a/testing/fault_matrix/src/network.h
+++ b/testing/fault_matrix/src/network.h
@@ -6,7 +6,9 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 #include <tuple>
+#include <vector>
 
 #include "faults.h"
 #include "node.h"
@@ -14,6 +16,9 @@
 
 namespace mustardproxy::fault_matrix {
 
+/// Callers are never cut off together with a data centre.
+inline constexpr std::string_view kCallersName = "callers";
+
 /// Hands what the caller does with the answer back to it.
 using Respond = std::function<void(std::function<void()>)>;
 
@@ -38,8 +43,9 @@
   FaultEffects(const FaultEffects&) = delete;
   FaultEffects& operator=(const FaultEffects&) = delete;
   virtual ~FaultEffects() = default;
-  /// Effects on the whole cell: platform, workers, graceful stop.
-  virtual void Apply(const PlannedFault& fault, const Call& call) = 0;
+  /// Effects on the whole cell: platform, workers, callers, operators.
+  /// @return false if there was nothing that it could have an effect on
+  virtual bool Apply(const PlannedFault& fault, const Call& call) = 0;
 };
 
 /// Carries calls with delays, cuts and the faults of the plan.
@@ -49,8 +55,12 @@
       : simulation(simulation), plan(plan), effects(effects) {}
 
   void Send(Call call);
+  /// A step at which no message travels is reached between the two ends.
+  void Reach(const Call& call);
   void CutLink(const std::string& a, const std::string& b, Duration lasting);
   void CutNode(const std::string& name, Duration lasting);
+  /// Cuts the nodes named off from all others but callers.
+  void CutGroup(std::set<std::string> names, Duration lasting);
   /// Ends all cuts.
   void Heal();
   [[nodiscard]] bool Cut(const Node& a, const Node& b) const {
@@ -68,8 +78,14 @@
       return std::tie(x.a, x.b) < std::tie(y.a, y.b);
     }
   };
+  struct Group {
+    std::set<std::string> names;
+    Instant until;
+  };
   /// What the fault of a call does to its messages.
   struct Mishap {
+    /// Told when it has had its effect.
+    PlannedFault* fault = nullptr;
     bool not_sent = false;
     bool lose_request = false;
     bool lose_reply = false;
@@ -84,7 +100,9 @@
   };
 
   [[nodiscard]] bool IsCut(const Node& a, const Node& b) const;
-  [[nodiscard]] Mishap Strike(const PlannedFault& fault, const Call& call);
+  [[nodiscard]] bool IsSilenced(const Flight& flight) const;
+  [[nodiscard]] Mishap Strike(PlannedFault* fault, const Call& call);
+  void StrikeAll(PlannedFault* fault, const Call& call);
   void Transmit(const Call& call, const Mishap& mishap);
   void Arrive(const std::shared_ptr<Flight>& flight);
   void Reply(const std::shared_ptr<Flight>& flight,
@@ -99,6 +117,9 @@
   std::int32_t late = 0;
   std::map<Link, Instant> cuts;
   std::map<std::string, Instant> isolated;
+  std::vector<Group> groups;
+  /// What was sent until then between two ends gets no answer.
+  std::map<Link, Instant> silenced;
 };
 
 }  // namespace mustardproxy::fault_matrix
--- a/testing/fault_matrix/src/promises.cc
+++ b/testing/fault_matrix/src/promises.cc
@@ -127,9 +127,12 @@
   if (!seen.kind.idempotent && seen.starts > seen.kind.tasks) {
     this->Break(Quote("a non-idempotent request ran twice", request));
   }
-  if (seen.outcome == Outcome::kNotRun) {
+  if (seen.outcome == Outcome::kNotRun || seen.told_never_ran) {
     this->Break(Quote("told not run, and then it ran", request));
   }
+  if (seen.ends > 0) {
+    this->Break(Quote("deferred work ran after its end", request));
+  }
 }
 
 void Promises::OnRunEnded(const WorkerId& /*worker*/, const TaskId& task,
@@ -177,6 +180,41 @@
   }
 }
 
+void Promises::OnStatus(const RequestId& request,
+                        const std::optional<DeferredStatus>& status) {
+  if (!status) {
+    return;
+  }
+  Seen& seen = this->requests[request];
+  const bool cancelled = status->state == DeferredState::kCancelled;
+  const bool finished = status->state == DeferredState::kFinished;
+  if (cancelled && !status->ran) {
+    seen.told_never_ran = true;
+    if (seen.starts > 0) {
+      this->Break(Quote("told cancelled before it ran, but it ran", request));
+    }
+  }
+  if (finished && View(status->result.body) != "answer to " + request.Text()) {
+    this->Break(Quote("a result belongs to another request", request) +
+                ", it says: " + std::string(View(status->result.body)));
+  }
+  // `kUnknown` may also mean that nobody who knows can be asked now.
+  const bool end =
+      cancelled || finished || status->state == DeferredState::kFailed;
+  if (!end) {
+    return;
+  }
+  if (seen.told_end && *seen.told_end != status->state) {
+    this->Break(Quote("a caller was told two ends", request));
+  }
+  seen.told_end = status->state;
+}
+
+bool Promises::Accepted(const RequestId& request) const {
+  const auto found = this->requests.find(request);
+  return found != this->requests.end() && found->second.accepted;
+}
+
 bool Promises::AllSettled() const {
   return std::ranges::all_of(this->requests, [](const auto& entry) {
     const Seen& seen = entry.second;
@@ -230,9 +268,27 @@
   if (lost && seen.kind.idempotent) {
     this->Break(Quote("an idempotent review ended as unknown", request));
   }
-  if (finished && View(status->result.body) != "answer to " + request.Text()) {
-    this->Break(Quote("a result belongs to another request", request));
+  this->OnStatus(request, status);
+}
+
+std::vector<RequestId> Promises::WaitingRequests() const {
+  std::vector<RequestId> waiting;
+  for (const auto& [request, seen] : this->requests) {
+    if (seen.answers == 0 && !seen.entry_gone) {
+      waiting.push_back(request);
+    }
+  }
+  return waiting;
+}
+
+std::vector<RequestId> Promises::OpenDeferred() const {
+  std::vector<RequestId> open;
+  for (const auto& [request, seen] : this->requests) {
+    if (seen.accepted && seen.ends == 0) {
+      open.push_back(request);
+    }
   }
+  return open;
 }
 
 std::vector<RequestId> Promises::AcceptedRequests() const {
--- a/testing/fault_matrix/src/promises.h
+++ b/testing/fault_matrix/src/promises.h
@@ -54,7 +54,12 @@
   /// longer than allowed.
   void OnStartAtLeaving(const WorkerId& worker);
   void OnJournalled(const JournalRecord& record);
+  /// A caller was told the state of deferred work.
+  void OnStatus(const RequestId& request,
+                const std::optional<DeferredStatus>& status);
 
+  /// @return true if a caller was told that the deferred work is accepted
+  [[nodiscard]] bool Accepted(const RequestId& request) const;
   /// @return true if each request has its answer and each deferred one its end
   [[nodiscard]] bool AllSettled() const;
   /// Checks what must hold once everything has healed and come to rest.
@@ -66,6 +71,10 @@
   [[nodiscard]] const std::vector<std::string>& Broken() const {
     return this->broken;
   }
+  /// Requests whose callers still wait for an answer.
+  [[nodiscard]] std::vector<RequestId> WaitingRequests() const;
+  /// Deferred work that was accepted and has no end yet.
+  [[nodiscard]] std::vector<RequestId> OpenDeferred() const;
   /// Deferred work that was accepted, for the questions at the end.
   [[nodiscard]] std::vector<RequestId> AcceptedRequests() const;
   [[nodiscard]] std::int64_t Completed() const { return this->completed; }
@@ -85,6 +94,10 @@
     std::int32_t answers = 0;
     std::optional<Outcome> outcome;
     bool accepted = false;
+    /// A caller was told that it was cancelled before it ran.
+    bool told_never_ran = false;
+    /// The end that a caller was told.
+    std::optional<DeferredState> told_end;
     std::int32_t ends = 0;
     std::int32_t starts = 0;
     /// Tasks that finished, by attempt.
