Fault matrix: results are asked for in schedules that strike there

Cause: the round of 1200 schedules did not reach "ask-result" where the data centre was to be cut, since no deferred work was accepted in them. Two reviews arrive there now, as for the other rare steps.

--- a/testing/fault_matrix/src/schedule.cc
+++ b/testing/fault_matrix/src/schedule.cc
@@ -155,6 +155,7 @@
     case Step::kAppendStarted:
     case Step::kAppendEnded:
     case Step::kSettleKey:
+    case Step::kAskResult:
       preparation.reviews = true;
       break;
     case Step::kQueryTask:
