Metrics: packing, control bytes, control CPU and memory are histograms; waits are whole

A run of /metrics showed: - packing: no sample ever. The kind exists in the core's actions, but nothing emits it. - control bytes, control CPU, resident memory: counter and gauges only. - waiting time: 0 for every request that was placed on arrival, since the core's time stands still within an event and begins when the control thread takes the request up. However long a request lay in the control queue, it had waited 0.

The control loop now adds the time in its queue and in the decision to such samples, and samples packing (by resource, of the owned workers), control bytes and CPU a second, and resident memory once a second. Even intervals, so that each sample stands for as much time as any other; sampling at each placement would show the packing of busy moments only.

Ruled out: emitting packing from the core (it would need a timer of its own for idle times).

Not filled and not in this change: run_time_us, and control_bytes{to="peer"}, which nothing counts.

--- a/apps/mustardproxy/src/control_loop.cc
+++ b/apps/mustardproxy/src/control_loop.cc
@@ -11,6 +11,7 @@
 #include "event_name.h"
 #include "mustardproxy/core/error.h"
 #include "mustardproxy/telemetry/clock.h"
+#include "mustardproxy/telemetry/process_usage.h"
 
 namespace mustardproxy {
 namespace {
@@ -40,7 +41,9 @@
 }  // namespace
 
 ControlLoop::ControlLoop(ControlLoopParts parts)
-    : parts(parts), queue(parts.max_strangers) {}
+    : parts(parts),
+      queue(parts.max_strangers),
+      sampler(parts.metrics, parts.sample_interval) {}
 
 ControlLoop::~ControlLoop() { this->Stop(); }
 
@@ -82,44 +85,74 @@
 
 void ControlLoop::Run() {
   pthread_setname_np(pthread_self(), "control");
-  std::vector<Event> batch;
+  std::vector<PostedEvent> batch;
   this->PublishStatus(SteadyNow());
+  this->sampler.Begin(SteadyNow(), this->ReadUsage());
   while (this->queue.TakeAll(this->WakeAt(SteadyNow()), &batch)) {
-    for (Event& event : batch) this->Handle(std::move(event));
+    for (PostedEvent& posted : batch) this->Handle(std::move(posted));
     Instant now = SteadyNow();
     bool tick_due = this->parts.decisions->NextWakeup() <= now;
-    if (tick_due) this->Handle(Tick{});
+    if (tick_due) this->Handle({Tick{}, now});
     this->ticked_idly = tick_due && batch.empty();
     bool publish = this->changed_since_publish &&
                    now >= this->published + kPublishInterval;
     if (publish) this->PublishStatus(now);
+    if (this->sampler.Due() <= now) {
+      this->sampler.Sample(now, this->parts.decisions->Status(now),
+                           this->ReadUsage());
+    }
   }
 }
 
 Instant ControlLoop::WakeAt(Instant now) const {
   Instant wake = this->parts.decisions->NextWakeup();
   if (this->ticked_idly) wake = std::max(wake, now + kMinTickInterval);
+  wake = std::min(wake, this->sampler.Due());
   if (!this->changed_since_publish) return wake;
   return std::min(wake, this->published + kPublishInterval);
 }
 
-void ControlLoop::Handle(Event event) {
+void ControlLoop::Handle(PostedEvent posted) {
+  Event& event = posted.event;
   std::string_view label = EventLabel(event);
   std::string profile = this->ProfileLabel(event);
   bool is_tick = std::holds_alternative<Tick>(event);
   this->actions.clear();
   Instant start = SteadyNow();
   this->parts.decisions->Handle(start, std::move(event), &this->actions);
-  auto taken = static_cast<double>((SteadyNow() - start).count());
+  Duration taken = SteadyNow() - start;
+  this->CompleteWaits(start - posted.posted, taken);
   this->parts.performer->Perform(this->actions);
-  this->parts.metrics->Sample("control_event_us", label, taken);
+  auto taken_us = static_cast<double>(taken.count());
+  this->parts.metrics->Sample("control_event_us", label, taken_us);
   if (!profile.empty()) {
-    this->parts.metrics->Sample("decision_time_us", profile, taken);
+    this->parts.metrics->Sample("decision_time_us", profile, taken_us);
   }
   if (!is_tick || !this->actions.empty()) this->changed_since_publish = true;
   this->AnnounceConfiguration();
 }
 
+void ControlLoop::CompleteWaits(Duration queued, Duration taken) {
+  // The core's time stands still while it decides, and for the core a request
+  // arrives when the control thread takes it up. So every request that was
+  // placed on arrival had waited 0, however busy the control thread was.
+  for (Action& action : this->actions) {
+    auto* sample = std::get_if<RecordSample>(&action);
+    bool is_wait =
+        sample != nullptr && sample->kind == RecordSample::Kind::kWaitingTime;
+    if (!is_wait) continue;
+    bool arrived_now = sample->value == 0;
+    sample->value += taken.count();
+    if (arrived_now) sample->value += queued.count();
+  }
+}
+
+UsageReading ControlLoop::ReadUsage() const {
+  return {.control_cpu_seconds = ThreadCpuSeconds(),
+          .control_bytes = this->parts.metrics->Total("control_bytes"),
+          .resident_bytes = ReadProcessUsage().resident_bytes};
+}
+
 std::string ControlLoop::ProfileLabel(const Event& event) const {
   const auto* arrived = std::get_if<RequestArrived>(&event);
   if (arrived == nullptr) return {};
--- a/apps/mustardproxy/src/control_loop.h
+++ b/apps/mustardproxy/src/control_loop.h
@@ -1,6 +1,7 @@
 #ifndef MUSTARDPROXY_APP_CONTROL_LOOP_H_
 #define MUSTARDPROXY_APP_CONTROL_LOOP_H_
 
+#include <chrono>
 #include <cstddef>
 #include <optional>
 #include <string>
@@ -13,6 +14,7 @@
 #include "mustardproxy/telemetry/metrics.h"
 #include "performer.h"
 #include "status_board.h"
+#include "usage_sampler.h"
 
 namespace mustardproxy {
 
@@ -24,6 +26,8 @@
   Metrics* metrics = nullptr;
   /// Requests and questions of callers and peers that may wait for it.
   std::size_t max_strangers = 2048;
+  /// Time between two samples of packing and of the process's own usage.
+  Duration sample_interval = std::chrono::seconds(1);
 };
 
 /// The one thread that holds the control state: takes events in batches, lets
@@ -41,16 +45,20 @@
 
  private:
   void Run();
-  void Handle(Event event);
+  void Handle(PostedEvent posted);
+  /// Adds to samples of waiting time what the core can not see.
+  void CompleteWaits(Duration queued, Duration taken);
   /// @return the metrics label of a request's profile, else an empty text
   [[nodiscard]] std::string ProfileLabel(const Event& event) const;
   void AnnounceConfiguration();
   void PublishStatus(Instant now);
+  [[nodiscard]] UsageReading ReadUsage() const;
   void Refuse(const Event& event, ControlQueue::Admission admission);
   [[nodiscard]] Instant WakeAt(Instant now) const;
 
   ControlLoopParts parts;
   ControlQueue queue;
+  UsageSampler sampler;
   std::thread thread;
   // Below: used by the control thread only.
   Actions actions;
--- a/apps/mustardproxy/src/control_queue.cc
+++ b/apps/mustardproxy/src/control_queue.cc
@@ -19,6 +19,7 @@
 }
 
 ControlQueue::Admission ControlQueue::Push(Event* event) {
+  Instant posted = SteadyNow();
   bool was_empty = false;
   {
     std::lock_guard lock(this->mutex);
@@ -29,13 +30,13 @@
     }
     if (stranger) ++this->strangers;
     was_empty = this->events.empty();
-    this->events.push_back(std::move(*event));
+    this->events.push_back({std::move(*event), posted});
   }
   if (was_empty) this->changed.notify_one();
   return Admission::kTaken;
 }
 
-bool ControlQueue::TakeAll(Instant deadline, std::vector<Event>* events) {
+bool ControlQueue::TakeAll(Instant deadline, std::vector<PostedEvent>* events) {
   events->clear();
   std::unique_lock lock(this->mutex);
   Duration left = std::min(deadline - SteadyNow(), kMaxSleep);
--- a/apps/mustardproxy/src/control_queue.h
+++ b/apps/mustardproxy/src/control_queue.h
@@ -14,6 +14,12 @@
 /// @return true for what callers and peers can cause at will
 [[nodiscard]] bool IsFromStranger(const Event& event);
 
+/// An event with the time at which it was handed over.
+struct PostedEvent {
+  Event event;
+  Instant posted;
+};
+
 /// Events on their way to the control thread. What strangers cause is bounded;
 /// ends of our own calls always fit, since each call began with an action, and
 /// dropping one would leave a request without its end.
@@ -29,7 +35,7 @@
   [[nodiscard]] Admission Push(Event* event);
   /// Waits for events until `deadline` and takes all at once, in order.
   /// @return false once the queue is closed
-  bool TakeAll(Instant deadline, std::vector<Event>* events);
+  bool TakeAll(Instant deadline, std::vector<PostedEvent>* events);
   /// Drops what waits and wakes the reader.
   void Close();
 
@@ -37,7 +43,7 @@
   const std::size_t max_strangers;
   std::mutex mutex;
   std::condition_variable changed;
-  std::vector<Event> events;
+  std::vector<PostedEvent> events;
   std::size_t strangers = 0;
   bool closed = false;
 };
--- a/apps/mustardproxy/tests/control_loop_test.cc
+++ b/apps/mustardproxy/tests/control_loop_test.cc
@@ -200,6 +200,62 @@
              std::string::npos);
 }
 
+// Story: the control thread is busy, so an urgent request waits before it is
+// taken up, and is placed at once then. The histogram of waiting time says 0,
+// and operators look for the lost time elsewhere. Cause: for the core the
+// request arrives when it is taken up, and its time stands still meanwhile.
+BOOST_AUTO_TEST_CASE(waiting_time_counts_the_wait_for_the_control_thread) {
+  constexpr Duration kBusy = std::chrono::milliseconds(20);
+  constexpr Duration kQueuedInCore = std::chrono::seconds(100);
+  this->decisions.behaviour = [&](const Event& event, Actions* actions) {
+    bool arrived = std::holds_alternative<RequestArrived>(event);
+    RecordSample sample;
+    sample.value = arrived ? 0 : kQueuedInCore.count();
+    actions->push_back(sample);
+  };
+  ControlLoop loop(this->Parts(10));
+  Instant start = SteadyNow();
+  loop.Post(Arrival("a"));
+  loop.Post(TaskEnded{});
+  while (SteadyNow() < start + kBusy) std::this_thread::yield();
+  loop.Start();
+  auto performed = this->performer.WaitForActions(2);
+  loop.Stop();
+  Duration passed = SteadyNow() - start;
+  BOOST_REQUIRE(performed.size() == 2U);
+  auto on_arrival = std::get<RecordSample>(performed[0]).value;
+  BOOST_TEST(on_arrival >= kBusy.count());
+  BOOST_TEST(on_arrival <= passed.count());
+  // Its wait in the core includes the time until the task's end was taken up.
+  auto later = std::get<RecordSample>(performed[1]).value;
+  BOOST_TEST(later >= kQueuedInCore.count());
+  BOOST_TEST(later <= (kQueuedInCore + passed - kBusy).count());
+}
+
+// Story: an idle process is to show its packing, memory and control costs too.
+BOOST_AUTO_TEST_CASE(usage_is_sampled_without_any_event) {
+  this->decisions.status.capacity.slots = 4;
+  this->decisions.status.free.slots = 3;
+  ControlLoopParts parts = this->Parts(10);
+  parts.sample_interval = std::chrono::milliseconds(1);
+  ControlLoop loop(parts);
+  loop.Start();
+  auto limit = std::chrono::steady_clock::now() + kGenerousLimit;
+  auto median = [this](std::string_view name, std::string_view label) {
+    return this->metrics.Quantile(name, label, 0.5);
+  };
+  while (median("packing_permille", "resource=slots") == 0 &&
+         std::chrono::steady_clock::now() < limit) {
+    std::this_thread::yield();
+  }
+  loop.Stop();
+  constexpr double kBinWidth = 13;  // percent
+  BOOST_CHECK_CLOSE(median("packing_permille", "resource=slots"), 250.0,
+                    kBinWidth);
+  BOOST_TEST(median("resident_memory_bytes", "") > 1e6);
+  BOOST_TEST(median("control_cpu_us_per_second", "") > 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/packages/telemetry/include/mustardproxy/telemetry/metrics.h
+++ b/packages/telemetry/include/mustardproxy/telemetry/metrics.h
@@ -30,6 +30,8 @@
   /// @return quantile `q` in 0..1 of a histogram, or 0 without samples
   [[nodiscard]] double Quantile(std::string_view name, std::string_view label,
                                 double q) const;
+  /// @return the sum of a counter over its labels, or 0 if there is none
+  [[nodiscard]] std::int64_t Total(std::string_view name) const;
   /// @return everything in the Prometheus text format, with resident memory
   ///   and processor time of this process read at this moment
   [[nodiscard]] std::string Format() const;
--- a/packages/telemetry/src/process_usage.h
+++ b/packages/telemetry/include/mustardproxy/telemetry/process_usage.h
@@ -3,7 +3,7 @@
 
 #include <cstdint>
 
-namespace mustardproxy::telemetry_detail {
+namespace mustardproxy {
 
 /// What this process takes of its machine.
 struct ProcessUsage {
@@ -15,6 +15,6 @@
 /// @return the usage at this moment; a part that can't be read is 0
 [[nodiscard]] ProcessUsage ReadProcessUsage();
 
-}  // namespace mustardproxy::telemetry_detail
+}  // namespace mustardproxy
 
 #endif  // MUSTARDPROXY_TELEMETRY_PROCESS_USAGE_H_
--- a/packages/telemetry/src/metrics.cc
+++ b/packages/telemetry/src/metrics.cc
@@ -7,7 +7,7 @@
 #include <variant>
 
 #include "log_histogram.h"
-#include "process_usage.h"
+#include "mustardproxy/telemetry/process_usage.h"
 
 namespace mustardproxy {
 namespace {
@@ -125,8 +125,7 @@
 }
 
 void FormatUsage(std::ostream* out) {
-  const telemetry_detail::ProcessUsage usage =
-      telemetry_detail::ReadProcessUsage();
+  const ProcessUsage usage = ReadProcessUsage();
   *out << "# TYPE process_resident_memory_bytes gauge\n"
        << "process_resident_memory_bytes " << usage.resident_bytes << '\n'
        << "# TYPE process_cpu_seconds_total counter\n"
@@ -188,6 +187,17 @@
   return found->second.Quantile(q);
 }
 
+std::int64_t Metrics::Total(std::string_view name) const {
+  const std::lock_guard lock(this->state->mutex);
+  const SeriesMap<std::int64_t>& counters = this->state->counters;
+  std::int64_t total = 0;
+  for (auto each = counters.lower_bound(SeriesNameView{name, ""});
+       each != counters.end() && each->first.name == name; ++each) {
+    total += each->second;
+  }
+  return total;
+}
+
 std::string Metrics::Format() const {
   std::ostringstream out;
   out.precision(kPrecision);
--- a/packages/telemetry/src/process_usage.cc
+++ b/packages/telemetry/src/process_usage.cc
@@ -1,11 +1,11 @@
-#include "process_usage.h"
+#include "mustardproxy/telemetry/process_usage.h"
 
 #include <sys/resource.h>
 #include <unistd.h>
 
 #include <fstream>
 
-namespace mustardproxy::telemetry_detail {
+namespace mustardproxy {
 namespace {
 
 constexpr double kMicrosPerSecond = 1e6;
@@ -35,4 +35,4 @@
   return usage;
 }
 
-}  // namespace mustardproxy::telemetry_detail
+}  // namespace mustardproxy
--- a/packages/telemetry/tests/metrics_test.cc
+++ b/packages/telemetry/tests/metrics_test.cc
@@ -84,4 +84,14 @@
   BOOST_TEST(std::isnan(Value(text, R"(mustardproxy_teams{team="511"})")));
 }
 
+BOOST_AUTO_TEST_CASE(total_of_a_counter_is_over_its_labels) {
+  Metrics metrics;
+  metrics.Count("bytes", "to=worker", 3);
+  metrics.Count("bytes", "to=peer", 4);
+  metrics.Count("bytes_lost", "", 8);
+  metrics.Count("a", "", 16);
+  BOOST_TEST(metrics.Total("bytes") == 7);
+  BOOST_TEST(metrics.Total("none") == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
