Process faults: the retirement of silent connections to workers has a test

The new case one_silent_connection_warns_of_the_others leaves eight idle connections to one worker, silences them, lets one request find out and sends eight at once.

Seen on the way, and not changed: with one worker in the data centre the urgent request that finds out is refused as not run (error 201), since its only worker is to be avoided.

--- a/testing/process_faults/request_worker_faults_test.cc
+++ b/testing/process_faults/request_worker_faults_test.cc
@@ -1,5 +1,6 @@
 #include <boost/test/unit_test.hpp>
 
+#include "deferred_fixture.h"
 #include "request_cell.h"
 
 namespace mustardproxy::process_faults {
@@ -49,6 +50,26 @@
   return answered;
 }
 
+/// Sends as many screens at once as the only worker has slots.
+std::vector<PendingCall> SendScreens(const Cell& cell,
+                                     const std::string& entry) {
+  constexpr int kSlots = 8;
+  std::vector<PendingCall> calls;
+  calls.reserve(kSlots);
+  for (int i = 0; i < kSlots; ++i) {
+    calls.emplace_back(
+        cell, entry,
+        Call{.service = "screen", .body = FreshBody(milliseconds(300))});
+  }
+  return calls;
+}
+
+/// Task ids end with the number of the attempt, in thousands of each process's
+/// own.
+bool IsFirstAttempt(const LogLine& start) {
+  return start.task.ends_with("001");
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(request_worker_faults)
@@ -83,6 +104,35 @@
   BOOST_TEST(WaitUntil([&] { return OwnedByAll(cell) == kWorkers; }));
 }
 
+// Story: a busy minute has left many idle connections to a worker; then all of
+// them go silent. The first request that is sent on one of them vanishes, which
+// takes a second to find out. If that retired only its own connection, the next
+// callers, who come together, would lose a second on each of the others.
+BOOST_AUTO_TEST_CASE(one_silent_connection_warns_of_the_others) {
+  CellLayout layout = TwoEntries(1, 8);
+  layout.relays = {{.from = "", .to = "worker-1-1"}};
+  Cell cell(layout);
+  BOOST_REQUIRE_MESSAGE(cell.Start(), cell.Trouble());
+  BOOST_REQUIRE(AwaitServing(cell));
+  std::string owner = MainOwner(cell);
+  auto busy = SendScreens(cell, owner);
+  for (PendingCall& call : busy) {
+    BOOST_REQUIRE(IsOwnAnswer(call.Reply(), call.Sent()));
+  }
+  BOOST_REQUIRE(cell.Switch("relay:*>worker-1-1", R"({"silence_open": true})"));
+  // Whether it is tried again or refused as not run: it is what finds out.
+  (void)CountAnswered(cell, owner, 1);
+  auto next = SendScreens(cell, owner);
+  int vanished = 0;
+  for (PendingCall& call : next) {
+    BOOST_TEST(IsOwnAnswer(call.Reply(), call.Sent()), OutcomeOf(call.Reply()));
+    std::vector<LogLine> starts = ReadLogs(cell).StartLines(call.Sent().body);
+    bool first = starts.size() == 1U && IsFirstAttempt(starts.front());
+    if (!first) ++vanished;
+  }
+  BOOST_TEST(vanished == 0);
+}
+
 // Story: a worker fails each task that it is given, and at once, so that it
 // always looks idle. Callers of an idempotent service must hardly notice: their
 // requests are tried elsewhere, the worker gets no more work, and it comes back
