Ledger: rooms in the order of workers stand in a flat table, not in a second index

Half of its upkeep went into an order by worker number, which never changes, yet was searched and shifted like the order by size on every reserve and free.

Change: a flat array by worker number, in blocks of 32 with their part-by-part maximum; a change is one write and at most a look at one block.

Tests: the random walk runs with 90 and 400 workers instead of 90, and closes and opens workers as well, up to 60 at once; its checks are the same.

--- a/packages/core/src/ledger/free_capacity_index.cc
+++ b/packages/core/src/ledger/free_capacity_index.cc
@@ -106,10 +106,4 @@
 
 void FreeCapacityIndex::Clear() { this->blocks.clear(); }
 
-PackedRoom FreeCapacityIndex::Largest() const {
-  PackedRoom largest;
-  for (const Block& block : this->blocks) largest.RaiseTo(block.largest);
-  return largest;
-}
-
 }  // namespace mustardproxy::detail
--- a/packages/core/src/ledger/free_capacity_index.h
+++ b/packages/core/src/ledger/free_capacity_index.h
@@ -41,8 +41,6 @@
   /// Gives a worker that is in the index another key and room.
   void Move(const IndexKey& from, const IndexKey& to, const PackedRoom& room);
   void Clear();
-  /// @return part by part, the most that one worker has free
-  [[nodiscard]] PackedRoom Largest() const;
 
   /// Calls `visit(item)` in ascending order of keys for each worker with room
   /// for `need`, from key `from` on, until it returns false.
--- a/packages/core/src/ledger/ledger.cc
+++ b/packages/core/src/ledger/ledger.cc
@@ -214,7 +214,7 @@
 
 Resources Ledger::LargestFree() const {
   const detail::WorkerTable& table = this->state->table;
-  Resources largest = table.BySize().Largest().Unpack();
+  Resources largest = table.Rooms().Largest().Unpack();
   for (const WorkerIndex worker : table.HeldWorkers()) {
     largest = detail::MaxParts(largest, table.Free(worker));
   }
--- a/packages/core/src/ledger/packing_policy.cc
+++ b/packages/core/src/ledger/packing_policy.cc
@@ -70,12 +70,12 @@
 std::optional<WorkerIndex> FirstFit::Choose(const WorkerTable& table,
                                             const PlacementNeed& need) const {
   std::optional<WorkerIndex> first;
-  table.ByOrder().VisitAscending(
-      PackedRoom::Pack(need.resources), 0, [&](const Item& item) {
-        if (!Allowed(table, item.key.worker, need.avoid)) return true;
-        first = item.key.worker;
-        return false;
-      });
+  table.Rooms().Visit(PackedRoom::Pack(need.resources),
+                      [&](WorkerIndex worker, const PackedRoom&) {
+                        if (!Allowed(table, worker, need.avoid)) return true;
+                        first = worker;
+                        return false;
+                      });
   return first;
 }
 
--- a/packages/core/src/ledger/worker_table.cc
+++ b/packages/core/src/ledger/worker_table.cc
@@ -39,7 +39,7 @@
   return this->held;
 }
 
-const FreeCapacityIndex& WorkerTable::ByOrder() const { return this->by_order; }
+const RoomTable& WorkerTable::Rooms() const { return this->rooms; }
 
 const FreeCapacityIndex& WorkerTable::BySize() const { return this->by_size; }
 
@@ -86,7 +86,7 @@
   this->counted[worker].rack = this->RackOf(entry.rack);
   this->racks[this->counted[worker].rack].workers.push_back(worker);
   this->entries[worker] = std::move(entry);
-  this->by_order.Insert({0, worker}, {});
+  this->rooms.Set(worker, {});
   this->by_size.Insert({0, worker}, {});
   this->CountCapacity(this->entries[worker].capacity, 1);
   this->Refresh(worker);
@@ -97,7 +97,7 @@
   this->Hold(worker, {});
   entry.open = false;
   this->Refresh(worker);
-  this->by_order.Erase({0, worker});
+  this->rooms.Clear(worker);
   this->by_size.Erase({this->counted[worker].size_key, worker});
   std::erase(this->racks[this->counted[worker].rack].workers, worker);
   this->by_id.erase(entry.id);
@@ -159,7 +159,7 @@
   const IndexKey from{known.size_key, worker};
   known.unheld = unheld;
   known.size_key = this->SizeKey(unheld);
-  this->by_order.Move({0, worker}, {0, worker}, room);
+  this->rooms.Set(worker, room);
   this->by_size.Move(from, {known.size_key, worker}, room);
 }
 
--- a/packages/core/src/ledger/worker_table.h
+++ b/packages/core/src/ledger/worker_table.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "ledger/free_capacity_index.h"
+#include "ledger/room_table.h"
 #include "ledger/worker_entry.h"
 #include "mustardproxy/core/resources.h"
 
@@ -61,7 +62,7 @@
   [[nodiscard]] std::span<const CapacityClass> Classes() const;
   [[nodiscard]] std::span<const WorkerIndex> HeldWorkers() const;
   /// Free without holds, in the fixed order of the table.
-  [[nodiscard]] const FreeCapacityIndex& ByOrder() const;
+  [[nodiscard]] const RoomTable& Rooms() const;
   /// Free without holds, by `SizeKey`.
   [[nodiscard]] const FreeCapacityIndex& BySize() const;
   [[nodiscard]] const Resources& TotalCapacity() const;
@@ -98,7 +99,7 @@
   std::unordered_map<RackId, RackIndex> rack_by_id;
   std::vector<CapacityClass> classes;
   std::vector<WorkerIndex> held;
-  FreeCapacityIndex by_order;
+  RoomTable rooms;
   FreeCapacityIndex by_size;
   Resources total_capacity;
   Resources largest_capacity;
--- a/packages/core/tests/ledger_random_test.cc
+++ b/packages/core/tests/ledger_random_test.cc
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -12,7 +13,8 @@
 namespace {
 
 constexpr Resources kCapacity{16000, 64000, 2, 8};
-constexpr int kWorkers = 90;
+constexpr int kFewWorkers = 90;
+constexpr int kManyWorkers = 400;
 constexpr int kSteps = 30000;
 
 /// The ledger's promises worked out the slow way.
@@ -43,8 +45,8 @@
 
 class Walk {
  public:
-  explicit Walk(std::uint64_t seed) : random(seed) {
-    for (int i = 0; i < kWorkers; ++i) {
+  Walk(std::uint64_t seed, int workers) : random(seed), workers(workers) {
+    for (int i = 0; i < workers; ++i) {
       this->Open(WorkerId(std::string("w").append(std::to_string(i))));
     }
   }
@@ -55,6 +57,8 @@
     if (kind >= 55 && kind < 95) this->End();
     if (kind >= 95 && kind < 97) this->TogglePlaceable();
     if (kind >= 97) this->Open(this->AnyWorker());
+    if (kind < 2) this->CloseSome();
+    if (kind == 2) this->OpenClosed();
     BOOST_REQUIRE(this->ledger.TotalFree() == this->model.TotalFree());
   }
 
@@ -63,8 +67,8 @@
     return std::uniform_int_distribution<std::int64_t>(low, high)(this->random);
   }
   WorkerId AnyWorker() {
-    return WorkerId(
-        std::string("w").append(std::to_string(this->Draw(0, kWorkers - 1))));
+    return WorkerId(std::string("w").append(
+        std::to_string(this->Draw(0, this->workers - 1))));
   }
   void Open(const WorkerId& id) {
     WorkerDescription worker;
@@ -74,6 +78,21 @@
     report.capacity = kCapacity;
     this->ledger.Open(worker, report);
     this->model.workers[id] = {};
+    this->closed.erase(id);
+  }
+  void CloseSome() {
+    if (this->closed.size() >= kMostClosed) return;
+    const WorkerId worker = this->AnyWorker();
+    this->ledger.Close(worker);
+    this->model.workers.erase(worker);
+    this->closed.insert(worker);
+  }
+  /// All at once, so that the workers' number falls and rises far.
+  void OpenClosed() {
+    if (this->closed.size() < kMostClosed) return;
+    for (const WorkerId& worker : std::set<WorkerId>(this->closed)) {
+      this->Open(worker);
+    }
   }
   void Place() {
     const Resources task{this->Draw(1, 8) * 1000, this->Draw(1, 30) * 1000,
@@ -90,6 +109,7 @@
   }
   void End() {
     const WorkerId worker = this->AnyWorker();
+    if (this->closed.contains(worker)) return;
     Model::Entry& entry = this->model.workers[worker];
     if (entry.tasks.empty()) return;
     const auto ended = entry.tasks.begin();
@@ -99,12 +119,17 @@
   }
   void TogglePlaceable() {
     const WorkerId worker = this->AnyWorker();
+    if (this->closed.contains(worker)) return;
     Model::Entry& entry = this->model.workers[worker];
     entry.placeable = !entry.placeable;
     this->ledger.SetPlaceable(worker, entry.placeable);
   }
 
+  static constexpr std::size_t kMostClosed = 60;
+
   std::mt19937_64 random;
+  int workers;
+  std::set<WorkerId> closed;
   Ledger ledger;
   Model model;
   int number = 0;
@@ -118,8 +143,10 @@
 BOOST_AUTO_TEST_CASE(the_indexes_agree_with_a_scan_at_every_step) {
   constexpr std::uint64_t kSeed = 20260101;
   BOOST_TEST_MESSAGE("seed " << kSeed);
-  Walk walk(kSeed);
-  for (int i = 0; i < kSteps; ++i) walk.Step();
+  for (const int workers : {kFewWorkers, kManyWorkers}) {
+    Walk walk(kSeed, workers);
+    for (int i = 0; i < kSteps; ++i) walk.Step();
+  }
 }
 
 BOOST_AUTO_TEST_SUITE_END()
