Scheduler: each priority but the first has 15 % of the cell before standard work

Cause: under overload the lowest priority got only leftovers. A first try, which only let a priority below its share go first, changed nothing: the gang that held the reservation was outranked by standard work, never gathered its room, and what it held back kept the other deferred work out as well.

Change: after urgent work, which goes before everything as it did, a priority whose tasks hold less than 15 % of the cell is placed first, with the headroom that priority 1 leaves; a reservation of such a priority is outranked by urgent work alone. Above its share strict priority holds.

There deferred work holds more than its share already; what is not placed is what the cell can not carry.

Tests: new, scheduler_guarantee_test.cc. With strict priority three of the five fail (no deferred task placed instead of 5; the lower priority does not get its place back; the gang never starts); without the change to the reservation the one of the gang fails.

Open: the share is a constant; operators can not set it. With seven priorities and more the shares sum to more than the cell, and then go in order of priority.

--- a/packages/core/include/mustardproxy/core/scheduler.h
+++ b/packages/core/include/mustardproxy/core/scheduler.h
@@ -58,12 +58,19 @@
   Duration retry_after{0};
 };
 
+/// Choices of the placement policy.
+struct SchedulerOptions {
+  /// Share of the cell that the work of each priority but the first may hold
+  /// before more urgent priorities, the first excepted; 0 for strict priority.
+  double guaranteed_share = 0.15;
+};
+
 /// Queues and placement decisions of one process: fair share between teams by
 /// dominant resource, deadline order within a team, priority between profiles,
 /// reservations for gangs with backfill, headroom for urgent work.
 class Scheduler {
  public:
-  Scheduler();
+  explicit Scheduler(SchedulerOptions options = {});
   ~Scheduler();
   Scheduler(Scheduler&&) noexcept;
   Scheduler& operator=(Scheduler&&) noexcept;
--- a/packages/core/src/scheduler/gang_reservation.cc
+++ b/packages/core/src/scheduler/gang_reservation.cc
@@ -23,8 +23,13 @@
   return this->request;
 }
 
+bool GangReservation::OutrankedBy(std::int32_t other) const {
+  if (this->guaranteed) return other == 0 && this->priority > 0;
+  return other < this->priority;
+}
+
 bool GangReservation::MayBeTaken(Instant now, std::int32_t by_priority) const {
-  if (this->Active()) return by_priority < this->priority;
+  if (this->Active()) return this->OutrankedBy(by_priority);
   return !this->next_plan || now >= *this->next_plan;
 }
 
@@ -96,7 +101,7 @@
 Holds GangReservation::HoldsFor(Instant now,
                                 const ServiceEntry& service) const {
   if (!this->Active()) return Holds::kRespect;
-  if (service.profile.priority < this->priority) return Holds::kIgnore;
+  if (this->OutrankedBy(service.profile.priority)) return Holds::kIgnore;
   const bool ends_before = now + service.LongRun() <= this->start;
   return ends_before ? Holds::kIgnore : Holds::kRespect;
 }
--- a/packages/core/src/scheduler/gang_reservation.h
+++ b/packages/core/src/scheduler/gang_reservation.h
@@ -35,6 +35,11 @@
   [[nodiscard]] const std::optional<RequestId>& Holder() const;
   /// Priority of the holder.
   [[nodiscard]] std::int32_t Priority() const { return this->priority; }
+  /// @return true if work of this priority need not care for the reservation
+  [[nodiscard]] bool OutrankedBy(std::int32_t other) const;
+  /// Whether the holder's priority is below its guaranteed share: then only
+  /// urgent work outranks it.
+  void SetGuaranteed(bool guaranteed) { this->guaranteed = guaranteed; }
   /// @return true if work of this priority may take the reservation now
   [[nodiscard]] bool MayBeTaken(Instant now, std::int32_t by_priority) const;
   /// Plans for a request and holds room for it; drops any other reservation.
@@ -61,6 +66,7 @@
 
   std::optional<RequestId> request;
   std::int32_t priority = 0;
+  bool guaranteed = false;
   Resources task;
   /// When the gang is expected to start.
   Instant start;
--- a/packages/core/src/scheduler/placement_pass.cc
+++ b/packages/core/src/scheduler/placement_pass.cc
@@ -28,9 +28,15 @@
   this->state->headroom.Update(this->now, this->state->catalog, this->ledger);
   this->state->waits_for_headroom = false;
   this->DropStaleReservation();
+  this->GuaranteeReservation();
   for (auto& [priority, band] : this->state->bands) {
-    if (this->Full()) break;
-    if (!band.Empty()) this->RunBand(priority, &band);
+    if (priority == 0) this->RunBand(priority, &band);
+  }
+  for (auto& [priority, band] : this->state->bands) {
+    if (priority != 0) this->RunGuarantee(priority, &band);
+  }
+  for (auto& [priority, band] : this->state->bands) {
+    if (priority != 0) this->RunBand(priority, &band);
   }
   for (const RequestSlot slot : this->set_aside) {
     this->state->queue.PutBack(slot);
@@ -45,10 +51,19 @@
   return this->placements.size() >= this->limit;
 }
 
+void PlacementPass::RunGuarantee(std::int32_t priority, PriorityBand* band) {
+  if (!this->state->BelowGuarantee(*band)) return;
+  this->in_guarantee = true;
+  this->RunBand(priority, band);
+  this->in_guarantee = false;
+}
+
 void PlacementPass::RunBand(std::int32_t priority, PriorityBand* band) {
+  if (this->Full() || band->Empty()) return;
   this->blocked_services.clear();
   this->TryHolder(priority);
   while (!this->Full() &&
+         (!this->in_guarantee || this->state->BelowGuarantee(*band)) &&
          this->blocked_services.size() < band->WaitingServices()) {
     const std::optional<TeamIndex> team = band->NextTeam();
     if (!team) break;
@@ -72,6 +87,13 @@
   reservation.Drop(this->ledger);
 }
 
+void PlacementPass::GuaranteeReservation() {
+  GangReservation& reservation = this->state->reservation;
+  if (!reservation.Active()) return;
+  const PriorityBand& band = this->state->bands[reservation.Priority()];
+  reservation.SetGuaranteed(this->state->BelowGuarantee(band));
+}
+
 void PlacementPass::TryHolder(std::int32_t priority) {
   GangReservation& reservation = this->state->reservation;
   if (!reservation.Active() || reservation.Priority() != priority) return;
@@ -86,6 +108,7 @@
       {entry.request.request, &this->state->catalog.ServiceAt(service),
        entry.request.avoid},
       this->state->running, this->state->catalog, this->ledger);
+  this->GuaranteeReservation();
 }
 
 bool PlacementPass::PlaceNextOf(const PriorityBand& band, TeamIndex team) {
@@ -179,16 +202,17 @@
   // Work of the holder's priority or below leaves what is held besides, so room
   // for the holder builds up next to the headroom. The holder itself leaves as
   // little as priority 1, which outranks it and would else keep it out for
-  // good.
+  // good. Work below its guaranteed share likewise: priority 1 would take all
+  // room before as much is free as lower priorities must leave.
   const Headroom& headroom = this->state->headroom;
-  const std::int32_t priority = holds_reservation
+  const std::int32_t priority = holds_reservation || this->in_guarantee
                                     ? std::min(service.profile.priority, 1)
                                     : service.profile.priority;
   const std::int64_t wanted = headroom.WantedOf(priority);
   if (wanted == 0) return true;
   std::int64_t left = this->ledger->TrackedRoom();
   const GangReservation& reservation = this->state->reservation;
-  const bool outranks = service.profile.priority < reservation.Priority();
+  const bool outranks = reservation.OutrankedBy(service.profile.priority);
   if (reservation.Active() && !holds_reservation && !outranks) {
     left -= reservation.HeldRoomFor(headroom.Task(), *this->ledger);
   }
@@ -218,6 +242,7 @@
   reservation.Take(this->now,
                    {entry.request.request, &service, entry.request.avoid},
                    this->state->running, this->state->catalog, this->ledger);
+  this->GuaranteeReservation();
 }
 
 bool PlacementPass::Commit(const QueueEntry& entry,
--- a/packages/core/src/scheduler/placement_pass.h
+++ b/packages/core/src/scheduler/placement_pass.h
@@ -39,7 +39,10 @@
   };
 
   void RunBand(std::int32_t priority, PriorityBand* band);
+  /// Places work of a band as long as it is below its guaranteed share.
+  void RunGuarantee(std::int32_t priority, PriorityBand* band);
   void DropStaleReservation();
+  void GuaranteeReservation();
   void TryHolder(std::int32_t priority);
   /// @return false if nothing of the team can be placed
   bool PlaceNextOf(const PriorityBand& band, TeamIndex team);
@@ -69,6 +72,7 @@
   std::unordered_set<LaneIndex> blocked_lanes;
   std::vector<RequestSlot> set_aside;
   int avoided = 0;
+  bool in_guarantee = false;
   /// Dominant shares placed, by priority.
   std::map<std::int32_t, double> placed;
 };
--- a/packages/core/src/scheduler/priority_band.h
+++ b/packages/core/src/scheduler/priority_band.h
@@ -53,6 +53,8 @@
   DrainRate drain;
   /// Sizes accepted into this band.
   ArrivalRate arrivals;
+  /// Held by the tasks that were started from it.
+  Resources held;
 
  private:
   struct TeamQueue {
--- a/packages/core/src/scheduler/scheduler.cc
+++ b/packages/core/src/scheduler/scheduler.cc
@@ -14,7 +14,10 @@
 
 struct Scheduler::State : detail::SchedulerState {};
 
-Scheduler::Scheduler() : state(std::make_unique<State>()) {}
+Scheduler::Scheduler(SchedulerOptions options)
+    : state(std::make_unique<State>()) {
+  this->state->guaranteed_share = options.guaranteed_share;
+}
 Scheduler::~Scheduler() = default;
 Scheduler::Scheduler(Scheduler&&) noexcept = default;
 Scheduler& Scheduler::operator=(Scheduler&&) noexcept = default;
--- a/packages/core/src/scheduler/scheduler_state.cc
+++ b/packages/core/src/scheduler/scheduler_state.cc
@@ -31,6 +31,10 @@
   return this->bands[this->catalog.ServiceAt(service).profile.priority];
 }
 
+bool SchedulerState::BelowGuarantee(const PriorityBand& band) const {
+  return this->SizeOf(band.held) < this->guaranteed_share;
+}
+
 void SchedulerState::Rank(TeamIndex team) {
   const double share = this->ShareOf(team);
   for (auto& [priority, band] : this->bands) band.Rank(team, share);
@@ -62,6 +66,7 @@
     PriorityBand& fresh = this->bands[priority];
     fresh.drain = band.drain;
     fresh.arrivals = band.arrivals;
+    fresh.held = band.held;
   }
   this->queue.Visit([this](const QueueEntry& entry) { this->File(entry); });
 }
@@ -96,8 +101,10 @@
   entry.gang = service.tasks > 1;
   const TeamIndex team = entry.team;
   const Resources resources = entry.resources;
-  const bool urgent = entry.priority == 0;
+  const std::int32_t priority = entry.priority;
+  const bool urgent = priority == 0;
   if (!this->running.Add(std::move(entry))) return;
+  this->bands[priority].held += resources;
   if (urgent) this->headroom.UrgentStarted();
   this->headroom.FollowOtherWork(this->running.OtherReleasePerSecond());
   this->catalog.TeamAt(team).used += resources;
@@ -110,6 +117,7 @@
   if (!entry) return std::nullopt;
   ledger->Free(entry->worker, task);
   this->reservation.OnFreed(entry->worker, entry->resources, ledger);
+  this->bands[entry->priority].held -= entry->resources;
   if (entry->priority == 0) this->headroom.UrgentEnded();
   this->headroom.FollowOtherWork(this->running.OtherReleasePerSecond());
   this->catalog.TeamAt(entry->team).used -= entry->resources;
--- a/packages/core/src/scheduler/scheduler_state.h
+++ b/packages/core/src/scheduler/scheduler_state.h
@@ -34,6 +34,8 @@
   RunningTasks running;
   Headroom headroom;
   GangReservation reservation;
+  /// See `SchedulerOptions`.
+  double guaranteed_share = 0;
   /// Of all owned workers, when last looked at.
   Resources total_capacity;
   /// The last pass ended at its limit, with more to be placed.
@@ -48,6 +50,8 @@
   [[nodiscard]] double ShareOf(TeamIndex team) const;
   [[nodiscard]] double SizeOf(const Resources& resources) const;
   [[nodiscard]] PriorityBand& BandOf(ServiceIndex service);
+  /// @return true if a band's tasks hold less than what is guaranteed to it
+  [[nodiscard]] bool BelowGuarantee(const PriorityBand& band) const;
 
   void Join(Instant now, QueuedRequest request, ServiceIndex service,
             TeamIndex team);
--- /dev/null
+++ b/packages/core/tests/scheduler_guarantee_test.cc
@@ -0,0 +1,105 @@
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <deque>
+#include <string>
+#include <vector>
+
+#include "scheduler_test_cell.h"
+
+namespace mustardproxy {
+namespace {
+
+using test::kSmallTask;
+using test::TestCell;
+
+/// 32 slots; less than 5 of them are 15 %.
+struct Cell : TestCell {
+  Cell() : TestCell(4) {
+    this->AddProfile("urgent", 0);
+    this->AddProfile("standard", 1);
+    this->AddProfile("deferred", 2);
+    this->AddService("screen", "urgent", kSmallTask);
+    this->AddService("review", "standard", kSmallTask);
+    this->AddService("rota", "deferred", kSmallTask);
+    this->AddService("match", "deferred", kSmallTask, 4);
+    this->AddTeam("a");
+    this->Configure();
+  }
+  /// @return how many placements are of requests whose id begins so
+  static std::int64_t CountOf(const std::vector<Placement>& placements,
+                              const std::string& prefix) {
+    return std::ranges::count_if(placements, [&](const Placement& placed) {
+      return placed.request.Text().starts_with(prefix);
+    });
+  }
+};
+
+BOOST_FIXTURE_TEST_SUITE(scheduler_guarantee, Cell)
+
+// A batch is accepted and never starts, for as long as the day is busy.
+// Standard requests arrive faster than the cell can run them, and the batch
+// waits behind. The cause would be that the lower priority gets only leftovers,
+// and there are none.
+BOOST_AUTO_TEST_CASE(deferred_work_gets_its_share_beside_standard_work) {
+  this->EnqueueMany("s", 500, "review");
+  this->EnqueueMany("d", 100, "rota");
+  const auto placed = this->Schedule();
+  BOOST_TEST(placed.size() == 32);
+  BOOST_TEST(this->CountOf(placed, "d") == 5);
+}
+
+BOOST_AUTO_TEST_CASE(above_its_share_the_lower_priority_yields) {
+  this->EnqueueMany("s", 500, "review");
+  this->EnqueueMany("d", 100, "rota");
+  (void)this->Schedule();
+  this->Done(TaskId("s0/0/1"));
+  auto placed = this->Schedule();
+  BOOST_REQUIRE(placed.size() == 1);
+  BOOST_TEST(this->CountOf(placed, "s") == 1);
+  this->Done(TaskId("d0/0/1"));
+  placed = this->Schedule();
+  BOOST_REQUIRE(placed.size() == 1);
+  BOOST_TEST(this->CountOf(placed, "d") == 1);
+}
+
+BOOST_AUTO_TEST_CASE(urgent_work_goes_before_every_guarantee) {
+  this->EnqueueMany("d", 100, "rota");
+  this->EnqueueMany("s", 100, "review");
+  this->EnqueueMany("u", 100, "screen");
+  const auto placed = this->Schedule();
+  BOOST_TEST(this->CountOf(placed, "u") == 32);
+}
+
+BOOST_AUTO_TEST_CASE(without_a_rival_no_share_is_kept_back) {
+  this->EnqueueMany("s", 100, "review");
+  BOOST_TEST(this->Schedule().size() == 32);
+}
+
+// A deferred gang never starts, and single deferred tasks wait behind it. It
+// holds the reservation, but each slot that comes free goes to a standard
+// request before room for four has come together. The cause would be that
+// standard work outranks the reservation although the gang's priority has less
+// than its share.
+BOOST_AUTO_TEST_CASE(a_gang_below_its_share_gathers_room_from_standard_work) {
+  this->EnqueueMany("s", 500, "review");
+  std::deque<TaskId> running;
+  for (const Placement& placed : this->Schedule()) {
+    running.push_back(placed.task);
+  }
+  (void)this->Enqueue("gang", "match");
+  bool started = false;
+  for (int i = 0; i < 20 && !started; ++i) {
+    this->now += std::chrono::seconds(1);
+    this->Done(running.front());
+    running.pop_front();
+    const auto placed = this->Schedule();
+    started = this->CountOf(placed, "gang") == 4;
+    for (const Placement& one : placed) running.push_back(one.task);
+  }
+  BOOST_TEST(started);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace mustardproxy
--- a/testing/bench_decisions/dispatcher.cc
+++ b/testing/bench_decisions/dispatcher.cc
@@ -7,8 +7,9 @@
 namespace mustardproxy::bench {
 
 ProductDispatcher::ProductDispatcher(const Configuration& configuration,
-                                     Ledger* ledger, bool learns)
-    : ledger(ledger), learns(learns) {
+                                     Ledger* ledger, bool learns,
+                                     SchedulerOptions options)
+    : scheduler(options), ledger(ledger), learns(learns) {
   this->scheduler.Configure(configuration);
 }
 
--- a/testing/bench_decisions/dispatcher.h
+++ b/testing/bench_decisions/dispatcher.h
@@ -38,7 +38,7 @@
  public:
   /// @param learns false keeps it to declared run times
   ProductDispatcher(const Configuration& configuration, Ledger* ledger,
-                    bool learns = true);
+                    bool learns = true, SchedulerOptions options = {});
   bool Enqueue(Instant now, const QueuedRequest& request) override;
   std::vector<Placement> Schedule(Instant now) override;
   std::vector<RequestId> Expire(Instant now) override;
--- a/testing/bench_decisions/driver.cc
+++ b/testing/bench_decisions/driver.cc
@@ -381,6 +381,14 @@
   return placed + lost == 0 ? 1.0 : placed / (placed + lost);
 }
 
+double Outcomes::Expired() const {
+  const auto placed = static_cast<double>(this->wait_ms.size());
+  const auto lost = static_cast<double>(this->refused + this->expired +
+                                        this->failed + this->waiting);
+  if (placed + lost == 0) return 0.0;
+  return static_cast<double>(this->expired) / (placed + lost);
+}
+
 double Outcomes::MeanWait() const {
   if (this->wait_ms.empty()) return 0;
   double sum = 0;
--- a/testing/bench_decisions/driver.h
+++ b/testing/bench_decisions/driver.h
@@ -35,6 +35,8 @@
   [[nodiscard]] double MeanWait() const;
   /// @return placed requests as a share of all
   [[nodiscard]] double Placed() const;
+  /// @return requests that waited in vain as a share of all
+  [[nodiscard]] double Expired() const;
 };
 
 /// What a run shows, by `<team>/<service>`.
--- a/testing/bench_decisions/main.cc
+++ b/testing/bench_decisions/main.cc
@@ -25,6 +25,7 @@
     {"preemption", BenchPreemption},
     {"quotas", BenchQuotas},
     {"large-cell", BenchLargeCell},
+    {"overload", BenchOverload},
 };
 
 int Run(int argc, char** argv) {
@@ -51,6 +52,7 @@
   std::printf("seed %llu and %d that follow, %.0f virtual seconds a run\n",
               static_cast<unsigned long long>(options.seed), options.seeds - 1,
               options.seconds);
+  std::setvbuf(stdout, nullptr, _IOLBF, BUFSIZ);
   for (const Section& section : kSections) {
     if (!only.empty() && only != section.name) continue;
     std::printf("\n== %s\n", section.name);
--- a/testing/bench_decisions/sections.h
+++ b/testing/bench_decisions/sections.h
@@ -32,6 +32,8 @@
 void BenchQuotas(const BenchOptions& options);
 /// Waiting time with 1,200 workers.
 void BenchLargeCell(const BenchOptions& options);
+/// A share guaranteed to each priority against strict priority and fifo.
+void BenchOverload(const BenchOptions& options);
 /// A wave of cancellations.
 void BenchCancellations(const BenchOptions& options);
 
