Peer link: unused connections to other data centres are closed

Cause: a channel was made at the first use of a peer and stayed for good; with questions and forwards a process has in time one to each of 63 others, 1.5 MB more than the 14 that heartbeats use, and the same again on the other side.

At heartbeats, connections elsewhere that no call used for 30 s are closed, the longest unused first, down to 8 in all; so nothing changes in cells with up to 8 processes elsewhere. Those of the own data centre are kept, and a call in progress keeps its own.

--- a/packages/peer/include/mustardproxy/peer/peer_link.h
+++ b/packages/peer/include/mustardproxy/peer/peer_link.h
@@ -100,6 +100,11 @@
   Builder& Clock(HybridClock* clock);
   /// Optional.
   Builder& Measure(Metrics* metrics);
+  /// Connections to processes of other data centres that stay open although no
+  /// call was made on them for `idle`; 8 and 30 s unless given. Those above it
+  /// are closed at heartbeats, and opened again by the next call. Connections
+  /// within the data centre are kept.
+  Builder& SpareChannels(std::int32_t spare, Duration idle);
   /// Time that requests in progress get at the stop; 5 s unless given.
   Builder& StopLimit(Duration limit);
   /// Customer, self, sink, clock and parser must have been given.
@@ -116,6 +121,8 @@
   EventSink* sink = nullptr;
   HybridClock* clock = nullptr;
   Metrics* metrics = nullptr;
+  std::optional<std::int32_t> spare_channels;
+  Duration channel_idle{0};
   Duration stop_limit = std::chrono::seconds(5);
 };
 
--- a/packages/peer/src/bounds.h
+++ b/packages/peer/src/bounds.h
@@ -30,6 +30,13 @@
 inline constexpr auto kCancelTimeout = std::chrono::seconds(2);
 /// The answer "given up on" of the peer still arrives within it.
 inline constexpr auto kForwardMargin = std::chrono::milliseconds(500);
+/// Connections to processes of other data centres that are kept although
+/// nothing uses them: one to each of 8 data centres, and all there are at small
+/// sizes.
+inline constexpr std::int32_t kSpareChannels = 8;
+/// Time without a call after which such a connection counts as unused; above
+/// the longest interval of heartbeats between data centres.
+inline constexpr auto kChannelIdle = std::chrono::seconds(30);
 /// Heartbeats in a row without an answer after which a connection is replaced.
 inline constexpr int kMissesToReplace = 2;
 
--- a/packages/peer/src/client.cc
+++ b/packages/peer/src/client.cc
@@ -1,9 +1,12 @@
 #include "client.h"
 
+#include <algorithm>
+#include <span>
 #include <utility>
 
 #include "bounds.h"
 #include "mustardproxy/core/error.h"
+#include "mustardproxy/telemetry/clock.h"
 #include "mustardproxy/telemetry/log.h"
 #include "wire.h"
 
@@ -49,7 +52,47 @@
       metrics(metrics),
       registry(std::make_shared<CallRegistry>()) {
   for (const PeerAddress& peer : peers) {
-    this->peers[peer.peer.process].address = peer.address;
+    Peer& entry = this->peers[peer.peer.process];
+    entry.address = peer.address;
+    entry.local = peer.peer.data_center == identity->self.data_center;
+  }
+}
+
+void PeerClient::KeepChannels(std::int32_t spare, Duration idle) {
+  this->spare_channels = spare;
+  this->channel_idle = idle;
+}
+
+std::vector<PeerClient::Peer*> PeerClient::Unused(Instant now) {
+  std::vector<Peer*> unused;
+  for (auto& [process, peer] : this->peers) {
+    // A call in progress holds its channel too.
+    if (peer.local || peer.channel.use_count() != 1) continue;
+    if (now - peer.used >= this->channel_idle) unused.push_back(&peer);
+  }
+  return unused;
+}
+
+// Failure: questions and forwards reach every process of the other data centres
+// in time, each connection stays for good, and the process grows past its
+// memory; it shows as resident memory that rises with the processes elsewhere.
+// What heartbeats use is never unused for so long, and no call is cut: one in
+// progress holds its channel, and a new one is made under the same lock.
+void PeerClient::CloseUnused() {
+  std::vector<std::shared_ptr<PeerChannel>> closed;
+  const std::lock_guard lock(this->mutex);
+  std::vector<Peer*> unused = this->Unused(SteadyNow());
+  std::ranges::sort(unused, {}, [](const Peer* peer) { return peer->used; });
+  const auto elsewhere =
+      std::ranges::count_if(this->peers, [](const auto& entry) {
+        return !entry.second.local && entry.second.channel;
+      });
+  const auto most = static_cast<std::ptrdiff_t>(unused.size());
+  const auto excess =
+      std::clamp<std::ptrdiff_t>(elsewhere - this->spare_channels, 0, most);
+  for (Peer* peer : std::span(unused).first(excess)) {
+    closed.push_back(std::move(peer->channel));
+    peer->misses = 0;
   }
 }
 
@@ -59,6 +102,7 @@
   if (found == this->peers.end()) return nullptr;
   std::shared_ptr<PeerChannel>& channel = found->second.channel;
   if (!channel) channel = std::make_shared<PeerChannel>(found->second.address);
+  found->second.used = SteadyNow();
   return channel;
 }
 
@@ -99,6 +143,7 @@
 void PeerClient::Heartbeat(const SendDigest& action) {
   using peer::HeartbeatReply;
   using peer::HeartbeatRequest;
+  this->CloseUnused();
   const auto call = this->Make<HeartbeatRequest, HeartbeatReply>(
       action.peer, kHeartbeatTimeout);
   if (call) ToWire(action.digest, call->request->mutable_digest());
--- a/packages/peer/src/client.h
+++ b/packages/peer/src/client.h
@@ -11,11 +11,13 @@
 #include <string_view>
 #include <vector>
 
+#include "bounds.h"
 #include "channel.h"
 #include "client_calls.h"
 #include "identity.h"
 #include "mustardproxy/core/actions.h"
 #include "mustardproxy/core/event_sink.h"
+#include "mustardproxy/core/time.h"
 #include "mustardproxy/peer/peer_link.h"
 #include "mustardproxy/telemetry/metrics.h"
 
@@ -32,6 +34,9 @@
   PeerClient(const Identity* identity, const std::vector<PeerAddress>& peers,
              ConfigurationParser parser, EventSink* sink, Metrics* metrics);
 
+  /// Unused connections to other data centres are closed down to `spare`.
+  void KeepChannels(std::int32_t spare, Duration idle);
+
   void Heartbeat(const SendDigest& action);
   void Forward(const ForwardRequest& action);
   void Cancel(const ForwardCancel& action);
@@ -44,6 +49,9 @@
   /// A peer and the connection to it.
   struct Peer {
     std::string address;
+    bool local = false;
+    /// When the last call on the channel was made.
+    Instant used;
     /// Made at the first use.
     std::shared_ptr<PeerChannel> channel;
     /// Heartbeats in a row that failed on this channel.
@@ -53,6 +61,10 @@
 
   /// @return the channel in use, or null for a process that is not known
   [[nodiscard]] std::shared_ptr<PeerChannel> Channel(const ProcessId& peer);
+  /// Drops the connections that were unused longest, if they are too many.
+  void CloseUnused();
+  /// @return peers of other data centres whose connection no call uses
+  [[nodiscard]] std::vector<Peer*> Unused(Instant now);
   /// @return a call with a sealed envelope, or null for an unknown process
   template <typename RequestMessage, typename ReplyMessage>
   [[nodiscard]] std::shared_ptr<ClientCall<RequestMessage, ReplyMessage>> Make(
@@ -81,6 +93,8 @@
 
   std::mutex mutex;
   std::map<ProcessId, Peer> peers;
+  std::int32_t spare_channels = kSpareChannels;
+  Duration channel_idle = kChannelIdle;
 };
 
 }  // namespace mustardproxy::peer_detail
--- a/packages/peer/src/peer_link.cc
+++ b/packages/peer/src/peer_link.cc
@@ -193,6 +193,13 @@
   return *this;
 }
 
+PeerLink::Builder& PeerLink::Builder::SpareChannels(std::int32_t spare,
+                                                    Duration idle) {
+  this->spare_channels = spare;
+  this->channel_idle = idle;
+  return *this;
+}
+
 PeerLink::Builder& PeerLink::Builder::StopLimit(Duration limit) {
   this->stop_limit = limit;
   return *this;
@@ -204,6 +211,9 @@
                                  this->clock};
   auto state = std::make_unique<State>(std::move(identity), this->peers,
                                        this->parser, this->sink, this->metrics);
+  if (this->spare_channels) {
+    state->client.KeepChannels(*this->spare_channels, this->channel_idle);
+  }
   state->host = this->host;
   state->port = this->port;
   state->stop_limit =
--- a/packages/peer/tests/node.h
+++ b/packages/peer/tests/node.h
@@ -17,10 +17,14 @@
 
 inline constexpr Incarnation kIncarnation = 0xabcdef0123456789;
 
+/// Connections to other data centres that stay open without being used.
+inline constexpr std::int32_t kSpareChannels = 1;
+
 /// Where a node finds another.
 struct NodeAddress {
   std::string process;
   std::uint16_t port = 0;
+  std::string data_center = "dc1";
 };
 
 /// A peer link with all that it needs, listening on a port of the system's.
@@ -34,8 +38,9 @@
     std::vector<PeerAddress> addresses;
     addresses.reserve(peers.size());
     for (const NodeAddress& peer : peers) {
-      addresses.push_back({{ProcessId(peer.process), DataCenterId("dc1")},
-                           "127.0.0.1:" + std::to_string(peer.port)});
+      addresses.push_back(
+          {{ProcessId(peer.process), DataCenterId(peer.data_center)},
+           "127.0.0.1:" + std::to_string(peer.port)});
     }
     this->link =
         PeerLink::Builder()
@@ -47,13 +52,14 @@
             .Sink(&this->events)
             .Clock(&this->clock)
             .StopLimit(stop_limit)
+            .SpareChannels(kSpareChannels, Duration(0))
             .Build();
     const Result<std::uint16_t> started = this->link->Start();
     if (started) this->port = started.value();
   }
 
   [[nodiscard]] NodeAddress Address() const {
-    return {this->process, this->port};
+    return {this->process, this->port, "dc1"};
   }
 
   /// @return a digest that names this node
--- a/testing/bench_peer/bench_node.h
+++ b/testing/bench_peer/bench_node.h
@@ -81,12 +81,18 @@
 struct NodeAddress {
   std::string process;
   std::uint16_t port = 0;
+  std::string data_center = "dc1";
 };
 
+/// As an entry process keeps them.
+inline constexpr std::int32_t kSpareChannels = 8;
+inline constexpr auto kChannelIdle = std::chrono::seconds(30);
+
 /// A peer link on a port of the system's.
 class BenchNode {
  public:
-  BenchNode(const std::string& process, const std::vector<NodeAddress>& peers) {
+  BenchNode(const std::string& process, const std::vector<NodeAddress>& peers,
+            Duration idle = kChannelIdle) {
     this->digest.process = ProcessId(process);
     this->digest.incarnation = 1;
     this->digest.data_center = DataCenterId("dc1");
@@ -94,8 +100,9 @@
     std::vector<PeerAddress> addresses;
     addresses.reserve(peers.size());
     for (const NodeAddress& peer : peers) {
-      addresses.push_back({{ProcessId(peer.process), DataCenterId("dc1")},
-                           "127.0.0.1:" + std::to_string(peer.port)});
+      addresses.push_back(
+          {{ProcessId(peer.process), DataCenterId(peer.data_center)},
+           "127.0.0.1:" + std::to_string(peer.port)});
     }
     this->link = PeerLink::Builder()
                      .Customer("bench")
@@ -104,6 +111,7 @@
                      .Peers(std::move(addresses))
                      .Sink(&this->sink)
                      .Clock(&this->clock)
+                     .SpareChannels(kSpareChannels, idle)
                      .Build();
     this->sink.link = this->link.get();
     const Result<std::uint16_t> started = this->link->Start();
--- a/testing/bench_peer/memory.cc
+++ b/testing/bench_peer/memory.cc
@@ -2,6 +2,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 #include <fstream>
@@ -15,7 +16,16 @@
 
 constexpr int kTargets = 63;
 constexpr auto kHeartbeatInterval = std::chrono::milliseconds(500);
+/// Finds what the last round did not use, as 30 s do at the real pace.
+constexpr auto kShortIdle = std::chrono::milliseconds(600);
 constexpr int kRounds = 8;
+/// Members of a data centre but oneself at the size to build towards.
+constexpr int kLocal = 7;
+/// Peers that heartbeats go to there: the local ones and a link to each of the
+/// other data centres.
+constexpr int kLinked = 14;
+/// So many that all others have been used after the last round.
+constexpr int kOnce = 7;
 
 using Ports = std::array<std::uint16_t, kTargets>;
 
@@ -72,13 +82,22 @@
   _exit(written ? 0 : 1);
 }
 
-/// Heartbeats to `peers` until all have answered, then at the usual pace.
-Footprint MeasureIdle(const Ports& ports, int peers) {
+/// The peers that a process goes on using, and how many others it uses once in
+/// each round, in turn.
+struct Use {
+  int lasting = 0;
+  int once = 0;
+};
+
+/// Heartbeats in rounds at the usual pace.
+Footprint MeasureIdle(const Ports& ports, const Use& use) {
+  const int peers = use.once > 0 ? kTargets : use.lasting;
   std::vector<NodeAddress> addresses;
   addresses.reserve(peers);
   for (int i = 0; i < peers; ++i)
-    addresses.push_back({TargetName(i), ports[i]});
-  BenchNode node("a", addresses);
+    addresses.push_back(
+        {TargetName(i), ports[i], i < kLocal ? "dc1" : "elsewhere"});
+  BenchNode node("a", addresses, use.once > 0 ? kShortIdle : kChannelIdle);
   Footprint footprint;
   double cpu = 0;
   std::int64_t expected = 0;
@@ -88,8 +107,11 @@
       cpu = CpuMicros();
       start = std::chrono::steady_clock::now();
     }
-    for (const NodeAddress& peer : addresses) node.Heartbeat(peer.process);
-    expected += peers;
+    const int first = use.lasting + round * use.once;
+    const int last = std::min(first + use.once, peers);
+    for (int i = 0; i < use.lasting; ++i) node.Heartbeat(addresses[i].process);
+    for (int i = first; i < last; ++i) node.Heartbeat(addresses[i].process);
+    expected += use.lasting + std::max(last - first, 0);
     const auto answered = [&](auto& sink) { return sink.digests >= expected; };
     if (!node.sink.Wait(answered)) return footprint;
     std::this_thread::sleep_for(kHeartbeatInterval);
@@ -119,12 +141,11 @@
   _exit(served ? 0 : 1);
 }
 
-Footprint RunIdle(const Ports& ports, int peers) {
+Footprint RunIdle(const Ports& ports, const Use& use) {
   Footprint footprint;
   std::array<int, 2> result{};
   if (pipe(result.data()) != 0) return footprint;
-  const pid_t child =
-      Fork(result[1], [&] { return MeasureIdle(ports, peers); });
+  const pid_t child = Fork(result[1], [&] { return MeasureIdle(ports, use); });
   close(result[1]);
   if (!ReadAll(result[0], &footprint)) footprint.complete = false;
   close(result[0]);
@@ -133,12 +154,12 @@
 }
 
 bool PrintIdle(const Ports& ports) {
-  const Footprint none = RunIdle(ports, 0);
+  const Footprint none = RunIdle(ports, {});
   std::printf("memory: baseline is 0 channels: %ld KB, %d threads\n",
               none.resident_kb, none.threads);
   bool complete = none.complete;
   for (const int peers : {1, 8, 32, kTargets}) {
-    const Footprint some = RunIdle(ports, peers);
+    const Footprint some = RunIdle(ports, {peers, 0});
     const double grown =
         static_cast<double>(some.resident_kb - none.resident_kb);
     std::printf(
@@ -150,7 +171,15 @@
         grown / peers, some.threads, some.cpu_milli);
     complete = complete && some.complete;
   }
-  return complete;
+  const Footprint most = RunIdle(ports, {kLinked, kOnce});
+  std::printf(
+      "memory: %d channels used on and %d others in turn, %d at a time: %ld KB "
+      "(x%.2f), %d threads, %.1f thousandths of a processor\n",
+      kLinked, kTargets - kLinked, kOnce, most.resident_kb,
+      static_cast<double>(most.resident_kb) /
+          static_cast<double>(none.resident_kb),
+      most.threads, most.cpu_milli);
+  return complete && most.complete;
 }
 
 }  // namespace
