Worker link: threads bear the names of their pools

Cause: a breakdown of an entry process's processor time showed 10 threads named "control" and 138 named "mustardproxy", as a thread inherits the name of the one that made it.

Test: threads_bear_the_name_of_their_pool; without the name it fails (worker_tests in place of worker-starts).

--- a/packages/worker/src/answer_poller.cc
+++ b/packages/worker/src/answer_poller.cc
@@ -8,6 +8,7 @@
 
 #include "mustardproxy/telemetry/clock.h"
 #include "mustardproxy/telemetry/log.h"
+#include "thread_name.h"
 
 namespace mustardproxy::worker_detail {
 namespace {
@@ -111,6 +112,7 @@
 }
 
 void AnswerPoller::Run() {
+  NameThread("answers");
   while (this->WaitForCalls()) {
     const auto ready = this->Poll();
     for (const StartCallPtr& call : this->TakeReadable(ready)) {
--- a/packages/worker/src/work_pool.cc
+++ b/packages/worker/src/work_pool.cc
@@ -5,6 +5,8 @@
 #include <chrono>
 #include <utility>
 
+#include "thread_name.h"
+
 namespace mustardproxy::worker_detail {
 namespace {
 
@@ -93,6 +95,7 @@
 }
 
 void WorkPool::Run(Threads::iterator self) {
+  NameThread(this->name);
   std::unique_lock lock(this->mutex);
   Job job;
   while (this->Next(&lock, &job)) {
--- a/packages/worker/tests/work_pool_test.cc
+++ b/packages/worker/tests/work_pool_test.cc
@@ -1,9 +1,13 @@
 #include "work_pool.h"
 
+#include <pthread.h>
+
+#include <array>
 #include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <condition_variable>
 #include <mutex>
+#include <string>
 #include <vector>
 
 namespace mustardproxy::worker_detail {
@@ -39,6 +43,19 @@
 
 BOOST_AUTO_TEST_SUITE(work_pool)
 
+// An entry process takes more processor time than it should. The tools show it
+// by thread, and all of them bear the name of the thread that made them.
+BOOST_AUTO_TEST_CASE(threads_bear_the_name_of_their_pool) {
+  constexpr std::size_t kRoom = 16;
+  std::array<char, kRoom> seen{};
+  WorkPool pool("starts", 1, 10);
+  BOOST_REQUIRE(pool.Submit([&seen] {
+    pthread_getname_np(pthread_self(), seen.data(), seen.size());
+  }));
+  pool.Stop();
+  BOOST_TEST(std::string(seen.data()) == "worker-starts");
+}
+
 BOOST_AUTO_TEST_CASE(jobs_past_the_queue_are_refused) {
   Gate gate;
   WorkPool pool("test", 1, 2);
