Control bench: ends of detached tasks come with reports

Cause: the bench never reported an end, so under detached tasks its renewals stretched to a third of the task lease, which a real worker's do not: each reported end brings the interval back to its shortest.

--- a/testing/bench_control/cell.cc
+++ b/testing/bench_control/cell.cc
@@ -59,6 +59,7 @@
   double heartbeats = 0;
   double renewals = 0;
   double task_reports = 0;
+  double end_reports = 0;
   double nanoseconds = 0;
 };
 
@@ -120,6 +121,7 @@
     process->heartbeats = 0;
     process->renewals = 0;
     process->task_reports = 0;
+    process->end_reports = 0;
     process->nanoseconds = 0;
   }
 
@@ -180,6 +182,8 @@
       if (!process->ownership.Owned(this->now, worker.id)) continue;
       process->ownership.OnStartSent(this->now, worker.id);
       process->ownership.OnTraffic(this->now, worker.id);
+      // In a full worker each start takes the slot of a task that has ended.
+      if (batch) ++this->unreported[worker.id];
     }
   }
   void Answer(Process* process, const Action& action) {
@@ -195,6 +199,8 @@
     report.epoch = renew->epoch;
     ++process->renewals;
     process->task_reports += static_cast<double>(report.running.size());
+    report.ended.resize(std::exchange(this->unreported[renew->worker], 0));
+    process->end_reports += static_cast<double>(report.ended.size());
     const Stopwatch watch(&process->nanoseconds);
     process->ownership.OnRenewed(this->now, report);
   }
@@ -219,6 +225,7 @@
       cost.heartbeats += process->heartbeats / seconds;
       cost.renewals += process->renewals / seconds;
       cost.bytes += process->task_reports * kTaskBytes / seconds;
+      cost.bytes += process->end_reports * kEndBytes / seconds;
       cost.nanoseconds += process->nanoseconds / seconds;
     }
     cost.bytes +=
@@ -231,6 +238,8 @@
   std::vector<std::unique_ptr<Process>> processes;
   std::unordered_map<ProcessId, std::size_t> index;
   std::vector<WorkerDescription> workers;
+  /// Ends of detached tasks since the last report, per worker.
+  std::unordered_map<WorkerId, std::size_t> unreported;
 };
 
 /// What one process of the baseline knows.
--- a/testing/bench_control/shape.h
+++ b/testing/bench_control/shape.h
@@ -12,7 +12,7 @@
   kRequests,
   /// The same, with more requests waiting than fit.
   kOverload,
-  /// Detached tasks of a minute in all 8 slots.
+  /// Detached tasks of a minute in all 8 slots; their ends come with reports.
   kBatch,
 };
 
@@ -41,6 +41,9 @@
 inline constexpr double kRenewalBytes = 700;
 /// Bytes that each running task adds to a report.
 inline constexpr double kTaskBytes = 190;
+/// Bytes that the end of a detached task adds, with an answer of 30 bytes.
+/// Those of attached tasks come with their starts and are left out.
+inline constexpr double kEndBytes = 300;
 
 }  // namespace mustardproxy::bench
 
