--- a/packages/core/src/lifecycle/deferred_acceptance.cc
+++ b/packages/core/src/lifecycle/deferred_acceptance.cc
@@ -1,6 +1,8 @@
 #include <algorithm>
+#include <string>
 #include <utility>
 
+#include "journal_size.h"
 #include "lifecycle/deferred_flow.h"
 #include "lifecycle/parts.h"
 #include "mustardproxy/core/error.h"
@@ -12,10 +14,14 @@
 
 /// Longest time until the caller learns that the work was not accepted.
 constexpr Duration kAcceptPatience = std::chrono::seconds(5);
+constexpr std::int32_t kTooLargeStatus = 413;
 
 }  // namespace
 
 void DeferredFlow::Accept(ActiveRequest* entry) {
+  if (!this->FitsJournal(entry)) {
+    return;
+  }
   Admission admission;
   const bool fits_now =
       !this->parts->ledger
@@ -52,6 +58,19 @@
       std::min(entry->deadline, this->parts->context.now + kAcceptPatience));
 }
 
+bool DeferredFlow::FitsJournal(ActiveRequest* entry) {
+  const std::size_t limit =
+      this->parts->context.options.journal.max_batch_bytes;
+  if (EncodedSizeBound(AcceptedRecord{entry->request}) <= limit) {
+    return true;
+  }
+  this->parts->answers.Refuse(
+      entry, Error::kBodyTooLarge, kTooLargeStatus,
+      "the record of deferred work is above journal.max_batch_bytes, " +
+          std::to_string(limit));
+  return false;
+}
+
 bool DeferredFlow::AdmitHere(ActiveRequest* entry, Admission* admission) {
   const Instant now = this->parts->context.now;
   if (this->parts->ledger.WorkerCount() == 0) {
--- a/packages/core/src/lifecycle/deferred_flow.h
+++ b/packages/core/src/lifecycle/deferred_flow.h
@@ -104,6 +104,9 @@
 
  private:
   DeferredWork* Get(const RequestId& request);
+  /// Refuses work whose record no batch can hold.
+  /// @return false if it was refused
+  [[nodiscard]] bool FitsJournal(ActiveRequest* entry);
   [[nodiscard]] bool AdmitHere(ActiveRequest* entry, Admission* admission);
   [[nodiscard]] bool MayStart() const;
   void Enqueue(DeferredWork* work);
--- a/packages/core/tests/core_deferred_test.cc
+++ b/packages/core/tests/core_deferred_test.cc
@@ -34,6 +34,21 @@
   BOOST_TEST(View(status.result.body) == "answer");
 }
 
+// A caller hands in a review whose record can never fit into the journal. It
+// was told "not recorded now" with a time to come back, and came back for ever.
+BOOST_AUTO_TEST_CASE(work_that_no_batch_can_hold_is_refused_for_good) {
+  CoreHarness harness(1);
+  Request request = harness.Make("review");
+  request.body = std::make_shared<const std::string>(1'000'000, 'x');
+  harness.Send(RequestArrived{request});
+  const Answer answer = harness.TakeReply().answer;
+  BOOST_TEST((answer.outcome == Outcome::kNotRun));
+  BOOST_TEST((answer.error == Error::kBodyTooLarge));
+  BOOST_TEST(answer.status == 413);
+  BOOST_TEST(answer.retry_after.count() == 0);
+  BOOST_TEST(harness.Take<AppendJournal>().empty());
+}
+
 // The platform does not answer. The caller must not be told 202, and the work
 // must not start, before the record is durable.
 BOOST_AUTO_TEST_CASE(nothing_is_accepted_or_started_before_it_is_durable) {
