Core: work recorded after a hand-over is left to the adopter

Ruled out: a process that had not noticed its fence (no append of another was involved), and a hand-over that came too late (it was written 3 s after the loss). Test first, red before the change: "status.deferred == 0 has failed [1 != 0]" and the same of `queued`.

--- a/packages/core/src/lifecycle/deferred_acceptance.cc
+++ b/packages/core/src/lifecycle/deferred_acceptance.cc
@@ -87,6 +87,13 @@
       this->Get(record.request.id) != nullptr) {
     return;
   }
+  this->ConfirmAccepted(record.request.id);
+  // Failure: the journal was handed over while this record was on its way. Its
+  // adopter runs the work. Here it could never be started, for want of a
+  // journal, and would show as queued to everybody who asks.
+  if (this->parts->journals.Closing(journal)) {
+    return;
+  }
   DeferredWork work;
   work.request = record.request;
   work.journal = journal;
@@ -94,17 +101,21 @@
   ++this->sizes[journal];
   DeferredWork* added =
       &this->works.emplace(record.request.id, std::move(work)).first->second;
-  ActiveRequest* entry = this->parts->table.Find(record.request.id);
-  if (entry != nullptr && entry->phase == RequestPhase::kJournalling) {
-    this->parts->context.Emit(ReplyAccepted{record.request.id});
-    this->parts->context.Record(RequestEvent(TimelineKind::kRequestQueued,
-                                             record.request.id, "deferred"));
-    if (entry->claimed) {
-      this->parts->claims.SettleAccepted(entry->request);
-    }
-    this->parts->table.Remove(record.request.id);
-  }
   this->Enqueue(added);
 }
 
+void DeferredFlow::ConfirmAccepted(const RequestId& request) {
+  ActiveRequest* entry = this->parts->table.Find(request);
+  if (entry == nullptr || entry->phase != RequestPhase::kJournalling) {
+    return;
+  }
+  this->parts->context.Emit(ReplyAccepted{request});
+  this->parts->context.Record(
+      RequestEvent(TimelineKind::kRequestQueued, request, "deferred"));
+  if (entry->claimed) {
+    this->parts->claims.SettleAccepted(entry->request);
+  }
+  this->parts->table.Remove(request);
+}
+
 }  // namespace mustardproxy::detail
--- a/packages/core/src/lifecycle/deferred_flow.h
+++ b/packages/core/src/lifecycle/deferred_flow.h
@@ -103,6 +103,8 @@
   [[nodiscard]] std::size_t SizeIn(const JournalId& journal) const;
 
  private:
+  /// Tells the caller that the work is recorded, if it still waits.
+  void ConfirmAccepted(const RequestId& request);
   DeferredWork* Get(const RequestId& request);
   [[nodiscard]] bool AdmitHere(ActiveRequest* entry, Admission* admission);
   [[nodiscard]] bool MayStart() const;
--- a/packages/core/src/lifecycle/journals.cc
+++ b/packages/core/src/lifecycle/journals.cc
@@ -58,6 +58,11 @@
           found->second.writer.Idle() && found->second.overflow.empty());
 }
 
+bool Journals::Closing(const JournalId& journal) const {
+  const auto found = this->open.find(journal);
+  return found != this->open.end() && found->second.closing;
+}
+
 void Journals::EraseOld() {
   std::vector<JournalId> old;
   for (const auto& [name, journal] : this->open) {
--- a/packages/core/src/lifecycle/journals.h
+++ b/packages/core/src/lifecycle/journals.h
@@ -31,6 +31,8 @@
   [[nodiscard]] std::vector<JournalId> Names() const;
   /// Grows whenever `Names` changes.
   [[nodiscard]] std::uint64_t Generation() const { return this->generation; }
+  /// @return true if the journal is being handed over
+  [[nodiscard]] bool Closing(const JournalId& journal) const;
   /// @return true if nothing was ever written to it
   [[nodiscard]] bool Unused(const JournalId& journal) const;
   /// Removes adopted journals that nobody needs any more.
--- a/packages/core/tests/core_recovery_test.cc
+++ b/packages/core/tests/core_recovery_test.cc
@@ -67,6 +67,45 @@
   BOOST_TEST(again.front().order.task != first.order.task);
 }
 
+// A process without workers hands its journal over while the record of one more
+// review is on its way to the platform. The caller is told 202 once it is
+// there, and the adopter runs the review. The former process had taken it up as
+// well: it could never start it, and told whoever asked that it is queued.
+BOOST_AUTO_TEST_CASE(work_recorded_after_the_hand_over_is_left_to_the_adopter) {
+  CoreHarness harness(1);
+  for (int i = 0; i < 8; ++i) {
+    harness.Arrive("booking");
+  }
+  harness.Arrive("review");
+  harness.Take<AppendJournal>();
+  harness.Take<ReplyAccepted>();
+  harness.journal_answers = false;
+  const RequestId late = harness.Arrive("review");
+  const auto pending = harness.Take<AppendJournal>();
+  BOOST_TEST_REQUIRE(pending.size() == 1U);
+  harness.workers_answer = false;
+  harness.Send(WorkerRefused{WorkerId("w1"), harness.epochs[WorkerId("w1")],
+                             900, ProcessId("p2"), std::chrono::seconds(3)});
+  for (int i = 0; i < 4; ++i) {
+    harness.PeerWithRoom("p2", "dc1");
+    harness.Advance(std::chrono::seconds(1));
+  }
+  const JournalBatch& accepted = pending.front().batch;
+  harness.Send(JournalAppended{accepted.journal, accepted.sequence});
+  const auto replies = harness.Take<ReplyAccepted>();
+  BOOST_TEST_REQUIRE(replies.size() == 1U);
+  BOOST_TEST(replies.front().request == late);
+  harness.Advance(std::chrono::seconds(1));
+  const auto handed_over = harness.Take<AppendJournal>();
+  BOOST_TEST_REQUIRE(handed_over.size() == 1U);
+  const JournalBatch& last = handed_over.front().batch;
+  BOOST_TEST(std::holds_alternative<HandedOverRecord>(last.records.back()));
+  harness.Send(JournalAppended{last.journal, last.sequence});
+  const CoreStatus status = harness.core.Status(harness.Now());
+  BOOST_TEST(status.deferred == 0);
+  BOOST_TEST(status.queued == 0);
+}
+
 // The only worker of this process is taken over while reviews wait for it. They
 // are handed to a peer that has workers, instead of waiting here for ever.
 BOOST_AUTO_TEST_CASE(work_of_a_process_without_workers_is_handed_over) {
