Fault matrix: no process keeps what is over; longer cuts of a data centre

Now every process must be idle at the end (no task, queue, request or deferred work), also with work that nobody was told to be accepted, and cuts of a data centre last up to 32 s, with 40 s until everything heals.

--- a/testing/fault_matrix/src/cell.cc
+++ b/testing/fault_matrix/src/cell.cc
@@ -26,6 +26,8 @@
 /// broken works again later then.
 constexpr Duration kMissed = seconds(10);
 constexpr Duration kHealedAfterLoss = seconds(18);
+/// A data centre may be cut off for longer than a journal stays without holder.
+constexpr Duration kHealedAfterCut = seconds(40);
 constexpr Duration kLongestReview = seconds(2);
 /// Some still run when their dead owner's journal is adopted.
 constexpr Duration kLongReview = seconds(12);
@@ -412,6 +414,13 @@
          std::ranges::any_of(this->processes, paused);
 }
 
+bool Cell::AllIdle() const {
+  return std::ranges::all_of(this->processes, [](const auto& process) {
+    const Core* core = process->TheCore();
+    return core == nullptr || Promises::IsIdle(core->Status({}));
+  });
+}
+
 void Cell::AskResults() {
   std::size_t turn = 0;
   for (const RequestId& request : this->promises.AcceptedRequests()) {
@@ -447,8 +456,14 @@
   };
   this->simulation.After(milliseconds(300), news);
   this->PlanWork();
-  const Duration healed =
-      this->preparation.kill_process ? kHealedAfterLoss : kHealed;
+  const bool cut =
+      std::ranges::any_of(this->plan.All(), [](const PlannedFault& fault) {
+        return fault.fault == Fault::kDataCenterCut;
+      });
+  Duration healed = this->preparation.kill_process ? kHealedAfterLoss : kHealed;
+  if (cut) {
+    healed = kHealedAfterCut;
+  }
   this->simulation.At(begin + healed, [this] { this->Heal(); });
   const Instant loaded = begin + kWarmUp + kLoadTime + seconds(1);
   // Long gangs may have to run one after the other.
@@ -460,7 +475,8 @@
   const auto at_rest = [&] {
     const Instant now = this->simulation.Now();
     const bool quiet = now > loaded && this->promises.AllSettled() &&
-                       this->network.LateMessages() == 0 && !this->AnyPaused();
+                       this->network.LateMessages() == 0 &&
+                       !this->AnyPaused() && this->AllIdle();
     if (!quiet) {
       busy = now;
     }
@@ -477,6 +493,10 @@
       calm = std::max(calm, process->Began() + seconds(30));
     }
   }
+  // What was adopted late still runs.
+  const Instant ended = this->simulation.Now() + kLongGangRun + kRest;
+  while (!this->AllIdle() && this->simulation.Step(ended)) {
+  }
   this->AskResults();
   const Instant asked = this->simulation.Now() + seconds(8);
   while (!this->questions.empty() && this->simulation.Step(asked)) {
@@ -484,6 +504,7 @@
   std::vector<ConfigurationVersion> in_force;
   for (const auto& process : this->processes) {
     if (process->TheCore() != nullptr) {
+      this->promises.CheckIdle(process->Id(), process->TheCore()->Status({}));
       in_force.push_back(process->TheCore()->ConfigurationInForce().version);
     }
   }
--- a/testing/fault_matrix/src/cell.h
+++ b/testing/fault_matrix/src/cell.h
@@ -100,6 +100,8 @@
   void AskResults();
   /// What a paused node has received is not known to the promises yet.
   [[nodiscard]] bool AnyPaused() const;
+  /// Also work that nobody was told to be accepted must have ended.
+  [[nodiscard]] bool AllIdle() const;
   [[nodiscard]] bool Reaches(const EntryProcess& process) const;
   [[nodiscard]] TaskScript Script(const RequestId& request);
 
--- a/testing/fault_matrix/src/cell_faults.cc
+++ b/testing/fault_matrix/src/cell_faults.cc
@@ -13,6 +13,8 @@
 constexpr Duration kLongerThanLeases = std::chrono::seconds(6);
 /// Callers of a wave that stay.
 constexpr double kPatientCallers = 0.1;
+/// Cuts of a data centre last longer than other faults.
+constexpr std::int32_t kCutFactor = 4;
 constexpr double kCutOffFromPlatformToo = 0.7;
 constexpr double kReplaced = 0.5;
 constexpr Duration kReplacement = std::chrono::milliseconds(500);
@@ -175,7 +177,7 @@
     // The platform stays with the data centre, and the other one is cut off.
     inside.insert(this->platform.Name());
   }
-  this->network.CutGroup(std::move(inside), fault.lasting);
+  this->network.CutGroup(std::move(inside), kCutFactor * fault.lasting);
   return true;
 }
 
--- a/testing/fault_matrix/src/promises.cc
+++ b/testing/fault_matrix/src/promises.cc
@@ -249,6 +249,21 @@
   }
 }
 
+bool Promises::IsIdle(const CoreStatus& status) {
+  return status.running == 0 && status.queued == 0 && status.requests == 0 &&
+         status.deferred == 0;
+}
+
+void Promises::CheckIdle(const ProcessId& process, const CoreStatus& status) {
+  if (!IsIdle(status)) {
+    this->Break("a process keeps what is over: " + process.Text() + " " +
+                std::to_string(status.running) + " running, " +
+                std::to_string(status.queued) + " queued, " +
+                std::to_string(status.requests) + " requests, " +
+                std::to_string(status.deferred) + " deferred");
+  }
+}
+
 void Promises::CheckResult(const RequestId& request,
                            const std::optional<DeferredStatus>& status) {
   const Seen& seen = this->requests[request];
--- a/testing/fault_matrix/src/promises.h
+++ b/testing/fault_matrix/src/promises.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "mustardproxy/core/core.h"
 #include "mustardproxy/core/ids.h"
 #include "mustardproxy/core/journal_record.h"
 #include "mustardproxy/core/request.h"
@@ -65,6 +66,9 @@
   /// Checks what must hold once everything has healed and come to rest.
   void CheckAtEnd(ConfigurationVersion newest,
                   const std::vector<ConfigurationVersion>& in_force);
+  [[nodiscard]] static bool IsIdle(const CoreStatus& status);
+  /// Checks that a process keeps no room and no request for what is over.
+  void CheckIdle(const ProcessId& process, const CoreStatus& status);
   void CheckResult(const RequestId& request,
                    const std::optional<DeferredStatus>& status);
 
