Platform link: a failed read of the host list is repeated soon

Cause: after a failed read the next one came at the regular interval, so that interval could not be made longer (it costs 2 reads/s per process) without a host that left during a short outage going on to get work for as long.

Test: a_failed_read_of_the_host_list_is_repeated_soon; before the change no list came within the test's patience. platform_tests and process_faults_platform without errors.

--- a/packages/platform/src/platform_link.cc
+++ b/packages/platform/src/platform_link.cc
@@ -21,6 +21,8 @@
 using platform_detail::JobPool;
 using platform_detail::JobPoolOptions;
 
+/// Pause after a read of the host list that failed.
+constexpr Duration kHostRetryPause = std::chrono::milliseconds(500);
 /// Pause before work in the background is tried again.
 constexpr Duration kRetryPause = std::chrono::seconds(1);
 constexpr Duration kLongestPause = std::chrono::seconds(16);
@@ -156,7 +158,10 @@
     this->hosts = std::move(read.value());
     this->sink->Post(HostListArrived{*this->hosts});
   }
-  return this->host_interval;
+  // Failure: the platform was away during a read, and a host that has left gets
+  // work until the next regular one. A failed read is repeated sooner.
+  return read ? this->host_interval
+              : std::min(this->host_interval, kHostRetryPause);
 }
 
 PlatformLink::PlatformLink(std::unique_ptr<State> state)
--- a/packages/platform/tests/platform_link_test.cc
+++ b/packages/platform/tests/platform_link_test.cc
@@ -168,6 +168,22 @@
   BOOST_TEST(this->events.Count<HostListArrived>() == 0U);
 }
 
+// The platform was away when a process asked for the host list, and is back. A
+// host that left meanwhile must not get work until the next regular read, which
+// is set far off here; a failed read is followed by another one soon.
+BOOST_AUTO_TEST_CASE(a_failed_read_of_the_host_list_is_repeated_soon) {
+  this->link = PlatformLink::Builder()
+                   .Url(this->platform.Url())
+                   .HostListInterval(600s)
+                   .Sink(&this->events)
+                   .Build();
+  this->platform.Switch({.down = true});
+  this->link->Start();
+  BOOST_REQUIRE(this->Reachable(false));
+  this->platform.Switch({});
+  BOOST_TEST(this->events.Take<HostListArrived>().has_value());
+}
+
 BOOST_AUTO_TEST_CASE(a_member_is_written_once_the_platform_answers) {
   this->platform.Put("member/p1", "of an earlier start");
   this->platform.Switch({.down = true});
