--- a/packages/platform/include/mustardproxy/platform/platform_link.h
+++ b/packages/platform/include/mustardproxy/platform/platform_link.h
@@ -65,8 +65,8 @@
   /// @param url `http://ip:port`
   Builder& Url(std::string url);
   Builder& Timeout(Duration timeout);
-  /// Pause between reads of the host list; a failed one is repeated after 500 ms
-  /// at most.
+  /// Pause between reads of the host list; a failed one is repeated after 500
+  /// ms at most.
   Builder& HostListInterval(Duration interval);
   /// Longest time that one watch of the configuration waits.
   Builder& WatchWait(Duration wait);
