--- a/packages/platform/include/mustardproxy/platform/platform_link.h
+++ b/packages/platform/include/mustardproxy/platform/platform_link.h
@@ -67,6 +67,8 @@
   /// @param url `http://ip:port`
   Builder& Url(std::string url);
   Builder& Timeout(Duration timeout);
+  /// Pause between reads of the host list; a failed one is repeated after 500
+  /// ms at most.
   Builder& HostListInterval(Duration interval);
   /// Longest time that one watch of the configuration waits. A watch whose
   /// connection went silent is noticed only after it and the timeout.
