Peer link: control messages between entry processes are counted

Cause: `control_bytes` counted calls to workers only, while the capacity page said "to workers and peers". Heartbeats, cancellations, questions and fetched configurations count now at both ends, without the framing of gRPC; forwarded requests and their answers are callers' traffic and stay out.

Before: nothing in packages/peer counted bytes.

--- a/packages/peer/src/client.cc
+++ b/packages/peer/src/client.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "bounds.h"
+#include "control_bytes.h"
 #include "mustardproxy/core/error.h"
 #include "mustardproxy/telemetry/clock.h"
 #include "mustardproxy/telemetry/log.h"
@@ -149,6 +150,7 @@
   if (call) ToWire(action.digest, call->request->mutable_digest());
   const auto done = [this, peer = action.peer](const grpc::Status& status,
                                                auto* ended) {
+    CountControl(this->metrics, *ended->request, *ended->reply);
     std::optional<Digest> digest;
     if (this->Accept(peer, status, *ended->reply)) {
       digest = FromWire(ended->reply->digest(), ended->reply->envelope());
@@ -244,6 +246,7 @@
   call->request->set_id(action.request.Text());
   const auto done = [this, peer = action.peer](const grpc::Status& status,
                                                auto* ended) {
+    CountControl(this->metrics, *ended->request, *ended->reply);
     if (this->Accept(peer, status, *ended->reply)) return;
     Log(Part::kPeer, Level::kDebug,
         "Process " + peer.Text() + " took no cancellation.");
@@ -263,6 +266,7 @@
   if (!call) return;
   const auto done = [this, peer = action.peer](const grpc::Status& status,
                                                auto* ended) {
+    CountControl(this->metrics, *ended->request, *ended->reply);
     this->OnConfiguration(peer, status, *ended->reply);
   };
   const auto method =
@@ -290,6 +294,7 @@
   const auto call = this->Make<peer::QueryRequest, peer::QueryReply>(
       action.peer, kQueryTimeout);
   const auto done = [this, action](const grpc::Status& status, auto* ended) {
+    CountControl(this->metrics, *ended->request, *ended->reply);
     QueryAnswered answered{action.query, std::nullopt};
     if (this->Accept(action.peer, status, *ended->reply)) {
       answered.status = FromWire(action.request, &*ended->reply);
--- a/packages/peer/src/peer_link.cc
+++ b/packages/peer/src/peer_link.cc
@@ -64,7 +64,7 @@
         Metrics* metrics)
       : identity(std::move(identity)),
         client(&this->identity, peers, std::move(parser), sink, metrics),
-        service(&this->identity, sink) {}
+        service(&this->identity, sink, metrics) {}
 
   peer_detail::Identity identity;
   peer_detail::PeerClient client;
--- a/packages/peer/src/service.cc
+++ b/packages/peer/src/service.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "bounds.h"
+#include "control_bytes.h"
 #include "mustardproxy/core/error.h"
 #include "mustardproxy/telemetry/log.h"
 #include "wire.h"
@@ -30,8 +31,9 @@
 
 }  // namespace
 
-PeerService::PeerService(const Identity* identity, EventSink* sink)
-    : identity(identity), sink(sink) {
+PeerService::PeerService(const Identity* identity, EventSink* sink,
+                         Metrics* metrics)
+    : identity(identity), sink(sink), metrics(metrics) {
   this->SetMessageAllocatorFor_Forward(&this->forward_allocator);
   this->digest.process = identity->self.process;
   this->digest.incarnation = identity->incarnation;
@@ -82,6 +84,7 @@
     const std::lock_guard lock(this->mutex);
     ToWire(this->digest, reply->mutable_digest());
   }
+  CountControl(this->metrics, *request, *reply);
   this->sink->Post(DigestArrived{*std::move(remote)});
   return EndNow(context);
 }
@@ -185,6 +188,7 @@
               found->second.process == request->envelope().process();
   }
   if (pending) this->sink->Post(CancelRequested{id});
+  CountControl(this->metrics, *request, *reply);
   return EndNow(context);
 }
 
@@ -199,6 +203,7 @@
     json = this->configuration_json;
   }
   if (json && json->size() <= kMaxBodyBytes) reply->set_json(*json);
+  CountControl(this->metrics, *request, *reply);
   return EndNow(context);
 }
 
@@ -220,6 +225,7 @@
   if (!IsName(request->id())) {
     return Refuse(context, peer::REFUSAL_MALFORMED, reply);
   }
+  CountControl(this->metrics, *request);
   std::shared_ptr<QueryCall> call;
   const std::uint64_t query = this->AdmitQuery(reply, &call);
   if (query == 0) return Refuse(context, peer::REFUSAL_OVERLOADED, reply);
@@ -248,8 +254,10 @@
     call = std::move(found->second);
     this->queries.erase(found);
   }
-  call->Answer(
-      [&action](peer::QueryReply* reply) { ToWire(action.status, reply); });
+  call->Answer([this, &action](peer::QueryReply* reply) {
+    ToWire(action.status, reply);
+    CountControl(this->metrics, *reply);
+  });
   return true;
 }
 
--- a/packages/peer/src/service.h
+++ b/packages/peer/src/service.h
@@ -14,6 +14,7 @@
 #include "identity.h"
 #include "mustardproxy/core/actions.h"
 #include "mustardproxy/core/event_sink.h"
+#include "mustardproxy/telemetry/metrics.h"
 #include "peer.grpc.pb.h"
 #include "pending_call.h"
 
@@ -23,7 +24,8 @@
 /// events and wait for their answer without a thread.
 class PeerService final : public peer::Peer::CallbackService {
  public:
-  PeerService(const Identity* identity, EventSink* sink);
+  /// @param metrics may be null
+  PeerService(const Identity* identity, EventSink* sink, Metrics* metrics);
 
   void Publish(const Digest& digest, const std::string& configuration_json);
   /// @return false if the request did not come from a peer
@@ -85,6 +87,7 @@
 
   const Identity* identity;
   EventSink* sink;
+  Metrics* metrics;
   ForwardAllocator forward_allocator;
 
   std::mutex mutex;
--- a/packages/peer/tests/node.h
+++ b/packages/peer/tests/node.h
@@ -51,6 +51,7 @@
             .ConfigurationParser(ParseVersion)
             .Sink(&this->events)
             .Clock(&this->clock)
+            .Measure(&this->metrics)
             .StopLimit(stop_limit)
             .SpareChannels(kSpareChannels, Duration(0))
             .Build();
@@ -90,6 +91,7 @@
   std::uint64_t wall_micros = 1'700'000'000'000'000;
   HybridClock clock{[this] { return this->wall_micros; }};
   EventList events;
+  Metrics metrics;
   std::unique_ptr<PeerLink> link;
   std::uint16_t port = 0;
 
