Core: room of tasks that were followed before a takeover is given back

Cause: an adopter follows the tasks of a dead process by asking their worker. If it takes the worker over after that, the ledger counts the tasks from the worker's report, but neither the tracker (it had not placed them) nor the list of found tasks (it knew them) gave their room back at the end. The room stayed taken for as long as the worker was owned; work waited beside an idle worker for ever.

Ruled out there: the gang's reservation and the host list.

--- a/packages/core/src/lifecycle/task_tracker.cc
+++ b/packages/core/src/lifecycle/task_tracker.cc
@@ -311,6 +311,11 @@
     const bool ran = kind == TaskNews::Kind::kEnded;
     this->parts->scheduler.TaskDone(this->parts->context.now,
                                     &this->parts->ledger, id, ran);
+  } else {
+    // Failure: the task was followed before its worker was taken over. The
+    // ledger then counted it from the worker's report, and nobody gave its room
+    // back: work waited beside an idle worker. It certainly does not run now.
+    this->parts->ledger.Free(plan.worker, id);
   }
   const auto at = this->by_worker.find(plan.worker);
   at->second.erase(id);
--- a/packages/core/tests/core_recovery_test.cc
+++ b/packages/core/tests/core_recovery_test.cc
@@ -421,6 +421,54 @@
   BOOST_TEST(harness.Take<Reply>().size() == 1U);
 }
 
+// Story: a process dies while two reviews run. A peer adopts its journal,
+// follows the reviews, and takes their worker over a moment later. When they
+// have ended, their room must be free again. It stayed taken for as long as the
+// peer held the worker, and other work waited beside an idle worker for ever.
+BOOST_AUTO_TEST_CASE(tasks_followed_before_a_takeover_give_their_room_back) {
+  CoreHarness harness(2);
+  const WorkerId worker("w2");
+  harness.workers_answer = false;
+  harness.Send(WorkerRefused{worker, harness.epochs[worker], 0, {}, {}});
+  const JournalId journal("p2.b2");
+  std::vector<JournalRecord> records;
+  std::vector<EndedTask> ended;
+  for (const char* name : {"p2.b2.1", "p2.b2.2"}) {
+    Request request = harness.Make("review");
+    request.id = RequestId(name);
+    request.team = TeamId("dlonie");
+    const TaskId task(std::string(name) + "/0/1");
+    records.emplace_back(AcceptedRecord{request});
+    records.emplace_back(StartedRecord{request.id, task, worker, 3, 1,
+                                       harness.worker_incarnation});
+    RunningTask running;
+    running.task = task;
+    running.request = request.id;
+    running.service = request.service;
+    running.resources = {1000, 1000, 0, 1};
+    harness.running[worker].push_back(running);
+    EndedTask end;
+    end.task = task;
+    end.request = request.id;
+    ended.push_back(end);
+  }
+  records.emplace_back(HandedOverRecord{});
+  harness.Send(JournalsListed{{journal}});
+  harness.Send(JournalRead{journal, {{journal, 1, 11, records}}});
+  BOOST_TEST_REQUIRE(harness.core.Status(harness.Now()).deferred == 2);
+  AnswerQueries(&harness, TaskQueried::State::kRunning);
+  harness.workers_answer = true;
+  harness.Advance(std::chrono::seconds(12));
+  BOOST_TEST_REQUIRE(harness.core.Status(harness.Now()).owned_workers == 2);
+  harness.running.clear();
+  harness.ended[worker] = ended;
+  harness.Advance(std::chrono::seconds(12));
+  for (int i = 0; i < 16; ++i) {
+    harness.Arrive("booking");
+  }
+  BOOST_TEST(harness.Take<StartTask>().size() == 16U);
+}
+
 // A caller gives up while its start is on its way, and the stop overtakes the
 // start. "Not stopped" does not mean that nothing runs: the worker is asked, so
 // that it refuses the start from then on.
