Core: work that comes back to its process is counted once

Following the task anew overwrote what the tracker knew of it, and the scheduler's count of the task stayed for good.

Before: core_recovery/work_that_comes_back_to_its_process_is_counted_once failed (1 running instead of 0).

--- a/packages/core/src/lifecycle/task_tracker.cc
+++ b/packages/core/src/lifecycle/task_tracker.cc
@@ -39,9 +39,14 @@
 
 void TaskTracker::Watch(TaskPlan plan) {
   const TaskId task = plan.task;
+  // Failure: work comes back to the process that had started it, whose
+  // scheduler still counts its task. Followed anew as somebody else's, the task
+  // would stay counted for good.
+  const Tracked* known = this->Find(task);
+  const bool placed = known != nullptr && known->placed;
   this->Plan(std::move(plan));
   Tracked* tracked = this->Find(task);
-  tracked->placed = false;
+  tracked->placed = placed;
   tracked->phase = Phase::kSent;
   tracked->unclear = true;
   this->Ask(tracked);
--- a/packages/core/tests/core_recovery_test.cc
+++ b/packages/core/tests/core_recovery_test.cc
@@ -469,6 +469,34 @@
   BOOST_TEST(harness.Take<StartTask>().size() == 16U);
 }
 
+// Story: a review runs when its process loses the journal to a peer, and gets
+// the journal back while the review still runs. When it has ended nothing may
+// count as running any more. The task was followed anew then, and what the
+// scheduler counted for it stayed for good.
+BOOST_AUTO_TEST_CASE(work_that_comes_back_to_its_process_is_counted_once) {
+  CoreHarness harness(1);
+  harness.Arrive("review");
+  const StartTask start = harness.TakeStart();
+  harness.Send(TaskStarted{start.worker, start.order.task});
+  const auto appends = harness.Take<AppendJournal>();
+  BOOST_TEST_REQUIRE(appends.size() == 2U);
+  const JournalId journal = appends[0].batch.journal;
+  const std::uint64_t next = appends[1].batch.sequence + 1;
+  harness.Send(JournalFenced{journal, next});
+  BOOST_TEST(harness.core.Status(harness.Now()).deferred == 0);
+  JournalBatch adopted{journal, next, 77, {AdoptedRecord{ProcessId("p2"), 9}}};
+  JournalBatch back{journal, next + 1, 78, {HandedOverRecord{}}};
+  harness.Send(JournalsListed{{journal}});
+  harness.Send(JournalRead{
+      journal, {appends[0].batch, appends[1].batch, adopted, back}});
+  BOOST_TEST_REQUIRE(harness.core.Status(harness.Now()).deferred == 1);
+  AnswerQueries(&harness, TaskQueried::State::kRunning);
+  harness.End(start);
+  BOOST_TEST(harness.core.Status(harness.Now()).deferred == 0);
+  BOOST_TEST(harness.core.Status(harness.Now()).running == 0);
+  BOOST_TEST(harness.core.Status(harness.Now()).free.slots == 8);
+}
+
 // A caller gives up while its start is on its way, and the stop overtakes the
 // start. "Not stopped" does not mean that nothing runs: the worker is asked, so
 // that it refuses the start from then on.
