Fault matrix: long gangs that run one after the other get their time at the end

It still ran an adopted gang of 28 s behind others; the last wait allowed for one such gang. The wait now also holds the run times of all long gangs drawn, as the deadline does.

--- a/testing/fault_matrix/src/cell.cc
+++ b/testing/fault_matrix/src/cell.cc
@@ -493,8 +493,9 @@
       calm = std::max(calm, process->Began() + seconds(30));
     }
   }
-  // What was adopted late still runs.
-  const Instant ended = this->simulation.Now() + kLongGangRun + kRest;
+  // What was adopted late still runs, long gangs one after the other.
+  const Instant ended =
+      this->simulation.Now() + kLongGangRun + this->long_runs + kRest;
   while (!this->AllIdle() && this->simulation.Step(ended)) {
   }
   this->AskResults();
