--- a/packages/core/src/lifecycle/adoption.cc
+++ b/packages/core/src/lifecycle/adoption.cc
@@ -153,6 +153,12 @@
   this->waiting.erase(found);
   this->parts->context.Record(
       TextEvent(TimelineKind::kJournalAdopted, journal.Text()));
+  // Failure: this process lost its workers while the record was on its way, and
+  // has handed the journal on. Work taken up now could never be ended, and would
+  // show as running to everybody who asks. The next adopter reads it.
+  if (this->parts->journals.Closing(journal)) {
+    return;
+  }
   for (const DeferredEntry& entry : entries) {
     this->parts->deferred.Resume(entry);
   }
--- a/packages/core/tests/core_recovery_test.cc
+++ b/packages/core/tests/core_recovery_test.cc
@@ -497,6 +497,49 @@
   BOOST_TEST(harness.core.Status(harness.Now()).free.slots == 8);
 }
 
+// Story: the platform is cut off while a process adopts a journal, and the
+// process has lost its workers when the adoption is confirmed, so that it has
+// handed all journals on. It took the adopted work up all the same, could never
+// record its end, and told whoever asked that the work runs, long after the
+// next adopter had finished it.
+BOOST_AUTO_TEST_CASE(a_journal_given_on_before_its_adoption_is_not_taken_up) {
+  CoreHarness harness(1);
+  for (int i = 0; i < 8; ++i) {
+    harness.Arrive("booking");
+  }
+  harness.Arrive("review");
+  harness.Take<AppendJournal>();
+  harness.journal_answers = false;
+  const JournalId journal("p2.b2");
+  Request request = harness.Make("review");
+  request.id = RequestId("p2.b2.1");
+  request.team = TeamId("dlonie");
+  harness.Send(JournalsListed{{journal}});
+  harness.Send(JournalRead{journal,
+                           {{journal, 1, 11, {AcceptedRecord{request}}},
+                            {journal, 2, 12, {HandedOverRecord{}}}}});
+  const auto adoption = harness.Take<AppendJournal>();
+  BOOST_TEST_REQUIRE(adoption.size() == 1U);
+  harness.workers_answer = false;
+  harness.Send(WorkerRefused{WorkerId("w1"), harness.epochs[WorkerId("w1")],
+                             900, ProcessId("p2"), std::chrono::hours(1)});
+  for (int i = 0; i < 4; ++i) {
+    harness.PeerWithRoom("p2", "dc1");
+    harness.Advance(std::chrono::seconds(1));
+  }
+  harness.Take<AppendJournal>();
+  const JournalBatch& adopted = adoption.front().batch;
+  harness.Send(JournalAppended{adopted.journal, adopted.sequence});
+  harness.Advance(std::chrono::seconds(1));
+  bool handed_on = false;
+  for (const AppendJournal& append : harness.Take<AppendJournal>()) {
+    handed_on = handed_on || append.batch.journal == journal;
+    harness.Send(JournalAppended{append.batch.journal, append.batch.sequence});
+  }
+  BOOST_TEST(handed_on);
+  BOOST_TEST(harness.core.Status(harness.Now()).deferred == 0);
+}
+
 // A caller gives up while its start is on its way, and the stop overtakes the
 // start. "Not stopped" does not mean that nothing runs: the worker is asked, so
 // that it refuses the start from then on.
