--- a/packages/core/src/lifecycle/adoption.cc
+++ b/packages/core/src/lifecycle/adoption.cc
@@ -154,8 +154,8 @@
   this->parts->context.Record(
       TextEvent(TimelineKind::kJournalAdopted, journal.Text()));
   // Failure: this process lost its workers while the record was on its way, and
-  // has handed the journal on. Work taken up now could never be ended, and would
-  // show as running to everybody who asks. The next adopter reads it.
+  // has handed the journal on. Work taken up now could never be ended, and
+  // would show as running to everybody who asks. The next adopter reads it.
   if (this->parts->journals.Closing(journal)) {
     return;
   }
--- /dev/null
+++ b/packages/core/src/lifecycle/request_attempts.cc
@@ -0,0 +1,190 @@
+#include <algorithm>
+#include <utility>
+
+#include "lifecycle/parts.h"
+#include "lifecycle/request_flow.h"
+
+// What becomes known of a request's attempts, and whether it is tried again.
+namespace mustardproxy::detail {
+namespace {
+
+constexpr std::int32_t kBadGatewayStatus = 502;
+/// Times that a start may provably not happen before the request is given up.
+constexpr std::int32_t kMaxStarts = 10;
+
+}  // namespace
+
+void RequestFlow::OnNews(const TaskNews& news) {
+  ActiveRequest* entry = this->parts->table.Find(news.request);
+  if (entry == nullptr) {
+    this->parts->SettleLateAnswer(news);
+    return;
+  }
+  AttemptSlot* slot = entry->attempt.Find(news.task);
+  if (slot == nullptr) {
+    return;
+  }
+  this->parts->placing.NoteHealth(news, entry->request.service);
+  switch (news.kind) {
+    case TaskNews::Kind::kStarted:
+      slot->state = SlotState::kRunning;
+      return;
+    case TaskNews::Kind::kUnclear:
+      this->OnUnclear(entry, news);
+      return;
+    case TaskNews::Kind::kNeverStarted:
+      slot->state = SlotState::kNeverStarted;
+      slot->lease_lost = news.reason == Error::kStaleEpoch;
+      break;
+    case TaskNews::Kind::kEnded:
+      slot->state = SlotState::kEnded;
+      slot->ended = news.ended;
+      break;
+    case TaskNews::Kind::kLost:
+      slot->state = SlotState::kLost;
+      break;
+  }
+  if (entry->attempt.Settled()) {
+    this->Settled(entry);
+    return;
+  }
+  // A gang that has lost a task is not whole: the others must not run on alone.
+  if (entry->attempt.Broken()) {
+    this->StopTasks(entry);
+  }
+}
+
+void RequestFlow::OnUnclear(ActiveRequest* entry, const TaskNews& news) {
+  entry->may_have_run = true;
+  // Nothing more can be learnt in time that would allow a second start, so a
+  // non-idempotent request is answered now instead of at its deadline.
+  if (!entry->terms.idempotent) {
+    this->parts->answers.Unknown(
+        entry, Error::kAnswerIncomplete,
+        "the answer of worker " + news.worker.Text() + " was lost");
+  }
+}
+
+void RequestFlow::StopTasks(ActiveRequest* entry) {
+  if (entry->attempt.stopping) {
+    return;
+  }
+  entry->attempt.stopping = true;
+  for (const AttemptSlot& slot : entry->attempt.slots) {
+    const bool open =
+        slot.state == SlotState::kPending || slot.state == SlotState::kRunning;
+    if (open) {
+      this->parts->tasks.Stop(slot.task, false);
+    }
+  }
+}
+
+void RequestFlow::Settled(ActiveRequest* entry) {
+  Attempt& attempt = entry->attempt;
+  const bool ran = attempt.MayHaveRun();
+  if (ran) {
+    entry->may_have_run = true;
+    ++entry->runs;
+  }
+  if (!attempt.preempted) {
+    this->parts->placing.Avoid(&entry->avoid, attempt.FailedWorkers());
+  }
+  const Verdict verdict = attempt.Judge();
+  if (verdict == Verdict::kFinished) {
+    this->parts->answers.Finish(entry, attempt.MergedAnswer());
+    return;
+  }
+  if (!entry->recalls.empty()) {
+    this->parts->answers.Recalls(entry, entry->may_have_run,
+                                 DeferredState::kCancelled);
+    Answer cancelled;
+    cancelled.error = Error::kCancelled;
+    this->parts->answers.Finish(entry, std::move(cancelled));
+    return;
+  }
+  Answer last;
+  last.status = kUnavailableStatus;
+  last.error = Error::kNoWorker;
+  last.detail = "no worker accepted the task";
+  if (verdict == Verdict::kNeverStarted) {
+    this->TryAgain(entry, std::move(last));
+    return;
+  }
+  this->AfterFailure(entry);
+}
+
+void RequestFlow::AfterFailure(ActiveRequest* entry) {
+  const Attempt& attempt = entry->attempt;
+  const Verdict verdict = attempt.Judge();
+  Answer last;
+  last.outcome = Outcome::kUnknown;
+  last.status = kBadGatewayStatus;
+  last.error =
+      verdict == Verdict::kLost ? Error::kWorkerLost : Error::kTaskFailed;
+  last.detail = verdict == Verdict::kLost
+                    ? "a worker was lost while it ran the task"
+                    : "a task was stopped before its end";
+  if (verdict == Verdict::kFailed) {
+    last = attempt.MergedAnswer();
+    entry->last_failure = last;
+  }
+  const RequestId& id = entry->request.id;
+  const bool at_fault = this->parts->health.TaskAtFault(id);
+  const bool again =
+      entry->terms.idempotent && !at_fault && !entry->caller_gone &&
+      (attempt.preempted || entry->runs < entry->terms.max_attempts);
+  if (!again) {
+    if (at_fault) {
+      last.error = Error::kTaskFailed;
+      last.detail = "the task failed on several healthy workers";
+    }
+    this->parts->answers.Finish(entry, std::move(last));
+    return;
+  }
+  this->TryAgain(entry, std::move(last));
+}
+
+void RequestFlow::TryAgain(ActiveRequest* entry, Answer last) {
+  const Instant now = this->parts->context.now;
+  const std::int32_t starts =
+      entry->last_attempt % kAttemptsPerProcess + entry->forwards;
+  if (entry->runs > 0) {
+    // The limit on waiting holds for each attempt that runs, the caller's
+    // timeout for all of them.
+    entry->place_by = std::min(entry->deadline, now + entry->terms.max_wait);
+  }
+  const bool may = this->TimeLeft(*entry) && !entry->caller_gone &&
+                   starts < kMaxStarts && this->MayRetry(*entry);
+  if (!may) {
+    if (last.outcome == Outcome::kNotRun && last.retry_after == Duration{0}) {
+      last.retry_after = this->parts->scheduler.RetryAfter(now);
+    }
+    this->parts->answers.Finish(entry, std::move(last));
+    return;
+  }
+  this->Place(entry);
+}
+
+bool RequestFlow::MayRetry(const ActiveRequest& entry) {
+  // A start that was not even sent cost nothing.
+  const bool free = entry.phase == RequestPhase::kRunning &&
+                    entry.attempt.Judge() == Verdict::kNeverStarted &&
+                    entry.attempt.LeaseLost();
+  return free || this->parts->retry_budget.TryRetry(this->parts->context.now);
+}
+
+bool RequestFlow::TimeLeft(const ActiveRequest& entry) const {
+  return this->parts->context.now < entry.place_by;
+}
+
+void RequestFlow::OnPreempted(const Preemption& preemption) {
+  ActiveRequest* entry = this->parts->table.Find(preemption.request);
+  if (entry == nullptr || !entry->terms.idempotent ||
+      entry->attempt.Find(preemption.task) == nullptr) {
+    return;
+  }
+  entry->attempt.preempted = true;
+  this->StopTasks(entry);
+}
+
+}  // namespace mustardproxy::detail
--- a/packages/core/src/lifecycle/request_flow.h
+++ b/packages/core/src/lifecycle/request_flow.h
@@ -17,6 +17,10 @@
 
 struct Parts;
 
+/// Attempt numbers of one request at different processes start apart, so that
+/// no two of them make the same task id.
+inline constexpr std::int32_t kAttemptsPerProcess = 1000;
+
 /// A request from its arrival to its one answer: admission, placement here or
 /// at a peer, attempts, and what the caller is told.
 class RequestFlow {
--- a/packages/core/src/lifecycle/task_questions.cc
+++ b/packages/core/src/lifecycle/task_questions.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "lifecycle/parts.h"
+#include "lifecycle/task_pauses.h"
 #include "lifecycle/task_tracker.h"
 #include "mustardproxy/core/error.h"
 
@@ -13,8 +14,6 @@
 
 namespace {
 
-/// First pause before a task whose answer was lost is asked about again.
-constexpr Duration kFirstPause = std::chrono::milliseconds(100);
 constexpr Duration kLongestPause = std::chrono::seconds(1);
 /// Covers the time a renewal travels and the drift between two clocks over one
 /// task lease.
@@ -22,13 +21,6 @@
 /// Another renewal may be on its way already when one is sent on purpose, so
 /// only the second answer surely belongs to a renewal sent later.
 constexpr std::int32_t kConfirmingRenewals = 2;
-/// Pause between questions about a detached task whose end should come with a
-/// renewal.
-constexpr Duration kBackupPause = std::chrono::seconds(10);
-/// Pause until a stop order that got no answer is followed up.
-constexpr Duration kStopPatience = std::chrono::seconds(1);
-/// Time after a start's timeout in which its result is surely reported.
-constexpr Duration kReportPatience = std::chrono::seconds(5);
 
 }  // namespace
 
--- a/packages/core/src/lifecycle/task_tracker.cc
+++ b/packages/core/src/lifecycle/task_tracker.cc
@@ -5,20 +5,12 @@
 #include <utility>
 
 #include "lifecycle/parts.h"
+#include "lifecycle/task_pauses.h"
 #include "mustardproxy/core/error.h"
 
 namespace mustardproxy::detail {
 namespace {
 
-/// First pause before a task whose answer was lost is asked about again.
-constexpr Duration kFirstPause = std::chrono::milliseconds(100);
-/// Pause between questions about a detached task whose end should come with a
-/// renewal.
-constexpr Duration kBackupPause = std::chrono::seconds(10);
-/// Pause until a stop order that got no answer is followed up.
-constexpr Duration kStopPatience = std::chrono::seconds(1);
-/// Time after a start's timeout in which its result is surely reported.
-constexpr Duration kReportPatience = std::chrono::seconds(5);
 constexpr std::size_t kRecentTasks = 4096;
 
 }  // namespace
