--- a/packages/gateway/src/caller_surface.cc
+++ b/packages/gateway/src/caller_surface.cc
@@ -6,6 +6,7 @@
 
 #include "deferred_answer.h"
 #include "header_check.h"
+#include "header_names.h"
 #include "mustardproxy/core/error.h"
 #include "mustardproxy/core/events.h"
 #include "problem.h"
@@ -36,27 +37,28 @@
   return process.Text() + "." + std::string(digits.data(), end.ptr) + ".";
 }
 
-HttpAnswer OnlyMethods(std::string allowed) {
-  HttpAnswer answer = ProblemAnswer({.status = kMethodNotAllowed,
-                                     .error = Error::kHeaderInvalid,
-                                     .detail = "Allowed here: " + allowed + ".",
-                                     .outcome = Outcome::kNotRun});
+http::HttpAnswer OnlyMethods(std::string allowed) {
+  http::HttpAnswer answer =
+      ProblemAnswer({.status = kMethodNotAllowed,
+                     .error = Error::kHeaderInvalid,
+                     .detail = "Allowed here: " + allowed + ".",
+                     .outcome = Outcome::kNotRun});
   answer.headers.push_back({"Allow", std::move(allowed)});
   return answer;
 }
 
-HttpAnswer AcceptedAnswer(const RequestId& request) {
+http::HttpAnswer AcceptedAnswer(const RequestId& request) {
   std::string location = std::string(kRequests) + request.Text();
-  HttpAnswer answer =
-      TextAnswer(kAccepted, "application/json",
-                 R"({"id":")" + request.Text() + R"(","state":"queued"})");
+  http::HttpAnswer answer = http::TextAnswer(
+      kAccepted, "application/json",
+      R"({"id":")" + request.Text() + R"(","state":"queued"})");
   answer.headers.push_back({"Location", std::move(location)});
   answer.headers.push_back({std::string(kRequestIdHeader), request.Text()});
   return answer;
 }
 
 /// The request may have run: nothing told its fate in time.
-HttpAnswer FateUnknown(const RequestId& request, std::string detail) {
+http::HttpAnswer FateUnknown(const RequestId& request, std::string detail) {
   return ProblemAnswer({.status = kGatewayTimeout,
                         .error = Error::kDeadlineExceeded,
                         .detail = std::move(detail),
@@ -64,7 +66,7 @@
                         .outcome = Outcome::kUnknown});
 }
 
-HttpAnswer NoReplyToQuestion(const RequestId& request) {
+http::HttpAnswer NoReplyToQuestion(const RequestId& request) {
   return ProblemAnswer({.status = kGatewayTimeout,
                         .error = Error::kDeadlineExceeded,
                         .detail = "No process answered for this request.",
@@ -88,8 +90,8 @@
                                                       : "end=unknown";
 }
 
-HttpAnswer SettledAnswer(const RequestId& request,
-                         const Settlement& settlement) {
+http::HttpAnswer SettledAnswer(const RequestId& request,
+                               const Settlement& settlement) {
   if (const auto* answer = std::get_if<Answer>(&settlement)) {
     return FinalAnswer(request, *answer);
   }
@@ -119,20 +121,22 @@
 
 }  // namespace
 
-CallerSurface::CallerSurface(CallerOptions options, Surface* common,
+CallerSurface::CallerSurface(CallerOptions options, http::Surface* common,
                              const std::atomic<bool>* draining)
     : options(std::move(options)),
       id_prefix(IdPrefix(this->options.process, this->options.incarnation)),
       common(common),
       draining(draining) {}
 
-std::optional<HttpAnswer> CallerSurface::Handle(const HttpCall& call) {
-  std::optional<HttpAnswer> answer = this->Route(call);
+std::optional<http::HttpAnswer> CallerSurface::Handle(
+    const http::HttpCall& call) {
+  std::optional<http::HttpAnswer> answer = this->Route(call);
   if (answer && this->draining->load()) answer->close = true;
   return answer;
 }
 
-std::optional<HttpAnswer> CallerSurface::Route(const HttpCall& call) {
+std::optional<http::HttpAnswer> CallerSurface::Route(
+    const http::HttpCall& call) {
   if (call.path.starts_with(kServices)) {
     return this->Submit(call, call.path.substr(kServices.size()));
   }
@@ -142,15 +146,16 @@
   return this->common->Handle(call);
 }
 
-HttpAnswer CallerSurface::Refuse(std::int32_t status, std::error_code error,
-                                 std::string detail) {
+http::HttpAnswer CallerSurface::Refuse(std::int32_t status,
+                                       std::error_code error,
+                                       std::string detail) {
   return this->RefuseRequest(this->NextId(), status, error, std::move(detail));
 }
 
-HttpAnswer CallerSurface::RefuseRequest(const RequestId& request,
-                                        std::int32_t status,
-                                        std::error_code error,
-                                        std::string detail) {
+http::HttpAnswer CallerSurface::RefuseRequest(const RequestId& request,
+                                              std::int32_t status,
+                                              std::error_code error,
+                                              std::string detail) {
   this->Count("gateway_refused", "code=" + std::to_string(error.value()));
   Problem problem{.status = status,
                   .error = error,
@@ -161,9 +166,9 @@
   return ProblemAnswer(problem);
 }
 
-std::optional<HttpAnswer> CallerSurface::Submit(const HttpCall& call,
-                                                std::string_view service) {
-  if (call.method != Method::kPost) return OnlyMethods("POST");
+std::optional<http::HttpAnswer> CallerSurface::Submit(
+    const http::HttpCall& call, std::string_view service) {
+  if (call.method != http::Method::kPost) return OnlyMethods("POST");
   Request request;
   request.id = this->NextId();
   if (!IsServiceName(service)) {
@@ -190,8 +195,8 @@
   return this->Await(std::move(request), call.descriptor);
 }
 
-std::optional<HttpAnswer> CallerSurface::Await(Request request,
-                                               int descriptor) {
+std::optional<http::HttpAnswer> CallerSurface::Await(Request request,
+                                                     int descriptor) {
   RequestId id = request.id;
   Duration guard = request.timeout + kGuardMargin;
   WaitScope<RequestId> scope(&this->requests, id);
@@ -213,8 +218,8 @@
   return FateUnknown(id, "No answer came within the timeout.");
 }
 
-std::optional<HttpAnswer> CallerSurface::Ask(const HttpCall& call,
-                                             std::string_view rest) {
+std::optional<http::HttpAnswer> CallerSurface::Ask(const http::HttpCall& call,
+                                                   std::string_view rest) {
   bool result = rest.ends_with(kResult);
   if (result) rest.remove_suffix(kResult.size());
   if (!IsRequestId(rest)) {
@@ -223,19 +228,19 @@
                           .detail = "The path names no request."});
   }
   RequestId request(rest);
-  if (call.method == Method::kGet) {
+  if (call.method == http::Method::kGet) {
     return this->AskCore(request, result ? Question::kResult : Question::kState,
                          call.descriptor);
   }
-  if (call.method == Method::kDelete && !result) {
+  if (call.method == http::Method::kDelete && !result) {
     return this->AskCore(request, Question::kCancel, call.descriptor);
   }
   return OnlyMethods(result ? "GET" : "GET, DELETE");
 }
 
-std::optional<HttpAnswer> CallerSurface::AskCore(const RequestId& request,
-                                                 Question question,
-                                                 int descriptor) {
+std::optional<http::HttpAnswer> CallerSurface::AskCore(const RequestId& request,
+                                                       Question question,
+                                                       int descriptor) {
   std::uint64_t query = this->next_query.fetch_add(1) & kQueryMask;
   WaitScope<std::uint64_t> scope(&this->queries, query);
   if (scope.Get() == nullptr) return NoReplyToQuestion(request);
--- a/packages/gateway/src/caller_surface.h
+++ b/packages/gateway/src/caller_surface.h
@@ -6,8 +6,8 @@
 #include <memory>
 #include <string>
 
-#include "http_message.h"
 #include "mustardproxy/core/event_sink.h"
+#include "mustardproxy/http/message.h"
 #include "mustardproxy/telemetry/metrics.h"
 #include "waiting.h"
 
@@ -25,14 +25,14 @@
 
 /// Turns callers' requests into events and waits for what the core decides.
 /// What is not for callers goes on to the operators' surface.
-class CallerSurface final : public Surface {
+class CallerSurface final : public http::Surface {
  public:
-  CallerSurface(CallerOptions options, Surface* common,
+  CallerSurface(CallerOptions options, http::Surface* common,
                 const std::atomic<bool>* draining);
 
-  std::optional<HttpAnswer> Handle(const HttpCall& call) override;
-  HttpAnswer Refuse(std::int32_t status, std::error_code error,
-                    std::string detail) override;
+  std::optional<http::HttpAnswer> Handle(const http::HttpCall& call) override;
+  http::HttpAnswer Refuse(std::int32_t status, std::error_code error,
+                          std::string detail) override;
 
   void Settle(const RequestId& request, Settlement settlement);
   void Settle(std::uint64_t query, Settlement settlement);
@@ -42,21 +42,22 @@
  private:
   enum class Question { kState, kResult, kCancel };
 
-  std::optional<HttpAnswer> Route(const HttpCall& call);
-  std::optional<HttpAnswer> Submit(const HttpCall& call,
-                                   std::string_view service);
-  std::optional<HttpAnswer> Await(Request request, int descriptor);
-  std::optional<HttpAnswer> Ask(const HttpCall& call, std::string_view rest);
-  std::optional<HttpAnswer> AskCore(const RequestId& request, Question question,
-                                    int descriptor);
-  HttpAnswer RefuseRequest(const RequestId& request, std::int32_t status,
-                           std::error_code error, std::string detail);
+  std::optional<http::HttpAnswer> Route(const http::HttpCall& call);
+  std::optional<http::HttpAnswer> Submit(const http::HttpCall& call,
+                                         std::string_view service);
+  std::optional<http::HttpAnswer> Await(Request request, int descriptor);
+  std::optional<http::HttpAnswer> Ask(const http::HttpCall& call,
+                                      std::string_view rest);
+  std::optional<http::HttpAnswer> AskCore(const RequestId& request,
+                                          Question question, int descriptor);
+  http::HttpAnswer RefuseRequest(const RequestId& request, std::int32_t status,
+                                 std::error_code error, std::string detail);
   void Count(std::string_view name, std::string_view label);
   RequestId NextId();
 
   CallerOptions options;
   std::string id_prefix;
-  Surface* common;
+  http::Surface* common;
   const std::atomic<bool>* draining;
   std::atomic<std::uint64_t> next_request = 1;
   std::atomic<std::uint64_t> next_query = 1;
--- a/packages/gateway/src/deferred_answer.cc
+++ b/packages/gateway/src/deferred_answer.cc
@@ -5,6 +5,7 @@
 #include <sstream>
 #include <string>
 
+#include "header_names.h"
 #include "mustardproxy/core/error.h"
 #include "problem.h"
 
@@ -35,7 +36,8 @@
   return "unknown";
 }
 
-HttpAnswer NoResultYet(const RequestId& request, const DeferredStatus& status) {
+http::HttpAnswer NoResultYet(const RequestId& request,
+                             const DeferredStatus& status) {
   return ProblemAnswer(
       {.status = kConflict,
        .error = Error::kKeyInProgress,
@@ -44,8 +46,8 @@
        .retry_after = kDefaultRetryAfter});
 }
 
-HttpAnswer CancelledAnswer(const RequestId& request,
-                           const DeferredStatus& status) {
+http::HttpAnswer CancelledAnswer(const RequestId& request,
+                                 const DeferredStatus& status) {
   return ProblemAnswer(
       {.status = kGone,
        .error = Error::kCancelled,
@@ -54,8 +56,8 @@
        .outcome = status.ran ? Outcome::kUnknown : Outcome::kNotRun});
 }
 
-HttpAnswer UnknownAnswer(const RequestId& request,
-                         const DeferredStatus& status) {
+http::HttpAnswer UnknownAnswer(const RequestId& request,
+                               const DeferredStatus& status) {
   std::error_code error = status.result.error;
   if (!error) error = Error::kWorkerLost;
   return ProblemAnswer({.status = kConflict,
@@ -67,7 +69,7 @@
 
 }  // namespace
 
-std::optional<HttpAnswer> Unanswered(
+std::optional<http::HttpAnswer> Unanswered(
     const RequestId& request, const std::optional<DeferredStatus>& status) {
   if (!status) {
     return ProblemAnswer({.status = kNotFound,
@@ -85,8 +87,8 @@
   return std::nullopt;
 }
 
-HttpAnswer StateAnswer(const RequestId& request, const DeferredStatus& status,
-                       bool with_ran) {
+http::HttpAnswer StateAnswer(const RequestId& request,
+                             const DeferredStatus& status, bool with_ran) {
   Poco::JSON::Object document(Poco::JSON_PRESERVE_KEY_ORDER);
   document.set("id", request.Text());
   document.set("state", std::string(Name(status.state)));
@@ -94,14 +96,14 @@
   if (with_ran) document.set("ran", status.ran);
   std::ostringstream text;
   document.stringify(text);
-  HttpAnswer answer =
-      TextAnswer(kOk, "application/json", std::move(text).str());
+  http::HttpAnswer answer =
+      http::TextAnswer(kOk, "application/json", std::move(text).str());
   answer.headers.push_back({std::string(kRequestIdHeader), request.Text()});
   return answer;
 }
 
-HttpAnswer ResultAnswer(const RequestId& request,
-                        const DeferredStatus& status) {
+http::HttpAnswer ResultAnswer(const RequestId& request,
+                              const DeferredStatus& status) {
   if (status.result.error == Error::kResultExpired) {
     return ProblemAnswer({.status = kGone,
                           .error = Error::kResultExpired,
--- a/packages/gateway/src/deferred_answer.h
+++ b/packages/gateway/src/deferred_answer.h
@@ -3,22 +3,22 @@
 
 #include <optional>
 
-#include "http_message.h"
 #include "mustardproxy/core/request.h"
+#include "mustardproxy/http/message.h"
 
 namespace mustardproxy::gateway_detail {
 
 /// @return a problem if the question could not be answered: the request is
 ///   unknown, or the core was too busy to look
-[[nodiscard]] std::optional<HttpAnswer> Unanswered(
+[[nodiscard]] std::optional<http::HttpAnswer> Unanswered(
     const RequestId& request, const std::optional<DeferredStatus>& status);
 /// @return state as JSON, with `ran` after a cancellation
-[[nodiscard]] HttpAnswer StateAnswer(const RequestId& request,
-                                     const DeferredStatus& status,
-                                     bool with_ran);
+[[nodiscard]] http::HttpAnswer StateAnswer(const RequestId& request,
+                                           const DeferredStatus& status,
+                                           bool with_ran);
 /// @return the upstream's answer, or a problem if there is none
-[[nodiscard]] HttpAnswer ResultAnswer(const RequestId& request,
-                                      const DeferredStatus& status);
+[[nodiscard]] http::HttpAnswer ResultAnswer(const RequestId& request,
+                                            const DeferredStatus& status);
 
 }  // namespace mustardproxy::gateway_detail
 
--- a/packages/gateway/src/gateway.cc
+++ b/packages/gateway/src/gateway.cc
@@ -6,7 +6,7 @@
 
 #include "caller_surface.h"
 #include "housekeeper.h"
-#include "listener.h"
+#include "mustardproxy/http/listener.h"
 #include "mustardproxy/telemetry/log.h"
 #include "operator_surface.h"
 
@@ -16,7 +16,7 @@
 /// Operators and scrapers are few.
 constexpr std::int32_t kOperatorConnections = 32;
 
-gateway_detail::ConnectionLimits MakeLimits(const GatewayLimits& limits) {
+http::ConnectionLimits MakeLimits(const GatewayLimits& limits) {
   return {.max_header_bytes = limits.max_header_bytes,
           .max_body_bytes = limits.max_body_bytes,
           .header_time = limits.header_time,
@@ -43,8 +43,8 @@
   std::atomic<bool> draining = false;
   gateway_detail::OperatorSurface operators;
   gateway_detail::CallerSurface callers;
-  gateway_detail::Listener caller_listener;
-  gateway_detail::Listener operator_listener;
+  http::Listener caller_listener;
+  http::Listener operator_listener;
   std::optional<gateway_detail::Housekeeper> housekeeper;
 };
 
--- a/packages/gateway/src/header_check.cc
+++ b/packages/gateway/src/header_check.cc
@@ -6,8 +6,9 @@
 #include <algorithm>
 #include <charconv>
 
-#include "http_message.h"
+#include "header_names.h"
 #include "mustardproxy/core/request.h"
+#include "mustardproxy/http/message.h"
 
 namespace mustardproxy::gateway_detail {
 namespace {
--- a/packages/gateway/src/operator_surface.cc
+++ b/packages/gateway/src/operator_surface.cc
@@ -19,16 +19,17 @@
 constexpr std::string_view kJson = "application/json";
 constexpr std::string_view kAfter = "after=";
 
-HttpAnswer NoSuchPath() {
+http::HttpAnswer NoSuchPath() {
   return ProblemAnswer({.status = kNotFound,
                         .error = Error::kUnknownRequest,
                         .detail = "Nothing is served under this path."});
 }
 
-HttpAnswer OnlyGet() {
-  HttpAnswer answer = ProblemAnswer({.status = kMethodNotAllowed,
-                                     .error = Error::kHeaderInvalid,
-                                     .detail = "Only GET is allowed here."});
+http::HttpAnswer OnlyGet() {
+  http::HttpAnswer answer =
+      ProblemAnswer({.status = kMethodNotAllowed,
+                     .error = Error::kHeaderInvalid,
+                     .detail = "Only GET is allowed here."});
   answer.headers.push_back({"Allow", "GET"});
   return answer;
 }
@@ -40,25 +41,27 @@
 
 }  // namespace
 
-std::optional<HttpAnswer> OperatorSurface::Handle(const HttpCall& call) {
+std::optional<http::HttpAnswer> OperatorSurface::Handle(
+    const http::HttpCall& call) {
   if (!IsKnown(call.path)) return NoSuchPath();
-  if (call.method != Method::kGet) return OnlyGet();
+  if (call.method != http::Method::kGet) return OnlyGet();
   if (call.path == "/healthz") {
-    return TextAnswer(kOk, std::string(kPlainText), "ok\n");
+    return http::TextAnswer(kOk, std::string(kPlainText), "ok\n");
   }
   if (call.path == "/readyz") return this->Readiness();
   if (call.path == "/v1/events") return this->Events(call.query);
   if (call.path == "/v1/status") {
     std::string status = this->sources.status ? this->sources.status() : "{}";
-    return TextAnswer(kOk, std::string(kJson), std::move(status));
+    return http::TextAnswer(kOk, std::string(kJson), std::move(status));
   }
   std::string text =
       this->sources.metrics != nullptr ? this->sources.metrics->Format() : "";
-  return TextAnswer(kOk, std::string(kMetricsText), std::move(text));
+  return http::TextAnswer(kOk, std::string(kMetricsText), std::move(text));
 }
 
-HttpAnswer OperatorSurface::Refuse(std::int32_t status, std::error_code error,
-                                   std::string detail) {
+http::HttpAnswer OperatorSurface::Refuse(std::int32_t status,
+                                         std::error_code error,
+                                         std::string detail) {
   Problem problem{.status = status,
                   .error = error,
                   .detail = std::move(detail),
@@ -67,7 +70,7 @@
   return ProblemAnswer(problem);
 }
 
-HttpAnswer OperatorSurface::Readiness() const {
+http::HttpAnswer OperatorSurface::Readiness() const {
   Problem problem{.status = kUnavailable, .retry_after = kDefaultRetryAfter};
   if (this->draining->load()) {
     problem.error = Error::kShuttingDown;
@@ -75,13 +78,13 @@
     return ProblemAnswer(problem);
   }
   bool ready = !this->sources.ready || this->sources.ready();
-  if (ready) return TextAnswer(kOk, std::string(kPlainText), "ready\n");
+  if (ready) return http::TextAnswer(kOk, std::string(kPlainText), "ready\n");
   problem.error = Error::kStarting;
   problem.detail = "No configuration is in force.";
   return ProblemAnswer(problem);
 }
 
-HttpAnswer OperatorSurface::Events(std::string_view query) const {
+http::HttpAnswer OperatorSurface::Events(std::string_view query) const {
   std::uint64_t after = 0;
   if (!query.empty()) {
     bool named = query.substr(0, kAfter.size()) == kAfter;
@@ -99,7 +102,7 @@
   if (this->sources.timeline != nullptr) {
     events = this->sources.timeline->Read(after);
   }
-  return TextAnswer(kOk, std::string(kJson), FormatEvents(events));
+  return http::TextAnswer(kOk, std::string(kJson), FormatEvents(events));
 }
 
 }  // namespace mustardproxy::gateway_detail
--- a/packages/gateway/src/operator_surface.h
+++ b/packages/gateway/src/operator_surface.h
@@ -5,7 +5,7 @@
 #include <functional>
 #include <string>
 
-#include "http_message.h"
+#include "mustardproxy/http/message.h"
 #include "mustardproxy/telemetry/metrics.h"
 #include "mustardproxy/telemetry/timeline.h"
 
@@ -20,18 +20,18 @@
 };
 
 /// Health, status, time line and metrics.
-class OperatorSurface final : public Surface {
+class OperatorSurface final : public http::Surface {
  public:
   OperatorSurface(OperatorSources sources, const std::atomic<bool>* draining)
       : sources(std::move(sources)), draining(draining) {}
 
-  std::optional<HttpAnswer> Handle(const HttpCall& call) override;
-  HttpAnswer Refuse(std::int32_t status, std::error_code error,
-                    std::string detail) override;
+  std::optional<http::HttpAnswer> Handle(const http::HttpCall& call) override;
+  http::HttpAnswer Refuse(std::int32_t status, std::error_code error,
+                          std::string detail) override;
 
  private:
-  HttpAnswer Readiness() const;
-  HttpAnswer Events(std::string_view query) const;
+  http::HttpAnswer Readiness() const;
+  http::HttpAnswer Events(std::string_view query) const;
 
   OperatorSources sources;
   const std::atomic<bool>* draining;
--- a/packages/gateway/src/problem.cc
+++ b/packages/gateway/src/problem.cc
@@ -6,6 +6,8 @@
 #include <chrono>
 #include <sstream>
 
+#include "header_names.h"
+
 namespace mustardproxy::gateway_detail {
 namespace {
 
@@ -27,7 +29,7 @@
 }
 
 void AddIdentity(const RequestId& request, std::optional<Outcome> outcome,
-                 HttpAnswer* answer) {
+                 http::HttpAnswer* answer) {
   if (!request.Empty()) {
     answer->headers.push_back({std::string(kRequestIdHeader), request.Text()});
   }
@@ -36,7 +38,7 @@
       {std::string(kOutcomeHeader), std::string(Name(*outcome))});
 }
 
-void AddRetryAfter(Duration retry_after, HttpAnswer* answer) {
+void AddRetryAfter(Duration retry_after, http::HttpAnswer* answer) {
   if (retry_after <= Duration::zero()) return;
   auto seconds = std::chrono::ceil<std::chrono::seconds>(retry_after);
   answer->headers.push_back({"Retry-After", std::to_string(seconds.count())});
@@ -56,7 +58,7 @@
   return "unknown";
 }
 
-HttpAnswer ProblemAnswer(const Problem& problem) {
+http::HttpAnswer ProblemAnswer(const Problem& problem) {
   Poco::JSON::Object document(Poco::JSON_PRESERVE_KEY_ORDER);
   int code = problem.error.value();
   document.set("type", "urn:mustardproxy:error:" + std::to_string(code));
@@ -67,14 +69,14 @@
   document.set("request_id", problem.request.Text());
   std::ostringstream text;
   document.stringify(text);
-  HttpAnswer answer = TextAnswer(problem.status, "application/problem+json",
-                                 std::move(text).str());
+  http::HttpAnswer answer = http::TextAnswer(
+      problem.status, "application/problem+json", std::move(text).str());
   AddIdentity(problem.request, problem.outcome, &answer);
   AddRetryAfter(problem.retry_after, &answer);
   return answer;
 }
 
-HttpAnswer FinalAnswer(const RequestId& request, const Answer& answer) {
+http::HttpAnswer FinalAnswer(const RequestId& request, const Answer& answer) {
   if (answer.outcome != Outcome::kCompleted) {
     bool is_error =
         answer.status >= kLowestErrorStatus && answer.status <= kHighestStatus;
@@ -87,7 +89,7 @@
   }
   bool is_final =
       answer.status >= kLowestFinalStatus && answer.status <= kHighestStatus;
-  HttpAnswer result;
+  http::HttpAnswer result;
   result.status = is_final ? answer.status : kBadGateway;
   result.content_type = CleanContentType(answer.content_type);
   result.body = answer.body;
--- a/packages/gateway/src/problem.h
+++ b/packages/gateway/src/problem.h
@@ -5,8 +5,8 @@
 #include <string>
 #include <string_view>
 
-#include "http_message.h"
 #include "mustardproxy/core/request.h"
+#include "mustardproxy/http/message.h"
 
 namespace mustardproxy::gateway_detail {
 
@@ -26,11 +26,11 @@
 inline constexpr Duration kDefaultRetryAfter = std::chrono::seconds(1);
 
 /// @return the answer as `application/problem+json`
-[[nodiscard]] HttpAnswer ProblemAnswer(const Problem& problem);
+[[nodiscard]] http::HttpAnswer ProblemAnswer(const Problem& problem);
 /// @return the final answer to a request: the upstream's own if it completed,
 ///   else a problem
-[[nodiscard]] HttpAnswer FinalAnswer(const RequestId& request,
-                                     const Answer& answer);
+[[nodiscard]] http::HttpAnswer FinalAnswer(const RequestId& request,
+                                           const Answer& answer);
 /// @return `completed`, `not-run` or `unknown`
 [[nodiscard]] std::string_view Name(Outcome outcome);
 
--- a/packages/worker/src/connection.h
+++ b/packages/http/include/mustardproxy/http/client_connection.h
@@ -1,5 +1,5 @@
-#ifndef MUSTARDPROXY_WORKER_CONNECTION_H_
-#define MUSTARDPROXY_WORKER_CONNECTION_H_
+#ifndef MUSTARDPROXY_HTTP_CLIENT_CONNECTION_H_
+#define MUSTARDPROXY_HTTP_CLIENT_CONNECTION_H_
 
 #include <Poco/AutoPtr.h>
 #include <Poco/Net/HTTPClientSession.h>
@@ -13,11 +13,11 @@
 #include <system_error>
 #include <vector>
 
-#include "guarded_socket.h"
 #include "mustardproxy/core/result.h"
 #include "mustardproxy/core/time.h"
+#include "mustardproxy/http/guarded_socket.h"
 
-namespace mustardproxy::worker_detail {
+namespace mustardproxy::http {
 
 struct HttpHeader {
   std::string name;
@@ -33,7 +33,7 @@
 };
 
 /// An answer whose body came whole.
-struct HttpAnswer {
+struct HttpReply {
   Poco::Net::HTTPResponse header;
   std::string body;
 
@@ -42,11 +42,11 @@
 
 /// One connection to a worker, with one request in flight at most. What it
 /// sends it sends once.
-class Connection {
+class ClientConnection {
  public:
   /// @param address `ip:port`
-  static Result<std::unique_ptr<Connection>> Open(const std::string& address,
-                                                  Duration timeout);
+  static Result<std::unique_ptr<ClientConnection>> Open(
+      const std::string& address, Duration timeout);
 
   /// @return an error if not all of the request was written; `Touched` then
   ///   tells whether any of it was
@@ -57,7 +57,7 @@
   /// @param silence longest time without a byte
   /// @return kWorkerLost if the connection ended before the first byte,
   ///   kAnswerIncomplete if it ended, fell silent or broke a bound later
-  Result<HttpAnswer> Receive(Duration silence, Instant until);
+  Result<HttpReply> Receive(Duration silence, Instant until);
   /// @return true if there is something to read, be it only the end
   [[nodiscard]] bool HasInput() const;
 
@@ -86,9 +86,9 @@
     [[nodiscard]] bool mustReconnect() const override { return false; }
   };
 
-  Connection(std::string address, const Poco::Net::StreamSocket& socket,
-             GuardedSocketImpl* guard);
-  HttpAnswer ReadAnswer(bool* whole);
+  ClientConnection(std::string address, const Poco::Net::StreamSocket& socket,
+                   GuardedSocketImpl* guard);
+  HttpReply ReadAnswer(bool* whole);
 
   std::string address;
   Poco::Net::StreamSocket socket;
@@ -100,6 +100,6 @@
   bool reusable = false;
 };
 
-}  // namespace mustardproxy::worker_detail
+}  // namespace mustardproxy::http
 
-#endif  // MUSTARDPROXY_WORKER_CONNECTION_H_
+#endif  // MUSTARDPROXY_HTTP_CLIENT_CONNECTION_H_
--- a/packages/worker/src/connection_pool.h
+++ b/packages/http/include/mustardproxy/http/connection_pool.h
@@ -1,5 +1,5 @@
-#ifndef MUSTARDPROXY_WORKER_CONNECTION_POOL_H_
-#define MUSTARDPROXY_WORKER_CONNECTION_POOL_H_
+#ifndef MUSTARDPROXY_HTTP_CONNECTION_POOL_H_
+#define MUSTARDPROXY_HTTP_CONNECTION_POOL_H_
 
 #include <map>
 #include <memory>
@@ -7,35 +7,35 @@
 #include <string>
 #include <vector>
 
-#include "connection.h"
 #include "mustardproxy/core/result.h"
 #include "mustardproxy/core/time.h"
+#include "mustardproxy/http/client_connection.h"
 
-namespace mustardproxy::worker_detail {
+namespace mustardproxy::http {
 
 /// Idle connections to each worker. Safe from any thread.
 class ConnectionPool {
  public:
   /// @return an idle connection, or a new one
-  Result<std::unique_ptr<Connection>> Acquire(const std::string& address,
-                                              Duration timeout);
+  Result<std::unique_ptr<ClientConnection>> Acquire(const std::string& address,
+                                                    Duration timeout);
   /// Keeps a connection for reuse, unless it is condemned, retired or one too
   /// many; then it is closed.
-  void Put(std::unique_ptr<Connection> connection);
+  void Put(std::unique_ptr<ClientConnection> connection);
   /// Closes the idle connections to `address` that were opened before `moment`;
   /// those in use are closed when they are put back.
   void RetireOlder(const std::string& address, Instant moment);
   [[nodiscard]] std::size_t IdleCount(const std::string& address) const;
 
  private:
-  using Connections = std::vector<std::unique_ptr<Connection>>;
+  using Connections = std::vector<std::unique_ptr<ClientConnection>>;
   struct Entry {
     /// Last used last.
     Connections idle;
     Instant retired_before;
   };
 
-  std::unique_ptr<Connection> TakeIdle(const std::string& address);
+  std::unique_ptr<ClientConnection> TakeIdle(const std::string& address);
   void Sweep(Instant now, Connections* dropped);
 
   mutable std::mutex mutex;
@@ -43,6 +43,6 @@
   Instant swept;
 };
 
-}  // namespace mustardproxy::worker_detail
+}  // namespace mustardproxy::http
 
-#endif  // MUSTARDPROXY_WORKER_CONNECTION_POOL_H_
+#endif  // MUSTARDPROXY_HTTP_CONNECTION_POOL_H_
--- a/packages/gateway/src/connection_table.h
+++ b/packages/http/include/mustardproxy/http/connection_table.h
@@ -1,5 +1,5 @@
-#ifndef MUSTARDPROXY_GATEWAY_CONNECTION_TABLE_H_
-#define MUSTARDPROXY_GATEWAY_CONNECTION_TABLE_H_
+#ifndef MUSTARDPROXY_HTTP_CONNECTION_TABLE_H_
+#define MUSTARDPROXY_HTTP_CONNECTION_TABLE_H_
 
 #include <Poco/Net/StreamSocket.h>
 
@@ -7,7 +7,7 @@
 #include <map>
 #include <mutex>
 
-namespace mustardproxy::gateway_detail {
+namespace mustardproxy::http {
 
 /// The connections of one listener, to bound their number and to end the idle
 /// ones. Safe from any thread.
@@ -43,6 +43,6 @@
   std::map<poco_socket_t, Entry> entries;
 };
 
-}  // namespace mustardproxy::gateway_detail
+}  // namespace mustardproxy::http
 
-#endif  // MUSTARDPROXY_GATEWAY_CONNECTION_TABLE_H_
+#endif  // MUSTARDPROXY_HTTP_CONNECTION_TABLE_H_
--- a/packages/worker/src/guarded_socket.h
+++ b/packages/http/include/mustardproxy/http/guarded_socket.h
@@ -1,5 +1,5 @@
-#ifndef MUSTARDPROXY_WORKER_GUARDED_SOCKET_H_
-#define MUSTARDPROXY_WORKER_GUARDED_SOCKET_H_
+#ifndef MUSTARDPROXY_HTTP_GUARDED_SOCKET_H_
+#define MUSTARDPROXY_HTTP_GUARDED_SOCKET_H_
 
 #include <Poco/Net/StreamSocketImpl.h>
 
@@ -7,7 +7,7 @@
 
 #include "mustardproxy/core/time.h"
 
-namespace mustardproxy::worker_detail {
+namespace mustardproxy::http {
 
 /// A socket that knows how many bytes the operating system has taken, keeps
 /// deadlines, and never sends again after a failure.
@@ -48,6 +48,6 @@
   bool failed = false;
 };
 
-}  // namespace mustardproxy::worker_detail
+}  // namespace mustardproxy::http
 
-#endif  // MUSTARDPROXY_WORKER_GUARDED_SOCKET_H_
+#endif  // MUSTARDPROXY_HTTP_GUARDED_SOCKET_H_
--- a/packages/gateway/src/listener.h
+++ b/packages/http/include/mustardproxy/http/listener.h
@@ -1,5 +1,5 @@
-#ifndef MUSTARDPROXY_GATEWAY_LISTENER_H_
-#define MUSTARDPROXY_GATEWAY_LISTENER_H_
+#ifndef MUSTARDPROXY_HTTP_LISTENER_H_
+#define MUSTARDPROXY_HTTP_LISTENER_H_
 
 #include <Poco/Net/TCPServer.h>
 #include <Poco/ThreadPool.h>
@@ -8,12 +8,12 @@
 #include <memory>
 #include <string>
 
-#include "connection.h"
-#include "connection_table.h"
-#include "http_message.h"
 #include "mustardproxy/core/result.h"
+#include "mustardproxy/http/connection_limits.h"
+#include "mustardproxy/http/connection_table.h"
+#include "mustardproxy/http/message.h"
 
-namespace mustardproxy::gateway_detail {
+namespace mustardproxy::http {
 
 /// One listening socket and the threads of its connections.
 class Listener {
@@ -45,6 +45,6 @@
   std::unique_ptr<Poco::Net::TCPServer> server;
 };
 
-}  // namespace mustardproxy::gateway_detail
+}  // namespace mustardproxy::http
 
-#endif  // MUSTARDPROXY_GATEWAY_LISTENER_H_
+#endif  // MUSTARDPROXY_HTTP_LISTENER_H_
--- a/packages/gateway/src/http_message.h
+++ b/packages/http/include/mustardproxy/http/message.h
@@ -1,5 +1,5 @@
-#ifndef MUSTARDPROXY_GATEWAY_HTTP_MESSAGE_H_
-#define MUSTARDPROXY_GATEWAY_HTTP_MESSAGE_H_
+#ifndef MUSTARDPROXY_HTTP_MESSAGE_H_
+#define MUSTARDPROXY_HTTP_MESSAGE_H_
 
 #include <Poco/Net/HTTPRequest.h>
 
@@ -11,7 +11,7 @@
 
 #include "mustardproxy/core/request.h"
 
-namespace mustardproxy::gateway_detail {
+namespace mustardproxy::http {
 
 /// Methods that any surface knows.
 enum class Method { kGet, kPost, kDelete, kOther };
@@ -71,12 +71,6 @@
   return answer;
 }
 
-inline constexpr std::string_view kRequestIdHeader = "Mustardproxy-Request-Id";
-inline constexpr std::string_view kOutcomeHeader = "Mustardproxy-Outcome";
-inline constexpr std::string_view kTeamHeader = "Mustardproxy-Team";
-inline constexpr std::string_view kTimeoutHeader = "Mustardproxy-Timeout-Ms";
-inline constexpr std::string_view kKeyHeader = "Idempotency-Key";
+}  // namespace mustardproxy::http
 
-}  // namespace mustardproxy::gateway_detail
-
-#endif  // MUSTARDPROXY_GATEWAY_HTTP_MESSAGE_H_
+#endif  // MUSTARDPROXY_HTTP_MESSAGE_H_
--- a/packages/gateway/src/body_reader.cc
+++ b/packages/http/src/body_reader.cc
@@ -7,7 +7,7 @@
 #include <optional>
 #include <string_view>
 
-namespace mustardproxy::gateway_detail {
+namespace mustardproxy::http {
 namespace {
 
 constexpr std::int64_t kMaxChunkLine = 256;
@@ -134,4 +134,4 @@
   return Append(session, length.value_or(0), body);
 }
 
-}  // namespace mustardproxy::gateway_detail
+}  // namespace mustardproxy::http
--- a/packages/gateway/src/body_reader.h
+++ b/packages/http/src/body_reader.h
@@ -1,5 +1,5 @@
-#ifndef MUSTARDPROXY_GATEWAY_BODY_READER_H_
-#define MUSTARDPROXY_GATEWAY_BODY_READER_H_
+#ifndef MUSTARDPROXY_HTTP_BODY_READER_H_
+#define MUSTARDPROXY_HTTP_BODY_READER_H_
 
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPServerSession.h>
@@ -7,7 +7,7 @@
 #include <cstdint>
 #include <string>
 
-namespace mustardproxy::gateway_detail {
+namespace mustardproxy::http {
 
 /// POCO's session with its buffered reads made public.
 class CallerSession final : public Poco::Net::HTTPServerSession {
@@ -47,6 +47,6 @@
 [[nodiscard]] BodyEnd CheckBodyHeader(const Poco::Net::HTTPRequest& header,
                                       std::int64_t limit);
 
-}  // namespace mustardproxy::gateway_detail
+}  // namespace mustardproxy::http
 
-#endif  // MUSTARDPROXY_GATEWAY_BODY_READER_H_
+#endif  // MUSTARDPROXY_HTTP_BODY_READER_H_
--- a/packages/gateway/src/bounded_socket.cc
+++ b/packages/http/src/bounded_socket.cc
@@ -8,7 +8,7 @@
 #include <cerrno>
 #include <thread>
 
-namespace mustardproxy::gateway_detail {
+namespace mustardproxy::http {
 namespace {
 
 constexpr std::chrono::milliseconds kPauseWithoutDescriptors(50);
@@ -96,4 +96,4 @@
 BoundedServerSocket::BoundedServerSocket()
     : ServerSocket(new BoundedServerSocketImpl, true) {}
 
-}  // namespace mustardproxy::gateway_detail
+}  // namespace mustardproxy::http
--- a/packages/gateway/src/bounded_socket.h
+++ b/packages/http/src/bounded_socket.h
@@ -1,5 +1,5 @@
-#ifndef MUSTARDPROXY_GATEWAY_BOUNDED_SOCKET_H_
-#define MUSTARDPROXY_GATEWAY_BOUNDED_SOCKET_H_
+#ifndef MUSTARDPROXY_HTTP_BOUNDED_SOCKET_H_
+#define MUSTARDPROXY_HTTP_BOUNDED_SOCKET_H_
 
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/ServerSocketImpl.h>
@@ -8,7 +8,7 @@
 #include <chrono>
 #include <cstdint>
 
-namespace mustardproxy::gateway_detail {
+namespace mustardproxy::http {
 
 /// Socket of one caller with bounds on time and bytes over several calls. A
 /// timeout on each single call would start again with every byte, so a caller
@@ -45,6 +45,6 @@
   BoundedServerSocket();
 };
 
-}  // namespace mustardproxy::gateway_detail
+}  // namespace mustardproxy::http
 
-#endif  // MUSTARDPROXY_GATEWAY_BOUNDED_SOCKET_H_
+#endif  // MUSTARDPROXY_HTTP_BOUNDED_SOCKET_H_
--- a/packages/worker/src/connection.cc
+++ b/packages/http/src/client_connection.cc
@@ -1,4 +1,4 @@
-#include "connection.h"
+#include "mustardproxy/http/client_connection.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPRequest.h>
@@ -11,7 +11,7 @@
 #include "mustardproxy/core/error.h"
 #include "mustardproxy/telemetry/clock.h"
 
-namespace mustardproxy::worker_detail {
+namespace mustardproxy::http {
 namespace {
 
 using Poco::Net::HTTPRequest;
@@ -34,9 +34,9 @@
 
 }  // namespace
 
-Connection::Connection(std::string address,
-                       const Poco::Net::StreamSocket& socket,
-                       GuardedSocketImpl* guard)
+ClientConnection::ClientConnection(std::string address,
+                                   const Poco::Net::StreamSocket& socket,
+                                   GuardedSocketImpl* guard)
     : address(std::move(address)),
       socket(socket),
       guard(guard),
@@ -46,21 +46,23 @@
   this->session.setKeepAlive(true);
 }
 
-Result<std::unique_ptr<Connection>> Connection::Open(const std::string& address,
-                                                     Duration timeout) {
+Result<std::unique_ptr<ClientConnection>> ClientConnection::Open(
+    const std::string& address, Duration timeout) {
   try {
     auto* guard = new GuardedSocketImpl;
     Poco::Net::StreamSocket socket(guard);  // Owns the guard.
     socket.connect(Poco::Net::SocketAddress(address),
                    Poco::Timespan(timeout.count()));
     socket.setNoDelay(true);
-    return std::unique_ptr<Connection>(new Connection(address, socket, guard));
+    return std::unique_ptr<ClientConnection>(
+        new ClientConnection(address, socket, guard));
   } catch (const Poco::Exception&) {
     return make_error_code(Error::kWorkerLost);
   }
 }
 
-std::error_code Connection::Send(const HttpRequest& request, Instant until) {
+std::error_code ClientConnection::Send(const HttpRequest& request,
+                                       Instant until) {
   this->exchanged = true;
   this->reusable = false;
   this->guard->BeginSend(until);
@@ -76,13 +78,13 @@
   return {};
 }
 
-bool Connection::Touched() const { return this->guard->BytesSent() > 0; }
+bool ClientConnection::Touched() const { return this->guard->BytesSent() > 0; }
 
-Result<HttpAnswer> Connection::Receive(Duration silence, Instant until) {
+Result<HttpReply> ClientConnection::Receive(Duration silence, Instant until) {
   try {
     this->guard->BeginReceive(silence, until);
     bool whole = false;
-    HttpAnswer answer = this->ReadAnswer(&whole);
+    HttpReply answer = this->ReadAnswer(&whole);
     this->reusable = whole && answer.header.getKeepAlive();
     if (whole) return answer;
   } catch (const Poco::Exception&) {
@@ -93,8 +95,8 @@
                                  : Error::kAnswerIncomplete);
 }
 
-HttpAnswer Connection::ReadAnswer(bool* whole) {
-  HttpAnswer answer;
+HttpReply ClientConnection::ReadAnswer(bool* whole) {
+  HttpReply answer;
   answer.header.setFieldLimit(kMaxHeaders);
   std::istream& in = this->session.receiveResponse(answer.header);
   // Without a length the end of an answer can't be told from a cut.
@@ -108,10 +110,10 @@
   return answer;
 }
 
-bool Connection::HasInput() const { return this->guard->HasInput(); }
+bool ClientConnection::HasInput() const { return this->guard->HasInput(); }
 
-std::int64_t Connection::ExchangedBytes() const {
+std::int64_t ClientConnection::ExchangedBytes() const {
   return this->guard->BytesSent() + this->guard->BytesReceived();
 }
 
-}  // namespace mustardproxy::worker_detail
+}  // namespace mustardproxy::http
--- a/packages/worker/src/connection_pool.cc
+++ b/packages/http/src/connection_pool.cc
@@ -1,4 +1,4 @@
-#include "connection_pool.h"
+#include "mustardproxy/http/connection_pool.h"
 
 #include <algorithm>
 #include <chrono>
@@ -7,7 +7,7 @@
 
 #include "mustardproxy/telemetry/clock.h"
 
-namespace mustardproxy::worker_detail {
+namespace mustardproxy::http {
 namespace {
 
 constexpr std::size_t kMaxIdle = 64;
@@ -20,7 +20,7 @@
 
 }  // namespace
 
-Result<std::unique_ptr<Connection>> ConnectionPool::Acquire(
+Result<std::unique_ptr<ClientConnection>> ConnectionPool::Acquire(
     const std::string& address, Duration timeout) {
   while (auto connection = this->TakeIdle(address)) {
     // Failure: the worker closed the idle connection, or sent on it unasked.
@@ -28,10 +28,10 @@
     // makes the request uncertain, since bytes of it were written.
     if (!connection->HasInput()) return connection;
   }
-  return Connection::Open(address, timeout);
+  return ClientConnection::Open(address, timeout);
 }
 
-std::unique_ptr<Connection> ConnectionPool::TakeIdle(
+std::unique_ptr<ClientConnection> ConnectionPool::TakeIdle(
     const std::string& address) {
   Connections dropped;
   const std::lock_guard lock(this->mutex);
@@ -44,12 +44,12 @@
     idle.clear();
     return nullptr;
   }
-  std::unique_ptr<Connection> connection = std::move(idle.back());
+  std::unique_ptr<ClientConnection> connection = std::move(idle.back());
   idle.pop_back();
   return connection;
 }
 
-void ConnectionPool::Put(std::unique_ptr<Connection> connection) {
+void ConnectionPool::Put(std::unique_ptr<ClientConnection> connection) {
   if (!connection || !connection->Reusable()) return;
   Connections dropped;
   const Instant now = SteadyNow();
@@ -69,10 +69,11 @@
   this->swept = now;
   for (auto entry = this->entries.begin(); entry != this->entries.end();) {
     Connections& idle = entry->second.idle;
-    const auto fresh = std::find_if(
-        idle.begin(), idle.end(), [&](const std::unique_ptr<Connection>& one) {
-          return one->LastUsed() + kMaxIdleTime >= now;
-        });
+    const auto fresh =
+        std::find_if(idle.begin(), idle.end(),
+                     [&](const std::unique_ptr<ClientConnection>& one) {
+                       return one->LastUsed() + kMaxIdleTime >= now;
+                     });
     dropped->insert(dropped->end(), std::make_move_iterator(idle.begin()),
                     std::make_move_iterator(fresh));
     idle.erase(idle.begin(), fresh);
@@ -89,7 +90,7 @@
   entry.retired_before = std::max(entry.retired_before, moment);
   const auto older =
       std::stable_partition(entry.idle.begin(), entry.idle.end(),
-                            [&](const std::unique_ptr<Connection>& one) {
+                            [&](const std::unique_ptr<ClientConnection>& one) {
                               return one->OpenedAt() >= moment;
                             });
   dropped.insert(dropped.end(), std::make_move_iterator(older),
@@ -103,4 +104,4 @@
   return entry == this->entries.end() ? 0 : entry->second.idle.size();
 }
 
-}  // namespace mustardproxy::worker_detail
+}  // namespace mustardproxy::http
--- a/packages/gateway/src/connection_table.cc
+++ b/packages/http/src/connection_table.cc
@@ -1,8 +1,8 @@
-#include "connection_table.h"
+#include "mustardproxy/http/connection_table.h"
 
 #include <Poco/Exception.h>
 
-namespace mustardproxy::gateway_detail {
+namespace mustardproxy::http {
 namespace {
 
 /// What has already arrived can still be read afterwards, so a request that
@@ -55,4 +55,4 @@
   return this->served;
 }
 
-}  // namespace mustardproxy::gateway_detail
+}  // namespace mustardproxy::http
--- a/packages/worker/src/guarded_socket.cc
+++ b/packages/http/src/guarded_socket.cc
@@ -1,4 +1,4 @@
-#include "guarded_socket.h"
+#include "mustardproxy/http/guarded_socket.h"
 
 #include <Poco/Exception.h>
 #include <sys/socket.h>
@@ -8,7 +8,7 @@
 
 #include "mustardproxy/telemetry/clock.h"
 
-namespace mustardproxy::worker_detail {
+namespace mustardproxy::http {
 namespace {
 
 Poco::Timespan Until(Instant until) {
@@ -78,4 +78,4 @@
   return count >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
-}  // namespace mustardproxy::worker_detail
+}  // namespace mustardproxy::http
--- a/packages/gateway/src/listener.cc
+++ b/packages/http/src/listener.cc
@@ -1,4 +1,4 @@
-#include "listener.h"
+#include "mustardproxy/http/listener.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPServerParams.h>
@@ -11,8 +11,9 @@
 #include <utility>
 
 #include "bounded_socket.h"
+#include "server_connection.h"
 
-namespace mustardproxy::gateway_detail {
+namespace mustardproxy::http {
 namespace {
 
 /// Threads kept for refusals when all others serve.
@@ -36,8 +37,8 @@
 
   Poco::Net::TCPServerConnection* createConnection(
       const Poco::Net::StreamSocket& socket) override {
-    return new Connection(socket, this->limits, this->params, this->surface,
-                          this->table);
+    return new ServerConnection(socket, this->limits, this->params,
+                                this->surface, this->table);
   }
 
  private:
@@ -124,4 +125,4 @@
   this->server.reset();
 }
 
-}  // namespace mustardproxy::gateway_detail
+}  // namespace mustardproxy::http
--- a/packages/gateway/src/connection.cc
+++ b/packages/http/src/server_connection.cc
@@ -1,4 +1,4 @@
-#include "connection.h"
+#include "server_connection.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPHeaderStream.h>
@@ -13,7 +13,7 @@
 
 #include "mustardproxy/core/error.h"
 
-namespace mustardproxy::gateway_detail {
+namespace mustardproxy::http {
 namespace {
 
 using Breach = BoundedSocketImpl::Breach;
@@ -81,10 +81,10 @@
 
 }  // namespace
 
-Connection::Connection(const Poco::Net::StreamSocket& socket,
-                       ConnectionLimits limits,
-                       Poco::Net::HTTPServerParams::Ptr params,
-                       Surface* surface, ConnectionTable* table)
+ServerConnection::ServerConnection(const Poco::Net::StreamSocket& socket,
+                                   ConnectionLimits limits,
+                                   Poco::Net::HTTPServerParams::Ptr params,
+                                   Surface* surface, ConnectionTable* table)
     : TCPServerConnection(socket),
       limits(limits),
       params(std::move(params)),
@@ -98,11 +98,11 @@
   }
 }
 
-Connection::~Connection() {
+ServerConnection::~ServerConnection() {
   this->table->Leave(this->socket(), this->admission);
 }
 
-void Connection::run() {
+void ServerConnection::run() {
   try {
     this->socket().setNoDelay(true);
     CallerSession session(this->socket(), this->params);
@@ -116,8 +116,8 @@
   }
 }
 
-bool Connection::AwaitNext(CallerSession* session,
-                           std::chrono::milliseconds time) {
+bool ServerConnection::AwaitNext(CallerSession* session,
+                                 std::chrono::milliseconds time) {
   if (!this->table->SetIdle(this->socket(), true)) return false;
   auto limit = std::chrono::duration_cast<std::chrono::microseconds>(time);
   bool more = session->HasBuffered() ||
@@ -127,7 +127,7 @@
   return more;
 }
 
-bool Connection::ServeNext(CallerSession* session) {
+bool ServerConnection::ServeNext(CallerSession* session) {
   HTTPRequest header;
   if (!this->ReadHeader(session, &header)) return false;
   if (this->admission == ConnectionTable::Admission::kRefused) {
@@ -148,7 +148,7 @@
   return keep_alive;
 }
 
-bool Connection::ReadHeader(CallerSession* session, HTTPRequest* header) {
+bool ServerConnection::ReadHeader(CallerSession* session, HTTPRequest* header) {
   this->bounded->AllowReceive(this->limits.header_time,
                               this->limits.max_header_bytes + kReadAhead);
   try {
@@ -170,7 +170,7 @@
   return false;
 }
 
-void Connection::AnswerBrokenHeader() {
+void ServerConnection::AnswerBrokenHeader() {
   if (this->bounded->Breached() == Breach::kEnded) return;
   if (this->bounded->Breached() == Breach::kTooSlow) {
     this->SendLast(this->surface->Refuse(HTTPResponse::HTTP_REQUEST_TIMEOUT,
@@ -185,8 +185,9 @@
       "The header is larger than the limit or can not be understood."));
 }
 
-bool Connection::ReadWholeBody(CallerSession* session,
-                               const HTTPRequest& header, std::string* body) {
+bool ServerConnection::ReadWholeBody(CallerSession* session,
+                                     const HTTPRequest& header,
+                                     std::string* body) {
   std::int64_t limit = this->limits.max_body_bytes;
   BodyEnd end = CheckBodyHeader(header, limit);
   this->bounded->AllowReceive(this->limits.body_time, kAnyBytes);
@@ -214,15 +215,15 @@
   return end == BodyEnd::kWhole;
 }
 
-void Connection::SendContinue() {
+void ServerConnection::SendContinue() {
   constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
   this->bounded->AllowSend(this->limits.send_time);
   this->socket().sendBytes(kContinue.data(),
                            static_cast<int>(kContinue.size()));
 }
 
-void Connection::Send(const HttpAnswer& answer, bool keep_alive,
-                      bool with_body) {
+void ServerConnection::Send(const HttpAnswer& answer, bool keep_alive,
+                            bool with_body) {
   this->bounded->AllowSend(this->limits.send_time);
   std::string text = FormatHeader(answer, keep_alive);
   std::string_view body = View(answer.body);
@@ -240,7 +241,7 @@
   this->socket().sendBytes(body.data(), static_cast<int>(body.size()));
 }
 
-void Connection::SendLast(const HttpAnswer& answer) {
+void ServerConnection::SendLast(const HttpAnswer& answer) {
   this->Send(answer, false, true);
   this->socket().shutdownSend();
   // Closing with unread bytes resets the connection, and the caller could lose
@@ -253,4 +254,4 @@
   }
 }
 
-}  // namespace mustardproxy::gateway_detail
+}  // namespace mustardproxy::http
--- a/packages/gateway/src/connection.h
+++ b/packages/http/src/server_connection.h
@@ -1,5 +1,5 @@
-#ifndef MUSTARDPROXY_GATEWAY_CONNECTION_H_
-#define MUSTARDPROXY_GATEWAY_CONNECTION_H_
+#ifndef MUSTARDPROXY_HTTP_SERVER_CONNECTION_H_
+#define MUSTARDPROXY_HTTP_SERVER_CONNECTION_H_
 
 #include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/TCPServerConnection.h>
@@ -8,32 +8,22 @@
 
 #include "body_reader.h"
 #include "bounded_socket.h"
-#include "connection_table.h"
-#include "http_message.h"
+#include "mustardproxy/http/connection_limits.h"
+#include "mustardproxy/http/connection_table.h"
+#include "mustardproxy/http/message.h"
 
-namespace mustardproxy::gateway_detail {
-
-/// Bounds on one connection.
-struct ConnectionLimits {
-  std::int32_t max_header_bytes = 0;
-  std::int64_t max_body_bytes = 0;
-  /// For the whole header; also for the first byte on a new connection.
-  std::chrono::milliseconds header_time = std::chrono::seconds(10);
-  std::chrono::milliseconds body_time = std::chrono::seconds(30);
-  std::chrono::milliseconds send_time = std::chrono::seconds(30);
-  /// Between two requests of a connection.
-  std::chrono::milliseconds idle_time = std::chrono::seconds(60);
-};
+namespace mustardproxy::http {
 
 /// Serves the requests of one connection in turn, on a thread of its own.
-class Connection final : public Poco::Net::TCPServerConnection {
+class ServerConnection final : public Poco::Net::TCPServerConnection {
  public:
-  Connection(const Poco::Net::StreamSocket& socket, ConnectionLimits limits,
-             Poco::Net::HTTPServerParams::Ptr params, Surface* surface,
-             ConnectionTable* table);
-  ~Connection() override;
-  Connection(const Connection&) = delete;
-  Connection& operator=(const Connection&) = delete;
+  ServerConnection(const Poco::Net::StreamSocket& socket,
+                   ConnectionLimits limits,
+                   Poco::Net::HTTPServerParams::Ptr params, Surface* surface,
+                   ConnectionTable* table);
+  ~ServerConnection() override;
+  ServerConnection(const ServerConnection&) = delete;
+  ServerConnection& operator=(const ServerConnection&) = delete;
 
   void run() override;
 
@@ -60,6 +50,6 @@
   ConnectionTable::Admission admission;
 };
 
-}  // namespace mustardproxy::gateway_detail
+}  // namespace mustardproxy::http
 
-#endif  // MUSTARDPROXY_GATEWAY_CONNECTION_H_
+#endif  // MUSTARDPROXY_HTTP_SERVER_CONNECTION_H_
--- a/packages/worker/tests/connection_test.cc
+++ b/packages/http/tests/client_connection_test.cc
@@ -1,4 +1,4 @@
-#include "connection.h"
+#include "mustardproxy/http/client_connection.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/NetException.h>
@@ -12,11 +12,11 @@
 #include <string>
 #include <string_view>
 
-#include "guarded_socket.h"
 #include "mustardproxy/core/error.h"
+#include "mustardproxy/http/guarded_socket.h"
 #include "mustardproxy/telemetry/clock.h"
 
-namespace mustardproxy::worker_detail {
+namespace mustardproxy::http {
 namespace {
 
 using Poco::Net::ServerSocket;
@@ -41,9 +41,9 @@
                              Poco::Net::Socket::SELECT_READ);
   }
 
-  std::unique_ptr<Connection> Open() {
+  std::unique_ptr<ClientConnection> Open() {
     auto opened =
-        Connection::Open(this->server.address().toString(), seconds(5));
+        ClientConnection::Open(this->server.address().toString(), seconds(5));
     BOOST_REQUIRE(opened.has_value());
     return std::move(opened.value());
   }
@@ -52,7 +52,7 @@
 };
 
 /// Closes with a reset, which has arrived when this returns.
-void Reset(StreamSocket* socket, const Connection& other) {
+void Reset(StreamSocket* socket, const ClientConnection& other) {
   socket->setLinger(true, 0);
   socket->close();
   BOOST_REQUIRE(other.Socket().poll(kLimit, Poco::Net::Socket::SELECT_READ));
@@ -174,4 +174,4 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
-}  // namespace mustardproxy::worker_detail
+}  // namespace mustardproxy::http
--- a/packages/worker/src/control_client.cc
+++ b/packages/worker/src/control_client.cc
@@ -16,8 +16,8 @@
 
 }  // namespace
 
-ControlClient::ControlClient(ConnectionPool* connections, Duration timeout,
-                             Metrics* metrics)
+ControlClient::ControlClient(http::ConnectionPool* connections,
+                             Duration timeout, Metrics* metrics)
     : connections(connections),
       timeout(timeout),
       metrics(metrics),
@@ -34,10 +34,10 @@
   return pool.Submit(std::move(job));
 }
 
-Result<HttpAnswer> ControlClient::Call(const std::string& address,
-                                       const HttpRequest& request) {
+Result<http::HttpReply> ControlClient::Call(const std::string& address,
+                                            const http::HttpRequest& request) {
   auto connection = this->connections->Acquire(address, this->timeout);
-  Result<HttpAnswer> answer = make_error_code(Error::kWorkerLost);
+  Result<http::HttpReply> answer = make_error_code(Error::kWorkerLost);
   if (connection) {
     const bool old = connection.value()->Exchanged();
     answer = this->CallOn(std::move(connection.value()), request);
@@ -50,22 +50,23 @@
   return answer;
 }
 
-Result<HttpAnswer> ControlClient::CallOn(std::unique_ptr<Connection> connection,
-                                         const HttpRequest& request) {
+Result<http::HttpReply> ControlClient::CallOn(
+    std::unique_ptr<http::ClientConnection> connection,
+    const http::HttpRequest& request) {
   const Instant until = SteadyNow() + this->timeout;
   if (const auto error = connection->Send(request, until)) return error;
-  Result<HttpAnswer> answer = connection->Receive(this->timeout, until);
+  Result<http::HttpReply> answer = connection->Receive(this->timeout, until);
   this->Measure(*connection);
   if (answer) this->connections->Put(std::move(connection));
   return answer;
 }
 
-Result<HttpAnswer> ControlClient::CallAnew(const std::string& address,
-                                           const HttpRequest& request) {
-  auto connection = Connection::Open(address, this->timeout);
+Result<http::HttpReply> ControlClient::CallAnew(
+    const std::string& address, const http::HttpRequest& request) {
+  auto connection = http::ClientConnection::Open(address, this->timeout);
   if (!connection) return connection.error();
   const Instant opened_at = connection.value()->OpenedAt();
-  Result<HttpAnswer> answer =
+  Result<http::HttpReply> answer =
       this->CallOn(std::move(connection.value()), request);
   if (answer) this->connections->RetireOlder(address, opened_at);
   return answer;
@@ -73,10 +74,10 @@
 
 Result<TaskState> ControlClient::QueryAnew(const std::string& address,
                                            const TaskId& task) {
-  HttpRequest request;
+  http::HttpRequest request;
   request.method = "GET";
   request.path = TaskPath(task);
-  const Result<HttpAnswer> answer = this->CallAnew(address, request);
+  const Result<http::HttpReply> answer = this->CallAnew(address, request);
   this->NoteSilent(address, !answer);
   if (!answer) return answer.error();
   if (answer.value().Status() != Poco::Net::HTTPResponse::HTTP_OK) {
@@ -96,7 +97,7 @@
   this->silent.insert(address);
 }
 
-void ControlClient::Measure(const Connection& connection) {
+void ControlClient::Measure(const http::ClientConnection& connection) {
   if (this->metrics == nullptr) return;
   this->metrics->Count("control_bytes", "to=worker",
                        connection.ExchangedBytes());
--- a/packages/worker/src/control_client.h
+++ b/packages/worker/src/control_client.h
@@ -6,10 +6,10 @@
 #include <string>
 #include <unordered_set>
 
-#include "connection_pool.h"
 #include "messages.h"
 #include "mustardproxy/core/result.h"
 #include "mustardproxy/core/time.h"
+#include "mustardproxy/http/connection_pool.h"
 #include "mustardproxy/telemetry/metrics.h"
 #include "work_pool.h"
 
@@ -20,7 +20,7 @@
 class ControlClient {
  public:
   /// @param metrics may be null
-  ControlClient(ConnectionPool* connections, Duration timeout,
+  ControlClient(http::ConnectionPool* connections, Duration timeout,
                 Metrics* metrics);
 
   /// Queues a job that makes calls to one worker. Workers that did not answer
@@ -29,22 +29,23 @@
   /// @return false if the queue is full or the client has stopped
   [[nodiscard]] bool Submit(const std::string& address, WorkPool::Job job);
   /// Makes one call.
-  Result<HttpAnswer> Call(const std::string& address,
-                          const HttpRequest& request);
+  Result<http::HttpReply> Call(const std::string& address,
+                               const http::HttpRequest& request);
   /// Asks for the state of a task on a new connection, and retires the older
   /// ones to that worker if it answers.
   Result<TaskState> QueryAnew(const std::string& address, const TaskId& task);
   void Stop();
 
  private:
-  Result<HttpAnswer> CallOn(std::unique_ptr<Connection> connection,
-                            const HttpRequest& request);
-  Result<HttpAnswer> CallAnew(const std::string& address,
-                              const HttpRequest& request);
+  Result<http::HttpReply> CallOn(
+      std::unique_ptr<http::ClientConnection> connection,
+      const http::HttpRequest& request);
+  Result<http::HttpReply> CallAnew(const std::string& address,
+                                   const http::HttpRequest& request);
   void NoteSilent(const std::string& address, bool silent);
-  void Measure(const Connection& connection);
+  void Measure(const http::ClientConnection& connection);
 
-  ConnectionPool* connections;
+  http::ConnectionPool* connections;
   Duration timeout;
   Metrics* metrics;
   std::mutex mutex;
--- a/packages/worker/src/messages.cc
+++ b/packages/worker/src/messages.cc
@@ -220,9 +220,9 @@
   return path;
 }
 
-HttpRequest StartRequest(const Sender& sender, const StartTask& action) {
+http::HttpRequest StartRequest(const Sender& sender, const StartTask& action) {
   const TaskOrder& order = action.order;
-  HttpRequest request;
+  http::HttpRequest request;
   request.method = "POST";
   request.path = TaskPath(order.task);
   request.content_type = "application/octet-stream";
@@ -260,7 +260,8 @@
   });
 }
 
-Result<EndedTask> ReadEnded(const HttpAnswer& answer, const StartTask& action) {
+Result<EndedTask> ReadEnded(const http::HttpReply& answer,
+                            const StartTask& action) {
   const auto& header = answer.header;
   const auto end = EndNamed(header.get("Mustardproxy-Task-End", ""));
   // Failure: an answer that was crossed with another, or changed on its way.
@@ -288,7 +289,7 @@
   return ended;
 }
 
-EndNumber ReadEndNumber(const HttpAnswer& answer) {
+EndNumber ReadEndNumber(const http::HttpReply& answer) {
   const auto& header = answer.header;
   EndNumber number;
   const bool told =
--- a/packages/worker/src/messages.h
+++ b/packages/worker/src/messages.h
@@ -4,12 +4,12 @@
 #include <string>
 #include <string_view>
 
-#include "connection.h"
 #include "mustardproxy/core/actions.h"
 #include "mustardproxy/core/events.h"
 #include "mustardproxy/core/ids.h"
 #include "mustardproxy/core/result.h"
 #include "mustardproxy/core/worker.h"
+#include "mustardproxy/http/client_connection.h"
 #include "received_ends.h"
 
 /// The worker protocol of docs/PROTOCOLS.md: texts out, typed messages in.
@@ -32,7 +32,7 @@
 /// @return path of a task, its id in percent encoding
 std::string TaskPath(const TaskId& task);
 /// The body stays a view into the action's.
-HttpRequest StartRequest(const Sender& sender, const StartTask& action);
+http::HttpRequest StartRequest(const Sender& sender, const StartTask& action);
 
 /// Why a worker refused an order.
 enum class RefusalReason {
@@ -70,9 +70,10 @@
 Result<bool> ParseStopped(const std::string& text);
 /// Reads the answer to an attached start.
 /// @return kAnswerIncomplete if it is not whole, or another task's
-Result<EndedTask> ReadEnded(const HttpAnswer& answer, const StartTask& action);
+Result<EndedTask> ReadEnded(const http::HttpReply& answer,
+                            const StartTask& action);
 /// @return the number that the answer to an attached start tells; 0 if none
-EndNumber ReadEndNumber(const HttpAnswer& answer);
+EndNumber ReadEndNumber(const http::HttpReply& answer);
 
 }  // namespace mustardproxy::worker_detail
 
--- a/packages/worker/src/start_call.h
+++ b/packages/worker/src/start_call.h
@@ -4,9 +4,9 @@
 #include <atomic>
 #include <memory>
 
-#include "connection.h"
 #include "mustardproxy/core/actions.h"
 #include "mustardproxy/core/time.h"
+#include "mustardproxy/http/client_connection.h"
 
 namespace mustardproxy::worker_detail {
 
@@ -15,7 +15,7 @@
   StartTask action;
   /// Owned by the thread that sends or reads, else by whoever takes the call
   /// out of the poller.
-  std::unique_ptr<Connection> connection;
+  std::unique_ptr<http::ClientConnection> connection;
   Instant sent_at;
   /// When the answer is given up on.
   Instant give_up;
--- a/packages/worker/src/start_calls.cc
+++ b/packages/worker/src/start_calls.cc
@@ -24,7 +24,7 @@
 constexpr int kUnavailable = 503;
 
 /// @return the worker's refusal, if the answer is one
-std::optional<Refusal> RefusalIn(const HttpAnswer& answer) {
+std::optional<Refusal> RefusalIn(const http::HttpReply& answer) {
   const int status = answer.Status();
   if (status != kConflict && status != kUnavailable) return {};
   // A task may end with these statuses too; then the answer names it.
@@ -42,7 +42,7 @@
 
 }  // namespace
 
-StartCalls::StartCalls(Options options, ConnectionPool* connections,
+StartCalls::StartCalls(Options options, http::ConnectionPool* connections,
                        ControlClient* control, ReceivedEnds* received)
     : options(std::move(options)),
       connections(connections),
@@ -128,7 +128,8 @@
 void StartCalls::Read(const StartCallPtr& call) {
   const Duration silence = this->options.control_timeout;
   const Instant until = std::max(call->give_up, SteadyNow() + silence);
-  const Result<HttpAnswer> answer = call->connection->Receive(silence, until);
+  const Result<http::HttpReply> answer =
+      call->connection->Receive(silence, until);
   if (!answer) {
     call->connection.reset();
     this->Uncertain(call, answer.error());
@@ -137,9 +138,11 @@
   this->Judge(call, answer.value());
 }
 
-void StartCalls::Judge(const StartCallPtr& call, const HttpAnswer& answer) {
+void StartCalls::Judge(const StartCallPtr& call,
+                       const http::HttpReply& answer) {
   const TaskId& task = call->action.order.task;
-  std::unique_ptr<Connection> connection = std::move(call->connection);
+  std::unique_ptr<http::ClientConnection> connection =
+      std::move(call->connection);
   if (const auto refusal = RefusalIn(answer)) {
     if (!refusal->task.Empty() && refusal->task != task) {
       this->Uncertain(call, Error::kAnswerIncomplete);
--- a/packages/worker/src/start_calls.h
+++ b/packages/worker/src/start_calls.h
@@ -7,11 +7,11 @@
 #include <unordered_map>
 
 #include "answer_poller.h"
-#include "connection_pool.h"
 #include "control_client.h"
 #include "messages.h"
 #include "mustardproxy/core/actions.h"
 #include "mustardproxy/core/event_sink.h"
+#include "mustardproxy/http/connection_pool.h"
 #include "received_ends.h"
 #include "start_call.h"
 #include "work_pool.h"
@@ -55,7 +55,7 @@
   };
 
   /// @param received told of each end that an answer brought whole
-  StartCalls(Options options, ConnectionPool* connections,
+  StartCalls(Options options, http::ConnectionPool* connections,
              ControlClient* control, ReceivedEnds* received);
   ~StartCalls() override;
 
@@ -71,7 +71,7 @@
   void Send(const StartCallPtr& call);
   bool SendOnce(const StartCallPtr& call, std::error_code* problem);
   void Read(const StartCallPtr& call);
-  void Judge(const StartCallPtr& call, const HttpAnswer& answer);
+  void Judge(const StartCallPtr& call, const http::HttpReply& answer);
   void JudgeRefusal(const StartCallPtr& call, const Refusal& refusal);
   void Probe(const StartCallPtr& call);
   void JudgeState(const StartCallPtr& call, const TaskState& state);
@@ -87,7 +87,7 @@
   bool Settle(const StartCallPtr& call, Event event);
 
   Options options;
-  ConnectionPool* connections;
+  http::ConnectionPool* connections;
   ControlClient* control;
   ReceivedEnds* received;
   InFlight in_flight;
--- a/packages/worker/src/worker_link.cc
+++ b/packages/worker/src/worker_link.cc
@@ -3,26 +3,24 @@
 #include <string>
 #include <utility>
 
-#include "connection_pool.h"
 #include "control_client.h"
 #include "messages.h"
 #include "mustardproxy/core/error.h"
+#include "mustardproxy/http/connection_pool.h"
 #include "received_ends.h"
 #include "start_calls.h"
 
 namespace mustardproxy {
 namespace {
 
-using worker_detail::HttpAnswer;
-using worker_detail::HttpRequest;
 using worker_detail::Refusal;
 using worker_detail::RefusalReason;
 
 constexpr int kOk = 200;
 constexpr int kConflict = 409;
 
-HttpRequest Post(std::string path, const std::string& body) {
-  HttpRequest request;
+http::HttpRequest Post(std::string path, const std::string& body) {
+  http::HttpRequest request;
   request.method = "POST";
   request.path = std::move(path);
   request.content_type = "application/json";
@@ -30,7 +28,7 @@
   return request;
 }
 
-Result<Refusal> RefusalIn(const HttpAnswer& answer) {
+Result<Refusal> RefusalIn(const http::HttpReply& answer) {
   if (answer.Status() != kConflict) {
     return make_error_code(Error::kMalformedReply);
   }
@@ -73,7 +71,7 @@
 
   worker_detail::Sender sender;
   EventSink* sink;
-  worker_detail::ConnectionPool connections;
+  http::ConnectionPool connections;
   worker_detail::ControlClient control;
   worker_detail::ReceivedEnds received;
   worker_detail::StartCalls starts;
