--- a/apps/mustardproxy/src/program.cc
+++ b/apps/mustardproxy/src/program.cc
@@ -6,13 +6,17 @@
 #include <utility>
 #include <variant>
 
+#include "cell_program.h"
 #include "mustardproxy/settings/load.h"
 #include "mustardproxy/telemetry/log.h"
+#include "pointers.h"
 #include "runtime.h"
 
 namespace mustardproxy {
 namespace {
 
+constexpr std::string_view kCellCommand = "cell";
+
 /// The signals that ask for a graceful stop. They are blocked before any thread
 /// is made, so that all threads inherit that and only `Wait` takes them.
 class StopSignals {
@@ -46,16 +50,6 @@
   return options;
 }
 
-/// The arguments as `main` would get them.
-std::vector<const char*> Pointers(const std::vector<std::string>& arguments) {
-  std::vector<const char*> pointers;
-  pointers.reserve(arguments.size());
-  for (const std::string& argument : arguments) {
-    pointers.push_back(argument.c_str());
-  }
-  return pointers;
-}
-
 std::optional<Settings> LoadOrComplain(const std::string& path,
                                        std::ostream& errors) {
   auto loaded = LoadSettings(path);
@@ -104,7 +98,8 @@
     return kExitOk;
   }
   if (arguments.count("settings") == 0 || !arguments.unmatched().empty()) {
-    errors << "usage: mustardproxy --settings FILE [--check]\n";
+    errors << "usage: mustardproxy --settings FILE [--check]\n"
+           << "       mustardproxy cell [--settings FILE] [--check]\n";
     return kExitBadSettings;
   }
   auto path = arguments["settings"].as<std::string>();
@@ -121,6 +116,11 @@
 
 int RunProgram(const std::vector<std::string>& arguments, std::ostream& out,
                std::ostream& errors) {
+  if (arguments.size() > 1 && arguments[1] == kCellCommand) {
+    std::vector<std::string> rest = arguments;
+    rest.erase(rest.begin() + 1);
+    return RunCell(rest, out, errors);
+  }
   std::vector<const char*> pointers = Pointers(arguments);
   cxxopts::Options options = MakeOptions();
   try {
--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -24,7 +24,7 @@
     target_link_libraries(mustardproxy_${name} INTERFACE ${ARG_DEPENDS})
   endif()
   file(GLOB test_sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/tests/*.cc)
-  if(test_sources)
+  if(test_sources AND MUSTARDPROXY_TESTS)
     mustardproxy_test(${name}_tests ${test_sources})
     target_include_directories(${name}_tests PRIVATE src)
     target_link_libraries(${name}_tests PRIVATE mustardproxy_${name} ${ARG_PRIVATE_DEPENDS})
@@ -34,6 +34,9 @@
 # mustardproxy_test(NAME source...): a Boost.Test program known to CTest. One of
 # the sources defines BOOST_TEST_MODULE.
 function(mustardproxy_test name)
+  if(NOT MUSTARDPROXY_TESTS)
+    return()
+  endif()
   add_executable(${name} ${ARGN})
   target_compile_definitions(${name} PRIVATE BOOST_TEST_DYN_LINK
                              MUSTARDPROXY_SOURCE_DIR="${PROJECT_SOURCE_DIR}")
--- a/packages/core/include/mustardproxy/core/error.h
+++ b/packages/core/include/mustardproxy/core/error.h
@@ -19,6 +19,9 @@
   kNeverFits = 106,
   kKeyReused = 107,
   kKeyInProgress = 108,
+  kUnknownQueue = 109,
+  kUnknownJob = 110,
+  kJobInvalid = 111,
   // 2xx: refused, was not run, come back later.
   kWaitTooLong = 201,
   kQueueFull = 202,
@@ -29,6 +32,8 @@
   kTooManyConnections = 207,
   kStarting = 208,
   kGangImpossible = 209,
+  kStoreUnavailable = 210,
+  kOverloaded = 211,
   // 3xx: started or perhaps started.
   kDeadlineExceeded = 301,
   kWorkerLost = 302,
@@ -45,6 +50,8 @@
   kLeaseHeld = 405,
   kPeerMismatch = 406,
   kMalformedReply = 407,
+  kHistoryLost = 408,
+  kNotOwner = 409,
   // 5xx: settings and the configuration document.
   kFileMissing = 501,
   kSyntax = 502,
--- a/packages/core/src/ledger/gang_search.h
+++ b/packages/core/include/mustardproxy/core/gang_search.h
@@ -1,20 +1,19 @@
-#ifndef MUSTARDPROXY_CORE_SRC_LEDGER_GANG_SEARCH_H_
-#define MUSTARDPROXY_CORE_SRC_LEDGER_GANG_SEARCH_H_
+#ifndef MUSTARDPROXY_CORE_GANG_SEARCH_H_
+#define MUSTARDPROXY_CORE_GANG_SEARCH_H_
 
 #include <cstdint>
 #include <span>
 #include <vector>
 
-#include "ledger/worker_entry.h"
 #include "mustardproxy/core/configuration.h"
-#include "mustardproxy/core/resources.h"
 
-namespace mustardproxy::detail {
+namespace mustardproxy {
 
 /// A worker that may take part of a gang.
 struct GangCandidate {
-  WorkerIndex worker = 0;
-  RackIndex rack = 0;
+  /// Position in a table of the searcher's.
+  std::uint32_t worker = 0;
+  std::uint32_t rack = 0;
   /// Tasks of the gang that fit there.
   std::int64_t room = 0;
 };
@@ -23,10 +22,10 @@
 /// all, else over as few racks as possible.
 /// @param candidates grouped by rack
 /// @return one worker per task, or empty
-[[nodiscard]] std::vector<WorkerIndex> PlaceGang(
+[[nodiscard]] std::vector<std::uint32_t> PlaceGang(
     std::span<const GangCandidate> candidates, std::int64_t tasks,
     Packing packing);
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy
 
-#endif  // MUSTARDPROXY_CORE_SRC_LEDGER_GANG_SEARCH_H_
+#endif  // MUSTARDPROXY_CORE_GANG_SEARCH_H_
--- a/packages/core/src/ledger/resource_math.h
+++ b/packages/core/include/mustardproxy/core/resource_math.h
@@ -1,11 +1,11 @@
-#ifndef MUSTARDPROXY_CORE_SRC_LEDGER_RESOURCE_MATH_H_
-#define MUSTARDPROXY_CORE_SRC_LEDGER_RESOURCE_MATH_H_
+#ifndef MUSTARDPROXY_CORE_RESOURCE_MATH_H_
+#define MUSTARDPROXY_CORE_RESOURCE_MATH_H_
 
 #include <cstdint>
 
 #include "mustardproxy/core/resources.h"
 
-namespace mustardproxy::detail {
+namespace mustardproxy {
 
 /// Part by part, the larger of both.
 [[nodiscard]] Resources MaxParts(const Resources& a, const Resources& b);
@@ -26,6 +26,6 @@
 
 inline constexpr std::int64_t kUnboundedCount = 1'000'000;
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy
 
-#endif  // MUSTARDPROXY_CORE_SRC_LEDGER_RESOURCE_MATH_H_
+#endif  // MUSTARDPROXY_CORE_RESOURCE_MATH_H_
--- a/packages/core/src/error.cc
+++ b/packages/core/src/error.cc
@@ -33,6 +33,12 @@
       return "the idempotency key was used with another body";
     case Error::kKeyInProgress:
       return "a request with this idempotency key is still in progress";
+    case Error::kUnknownQueue:
+      return "no queue of the desired state matches host and path";
+    case Error::kUnknownJob:
+      return "the job is not known";
+    case Error::kJobInvalid:
+      return "the job can not be understood or breaks a bound";
     case Error::kWaitTooLong:
       return "the predicted wait is longer than allowed";
     case Error::kQueueFull:
@@ -51,6 +57,10 @@
       return "this process has no configuration yet";
     case Error::kGangImpossible:
       return "the tasks can never all run at once";
+    case Error::kStoreUnavailable:
+      return "the platform's store does not take the job";
+    case Error::kOverloaded:
+      return "the work ahead would take too long";
     case Error::kDeadlineExceeded:
       return "the request took longer than its timeout";
     case Error::kWorkerLost:
@@ -79,6 +89,10 @@
       return "the peer serves another customer or speaks another version";
     case Error::kMalformedReply:
       return "the reply can not be understood";
+    case Error::kHistoryLost:
+      return "the store has forgotten the changes asked for";
+    case Error::kNotOwner:
+      return "the process does not own the placement group";
     case Error::kFileMissing:
       return "the file can not be read";
     case Error::kSyntax:
--- a/packages/core/src/ledger/gang_plan.cc
+++ b/packages/core/src/ledger/gang_plan.cc
@@ -3,9 +3,9 @@
 #include <unordered_map>
 #include <vector>
 
-#include "ledger/gang_search.h"
 #include "ledger/packing_policy.h"
-#include "ledger/resource_math.h"
+#include "mustardproxy/core/gang_search.h"
+#include "mustardproxy/core/resource_math.h"
 
 namespace mustardproxy::detail {
 namespace {
--- a/packages/core/src/ledger/gang_search.cc
+++ b/packages/core/src/ledger/gang_search.cc
@@ -1,9 +1,9 @@
-#include "ledger/gang_search.h"
+#include "mustardproxy/core/gang_search.h"
 
 #include <algorithm>
 #include <numeric>
 
-namespace mustardproxy::detail {
+namespace mustardproxy {
 namespace {
 
 /// Candidates of one rack.
@@ -45,7 +45,7 @@
 /// Fills one worker after the other, those with least room first unless the
 /// order is fixed; keeps large gaps whole.
 void FillTightly(std::vector<GangCandidate> candidates, std::int64_t tasks,
-                 Packing packing, std::vector<WorkerIndex>* gang) {
+                 Packing packing, std::vector<std::uint32_t>* gang) {
   if (packing == Packing::kBestFit) {
     std::ranges::stable_sort(candidates, {}, &GangCandidate::room);
   }
@@ -59,7 +59,7 @@
 
 /// Gives each worker one task in turn, those with most room first.
 void FillEvenly(std::vector<GangCandidate> candidates, std::int64_t tasks,
-                std::vector<WorkerIndex>* gang) {
+                std::vector<std::uint32_t>* gang) {
   std::ranges::stable_sort(candidates, std::ranges::greater{},
                            &GangCandidate::room);
   bool progress = true;
@@ -75,7 +75,7 @@
 }
 
 void Fill(const RackRoom& rack, std::int64_t tasks, Packing packing,
-          std::vector<WorkerIndex>* gang) {
+          std::vector<std::uint32_t>* gang) {
   const std::vector<GangCandidate> candidates(rack.candidates.begin(),
                                               rack.candidates.end());
   if (packing == Packing::kSpread) {
@@ -87,10 +87,10 @@
 
 }  // namespace
 
-std::vector<WorkerIndex> PlaceGang(std::span<const GangCandidate> candidates,
-                                   std::int64_t tasks, Packing packing) {
+std::vector<std::uint32_t> PlaceGang(std::span<const GangCandidate> candidates,
+                                     std::int64_t tasks, Packing packing) {
   std::vector<RackRoom> racks = GroupByRack(candidates);
-  std::vector<WorkerIndex> gang;
+  std::vector<std::uint32_t> gang;
   if (const RackRoom* rack = ChooseRack(racks, tasks, packing)) {
     Fill(*rack, tasks, packing, &gang);
     return gang;
@@ -104,4 +104,4 @@
   return gang;
 }
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy
--- a/packages/core/src/ledger/ledger.cc
+++ b/packages/core/src/ledger/ledger.cc
@@ -4,15 +4,14 @@
 #include <utility>
 
 #include "ledger/gang_plan.h"
-#include "ledger/gang_search.h"
 #include "ledger/packed_room.h"
 #include "ledger/packing_policy.h"
-#include "ledger/resource_math.h"
 #include "ledger/worker_table.h"
+#include "mustardproxy/core/gang_search.h"
+#include "mustardproxy/core/resource_math.h"
 
 namespace mustardproxy {
 
-using detail::GangCandidate;
 using detail::WorkerEntry;
 using detail::WorkerIndex;
 
@@ -35,7 +34,7 @@
 Resources Ledger::State::Room(WorkerIndex worker, Holds holds) const {
   const Resources& free = this->table.Free(worker);
   if (holds == Holds::kIgnore) return free;
-  return detail::ClampToZero(free - this->table.At(worker).held);
+  return ClampToZero(free - this->table.At(worker).held);
 }
 
 std::vector<WorkerId> Ledger::State::Names(
@@ -58,8 +57,7 @@
   WorkerEntry entry;
   entry.id = worker.id;
   entry.rack = worker.rack;
-  entry.capacity =
-      detail::MinParts(detail::ClampToZero(report.capacity), kMostCounted);
+  entry.capacity = MinParts(ClampToZero(report.capacity), kMostCounted);
   entry.open = true;
   entry.placeable = !worker.leaving;
   for (const RunningTask& task : report.running) {
@@ -133,18 +131,18 @@
                                        std::span<const WorkerId> avoid,
                                        Holds holds) const {
   const detail::WorkerTable& table = this->state->table;
-  if (detail::CountFitting(resources, table.TotalFree()) < tasks) return {};
+  if (CountFitting(resources, table.TotalFree()) < tasks) return {};
   std::vector<GangCandidate> candidates;
   for (detail::RackIndex rack = 0; rack < table.Racks().size(); ++rack) {
     for (const WorkerIndex worker : table.Racks()[rack].workers) {
       const WorkerEntry& entry = table.At(worker);
       if (!entry.placeable || !detail::Allowed(table, worker, avoid)) continue;
       const std::int64_t room =
-          detail::CountFitting(resources, this->state->Room(worker, holds));
+          CountFitting(resources, this->state->Room(worker, holds));
       if (room > 0) candidates.push_back({worker, rack, room});
     }
   }
-  return this->state->Names(detail::PlaceGang(candidates, tasks, packing));
+  return this->state->Names(PlaceGang(candidates, tasks, packing));
 }
 
 std::optional<GangPlan> Ledger::PlanGang(
@@ -182,8 +180,8 @@
   if (!found) return table.TrackedRoom();
   const Resources& free = table.Free(*found);
   const Resources& task = table.TrackedTask();
-  const std::int64_t before = detail::CountFitting(task, free);
-  const std::int64_t after = detail::CountFitting(task, free - resources);
+  const std::int64_t before = CountFitting(task, free);
+  const std::int64_t after = CountFitting(task, free - resources);
   return table.TrackedRoom() - before + after;
 }
 
@@ -197,7 +195,7 @@
 std::int64_t Ledger::EmptyRoomFor(const Resources& resources) const {
   std::int64_t room = 0;
   for (const detail::CapacityClass& kind : this->state->table.Classes()) {
-    room += kind.workers * detail::CountFitting(resources, kind.capacity);
+    room += kind.workers * CountFitting(resources, kind.capacity);
   }
   return room;
 }
@@ -216,7 +214,7 @@
   const detail::WorkerTable& table = this->state->table;
   Resources largest = table.Rooms().Largest().Unpack();
   for (const WorkerIndex worker : table.HeldWorkers()) {
-    largest = detail::MaxParts(largest, table.Free(worker));
+    largest = MaxParts(largest, table.Free(worker));
   }
   return largest;
 }
--- a/packages/core/src/ledger/resource_math.cc
+++ b/packages/core/src/ledger/resource_math.cc
@@ -1,8 +1,8 @@
-#include "ledger/resource_math.h"
+#include "mustardproxy/core/resource_math.h"
 
 #include <algorithm>
 
-namespace mustardproxy::detail {
+namespace mustardproxy {
 namespace {
 
 std::int64_t CountPart(std::int64_t task, std::int64_t room) {
@@ -52,4 +52,4 @@
                    SharePart(used.slots, total.slots)});
 }
 
-}  // namespace mustardproxy::detail
+}  // namespace mustardproxy
--- a/packages/core/src/scheduler/admission.cc
+++ b/packages/core/src/scheduler/admission.cc
@@ -5,8 +5,8 @@
 #include <string>
 #include <string_view>
 
-#include "ledger/resource_math.h"
 #include "mustardproxy/core/error.h"
+#include "mustardproxy/core/resource_math.h"
 #include "scheduler/wait_forecast.h"
 
 namespace mustardproxy::detail {
--- a/packages/core/src/scheduler/catalog.cc
+++ b/packages/core/src/scheduler/catalog.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "ledger/resource_math.h"
+#include "mustardproxy/core/resource_math.h"
 
 namespace mustardproxy::detail {
 namespace {
--- a/packages/core/src/scheduler/wait_forecast.cc
+++ b/packages/core/src/scheduler/wait_forecast.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <limits>
 
-#include "ledger/resource_math.h"
+#include "mustardproxy/core/resource_math.h"
 
 namespace mustardproxy::detail {
 namespace {
--- a/packages/http/include/mustardproxy/http/client_connection.h
+++ b/packages/http/include/mustardproxy/http/client_connection.h
@@ -16,14 +16,10 @@
 #include "mustardproxy/core/result.h"
 #include "mustardproxy/core/time.h"
 #include "mustardproxy/http/guarded_socket.h"
+#include "mustardproxy/http/header.h"
 
 namespace mustardproxy::http {
 
-struct HttpHeader {
-  std::string name;
-  std::string value;
-};
-
 struct HttpRequest {
   std::string method;
   std::string path;
@@ -48,6 +44,13 @@
   static Result<std::unique_ptr<ClientConnection>> Open(
       const std::string& address, Duration timeout);
 
+  /// Begins to connect, without waiting; the socket becomes writable once that
+  /// has ended, well or not.
+  static Result<std::unique_ptr<ClientConnection>> Begin(
+      const std::string& address);
+  /// @return true if a connection that was begun is there
+  bool FinishConnect();
+
   /// @return an error if not all of the request was written; `Touched` then
   ///   tells whether any of it was
   std::error_code Send(const HttpRequest& request, Instant until);
--- a/packages/http/include/mustardproxy/http/connection_pool.h
+++ b/packages/http/include/mustardproxy/http/connection_pool.h
@@ -19,6 +19,8 @@
   /// @return an idle connection, or a new one
   Result<std::unique_ptr<ClientConnection>> Acquire(const std::string& address,
                                                     Duration timeout);
+  /// @return an idle connection that is still open, or null
+  std::unique_ptr<ClientConnection> TakeOpen(const std::string& address);
   /// Keeps a connection for reuse, unless it is condemned, retired or one too
   /// many; then it is closed.
   void Put(std::unique_ptr<ClientConnection> connection);
--- a/packages/http/include/mustardproxy/http/message.h
+++ b/packages/http/include/mustardproxy/http/message.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "mustardproxy/core/request.h"
+#include "mustardproxy/http/header.h"
 
 namespace mustardproxy::http {
 
@@ -29,11 +30,6 @@
   int descriptor = -1;
 };
 
-struct HttpHeader {
-  std::string name;
-  std::string value;
-};
-
 struct HttpAnswer {
   std::int32_t status = 200;
   std::string content_type;
--- a/packages/http/src/client_connection.cc
+++ b/packages/http/src/client_connection.cc
@@ -61,6 +61,30 @@
   }
 }
 
+Result<std::unique_ptr<ClientConnection>> ClientConnection::Begin(
+    const std::string& address) {
+  try {
+    auto* guard = new GuardedSocketImpl;
+    Poco::Net::StreamSocket socket(guard);  // Owns the guard.
+    socket.connectNB(Poco::Net::SocketAddress(address));
+    return std::unique_ptr<ClientConnection>(
+        new ClientConnection(address, socket, guard));
+  } catch (const Poco::Exception&) {
+    return make_error_code(Error::kWorkerLost);
+  }
+}
+
+bool ClientConnection::FinishConnect() {
+  try {
+    if (this->socket.impl()->socketError() != 0) return false;
+    this->socket.setBlocking(true);
+    this->socket.setNoDelay(true);
+    return true;
+  } catch (const Poco::Exception&) {
+    return false;
+  }
+}
+
 std::error_code ClientConnection::Send(const HttpRequest& request,
                                        Instant until) {
   this->exchanged = true;
--- a/packages/http/src/connection_pool.cc
+++ b/packages/http/src/connection_pool.cc
@@ -22,13 +22,19 @@
 
 Result<std::unique_ptr<ClientConnection>> ConnectionPool::Acquire(
     const std::string& address, Duration timeout) {
+  if (auto connection = this->TakeOpen(address)) return connection;
+  return ClientConnection::Open(address, timeout);
+}
+
+std::unique_ptr<ClientConnection> ConnectionPool::TakeOpen(
+    const std::string& address) {
   while (auto connection = this->TakeIdle(address)) {
-    // Failure: the worker closed the idle connection, or sent on it unasked.
+    // Failure: the other end closed the idle connection, or sent on it unasked.
     // Either shows as input before a request is sent. A close that comes later
     // makes the request uncertain, since bytes of it were written.
     if (!connection->HasInput()) return connection;
   }
-  return ClientConnection::Open(address, timeout);
+  return nullptr;
 }
 
 std::unique_ptr<ClientConnection> ConnectionPool::TakeIdle(
--- /dev/null
+++ b/packages/jobs/include/mustardproxy/jobs/awaited.h
@@ -0,0 +1,40 @@
+#ifndef MUSTARDPROXY_JOBS_AWAITED_H_
+#define MUSTARDPROXY_JOBS_AWAITED_H_
+
+#include <condition_variable>
+#include <mutex>
+#include <optional>
+#include <utility>
+
+#include "mustardproxy/core/time.h"
+
+namespace mustardproxy::jobs {
+
+/// A value that a traffic thread waits for and the control thread sets.
+template <typename T>
+class Awaited {
+ public:
+  /// Later values than the first are dropped.
+  void Set(T value) {
+    const std::lock_guard lock(this->mutex);
+    if (!this->value) this->value = std::move(value);
+    this->changed.notify_one();
+  }
+
+  /// @return nothing if none came within `limit`
+  [[nodiscard]] std::optional<T> Wait(Duration limit) {
+    std::unique_lock lock(this->mutex);
+    this->changed.wait_for(lock, limit,
+                           [this] { return this->value.has_value(); });
+    return std::move(this->value);
+  }
+
+ private:
+  std::mutex mutex;
+  std::condition_variable changed;
+  std::optional<T> value;
+};
+
+}  // namespace mustardproxy::jobs
+
+#endif  // MUSTARDPROXY_JOBS_AWAITED_H_
--- /dev/null
+++ b/packages/jobs/include/mustardproxy/jobs/desired_state.h
@@ -0,0 +1,51 @@
+#ifndef MUSTARDPROXY_JOBS_DESIRED_STATE_H_
+#define MUSTARDPROXY_JOBS_DESIRED_STATE_H_
+
+#include <cstdint>
+#include <string_view>
+#include <vector>
+
+#include "mustardproxy/core/ids.h"
+#include "mustardproxy/jobs/job.h"
+
+namespace mustardproxy::jobs {
+
+/// A pool of workers.
+struct Service {
+  ServiceId id;
+  /// Its workers refuse what does not fit; else they start whatever they are
+  /// told to.
+  bool workers_guard_capacity = false;
+  /// Its hosts are switched off until they are moved to another pool.
+  bool standby = false;
+
+  friend bool operator==(const Service&, const Service&) = default;
+};
+
+/// Bounds on callers' requests.
+struct RequestBounds {
+  std::int64_t max_header_bytes = 16'384;
+  std::int64_t max_body_bytes = 262'144;
+  Duration header_time = std::chrono::seconds(3);
+  Duration idle_time = std::chrono::seconds(15);
+
+  friend bool operator==(const RequestBounds&, const RequestBounds&) = default;
+};
+
+/// What operators want in force; replaced as a whole.
+struct DesiredState {
+  ConfigurationVersion version = 0;
+  std::vector<Queue> queues;
+  std::vector<Service> services;
+  RequestBounds bounds;
+
+  /// @return the queue of the longest prefix for this host name, or null
+  [[nodiscard]] const Queue* Route(std::string_view host,
+                                   std::string_view path) const;
+  [[nodiscard]] const Queue* FindQueue(const QueueName& name) const;
+  [[nodiscard]] const Service* FindService(const ServiceId& id) const;
+};
+
+}  // namespace mustardproxy::jobs
+
+#endif  // MUSTARDPROXY_JOBS_DESIRED_STATE_H_
--- /dev/null
+++ b/packages/jobs/include/mustardproxy/jobs/executor.h
@@ -0,0 +1,38 @@
+#ifndef MUSTARDPROXY_JOBS_EXECUTOR_H_
+#define MUSTARDPROXY_JOBS_EXECUTOR_H_
+
+#include <cstdint>
+#include <functional>
+
+#include "mustardproxy/core/time.h"
+
+namespace mustardproxy::jobs {
+
+/// Names a pending call of `Executor::After`.
+using TimerId = std::uint64_t;
+
+/// The one thread on which all control state lives, and its clocks. Everything
+/// in this package runs on it; tests run it in virtual time.
+class Executor {
+ public:
+  Executor() = default;
+  Executor(const Executor&) = delete;
+  Executor& operator=(const Executor&) = delete;
+  virtual ~Executor() = default;
+
+  /// Monotonic, and goes on while the machine is suspended: leases of others
+  /// lapse meanwhile.
+  [[nodiscard]] virtual Instant Now() const = 0;
+  /// Time of day in milliseconds since 1970; may jump.
+  [[nodiscard]] virtual std::int64_t UnixMs() const = 0;
+  /// Runs `task` later on the control thread. Safe from any thread.
+  virtual void Post(std::function<void()> task) = 0;
+  /// Runs `task` on the control thread after `delay`. Only on that thread.
+  virtual TimerId After(Duration delay, std::function<void()> task) = 0;
+  /// A timer that has fired is ignored.
+  virtual void Cancel(TimerId timer) = 0;
+};
+
+}  // namespace mustardproxy::jobs
+
+#endif  // MUSTARDPROXY_JOBS_EXECUTOR_H_
--- /dev/null
+++ b/packages/jobs/include/mustardproxy/jobs/job_node.h
@@ -0,0 +1,101 @@
+#ifndef MUSTARDPROXY_JOBS_JOB_NODE_H_
+#define MUSTARDPROXY_JOBS_JOB_NODE_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "mustardproxy/core/ids.h"
+#include "mustardproxy/jobs/executor.h"
+#include "mustardproxy/jobs/job_peers.h"
+#include "mustardproxy/jobs/job_service.h"
+#include "mustardproxy/jobs/key_value_store.h"
+#include "mustardproxy/jobs/placement_adviser.h"
+#include "mustardproxy/jobs/platform_schema.h"
+#include "mustardproxy/jobs/worker_driver.h"
+#include "mustardproxy/telemetry/event_log.h"
+#include "mustardproxy/telemetry/metrics.h"
+
+namespace mustardproxy::jobs {
+
+/// All that one process does for jobs: takes them in, answers for them, asks
+/// the policy service for others, and, if it is the owner, decides for all.
+/// Everything happens on the executor's thread; nothing here does I/O.
+class JobNode final : public JobService, public JobPeerHandler {
+ public:
+  class Builder;
+  ~JobNode() override;
+
+  void Start();
+  /// Gives up ownership and membership; what callers ask is still answered.
+  void Leave();
+  /// @return true if callers should be sent here
+  [[nodiscard]] bool Ready() const;
+  /// @return true while this process decides for the placement group
+  [[nodiscard]] bool Owns() const;
+
+  [[nodiscard]] std::shared_ptr<const DesiredState> Desired() const override;
+  void Submit(const Queue& queue, JobId id, JobSpec spec, Duration timeout,
+              std::function<void(SubmitResult)> done) override;
+  void Cancel(const JobId& id, Duration timeout,
+              std::function<void(SubmitResult)> done) override;
+  void State(const JobId& id, Duration timeout,
+             std::function<void(Result<JobState>)> done) override;
+  void Pending(const QueueName& queue, Duration timeout,
+               std::function<void(Result<std::int64_t>)> done) override;
+
+  void OnJob(AcceptedJob job) override;
+  void OnCancel(const JobId& job) override;
+  void OnQueryJob(const JobId& job,
+                  JobPeerHandler::Done<JobAnswer> done) override;
+  void OnQueryPending(const QueueName& queue,
+                      JobPeerHandler::Done<std::int64_t> done) override;
+  void OnAsk(AdviceQuestion question,
+             JobPeerHandler::Done<Advice> done) override;
+
+ private:
+  struct Internals;
+  explicit JobNode(std::unique_ptr<Internals> state);
+  std::unique_ptr<Internals> state;
+};
+
+/// Makes a `JobNode`. All but the metrics must have been given, and outlive it.
+class JobNode::Builder {
+ public:
+  Builder& Self(ProcessId process, DataCenterId data_center,
+                Incarnation incarnation);
+  /// `ip:port` at which peers reach this process.
+  Builder& PeerAddress(std::string address);
+  /// What this host may use; stronger hosts are preferred as owners.
+  Builder& Strength(std::int64_t cpu_milli, std::int64_t memory_mb);
+  Builder& On(Executor* executor);
+  Builder& Store(KeyValueStore* store);
+  Builder& Workers(WorkerDriver* driver);
+  Builder& Adviser(PlacementAdviser* adviser);
+  Builder& Peers(JobPeers* peers);
+  Builder& Schema(const PlatformSchema* schema);
+  Builder& Log(EventLog* log);
+  Builder& Measure(Metrics* metrics);
+  [[nodiscard]] std::unique_ptr<JobNode> Build();
+
+ private:
+  friend class JobNode;
+  ProcessId process;
+  DataCenterId data_center;
+  Incarnation incarnation = 0;
+  std::string peer_address;
+  std::int64_t cpu_milli = 0;
+  std::int64_t memory_mb = 0;
+  Executor* executor = nullptr;
+  KeyValueStore* store = nullptr;
+  WorkerDriver* driver = nullptr;
+  PlacementAdviser* adviser = nullptr;
+  JobPeers* peers = nullptr;
+  const PlatformSchema* schema = nullptr;
+  EventLog* log = nullptr;
+  Metrics* metrics = nullptr;
+};
+
+}  // namespace mustardproxy::jobs
+
+#endif  // MUSTARDPROXY_JOBS_JOB_NODE_H_
--- /dev/null
+++ b/packages/jobs/src/advice_desk.cc
@@ -0,0 +1,218 @@
+#include "advice_desk.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "options.h"
+
+namespace mustardproxy::jobs {
+namespace {
+
+/// A question above this holds a host for so long that urgent steps, which are
+/// to start within a quarter of a second, must not wait behind it.
+constexpr Duration kLongQuestion = milliseconds(100);
+/// Weight of one answer in the share of workers that are permitted, and the
+/// share assumed before the first.
+constexpr double kShareWeight = 0.05;
+constexpr double kFirstShare = 0.4;
+/// One process of this many is kept for short questions.
+constexpr std::size_t kLanesPerShortLane = 3;
+
+Duration Cost(const AdvicePolicy& policy, std::size_t workers) {
+  return policy.decision +
+         policy.per_worker * static_cast<std::int64_t>(workers);
+}
+
+}  // namespace
+
+const Ticket* StepAdvice::Valid(const WorkerId& worker, Instant now) const {
+  const auto found = this->permitted.find(worker);
+  if (found == this->permitted.end()) return nullptr;
+  return found->second.expires > now ? &found->second : nullptr;
+}
+
+AdviceDesk::AdviceDesk(Parts parts, Chooser chooser,
+                       std::function<void()> on_answer)
+    : parts(parts),
+      chooser(std::move(chooser)),
+      on_answer(std::move(on_answer)) {}
+
+void AdviceDesk::SetLanes(const std::vector<AdviceLane>& present) {
+  std::map<ProcessId, Lane> kept;
+  for (const AdviceLane& lane : present) {
+    Lane& entry = kept[lane.process];
+    const auto former = this->lanes.find(lane.process);
+    const bool same =
+        former != this->lanes.end() && former->second.address == lane.address;
+    if (same) entry = former->second;
+    entry.address = lane.address;
+  }
+  this->lanes = std::move(kept);
+  this->Pump();
+}
+
+void AdviceDesk::Want(const AdviceNeed& need) {
+  StepAdvice& known = this->steps[need.step];
+  if (std::exchange(known.asking, true)) return;
+  this->queue.push_back(
+      {need, this->parts.executor->Now(), this->next_number++});
+  this->Pump();
+}
+
+const StepAdvice* AdviceDesk::Find(const StepRef& step) const {
+  const auto found = this->steps.find(step);
+  return found == this->steps.end() ? nullptr : &found->second;
+}
+
+void AdviceDesk::DropTicket(const StepRef& step, const WorkerId& worker) {
+  const auto found = this->steps.find(step);
+  if (found == this->steps.end()) return;
+  const auto ticket = found->second.permitted.find(worker);
+  if (ticket != found->second.permitted.end()) {
+    ticket->second.expires = Instant::min();
+  }
+}
+
+void AdviceDesk::Forget(const StepRef& step) {
+  this->steps.erase(step);
+  std::erase_if(this->queue, [&](const Waiting& waiting) {
+    return waiting.need.step == step;
+  });
+}
+
+void AdviceDesk::ForgetJob(const JobId& job) {
+  std::erase_if(this->steps,
+                [&](const auto& entry) { return entry.first.job == job; });
+  std::erase_if(this->queue, [&](const Waiting& waiting) {
+    return waiting.need.step.job == job;
+  });
+}
+
+AdviceDesk::Lane* AdviceDesk::FreeLane(bool long_question, ProcessId* process) {
+  const Instant now = this->parts.executor->Now();
+  std::size_t longs = 0;
+  std::size_t usable = 0;
+  for (const auto& [name, lane] : this->lanes) {
+    if (lane.out_until > now) continue;
+    ++usable;
+    if (lane.busy_with_long) ++longs;
+  }
+  const std::size_t kept = usable / kLanesPerShortLane;
+  if (long_question && longs >= std::max<std::size_t>(1, usable - kept)) {
+    return nullptr;
+  }
+  for (auto& [name, lane] : this->lanes) {
+    if (lane.busy || lane.out_until > now) continue;
+    *process = name;
+    return &lane;
+  }
+  return nullptr;
+}
+
+void AdviceDesk::Pump() {
+  std::sort(this->queue.begin(), this->queue.end(),
+            [](const Waiting& a, const Waiting& b) {
+              return std::tie(a.need.priority, a.number) <
+                     std::tie(b.need.priority, b.number);
+            });
+  for (std::size_t i = 0; i < this->queue.size();) {
+    const Waiting waiting = this->queue[i];
+    ProcessId process;
+    // Most questions name far fewer workers than they may; the fixed part
+    // alone tells long from short ones well enough to look for a host.
+    const bool is_long = waiting.need.policy.decision >= kLongQuestion;
+    Lane* lane = this->FreeLane(is_long, &process);
+    if (lane == nullptr) {
+      if (!is_long) return;
+      ++i;
+      continue;
+    }
+    this->queue.erase(this->queue.begin() + static_cast<std::ptrdiff_t>(i));
+    std::vector<WorkerId> workers = this->chooser(waiting.need.step);
+    if (workers.empty()) {
+      const auto known = this->steps.find(waiting.need.step);
+      if (known != this->steps.end()) known->second.asking = false;
+      continue;
+    }
+    const Duration cost = Cost(waiting.need.policy, workers.size());
+    lane->busy_with_long = is_long;
+    this->Send(waiting, std::move(workers), process, lane, cost);
+  }
+}
+
+void AdviceDesk::Send(const Waiting& waiting, std::vector<WorkerId> workers,
+                      const ProcessId& process, Lane* lane, Duration cost) {
+  lane->busy = true;
+  AdviceQuestion question{waiting.need.step, workers, cost + kAdviceSlack};
+  const Sent sent{waiting.need.step, std::move(workers),
+                  process,           this->parts.executor->Now(),
+                  waiting.since,     waiting.need.queue};
+  auto done = this->guard.Wrap([this, sent](const Result<Advice>& answer) {
+    this->OnAnswer(sent, answer);
+  });
+  if (lane->address.empty()) {
+    this->parts.adviser->Ask(std::move(question), std::move(done));
+  } else {
+    this->parts.peers->Ask(lane->address, question, std::move(done));
+  }
+}
+
+void AdviceDesk::OnAnswer(const Sent& sent, const Result<Advice>& answer) {
+  const Instant now = this->parts.executor->Now();
+  const auto lane = this->lanes.find(sent.lane);
+  if (lane != this->lanes.end()) {
+    lane->second.busy = false;
+    lane->second.busy_with_long = false;
+    if (!answer) lane->second.out_until = now + kAdviceLanePause;
+  }
+  const auto known = this->steps.find(sent.step);
+  if (known != this->steps.end()) {
+    known->second.asking = false;
+    if (answer) this->Record(sent, answer.value(), &known->second);
+  }
+  if (!answer) {
+    this->parts.log->Write("advice", "question-failed",
+                           {{"step", Text(sent.step)},
+                            {"by", sent.lane.Text()},
+                            {"reason", answer.error().message()}});
+  }
+  this->Pump();
+  this->on_answer();
+}
+
+double AdviceDesk::PermittedShare(const QueueName& queue) const {
+  const auto found = this->permitted_shares.find(queue);
+  return found == this->permitted_shares.end() ? kFirstShare : found->second;
+}
+
+void AdviceDesk::NoteShare(const Sent& sent, const Advice& advice) {
+  const double share = static_cast<double>(advice.permitted.size()) /
+                       static_cast<double>(sent.workers.size());
+  const auto known =
+      this->permitted_shares.emplace(sent.queue, kFirstShare).first;
+  known->second += kShareWeight * (share - known->second);
+}
+
+void AdviceDesk::Record(const Sent& sent, const Advice& advice,
+                        StepAdvice* known) {
+  const Instant now = this->parts.executor->Now();
+  for (const WorkerId& worker : sent.workers) known->refused.insert(worker);
+  for (const Permission& permission : advice.permitted) {
+    known->refused.erase(permission.worker);
+    known->permitted[permission.worker] = {permission.ticket,
+                                           now + advice.validity};
+  }
+  this->NoteShare(sent, advice);
+  const auto wait = std::chrono::duration_cast<Duration>(now - sent.since);
+  this->parts.metrics->Sample("advice_wait_us", "queue=" + sent.queue.Text(),
+                              static_cast<double>(wait.count()));
+  this->parts.log->Write("advice", "permissions",
+                         {{"step", Text(sent.step)},
+                          {"by", sent.lane.Text()},
+                          {"asked", sent.workers.size()},
+                          {"permitted", advice.permitted.size()},
+                          {"waited_ms", wait.count() / 1000},
+                          {"valid_ms", advice.validity.count() / 1000}});
+}
+
+}  // namespace mustardproxy::jobs
--- /dev/null
+++ b/packages/jobs/src/cell_member.cc
@@ -0,0 +1,295 @@
+#include "cell_member.h"
+
+#include <algorithm>
+#include <functional>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+#include "keys.h"
+#include "mustardproxy/core/error.h"
+#include "options.h"
+
+namespace mustardproxy::jobs {
+namespace {
+
+/// Pause before a process stands for election, for each that is preferred to
+/// it: a round trip to the store and some, so that the first one has won by
+/// then and the others see it.
+constexpr Duration kElectionStagger = milliseconds(60);
+constexpr std::size_t kMaxStaggers = 5;
+/// A process whose store has been silent for so long tells callers to go
+/// elsewhere: above a slow store's answers (0.4 s), below the time in which
+/// callers give up.
+constexpr Duration kOutOfTouch = milliseconds(1600);
+
+/// Stronger hosts are preferred as owners; the name decides between equals.
+bool Preferred(const NodeRecord& a, const NodeRecord& b) {
+  return std::make_tuple(-a.cpu_milli, -a.memory_mb, a.name) <
+         std::make_tuple(-b.cpu_milli, -b.memory_mb, b.name);
+}
+
+}  // namespace
+
+CellMember::CellMember(Executor* executor, KeyValueStore* store, EventLog* log,
+                       NodeRecord self, Handlers handlers)
+    : executor(executor),
+      store(store),
+      log(log),
+      self(std::move(self)),
+      handlers(std::move(handlers)),
+      mirror(executor, store, log,
+             {.prefix = std::string(keys::kCell), .pause = Duration::zero()},
+             {.on_change = [this](const StoreEvent& e) { this->OnCell(e); },
+              .on_listed = [this] { this->ConsiderElection(); }}) {}
+
+void CellMember::Start() {
+  this->Acquire();
+  this->mirror.Start();
+}
+
+bool CellMember::InTouch() const {
+  return this->lease != 0 &&
+         this->executor->Now() < this->renewed_at + kOutOfTouch;
+}
+
+void CellMember::Acquire() {
+  if (this->leaving) return;
+  const Instant asked = this->executor->Now();
+  this->store->GrantLease(
+      kStoreLease,
+      this->guard.Wrap([this, asked](const Result<StoreLease>& granted) {
+        this->OnLease(asked, granted);
+      }));
+}
+
+void CellMember::OnLease(Instant asked, const Result<StoreLease>& granted) {
+  if (this->leaving) return;
+  if (!granted) {
+    this->executor->After(kStoreRetry,
+                          this->guard.Wrap([this] { this->Acquire(); }));
+    return;
+  }
+  this->lease = granted.value().id;
+  this->renewed_at = asked;
+  this->log->Write("cell", "lease-granted", {{"lease", this->lease}});
+  this->Register();
+  this->RenewLater();
+  this->ConsiderElection();
+}
+
+void CellMember::Register() {
+  Transaction transaction;
+  transaction.puts.push_back(
+      {keys::Node(this->self.name), EncodeNode(this->self), this->lease});
+  const StoreLeaseId used = this->lease;
+  this->store->Commit(
+      std::move(transaction),
+      this->guard.Wrap([this, used](const CommitResult& result) {
+        if (used != this->lease || this->leaving) return;
+        if (result.end == CommitEnd::kCommitted) return;
+        if (result.end == CommitEnd::kLeaseGone) {
+          this->LoseLease("lapsed before registration");
+          return;
+        }
+        this->executor->After(kStoreRetry, this->guard.Wrap([this, used] {
+          if (used == this->lease && !this->leaving) this->Register();
+        }));
+      }));
+}
+
+void CellMember::RenewLater() {
+  if (std::exchange(this->renewing, true)) return;
+  this->executor->After(kStoreLeaseRenewal, this->guard.Wrap([this] {
+    this->renewing = false;
+    this->Renew();
+  }));
+}
+
+void CellMember::Renew() {
+  if (this->lease == 0 || this->leaving) return;
+  const Instant asked = this->executor->Now();
+  const StoreLeaseId renewed = this->lease;
+  this->store->RenewLease(
+      renewed, this->guard.Wrap(
+                   [this, renewed, asked](const Result<StoreLease>& answer) {
+                     this->OnRenewed(renewed, asked, answer);
+                   }));
+  // The next one does not wait for the answer, which may never come.
+  this->RenewLater();
+}
+
+void CellMember::OnRenewed(StoreLeaseId renewed, Instant asked,
+                           const Result<StoreLease>& answer) {
+  if (renewed != this->lease || this->leaving) return;
+  if (answer) {
+    this->renewed_at = std::max(this->renewed_at, asked);
+    return;
+  }
+  if (answer.error() == Error::kUnknownRequest) {
+    this->LoseLease("lapsed");
+  }
+}
+
+void CellMember::LoseLease(std::string_view reason) {
+  this->log->Write("cell", "lease-lost",
+                   {{"lease", this->lease}, {"reason", reason}});
+  this->lease = 0;
+  this->Depose("the lease at the store has ended");
+  this->Acquire();
+}
+
+void CellMember::OnCell(const StoreEvent& event) {
+  const std::string& key = event.item.key;
+  if (key.starts_with(keys::kNodes)) {
+    const ProcessId name(key.substr(keys::kNodes.size()));
+    if (event.deleted) {
+      this->nodes.erase(name);
+      this->log->Write("cell", "process-gone", {{"process", name.Text()}});
+      const bool own = name == this->self.name && this->lease != 0;
+      if (own && !this->leaving) this->Register();
+    } else if (auto node = DecodeNode(event.item.value)) {
+      this->nodes[name] = *node;
+      this->log->Write(
+          "cell", "process-joined",
+          {{"process", name.Text()}, {"address", node->peer_address}});
+    }
+  } else if (key == keys::Owner()) {
+    this->OnOwnerKey(event);
+  }
+  this->handlers.on_change();
+  this->ConsiderElection();
+}
+
+void CellMember::OnOwnerKey(const StoreEvent& event) {
+  if (event.deleted) {
+    // An older change than the one that made us owner tells nothing.
+    if (event.item.revision < this->token) return;
+    this->owner.reset();
+    this->Depose("the owner's key is gone");
+    return;
+  }
+  const auto node = DecodeNode(event.item.value);
+  if (!node) return;
+  this->owner = Ownership{*node, event.item.revision};
+  this->log->Write(
+      "cell", "owner-changed",
+      {{"owner", node->name.Text()}, {"token", event.item.revision}});
+  const bool newer = event.item.revision > this->token;
+  const bool ours = *node == this->self && event.item.lease == this->lease;
+  if (this->token == 0 && ours) {
+    // Our write had no answer and was done later.
+    this->Win(event.item.revision);
+  } else if (this->token != 0 && newer) {
+    this->Depose("there is a newer owner");
+  }
+}
+
+Duration CellMember::ElectionDelay() const {
+  std::size_t before = 0;
+  for (const auto& [name, node] : this->nodes) {
+    if (name != this->self.name && Preferred(node, this->self)) ++before;
+  }
+  return kElectionStagger *
+         static_cast<std::int64_t>(std::min(before, kMaxStaggers));
+}
+
+void CellMember::ConsiderElection() {
+  const bool may = this->mirror.Listed() && !this->owner && this->lease != 0 &&
+                   this->token == 0 && !this->leaving;
+  if (!may || std::exchange(this->standing, true)) return;
+  this->executor->After(this->ElectionDelay(),
+                        this->guard.Wrap([this] { this->Stand(); }));
+}
+
+void CellMember::Stand() {
+  if (this->owner || this->lease == 0 || this->leaving) {
+    this->standing = false;
+    return;
+  }
+  Transaction transaction;
+  transaction.conditions.push_back({keys::Owner(), 0});
+  transaction.puts.push_back(
+      {keys::Owner(), EncodeNode(this->self), this->lease});
+  this->store->Commit(std::move(transaction),
+                      this->guard.Wrap([this](const CommitResult& result) {
+                        this->OnStood(result);
+                      }));
+}
+
+void CellMember::OnStood(const CommitResult& result) {
+  switch (result.end) {
+    case CommitEnd::kCommitted:
+      this->standing = false;
+      this->Win(result.revision);
+      return;
+    case CommitEnd::kConflict:
+      // Another one was first; the mirror tells soon who.
+      this->standing = false;
+      return;
+    case CommitEnd::kUncertain:
+      this->CheckStood();
+      return;
+    case CommitEnd::kLeaseGone:
+    case CommitEnd::kNotDone:
+      break;
+  }
+  this->executor->After(kStoreRetry, this->guard.Wrap([this] {
+    this->standing = false;
+    this->ConsiderElection();
+  }));
+}
+
+void CellMember::CheckStood() {
+  // Failure: the answer to the write that made us owner is lost. The key shows
+  // who made it; our lease is in no other process's hands.
+  this->store->Read(
+      keys::Owner(), this->guard.Wrap([this](const Result<StoreItem>& item) {
+        this->standing = false;
+        const bool ours = item && item.value().lease == this->lease &&
+                          this->lease != 0 && !this->leaving;
+        if (ours) {
+          this->Win(item.value().revision);
+          return;
+        }
+        this->executor->After(kStoreRetry, this->guard.Wrap([this] {
+          this->ConsiderElection();
+        }));
+      }));
+}
+
+void CellMember::Win(Revision revision) {
+  if (this->token != 0 || this->leaving) return;
+  this->token = revision;
+  this->owner = Ownership{this->self, revision};
+  this->log->Write("cell", "elected", {{"token", revision}});
+  this->handlers.on_elected(revision);
+  this->handlers.on_change();
+}
+
+void CellMember::Depose(std::string_view reason) {
+  if (this->token == 0) return;
+  this->log->Write("cell", "deposed",
+                   {{"token", this->token}, {"reason", reason}});
+  this->token = 0;
+  this->handlers.on_deposed(reason);
+}
+
+void CellMember::Resign(std::string_view reason) {
+  this->Depose(reason);
+  if (this->lease == 0 || this->leaving) return;
+  // Failure: a process that has stopped to act as owner keeps the owner's key
+  // alive with its lease, and nobody takes over. The key goes with the lease.
+  this->store->EndLease(this->lease);
+  this->lease = 0;
+  this->Acquire();
+}
+
+void CellMember::Leave() {
+  this->leaving = true;
+  this->Depose("this process stops");
+  if (this->lease != 0) this->store->EndLease(this->lease);
+  this->lease = 0;
+}
+
+}  // namespace mustardproxy::jobs
--- /dev/null
+++ b/packages/jobs/src/cell_member.h
@@ -0,0 +1,105 @@
+#ifndef MUSTARDPROXY_JOBS_CELL_MEMBER_H_
+#define MUSTARDPROXY_JOBS_CELL_MEMBER_H_
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string_view>
+
+#include "guard.h"
+#include "mustardproxy/jobs/executor.h"
+#include "mustardproxy/jobs/key_value_store.h"
+#include "mustardproxy/jobs/worker_driver.h"
+#include "mustardproxy/telemetry/event_log.h"
+#include "prefix_mirror.h"
+#include "record_codec.h"
+
+namespace mustardproxy::jobs {
+
+/// Who owns the placement group.
+struct Ownership {
+  NodeRecord owner;
+  FencingToken token = 0;
+
+  friend bool operator==(const Ownership&, const Ownership&) = default;
+};
+
+/// This process among those of the cell: keeps its lease at the store, knows
+/// the others, and takes part in choosing the owner of the placement group.
+///
+/// The owner is whoever created the owner's key, under its lease. The revision
+/// of that write is the fencing token: unique and rising.
+class CellMember {
+ public:
+  struct Handlers {
+    /// This process owns the group now.
+    std::function<void(FencingToken)> on_elected;
+    /// It does not any more, or can't be sure.
+    std::function<void(std::string_view reason)> on_deposed;
+    /// Owner or processes have changed.
+    std::function<void()> on_change;
+  };
+
+  CellMember(Executor* executor, KeyValueStore* store, EventLog* log,
+             NodeRecord self, Handlers handlers);
+
+  void Start();
+  /// Gives the ownership up, if it has it, for another process or a fresh start
+  /// of its own.
+  void Resign(std::string_view reason);
+  /// Gives all up at once, so that another process takes over without waiting
+  /// for the lease.
+  void Leave();
+
+  [[nodiscard]] const std::map<ProcessId, NodeRecord>& Nodes() const {
+    return this->nodes;
+  }
+  [[nodiscard]] const std::optional<Ownership>& Owner() const {
+    return this->owner;
+  }
+  [[nodiscard]] bool Owns() const { return this->token != 0; }
+  /// @return when the last renewal was sent that the store has confirmed
+  [[nodiscard]] Instant RenewedAt() const { return this->renewed_at; }
+  /// @return true if the store has answered lately
+  [[nodiscard]] bool InTouch() const;
+
+ private:
+  void Acquire();
+  void OnLease(Instant asked, const Result<StoreLease>& lease);
+  void Register();
+  void RenewLater();
+  void Renew();
+  void OnRenewed(StoreLeaseId renewed, Instant asked,
+                 const Result<StoreLease>& lease);
+  void LoseLease(std::string_view reason);
+  void OnCell(const StoreEvent& event);
+  void OnOwnerKey(const StoreEvent& event);
+  void ConsiderElection();
+  Duration ElectionDelay() const;
+  void Stand();
+  void OnStood(const CommitResult& result);
+  void CheckStood();
+  void Win(Revision revision);
+  void Depose(std::string_view reason);
+
+  Executor* executor;
+  KeyValueStore* store;
+  EventLog* log;
+  NodeRecord self;
+  Handlers handlers;
+  PrefixMirror mirror;
+  StoreLeaseId lease = 0;
+  Instant renewed_at;
+  bool renewing = false;
+  std::map<ProcessId, NodeRecord> nodes;
+  std::optional<Ownership> owner;
+  /// Not zero while this process owns the group.
+  FencingToken token = 0;
+  bool standing = false;
+  bool leaving = false;
+  Guard guard;
+};
+
+}  // namespace mustardproxy::jobs
+
+#endif  // MUSTARDPROXY_JOBS_CELL_MEMBER_H_
--- /dev/null
+++ b/packages/jobs/src/gang_hold.cc
@@ -0,0 +1,61 @@
+#include "gang_hold.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace mustardproxy::jobs {
+namespace {
+
+/// Room that is expected to become free.
+struct Release {
+  Instant at;
+  std::size_t candidate = 0;
+  Resources resources;
+};
+
+std::vector<Release> CollectReleases(std::span<Candidate> candidates,
+                                     Instant now) {
+  std::vector<Release> releases;
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    for (const auto& [run, record] : candidates[i].room->session->runs) {
+      releases.push_back({std::max(now, record.expected_end), i, record.takes});
+    }
+  }
+  std::stable_sort(
+      releases.begin(), releases.end(),
+      [](const Release& a, const Release& b) { return a.at < b.at; });
+  return releases;
+}
+
+}  // namespace
+
+void HoldRooms(const Step& step, std::int64_t tasks,
+               std::span<Candidate> candidates, Instant now) {
+  std::vector<Resources> free;
+  std::vector<std::int64_t> fitting;
+  std::int64_t total = 0;
+  for (const Candidate& candidate : candidates) {
+    free.push_back(candidate.room->free);
+    fitting.push_back(CountFitting(step, free.back(), tasks));
+    total += fitting.back();
+  }
+  Instant until = now;
+  for (const Release& release : CollectReleases(candidates, now)) {
+    if (total >= tasks) break;
+    until = release.at;
+    free[release.candidate] += release.resources;
+    const std::int64_t fits =
+        CountFitting(step, free[release.candidate], tasks);
+    total += fits - fitting[release.candidate];
+    fitting[release.candidate] = fits;
+  }
+  // It does not fit even when all have ended; holding would not help.
+  if (total < tasks) return;
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    if (fitting[i] == 0) continue;
+    candidates[i].room->held = true;
+    candidates[i].room->held_until = until;
+  }
+}
+
+}  // namespace mustardproxy::jobs
--- /dev/null
+++ b/packages/jobs/src/group_owner.cc
@@ -0,0 +1,330 @@
+#include "group_owner.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "keys.h"
+#include "options.h"
+#include "record_codec.h"
+
+namespace mustardproxy::jobs {
+namespace {
+
+/// Longest age that a job's acceptance time is believed to show; beyond, a
+/// clock has jumped.
+constexpr Duration kMaxBelievedAge = seconds(600);
+
+/// How long a run that a former owner ordered may last at a worker that can't
+/// be reached: that owner renews for `kOwnerGrace` at most after its lease at
+/// the store, and the last renewal lasts as long as a worker's lease.
+Duration InheritedFor() {
+  const auto lease = static_cast<double>(kWorkerLease.count());
+  return kOwnerGrace +
+         Duration(static_cast<std::int64_t>(lease / kSlowestWorkerClock)) +
+         kLapseMargin;
+}
+
+}  // namespace
+
+GroupOwner::GroupOwner(Parts given, FencingToken token,
+                       std::shared_ptr<const DesiredState> desired)
+    : parts(std::move(given)), elected_at(this->parts.executor->Now()) {
+  OwnerContext& shared = this->context;
+  shared.executor = this->parts.executor;
+  shared.store = this->parts.store;
+  shared.driver = this->parts.driver;
+  shared.log = this->parts.log;
+  shared.metrics = this->parts.metrics;
+  shared.token = token;
+  shared.desired = std::move(desired);
+  shared.authorized = this->parts.authorized;
+  shared.step_down = this->parts.step_down;
+
+  this->writer = std::make_unique<ProgressWriter>(
+      shared.executor, shared.store, shared.log, &shared.jobs, token,
+      [this] { this->context.step_down("the store knows a newer owner"); });
+  this->dispatcher = std::make_unique<Dispatcher>(&shared);
+  this->runs = std::make_unique<RunControl>(&shared);
+  this->holds = std::make_unique<HoldLoop>(&shared);
+  this->advice = std::make_unique<AdviceDesk>(
+      AdviceDesk::Parts{shared.executor, this->parts.adviser, this->parts.peers,
+                        shared.log, shared.metrics},
+      [this](const StepRef& step) {
+        return this->dispatcher->ChooseForAdvice(step);
+      },
+      [this] { this->dispatcher->Kick(); });
+  shared.writer = this->writer.get();
+  shared.advice = this->advice.get();
+  shared.runs = this->runs.get();
+  shared.holds = this->holds.get();
+  shared.dispatcher = this->dispatcher.get();
+
+  this->intake = std::make_unique<PrefixMirror>(
+      shared.executor, shared.store, shared.log,
+      PrefixMirror::Options{std::string(keys::kIntake), kIntakeWatchPause},
+      PrefixMirror::Handlers{
+          [this](const StoreEvent& event) { this->OnIntake(event); },
+          [this] {
+            this->intake_listed = true;
+            this->LoadProgress("");
+          }});
+  this->workers = std::make_unique<PrefixMirror>(
+      shared.executor, shared.store, shared.log,
+      PrefixMirror::Options{std::string(this->parts.schema->WorkerPrefix()),
+                            Duration::zero()},
+      PrefixMirror::Handlers{
+          [this](const StoreEvent& event) { this->OnWorker(event); },
+          [this] {
+            this->workers_listed = true;
+            this->FinishLoading();
+          }});
+}
+
+void GroupOwner::Start() {
+  this->parts.log->Write("owner", "taking-over",
+                         {{"token", this->context.token}});
+  this->intake->Start();
+  this->workers->Start();
+  this->Tick();
+}
+
+void GroupOwner::SetDesired(std::shared_ptr<const DesiredState> desired) {
+  this->context.desired = std::move(desired);
+  this->dispatcher->Kick();
+}
+
+void GroupOwner::SetLanes(const std::vector<AdviceLane>& lanes) {
+  this->advice->SetLanes(lanes);
+}
+
+void GroupOwner::OnIntake(const StoreEvent& event) {
+  if (event.deleted) return;  // Removed by an owner after its retention.
+  const std::string& key = event.item.key;
+  if (key.starts_with(keys::kJobs)) {
+    this->OnJob(JobId(key.substr(keys::kJobs.size())), event.item.value);
+  } else if (key.starts_with(keys::kCancels)) {
+    this->OnCancel(JobId(key.substr(keys::kCancels.size())));
+  }
+}
+
+void GroupOwner::OnJob(const JobId& id, std::string_view record) {
+  if (this->context.jobs.Find(id) != nullptr) return;
+  std::optional<Job> job = DecodeJob(record);
+  if (!job || job->id != id) {
+    this->parts.log->Write("jobs", "record-broken",
+                           {{"job", id.Text()}, {"bytes", record.size()}});
+    return;
+  }
+  const Instant now = this->parts.executor->Now();
+  const Duration age =
+      milliseconds(this->parts.executor->UnixMs() - job->accepted_unix_ms);
+  const bool believed = age > Duration::zero() && age < kMaxBelievedAge;
+  JobEntry* entry = this->context.jobs.Add(std::move(*job), now);
+  if (believed) entry->learnt = now - age;
+  const bool cancelled = this->cancelled_early.erase(id) > 0;
+  if (!this->loaded) {
+    if (cancelled) this->cancelled_early.insert(id);
+    return;
+  }
+  this->parts.log->Write("jobs", "job-learnt",
+                         {{"job", id.Text()},
+                          {"queue", entry->job.queue.name.Text()},
+                          {"steps", entry->job.spec.steps.size()}});
+  if (cancelled) this->OnCancel(id);
+  this->dispatcher->Kick();
+}
+
+void GroupOwner::OnCancel(const JobId& id) {
+  JobEntry* entry = this->context.jobs.Find(id);
+  if (entry == nullptr || !this->loaded) {
+    this->cancelled_early.insert(id);
+    return;
+  }
+  if (!this->context.jobs.Cancel(entry, this->parts.executor->Now())) return;
+  // The cancellation itself is stored already.
+  entry->shown = JobState::kCancelled;
+  this->parts.log->Write("jobs", "job-cancelled", {{"job", id.Text()}});
+  this->runs->StoreFinal(entry);
+  this->dispatcher->Kick();
+}
+
+void GroupOwner::OnWorker(const StoreEvent& event) {
+  const std::string_view prefix = this->parts.schema->WorkerPrefix();
+  const std::string id = event.item.key.substr(prefix.size());
+  WorkerSession* session = Find(this->context.workers, WorkerId(id));
+  if (event.deleted) {
+    if (session == nullptr) return;
+    session->listed = false;
+    this->parts.log->Write("workers", "worker-unlisted",
+                           {{"worker", id},
+                            {"runs", session->runs.size()},
+                            {"revision", event.item.revision}});
+    return;
+  }
+  const Result<WorkerInfo> info =
+      this->parts.schema->ParseWorker(id, event.item.value);
+  if (!info) {
+    this->parts.log->Write(
+        "workers", "entry-broken",
+        {{"worker", id}, {"reason", info.error().message()}});
+    return;
+  }
+  this->AddWorker(info.value());
+}
+
+void GroupOwner::AddWorker(const WorkerInfo& info) {
+  auto& session = this->context.workers[info.id];
+  if (!session) {
+    session = std::make_unique<WorkerSession>(
+        info, this->elected_at + InheritedFor());
+    this->context.health.Add(info.id);
+    this->parts.log->Write("workers", "worker-listed",
+                           {{"worker", info.id.Text()},
+                            {"address", info.address},
+                            {"rack", info.rack}});
+  }
+  if (info.draining && !session->info.draining) {
+    this->parts.log->Write(
+        "workers", "worker-draining",
+        {{"worker", info.id.Text()}, {"runs", session->runs.size()}});
+  }
+  session->info = info;
+  session->listed = true;
+  if (this->loaded) this->holds->Pump(session.get());
+  this->dispatcher->Kick();
+}
+
+void GroupOwner::LoadProgress(const std::string& after) {
+  this->parts.store->List(keys::kProgress, after,
+                          this->guard.Wrap([this](const Result<StorePage>& p) {
+                            this->OnProgressPage(p);
+                          }));
+}
+
+void GroupOwner::OnProgressPage(const Result<StorePage>& page) {
+  if (!page) {
+    this->parts.executor->After(
+        kStoreRetry, this->guard.Wrap([this] { this->LoadProgress(""); }));
+    return;
+  }
+  for (const StoreItem& item : page.value().items) {
+    this->ApplyProgressItem(item);
+  }
+  if (page.value().truncated && !page.value().items.empty()) {
+    this->LoadProgress(page.value().items.back().key);
+    return;
+  }
+  this->loaded = true;
+  this->FinishLoading();
+}
+
+void GroupOwner::ApplyProgressItem(const StoreItem& item) {
+  const JobId id(item.key.substr(keys::kProgress.size()));
+  JobEntry* entry = this->context.jobs.Find(id);
+  // Its job is being removed.
+  if (entry == nullptr || entry->progress_revision != 0) return;
+  if (!ApplyProgress(&this->context.jobs, entry, item.value,
+                     this->parts.executor->Now())) {
+    this->parts.log->Write("jobs", "progress-broken", {{"job", id.Text()}});
+    return;
+  }
+  entry->progress_revision = item.revision;
+  entry->shown = entry->state;
+}
+
+void GroupOwner::FinishLoading() {
+  if (!this->loaded || !this->workers_listed) return;
+  std::vector<JobEntry*> active = this->context.jobs.Active();
+  for (JobEntry* entry : active) this->InheritRuns(entry);
+  for (const JobId& id : std::set<JobId>(this->cancelled_early)) {
+    if (this->context.jobs.Find(id) == nullptr) continue;
+    this->cancelled_early.erase(id);
+    this->OnCancel(id);
+  }
+  const Duration took = this->parts.executor->Now() - this->elected_at;
+  this->parts.log->Write(
+      "owner", "loaded",
+      {{"token", this->context.token},
+       {"jobs", this->context.jobs.All().size()},
+       {"active", this->context.jobs.Active().size()},
+       {"workers", this->context.workers.size()},
+       {"took_ms", std::chrono::duration_cast<milliseconds>(took).count()}});
+  this->holds->PumpAll();
+  this->dispatcher->Kick();
+}
+
+void GroupOwner::InheritRuns(JobEntry* entry) {
+  const Instant until = this->elected_at + InheritedFor();
+  for (const auto& [number, occurrence] : entry->occurrences) {
+    for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+      const std::vector<TaskEntry>& tasks = occurrence.steps[s].tasks;
+      for (std::size_t i = 0; i < tasks.size(); ++i) {
+        if (!tasks[i].open) continue;
+        const TaskRef task{
+            {entry->job.id, number, static_cast<std::int32_t>(s)},
+            static_cast<std::int32_t>(i)};
+        this->runs->Inherit({task, tasks[i].last_run}, tasks[i].worker, until);
+      }
+    }
+  }
+}
+
+std::optional<JobState> GroupOwner::StateOf(const JobId& id) const {
+  const JobEntry* entry = this->context.jobs.Find(id);
+  if (entry == nullptr) return std::nullopt;
+  return entry->shown;
+}
+
+std::int64_t GroupOwner::PendingIn(const QueueName& queue) const {
+  const auto& active = this->context.jobs.Active();
+  return std::count_if(active.begin(), active.end(), [&](const JobEntry* job) {
+    return job->job.queue.name == queue && job->state == JobState::kQueued;
+  });
+}
+
+void GroupOwner::Tick() {
+  if (this->loaded && this->workers_listed) {
+    this->OpenDue();
+    this->holds->PumpAll();
+    this->ForgetOld();
+    this->dispatcher->Kick();
+    this->Publish();
+  }
+  this->parts.executor->After(kTick,
+                              this->guard.Wrap([this] { this->Tick(); }));
+}
+
+void GroupOwner::OpenDue() {
+  const Instant now = this->parts.executor->Now();
+  const std::int64_t unix_ms = this->parts.executor->UnixMs();
+  for (JobEntry* entry : this->context.jobs.Active()) {
+    this->context.jobs.OpenDue(entry, unix_ms, now);
+  }
+}
+
+void GroupOwner::ForgetOld() {
+  const Instant now = this->parts.executor->Now();
+  std::vector<JobId> old;
+  for (const auto& [id, entry] : this->context.jobs.All()) {
+    if (!IsFinal(entry->state) || now < entry->ended + kRetention) continue;
+    old.push_back(id);
+    if (old.size() == kRetentionBatch) break;
+  }
+  if (!old.empty()) this->writer->Remove(std::move(old));
+}
+
+void GroupOwner::Publish() {
+  std::size_t running = 0;
+  for (const auto& [id, session] : this->context.workers) {
+    running += session->runs.size();
+  }
+  const auto set = [this](std::string_view name, std::size_t value) {
+    this->parts.metrics->Set(name, "", static_cast<double>(value));
+  };
+  set("job_runs", running);
+  set("active_jobs", this->context.jobs.Active().size());
+  set("known_workers", this->context.workers.size());
+  set("progress_backlog", this->writer->Backlog());
+}
+
+}  // namespace mustardproxy::jobs
--- /dev/null
+++ b/packages/jobs/src/group_owner.h
@@ -0,0 +1,95 @@
+#ifndef MUSTARDPROXY_JOBS_GROUP_OWNER_H_
+#define MUSTARDPROXY_JOBS_GROUP_OWNER_H_
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "advice_desk.h"
+#include "dispatcher.h"
+#include "guard.h"
+#include "hold_loop.h"
+#include "mustardproxy/jobs/job_peers.h"
+#include "mustardproxy/jobs/platform_schema.h"
+#include "owner_context.h"
+#include "prefix_mirror.h"
+#include "progress_writer.h"
+#include "run_control.h"
+
+namespace mustardproxy::jobs {
+
+/// One ownership of a placement group, from the moment its token was drawn
+/// until a newer owner is met: reads what is stored, fences the workers, and
+/// from then on decides for all jobs.
+class GroupOwner {
+ public:
+  struct Parts {
+    Executor* executor = nullptr;
+    KeyValueStore* store = nullptr;
+    WorkerDriver* driver = nullptr;
+    PlacementAdviser* adviser = nullptr;
+    JobPeers* peers = nullptr;
+    const PlatformSchema* schema = nullptr;
+    EventLog* log = nullptr;
+    Metrics* metrics = nullptr;
+    /// See OwnerContext.
+    std::function<bool()> authorized;
+    std::function<void(std::string_view)> step_down;
+  };
+
+  GroupOwner(Parts parts, FencingToken token,
+             std::shared_ptr<const DesiredState> desired);
+
+  void Start();
+  void SetDesired(std::shared_ptr<const DesiredState> desired);
+  void SetLanes(const std::vector<AdviceLane>& lanes);
+  /// @return true once all that is stored has been read
+  [[nodiscard]] bool Loaded() const { return this->loaded; }
+
+  /// A process has stored this job.
+  void OnJob(const JobId& id, std::string_view record);
+  void OnCancel(const JobId& id);
+  /// @return what callers are told; nothing for an unknown job
+  [[nodiscard]] std::optional<JobState> StateOf(const JobId& id) const;
+  [[nodiscard]] std::int64_t PendingIn(const QueueName& queue) const;
+
+ private:
+  void OnIntake(const StoreEvent& event);
+  void OnWorker(const StoreEvent& event);
+  void AddWorker(const WorkerInfo& info);
+  void LoadProgress(const std::string& after);
+  void OnProgressPage(const Result<StorePage>& page);
+  void ApplyProgressItem(const StoreItem& item);
+  void FinishLoading();
+  void InheritRuns(JobEntry* entry);
+  void Tick();
+  void OpenDue();
+  void ForgetOld();
+  void Publish();
+
+  Parts parts;
+  OwnerContext context;
+  /// When the token was drawn.
+  Instant elected_at;
+  bool intake_listed = false;
+  bool workers_listed = false;
+  bool loaded = false;
+  /// Cancellations that were read before their jobs.
+  std::set<JobId> cancelled_early;
+  std::unique_ptr<ProgressWriter> writer;
+  std::unique_ptr<AdviceDesk> advice;
+  std::unique_ptr<RunControl> runs;
+  std::unique_ptr<HoldLoop> holds;
+  std::unique_ptr<Dispatcher> dispatcher;
+  std::unique_ptr<PrefixMirror> intake;
+  std::unique_ptr<PrefixMirror> workers;
+  Guard guard;
+};
+
+}  // namespace mustardproxy::jobs
+
+#endif  // MUSTARDPROXY_JOBS_GROUP_OWNER_H_
--- /dev/null
+++ b/packages/jobs/src/hold_loop.cc
@@ -0,0 +1,237 @@
+#include "hold_loop.h"
+
+#include <algorithm>
+#include <memory>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "dispatcher.h"
+#include "options.h"
+#include "placement.h"
+#include "run_control.h"
+
+namespace mustardproxy::jobs {
+namespace {
+
+/// Most pauses of `kHoldRetry` between two holds of a worker that is silent.
+constexpr std::int32_t kMaxRetryFactor = 4;
+
+}  // namespace
+
+HoldLoop::HoldLoop(OwnerContext* context) : context(context) {}
+
+bool HoldLoop::Due(const WorkerSession& session) const {
+  if (session.hold_in_flight || session.gone) return false;
+  if (session.info.address.empty()) return false;
+  const Instant now = this->context->executor->Now();
+  if (now < session.next_hold) return false;
+  // Ends that are not stored yet would only be listed again. Yet the lease of
+  // what runs must not lapse while the store is away.
+  const bool renewal_due = now >= session.hold_sent + kHoldWait;
+  if (!session.unstored_ends.empty() && !renewal_due) return false;
+  const bool untold = session.noted_end > session.told_end;
+  return !session.runs.empty() || !session.fenced || untold ||
+         (session.suspect && session.listed);
+}
+
+HoldOrder HoldLoop::MakeOrder(const WorkerSession& session, Instant now) const {
+  HoldOrder order;
+  order.token = this->context->token;
+  order.last_noted_end = session.noted_end;
+  order.lease_until_ms = session.LeaseUntilMs(now, kWorkerLease);
+  const bool checking =
+      std::any_of(session.runs.begin(), session.runs.end(),
+                  [](const auto& run) { return run.second.stop_noted; });
+  const bool wait = session.fenced && !session.suspect &&
+                    !session.runs.empty() && !checking &&
+                    session.unstored_ends.empty();
+  order.wait = wait ? kHoldWait : Duration::zero();
+  return order;
+}
+
+void HoldLoop::Pump(WorkerSession* session) {
+  if (!this->Due(*session)) return;
+  if (!this->context->authorized()) {
+    this->context->step_down("the store is silent for too long");
+    return;
+  }
+  const Instant now = this->context->executor->Now();
+  HoldOrder order = this->MakeOrder(*session, now);
+  session->NoteLeaseSent(order.lease_until_ms);
+  session->hold_in_flight = true;
+  session->hold_sent = now;
+  const std::int64_t told_end = order.last_noted_end;
+  const ClockReading sent{.clock_ms = 0, .asked = now, .answered = now};
+  this->context->driver->Hold(
+      session->Target(), order,
+      this->guard.Wrap([this, worker = session->info.id, sent,
+                        told_end](const HoldResult& result) {
+        this->OnHold(worker, sent, told_end, result);
+      }));
+}
+
+void HoldLoop::PumpAll() {
+  const Instant now = this->context->executor->Now();
+  std::vector<WorkerId> finished;
+  for (const auto& [id, session] : this->context->workers) {
+    if (!session->runs.empty() && now >= session->LapsesAt()) {
+      this->context->runs->LoseAll(session.get(), LossCause::kLeaseLapsed);
+    }
+    this->Pump(session.get());
+    const bool over = !session->listed || session->gone;
+    if (over && session->runs.empty()) finished.push_back(id);
+  }
+  for (const WorkerId& id : finished) {
+    WorkerSession* session = Find(this->context->workers, id);
+    // An entry of a life that is over stays until the platform removes it.
+    if (session->listed) continue;
+    this->context->health.Remove(id);
+    this->context->workers.erase(id);
+  }
+}
+
+void HoldLoop::OnHold(const WorkerId& worker, ClockReading sent,
+                      std::int64_t told_end, const HoldResult& result) {
+  WorkerSession* session = Find(this->context->workers, worker);
+  if (session == nullptr) return;
+  session->hold_in_flight = false;
+  if (result.order.clock_ms != 0) {
+    sent.clock_ms = result.order.clock_ms;
+    sent.answered = this->context->executor->Now();
+    session->NoteClock(sent);
+  }
+  if (result.order.end == OrderEnd::kFenced) {
+    this->context->step_down("a worker obeys a newer owner");
+    return;
+  }
+  if (result.order.end == OrderEnd::kOtherLife) {
+    this->context->runs->LoseAll(session, LossCause::kOtherLife);
+    return;
+  }
+  if (result.order.end != OrderEnd::kDone) {
+    this->OnSilence(session, result.order.end);
+    return;
+  }
+  session->told_end = std::max(session->told_end, told_end);
+  this->OnAnswer(session, sent.asked, result);
+}
+
+void HoldLoop::OnSilence(WorkerSession* session, OrderEnd end) {
+  if (!std::exchange(session->suspect, true)) {
+    this->context->log->Write("workers", "worker-silent",
+                              {{"worker", session->info.id.Text()},
+                               {"end", Name(end)},
+                               {"runs", session->runs.size()}});
+  }
+  session->silent_holds = std::min(session->silent_holds + 1, kMaxRetryFactor);
+  session->next_hold =
+      this->context->executor->Now() + kHoldRetry * session->silent_holds;
+}
+
+void HoldLoop::OnAnswer(WorkerSession* session, Instant sent,
+                        const HoldResult& result) {
+  const bool back = std::exchange(session->suspect, false);
+  const bool first = !std::exchange(session->fenced, true);
+  session->silent_holds = 0;
+  if (first || back) {
+    this->context->log->Write("workers",
+                              first ? "worker-fenced" : "worker-back",
+                              {{"worker", session->info.id.Text()},
+                               {"token", this->context->token},
+                               {"running", result.running.size()},
+                               {"ended", result.ended.size()}});
+    this->context->dispatcher->Kick();
+  }
+  this->ReadRunning(session, result);
+  this->DropUnlisted(session, sent, result);
+  this->ReadEnded(session, result);
+}
+
+void HoldLoop::ReadRunning(WorkerSession* session, const HoldResult& result) {
+  const Instant now = this->context->executor->Now();
+  for (const RunningRun& listed : result.running) {
+    SessionRun* record = session->FindRun(listed.run);
+    if (record == nullptr) {
+      this->Adopt(session, listed);
+      continue;
+    }
+    if (record->percent != listed.percent) {
+      record->percent = listed.percent;
+      record->moved_at = now;
+    }
+    this->context->jobs.NoteCheckpoint(listed.run, listed.checkpoint);
+  }
+}
+
+void HoldLoop::Adopt(WorkerSession* session, const RunningRun& listed) {
+  const Step* step = this->context->jobs.FindStep(listed.run.task.step);
+  // It is none of the runs that are wanted: its job is over, or it was given up
+  // on. It takes room until it has ended.
+  SessionRun record;
+  if (step != nullptr) record.takes = Takes(*step);
+  record.phase = RunPhase::kStarted;
+  record.started_at = this->context->executor->Now();
+  record.moved_at = record.started_at;
+  record.expected_end = record.started_at;
+  session->AddRun(listed.run, record);
+  this->context->log->Write("jobs", "run-unwanted",
+                            {{"task", Text(listed.run.task)},
+                             {"run", listed.run.run},
+                             {"worker", session->info.id.Text()}});
+  this->context->runs->Stop(session, listed.run);
+}
+
+void HoldLoop::DropUnlisted(WorkerSession* session, Instant sent,
+                            const HoldResult& result) {
+  if (result.more_ended) return;
+  std::set<RunRef> listed;
+  for (const RunningRun& run : result.running) listed.insert(run.run);
+  for (const EndedRun& run : result.ended) listed.insert(run.run);
+  std::vector<RunRef> gone;
+  for (const auto& [run, record] : session->runs) {
+    const bool must_show = record.listed_from && *record.listed_from <= sent &&
+                           !record.order_in_flight;
+    if (must_show && !listed.contains(run)) gone.push_back(run);
+  }
+  for (const RunRef& run : gone) {
+    this->context->runs->End(session, run, RunEnd::kLapsed, "", {});
+  }
+}
+
+void HoldLoop::ReadEnded(WorkerSession* session, const HoldResult& result) {
+  const WorkerId worker = session->info.id;
+  auto batch = std::make_shared<EndBatch>();
+  batch->last_number = session->read_end;
+  // One for this loop itself, so that it ends only once.
+  batch->open_writes = 1;
+  session->unstored_ends.push_back(batch);
+  const auto stored = this->guard.Wrap([this, worker, batch] {
+    if (--batch->open_writes == 0) this->OnStored(worker);
+  });
+  for (const EndedRun& ended : result.ended) {
+    if (ended.number <= session->read_end) continue;
+    session->read_end = ended.number;
+    batch->last_number = ended.number;
+    ++batch->open_writes;
+    const bool waits = this->context->runs->End(session, ended.run, ended.end,
+                                                ended.checkpoint, stored);
+    if (!waits) --batch->open_writes;
+  }
+  auto finish = stored;
+  finish();
+}
+
+void HoldLoop::OnStored(const WorkerId& worker) {
+  WorkerSession* session = Find(this->context->workers, worker);
+  if (session == nullptr) return;
+  auto& batches = session->unstored_ends;
+  while (!batches.empty() && batches.front()->open_writes == 0) {
+    session->noted_end =
+        std::max(session->noted_end, batches.front()->last_number);
+    batches.pop_front();
+  }
+  if (batches.empty()) this->Pump(session);
+}
+
+}  // namespace mustardproxy::jobs
--- /dev/null
+++ b/packages/jobs/src/hold_loop.h
@@ -0,0 +1,45 @@
+#ifndef MUSTARDPROXY_JOBS_HOLD_LOOP_H_
+#define MUSTARDPROXY_JOBS_HOLD_LOOP_H_
+
+#include "guard.h"
+#include "mustardproxy/core/ids.h"
+#include "owner_context.h"
+
+namespace mustardproxy::jobs {
+
+/// Keeps one hold on its way to each worker that runs something: it renews the
+/// lease there, waits for ends, and tells the worker which ends are stored.
+///
+/// The worker's list of ends is the journal of what happened there: an end is
+/// noted only once its consequence is in the store, so whoever owns the group
+/// next finds it either there or at the worker.
+class HoldLoop {
+ public:
+  explicit HoldLoop(OwnerContext* context);
+
+  /// Sends a hold if one is due.
+  void Pump(WorkerSession* session);
+  /// Sends all that are due, and gives up workers whose lease has lapsed.
+  void PumpAll();
+
+ private:
+  bool Due(const WorkerSession& session) const;
+  HoldOrder MakeOrder(const WorkerSession& session, Instant now) const;
+  void OnHold(const WorkerId& worker, ClockReading sent, std::int64_t told_end,
+              const HoldResult& result);
+  void OnAnswer(WorkerSession* session, Instant sent, const HoldResult& result);
+  void OnSilence(WorkerSession* session, OrderEnd end);
+  void ReadRunning(WorkerSession* session, const HoldResult& result);
+  void ReadEnded(WorkerSession* session, const HoldResult& result);
+  void DropUnlisted(WorkerSession* session, Instant sent,
+                    const HoldResult& result);
+  void Adopt(WorkerSession* session, const RunningRun& listed);
+  void OnStored(const WorkerId& worker);
+
+  OwnerContext* context;
+  Guard guard;
+};
+
+}  // namespace mustardproxy::jobs
+
+#endif  // MUSTARDPROXY_JOBS_HOLD_LOOP_H_
--- /dev/null
+++ b/packages/jobs/src/job_lookup.cc
@@ -0,0 +1,79 @@
+#include "job_lookup.h"
+
+#include <utility>
+
+#include "keys.h"
+#include "mustardproxy/core/error.h"
+#include "options.h"
+#include "record_codec.h"
+
+namespace mustardproxy::jobs {
+
+JobLookup::JobLookup(Executor* executor, KeyValueStore* store)
+    : executor(executor), store(store) {}
+
+void JobLookup::Find(const JobId& id, Duration timeout, Done done) {
+  auto search = std::make_shared<Search>();
+  search->id = id;
+  search->deadline = this->executor->Now() + timeout;
+  search->done = std::move(done);
+  this->ReadProgress(search);
+}
+
+bool JobLookup::HandleFailure(const SearchPtr& search,
+                              const Result<StoreItem>& item) {
+  const bool answered = item || item.error() == Error::kUnknownRequest;
+  if (answered) return false;
+  if (this->executor->Now() + kStoreRetry >= search->deadline) {
+    search->done(make_error_code(Error::kPlatformUnavailable));
+    return true;
+  }
+  this->executor->After(kStoreRetry, this->guard.Wrap([this, search] {
+    this->ReadProgress(search);
+  }));
+  return true;
+}
+
+void JobLookup::ReadProgress(const SearchPtr& search) {
+  this->store->Read(
+      keys::OfProgress(search->id),
+      this->guard.Wrap([this, search](const Result<StoreItem>& item) {
+        if (this->HandleFailure(search, item)) return;
+        if (!item) {
+          this->ReadJob(search);
+          return;
+        }
+        const auto state = DecodeState(item.value().value);
+        if (!state) {
+          search->done(make_error_code(Error::kMalformedReply));
+        } else if (IsFinal(*state)) {
+          search->done(*state);
+        } else {
+          this->ReadCancel(search, *state);
+        }
+      }));
+}
+
+void JobLookup::ReadJob(const SearchPtr& search) {
+  this->store->Read(
+      keys::OfJob(search->id),
+      this->guard.Wrap([this, search](const Result<StoreItem>& item) {
+        if (this->HandleFailure(search, item)) return;
+        if (!item) {
+          search->done(make_error_code(Error::kUnknownRequest));
+          return;
+        }
+        this->ReadCancel(search, JobState::kQueued);
+      }));
+}
+
+void JobLookup::ReadCancel(const SearchPtr& search, JobState state) {
+  this->store->Read(
+      keys::OfCancel(search->id),
+      this->guard.Wrap([this, search, state](const Result<StoreItem>& item) {
+        if (this->HandleFailure(search, item)) return;
+        search->done(item ? JobState::kCancelled : state);
+      }));
+}
+
+}  // namespace mustardproxy::jobs
--- /dev/null
+++ b/packages/jobs/src/job_lookup.h
@@ -0,0 +1,49 @@
+#ifndef MUSTARDPROXY_JOBS_JOB_LOOKUP_H_
+#define MUSTARDPROXY_JOBS_JOB_LOOKUP_H_
+
+#include <functional>
+#include <memory>
+#include <unordered_map>
+
+#include "guard.h"
+#include "mustardproxy/core/result.h"
+#include "mustardproxy/jobs/executor.h"
+#include "mustardproxy/jobs/job.h"
+#include "mustardproxy/jobs/key_value_store.h"
+
+namespace mustardproxy::jobs {
+
+/// Finds out the state of a job from the store alone, while the owner can't be
+/// asked or has not heard of the job.
+class JobLookup {
+ public:
+  using Done = std::function<void(Result<JobState>)>;
+
+  JobLookup(Executor* executor, KeyValueStore* store);
+
+  /// Ends with the state, `kUnknownRequest`, or `kPlatformUnavailable` once
+  /// `timeout` has passed.
+  void Find(const JobId& id, Duration timeout, Done done);
+
+ private:
+  struct Search {
+    JobId id;
+    Instant deadline;
+    Done done;
+  };
+  using SearchPtr = std::shared_ptr<Search>;
+
+  void ReadProgress(const SearchPtr& search);
+  void ReadCancel(const SearchPtr& search, JobState state);
+  void ReadJob(const SearchPtr& search);
+  /// @return true if the search was ended or will be tried again
+  bool HandleFailure(const SearchPtr& search, const Result<StoreItem>& item);
+
+  Executor* executor;
+  KeyValueStore* store;
+  Guard guard;
+};
+
+}  // namespace mustardproxy::jobs
+
+#endif  // MUSTARDPROXY_JOBS_JOB_LOOKUP_H_
--- /dev/null
+++ b/packages/jobs/src/job_node.cc
@@ -0,0 +1,353 @@
+#include "mustardproxy/jobs/job_node.h"
+
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "cell_member.h"
+#include "group_owner.h"
+#include "guard.h"
+#include "intake.h"
+#include "job_lookup.h"
+#include "keys.h"
+#include "mustardproxy/core/error.h"
+#include "options.h"
+#include "prefix_mirror.h"
+#include "record_codec.h"
+
+namespace mustardproxy::jobs {
+
+struct JobNode::Internals {
+  explicit Internals(const Builder& given);
+
+  void OnDesired(const StoreEvent& event);
+  void OnElected(FencingToken token);
+  void OnDeposed();
+  void OnCellChange();
+  void StepDown(std::string_view reason);
+  bool Authorized() const;
+  /// @return where the owner is reached; nothing if there is none, or if it is
+  ///   this process
+  std::optional<std::string> OwnerAddress() const;
+
+  Builder given;
+  CellMember member;
+  PrefixMirror desired_mirror;
+  Intake intake;
+  JobLookup lookup;
+  std::shared_ptr<const DesiredState> desired;
+  std::unique_ptr<GroupOwner> owner;
+  bool stepping_down = false;
+  bool leaving = false;
+  Guard guard;
+};
+
+JobNode::Internals::Internals(const Builder& parts)
+    : given(parts),
+      member(parts.executor, parts.store, parts.log,
+             NodeRecord{parts.process, parts.data_center, parts.peer_address,
+                        parts.incarnation, parts.cpu_milli, parts.memory_mb},
+             {.on_elected = [this](FencingToken t) { this->OnElected(t); },
+              .on_deposed = [this](std::string_view) { this->OnDeposed(); },
+              .on_change = [this] { this->OnCellChange(); }}),
+      desired_mirror(
+          parts.executor, parts.store, parts.log,
+          {.prefix = std::string(parts.schema->DesiredStateKey()),
+           .pause = Duration::zero()},
+          {.on_change = [this](const StoreEvent& e) { this->OnDesired(e); },
+           .on_listed = {}}),
+      intake(parts.executor, parts.store, parts.log),
+      lookup(parts.executor, parts.store) {}
+
+void JobNode::Internals::OnDesired(const StoreEvent& event) {
+  const bool wanted =
+      !event.deleted && event.item.key == this->given.schema->DesiredStateKey();
+  if (!wanted) return;
+  Result<DesiredState> parsed =
+      this->given.schema->ParseDesiredState(event.item.value);
+  if (!parsed) {
+    this->given.log->Write("desired", "not-understood",
+                           {{"revision", event.item.revision},
+                            {"reason", parsed.error().message()}});
+    return;
+  }
+  // Never back: a listing may come after a newer event.
+  const ConfigurationVersion version = parsed.value().version;
+  if (this->desired && version <= this->desired->version) return;
+  this->desired =
+      std::make_shared<const DesiredState>(std::move(parsed.value()));
+  this->given.log->Write("desired", "in-force",
+                         {{"version", version},
+                          {"revision", event.item.revision},
+                          {"queues", this->desired->queues.size()}});
+  if (this->owner) this->owner->SetDesired(this->desired);
+}
+
+bool JobNode::Internals::Authorized() const {
+  if (this->stepping_down) return false;
+  return this->given.executor->Now() < this->member.RenewedAt() + kOwnerGrace;
+}
+
+void JobNode::Internals::StepDown(std::string_view reason) {
+  if (std::exchange(this->stepping_down, true)) return;
+  // Later, since parts of the owner that is to go are still at work.
+  this->given.executor->Post(this->guard.Wrap(
+      [this, why = std::string(reason)] { this->member.Resign(why); }));
+}
+
+void JobNode::Internals::OnElected(FencingToken token) {
+  this->stepping_down = false;
+  this->owner = std::make_unique<GroupOwner>(
+      GroupOwner::Parts{
+          .executor = this->given.executor,
+          .store = this->given.store,
+          .driver = this->given.driver,
+          .adviser = this->given.adviser,
+          .peers = this->given.peers,
+          .schema = this->given.schema,
+          .log = this->given.log,
+          .metrics = this->given.metrics,
+          .authorized = [this] { return this->Authorized(); },
+          .step_down = [this](std::string_view why) { this->StepDown(why); }},
+      token, this->desired);
+  this->owner->Start();
+}
+
+void JobNode::Internals::OnDeposed() {
+  this->stepping_down = true;
+  // The caller may be a callback of the store, never one of the owner's parts.
+  this->owner.reset();
+}
+
+void JobNode::Internals::OnCellChange() {
+  if (!this->owner) return;
+  std::vector<AdviceLane> lanes;
+  for (const auto& [name, node] : this->member.Nodes()) {
+    const bool self = name == this->given.process;
+    lanes.push_back({name, self ? std::string() : node.peer_address});
+  }
+  this->owner->SetLanes(lanes);
+}
+
+std::optional<std::string> JobNode::Internals::OwnerAddress() const {
+  const auto& owner = this->member.Owner();
+  if (!owner || owner->owner.name == this->given.process) return std::nullopt;
+  return owner->owner.peer_address;
+}
+
+JobNode::JobNode(std::unique_ptr<Internals> state) : state(std::move(state)) {}
+
+JobNode::~JobNode() = default;
+
+void JobNode::Start() {
+  this->state->desired_mirror.Start();
+  this->state->member.Start();
+}
+
+void JobNode::Leave() {
+  this->state->leaving = true;
+  this->state->member.Leave();
+}
+
+bool JobNode::Ready() const {
+  return this->state->desired && !this->state->leaving &&
+         this->state->member.InTouch();
+}
+
+bool JobNode::Owns() const {
+  return this->state->owner && this->state->owner->Loaded();
+}
+
+std::shared_ptr<const DesiredState> JobNode::Desired() const {
+  return this->state->desired;
+}
+
+void JobNode::Submit(const Queue& queue, JobId id, JobSpec spec,
+                     Duration timeout, std::function<void(SubmitResult)> done) {
+  Job job;
+  job.id = id;
+  job.queue = queue;
+  job.spec = std::move(spec);
+  job.accepted_unix_ms = this->state->given.executor->UnixMs();
+  std::string record = EncodeJob(job);
+  auto stored = [this, id, record,
+                 done = std::move(done)](const SubmitResult& result) {
+    if (result.end == SubmitEnd::kAccepted) {
+      if (this->state->owner) {
+        this->state->owner->OnJob(id, record);
+      } else if (const auto address = this->state->OwnerAddress()) {
+        this->state->given.peers->AnnounceJob(*address, {id, record});
+      }
+    }
+    done(result);
+  };
+  this->state->intake.Create("job", id, keys::OfJob(id), std::move(record),
+                             timeout,
+                             this->state->guard.Wrap(std::move(stored)));
+}
+
+void JobNode::Cancel(const JobId& id, Duration timeout,
+                     std::function<void(SubmitResult)> done) {
+  auto known = [this, id, timeout,
+                done = std::move(done)](const Result<StoreItem>& job) {
+    if (!job) {
+      const bool absent = job.error() == Error::kUnknownRequest;
+      done({.end = absent ? SubmitEnd::kNoSuchJob : SubmitEnd::kNotAccepted,
+            .reason = absent ? Error::kUnknownJob : Error::kStoreUnavailable,
+            .detail = {},
+            .retry_after = kStoreRetry});
+      return;
+    }
+    auto stored = [this, id, done](const SubmitResult& result) {
+      if (result.end == SubmitEnd::kAccepted) {
+        if (this->state->owner) {
+          this->state->owner->OnCancel(id);
+        } else if (const auto address = this->state->OwnerAddress()) {
+          this->state->given.peers->AnnounceCancel(*address, id);
+        }
+      }
+      done(result);
+    };
+    this->state->intake.Create("cancel", id, keys::OfCancel(id), "1", timeout,
+                               this->state->guard.Wrap(std::move(stored)));
+  };
+  this->state->given.store->Read(keys::OfJob(id),
+                                 this->state->guard.Wrap(std::move(known)));
+}
+
+void JobNode::State(const JobId& id, Duration timeout,
+                    std::function<void(Result<JobState>)> done) {
+  if (this->Owns()) {
+    if (const auto known = this->state->owner->StateOf(id)) {
+      done(*known);
+      return;
+    }
+  }
+  const auto address = this->state->OwnerAddress();
+  if (!address) {
+    this->state->lookup.Find(id, timeout, std::move(done));
+    return;
+  }
+  auto asked = [this, id, timeout,
+                done = std::move(done)](const Result<JobAnswer>& answer) {
+    if (answer && answer.value().state) {
+      done(*answer.value().state);
+      return;
+    }
+    this->state->lookup.Find(id, timeout, done);
+  };
+  this->state->given.peers->QueryJob(*address, id,
+                                     this->state->guard.Wrap(std::move(asked)));
+}
+
+void JobNode::Pending(const QueueName& queue, Duration /*timeout*/,
+                      std::function<void(Result<std::int64_t>)> done) {
+  if (this->Owns()) {
+    done(this->state->owner->PendingIn(queue));
+    return;
+  }
+  const auto address = this->state->OwnerAddress();
+  if (!address) {
+    done(make_error_code(Error::kPlatformUnavailable));
+    return;
+  }
+  this->state->given.peers->QueryPending(*address, queue, std::move(done));
+}
+
+void JobNode::OnJob(AcceptedJob job) {
+  if (this->state->owner) this->state->owner->OnJob(job.id, job.record);
+}
+
+void JobNode::OnCancel(const JobId& job) {
+  if (this->state->owner) this->state->owner->OnCancel(job);
+}
+
+void JobNode::OnQueryJob(const JobId& job,
+                         JobPeerHandler::Done<JobAnswer> done) {
+  if (!this->Owns()) {
+    done(make_error_code(Error::kNotOwner));
+    return;
+  }
+  done(JobAnswer{this->state->owner->StateOf(job)});
+}
+
+void JobNode::OnQueryPending(const QueueName& queue,
+                             JobPeerHandler::Done<std::int64_t> done) {
+  if (!this->Owns()) {
+    done(make_error_code(Error::kNotOwner));
+    return;
+  }
+  done(this->state->owner->PendingIn(queue));
+}
+
+void JobNode::OnAsk(AdviceQuestion question,
+                    JobPeerHandler::Done<Advice> done) {
+  this->state->given.adviser->Ask(std::move(question), std::move(done));
+}
+
+JobNode::Builder& JobNode::Builder::Self(ProcessId name, DataCenterId center,
+                                         Incarnation drawn) {
+  this->process = std::move(name);
+  this->data_center = std::move(center);
+  this->incarnation = drawn;
+  return *this;
+}
+
+JobNode::Builder& JobNode::Builder::PeerAddress(std::string address) {
+  this->peer_address = std::move(address);
+  return *this;
+}
+
+JobNode::Builder& JobNode::Builder::Strength(std::int64_t cpu,
+                                             std::int64_t memory) {
+  this->cpu_milli = cpu;
+  this->memory_mb = memory;
+  return *this;
+}
+
+JobNode::Builder& JobNode::Builder::On(Executor* thread) {
+  this->executor = thread;
+  return *this;
+}
+
+JobNode::Builder& JobNode::Builder::Store(KeyValueStore* client) {
+  this->store = client;
+  return *this;
+}
+
+JobNode::Builder& JobNode::Builder::Workers(WorkerDriver* client) {
+  this->driver = client;
+  return *this;
+}
+
+JobNode::Builder& JobNode::Builder::Adviser(PlacementAdviser* client) {
+  this->adviser = client;
+  return *this;
+}
+
+JobNode::Builder& JobNode::Builder::Peers(JobPeers* client) {
+  this->peers = client;
+  return *this;
+}
+
+JobNode::Builder& JobNode::Builder::Schema(const PlatformSchema* layout) {
+  this->schema = layout;
+  return *this;
+}
+
+JobNode::Builder& JobNode::Builder::Log(EventLog* sink) {
+  this->log = sink;
+  return *this;
+}
+
+JobNode::Builder& JobNode::Builder::Measure(Metrics* sink) {
+  this->metrics = sink;
+  return *this;
+}
+
+std::unique_ptr<JobNode> JobNode::Builder::Build() {
+  return std::unique_ptr<JobNode>(
+      new JobNode(std::make_unique<Internals>(*this)));
+}
+
+}  // namespace mustardproxy::jobs
--- /dev/null
+++ b/packages/jobs/src/job_table.cc
@@ -0,0 +1,292 @@
+#include "job_table.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "options.h"
+
+namespace mustardproxy::jobs {
+namespace {
+
+bool AllDone(const OccurrenceEntry& occurrence) {
+  return std::all_of(occurrence.steps.begin(), occurrence.steps.end(),
+                     [](const StepEntry& step) { return step.Done(); });
+}
+
+void CloseRun(StepEntry* step, TaskEntry* task) {
+  task->open = false;
+  task->worker = WorkerId();
+  --step->open;
+}
+
+void MarkDone(StepEntry* step, TaskEntry* task) {
+  if (task->done) return;
+  task->done = true;
+  task->checkpoint.clear();
+  ++step->done;
+}
+
+}  // namespace
+
+JobEntry* JobTable::Add(Job job, Instant now) {
+  auto& slot = this->jobs[job.id];
+  if (slot) return slot.get();
+  slot = std::make_unique<JobEntry>();
+  slot->job = std::move(job);
+  slot->learnt = now;
+  this->active.push_back(slot.get());
+  if (slot->job.spec.schedule.occurrences == 0) {
+    Open(slot.get(), 0, now);
+    slot->next_to_open = 1;
+  }
+  return slot.get();
+}
+
+JobEntry* JobTable::Find(const JobId& id) {
+  const auto found = this->jobs.find(id);
+  return found == this->jobs.end() ? nullptr : found->second.get();
+}
+
+const JobEntry* JobTable::Find(const JobId& id) const {
+  const auto found = this->jobs.find(id);
+  return found == this->jobs.end() ? nullptr : found->second.get();
+}
+
+void JobTable::Remove(const JobId& id) {
+  JobEntry* entry = this->Find(id);
+  if (entry == nullptr) return;
+  std::erase(this->active, entry);
+  this->jobs.erase(id);
+}
+
+OccurrenceEntry* JobTable::Open(JobEntry* entry, std::int32_t number,
+                                Instant now) {
+  OccurrenceEntry& occurrence = entry->occurrences[number];
+  if (!occurrence.steps.empty()) return &occurrence;
+  for (const Step& step : entry->job.spec.steps) {
+    StepEntry& made = occurrence.steps.emplace_back();
+    made.tasks.resize(static_cast<std::size_t>(step.tasks));
+    made.ready_since = now;
+  }
+  return &occurrence;
+}
+
+std::optional<std::int64_t> JobTable::NextDueMs(const JobEntry& entry) {
+  const JobSchedule& schedule = entry.job.spec.schedule;
+  if (entry.next_to_open >= schedule.occurrences) return std::nullopt;
+  return schedule.first_unix_ms + entry.next_to_open * schedule.interval_ms;
+}
+
+bool JobTable::OpenDue(JobEntry* entry, std::int64_t unix_ms, Instant now) {
+  bool opened = false;
+  for (auto due = NextDueMs(*entry); due && *due <= unix_ms;
+       due = NextDueMs(*entry)) {
+    Open(entry, entry->next_to_open, now);
+    ++entry->next_to_open;
+    opened = true;
+  }
+  return opened;
+}
+
+bool JobTable::Ready(const JobEntry& entry, const OccurrenceEntry& occurrence,
+                     std::int32_t step) {
+  const Step& spec = entry.job.spec.steps[static_cast<std::size_t>(step)];
+  return std::all_of(
+      spec.after.begin(), spec.after.end(), [&](std::int32_t earlier) {
+        return occurrence.steps[static_cast<std::size_t>(earlier)].Done();
+      });
+}
+
+std::vector<std::int32_t> JobTable::Startable(const JobEntry& entry,
+                                              const StepEntry& step,
+                                              std::int32_t number,
+                                              Instant now) {
+  std::vector<std::int32_t> indices;
+  const Step& spec = entry.job.spec.steps[static_cast<std::size_t>(number)];
+  // A new run of a gang must not meet members of the old one.
+  if (spec.gang && step.open > 0) return indices;
+  for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+    const TaskEntry& task = step.tasks[i];
+    if (task.done || task.open) continue;
+    if (task.not_before > now) {
+      if (spec.gang) return {};
+      continue;
+    }
+    indices.push_back(static_cast<std::int32_t>(i));
+  }
+  return indices;
+}
+
+std::vector<RunRef> JobTable::Begin(JobEntry* entry, const StepRef& step,
+                                    std::span<const std::int32_t> tasks,
+                                    std::span<const WorkerId> workers) {
+  StepEntry* steps = this->FindStepEntry(step);
+  const bool gang =
+      entry->job.spec.steps[static_cast<std::size_t>(step.step)].gang;
+  RunNumber shared = 0;
+  for (const TaskEntry& task : steps->tasks) {
+    shared = std::max(shared, task.last_run);
+  }
+  ++shared;
+  std::vector<RunRef> runs;
+  for (std::size_t i = 0; i < tasks.size(); ++i) {
+    TaskEntry& task = steps->tasks[static_cast<std::size_t>(tasks[i])];
+    task.last_run = gang ? shared : task.last_run + 1;
+    task.open = true;
+    task.worker = workers[i];
+    ++steps->open;
+    runs.push_back({TaskRef{step, tasks[i]}, task.last_run});
+  }
+  if (entry->state == JobState::kQueued) entry->state = JobState::kRunning;
+  return runs;
+}
+
+void JobTable::Withdraw(const RunRef& run) {
+  TaskEntry* task = this->FindOpen(run);
+  if (task == nullptr) return;
+  CloseRun(this->FindStepEntry(run.task.step), task);
+}
+
+EndEffect JobTable::End(const RunRef& run, RunEnd end,
+                        std::string_view checkpoint, Instant now) {
+  JobEntry* entry = this->Find(run.task.step.job);
+  TaskEntry* task = this->FindOpen(run);
+  if (entry == nullptr) return {};
+  // An end that comes after the run was given up on still tells the truth if it
+  // is good and no newer run has begun.
+  if (task == nullptr) {
+    TaskEntry* known = this->FindTask(run.task);
+    const bool late = known != nullptr && !known->done && !known->open &&
+                      known->last_run == run.run && end == RunEnd::kDone;
+    if (!late || IsFinal(entry->state)) return {};
+    EndEffect effect = this->EndDone(entry, run, now);
+    effect.matched = false;
+    return effect;
+  }
+  StepEntry* step = this->FindStepEntry(run.task.step);
+  const Step* spec = this->FindStep(run.task.step);
+  CloseRun(step, task);
+  if (!checkpoint.empty()) this->NoteCheckpoint(run, checkpoint);
+  EndEffect effect;
+  effect.matched = true;
+  if (IsFinal(entry->state)) return effect;
+  const bool counts = !spec->long_running;
+  if (end == RunEnd::kDone && counts) {
+    effect = this->EndDone(entry, run, now);
+  } else if (end == RunEnd::kFailed && counts) {
+    effect = this->EndFailed(entry, run, now);
+  }
+  effect.matched = true;
+  if (end != RunEnd::kDone) {
+    effect.gang_over = spec->gang;
+    task->not_before = now + kRetryPause;
+  }
+  return effect;
+}
+
+EndEffect JobTable::EndDone(JobEntry* entry, const RunRef& run, Instant now) {
+  StepEntry* step = this->FindStepEntry(run.task.step);
+  const Step* spec = this->FindStep(run.task.step);
+  const std::int32_t before = step->done;
+  if (spec->gang) {
+    // The members end well together, so one such end stands for all.
+    for (TaskEntry& member : step->tasks) MarkDone(step, &member);
+  } else {
+    MarkDone(step, this->FindTask(run.task));
+  }
+  const bool changed = step->done != before;
+  if (changed) this->CloseFinished(entry, now);
+  return {.durable = changed, .job_final = IsFinal(entry->state)};
+}
+
+EndEffect JobTable::EndFailed(JobEntry* entry, const RunRef& run, Instant now) {
+  StepEntry* step = this->FindStepEntry(run.task.step);
+  TaskEntry* task = this->FindTask(run.task);
+  const bool gang = this->FindStep(run.task.step)->gang;
+  if (run.run > task->counted_run) {
+    task->counted_run = run.run;
+    ++task->failed_runs;
+  }
+  if (gang && run.run > step->counted_gang_run) {
+    step->counted_gang_run = run.run;
+    ++step->failed_gang_runs;
+  }
+  const std::int32_t failed = gang ? step->failed_gang_runs : task->failed_runs;
+  if (failed >= entry->job.queue.max_attempts) {
+    this->SetState(entry, JobState::kFailed, now);
+  }
+  return {.durable = true, .job_final = IsFinal(entry->state)};
+}
+
+void JobTable::CloseFinished(JobEntry* entry, Instant now) {
+  while (!entry->occurrences.empty()) {
+    const auto first = entry->occurrences.begin();
+    if (first->first != entry->first_open || !AllDone(first->second)) break;
+    // Members of a gang whose end was told by another are still awaited.
+    entry->occurrences.erase(first);
+    ++entry->first_open;
+  }
+  const std::int32_t all = std::max(1, entry->job.spec.schedule.occurrences);
+  if (entry->first_open >= all) {
+    this->SetState(entry, JobState::kCompleted, now);
+  }
+}
+
+void JobTable::NoteCheckpoint(const RunRef& run, std::string_view checkpoint) {
+  StepEntry* step = this->FindStepEntry(run.task.step);
+  if (step == nullptr || checkpoint.empty()) return;
+  TaskEntry& task = step->tasks[static_cast<std::size_t>(run.task.index)];
+  if (task.done || task.last_run != run.run) return;
+  if (!this->FindStep(run.task.step)->gang) {
+    task.checkpoint = checkpoint;
+    return;
+  }
+  // One member's value is good for all, and all must start with the same.
+  for (TaskEntry& member : step->tasks) member.checkpoint = checkpoint;
+}
+
+bool JobTable::Cancel(JobEntry* entry, Instant now) {
+  if (IsFinal(entry->state)) return false;
+  this->SetState(entry, JobState::kCancelled, now);
+  return true;
+}
+
+void JobTable::SetState(JobEntry* entry, JobState state, Instant now) {
+  entry->state = state;
+  if (!IsFinal(state)) return;
+  entry->ended = now;
+  std::erase(this->active, entry);
+}
+
+TaskEntry* JobTable::FindTask(const TaskRef& ref) {
+  StepEntry* step = this->FindStepEntry(ref.step);
+  if (step == nullptr || ref.index < 0) return nullptr;
+  const auto index = static_cast<std::size_t>(ref.index);
+  return index < step->tasks.size() ? &step->tasks[index] : nullptr;
+}
+
+TaskEntry* JobTable::FindOpen(const RunRef& run) {
+  TaskEntry* task = this->FindTask(run.task);
+  const bool open = task != nullptr && task->open && task->last_run == run.run;
+  return open ? task : nullptr;
+}
+
+const Step* JobTable::FindStep(const StepRef& ref) const {
+  const JobEntry* entry = this->Find(ref.job);
+  if (entry == nullptr || ref.step < 0) return nullptr;
+  const auto index = static_cast<std::size_t>(ref.step);
+  const std::vector<Step>& steps = entry->job.spec.steps;
+  return index < steps.size() ? &steps[index] : nullptr;
+}
+
+StepEntry* JobTable::FindStepEntry(const StepRef& ref) {
+  JobEntry* entry = this->Find(ref.job);
+  if (entry == nullptr || ref.step < 0) return nullptr;
+  const auto found = entry->occurrences.find(ref.occurrence);
+  if (found == entry->occurrences.end()) return nullptr;
+  const auto index = static_cast<std::size_t>(ref.step);
+  return index < found->second.steps.size() ? &found->second.steps[index]
+                                            : nullptr;
+}
+
+}  // namespace mustardproxy::jobs
--- /dev/null
+++ b/packages/jobs/src/options.h
@@ -0,0 +1,84 @@
+#ifndef MUSTARDPROXY_JOBS_OPTIONS_H_
+#define MUSTARDPROXY_JOBS_OPTIONS_H_
+
+#include "mustardproxy/core/time.h"
+
+/// Times and bounds of the scheduler, with where each figure comes from.
+namespace mustardproxy::jobs {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Lease of a process at the store. A dead owner is replaced this long after
+/// its last renewal; three renewals may be lost. The platform grants a second
+/// at least.
+inline constexpr Duration kStoreLease = milliseconds(1500);
+inline constexpr Duration kStoreLeaseRenewal = milliseconds(450);
+
+/// Lease that each order gives all that runs on a worker. Long enough that a
+/// dead owner's work lives until the next one renews (store lease 1.5 s, a
+/// hold's wait 1 s, taking over under a second), short enough that the work of
+/// a dead worker starts again soon. Measured on days with crashing workers:
+/// see docs/MACHINES.md.
+inline constexpr Duration kWorkerLease = milliseconds(4500);
+/// How slow a worker's clock may be.
+inline constexpr double kSlowestWorkerClock = 0.98;
+/// Added to the moment at which a worker's lease must have lapsed: the worker
+/// needs a while to kill what runs.
+inline constexpr Duration kLapseMargin = milliseconds(250);
+
+/// How long an owner that the store does not answer goes on renewing the
+/// leases of what runs: the longest outage that the users' pages name, 9.5 s,
+/// and the time in which it is noticed.
+inline constexpr Duration kOwnerGrace = milliseconds(11'000);
+
+/// How long a hold waits at the worker for an end. A silent connection is
+/// noticed after this and `kHoldTimeout`.
+inline constexpr Duration kHoldWait = milliseconds(1000);
+/// First and longest pause after a hold without an answer.
+inline constexpr Duration kHoldRetry = milliseconds(150);
+/// Pause between two sendings of a start or stop that got no answer. The same
+/// run is named, so the worker does it once.
+inline constexpr Duration kOrderRetry = milliseconds(100);
+
+/// Pause between two readings of the journal of new jobs. Processes announce
+/// jobs at once; this is for lost announcements.
+inline constexpr Duration kIntakeWatchPause = milliseconds(300);
+/// Longest wait of a watch at the store. Bounds the time in which a silent
+/// connection hides a change of the desired state, which has 2 s to be in
+/// force.
+inline constexpr Duration kWatchWait = milliseconds(1200);
+inline constexpr Duration kStoreRetry = milliseconds(100);
+
+/// Least time between two writes of progress, so that ends of many tasks share
+/// one call.
+inline constexpr Duration kProgressInterval = milliseconds(15);
+/// Least time between two passes over the queue.
+inline constexpr Duration kPassInterval = milliseconds(5);
+/// Period of checks that no event triggers: lapses, due times, retention.
+inline constexpr Duration kTick = milliseconds(100);
+
+/// A permission is not used when less than this is left of it: the start has to
+/// be written down (a call to the store) and sent.
+inline constexpr Duration kTicketMargin = milliseconds(150);
+/// Most workers named in one question to the policy service.
+inline constexpr std::size_t kMaxAdviceWorkers = 100;
+/// Added to the time that a question should take before it is given up on.
+inline constexpr Duration kAdviceSlack = milliseconds(700);
+/// How long a process whose question failed is left out.
+inline constexpr Duration kAdviceLanePause = seconds(1);
+
+/// How long a final state is kept: the users ask for 120 s.
+inline constexpr Duration kRetention = seconds(150);
+/// Jobs removed from the store in one transaction, three keys each.
+inline constexpr std::size_t kRetentionBatch = 10;
+
+/// Pause before a task that failed is started again.
+inline constexpr Duration kRetryPause = milliseconds(20);
+
+/// Timeout of a question to the owner about a job; the store is asked then.
+inline constexpr Duration kPeerTimeout = milliseconds(400);
+
+}  // namespace mustardproxy::jobs
+
+#endif  // MUSTARDPROXY_JOBS_OPTIONS_H_
--- /dev/null
+++ b/packages/jobs/src/owner_context.h
@@ -0,0 +1,66 @@
+#ifndef MUSTARDPROXY_JOBS_OWNER_CONTEXT_H_
+#define MUSTARDPROXY_JOBS_OWNER_CONTEXT_H_
+
+#include <functional>
+#include <memory>
+#include <string_view>
+
+#include "job_table.h"
+#include "mustardproxy/core/worker_health.h"
+#include "mustardproxy/jobs/desired_state.h"
+#include "mustardproxy/jobs/executor.h"
+#include "mustardproxy/jobs/key_value_store.h"
+#include "mustardproxy/jobs/worker_driver.h"
+#include "mustardproxy/telemetry/event_log.h"
+#include "mustardproxy/telemetry/metrics.h"
+#include "run_times.h"
+#include "worker_table.h"
+
+namespace mustardproxy::jobs {
+
+class AdviceDesk;
+class Dispatcher;
+class HoldLoop;
+class ProgressWriter;
+class RunControl;
+
+/// What the parts of one ownership share. All of it dies with the ownership.
+struct OwnerContext {
+  Executor* executor = nullptr;
+  KeyValueStore* store = nullptr;
+  WorkerDriver* driver = nullptr;
+  EventLog* log = nullptr;
+  Metrics* metrics = nullptr;
+  /// Revision of the owner's key: what workers and the store compare.
+  FencingToken token = 0;
+  std::shared_ptr<const DesiredState> desired;
+
+  JobTable jobs;
+  WorkerTable workers;
+  WorkerHealth health{WorkerHealthOptions{}};
+  RunTimes run_times;
+
+  ProgressWriter* writer = nullptr;
+  AdviceDesk* advice = nullptr;
+  RunControl* runs = nullptr;
+  HoldLoop* holds = nullptr;
+  Dispatcher* dispatcher = nullptr;
+
+  /// @return false once the store has been silent for longer than an owner may
+  ///   act on; asked before each order
+  std::function<bool()> authorized;
+  /// Ends this ownership soon.
+  std::function<void(std::string_view reason)> step_down;
+
+  /// @return how the job's queue is treated now
+  [[nodiscard]] const Queue& QueueOf(const JobEntry& entry) const {
+    const Queue* queue = this->desired
+                             ? this->desired->FindQueue(entry.job.queue.name)
+                             : nullptr;
+    return queue != nullptr ? *queue : entry.job.queue;
+  }
+};
+
+}  // namespace mustardproxy::jobs
+
+#endif  // MUSTARDPROXY_JOBS_OWNER_CONTEXT_H_
--- /dev/null
+++ b/packages/jobs/src/placement.cc
@@ -0,0 +1,92 @@
+#include "placement.h"
+
+#include <algorithm>
+#include <map>
+#include <string>
+
+#include "mustardproxy/core/gang_search.h"
+#include "mustardproxy/core/resource_math.h"
+
+namespace mustardproxy::jobs {
+namespace {
+
+std::int64_t RoomFor(const Step& step, const Candidate& candidate,
+                     std::int64_t limit) {
+  if (step.max_per_worker > 0) {
+    limit =
+        std::min<std::int64_t>(limit, step.max_per_worker - candidate.siblings);
+  }
+  return CountFitting(step, candidate.room->free,
+                      std::max<std::int64_t>(limit, 0));
+}
+
+std::vector<GangCandidate> Group(const Step& step, std::int32_t tasks,
+                                 std::span<Candidate> candidates) {
+  std::map<std::string, std::uint32_t> racks;
+  std::vector<GangCandidate> grouped;
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    const std::int64_t room = RoomFor(step, candidates[i], tasks);
+    if (room == 0) continue;
+    const auto rack =
+        racks.emplace(candidates[i].room->session->info.rack, racks.size())
+            .first->second;
+    grouped.push_back({static_cast<std::uint32_t>(i), rack, room});
+  }
+  std::stable_sort(grouped.begin(), grouped.end(),
+                   [](const GangCandidate& a, const GangCandidate& b) {
+                     return a.rack < b.rack;
+                   });
+  return grouped;
+}
+
+std::vector<WorkerId> Place(const Step& step, std::int32_t tasks,
+                            std::span<Candidate> candidates) {
+  const std::vector<GangCandidate> grouped = Group(step, tasks, candidates);
+  std::int64_t room = 0;
+  for (const GangCandidate& one : grouped) room += one.room;
+  const std::int64_t count = std::min<std::int64_t>(room, tasks);
+  if (count == 0 || (step.gang && count < tasks)) return {};
+  std::vector<WorkerId> workers;
+  for (const std::uint32_t index :
+       PlaceGang(grouped, count, Packing::kBestFit)) {
+    Candidate& chosen = candidates[index];
+    chosen.room->free -= Takes(step);
+    ++chosen.siblings;
+    workers.push_back(chosen.room->session->info.id);
+  }
+  return workers;
+}
+
+}  // namespace
+
+Resources Takes(const Step& step) {
+  Resources takes = step.each;
+  takes.slots = 0;
+  if (step.best_effort) takes.cpu_milli = 0;
+  return takes;
+}
+
+std::int64_t CountFitting(const Step& step, const Resources& free,
+                          std::int64_t limit) {
+  return std::min(limit, mustardproxy::CountFitting(Takes(step), free));
+}
+
+std::vector<WorkerId> PlaceTasks(const Step& step, std::int32_t tasks,
+                                 std::span<Candidate> candidates) {
+  if (step.near_rack.empty()) return Place(step, tasks, candidates);
+  const auto near_end = std::stable_partition(
+      candidates.begin(), candidates.end(), [&](const Candidate& candidate) {
+        return candidate.room->session->info.rack == step.near_rack;
+      });
+  const std::span<Candidate> near(candidates.begin(), near_end);
+  std::vector<WorkerId> workers = Place(step, tasks, near);
+  const auto left = tasks - static_cast<std::int32_t>(workers.size());
+  if (left == 0) return workers;
+  if (step.gang) return Place(step, tasks, candidates);
+  const std::vector<WorkerId> far =
+      Place(step, left, std::span<Candidate>(near_end, candidates.end()));
+  workers.insert(workers.end(), far.begin(), far.end());
+  return workers;
+}
+
+}  // namespace mustardproxy::jobs
--- /dev/null
+++ b/packages/jobs/src/prefix_mirror.cc
@@ -0,0 +1,140 @@
+#include "prefix_mirror.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "mustardproxy/core/error.h"
+#include "options.h"
+
+namespace mustardproxy::jobs {
+
+PrefixMirror::PrefixMirror(Executor* executor, KeyValueStore* store,
+                           EventLog* log, Options options, Handlers handlers)
+    : executor(executor),
+      store(store),
+      log(log),
+      options(std::move(options)),
+      handlers(std::move(handlers)) {}
+
+void PrefixMirror::Start() {
+  this->first_page = true;
+  this->seen.clear();
+  this->ListFrom("");
+}
+
+void PrefixMirror::ListFrom(const std::string& after) {
+  const Instant asked = this->executor->Now();
+  this->store->List(
+      this->options.prefix, after,
+      this->guard.Wrap([this, asked](const Result<StorePage>& page) {
+        this->OnPage(asked, page);
+      }));
+}
+
+void PrefixMirror::OnPage(Instant asked, const Result<StorePage>& page) {
+  if (!page) {
+    this->Retry(/*anew=*/true);
+    return;
+  }
+  this->reachable = true;
+  this->fresh_at = asked;
+  // Pages are no snapshot. Changes since the first page are watched for, so
+  // none that falls between two pages is lost.
+  if (std::exchange(this->first_page, false)) this->next = page.value().current;
+  for (const StoreItem& item : page.value().items) {
+    this->seen.insert(item.key);
+    this->Tell(item);
+  }
+  if (page.value().truncated && !page.value().items.empty()) {
+    this->ListFrom(page.value().items.back().key);
+    return;
+  }
+  this->FinishList();
+}
+
+void PrefixMirror::FinishList() {
+  std::vector<std::string> gone;
+  for (const auto& [key, revision] : this->known) {
+    if (!this->seen.contains(key)) gone.push_back(key);
+  }
+  for (const std::string& key : gone) this->TellGone(key, this->next);
+  this->seen.clear();
+  const bool first = !std::exchange(this->listed, true);
+  if (first && this->handlers.on_listed) this->handlers.on_listed();
+  this->Watch();
+}
+
+void PrefixMirror::Watch() {
+  const Instant asked = this->executor->Now();
+  this->store->Watch(
+      this->options.prefix, this->next, kWatchWait,
+      this->guard.Wrap([this, asked](const Result<StoreEvents>& events) {
+        this->OnEvents(asked, events);
+      }));
+}
+
+void PrefixMirror::OnEvents(Instant asked, const Result<StoreEvents>& events) {
+  if (!events) {
+    const bool forgotten = events.error() == Error::kHistoryLost;
+    if (forgotten) {
+      this->log->Write(
+          "store", "history-lost",
+          {{"prefix", this->options.prefix}, {"after", this->next}});
+    }
+    this->Retry(forgotten);
+    return;
+  }
+  this->reachable = true;
+  this->fresh_at = asked;
+  this->next = std::max(this->next, events.value().current);
+  for (const StoreEvent& event : events.value().events) {
+    if (event.deleted) {
+      this->TellGone(event.item.key, event.item.revision);
+    } else {
+      this->Tell(event.item);
+    }
+  }
+  if (this->options.pause == Duration::zero()) {
+    this->Watch();
+  } else {
+    this->Later(this->options.pause, [this] { this->Watch(); });
+  }
+}
+
+void PrefixMirror::Tell(const StoreItem& item) {
+  Revision& revision = this->known[item.key];
+  if (revision >= item.revision) return;
+  revision = item.revision;
+  this->handlers.on_change({.item = item, .deleted = false});
+}
+
+void PrefixMirror::TellGone(const std::string& key, Revision revision) {
+  const auto found = this->known.find(key);
+  if (found == this->known.end() || found->second > revision) return;
+  this->known.erase(found);
+  StoreEvent event;
+  event.item.key = key;
+  event.item.revision = revision;
+  event.deleted = true;
+  this->handlers.on_change(event);
+}
+
+void PrefixMirror::Retry(bool anew) {
+  if (std::exchange(this->reachable, false) && !anew) {
+    this->log->Write("store", "watch-lost", {{"prefix", this->options.prefix}});
+  }
+  this->Later(kStoreRetry, [this, anew] {
+    if (anew) {
+      this->Start();
+    } else {
+      this->Watch();
+    }
+  });
+}
+
+void PrefixMirror::Later(Duration delay, std::function<void()> task) {
+  this->executor->After(delay, this->guard.Wrap(std::move(task)));
+}
+
+}  // namespace mustardproxy::jobs
--- /dev/null
+++ b/packages/jobs/src/progress_writer.cc
@@ -0,0 +1,173 @@
+#include "progress_writer.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+#include "keys.h"
+#include "options.h"
+#include "record_codec.h"
+
+namespace mustardproxy::jobs {
+namespace {
+
+/// Each row takes a condition and a put; one more condition names the owner.
+constexpr std::size_t kMaxRows = (kMaxTransactionEntries - 1) / 2;
+
+StoreCondition OwnerCondition(FencingToken token) {
+  return {keys::Owner(), token};
+}
+
+}  // namespace
+
+ProgressWriter::ProgressWriter(Executor* executor, KeyValueStore* store,
+                               EventLog* log, JobTable* jobs,
+                               FencingToken token,
+                               std::function<void()> on_fenced)
+    : executor(executor),
+      store(store),
+      log(log),
+      jobs(jobs),
+      token(token),
+      on_fenced(std::move(on_fenced)) {}
+
+void ProgressWriter::Write(const JobId& job, std::function<void()> durable) {
+  const auto [row, added] = this->rows.try_emplace(job);
+  if (added) this->order.push_back(job);
+  if (durable) row->second.push_back(std::move(durable));
+  this->Flush();
+}
+
+void ProgressWriter::Flush() {
+  if (!this->in_flight.empty() || this->order.empty()) return;
+  const Instant now = this->executor->Now();
+  if (now < this->next_write) {
+    if (std::exchange(this->timer_set, true)) return;
+    this->executor->After(this->next_write - now, this->guard.Wrap([this] {
+      this->timer_set = false;
+      this->Flush();
+    }));
+    return;
+  }
+  this->next_write = now + kProgressInterval;
+  Transaction transaction = this->TakeRows();
+  if (this->in_flight.empty()) return;
+  this->store->Commit(std::move(transaction),
+                      this->guard.Wrap([this](const CommitResult& result) {
+                        this->OnWritten(result);
+                      }));
+}
+
+Transaction ProgressWriter::TakeRows() {
+  Transaction transaction;
+  transaction.conditions.push_back(OwnerCondition(this->token));
+  while (!this->order.empty() && this->in_flight.size() < kMaxRows) {
+    const JobId id = this->order.front();
+    this->order.pop_front();
+    Waiters waiters = std::move(this->rows[id]);
+    this->rows.erase(id);
+    const JobEntry* entry = this->jobs->Find(id);
+    if (entry == nullptr) {
+      // Forgotten meanwhile: there is nothing left to store.
+      for (auto& durable : waiters) this->executor->Post(std::move(durable));
+      continue;
+    }
+    const std::string key = keys::OfProgress(id);
+    transaction.conditions.push_back({key, entry->progress_revision});
+    transaction.puts.push_back({key, EncodeProgress(*entry), 0});
+    this->in_flight.push_back({id, std::move(waiters)});
+  }
+  return transaction;
+}
+
+void ProgressWriter::OnWritten(const CommitResult& result) {
+  const bool answered =
+      result.end == CommitEnd::kCommitted || result.end == CommitEnd::kConflict;
+  if (answered != this->store_answers) {
+    this->store_answers = answered;
+    this->log->Write("store", answered ? "writes-regained" : "writes-lost",
+                     {{"waiting", this->Backlog()}});
+  }
+  if (result.end == CommitEnd::kConflict) {
+    this->OnConflict(result);
+    return;
+  }
+  if (result.end != CommitEnd::kCommitted) {
+    this->Requeue();
+    this->next_write = this->executor->Now() + kStoreRetry;
+    this->Flush();
+    return;
+  }
+  const std::vector<SentRow> written = std::exchange(this->in_flight, {});
+  for (const SentRow& row : written) {
+    JobEntry* entry = this->jobs->Find(row.job);
+    if (entry != nullptr) entry->progress_revision = result.revision;
+  }
+  this->Flush();
+  for (const SentRow& row : written) {
+    for (const auto& durable : row.waiters) durable();
+  }
+}
+
+bool ProgressWriter::Fenced(const CommitResult& result) const {
+  const std::string owner = keys::Owner();
+  return std::none_of(
+      result.found.begin(), result.found.end(), [&](const StoreItem& item) {
+        return item.key == owner && item.revision == this->token;
+      });
+}
+
+void ProgressWriter::OnConflict(const CommitResult& result) {
+  if (this->Fenced(result)) {
+    this->on_fenced();
+    return;
+  }
+  // A row has another revision than we know: a write of ours whose answer was
+  // lost has been done. Nobody else writes rows under our token.
+  for (const SentRow& row : this->in_flight) {
+    JobEntry* entry = this->jobs->Find(row.job);
+    if (entry == nullptr) continue;
+    entry->progress_revision = 0;
+    const std::string key = keys::OfProgress(row.job);
+    for (const StoreItem& item : result.found) {
+      if (item.key == key) entry->progress_revision = item.revision;
+    }
+  }
+  this->Requeue();
+  this->Flush();
+}
+
+void ProgressWriter::Requeue() {
+  std::vector<SentRow> sent = std::exchange(this->in_flight, {});
+  for (auto row = sent.rbegin(); row != sent.rend(); ++row) {
+    Waiters& waiters = this->rows[row->job];
+    if (std::find(this->order.begin(), this->order.end(), row->job) ==
+        this->order.end()) {
+      this->order.push_front(row->job);
+    }
+    waiters.insert(waiters.begin(),
+                   std::make_move_iterator(row->waiters.begin()),
+                   std::make_move_iterator(row->waiters.end()));
+  }
+}
+
+void ProgressWriter::Remove(std::vector<JobId> removed) {
+  Transaction transaction;
+  transaction.conditions.push_back(OwnerCondition(this->token));
+  for (const JobId& id : removed) {
+    transaction.removals.push_back(keys::OfJob(id));
+    transaction.removals.push_back(keys::OfCancel(id));
+    transaction.removals.push_back(keys::OfProgress(id));
+  }
+  this->store->Commit(
+      std::move(transaction),
+      this->guard.Wrap([this, removed = std::move(removed)](
+                           const CommitResult& result) {
+        // Otherwise the next round tries again.
+        if (result.end != CommitEnd::kCommitted) return;
+        for (const JobId& id : removed) this->jobs->Remove(id);
+        this->log->Write("jobs", "jobs-forgotten", {{"jobs", removed.size()}});
+      }));
+}
+
+}  // namespace mustardproxy::jobs
--- /dev/null
+++ b/packages/jobs/src/progress_writer.h
@@ -0,0 +1,77 @@
+#ifndef MUSTARDPROXY_JOBS_PROGRESS_WRITER_H_
+#define MUSTARDPROXY_JOBS_PROGRESS_WRITER_H_
+
+#include <deque>
+#include <functional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "guard.h"
+#include "job_table.h"
+#include "mustardproxy/jobs/executor.h"
+#include "mustardproxy/jobs/key_value_store.h"
+#include "mustardproxy/jobs/worker_driver.h"
+#include "mustardproxy/telemetry/event_log.h"
+
+namespace mustardproxy::jobs {
+
+/// Writes the progress of jobs to the store, many jobs in one transaction, one
+/// transaction at a time.
+///
+/// Failures guarded against:
+/// - A former owner's write arrives late. Each transaction names the revision
+/// of
+///   the owner's key, so it fails once there is a new owner.
+/// - The answer to a write is lost and the write is done seconds later, over a
+///   newer one. Each row names the revision that it replaces, so it fails.
+class ProgressWriter {
+ public:
+  /// @param on_fenced called once there is a newer owner
+  ProgressWriter(Executor* executor, KeyValueStore* store, EventLog* log,
+                 JobTable* jobs, FencingToken token,
+                 std::function<void()> on_fenced);
+
+  /// Stores the job's progress as it stands when the write is sent.
+  /// @param durable called once that is stored; may be empty
+  void Write(const JobId& job, std::function<void()> durable);
+  /// Removes all keys of final jobs, and then the jobs themselves.
+  void Remove(std::vector<JobId> jobs);
+  /// @return writes that wait or are on their way
+  [[nodiscard]] std::size_t Backlog() const {
+    return this->rows.size() + this->in_flight.size();
+  }
+
+ private:
+  using Waiters = std::vector<std::function<void()>>;
+  struct SentRow {
+    JobId job;
+    Waiters waiters;
+  };
+
+  void Flush();
+  Transaction TakeRows();
+  void OnWritten(const CommitResult& result);
+  void OnConflict(const CommitResult& result);
+  void Requeue();
+  bool Fenced(const CommitResult& result) const;
+
+  Executor* executor;
+  KeyValueStore* store;
+  EventLog* log;
+  JobTable* jobs;
+  FencingToken token;
+  std::function<void()> on_fenced;
+  /// Jobs to be written, in order, and who waits for each.
+  std::deque<JobId> order;
+  std::unordered_map<JobId, Waiters> rows;
+  std::vector<SentRow> in_flight;
+  Instant next_write;
+  bool timer_set = false;
+  bool store_answers = true;
+  Guard guard;
+};
+
+}  // namespace mustardproxy::jobs
+
+#endif  // MUSTARDPROXY_JOBS_PROGRESS_WRITER_H_
--- /dev/null
+++ b/packages/jobs/src/record_codec.cc
@@ -0,0 +1,264 @@
+#include "record_codec.h"
+
+#include <algorithm>
+#include <climits>
+
+#include "job_record.pb.h"
+
+namespace mustardproxy::jobs {
+namespace {
+
+void Write(const Queue& queue, stored::Queue* out) {
+  out->set_name(queue.name.Text());
+  out->set_host(queue.host);
+  out->set_path_prefix(queue.path_prefix);
+  out->set_service(queue.service.Text());
+  out->set_priority(queue.priority);
+  out->set_max_attempts(queue.max_attempts);
+  out->set_stretch(queue.stretch);
+  out->set_target_us(queue.target.count());
+  if (!queue.advice) return;
+  stored::AdvicePolicy* advice = out->mutable_advice();
+  advice->set_decision_us(queue.advice->decision.count());
+  advice->set_per_worker_us(queue.advice->per_worker.count());
+  advice->set_validity_us(queue.advice->validity.count());
+}
+
+Queue Read(const stored::Queue& stored) {
+  Queue queue;
+  queue.name = QueueName(stored.name());
+  queue.host = stored.host();
+  queue.path_prefix = stored.path_prefix();
+  queue.service = ServiceId(stored.service());
+  queue.priority = stored.priority();
+  queue.max_attempts = stored.max_attempts();
+  queue.stretch = stored.stretch();
+  queue.target = Duration(stored.target_us());
+  if (stored.has_advice()) {
+    const stored::AdvicePolicy& advice = stored.advice();
+    queue.advice = AdvicePolicy{Duration(advice.decision_us()),
+                                Duration(advice.per_worker_us()),
+                                Duration(advice.validity_us())};
+  }
+  return queue;
+}
+
+void Write(const Step& step, stored::Step* out) {
+  out->set_tasks(step.tasks);
+  out->set_cpu_milli(step.each.cpu_milli);
+  out->set_memory_mb(step.each.memory_mb);
+  out->set_accelerators(step.each.accelerators);
+  out->set_estimate_us(step.estimate.count());
+  for (const std::int32_t earlier : step.after) out->add_after(earlier);
+  out->set_checkpointing(step.checkpointing);
+  out->set_gang(step.gang);
+  out->set_same_rack(step.same_rack);
+  out->set_speculative(step.speculative);
+  out->set_long_running(step.long_running);
+  out->set_best_effort(step.best_effort);
+  out->set_required_label(step.required_label);
+  out->set_near_rack(step.near_rack);
+  out->set_max_per_worker(step.max_per_worker);
+  out->set_image(step.image);
+  out->set_response_target_us(step.response_target.count());
+  out->set_max_unavailable(step.max_unavailable);
+}
+
+Step Read(const stored::Step& stored) {
+  Step step;
+  step.tasks = stored.tasks();
+  step.each.cpu_milli = stored.cpu_milli();
+  step.each.memory_mb = stored.memory_mb();
+  step.each.accelerators = stored.accelerators();
+  step.estimate = Duration(stored.estimate_us());
+  step.after.assign(stored.after().begin(), stored.after().end());
+  step.checkpointing = stored.checkpointing();
+  step.gang = stored.gang();
+  step.same_rack = stored.same_rack();
+  step.speculative = stored.speculative();
+  step.long_running = stored.long_running();
+  step.best_effort = stored.best_effort();
+  step.required_label = stored.required_label();
+  step.near_rack = stored.near_rack();
+  step.max_per_worker = stored.max_per_worker();
+  step.image = stored.image();
+  step.response_target = Duration(stored.response_target_us());
+  step.max_unavailable = stored.max_unavailable();
+  return step;
+}
+
+std::string DoneBits(const StepEntry& step) {
+  if (step.done == 0) return {};
+  std::string bits((step.tasks.size() + CHAR_BIT - 1) / CHAR_BIT, '\0');
+  for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+    if (!step.tasks[i].done) continue;
+    bits[i / CHAR_BIT] |= static_cast<char>(1U << (i % CHAR_BIT));
+  }
+  return bits;
+}
+
+bool DoneBit(const std::string& bits, std::size_t index) {
+  const std::size_t byte = index / CHAR_BIT;
+  if (byte >= bits.size()) return false;
+  return (static_cast<unsigned char>(bits[byte]) >> (index % CHAR_BIT) & 1U) !=
+         0;
+}
+
+void Write(const TaskEntry& task, std::int32_t index,
+           stored::StepProgress* out) {
+  if (task.done || task.last_run == 0) return;
+  stored::TaskProgress* stored = out->add_tasks();
+  stored->set_index(index);
+  stored->set_failed_runs(task.failed_runs);
+  stored->set_last_run(task.last_run);
+  stored->set_counted_run(task.counted_run);
+  if (task.open) stored->set_worker(task.worker.Text());
+  stored->set_checkpoint(task.checkpoint);
+}
+
+void Write(const StepEntry& step, stored::StepProgress* out) {
+  out->set_done(DoneBits(step));
+  out->set_failed_gang_runs(step.failed_gang_runs);
+  out->set_counted_gang_run(step.counted_gang_run);
+  for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+    Write(step.tasks[i], static_cast<std::int32_t>(i), out);
+  }
+}
+
+void Apply(const stored::TaskProgress& stored, StepEntry* step) {
+  const auto index = static_cast<std::size_t>(stored.index());
+  if (index >= step->tasks.size()) return;
+  TaskEntry& task = step->tasks[index];
+  task.failed_runs = stored.failed_runs();
+  task.last_run = stored.last_run();
+  task.counted_run = stored.counted_run();
+  task.checkpoint = stored.checkpoint();
+  if (stored.worker().empty() || task.done) return;
+  task.worker = WorkerId(stored.worker());
+  task.open = true;
+  ++step->open;
+}
+
+void Apply(const stored::StepProgress& stored, StepEntry* step) {
+  step->failed_gang_runs = stored.failed_gang_runs();
+  step->counted_gang_run = stored.counted_gang_run();
+  for (std::size_t i = 0; i < step->tasks.size(); ++i) {
+    if (!DoneBit(stored.done(), i)) continue;
+    step->tasks[i].done = true;
+    ++step->done;
+  }
+  for (const stored::TaskProgress& task : stored.tasks()) Apply(task, step);
+}
+
+bool ValidState(std::int32_t state) {
+  return state >= static_cast<std::int32_t>(JobState::kQueued) &&
+         state <= static_cast<std::int32_t>(JobState::kCancelled);
+}
+
+template <typename Message>
+std::optional<Message> Parse(std::string_view bytes) {
+  Message message;
+  const bool read =
+      message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()));
+  if (!read) return std::nullopt;
+  return message;
+}
+
+}  // namespace
+
+std::string EncodeJob(const Job& job) {
+  stored::Job out;
+  out.set_id(job.id.Text());
+  Write(job.queue, out.mutable_queue());
+  out.set_payload(job.spec.payload);
+  for (const Step& step : job.spec.steps) Write(step, out.add_steps());
+  out.set_first_unix_ms(job.spec.schedule.first_unix_ms);
+  out.set_interval_ms(job.spec.schedule.interval_ms);
+  out.set_occurrences(job.spec.schedule.occurrences);
+  out.set_accepted_unix_ms(job.accepted_unix_ms);
+  return out.SerializeAsString();
+}
+
+std::optional<Job> DecodeJob(std::string_view bytes) {
+  const auto stored = Parse<stored::Job>(bytes);
+  if (!stored || stored->id().empty()) return std::nullopt;
+  Job job;
+  job.id = JobId(stored->id());
+  job.queue = Read(stored->queue());
+  job.spec.payload = stored->payload();
+  for (const stored::Step& step : stored->steps()) {
+    job.spec.steps.push_back(Read(step));
+  }
+  job.spec.schedule.first_unix_ms = stored->first_unix_ms();
+  job.spec.schedule.interval_ms = stored->interval_ms();
+  job.spec.schedule.occurrences = stored->occurrences();
+  job.accepted_unix_ms = stored->accepted_unix_ms();
+  if (CheckSpec(job.spec, SpecLimits{})) return std::nullopt;
+  return job;
+}
+
+std::string EncodeProgress(const JobEntry& entry) {
+  stored::Progress out;
+  out.set_state(static_cast<std::int32_t>(entry.state));
+  out.set_first_open_occurrence(entry.first_open);
+  if (IsFinal(entry.state)) return out.SerializeAsString();
+  for (const auto& [number, occurrence] : entry.occurrences) {
+    stored::OccurrenceProgress* stored = out.add_occurrences();
+    stored->set_number(number);
+    for (const StepEntry& step : occurrence.steps) {
+      Write(step, stored->add_steps());
+    }
+  }
+  return out.SerializeAsString();
+}
+
+bool ApplyProgress(JobTable* jobs, JobEntry* entry, std::string_view bytes,
+                   Instant now) {
+  const auto stored = Parse<stored::Progress>(bytes);
+  if (!stored || !ValidState(stored->state())) return false;
+  entry->first_open = stored->first_open_occurrence();
+  entry->next_to_open = std::max(entry->next_to_open, entry->first_open);
+  for (const stored::OccurrenceProgress& one : stored->occurrences()) {
+    OccurrenceEntry* occurrence = JobTable::Open(entry, one.number(), now);
+    entry->next_to_open = std::max(entry->next_to_open, one.number() + 1);
+    const auto steps = std::min(occurrence->steps.size(),
+                                static_cast<std::size_t>(one.steps_size()));
+    for (std::size_t i = 0; i < steps; ++i) {
+      Apply(one.steps(static_cast<int>(i)), &occurrence->steps[i]);
+    }
+  }
+  jobs->SetState(entry, static_cast<JobState>(stored->state()), now);
+  return true;
+}
+
+std::optional<JobState> DecodeState(std::string_view bytes) {
+  const auto stored = Parse<stored::Progress>(bytes);
+  if (!stored || !ValidState(stored->state())) return std::nullopt;
+  return static_cast<JobState>(stored->state());
+}
+
+std::string EncodeNode(const NodeRecord& node) {
+  stored::Node out;
+  out.set_name(node.name.Text());
+  out.set_data_center(node.data_center.Text());
+  out.set_peer_address(node.peer_address);
+  out.set_incarnation(node.incarnation);
+  out.set_cpu_milli(node.cpu_milli);
+  out.set_memory_mb(node.memory_mb);
+  return out.SerializeAsString();
+}
+
+std::optional<NodeRecord> DecodeNode(std::string_view bytes) {
+  const auto stored = Parse<stored::Node>(bytes);
+  if (!stored || stored->name().empty()) return std::nullopt;
+  NodeRecord node;
+  node.name = ProcessId(stored->name());
+  node.data_center = DataCenterId(stored->data_center());
+  node.peer_address = stored->peer_address();
+  node.incarnation = stored->incarnation();
+  node.cpu_milli = stored->cpu_milli();
+  node.memory_mb = stored->memory_mb();
+  return node;
+}
+
+}  // namespace mustardproxy::jobs
--- /dev/null
+++ b/packages/jobs/src/run_control.cc
@@ -0,0 +1,379 @@
+#include "run_control.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "advice_desk.h"
+#include "dispatcher.h"
+#include "hold_loop.h"
+#include "options.h"
+#include "placement.h"
+#include "progress_writer.h"
+
+namespace mustardproxy::jobs {
+namespace {
+
+/// @return true if the answer proves that this order started nothing
+bool ProvesNotStarted(OrderEnd end) {
+  return end == OrderEnd::kLate || end == OrderEnd::kNoRoom ||
+         end == OrderEnd::kNoTicket || end == OrderEnd::kInvalid ||
+         end == OrderEnd::kRefused;
+}
+
+}  // namespace
+
+RunControl::RunControl(OwnerContext* context) : context(context) {}
+
+void RunControl::Begin(const JobEntry& entry, const std::vector<RunRef>& runs,
+                       std::span<const WorkerId> workers) {
+  const Instant now = this->context->executor->Now();
+  const StepRef& ref = runs.front().task.step;
+  const Step& step = *this->context->jobs.FindStep(ref);
+  SessionRun record;
+  record.takes = Takes(step);
+  record.started_at = now;
+  record.moved_at = now;
+  record.expected_end = now + this->context->run_times.Expect(
+                                  entry.job.queue.name, step.estimate);
+  for (std::size_t i = 0; i < runs.size(); ++i) {
+    Find(this->context->workers, workers[i])->AddRun(runs[i], record);
+  }
+  this->context->log->Write(
+      "jobs", "step-placed",
+      {{"step", Text(ref)},
+       {"tasks", runs.size()},
+       {"run", runs.front().run},
+       {"worker", workers.front().Text()},
+       {"version", this->context->desired->version},
+       {"waited_ms",
+        std::chrono::duration_cast<milliseconds>(now - entry.learnt).count()}});
+  // Failure: the owner dies right after a start, and its successor starts the
+  // task elsewhere. The run and its worker are stored first, so the successor
+  // knows where to look before it starts the task again.
+  std::vector<WorkerId> places(workers.begin(), workers.end());
+  this->context->writer->Write(
+      entry.job.id, this->guard.Wrap([this, runs, places = std::move(places)] {
+        for (std::size_t i = 0; i < runs.size(); ++i) {
+          this->SendStart(places[i], runs[i]);
+        }
+      }));
+}
+
+void RunControl::Inherit(const RunRef& run, const WorkerId& worker,
+                         Instant inherited_until) {
+  const Step* step = this->context->jobs.FindStep(run.task.step);
+  auto& session = this->context->workers[worker];
+  if (!session) {
+    // Its entry is gone from the store; the worker may live on all the same.
+    WorkerInfo unknown;
+    unknown.id = worker;
+    session = std::make_unique<WorkerSession>(unknown, inherited_until);
+    session->listed = false;
+  }
+  const Instant now = this->context->executor->Now();
+  SessionRun record;
+  record.takes = Takes(*step);
+  record.phase = RunPhase::kStarted;
+  record.listed_from = now;
+  record.started_at = now;
+  record.moved_at = now;
+  record.expected_end = now + step->estimate;
+  session->AddRun(run, record);
+}
+
+bool RunControl::FillOrder(const WorkerId& worker, const RunRef& run,
+                           StartOrder* order) {
+  JobEntry* entry = this->context->jobs.Find(run.task.step.job);
+  const TaskEntry* task = this->context->jobs.FindOpen(run);
+  if (entry == nullptr || task == nullptr || IsFinal(entry->state)) {
+    return false;
+  }
+  order->run = run;
+  order->payload = entry->job.spec.payload;
+  order->checkpoint = task->checkpoint;
+  order->token = this->context->token;
+  const StepAdvice* advice = this->context->advice->Find(run.task.step);
+  if (advice != nullptr) {
+    const auto permission = advice->permitted.find(worker);
+    if (permission != advice->permitted.end()) {
+      order->ticket = permission->second.text;
+    }
+  }
+  return true;
+}
+
+void RunControl::SendStart(const WorkerId& worker, const RunRef& run) {
+  WorkerSession* session = Find(this->context->workers, worker);
+  SessionRun* record = session == nullptr ? nullptr : session->FindRun(run);
+  if (record == nullptr || record->stopping) return;
+  if (record->phase == RunPhase::kStarted) return;
+  if (!this->context->authorized()) {
+    this->context->step_down("the store is silent for too long");
+    return;
+  }
+  const bool first = record->phase == RunPhase::kPlanned;
+  StartOrder order;
+  const bool draining = session->info.draining || !session->listed;
+  if (!this->FillOrder(worker, run, &order) || (first && draining)) {
+    if (first) {
+      this->NotStarted(session, run, OrderEnd::kRefused);
+    } else {
+      this->Stop(session, run);
+    }
+    return;
+  }
+  const Instant now = this->context->executor->Now();
+  order.lease_until_ms = session->LeaseUntilMs(now, kWorkerLease);
+  session->NoteLeaseSent(order.lease_until_ms);
+  record->phase = RunPhase::kOrdered;
+  record->order_in_flight = true;
+  record->listed_from.reset();
+  const ClockReading sent{.clock_ms = 0, .asked = now, .answered = now};
+  this->context->driver->Start(
+      session->Target(), std::move(order),
+      this->guard.Wrap(
+          [this, worker, run, first, sent](const OrderResult& result) {
+            this->OnStart(worker, run, first, sent, result);
+          }));
+}
+
+void RunControl::NoteAnswer(WorkerSession* session, ClockReading sent,
+                            const OrderResult& result) {
+  if (result.clock_ms == 0) return;
+  sent.clock_ms = result.clock_ms;
+  sent.answered = this->context->executor->Now();
+  session->NoteClock(sent);
+}
+
+void RunControl::OnStart(const WorkerId& worker, const RunRef& run, bool first,
+                         ClockReading sent, const OrderResult& result) {
+  WorkerSession* session = Find(this->context->workers, worker);
+  if (session == nullptr) return;
+  this->NoteAnswer(session, sent, result);
+  if (result.end == OrderEnd::kFenced) {
+    this->context->step_down("a worker obeys a newer owner");
+    return;
+  }
+  if (result.end == OrderEnd::kOtherLife) {
+    this->LoseAll(session, LossCause::kOtherLife);
+    return;
+  }
+  SessionRun* record = session->FindRun(run);
+  if (record == nullptr) return;
+  record->order_in_flight = false;
+  if (result.end != OrderEnd::kDone) {
+    this->context->log->Write("jobs", "start-not-done",
+                              {{"task", Text(run.task)},
+                               {"run", run.run},
+                               {"worker", worker.Text()},
+                               {"end", Name(result.end)},
+                               {"first_try", first ? 1 : 0}});
+  }
+  if (result.end == OrderEnd::kNoTicket) {
+    this->context->advice->DropTicket(run.task.step, worker);
+  }
+  if (result.end == OrderEnd::kRefused || result.end == OrderEnd::kUncertain) {
+    session->suspect = true;
+    this->context->holds->Pump(session);
+  }
+  if (result.end == OrderEnd::kDone || result.end == OrderEnd::kOldRun) {
+    // "Old" after a lost answer: the run is, or was, there. The lists tell.
+    record->phase = RunPhase::kStarted;
+    record->listed_from = this->context->executor->Now();
+    this->context->holds->Pump(session);
+  } else if (first && ProvesNotStarted(result.end)) {
+    this->NotStarted(session, run, result.end);
+  } else if (ProvesNotStarted(result.end)) {
+    // Failure: an earlier copy of this start got no answer and may still be
+    // carried out. Stopped by name, it is refused then.
+    this->Stop(session, run);
+    this->StopGang(run);
+  } else if (!record->stopping) {
+    this->Later(kOrderRetry,
+                [this, worker, run] { this->SendStart(worker, run); });
+  }
+}
+
+void RunControl::NotStarted(WorkerSession* session, const RunRef& run,
+                            OrderEnd why) {
+  session->RemoveRun(run);
+  TaskEntry* task = this->context->jobs.FindOpen(run);
+  if (task != nullptr) {
+    task->not_before = this->context->executor->Now() + kRetryPause;
+  }
+  this->context->jobs.Withdraw(run);
+  if (why == OrderEnd::kRefused) {
+    this->context->health.OnFailure(this->context->executor->Now(),
+                                    session->info.id, session->info.service,
+                                    RequestId(run.task.step.job.Text()));
+  }
+  this->StopGang(run);
+  this->context->dispatcher->Kick();
+}
+
+void RunControl::StopGang(const RunRef& member) {
+  const Step* step = this->context->jobs.FindStep(member.task.step);
+  if (step == nullptr || !step->gang) return;
+  // Failure: one member of a gang can't start or has ended, and the others hold
+  // room until the worker gives up waiting for it.
+  for (std::int32_t i = 0; i < step->tasks; ++i) {
+    const RunRef other{{member.task.step, i}, member.run};
+    const TaskEntry* task = this->context->jobs.FindOpen(other);
+    if (task == nullptr) continue;
+    WorkerSession* session = Find(this->context->workers, task->worker);
+    if (session != nullptr) this->Stop(session, other);
+  }
+}
+
+void RunControl::Stop(WorkerSession* session, const RunRef& run) {
+  SessionRun* record = session->FindRun(run);
+  if (record == nullptr || std::exchange(record->stopping, true)) return;
+  if (record->phase == RunPhase::kPlanned) {
+    session->RemoveRun(run);
+    this->context->jobs.Withdraw(run);
+    this->context->dispatcher->Kick();
+    return;
+  }
+  this->SendStop(session->info.id, run);
+}
+
+void RunControl::StopJob(const JobEntry& entry) {
+  std::vector<std::pair<WorkerSession*, RunRef>> found;
+  for (const auto& [id, session] : this->context->workers) {
+    for (const auto& [run, record] : session->runs) {
+      if (run.task.step.job == entry.job.id) {
+        found.emplace_back(session.get(), run);
+      }
+    }
+  }
+  for (const auto& [session, run] : found) this->Stop(session, run);
+  this->context->advice->ForgetJob(entry.job.id);
+}
+
+void RunControl::SendStop(const WorkerId& worker, const RunRef& run) {
+  WorkerSession* session = Find(this->context->workers, worker);
+  SessionRun* record = session == nullptr ? nullptr : session->FindRun(run);
+  if (record == nullptr || record->stop_noted) return;
+  if (!this->context->authorized()) {
+    this->context->step_down("the store is silent for too long");
+    return;
+  }
+  const Instant now = this->context->executor->Now();
+  const ClockReading sent{.clock_ms = 0, .asked = now, .answered = now};
+  this->context->driver->Stop(
+      session->Target(), StopOrder{run, this->context->token},
+      this->guard.Wrap([this, worker, run, sent](const OrderResult& result) {
+        this->OnStop(worker, run, sent, result);
+      }));
+}
+
+void RunControl::OnStop(const WorkerId& worker, const RunRef& run,
+                        ClockReading sent, const OrderResult& result) {
+  WorkerSession* session = Find(this->context->workers, worker);
+  if (session == nullptr) return;
+  this->NoteAnswer(session, sent, result);
+  if (result.end == OrderEnd::kFenced) {
+    this->context->step_down("a worker obeys a newer owner");
+    return;
+  }
+  if (result.end == OrderEnd::kOtherLife) {
+    this->LoseAll(session, LossCause::kOtherLife);
+    return;
+  }
+  SessionRun* record = session->FindRun(run);
+  if (record == nullptr) return;
+  if (result.end == OrderEnd::kDone || result.end == OrderEnd::kOldRun) {
+    record->stop_noted = true;
+    record->listed_from = this->context->executor->Now();
+    this->context->holds->Pump(session);
+    return;
+  }
+  session->suspect = true;
+  this->context->holds->Pump(session);
+  this->Later(kOrderRetry,
+              [this, worker, run] { this->SendStop(worker, run); });
+}
+
+bool RunControl::End(WorkerSession* session, const RunRef& run, RunEnd end,
+                     std::string_view checkpoint,
+                     std::function<void()> durable) {
+  const Instant now = this->context->executor->Now();
+  const SessionRun* record = session->FindRun(run);
+  if (record != nullptr) this->NoteOutcome(*session, *record, run, end);
+  session->RemoveRun(run);
+  JobEntry* entry = this->context->jobs.Find(run.task.step.job);
+  const EndEffect effect = this->context->jobs.End(run, end, checkpoint, now);
+  this->context->log->Write("jobs", "task-ended",
+                            {{"task", Text(run.task)},
+                             {"run", run.run},
+                             {"worker", session->info.id.Text()},
+                             {"end", Name(end)},
+                             {"counted", effect.matched ? 1 : 0}});
+  if (effect.gang_over) this->StopGang(run);
+  if (effect.job_final) this->StoreFinal(entry);
+  if (effect.durable) {
+    this->context->writer->Write(run.task.step.job, std::move(durable));
+  }
+  this->context->dispatcher->Kick();
+  return effect.durable;
+}
+
+void RunControl::NoteOutcome(const WorkerSession& session,
+                             const SessionRun& record, const RunRef& run,
+                             RunEnd end) {
+  const Instant now = this->context->executor->Now();
+  const JobEntry* entry = this->context->jobs.Find(run.task.step.job);
+  if (entry == nullptr) return;
+  const ServiceId service(entry->job.queue.name.Text());
+  if (end == RunEnd::kDone) {
+    this->context->health.OnSuccess(now, session.info.id, service);
+    const Step* step = this->context->jobs.FindStep(run.task.step);
+    this->context->run_times.Learn(entry->job.queue.name, step->estimate,
+                                   now - record.started_at);
+  } else if (end == RunEnd::kFailed) {
+    this->context->health.OnFailure(now, session.info.id, service,
+                                    RequestId(run.task.step.job.Text()));
+  }
+}
+
+void RunControl::StoreFinal(JobEntry* entry) {
+  const JobId id = entry->job.id;
+  if (entry->state == JobState::kCompleted) {
+    // What is left of it has ended; its ends are still to be listed.
+    this->context->advice->ForgetJob(id);
+  } else {
+    this->StopJob(*entry);
+  }
+  this->context->writer->Write(id, this->guard.Wrap([this, id] {
+    JobEntry* stored = this->context->jobs.Find(id);
+    if (stored == nullptr || stored->shown == stored->state) return;
+    stored->shown = stored->state;
+    this->context->log->Write("jobs", "job-final",
+                              {{"job", id.Text()},
+                               {"state", Name(stored->state)},
+                               {"revision", stored->progress_revision}});
+  }));
+}
+
+void RunControl::LoseAll(WorkerSession* session, LossCause cause) {
+  const bool other_life = cause == LossCause::kOtherLife;
+  std::vector<RunRef> lost;
+  for (const auto& [run, record] : session->runs) lost.push_back(run);
+  this->context->log->Write(
+      "workers", "worker-lost",
+      {{"worker", session->info.id.Text()},
+       {"runs", lost.size()},
+       {"reason", other_life ? "other-life" : "lease-lapsed"}});
+  session->fenced = false;
+  session->suspect = true;
+  session->gone = other_life;
+  for (const RunRef& run : lost) {
+    this->End(session, run, RunEnd::kLapsed, "", {});
+  }
+}
+
+void RunControl::Later(Duration delay, std::function<void()> task) {
+  this->context->executor->After(delay, this->guard.Wrap(std::move(task)));
+}
+
+}  // namespace mustardproxy::jobs
--- /dev/null
+++ b/packages/jobs/src/run_control.h
@@ -0,0 +1,75 @@
+#ifndef MUSTARDPROXY_JOBS_RUN_CONTROL_H_
+#define MUSTARDPROXY_JOBS_RUN_CONTROL_H_
+
+#include <functional>
+#include <span>
+#include <string_view>
+#include <vector>
+
+#include "guard.h"
+#include "owner_context.h"
+
+namespace mustardproxy::jobs {
+
+/// Why all that ran on a worker has ended.
+enum class LossCause {
+  /// Another life of the worker answers at its address.
+  kOtherLife,
+  /// Its lease has lapsed by any clock.
+  kLeaseLapsed,
+};
+
+/// Orders runs and stops them, and draws the consequences of their ends.
+///
+/// An order without an answer is sent again for the same run, which a worker
+/// does once. A run that is not wanted any more is stopped by name, which the
+/// worker remembers, so that a start which arrives late is refused. Room is
+/// given back only when the end is known.
+class RunControl {
+ public:
+  explicit RunControl(OwnerContext* context);
+
+  /// Enters runs that were just placed, and starts them once they are stored.
+  /// @param runs of one step; they have been begun in the job table
+  void Begin(const JobEntry& entry, const std::vector<RunRef>& runs,
+             std::span<const WorkerId> workers);
+  /// Enters a run that a former owner ordered.
+  void Inherit(const RunRef& run, const WorkerId& worker,
+               Instant inherited_until);
+  /// Has a run stopped that is not wanted any more.
+  void Stop(WorkerSession* session, const RunRef& run);
+  /// Has all runs of a job stopped.
+  void StopJob(const JobEntry& entry);
+  /// Draws the consequences of a run's end.
+  /// @param durable called once the end is stored; not called, and false
+  ///   returned, if there is nothing to store
+  bool End(WorkerSession* session, const RunRef& run, RunEnd end,
+           std::string_view checkpoint, std::function<void()> durable);
+  /// All that ran there has ended for certain.
+  void LoseAll(WorkerSession* session, LossCause cause);
+  /// The job became final or was changed otherwise; stores that.
+  void StoreFinal(JobEntry* entry);
+
+ private:
+  void SendStart(const WorkerId& worker, const RunRef& run);
+  bool FillOrder(const WorkerId& worker, const RunRef& run, StartOrder* order);
+  void OnStart(const WorkerId& worker, const RunRef& run, bool first,
+               ClockReading sent, const OrderResult& result);
+  void NotStarted(WorkerSession* session, const RunRef& run, OrderEnd why);
+  void SendStop(const WorkerId& worker, const RunRef& run);
+  void OnStop(const WorkerId& worker, const RunRef& run, ClockReading sent,
+              const OrderResult& result);
+  void StopGang(const RunRef& member);
+  void NoteAnswer(WorkerSession* session, ClockReading sent,
+                  const OrderResult& result);
+  void NoteOutcome(const WorkerSession& session, const SessionRun& record,
+                   const RunRef& run, RunEnd end);
+  void Later(Duration delay, std::function<void()> task);
+
+  OwnerContext* context;
+  Guard guard;
+};
+
+}  // namespace mustardproxy::jobs
+
+#endif  // MUSTARDPROXY_JOBS_RUN_CONTROL_H_
--- /dev/null
+++ b/packages/jobs/src/worker_session.cc
@@ -0,0 +1,77 @@
+#include "worker_session.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "options.h"
+
+namespace mustardproxy::jobs {
+namespace {
+
+std::int64_t Milliseconds(Duration duration) {
+  return std::chrono::duration_cast<milliseconds>(duration).count();
+}
+
+}  // namespace
+
+WorkerSession::WorkerSession(WorkerInfo info, Instant inherited_until)
+    : info(std::move(info)), lapses_at(inherited_until) {}
+
+std::int64_t WorkerSession::LeaseUntilMs(Instant now, Duration lease) const {
+  if (!this->clock) return 0;
+  return this->clock->clock_ms +
+         Milliseconds(now - this->clock->answered + lease);
+}
+
+void WorkerSession::NoteLeaseSent(std::int64_t until_ms) {
+  if (until_ms <= this->lease_sent_ms || !this->clock) return;
+  this->lease_sent_ms = until_ms;
+  // Failure: a task is started elsewhere while the worker, whose clock is slow,
+  // still runs it. Counted from before the clock was read, at the slowest rate,
+  // the worker's clock has passed the lease's end by then.
+  const double left_ms = static_cast<double>(until_ms - this->clock->clock_ms) /
+                         kSlowestWorkerClock;
+  const Instant lapse = this->clock->asked +
+                        milliseconds(static_cast<std::int64_t>(left_ms) + 1) +
+                        kLapseMargin;
+  this->lapses_at = std::max(this->lapses_at, lapse);
+}
+
+void WorkerSession::NoteClock(ClockReading reading) {
+  if (reading.clock_ms == 0) return;
+  const bool older = this->clock && reading.asked < this->clock->asked;
+  if (!older) this->clock = reading;
+}
+
+void WorkerSession::AddRun(const RunRef& run, SessionRun record) {
+  const auto [found, added] = this->runs.emplace(run, record);
+  if (added) this->used += record.takes;
+}
+
+void WorkerSession::RemoveRun(const RunRef& run) {
+  const auto found = this->runs.find(run);
+  if (found == this->runs.end()) return;
+  this->used -= found->second.takes;
+  this->runs.erase(found);
+}
+
+SessionRun* WorkerSession::FindRun(const RunRef& run) {
+  const auto found = this->runs.find(run);
+  return found == this->runs.end() ? nullptr : &found->second;
+}
+
+Resources WorkerSession::Free() const {
+  return this->info.capacity - this->used;
+}
+
+bool WorkerSession::HasLabel(const std::string& label) const {
+  return label.empty() ||
+         std::find(this->info.labels.begin(), this->info.labels.end(), label) !=
+             this->info.labels.end();
+}
+
+WorkerTarget WorkerSession::Target() const {
+  return {this->info.id, this->info.address};
+}
+
+}  // namespace mustardproxy::jobs
--- /dev/null
+++ b/packages/jobs/src/worker_session.h
@@ -0,0 +1,128 @@
+#ifndef MUSTARDPROXY_JOBS_WORKER_SESSION_H_
+#define MUSTARDPROXY_JOBS_WORKER_SESSION_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "mustardproxy/core/resources.h"
+#include "mustardproxy/core/time.h"
+#include "mustardproxy/jobs/worker_driver.h"
+
+namespace mustardproxy::jobs {
+
+/// How far the order to start a run has come.
+enum class RunPhase {
+  /// Room is taken; the start is being written down and was not sent.
+  kPlanned,
+  /// Sent, and not answered yet or not for certain.
+  kOrdered,
+  /// The worker has said that it is, or was, there.
+  kStarted,
+};
+
+/// A run that takes room on a worker, from its placement until its end is known
+/// for certain.
+struct SessionRun {
+  Resources takes;
+  RunPhase phase = RunPhase::kPlanned;
+  /// It is to be stopped.
+  bool stopping = false;
+  /// The worker has acknowledged the stop.
+  bool stop_noted = false;
+  /// An order about it is on its way.
+  bool order_in_flight = false;
+  /// From here on a hold's answer that does not list it proves that it is gone;
+  /// not set while an order for it is on its way.
+  std::optional<Instant> listed_from;
+  Instant started_at;
+  /// When it should end, by what its queue's runs took of their estimates.
+  Instant expected_end;
+  std::int32_t percent = 0;
+  /// When `percent` last changed.
+  Instant moved_at;
+};
+
+/// Ends of one answer of a worker.
+struct EndBatch {
+  std::int64_t last_number = 0;
+  /// Writes that are not stored yet.
+  std::size_t open_writes = 0;
+};
+
+/// A worker's clock at a moment of ours.
+struct ClockReading {
+  std::int64_t clock_ms = 0;
+  /// The reading is no older than this …
+  Instant asked;
+  /// … and no younger than this.
+  Instant answered;
+};
+
+/// One life of one worker as the owner sees it: what it holds, until when it
+/// may hold it, and what the owner may do there.
+class WorkerSession {
+ public:
+  /// @param inherited_until runs that a former owner ordered may last until
+  ///   then, however unreachable the worker is
+  WorkerSession(WorkerInfo info, Instant inherited_until);
+
+  /// @return a worker's time, on its clock, at which a lease given now ends
+  /// @param now sending time of the order
+  [[nodiscard]] std::int64_t LeaseUntilMs(Instant now, Duration lease) const;
+  /// Takes note that an order with this lease is being sent: the worker may
+  /// act on it at any time before the lease ends.
+  void NoteLeaseSent(std::int64_t until_ms);
+  void NoteClock(ClockReading reading);
+  /// @return when everything there must have been killed, if nothing more is
+  ///   sent
+  [[nodiscard]] Instant LapsesAt() const { return this->lapses_at; }
+
+  void AddRun(const RunRef& run, SessionRun record);
+  void RemoveRun(const RunRef& run);
+  [[nodiscard]] SessionRun* FindRun(const RunRef& run);
+  [[nodiscard]] Resources Free() const;
+  [[nodiscard]] bool HasLabel(const std::string& label) const;
+  [[nodiscard]] WorkerTarget Target() const;
+
+  WorkerInfo info;
+  /// Its entry is in the store.
+  bool listed = true;
+  /// It has obeyed our token, so that no order of a former owner is obeyed any
+  /// more, and what runs there is known.
+  bool fenced = false;
+  /// Another life of the worker has answered: this one is over.
+  bool gone = false;
+  /// Its last hold or order was not answered.
+  bool suspect = false;
+  /// Every run that was ordered by a former owner, as the store tells, is
+  /// entered here.
+  std::map<RunRef, SessionRun> runs;
+
+  /// Ends up to this number are dealt with for good; the next hold says so.
+  std::int64_t noted_end = 0;
+  /// The highest number that a hold has told the worker.
+  std::int64_t told_end = 0;
+  /// Ends up to this number have been taken in.
+  std::int64_t read_end = 0;
+  /// Ends that were taken in and wait for writes, oldest first.
+  std::deque<std::shared_ptr<EndBatch>> unstored_ends;
+  bool hold_in_flight = false;
+  Instant hold_sent;
+  Instant next_hold;
+  std::int32_t silent_holds = 0;
+
+ private:
+  Resources used;
+  std::optional<ClockReading> clock;
+  /// Latest end of lease ever sent, on the worker's clock.
+  std::int64_t lease_sent_ms = 0;
+  Instant lapses_at;
+};
+
+}  // namespace mustardproxy::jobs
+
+#endif  // MUSTARDPROXY_JOBS_WORKER_SESSION_H_
--- /dev/null
+++ b/packages/peer/include/mustardproxy/peer/job_link.h
@@ -0,0 +1,48 @@
+#ifndef MUSTARDPROXY_PEER_JOB_LINK_H_
+#define MUSTARDPROXY_PEER_JOB_LINK_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "mustardproxy/core/result.h"
+#include "mustardproxy/jobs/executor.h"
+#include "mustardproxy/jobs/job_peers.h"
+
+namespace mustardproxy {
+
+/// Both ends of the calls about jobs between the processes of a cell, over
+/// gRPC. Answers and requests come on the executor's thread.
+class JobLink final : public jobs::JobPeers {
+ public:
+  /// @param executor must outlive the link
+  explicit JobLink(jobs::Executor* executor);
+  ~JobLink() override;
+
+  /// Begins to listen; `handler` is asked from then on.
+  /// @return the port in use
+  [[nodiscard]] Result<std::uint16_t> Start(const std::string& host,
+                                            std::uint16_t port,
+                                            jobs::JobPeerHandler* handler);
+  /// Ends all calls.
+  void Stop();
+
+  void AnnounceJob(const std::string& address,
+                   const jobs::AcceptedJob& job) override;
+  void AnnounceCancel(const std::string& address,
+                      const jobs::JobId& job) override;
+  void QueryJob(const std::string& address, const jobs::JobId& job,
+                Done<jobs::JobAnswer> done) override;
+  void QueryPending(const std::string& address, const jobs::QueueName& queue,
+                    Done<std::int64_t> done) override;
+  void Ask(const std::string& address, const jobs::AdviceQuestion& question,
+           Done<jobs::Advice> done) override;
+
+ private:
+  struct State;
+  std::unique_ptr<State> state;
+};
+
+}  // namespace mustardproxy
+
+#endif  // MUSTARDPROXY_PEER_JOB_LINK_H_
--- a/packages/peer/src/channel.cc
+++ b/packages/peer/src/channel.cc
@@ -69,10 +69,13 @@
 
 }  // namespace
 
+std::shared_ptr<grpc::Channel> MakeChannel(const std::string& address) {
+  return grpc::CreateCustomChannel(
+      Target(address), grpc::InsecureChannelCredentials(), Arguments());
+}
+
 PeerChannel::PeerChannel(const std::string& address)
-    : channel(grpc::CreateCustomChannel(
-          Target(address), grpc::InsecureChannelCredentials(), Arguments())),
-      stub(peer::Peer::NewStub(this->channel)) {}
+    : channel(MakeChannel(address)), stub(peer::Peer::NewStub(this->channel)) {}
 
 bool PeerChannel::Connected() const {
   constexpr bool kTryToConnect = true;
--- a/packages/peer/src/channel.h
+++ b/packages/peer/src/channel.h
@@ -10,6 +10,11 @@
 
 namespace mustardproxy::peer_detail {
 
+/// @param address `ip:port`
+/// @return a channel with a connection of its own, which is not made yet
+[[nodiscard]] std::shared_ptr<grpc::Channel> MakeChannel(
+    const std::string& address);
+
 /// A gRPC channel with a connection of its own to one peer. It reconnects by
 /// itself; a connection that went silent is replaced by making another channel.
 class PeerChannel {
--- /dev/null
+++ b/packages/peer/src/job_link.cc
@@ -0,0 +1,266 @@
+#include "mustardproxy/peer/job_link.h"
+
+#include <grpcpp/client_context.h>
+#include <grpcpp/server.h>
+
+#include <chrono>
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <system_error>
+#include <utility>
+
+#include "channel.h"
+#include "job_peer.grpc.pb.h"
+#include "job_service.h"
+#include "mustardproxy/core/error.h"
+#include "server.h"
+
+namespace mustardproxy {
+namespace {
+
+using peer::jobs::JobPeer;
+
+/// Questions about jobs are answered from memory; above the pauses of a busy
+/// peer, and low enough that the store can still be asked in the caller's time.
+constexpr std::chrono::milliseconds kQuestionTimeout(400);
+constexpr std::chrono::milliseconds kAnnouncementTimeout(1000);
+/// Connections that nothing has used for so long are closed.
+constexpr std::chrono::seconds kChannelIdle(60);
+
+/// One call under way.
+template <typename Request, typename Reply>
+struct Call {
+  grpc::ClientContext context;
+  Request request;
+  Reply reply;
+};
+
+/// A call of the generated stub that ends by a callback.
+template <typename Request, typename Reply>
+using Method =
+    void (JobPeer::Stub::async::*)(grpc::ClientContext*, const Request*, Reply*,
+                                   std::function<void(grpc::Status)>);
+
+std::error_code ErrorOf(const grpc::Status& status) {
+  const bool not_owner =
+      status.error_code() == grpc::StatusCode::FAILED_PRECONDITION;
+  return not_owner ? Error::kNotOwner : Error::kPeerLost;
+}
+
+}  // namespace
+
+struct JobLink::State {
+  explicit State(jobs::Executor* given) : executor(given), service(given) {}
+
+  struct Channel {
+    std::unique_ptr<JobPeer::Stub> stub;
+    std::chrono::steady_clock::time_point used;
+  };
+
+  /// @return null once the link stops
+  std::shared_ptr<Channel> Use(const std::string& address);
+  void Drop(const std::string& address, const std::shared_ptr<Channel>& failed);
+  void Leave();
+
+  /// Makes a call; `done` gets its reply or an error, on the executor.
+  /// @param method member of the asynchronous stub
+  template <typename Request, typename Reply, typename Handler>
+  void Make(const std::string& address, std::chrono::microseconds timeout,
+            Request request, Method<Request, Reply> method, Handler done);
+
+  jobs::Executor* executor;
+  peer_detail::JobService service;
+  std::unique_ptr<grpc::Server> server;
+  std::mutex mutex;
+  std::condition_variable changed;
+  std::map<std::string, std::shared_ptr<Channel>> channels;
+  std::size_t calls = 0;
+  bool stopping = false;
+};
+
+std::shared_ptr<JobLink::State::Channel> JobLink::State::Use(
+    const std::string& address) {
+  const auto now = std::chrono::steady_clock::now();
+  const std::lock_guard lock(this->mutex);
+  if (this->stopping) return nullptr;
+  std::erase_if(this->channels, [&](const auto& entry) {
+    return now - entry.second->used > kChannelIdle;
+  });
+  auto& channel = this->channels[address];
+  if (!channel) {
+    channel = std::make_shared<Channel>();
+    channel->stub = JobPeer::NewStub(peer_detail::MakeChannel(address));
+  }
+  channel->used = now;
+  ++this->calls;
+  return channel;
+}
+
+void JobLink::State::Drop(const std::string& address,
+                          const std::shared_ptr<Channel>& failed) {
+  const std::lock_guard lock(this->mutex);
+  const auto found = this->channels.find(address);
+  if (found != this->channels.end() && found->second == failed) {
+    this->channels.erase(found);
+  }
+}
+
+void JobLink::State::Leave() {
+  const std::lock_guard lock(this->mutex);
+  if (--this->calls == 0) this->changed.notify_all();
+}
+
+template <typename Request, typename Reply, typename Handler>
+void JobLink::State::Make(const std::string& address,
+                          std::chrono::microseconds timeout, Request request,
+                          Method<Request, Reply> method, Handler done) {
+  const auto channel = this->Use(address);
+  if (!channel) {
+    this->executor->Post([done = std::move(done)] {
+      done(Result<Reply>(make_error_code(Error::kShuttingDown)));
+    });
+    return;
+  }
+  auto call = std::make_shared<Call<Request, Reply>>();
+  call->request = std::move(request);
+  call->context.set_deadline(std::chrono::system_clock::now() + timeout);
+  const auto finish = [this, address, channel, call,
+                       done = std::move(done)](const grpc::Status& status) {
+    const bool answered =
+        status.ok() ||
+        status.error_code() == grpc::StatusCode::FAILED_PRECONDITION;
+    // Failure: a connection falls silent without a word. The next call makes
+    // another one instead of meeting its silence again.
+    if (!answered) this->Drop(address, channel);
+    Result<Reply> result = make_error_code(Error::kPeerLost);
+    if (status.ok()) {
+      result = std::move(call->reply);
+    } else {
+      result = ErrorOf(status);
+    }
+    this->executor->Post([done, result = std::move(result)] { done(result); });
+    this->Leave();
+  };
+  auto* stub = channel->stub->async();
+  (stub->*method)(&call->context, &call->request, &call->reply, finish);
+}
+
+JobLink::JobLink(jobs::Executor* executor)
+    : state(std::make_unique<State>(executor)) {}
+
+JobLink::~JobLink() { this->Stop(); }
+
+Result<std::uint16_t> JobLink::Start(const std::string& host,
+                                     std::uint16_t port,
+                                     jobs::JobPeerHandler* handler) {
+  this->state->service.SetHandler(handler);
+  this->state->server =
+      peer_detail::StartServer(host, &port, &this->state->service);
+  if (!this->state->server) {
+    return std::make_error_code(std::errc::address_not_available);
+  }
+  return port;
+}
+
+void JobLink::Stop() {
+  if (this->state->server) {
+    this->state->server->Shutdown(std::chrono::system_clock::now() +
+                                  peer_detail::kFlushLimit);
+    this->state->server->Wait();
+    this->state->server.reset();
+  }
+  std::unique_lock lock(this->state->mutex);
+  this->state->stopping = true;
+  // Each call ends by its deadline.
+  this->state->changed.wait(lock, [this] { return this->state->calls == 0; });
+  this->state->channels.clear();
+}
+
+void JobLink::AnnounceJob(const std::string& address,
+                          const jobs::AcceptedJob& job) {
+  peer::jobs::JobAnnouncement request;
+  request.set_id(job.id.Text());
+  request.set_record(job.record);
+  this->state->Make<peer::jobs::JobAnnouncement, peer::jobs::Empty>(
+      address, kAnnouncementTimeout, std::move(request),
+      &JobPeer::Stub::async::AnnounceJob,
+      // A lost one is found in the store.
+      [](const Result<peer::jobs::Empty>&) {});
+}
+
+void JobLink::AnnounceCancel(const std::string& address,
+                             const jobs::JobId& job) {
+  peer::jobs::JobQuestion request;
+  request.set_id(job.Text());
+  this->state->Make<peer::jobs::JobQuestion, peer::jobs::Empty>(
+      address, kAnnouncementTimeout, std::move(request),
+      &JobPeer::Stub::async::AnnounceCancel,
+      [](const Result<peer::jobs::Empty>&) {});
+}
+
+void JobLink::QueryJob(const std::string& address, const jobs::JobId& job,
+                       Done<jobs::JobAnswer> done) {
+  peer::jobs::JobQuestion request;
+  request.set_id(job.Text());
+  this->state->Make<peer::jobs::JobQuestion, peer::jobs::JobAnswer>(
+      address, kQuestionTimeout, std::move(request),
+      &JobPeer::Stub::async::QueryJob,
+      [done = std::move(done)](const Result<peer::jobs::JobAnswer>& reply) {
+        if (!reply) {
+          done(reply.error());
+          return;
+        }
+        jobs::JobAnswer answer;
+        if (reply.value().known()) {
+          answer.state = static_cast<jobs::JobState>(reply.value().state());
+        }
+        done(answer);
+      });
+}
+
+void JobLink::QueryPending(const std::string& address,
+                           const jobs::QueueName& queue,
+                           Done<std::int64_t> done) {
+  peer::jobs::PendingQuestion request;
+  request.set_queue(queue.Text());
+  this->state->Make<peer::jobs::PendingQuestion, peer::jobs::PendingAnswer>(
+      address, kQuestionTimeout, std::move(request),
+      &JobPeer::Stub::async::QueryPending,
+      [done = std::move(done)](const Result<peer::jobs::PendingAnswer>& reply) {
+        if (!reply) {
+          done(reply.error());
+          return;
+        }
+        done(reply.value().jobs());
+      });
+}
+
+void JobLink::Ask(const std::string& address,
+                  const jobs::AdviceQuestion& question,
+                  Done<jobs::Advice> done) {
+  peer::jobs::AdviceQuestion request;
+  request.set_job(question.step.job.Text());
+  request.set_occurrence(question.step.occurrence);
+  request.set_step(question.step.step);
+  request.set_timeout_us(question.timeout.count());
+  for (const WorkerId& worker : question.workers) {
+    request.add_workers(worker.Text());
+  }
+  this->state->Make<peer::jobs::AdviceQuestion, peer::jobs::Advice>(
+      address, question.timeout, std::move(request), &JobPeer::Stub::async::Ask,
+      [done = std::move(done)](const Result<peer::jobs::Advice>& reply) {
+        if (!reply) {
+          done(reply.error());
+          return;
+        }
+        jobs::Advice advice;
+        advice.validity = Duration(reply.value().validity_us());
+        for (const peer::jobs::Permission& row : reply.value().permitted()) {
+          advice.permitted.push_back({WorkerId(row.worker()), row.ticket()});
+        }
+        done(advice);
+      });
+}
+
+}  // namespace mustardproxy
--- /dev/null
+++ b/packages/peer/src/job_service.cc
@@ -0,0 +1,127 @@
+#include "job_service.h"
+
+#include <memory>
+#include <utility>
+
+#include "mustardproxy/core/error.h"
+#include "pending_call.h"
+
+namespace mustardproxy::peer_detail {
+namespace {
+
+template <typename Reply>
+std::shared_ptr<PendingCall<Reply>> MakeCall(Reply* reply) {
+  // What was begun for a peer that gave up ends by itself.
+  return PendingCall<Reply>::Make(reply, [] {});
+}
+
+grpc::ServerUnaryReactor* Acknowledge(grpc::CallbackServerContext* context) {
+  grpc::ServerUnaryReactor* reactor = context->DefaultReactor();
+  reactor->Finish(grpc::Status::OK);
+  return reactor;
+}
+
+grpc::Status Refusal(const std::error_code& error) {
+  const bool not_owner = error == Error::kNotOwner;
+  return {not_owner ? grpc::StatusCode::FAILED_PRECONDITION
+                    : grpc::StatusCode::UNAVAILABLE,
+          error.message()};
+}
+
+}  // namespace
+
+grpc::ServerUnaryReactor* JobService::AnnounceJob(
+    grpc::CallbackServerContext* context,
+    const peer::jobs::JobAnnouncement* request, peer::jobs::Empty* /*reply*/) {
+  this->executor->Post([handler = this->handler,
+                        job = jobs::AcceptedJob{jobs::JobId(request->id()),
+                                                request->record()}]() mutable {
+    handler->OnJob(std::move(job));
+  });
+  return Acknowledge(context);
+}
+
+grpc::ServerUnaryReactor* JobService::AnnounceCancel(
+    grpc::CallbackServerContext* context,
+    const peer::jobs::JobQuestion* request, peer::jobs::Empty* /*reply*/) {
+  this->executor->Post(
+      [handler = this->handler, job = jobs::JobId(request->id())] {
+        handler->OnCancel(job);
+      });
+  return Acknowledge(context);
+}
+
+grpc::ServerUnaryReactor* JobService::QueryJob(
+    grpc::CallbackServerContext* /*context*/,
+    const peer::jobs::JobQuestion* request, peer::jobs::JobAnswer* reply) {
+  const auto call = MakeCall(reply);
+  this->executor->Post(
+      [handler = this->handler, job = jobs::JobId(request->id()), call] {
+        handler->OnQueryJob(job, [call](const Result<jobs::JobAnswer>& answer) {
+          if (!answer) {
+            call->Refuse(Refusal(answer.error()));
+            return;
+          }
+          call->Answer([&](peer::jobs::JobAnswer* out) {
+            const auto& state = answer.value().state;
+            out->set_known(state.has_value());
+            if (state) out->set_state(static_cast<std::int32_t>(*state));
+          });
+        });
+      });
+  return call.get();
+}
+
+grpc::ServerUnaryReactor* JobService::QueryPending(
+    grpc::CallbackServerContext* /*context*/,
+    const peer::jobs::PendingQuestion* request,
+    peer::jobs::PendingAnswer* reply) {
+  const auto call = MakeCall(reply);
+  this->executor->Post([handler = this->handler,
+                        queue = jobs::QueueName(request->queue()), call] {
+    handler->OnQueryPending(queue, [call](const Result<std::int64_t>& count) {
+      if (!count) {
+        call->Refuse(Refusal(count.error()));
+        return;
+      }
+      call->Answer([&](peer::jobs::PendingAnswer* out) {
+        out->set_jobs(count.value());
+      });
+    });
+  });
+  return call.get();
+}
+
+grpc::ServerUnaryReactor* JobService::Ask(
+    grpc::CallbackServerContext* /*context*/,
+    const peer::jobs::AdviceQuestion* request, peer::jobs::Advice* reply) {
+  const auto call = MakeCall(reply);
+  jobs::AdviceQuestion question;
+  question.step = {jobs::JobId(request->job()), request->occurrence(),
+                   request->step()};
+  question.timeout = Duration(request->timeout_us());
+  for (const std::string& worker : request->workers()) {
+    question.workers.emplace_back(worker);
+  }
+  this->executor->Post([handler = this->handler, question = std::move(question),
+                        call]() mutable {
+    handler->OnAsk(
+        std::move(question), [call](const Result<jobs::Advice>& given) {
+          if (!given) {
+            call->Refuse(Refusal(given.error()));
+            return;
+          }
+          call->Answer([&](peer::jobs::Advice* out) {
+            out->set_validity_us(given.value().validity.count());
+            for (const jobs::Permission& one : given.value().permitted) {
+              peer::jobs::Permission* row = out->add_permitted();
+              row->set_worker(one.worker.Text());
+              row->set_ticket(one.ticket);
+            }
+          });
+        });
+  });
+  return call.get();
+}
+
+}  // namespace mustardproxy::peer_detail
--- /dev/null
+++ b/packages/peer/src/job_service.h
@@ -0,0 +1,44 @@
+#ifndef MUSTARDPROXY_PEER_JOB_SERVICE_H_
+#define MUSTARDPROXY_PEER_JOB_SERVICE_H_
+
+#include "job_peer.grpc.pb.h"
+#include "mustardproxy/jobs/executor.h"
+#include "mustardproxy/jobs/job_peers.h"
+
+namespace mustardproxy::peer_detail {
+
+/// What peers ask of this process about jobs, handed to the handler on the
+/// executor's thread.
+class JobService final : public peer::jobs::JobPeer::CallbackService {
+ public:
+  explicit JobService(jobs::Executor* executor) : executor(executor) {}
+
+  void SetHandler(jobs::JobPeerHandler* asked) { this->handler = asked; }
+
+  grpc::ServerUnaryReactor* AnnounceJob(
+      grpc::CallbackServerContext* context,
+      const peer::jobs::JobAnnouncement* request,
+      peer::jobs::Empty* reply) override;
+  grpc::ServerUnaryReactor* AnnounceCancel(
+      grpc::CallbackServerContext* context,
+      const peer::jobs::JobQuestion* request,
+      peer::jobs::Empty* reply) override;
+  grpc::ServerUnaryReactor* QueryJob(grpc::CallbackServerContext* context,
+                                     const peer::jobs::JobQuestion* request,
+                                     peer::jobs::JobAnswer* reply) override;
+  grpc::ServerUnaryReactor* QueryPending(
+      grpc::CallbackServerContext* context,
+      const peer::jobs::PendingQuestion* request,
+      peer::jobs::PendingAnswer* reply) override;
+  grpc::ServerUnaryReactor* Ask(grpc::CallbackServerContext* context,
+                                const peer::jobs::AdviceQuestion* request,
+                                peer::jobs::Advice* reply) override;
+
+ private:
+  jobs::Executor* executor;
+  jobs::JobPeerHandler* handler = nullptr;
+};
+
+}  // namespace mustardproxy::peer_detail
+
+#endif  // MUSTARDPROXY_PEER_JOB_SERVICE_H_
--- a/packages/peer/src/peer_link.cc
+++ b/packages/peer/src/peer_link.cc
@@ -1,9 +1,6 @@
 #include "mustardproxy/peer/peer_link.h"
 
-#include <grpcpp/resource_quota.h>
-#include <grpcpp/security/server_credentials.h>
 #include <grpcpp/server.h>
-#include <grpcpp/server_builder.h>
 
 #include <mutex>
 #include <system_error>
@@ -13,50 +10,10 @@
 #include "client.h"
 #include "grpc_log.h"
 #include "identity.h"
+#include "server.h"
 #include "service.h"
 
 namespace mustardproxy {
-namespace {
-
-/// Peers ping every 2 s; pings at half of that are still in order.
-constexpr int kMinPingMs = 1000;
-/// Connections of peers that are gone without a word are closed in the end.
-constexpr int kServerKeepaliveMs = 10'000;
-constexpr int kServerKeepaliveTimeoutMs = 10'000;
-/// Bounds what gRPC holds for all peers together.
-constexpr std::size_t kGrpcBytes = 16 << 20;
-/// Time that calls get to end after they were answered.
-constexpr auto kFlushLimit = std::chrono::seconds(1);
-
-/// @return an address as gRPC takes it; IPv6 stands in brackets
-std::string ListenAddress(const std::string& host, std::uint16_t port) {
-  const bool bare_ipv6 = host.find(':') != std::string::npos && host[0] != '[';
-  const std::string name = bare_ipv6 ? "[" + host + "]" : host;
-  return name + ":" + std::to_string(port);
-}
-
-void Limit(grpc::ServerBuilder* builder) {
-  builder->SetMaxReceiveMessageSize(peer_detail::kMaxMessageBytes);
-  builder->SetMaxSendMessageSize(peer_detail::kMaxMessageBytes);
-  builder->SetResourceQuota(grpc::ResourceQuota("peer").Resize(kGrpcBytes));
-  builder->AddChannelArgument(GRPC_ARG_ENABLE_CHANNELZ, 0);
-  builder->AddChannelArgument(GRPC_ARG_MAX_CHANNEL_TRACE_EVENT_MEMORY_PER_NODE,
-                              0);
-}
-
-void SetKeepalive(grpc::ServerBuilder* builder) {
-  builder->AddChannelArgument(
-      GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS, kMinPingMs);
-  // Never end a connection for its pings: calls in progress would be lost.
-  builder->AddChannelArgument(GRPC_ARG_HTTP2_MAX_PING_STRIKES, 0);
-  builder->AddChannelArgument(GRPC_ARG_KEEPALIVE_PERMIT_WITHOUT_CALLS, 1);
-  builder->AddChannelArgument(GRPC_ARG_HTTP2_MAX_PINGS_WITHOUT_DATA, 0);
-  builder->AddChannelArgument(GRPC_ARG_KEEPALIVE_TIME_MS, kServerKeepaliveMs);
-  builder->AddChannelArgument(GRPC_ARG_KEEPALIVE_TIMEOUT_MS,
-                              kServerKeepaliveTimeoutMs);
-}
-
-}  // namespace
 
 struct PeerLink::State {
   State(peer_detail::Identity identity, const std::vector<PeerAddress>& peers,
@@ -83,21 +40,13 @@
 PeerLink::~PeerLink() { this->Stop(); }
 
 Result<std::uint16_t> PeerLink::Start() {
-  grpc::ServerBuilder builder;
-  int port = 0;
-  builder.AddListeningPort(ListenAddress(this->state->host, this->state->port),
-                           grpc::InsecureServerCredentials(), &port);
-  // Failure: two processes are given the same port, both start, and each gets a
-  // part of the peers' connections. Without sharing the second fails to start.
-  builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
-  Limit(&builder);
-  SetKeepalive(&builder);
-  builder.RegisterService(&this->state->service);
-  this->state->server = builder.BuildAndStart();
-  if (!this->state->server || port == 0) {
+  std::uint16_t port = this->state->port;
+  this->state->server =
+      peer_detail::StartServer(this->state->host, &port, &this->state->service);
+  if (!this->state->server) {
     return std::make_error_code(std::errc::address_not_available);
   }
-  return static_cast<std::uint16_t>(port);
+  return port;
 }
 
 void PeerLink::Stop() {
@@ -107,7 +56,8 @@
   this->state->client.Stop(this->state->stop_limit);
   if (!this->state->server) return;
   // Returns when no call of a peer is left; what still waits is cancelled.
-  this->state->server->Shutdown(std::chrono::system_clock::now() + kFlushLimit);
+  this->state->server->Shutdown(std::chrono::system_clock::now() +
+                                peer_detail::kFlushLimit);
   this->state->server->Wait();
 }
 
--- a/packages/peer/src/pending_call.h
+++ b/packages/peer/src/pending_call.h
@@ -34,6 +34,14 @@
     return true;
   }
 
+  /// Ends the call with an error.
+  /// @return false if the call has ended already
+  bool Refuse(const grpc::Status& status) {
+    if (this->ended.exchange(true)) return false;
+    this->Finish(status);
+    return true;
+  }
+
   void OnCancel() override {
     if (this->ended.exchange(true)) return;
     this->cancelled();
--- a/packages/settings/include/mustardproxy/settings/fields.h
+++ b/packages/settings/include/mustardproxy/settings/fields.h
@@ -21,6 +21,8 @@
 
 /// @return every field of the settings file, in order
 [[nodiscard]] std::vector<FieldDescription> SettingsFields();
+/// @return every field of the settings file of `mustardproxy cell`, in order
+[[nodiscard]] std::vector<FieldDescription> CellSettingsFields();
 /// @return every field of the configuration document, in order
 [[nodiscard]] std::vector<FieldDescription> ConfigurationFields();
 
--- a/packages/settings/include/mustardproxy/settings/load.h
+++ b/packages/settings/include/mustardproxy/settings/load.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "mustardproxy/core/configuration.h"
+#include "mustardproxy/settings/cell_settings.h"
 #include "mustardproxy/settings/settings.h"
 
 namespace mustardproxy {
@@ -32,6 +33,12 @@
 [[nodiscard]] std::variant<Settings, Problems> ParseSettings(
     std::string_view text);
 
+/// The same for the settings of `mustardproxy cell`.
+[[nodiscard]] std::variant<CellSettings, Problems> LoadCellSettings(
+    const std::string& path);
+[[nodiscard]] std::variant<CellSettings, Problems> ParseCellSettings(
+    std::string_view text);
+
 /// Checks a configuration document (JSON with comments: `version`, `profiles`,
 /// `services`, `teams`, `default_team`) as strictly as the settings.
 [[nodiscard]] std::variant<Configuration, Problems> ParseConfiguration(
--- /dev/null
+++ b/packages/settings/src/cell_schema.cc
@@ -0,0 +1,59 @@
+#include "cell_schema.h"
+
+#include <memory>
+
+#include "schema_builder.h"
+#include "settings_schema.h"
+
+namespace mustardproxy::settings_detail {
+namespace {
+
+Schema<CellSettings> BuildCellSchema() {
+  const auto address = std::make_shared<AddressRule>();
+  return Schema<CellSettings>::Builder()
+      .Required()
+      .Name("process", &CellSettings::process,
+            "own name, unique among all processes of the cell")
+      .Required()
+      .Name("data_center", &CellSettings::data_center, "own data centre")
+      .Required()
+      .Text("callers", &CellSettings::callers, address,
+            "where callers hand jobs in")
+      .Required()
+      .Text("readiness", &CellSettings::readiness, address,
+            "where the balancer asks whether callers should be sent here")
+      .Required()
+      .Text("peers", &CellSettings::peers, address,
+            "where the other processes of the cell call this one")
+      .Required()
+      .Text("operators", &CellSettings::operators, address,
+            "metrics and status")
+      .Required()
+      .Text("store", &CellSettings::store, address, "the platform's store")
+      .Text("policy_service", &CellSettings::policy_service, address,
+            "says which workers may run a step; none if left out")
+      .Number("processor_share", &CellSettings::processor_share, {0.01, 1},
+              "share of its processors that the process may use; stronger "
+              "hosts are preferred to schedule")
+      .Number("processors", &CellSettings::processors, {0.01, 1024},
+              "processors of the host")
+      .Integer("memory_mb", &CellSettings::memory_mb, {16, 1'048'576},
+               "memory that the process may use")
+      .Number("grace_s", &CellSettings::grace_s, {0, 3600},
+              "time between SIGTERM and SIGKILL")
+      .Integer("max_connections", &CellSettings::max_connections, {1, 100'000},
+               "most connections of callers")
+      .Text("log_level", &CellSettings::log_level,
+            std::make_shared<ChoiceRule>(LogLevels()),
+            "least level of what is logged as sentences")
+      .Build();
+}
+
+}  // namespace
+
+const Schema<CellSettings>& CellSchema() {
+  static const Schema<CellSettings> schema = BuildCellSchema();
+  return schema;
+}
+
+}  // namespace mustardproxy::settings_detail
--- a/packages/settings/src/fields.cc
+++ b/packages/settings/src/fields.cc
@@ -1,5 +1,6 @@
 #include "mustardproxy/settings/fields.h"
 
+#include "cell_schema.h"
 #include "configuration_schema.h"
 #include "settings_schema.h"
 
@@ -11,6 +12,12 @@
   return fields;
 }
 
+std::vector<FieldDescription> CellSettingsFields() {
+  std::vector<FieldDescription> fields;
+  settings_detail::CellSchema().Describe("", &fields);
+  return fields;
+}
+
 std::vector<FieldDescription> ConfigurationFields() {
   std::vector<FieldDescription> fields;
   settings_detail::ConfigurationSchema().Describe("", &fields);
--- a/packages/settings/src/load.cc
+++ b/packages/settings/src/load.cc
@@ -5,6 +5,7 @@
 #include <string>
 #include <utility>
 
+#include "cell_schema.h"
 #include "configuration_schema.h"
 #include "json_tree.h"
 #include "mustardproxy/core/error.h"
@@ -73,6 +74,20 @@
                settings_detail::CheckSettings);
 }
 
+std::variant<CellSettings, Problems> LoadCellSettings(const std::string& path) {
+  const std::optional<std::string> text =
+      ReadFile(path, kSettingsLimits.max_bytes);
+  if (!text) return Problems{{"", Error::kFileMissing, path}};
+  return ParseCellSettings(*text);
+}
+
+std::variant<CellSettings, Problems> ParseCellSettings(std::string_view text) {
+  // No two of its fields can contradict each other.
+  return Parse(
+      text, kSettingsLimits, settings_detail::CellSchema(),
+      +[](const CellSettings&, Problems*) {});
+}
+
 std::variant<Configuration, Problems> ParseConfiguration(
     std::string_view text) {
   return Parse(text, kConfigurationLimits,
--- a/packages/settings/src/settings_schema.cc
+++ b/packages/settings/src/settings_schema.cc
@@ -140,10 +140,6 @@
       .Build();
 }
 
-std::vector<std::string_view> LogLevels() {
-  return {"trace", "debug", "info", "warn", "error"};
-}
-
 Schema<Settings> BuildSettingsSchema() {
   return Schema<Settings>::Builder()
       .Required()
@@ -184,6 +180,10 @@
 
 }  // namespace
 
+std::vector<std::string_view> LogLevels() {
+  return {"trace", "debug", "info", "warn", "error"};
+}
+
 const Schema<Settings>& SettingsSchema() {
   static const Schema<Settings> schema = BuildSettingsSchema();
   return schema;
