--- a/packages/jobs/src/hold_loop.cc
+++ b/packages/jobs/src/hold_loop.cc
@@ -39,7 +39,12 @@
   HoldOrder order;
   order.token = this->context->token;
   order.last_noted_end = session.noted_end;
-  order.lease_until_ms = session.LeaseUntilMs(now, kWorkerLease);
+  // Failure: a worker is gone for good and each try to reach it puts the moment
+  // off at which its lease has lapsed for certain, so that its tasks never start
+  // elsewhere. A silent worker is only asked, and its lease runs out.
+  if (!session.suspect) {
+    order.lease_until_ms = session.LeaseUntilMs(now, kWorkerLease);
+  }
   const bool checking =
       std::any_of(session.runs.begin(), session.runs.end(),
                   [](const auto& run) { return run.second.stop_noted; });
--- a/packages/jobs/src/progress_writer.cc
+++ b/packages/jobs/src/progress_writer.cc
@@ -38,6 +38,12 @@
   this->Flush();
 }
 
+bool ProgressWriter::Pending(const JobId& job) const {
+  return this->rows.contains(job) ||
+         std::any_of(this->in_flight.begin(), this->in_flight.end(),
+                     [&](const SentRow& row) { return row.job == job; });
+}
+
 void ProgressWriter::Flush() {
   if (!this->in_flight.empty() || this->order.empty()) return;
   const Instant now = this->executor->Now();
--- a/packages/jobs/src/progress_writer.h
+++ b/packages/jobs/src/progress_writer.h
@@ -35,6 +35,8 @@
   /// Stores the job's progress as it stands when the write is sent.
   /// @param durable called once that is stored; may be empty
   void Write(const JobId& job, std::function<void()> durable);
+  /// @return true if the job's progress is not all stored
+  [[nodiscard]] bool Pending(const JobId& job) const;
   /// Removes all keys of final jobs, and then the jobs themselves.
   void Remove(std::vector<JobId> jobs);
   /// @return writes that wait or are on their way
--- a/packages/jobs/src/run_control.cc
+++ b/packages/jobs/src/run_control.cc
@@ -123,7 +123,10 @@
     return;
   }
   const Instant now = this->context->executor->Now();
-  order.lease_until_ms = session->LeaseUntilMs(now, kWorkerLease);
+  // A silent worker's lease is not put off, see HoldLoop.
+  order.lease_until_ms = session->suspect
+                             ? session->LeaseSentMs()
+                             : session->LeaseUntilMs(now, kWorkerLease);
   session->NoteLeaseSent(order.lease_until_ms);
   record->phase = RunPhase::kOrdered;
   record->order_in_flight = true;
@@ -311,11 +314,18 @@
                              {"counted", effect.matched ? 1 : 0}});
   if (effect.gang_over) this->StopGang(run);
   if (effect.job_final) this->StoreFinal(entry);
-  if (effect.durable) {
+  // Failure: a gang's members end well together, the first end is being stored
+  // and the worker is told to forget another one; the owner dies before the
+  // write, and its successor finds no end there and runs the gang again.
+  const bool tells = end == RunEnd::kDone || end == RunEnd::kFailed;
+  const bool waits =
+      effect.durable ||
+      (tells && this->context->writer->Pending(run.task.step.job));
+  if (waits) {
     this->context->writer->Write(run.task.step.job, std::move(durable));
   }
   this->context->dispatcher->Kick();
-  return effect.durable;
+  return waits;
 }
 
 void RunControl::NoteOutcome(const WorkerSession& session,
--- a/packages/jobs/src/worker_session.h
+++ b/packages/jobs/src/worker_session.h
@@ -73,6 +73,9 @@
   /// @return a worker's time, on its clock, at which a lease given now ends
   /// @param now sending time of the order
   [[nodiscard]] std::int64_t LeaseUntilMs(Instant now, Duration lease) const;
+  /// @return the latest end of lease that was ever sent; an order that repeats
+  ///   it changes nothing about when the lease lapses
+  [[nodiscard]] std::int64_t LeaseSentMs() const { return this->lease_sent_ms; }
   /// Takes note that an order with this lease is being sent: the worker may
   /// act on it at any time before the lease ends.
   void NoteLeaseSent(std::int64_t until_ms);
--- /dev/null
+++ b/testing/job_sim/include/job_sim/promises.h
@@ -0,0 +1,80 @@
+#ifndef JOB_SIM_PROMISES_H_
+#define JOB_SIM_PROMISES_H_
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "job_sim/virtual_time.h"
+#include "mustardproxy/jobs/job.h"
+#include "mustardproxy/jobs/worker_driver.h"
+
+namespace job_sim {
+
+namespace jobs = mustardproxy::jobs;
+
+/// A job as the simulated caller handed it in, and what its tasks are like.
+struct SimJob {
+  jobs::Job job;
+  bool accepted = false;
+  bool cancelled = false;
+  /// When the cancellation was acknowledged.
+  Instant cancelled_at;
+  /// Each run of it fails.
+  bool hopeless = false;
+};
+
+/// Watches what workers do and keeps a list of what must never happen. Judged
+/// by the workers' side alone, not by what the scheduler believes.
+class Promises {
+ public:
+  explicit Promises(const VirtualTime* time) : time(time) {}
+
+  SimJob* Add(jobs::Job job);
+  [[nodiscard]] SimJob* Find(const jobs::JobId& id);
+  [[nodiscard]] const std::map<jobs::JobId, SimJob>& Jobs() const {
+    return this->jobs;
+  }
+  [[nodiscard]] const jobs::Step* StepOf(const jobs::StepRef& ref) const;
+
+  /// A worker begins a run.
+  /// @param late the order was carried out seconds after it was sent
+  void OnStart(const jobs::RunRef& run, bool late);
+  void OnEnd(const jobs::RunRef& run, jobs::RunEnd end);
+  /// The worker was told that an end is noted, in one lease with it.
+  void OnNoted(const jobs::RunRef& run, jobs::RunEnd end);
+  /// A worker is given more than it has.
+  void OnOvercommit(const std::string& worker, const jobs::RunRef& run);
+  /// The scheduler tells a caller that the job is completed.
+  void OnShownCompleted(const jobs::JobId& id);
+  /// At the end: all accepted jobs that could end have ended.
+  void OnUnfinished(const jobs::JobId& id, jobs::JobState state);
+
+  [[nodiscard]] const std::vector<std::string>& Broken() const {
+    return this->broken;
+  }
+  [[nodiscard]] std::int64_t Runs() const { return this->runs; }
+  [[nodiscard]] bool Done(const jobs::TaskRef& task) const {
+    return this->done.contains(task);
+  }
+
+ private:
+  void Break(const std::string& promise, const std::string& detail);
+  void CheckOrder(const jobs::RunRef& run);
+
+  const VirtualTime* time;
+  std::map<jobs::JobId, SimJob> jobs;
+  /// Runs of each task that go on.
+  std::map<jobs::TaskRef, std::set<jobs::RunNumber>> running;
+  /// Tasks that ended well, and those of which this is noted.
+  std::set<jobs::TaskRef> done;
+  std::set<jobs::TaskRef> noted_done;
+  std::map<jobs::TaskRef, std::set<jobs::RunNumber>> noted_failed;
+  std::vector<std::string> broken;
+  std::int64_t runs = 0;
+};
+
+}  // namespace job_sim
+
+#endif  // JOB_SIM_PROMISES_H_
--- /dev/null
+++ b/testing/job_sim/include/job_sim/schedule.h
@@ -0,0 +1,29 @@
+#ifndef JOB_SIM_SCHEDULE_H_
+#define JOB_SIM_SCHEDULE_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace job_sim {
+
+/// What became of one seeded run.
+struct ScheduleResult {
+  std::vector<std::string> broken;
+  std::vector<std::string> log;
+  /// Faults that were injected, in order.
+  std::vector<std::string> faults;
+  std::int64_t runs = 0;
+  std::int64_t jobs = 0;
+};
+
+/// Plays a cell with jobs and faults drawn from the seed: processes killed,
+/// paused, stopped and cut off; the store silent, refusing, forgetful, its
+/// answers lost and its writes late; workers crashed, cut off, drained, failing
+/// and answering late; jobs cancelled. In the end all faults are over and every
+/// accepted job has to end.
+[[nodiscard]] ScheduleResult PlaySchedule(std::uint64_t seed);
+
+}  // namespace job_sim
+
+#endif  // JOB_SIM_SCHEDULE_H_
--- /dev/null
+++ b/testing/job_sim/include/job_sim/sim_cell.h
@@ -0,0 +1,148 @@
+#ifndef JOB_SIM_SIM_CELL_H_
+#define JOB_SIM_SIM_CELL_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "job_sim/process.h"
+#include "job_sim/promises.h"
+#include "job_sim/sim_store.h"
+#include "job_sim/sim_worker.h"
+#include "job_sim/virtual_time.h"
+#include "mustardproxy/jobs/job_node.h"
+#include "mustardproxy/telemetry/event_log.h"
+#include "mustardproxy/telemetry/metrics.h"
+
+namespace job_sim {
+
+/// Lines of the structured log, kept to be printed when a test fails.
+class KeptLog final : public mustardproxy::EventLog {
+ public:
+  explicit KeptLog(const VirtualTime* time) : time(time) {}
+  void Write(std::string_view part, std::string_view event,
+             std::initializer_list<mustardproxy::LogField> fields) override;
+  [[nodiscard]] const std::vector<std::string>& Lines() const {
+    return this->lines;
+  }
+  /// @return how many lines tell of this event
+  [[nodiscard]] std::size_t Count(std::string_view event) const;
+
+ private:
+  const VirtualTime* time;
+  std::vector<std::string> lines;
+  std::map<std::string, std::size_t, std::less<>> counts;
+};
+
+/// A whole cell in virtual time: processes of the product, the platform's
+/// store, workers, the policy service, and callers.
+class SimCell {
+ public:
+  class Builder;
+  ~SimCell();
+
+  VirtualTime& Time() { return this->time; }
+  SimStore& Store() { return this->store; }
+  SimWorkers& Workers() { return this->workers; }
+  Promises& Judge() { return this->promises; }
+  KeptLog& Log() { return this->log; }
+
+  /// Starts a process; a killed one starts again under the same name.
+  void StartProcess(std::size_t index);
+  void KillProcess(std::size_t index);
+  /// Has it give up what it owns, as on SIGTERM, and end two seconds later.
+  void StopProcess(std::size_t index);
+  /// @return the control thread of a process that runs, else null
+  Process* ProcessAt(std::size_t index);
+  mustardproxy::jobs::JobNode* NodeAt(std::size_t index);
+  /// @return the process that decides, if one does
+  std::optional<std::size_t> OwnerIndex();
+  [[nodiscard]] std::size_t ProcessCount() const { return this->slots.size(); }
+
+  /// Adds a worker and its entry in the store.
+  SimWorker* AddWorker();
+  /// The entry says that it drains, or goes.
+  void DrainWorker(SimWorker* worker);
+  void UnlistWorker(SimWorker* worker);
+  /// Its life ends; another begins at the same address after `down`.
+  void CrashWorker(SimWorker* worker, std::optional<Duration> down);
+
+  /// The queue of the desired state, which may be changed before `Apply`.
+  jobs::Queue queue;
+  void Apply();
+
+  /// Hands a job in at a process, and again elsewhere until it is accepted.
+  SimJob* Submit(jobs::JobSpec spec, std::size_t process = 0);
+  void Cancel(const jobs::JobId& id, std::size_t process = 0);
+  /// @return what a caller is told; nothing if there was no answer
+  std::optional<jobs::JobState> Ask(const jobs::JobId& id,
+                                    std::size_t process = 0);
+  /// Runs until the job is final for callers.
+  bool AwaitFinal(const jobs::JobId& id, Duration limit);
+  /// Ends all faults, and judges that every accepted job ends.
+  void Settle(Duration limit);
+
+ private:
+  struct Slot;
+  class Peers;
+  class Adviser;
+  class Schema;
+  explicit SimCell(std::uint64_t seed);
+  void SubmitAt(const jobs::JobId& id, std::size_t process, int tries);
+  void CancelAt(const jobs::JobId& id, std::size_t process, int tries);
+  std::size_t RunningFrom(std::size_t process);
+
+  VirtualTime time;
+  KeptLog log;
+  mustardproxy::Metrics metrics;
+  Promises promises;
+  SimStore store;
+  SimWorkers workers;
+  std::unique_ptr<Schema> schema;
+  std::vector<std::unique_ptr<Slot>> slots;
+  /// Runs of processes that have ended; callbacks may still name them.
+  std::vector<std::unique_ptr<Slot>> ended;
+  mustardproxy::ConfigurationVersion version = 0;
+  std::int32_t next_worker = 0;
+  std::int32_t next_job = 0;
+  mustardproxy::Incarnation next_incarnation = 1;
+  double permitted_share = 1.0;
+};
+
+class SimCell::Builder {
+ public:
+  Builder& Seed(std::uint64_t value);
+  Builder& Processes(std::size_t count);
+  Builder& Workers(std::size_t count);
+  /// Processors and memory of each worker.
+  Builder& Capacity(std::int64_t cpu_milli, std::int64_t memory_mb);
+  /// The queue needs permissions, which this share of the workers gets.
+  Builder& Advice(double permitted_share, Duration decision);
+  Builder& MaxAttempts(std::int32_t attempts);
+  /// @return a cell whose processes have started and whose owner is at work
+  std::unique_ptr<SimCell> Build();
+
+ private:
+  std::uint64_t seed = 1;
+  std::size_t processes = 3;
+  std::size_t workers = 4;
+  std::int64_t cpu_milli = 16'000;
+  std::int64_t memory_mb = 64'000;
+  std::optional<double> permitted_share;
+  Duration decision{0};
+  std::int32_t max_attempts = 3;
+
+  friend class SimCell;
+};
+
+/// @return a step of `tasks` tasks of this size and length
+[[nodiscard]] jobs::Step MakeStep(std::int32_t tasks, std::int64_t cpu_milli,
+                                  Duration length);
+[[nodiscard]] jobs::JobSpec MakeSpec(std::vector<jobs::Step> steps);
+
+}  // namespace job_sim
+
+#endif  // JOB_SIM_SIM_CELL_H_
--- /dev/null
+++ b/testing/job_sim/include/job_sim/sim_worker.h
@@ -0,0 +1,131 @@
+#ifndef JOB_SIM_SIM_WORKER_H_
+#define JOB_SIM_SIM_WORKER_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "job_sim/process.h"
+#include "job_sim/promises.h"
+#include "job_sim/virtual_time.h"
+#include "mustardproxy/jobs/worker_driver.h"
+
+namespace job_sim {
+
+class SimWorkers;
+
+/// One life of one worker: obeys the highest token, keeps everything under one
+/// lease on its own slow clock, lists ends until they are noted.
+class SimWorker {
+ public:
+  SimWorker(SimWorkers* all, jobs::WorkerInfo info, double clock_rate);
+
+  jobs::OrderResult Start(const jobs::StartOrder& order, bool late);
+  jobs::OrderResult Stop(const jobs::StopOrder& order);
+  /// Answers at once, or when something ends, or after the wait.
+  void Hold(const jobs::HoldOrder& order,
+            std::function<void(jobs::HoldResult)> done);
+  /// All that runs ends; the life is over.
+  void Crash();
+  void EndRun(const jobs::RunRef& run, jobs::RunEnd end);
+
+  [[nodiscard]] const jobs::WorkerInfo& Info() const { return this->info; }
+  [[nodiscard]] bool Alive() const { return this->alive; }
+  [[nodiscard]] std::size_t RunningCount() const {
+    return this->running.size();
+  }
+
+  /// Each run that it starts fails at once.
+  bool fails_all = false;
+  /// Its runs take this times as long.
+  double slowness = 1.0;
+
+ private:
+  friend class SimWorkers;
+  struct Running {
+    Instant started;
+    Duration work{0};
+    std::int64_t saved_ms = 0;
+    bool working = false;
+  };
+  struct Waiting {
+    std::function<void(jobs::HoldResult)> done;
+  };
+
+  [[nodiscard]] std::int64_t ClockMs() const;
+  jobs::OrderResult Refuse(jobs::OrderEnd end) const;
+  bool Fenced(jobs::FencingToken token);
+  void Extend(std::int64_t until_ms);
+  void CheckLease();
+  void Begin(const jobs::RunRef& run, Running* record);
+  void CheckCapacity(const jobs::RunRef& run);
+  jobs::HoldResult Lists() const;
+  void Answer();
+  std::string Checkpoint(const Running& record) const;
+  std::int64_t DoneMs(const Running& record) const;
+
+  SimWorkers* all;
+  jobs::WorkerInfo info;
+  double clock_rate;
+  bool alive = true;
+  jobs::FencingToken token = 0;
+  std::int64_t lease_until_ms = 0;
+  std::int64_t lapses = 0;
+  std::map<jobs::RunRef, Running> running;
+  std::map<jobs::TaskRef, jobs::RunNumber> closed;
+  struct Ended {
+    jobs::EndedRun run;
+    std::int64_t lapses = 0;
+  };
+  std::vector<Ended> ended;
+  std::int64_t next_end = 1;
+  std::vector<std::shared_ptr<Waiting>> waiting;
+};
+
+/// All workers, and the faults on the way to them.
+class SimWorkers {
+ public:
+  SimWorkers(VirtualTime* time, Promises* promises)
+      : time(time), promises(promises) {}
+
+  std::unique_ptr<jobs::WorkerDriver> Connect(Process* process);
+  SimWorker* Add(jobs::WorkerInfo info);
+  /// @return the life at an address, or null
+  [[nodiscard]] SimWorker* At(const std::string& address);
+  [[nodiscard]] SimWorker* Find(const std::string& id);
+  [[nodiscard]] std::vector<SimWorker*> Alive();
+
+  /// Share of the orders that are carried out seconds later, without an
+  /// answer, and of those whose answer is lost.
+  double late_orders = 0;
+  double lost_answers = 0;
+  /// Workers that nobody reaches.
+  std::set<std::string> cut;
+  /// Time of one way.
+  Duration latency = std::chrono::milliseconds(1);
+  Duration gang_wait = std::chrono::seconds(3);
+
+  VirtualTime* const time;
+  Promises* const promises;
+
+ private:
+  friend class SimWorker;
+  friend class SimDriver;
+  struct Gang {
+    std::map<jobs::RunRef, SimWorker*> members;
+  };
+
+  void JoinGang(SimWorker* worker, const jobs::RunRef& run);
+  void LeaveGang(const jobs::RunRef& run, jobs::RunEnd end);
+
+  std::map<std::string, std::unique_ptr<SimWorker>> workers;
+  std::map<std::string, std::string> at_address;
+  std::map<std::pair<jobs::StepRef, jobs::RunNumber>, Gang> gangs;
+};
+
+}  // namespace job_sim
+
+#endif  // JOB_SIM_SIM_WORKER_H_
--- /dev/null
+++ b/testing/job_sim/program/main.cc
@@ -0,0 +1,53 @@
+#include <cstdint>
+#include <cstdlib>
+#include <iostream>
+#include <string>
+
+#include "job_sim/schedule.h"
+
+namespace {
+
+void PrintUsage() {
+  std::cerr << "usage: job_schedules FIRST_SEED COUNT [--log]\n"
+            << "plays that many seeded cells and prints each broken promise\n";
+}
+
+void Print(std::uint64_t seed, const job_sim::ScheduleResult& result,
+           bool with_log) {
+  for (const std::string& line : result.broken) {
+    std::cout << "seed " << seed << ": " << line << '\n';
+  }
+  if (!with_log) return;
+  for (const std::string& fault : result.faults) {
+    std::cout << "fault " << fault << '\n';
+  }
+  for (const std::string& line : result.log) std::cout << line << '\n';
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  if (argc < 3) {
+    PrintUsage();
+    return EXIT_FAILURE;
+  }
+  const std::uint64_t first = std::strtoull(argv[1], nullptr, 10);
+  const std::uint64_t count = std::strtoull(argv[2], nullptr, 10);
+  const bool with_log = argc > 3 && std::string(argv[3]) == "--log";
+  std::uint64_t red = 0;
+  std::int64_t runs = 0;
+  std::int64_t jobs = 0;
+  std::int64_t faults = 0;
+  for (std::uint64_t seed = first; seed < first + count; ++seed) {
+    const job_sim::ScheduleResult result = job_sim::PlaySchedule(seed);
+    if (!result.broken.empty()) ++red;
+    runs += result.runs;
+    jobs += result.jobs;
+    faults += std::ssize(result.faults);
+    Print(seed, result, with_log);
+  }
+  std::cout << "job_schedules: " << count << " schedules, " << jobs << " jobs, "
+            << runs << " runs, " << faults << " faults, " << red
+            << " schedules broke a promise\n";
+  return red == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/testing/job_sim/src/promises.cc
@@ -0,0 +1,122 @@
+#include "job_sim/promises.h"
+
+#include <utility>
+
+namespace job_sim {
+namespace {
+
+/// After a cancellation is acknowledged nothing starts later than this.
+constexpr Duration kCancelBound = std::chrono::seconds(3);
+
+std::string Describe(const jobs::RunRef& run) {
+  return jobs::Text(run.task) + " run " + std::to_string(run.run);
+}
+
+}  // namespace
+
+SimJob* Promises::Add(jobs::Job job) {
+  const jobs::JobId id = job.id;
+  SimJob& entry = this->jobs[id];
+  entry.job = std::move(job);
+  return &entry;
+}
+
+SimJob* Promises::Find(const jobs::JobId& id) {
+  const auto found = this->jobs.find(id);
+  return found == this->jobs.end() ? nullptr : &found->second;
+}
+
+const jobs::Step* Promises::StepOf(const jobs::StepRef& ref) const {
+  const auto found = this->jobs.find(ref.job);
+  if (found == this->jobs.end()) return nullptr;
+  return &found->second.job.spec.steps.at(static_cast<std::size_t>(ref.step));
+}
+
+void Promises::Break(const std::string& promise, const std::string& detail) {
+  const auto at = std::chrono::duration_cast<std::chrono::milliseconds>(
+      this->time->Now().time_since_epoch());
+  this->broken.push_back(promise + ": " + detail + " at " +
+                         std::to_string(at.count()) + " ms");
+}
+
+void Promises::CheckOrder(const jobs::RunRef& run) {
+  const jobs::StepRef& ref = run.task.step;
+  for (const std::int32_t earlier : this->StepOf(ref)->after) {
+    const jobs::StepRef before{ref.job, ref.occurrence, earlier};
+    for (std::int32_t i = 0; i < this->StepOf(before)->tasks; ++i) {
+      if (this->done.contains({before, i})) continue;
+      this->Break("started before an earlier step was done", Describe(run));
+      return;
+    }
+  }
+}
+
+void Promises::OnStart(const jobs::RunRef& run, bool late) {
+  ++this->runs;
+  SimJob* job = this->Find(run.task.step.job);
+  if (job == nullptr) {
+    this->Break("started what nobody handed in", Describe(run));
+    return;
+  }
+  std::set<jobs::RunNumber>& now = this->running[run.task];
+  if (!now.empty()) this->Break("two runs at once", Describe(run));
+  now.insert(run.run);
+  if (this->noted_done.contains(run.task)) {
+    this->Break("started after a noted end", Describe(run));
+  }
+  const auto failed = this->noted_failed.find(run.task);
+  const bool used_up =
+      failed != this->noted_failed.end() &&
+      std::ssize(failed->second) >= job->job.queue.max_attempts;
+  if (used_up) this->Break("started beyond the attempts", Describe(run));
+  const bool too_late = job->cancelled && !late &&
+                        this->time->Now() > job->cancelled_at + kCancelBound;
+  if (too_late) this->Break("started after a cancellation", Describe(run));
+  this->CheckOrder(run);
+}
+
+void Promises::OnEnd(const jobs::RunRef& run, jobs::RunEnd end) {
+  this->running[run.task].erase(run.run);
+  if (end == jobs::RunEnd::kDone) this->done.insert(run.task);
+}
+
+void Promises::OnNoted(const jobs::RunRef& run, jobs::RunEnd end) {
+  if (end == jobs::RunEnd::kDone) {
+    this->noted_done.insert(run.task);
+    // A newer run that goes on was started after that end.
+    if (!this->running[run.task].empty()) {
+      this->Break("runs again though its end is noted", Describe(run));
+    }
+  }
+  if (end == jobs::RunEnd::kFailed) {
+    this->noted_failed[run.task].insert(run.run);
+  }
+}
+
+void Promises::OnOvercommit(const std::string& worker,
+                            const jobs::RunRef& run) {
+  this->Break("more than the worker has", worker + ", " + Describe(run));
+}
+
+void Promises::OnShownCompleted(const jobs::JobId& id) {
+  const SimJob* job = this->Find(id);
+  if (job == nullptr) {
+    this->Break("shown though nobody handed it in", id.Text());
+    return;
+  }
+  const auto& steps = job->job.spec.steps;
+  for (std::size_t s = 0; s < steps.size(); ++s) {
+    for (std::int32_t i = 0; i < steps[s].tasks; ++i) {
+      const jobs::TaskRef task{{id, 0, static_cast<std::int32_t>(s)}, i};
+      if (this->done.contains(task)) continue;
+      this->Break("shown as completed too early", jobs::Text(task));
+      return;
+    }
+  }
+}
+
+void Promises::OnUnfinished(const jobs::JobId& id, jobs::JobState state) {
+  this->Break("not ended", id.Text() + " is " + std::string(Name(state)));
+}
+
+}  // namespace job_sim
--- /dev/null
+++ b/testing/job_sim/src/schedule.cc
@@ -0,0 +1,293 @@
+#include "job_sim/schedule.h"
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+#include "job_sim/sim_cell.h"
+
+namespace job_sim {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::size_t kProcesses = 3;
+constexpr std::size_t kWorkers = 6;
+constexpr std::int32_t kJobs = 14;
+constexpr std::int32_t kMostFaults = 7;
+/// Time in which jobs come and faults strike.
+constexpr Duration kBusy = seconds(18);
+/// Time in which everything has to end once the faults are over: the longest
+/// wait for a worker that can't be reached, twice, and the work itself.
+constexpr Duration kCalm = seconds(90);
+
+/// Plays one seed.
+class Player {
+ public:
+  explicit Player(std::uint64_t seed)
+      : cell(MakeCell(seed)), time(this->cell->Time()) {}
+
+  ScheduleResult Play();
+
+ private:
+  static std::unique_ptr<SimCell> MakeCell(std::uint64_t seed);
+  jobs::JobSpec DrawSpec();
+  void PlanJob();
+  void PlanFault();
+  void Strike();
+  void StrikeProcess();
+  void StrikeStore();
+  void StrikeWorker();
+  void Note(const std::string& fault);
+  /// Undoes a fault after a while.
+  void Undo(Duration least, Duration most, std::function<void()> undo);
+  std::size_t DrawProcess();
+
+  std::unique_ptr<SimCell> cell;
+  VirtualTime& time;
+  ScheduleResult result;
+};
+
+std::unique_ptr<SimCell> Player::MakeCell(std::uint64_t seed) {
+  SimCell::Builder builder;
+  builder.Seed(seed)
+      .Processes(kProcesses)
+      .Workers(kWorkers)
+      .Capacity(8000, 64'000);
+  constexpr std::uint64_t kAdviceEvery = 3;
+  if (seed % kAdviceEvery == 0) builder.Advice(0.6, milliseconds(60));
+  return builder.Build();
+}
+
+jobs::JobSpec Player::DrawSpec() {
+  std::vector<jobs::Step> steps;
+  const std::size_t count = 1 + this->time.DrawIndex(3);
+  for (std::size_t i = 0; i < count; ++i) {
+    jobs::Step step =
+        MakeStep(static_cast<std::int32_t>(1 + this->time.DrawIndex(6)),
+                 static_cast<std::int64_t>(500 + this->time.DrawIndex(3000)),
+                 this->time.DrawBetween(milliseconds(200), milliseconds(3000)));
+    step.gang = this->time.Chance(0.35);
+    // What is permitted on one worker alone must still fit.
+    const bool advised = this->cell->queue.advice.has_value();
+    if (advised && step.gang) step.tasks = std::min(step.tasks, 2);
+    step.checkpointing = this->time.Chance(0.5);
+    if (i > 0 && this->time.Chance(0.7)) {
+      step.after.push_back(static_cast<std::int32_t>(i - 1));
+    }
+    steps.push_back(std::move(step));
+  }
+  return MakeSpec(std::move(steps));
+}
+
+void Player::PlanJob() {
+  const Duration at = this->time.DrawBetween(Duration::zero(), kBusy);
+  const bool cancel = this->time.Chance(0.15);
+  const bool hopeless = this->time.Chance(0.1);
+  this->time.After(at, [this, cancel, hopeless] {
+    SimJob* job = this->cell->Submit(this->DrawSpec(), this->DrawProcess());
+    job->hopeless = hopeless;
+    if (!cancel) return;
+    const Duration later =
+        this->time.DrawBetween(milliseconds(50), milliseconds(4000));
+    this->time.After(later, [this, id = job->job.id] {
+      this->cell->Cancel(id, this->DrawProcess());
+    });
+  });
+}
+
+std::size_t Player::DrawProcess() { return this->time.DrawIndex(kProcesses); }
+
+void Player::Note(const std::string& fault) {
+  const auto at = std::chrono::duration_cast<milliseconds>(
+      this->time.Now().time_since_epoch());
+  this->result.faults.push_back(std::to_string(at.count()) + " ms " + fault);
+}
+
+void Player::Undo(Duration least, Duration most, std::function<void()> undo) {
+  this->time.After(this->time.DrawBetween(least, most), std::move(undo));
+}
+
+void Player::PlanFault() {
+  const Duration at = this->time.DrawBetween(Duration::zero(), kBusy);
+  this->time.After(at, [this] { this->Strike(); });
+}
+
+void Player::Strike() {
+  switch (this->time.DrawIndex(3)) {
+    case 0:
+      this->StrikeProcess();
+      return;
+    case 1:
+      this->StrikeStore();
+      return;
+    default:
+      this->StrikeWorker();
+  }
+}
+
+void Player::StrikeProcess() {
+  // The owner is hit more often than by its share: it has most to lose.
+  const auto owner = this->cell->OwnerIndex();
+  const std::size_t index =
+      owner && this->time.Chance(0.6) ? *owner : this->DrawProcess();
+  Process* process = this->cell->ProcessAt(index);
+  if (process == nullptr) return;
+  const std::string name = process->Name();
+  switch (this->time.DrawIndex(6)) {
+    case 0:
+      this->Note("kill " + name);
+      this->cell->KillProcess(index);
+      this->Undo(milliseconds(200), milliseconds(6000),
+                 [this, index] { this->cell->StartProcess(index); });
+      return;
+    case 1:
+      this->Note("stop " + name);
+      this->cell->StopProcess(index);
+      this->Undo(milliseconds(2200), milliseconds(5000),
+                 [this, index] { this->cell->StartProcess(index); });
+      return;
+    case 2:
+      this->Note("pause " + name);
+      process->Pause();
+      this->Undo(milliseconds(500), milliseconds(9000),
+                 [process] { process->Resume(); });
+      return;
+    case 3:
+      this->Note("cut from the store " + name);
+      process->store_cut = true;
+      this->Undo(milliseconds(500), milliseconds(9000),
+                 [process] { process->store_cut = false; });
+      return;
+    case 4:
+      this->Note("cut from the workers " + name);
+      process->workers_cut = true;
+      this->Undo(milliseconds(500), milliseconds(7000),
+                 [process] { process->workers_cut = false; });
+      return;
+    default:
+      this->Note("cut from the others " + name);
+      process->peers_cut = true;
+      this->Undo(milliseconds(500), milliseconds(9000),
+                 [process] { process->peers_cut = false; });
+  }
+}
+
+void Player::StrikeStore() {
+  SimStore& store = this->cell->Store();
+  switch (this->time.DrawIndex(6)) {
+    case 0:
+      this->Note("store silent");
+      store.silent = true;
+      store.leases_run_on = this->time.Chance(0.5);
+      this->Undo(milliseconds(500), milliseconds(9500),
+                 [&store] { store.silent = false; });
+      return;
+    case 1:
+      this->Note("store refuses");
+      store.refusing = true;
+      store.leases_run_on = this->time.Chance(0.5);
+      this->Undo(milliseconds(500), milliseconds(9500),
+                 [&store] { store.refusing = false; });
+      return;
+    case 2:
+      this->Note("answers of the store lost");
+      store.lost_answers = 0.35;
+      this->Undo(milliseconds(500), milliseconds(5000),
+                 [&store] { store.lost_answers = 0; });
+      return;
+    case 3:
+      this->Note("writes of the store late");
+      store.late_writes = 0.35;
+      this->Undo(milliseconds(500), milliseconds(5000),
+                 [&store] { store.late_writes = 0; });
+      return;
+    case 4:
+      this->Note("store forgets its history");
+      store.Compact();
+      return;
+    default:
+      this->Note("leases revoked");
+      store.RevokeLeases();
+  }
+}
+
+void Player::StrikeWorker() {
+  SimWorkers& workers = this->cell->Workers();
+  const std::vector<SimWorker*> alive = workers.Alive();
+  if (alive.size() < 2) return;
+  SimWorker* worker = alive[this->time.DrawIndex(alive.size())];
+  const std::string name = worker->Info().id.Text();
+  switch (this->time.DrawIndex(6)) {
+    case 0:
+      this->Note("crash " + name);
+      this->cell->CrashWorker(
+          worker, this->time.DrawBetween(milliseconds(300), seconds(5)));
+      return;
+    case 1:
+      this->Note("cut " + name);
+      workers.cut.insert(name);
+      this->Undo(milliseconds(500), milliseconds(9000),
+                 [&workers, name] { workers.cut.erase(name); });
+      return;
+    case 2:
+      this->Note("orders late");
+      workers.late_orders = 0.1;
+      this->Undo(milliseconds(500), milliseconds(5000),
+                 [&workers] { workers.late_orders = 0; });
+      return;
+    case 3:
+      this->Note("answers of workers lost");
+      workers.lost_answers = 0.1;
+      this->Undo(milliseconds(500), milliseconds(5000),
+                 [&workers] { workers.lost_answers = 0; });
+      return;
+    case 4:
+      this->Note("fails all " + name);
+      worker->fails_all = true;
+      this->Undo(milliseconds(500), milliseconds(5000),
+                 [worker] { worker->fails_all = false; });
+      return;
+    default:
+      this->Note("drain " + name);
+      this->cell->AddWorker();
+      this->cell->DrainWorker(worker);
+      this->Undo(milliseconds(3000), milliseconds(6000), [this, worker] {
+        if (!worker->Alive()) return;
+        worker->Crash();
+        this->cell->UnlistWorker(worker);
+      });
+  }
+}
+
+ScheduleResult Player::Play() {
+  for (std::int32_t i = 0; i < kJobs; ++i) this->PlanJob();
+  const std::size_t faults = 1 + this->time.DrawIndex(kMostFaults);
+  for (std::size_t i = 0; i < faults; ++i) this->PlanFault();
+  constexpr Duration kAskEvery = milliseconds(700);
+  for (Duration at{0}; at < kBusy; at += kAskEvery) {
+    this->time.RunFor(kAskEvery);
+    const auto& all = this->cell->Judge().Jobs();
+    if (all.empty()) continue;
+    auto asked = all.begin();
+    std::advance(asked,
+                 static_cast<std::ptrdiff_t>(this->time.DrawIndex(all.size())));
+    const jobs::JobId id = asked->first;
+    (void)this->cell->Ask(id, this->DrawProcess());
+  }
+  // Faults undo themselves within this.
+  this->time.RunFor(seconds(10));
+  this->cell->Settle(kCalm);
+  this->result.broken = this->cell->Judge().Broken();
+  this->result.log = this->cell->Log().Lines();
+  this->result.runs = this->cell->Judge().Runs();
+  this->result.jobs = std::ssize(this->cell->Judge().Jobs());
+  return std::move(this->result);
+}
+
+}  // namespace
+
+ScheduleResult PlaySchedule(std::uint64_t seed) { return Player(seed).Play(); }
+
+}  // namespace job_sim
--- /dev/null
+++ b/testing/job_sim/src/sim_cell.cc
@@ -0,0 +1,527 @@
+#include "job_sim/sim_cell.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "mustardproxy/core/error.h"
+
+namespace job_sim {
+namespace {
+
+using mustardproxy::DataCenterId;
+using mustardproxy::Error;
+using mustardproxy::make_error_code;
+using mustardproxy::ProcessId;
+using mustardproxy::Result;
+using mustardproxy::ServiceId;
+using mustardproxy::WorkerId;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::size_t kWorkersPerRack = 2;
+constexpr Duration kPeerLatency = milliseconds(1);
+constexpr Duration kPeerTimeout = milliseconds(400);
+constexpr Duration kCallerTimeout = seconds(3);
+constexpr int kMostTries = 60;
+constexpr std::string_view kDesiredKey = "desired";
+constexpr std::string_view kWorkerPrefix = "workers/";
+
+std::string AddressOf(std::size_t index) {
+  return "process-" + std::to_string(index);
+}
+
+}  // namespace
+
+void KeptLog::Write(std::string_view part, std::string_view event,
+                    std::initializer_list<mustardproxy::LogField> fields) {
+  const auto at = std::chrono::duration_cast<milliseconds>(
+      this->time->Now().time_since_epoch());
+  std::string line = std::to_string(at.count()) + " " + std::string(part) +
+                     " " + std::string(event);
+  for (const mustardproxy::LogField& field : fields) {
+    line += " " + std::string(field.key) + "=";
+    if (const auto* text = std::get_if<std::string_view>(&field.value)) {
+      line += *text;
+    } else if (const auto* number = std::get_if<std::int64_t>(&field.value)) {
+      line += std::to_string(*number);
+    } else {
+      line += std::to_string(std::get<double>(field.value));
+    }
+  }
+  this->lines.push_back(std::move(line));
+  ++this->counts[std::string(event)];
+}
+
+std::size_t KeptLog::Count(std::string_view event) const {
+  const auto found = this->counts.find(event);
+  return found == this->counts.end() ? 0 : found->second;
+}
+
+/// Reads what the simulated operator and workers keep: a version, and the state
+/// of a worker; the rest is looked up here.
+class SimCell::Schema final : public jobs::PlatformSchema {
+ public:
+  explicit Schema(SimCell* cell) : cell(cell) {}
+
+  [[nodiscard]] std::string_view DesiredStateKey() const override {
+    return kDesiredKey;
+  }
+  [[nodiscard]] Result<jobs::DesiredState> ParseDesiredState(
+      std::string_view value) const override {
+    jobs::DesiredState desired;
+    desired.version = std::stoull(std::string(value));
+    desired.queues.push_back(this->cell->queue);
+    desired.services.push_back({this->cell->queue.service, false, false});
+    return desired;
+  }
+  [[nodiscard]] std::string_view WorkerPrefix() const override {
+    return kWorkerPrefix;
+  }
+  [[nodiscard]] Result<jobs::WorkerInfo> ParseWorker(
+      std::string_view id, std::string_view value) const override {
+    SimWorker* worker = this->cell->workers.Find(std::string(id));
+    if (worker == nullptr) return make_error_code(Error::kSyntax);
+    jobs::WorkerInfo info = worker->Info();
+    info.draining = value == "draining";
+    return info;
+  }
+
+ private:
+  SimCell* cell;
+};
+
+/// Calls between processes; lost if either end is gone or cut off.
+class SimCell::Peers final : public jobs::JobPeers {
+ public:
+  Peers(SimCell* cell, Process* self) : cell(cell), self(self) {}
+
+  void AnnounceJob(const std::string& address,
+                   const jobs::AcceptedJob& job) override {
+    this->Reach(address, [job](jobs::JobNode* node) { node->OnJob(job); });
+  }
+  void AnnounceCancel(const std::string& address,
+                      const jobs::JobId& job) override {
+    this->Reach(address, [job](jobs::JobNode* node) { node->OnCancel(job); });
+  }
+  void QueryJob(const std::string& address, const jobs::JobId& job,
+                Done<jobs::JobAnswer> done) override {
+    const auto answer = this->Once<jobs::JobAnswer>(std::move(done));
+    this->Reach(address, [job, answer](jobs::JobNode* node) {
+      node->OnQueryJob(job, answer);
+    });
+  }
+  void QueryPending(const std::string& address, const jobs::QueueName& queue,
+                    Done<std::int64_t> done) override {
+    const auto answer = this->Once<std::int64_t>(std::move(done));
+    this->Reach(address, [queue, answer](jobs::JobNode* node) {
+      node->OnQueryPending(queue, answer);
+    });
+  }
+  void Ask(const std::string& address, const jobs::AdviceQuestion& question,
+           Done<jobs::Advice> done) override {
+    const auto answer =
+        this->Once<jobs::Advice>(std::move(done), question.timeout);
+    this->Reach(address, [question, answer](jobs::JobNode* node) {
+      node->OnAsk(question, answer);
+    });
+  }
+
+ private:
+  void Reach(const std::string& address,
+             std::function<void(jobs::JobNode*)> task);
+  template <typename T>
+  std::function<void(Result<T>)> Once(Done<T> done,
+                                      Duration limit = kPeerTimeout) {
+    auto shared = std::make_shared<Done<T>>(std::move(done));
+    this->cell->time.After(limit, [shared] {
+      const auto call = std::exchange(*shared, {});
+      if (call) call(make_error_code(Error::kPeerLost));
+    });
+    return [this, shared](const Result<T>& result) {
+      this->self->Post([shared, result] {
+        const auto call = std::exchange(*shared, {});
+        if (call) call(result);
+      });
+    };
+  }
+
+  SimCell* cell;
+  Process* self;
+};
+
+/// The policy service as one process meets it: one question after the other.
+class SimCell::Adviser final : public jobs::PlacementAdviser {
+ public:
+  Adviser(SimCell* cell, Process* self) : cell(cell), self(self) {}
+
+  void Ask(jobs::AdviceQuestion question,
+           std::function<void(Result<jobs::Advice>)> done) override {
+    const jobs::AdvicePolicy policy =
+        this->cell->queue.advice.value_or(jobs::AdvicePolicy{});
+    const Duration cost =
+        policy.decision +
+        policy.per_worker * static_cast<std::int64_t>(question.workers.size());
+    this->free_at = std::max(this->free_at, this->cell->time.Now()) + cost;
+    jobs::Advice advice;
+    advice.validity = policy.validity;
+    for (const WorkerId& worker : question.workers) {
+      if (this->Permits(question.step, worker)) {
+        advice.permitted.push_back({worker, "ticket"});
+      }
+    }
+    const Duration delay =
+        this->free_at - this->cell->time.Now() + milliseconds(2);
+    this->cell->time.After(delay, [this, advice, done = std::move(done)] {
+      this->self->Post([advice, done] { done(advice); });
+    });
+  }
+
+ private:
+  /// The same answer for the same step and worker, whoever asks.
+  [[nodiscard]] bool Permits(const jobs::StepRef& step,
+                             const WorkerId& worker) const {
+    constexpr std::size_t kSteps = 1000;
+    // Never none at all, or the step could not run.
+    if (worker.Text().ends_with('0') || worker.Text().ends_with('3')) {
+      return true;
+    }
+    const std::size_t drawn =
+        std::hash<std::string>{}(jobs::Text(step) + worker.Text()) % kSteps;
+    return static_cast<double>(drawn) <
+           this->cell->permitted_share * static_cast<double>(kSteps);
+  }
+
+  SimCell* cell;
+  Process* self;
+  Instant free_at;
+};
+
+/// One run of one process.
+struct SimCell::Slot {
+  Slot(SimCell* cell, std::size_t index)
+      : process(&cell->time, AddressOf(index)),
+        store(cell->store.Connect(&this->process)),
+        driver(cell->workers.Connect(&this->process)),
+        peers(cell, &this->process),
+        adviser(cell, &this->process) {
+    constexpr std::int64_t kCpu = 250;
+    constexpr std::int64_t kMemory = 260;
+    this->node = jobs::JobNode::Builder()
+                     .Self(ProcessId(AddressOf(index)), DataCenterId("dc"),
+                           cell->next_incarnation++)
+                     .PeerAddress(AddressOf(index))
+                     .Strength(kCpu, kMemory)
+                     .On(&this->process)
+                     .Store(this->store.get())
+                     .Workers(this->driver.get())
+                     .Adviser(&this->adviser)
+                     .Peers(&this->peers)
+                     .Schema(cell->schema.get())
+                     .Log(&cell->log)
+                     .Measure(&cell->metrics)
+                     .Build();
+  }
+
+  Process process;
+  std::unique_ptr<jobs::KeyValueStore> store;
+  std::unique_ptr<jobs::WorkerDriver> driver;
+  Peers peers;
+  Adviser adviser;
+  std::unique_ptr<jobs::JobNode> node;
+};
+
+void SimCell::Peers::Reach(const std::string& address,
+                           std::function<void(jobs::JobNode*)> task) {
+  if (this->self->peers_cut) return;
+  this->cell->time.After(kPeerLatency, [this, address, task] {
+    for (const auto& slot : this->cell->slots) {
+      const bool there = slot && slot->process.Name() == address &&
+                         slot->process.Alive() && !slot->process.peers_cut;
+      if (!there) continue;
+      slot->process.Post([node = slot->node.get(), task] { task(node); });
+      return;
+    }
+  });
+}
+
+SimCell::SimCell(std::uint64_t seed)
+    : time(seed),
+      log(&this->time),
+      promises(&this->time),
+      store(&this->time),
+      workers(&this->time, &this->promises),
+      schema(std::make_unique<Schema>(this)) {}
+
+SimCell::~SimCell() = default;
+
+void SimCell::StartProcess(std::size_t index) {
+  if (this->slots[index]) return;
+  this->slots[index] = std::make_unique<Slot>(this, index);
+  Slot* slot = this->slots[index].get();
+  slot->process.Post([slot] { slot->node->Start(); });
+}
+
+void SimCell::KillProcess(std::size_t index) {
+  if (!this->slots[index]) return;
+  this->slots[index]->process.Kill();
+  this->ended.push_back(std::move(this->slots[index]));
+}
+
+void SimCell::StopProcess(std::size_t index) {
+  Slot* slot = this->slots[index].get();
+  if (slot == nullptr) return;
+  slot->process.Post([slot] { slot->node->Leave(); });
+  this->time.After(seconds(2), [this, index, slot] {
+    if (this->slots[index].get() == slot) this->KillProcess(index);
+  });
+}
+
+Process* SimCell::ProcessAt(std::size_t index) {
+  return this->slots[index] ? &this->slots[index]->process : nullptr;
+}
+
+jobs::JobNode* SimCell::NodeAt(std::size_t index) {
+  return this->slots[index] ? this->slots[index]->node.get() : nullptr;
+}
+
+std::optional<std::size_t> SimCell::OwnerIndex() {
+  for (std::size_t i = 0; i < this->slots.size(); ++i) {
+    if (this->slots[i] && this->slots[i]->node->Owns()) return i;
+  }
+  return std::nullopt;
+}
+
+SimWorker* SimCell::AddWorker() {
+  const auto number = static_cast<std::size_t>(this->next_worker++);
+  jobs::WorkerInfo info;
+  info.id = WorkerId("w" + std::to_string(number));
+  info.address = "worker-" + std::to_string(number);
+  info.service = this->queue.service;
+  info.data_center = DataCenterId("dc");
+  info.rack = "rack-" + std::to_string(number / kWorkersPerRack);
+  info.labels = {"a", info.rack};
+  info.capacity = this->workers.Alive().empty()
+                      ? mustardproxy::Resources{16'000, 64'000, 0, 0}
+                      : this->workers.Alive().front()->Info().capacity;
+  SimWorker* worker = this->workers.Add(info);
+  this->store.Put(std::string(kWorkerPrefix) + info.id.Text(), "ready");
+  return worker;
+}
+
+void SimCell::DrainWorker(SimWorker* worker) {
+  this->store.Put(std::string(kWorkerPrefix) + worker->Info().id.Text(),
+                  "draining");
+}
+
+void SimCell::UnlistWorker(SimWorker* worker) {
+  this->store.Remove(std::string(kWorkerPrefix) + worker->Info().id.Text());
+}
+
+void SimCell::CrashWorker(SimWorker* worker, std::optional<Duration> down) {
+  // Entries of lives that ended go after three intervals of silence.
+  constexpr Duration kEntryLapse = milliseconds(4500);
+  jobs::WorkerInfo info = worker->Info();
+  worker->Crash();
+  this->time.After(kEntryLapse, [this, worker] { this->UnlistWorker(worker); });
+  if (!down) return;
+  this->time.After(*down, [this, info]() mutable {
+    info.id = WorkerId("w" + std::to_string(this->next_worker++));
+    this->workers.Add(info);
+    this->store.Put(std::string(kWorkerPrefix) + info.id.Text(), "ready");
+  });
+}
+
+void SimCell::Apply() {
+  this->store.Put(std::string(kDesiredKey), std::to_string(++this->version));
+}
+
+std::size_t SimCell::RunningFrom(std::size_t process) {
+  for (std::size_t i = 0; i < this->slots.size(); ++i) {
+    const std::size_t index = (process + i) % this->slots.size();
+    const bool runs =
+        this->slots[index] && this->slots[index]->process.Running();
+    if (runs) return index;
+  }
+  return process % this->slots.size();
+}
+
+SimJob* SimCell::Submit(jobs::JobSpec spec, std::size_t process) {
+  jobs::Job job;
+  job.id = jobs::JobId("job" + std::to_string(this->next_job++));
+  job.queue = this->queue;
+  job.spec = std::move(spec);
+  SimJob* entry = this->promises.Add(std::move(job));
+  this->SubmitAt(entry->job.id, process, kMostTries);
+  return entry;
+}
+
+void SimCell::SubmitAt(const jobs::JobId& id, std::size_t process, int tries) {
+  SimJob* entry = this->promises.Find(id);
+  if (entry->accepted || tries == 0) return;
+  const std::size_t index = this->RunningFrom(process);
+  // A caller that hears nothing tries another process.
+  this->time.After(kCallerTimeout, [this, id, index, tries] {
+    this->SubmitAt(id, index + 1, tries - 1);
+  });
+  Slot* slot = this->slots[index].get();
+  if (slot == nullptr) return;
+  slot->process.Post([this, slot, entry, id, index, tries] {
+    slot->node->Submit(entry->job.queue, id, entry->job.spec, kCallerTimeout,
+                       [entry](const jobs::SubmitResult& result) {
+                         if (result.end == jobs::SubmitEnd::kAccepted) {
+                           entry->accepted = true;
+                         }
+                       });
+  });
+}
+
+void SimCell::Cancel(const jobs::JobId& id, std::size_t process) {
+  this->CancelAt(id, process, kMostTries);
+}
+
+void SimCell::CancelAt(const jobs::JobId& id, std::size_t process, int tries) {
+  SimJob* entry = this->promises.Find(id);
+  if (entry->cancelled || tries == 0) return;
+  const std::size_t index = this->RunningFrom(process);
+  this->time.After(kCallerTimeout, [this, id, index, tries] {
+    this->CancelAt(id, index + 1, tries - 1);
+  });
+  Slot* slot = this->slots[index].get();
+  if (slot == nullptr) return;
+  slot->process.Post([this, slot, entry, id] {
+    slot->node->Cancel(id, kCallerTimeout,
+                       [this, entry](const jobs::SubmitResult& result) {
+                         if (result.end != jobs::SubmitEnd::kAccepted) return;
+                         if (std::exchange(entry->cancelled, true)) return;
+                         entry->cancelled_at = this->time.Now();
+                       });
+  });
+}
+
+std::optional<jobs::JobState> SimCell::Ask(const jobs::JobId& id,
+                                           std::size_t process) {
+  const std::size_t index = this->RunningFrom(process);
+  Slot* slot = this->slots[index].get();
+  if (slot == nullptr) return std::nullopt;
+  auto answer = std::make_shared<std::optional<Result<jobs::JobState>>>();
+  slot->process.Post([slot, id, answer] {
+    slot->node->State(
+        id, kCallerTimeout,
+        [answer](const Result<jobs::JobState>& state) { *answer = state; });
+  });
+  this->time.RunUntil([answer] { return answer->has_value(); },
+                      kCallerTimeout + seconds(1));
+  if (!*answer || !**answer) return std::nullopt;
+  const jobs::JobState state = (*answer)->value();
+  if (state == jobs::JobState::kCompleted) this->promises.OnShownCompleted(id);
+  return state;
+}
+
+bool SimCell::AwaitFinal(const jobs::JobId& id, Duration limit) {
+  const Instant end = this->time.Now() + limit;
+  while (this->time.Now() < end) {
+    const auto state = this->Ask(id, this->time.DrawIndex(this->slots.size()));
+    if (state && IsFinal(*state)) return true;
+    this->time.RunFor(milliseconds(100));
+  }
+  return false;
+}
+
+void SimCell::Settle(Duration limit) {
+  const Instant end = this->time.Now() + limit;
+  for (const auto& [id, entry] : this->promises.Jobs()) {
+    if (!entry.accepted) continue;
+    const Duration left =
+        std::max(Duration(end - this->time.Now()), Duration(milliseconds(200)));
+    if (this->AwaitFinal(id, left)) continue;
+    this->promises.OnUnfinished(
+        id, this->Ask(id).value_or(jobs::JobState::kQueued));
+  }
+}
+
+SimCell::Builder& SimCell::Builder::Seed(std::uint64_t value) {
+  this->seed = value;
+  return *this;
+}
+
+SimCell::Builder& SimCell::Builder::Processes(std::size_t count) {
+  this->processes = count;
+  return *this;
+}
+
+SimCell::Builder& SimCell::Builder::Workers(std::size_t count) {
+  this->workers = count;
+  return *this;
+}
+
+SimCell::Builder& SimCell::Builder::Capacity(std::int64_t cpu,
+                                             std::int64_t memory) {
+  this->cpu_milli = cpu;
+  this->memory_mb = memory;
+  return *this;
+}
+
+SimCell::Builder& SimCell::Builder::Advice(double share, Duration time) {
+  this->permitted_share = share;
+  this->decision = time;
+  return *this;
+}
+
+SimCell::Builder& SimCell::Builder::MaxAttempts(std::int32_t attempts) {
+  this->max_attempts = attempts;
+  return *this;
+}
+
+std::unique_ptr<SimCell> SimCell::Builder::Build() {
+  std::unique_ptr<SimCell> cell(new SimCell(this->seed));
+  cell->queue.name = jobs::QueueName("queue");
+  cell->queue.host = "queue.example";
+  cell->queue.path_prefix = "/queue/";
+  cell->queue.service = ServiceId("service");
+  cell->queue.max_attempts = this->max_attempts;
+  cell->queue.stretch = 2.0;
+  cell->queue.target = seconds(1);
+  if (this->permitted_share) {
+    cell->permitted_share = *this->permitted_share;
+    cell->queue.advice =
+        jobs::AdvicePolicy{this->decision, milliseconds(1), milliseconds(2000)};
+  }
+  cell->Apply();
+  for (std::size_t i = 0; i < this->workers; ++i) {
+    jobs::WorkerInfo info;
+    info.id = WorkerId("w" + std::to_string(cell->next_worker));
+    info.address = "worker-" + std::to_string(cell->next_worker++);
+    info.service = cell->queue.service;
+    info.data_center = DataCenterId("dc");
+    info.rack = "rack-" + std::to_string(i / kWorkersPerRack);
+    info.labels = {"a", info.rack};
+    info.capacity = {this->cpu_milli, this->memory_mb, 0, 0};
+    cell->workers.Add(info);
+    cell->store.Put(std::string(kWorkerPrefix) + info.id.Text(), "ready");
+  }
+  cell->slots.resize(this->processes);
+  for (std::size_t i = 0; i < this->processes; ++i) cell->StartProcess(i);
+  cell->time.RunUntil([&] { return cell->OwnerIndex().has_value(); },
+                      seconds(10));
+  cell->time.RunFor(milliseconds(200));
+  return cell;
+}
+
+jobs::Step MakeStep(std::int32_t tasks, std::int64_t cpu_milli,
+                    Duration length) {
+  jobs::Step step;
+  step.tasks = tasks;
+  step.each.cpu_milli = cpu_milli;
+  step.each.memory_mb = 100;
+  step.estimate = length;
+  return step;
+}
+
+jobs::JobSpec MakeSpec(std::vector<jobs::Step> steps) {
+  jobs::JobSpec spec;
+  spec.payload = "payload";
+  spec.steps = std::move(steps);
+  return spec;
+}
+
+}  // namespace job_sim
--- /dev/null
+++ b/testing/job_sim/src/sim_worker.cc
@@ -0,0 +1,398 @@
+#include "job_sim/sim_worker.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "mustardproxy/core/resource_math.h"
+
+namespace job_sim {
+namespace {
+
+using jobs::OrderEnd;
+using jobs::OrderResult;
+using jobs::RunEnd;
+using std::chrono::milliseconds;
+
+/// The users' bound on a lease.
+constexpr std::int64_t kMaxLeaseMs = 10'000;
+/// Work that survives a stop or a lapse, in steps of this.
+constexpr std::int64_t kCheckpointMs = 500;
+/// What a stop takes.
+constexpr Duration kStopTime = milliseconds(100);
+
+std::int64_t Milliseconds(Duration duration) {
+  return std::chrono::duration_cast<milliseconds>(duration).count();
+}
+
+}  // namespace
+
+SimWorker::SimWorker(SimWorkers* all, jobs::WorkerInfo info, double clock_rate)
+    : all(all), info(std::move(info)), clock_rate(clock_rate) {}
+
+std::int64_t SimWorker::ClockMs() const {
+  const auto now = this->all->time->Now().time_since_epoch();
+  return static_cast<std::int64_t>(this->clock_rate *
+                                   static_cast<double>(Milliseconds(now)));
+}
+
+OrderResult SimWorker::Refuse(OrderEnd end) const {
+  return {end, this->ClockMs()};
+}
+
+bool SimWorker::Fenced(jobs::FencingToken given) {
+  if (given < this->token) return true;
+  this->token = given;
+  return false;
+}
+
+void SimWorker::Extend(std::int64_t until_ms) {
+  until_ms = std::min(until_ms, this->ClockMs() + kMaxLeaseMs);
+  if (until_ms <= this->lease_until_ms) return;
+  this->lease_until_ms = until_ms;
+  this->CheckLease();
+}
+
+void SimWorker::CheckLease() {
+  const std::int64_t left = this->lease_until_ms - this->ClockMs();
+  const auto real =
+      static_cast<std::int64_t>(static_cast<double>(left) / this->clock_rate);
+  if (left > 0) {
+    this->all->time->After(milliseconds(real + 1), [this] {
+      if (this->alive) this->CheckLease();
+    });
+    return;
+  }
+  ++this->lapses;
+  std::vector<jobs::RunRef> all_runs;
+  for (const auto& [run, record] : this->running) all_runs.push_back(run);
+  for (const jobs::RunRef& run : all_runs) this->EndRun(run, RunEnd::kLapsed);
+}
+
+void SimWorker::CheckCapacity(const jobs::RunRef& run) {
+  mustardproxy::Resources used;
+  const auto add = [&](const jobs::RunRef& one) {
+    mustardproxy::Resources each =
+        this->all->promises->StepOf(one.task.step)->each;
+    each.slots = 0;
+    used += each;
+  };
+  for (const auto& [one, record] : this->running) add(one);
+  add(run);
+  if (!used.FitsIn(this->info.capacity)) {
+    this->all->promises->OnOvercommit(this->info.id.Text(), run);
+  }
+}
+
+OrderResult SimWorker::Start(const jobs::StartOrder& order, bool late) {
+  if (this->Fenced(order.token)) return this->Refuse(OrderEnd::kFenced);
+  if (this->running.contains(order.run)) {
+    this->Extend(order.lease_until_ms);
+    return this->Refuse(OrderEnd::kDone);
+  }
+  const auto closed_run = this->closed.find(order.run.task);
+  if (closed_run != this->closed.end() && order.run.run <= closed_run->second) {
+    this->Extend(order.lease_until_ms);
+    return this->Refuse(OrderEnd::kOldRun);
+  }
+  if (order.lease_until_ms <= this->ClockMs()) {
+    return this->Refuse(OrderEnd::kLate);
+  }
+  this->Extend(order.lease_until_ms);
+  this->CheckCapacity(order.run);
+  this->all->promises->OnStart(order.run, late);
+  Running record;
+  record.started = this->all->time->Now();
+  record.work = this->all->promises->StepOf(order.run.task.step)->estimate;
+  record.saved_ms = order.checkpoint.empty() ? 0 : std::stoll(order.checkpoint);
+  this->running[order.run] = record;
+  this->Begin(order.run, &this->running[order.run]);
+  return this->Refuse(OrderEnd::kDone);
+}
+
+void SimWorker::Begin(const jobs::RunRef& run, Running* record) {
+  const SimJob* job = this->all->promises->Find(run.task.step.job);
+  if (this->fails_all || job == nullptr || job->hopeless) {
+    this->all->time->After(milliseconds(20),
+                           [this, run] { this->EndRun(run, RunEnd::kFailed); });
+    return;
+  }
+  if (this->all->promises->StepOf(run.task.step)->gang) {
+    this->all->JoinGang(this, run);
+    return;
+  }
+  record->working = true;
+  const auto left =
+      static_cast<double>(Milliseconds(record->work) - record->saved_ms) *
+      this->slowness;
+  this->all->time->After(
+      milliseconds(std::max<std::int64_t>(1, static_cast<std::int64_t>(left))),
+      [this, run] { this->EndRun(run, RunEnd::kDone); });
+}
+
+std::int64_t SimWorker::DoneMs(const Running& record) const {
+  if (!record.working) return record.saved_ms;
+  const auto worked = static_cast<double>(
+      Milliseconds(this->all->time->Now() - record.started));
+  return record.saved_ms + static_cast<std::int64_t>(worked / this->slowness);
+}
+
+std::string SimWorker::Checkpoint(const Running& record) const {
+  const std::int64_t done = this->DoneMs(record) / kCheckpointMs;
+  return done == 0 ? std::string() : std::to_string(done * kCheckpointMs);
+}
+
+OrderResult SimWorker::Stop(const jobs::StopOrder& order) {
+  if (this->Fenced(order.token)) return this->Refuse(OrderEnd::kFenced);
+  jobs::RunNumber& closed_run = this->closed[order.run.task];
+  closed_run = std::max(closed_run, order.run.run);
+  if (this->running.contains(order.run)) {
+    this->all->time->After(kStopTime, [this, run = order.run] {
+      this->EndRun(run, RunEnd::kStopped);
+    });
+  }
+  return this->Refuse(OrderEnd::kDone);
+}
+
+void SimWorker::EndRun(const jobs::RunRef& run, RunEnd end) {
+  const auto found = this->running.find(run);
+  if (!this->alive || found == this->running.end()) return;
+  Ended entry;
+  entry.run = {this->next_end++, run, end, this->Checkpoint(found->second)};
+  entry.lapses = this->lapses;
+  this->running.erase(found);
+  jobs::RunNumber& closed_run = this->closed[run.task];
+  closed_run = std::max(closed_run, run.run);
+  this->ended.push_back(entry);
+  this->all->promises->OnEnd(run, end);
+  this->all->LeaveGang(run, end);
+  this->Answer();
+}
+
+void SimWorker::Hold(const jobs::HoldOrder& order,
+                     std::function<void(jobs::HoldResult)> done) {
+  if (this->Fenced(order.token)) {
+    jobs::HoldResult refused;
+    refused.order = this->Refuse(OrderEnd::kFenced);
+    done(refused);
+    return;
+  }
+  this->Extend(order.lease_until_ms);
+  std::erase_if(this->ended, [&](const Ended& entry) {
+    if (entry.run.number > order.last_noted_end) return false;
+    if (entry.lapses == this->lapses) {
+      this->all->promises->OnNoted(entry.run.run, entry.run.end);
+    }
+    return true;
+  });
+  if (!this->ended.empty() || order.wait == Duration::zero()) {
+    done(this->Lists());
+    return;
+  }
+  auto entry = std::make_shared<Waiting>();
+  entry->done = std::move(done);
+  this->waiting.push_back(entry);
+  this->all->time->After(order.wait, [this, entry] {
+    if (!entry->done || !this->alive) return;
+    std::erase(this->waiting, entry);
+    std::exchange(entry->done, {})(this->Lists());
+  });
+}
+
+jobs::HoldResult SimWorker::Lists() const {
+  jobs::HoldResult lists;
+  lists.order = this->Refuse(OrderEnd::kDone);
+  for (const auto& [run, record] : this->running) {
+    lists.running.push_back({run, this->Checkpoint(record), 0, 0});
+  }
+  for (const Ended& entry : this->ended) lists.ended.push_back(entry.run);
+  return lists;
+}
+
+void SimWorker::Answer() {
+  for (const auto& entry : std::exchange(this->waiting, {})) {
+    if (entry->done) std::exchange(entry->done, {})(this->Lists());
+  }
+}
+
+void SimWorker::Crash() {
+  std::vector<jobs::RunRef> all_runs;
+  for (const auto& [run, record] : this->running) all_runs.push_back(run);
+  this->waiting.clear();
+  this->alive = false;
+  this->running.clear();
+  for (const jobs::RunRef& run : all_runs) {
+    this->all->promises->OnEnd(run, RunEnd::kLapsed);
+    this->all->LeaveGang(run, RunEnd::kLapsed);
+  }
+}
+
+void SimWorkers::JoinGang(SimWorker* worker, const jobs::RunRef& run) {
+  const auto key = std::make_pair(run.task.step, run.run);
+  Gang& gang = this->gangs[key];
+  gang.members[run] = worker;
+  const jobs::Step* step = this->promises->StepOf(run.task.step);
+  this->time->After(this->gang_wait, [this, key, run, worker] {
+    const auto found = this->gangs.find(key);
+    if (found == this->gangs.end()) return;
+    const auto size = std::ssize(found->second.members);
+    if (size < this->promises->StepOf(key.first)->tasks) {
+      worker->EndRun(run, RunEnd::kAlone);
+    }
+  });
+  if (std::ssize(gang.members) < step->tasks) return;
+  for (auto& [member, at] : gang.members) {
+    at->running[member].working = true;
+    at->running[member].started = this->time->Now();
+  }
+  this->time->After(step->estimate, [this, key] {
+    const auto found = this->gangs.find(key);
+    if (found == this->gangs.end()) return;
+    const Gang whole = found->second;
+    this->gangs.erase(found);
+    for (const auto& [member, at] : whole.members) {
+      at->EndRun(member, RunEnd::kDone);
+    }
+  });
+}
+
+void SimWorkers::LeaveGang(const jobs::RunRef& run, RunEnd end) {
+  if (end == RunEnd::kDone) return;
+  const auto found = this->gangs.find({run.task.step, run.run});
+  if (found == this->gangs.end()) return;
+  Gang rest = std::move(found->second);
+  this->gangs.erase(found);
+  rest.members.erase(run);
+  for (const auto& [member, at] : rest.members) {
+    at->EndRun(member, RunEnd::kBroken);
+  }
+}
+
+SimWorker* SimWorkers::Add(jobs::WorkerInfo info) {
+  const std::string id = info.id.Text();
+  this->at_address[info.address] = id;
+  // A worker's clock may be two in a hundred slow.
+  const double rate = 0.98 + 0.02 * this->time->Draw();
+  auto& slot = this->workers[id];
+  slot = std::make_unique<SimWorker>(this, std::move(info), rate);
+  return slot.get();
+}
+
+SimWorker* SimWorkers::At(const std::string& address) {
+  const auto found = this->at_address.find(address);
+  return found == this->at_address.end() ? nullptr : this->Find(found->second);
+}
+
+SimWorker* SimWorkers::Find(const std::string& id) {
+  const auto found = this->workers.find(id);
+  return found == this->workers.end() ? nullptr : found->second.get();
+}
+
+std::vector<SimWorker*> SimWorkers::Alive() {
+  std::vector<SimWorker*> alive;
+  for (const auto& [id, worker] : this->workers) {
+    if (worker->Alive()) alive.push_back(worker.get());
+  }
+  return alive;
+}
+
+/// One process's way to the workers.
+class SimDriver final : public jobs::WorkerDriver {
+ public:
+  SimDriver(SimWorkers* workers, Process* process)
+      : workers(workers), process(process) {}
+
+  void Start(const jobs::WorkerTarget& worker, jobs::StartOrder order,
+             std::function<void(OrderResult)> done) override {
+    this->Send<OrderResult>(
+        worker, milliseconds(500), std::move(done),
+        [order](SimWorker* at, bool late,
+                const std::function<void(OrderResult)>& answer) {
+          answer(at->Start(order, late));
+        });
+  }
+
+  void Stop(const jobs::WorkerTarget& worker, jobs::StopOrder order,
+            std::function<void(OrderResult)> done) override {
+    this->Send<OrderResult>(
+        worker, milliseconds(500), std::move(done),
+        [order](SimWorker* at, bool,
+                const std::function<void(OrderResult)>& answer) {
+          answer(at->Stop(order));
+        });
+  }
+
+  void Hold(const jobs::WorkerTarget& worker, jobs::HoldOrder order,
+            std::function<void(jobs::HoldResult)> done) override {
+    this->Send<jobs::HoldResult>(
+        worker, order.wait + milliseconds(600), std::move(done),
+        [order](SimWorker* at, bool,
+                const std::function<void(jobs::HoldResult)>& answer) {
+          at->Hold(order, answer);
+        });
+  }
+
+ private:
+  static void SetEnd(OrderResult* result, OrderEnd end) { result->end = end; }
+  static void SetEnd(jobs::HoldResult* result, OrderEnd end) {
+    result->order.end = end;
+  }
+
+  template <typename Outcome, typename Task>
+  void Send(const jobs::WorkerTarget& target, Duration timeout,
+            std::function<void(Outcome)> done, Task task) {
+    VirtualTime* time = this->workers->time;
+    auto shared =
+        std::make_shared<std::function<void(Outcome)>>(std::move(done));
+    const auto answer = [this, shared](const Outcome& result) {
+      this->process->Post([shared, result] {
+        const auto call = std::exchange(*shared, {});
+        if (call) call(result);
+      });
+    };
+    time->After(timeout, [answer] { answer(Outcome{}); });
+    const bool late = time->Chance(this->workers->late_orders);
+    const bool lost = late || time->Chance(this->workers->lost_answers);
+    const Duration delay = late ? time->DrawBetween(std::chrono::seconds(2),
+                                                    std::chrono::seconds(12))
+                                : this->workers->latency;
+    time->After(delay, [this, target, late, lost, answer, task] {
+      const auto back = [this, answer, lost, target](const Outcome& result) {
+        if (lost || this->Cut(target)) return;
+        this->workers->time->After(this->workers->latency,
+                                   [answer, result] { answer(result); });
+      };
+      this->Arrive<Outcome>(target, late, back, task);
+    });
+  }
+
+  template <typename Outcome, typename Task>
+  void Arrive(const jobs::WorkerTarget& target, bool late,
+              const std::function<void(Outcome)>& back, const Task& task) {
+    if (this->Cut(target)) return;
+    SimWorker* at = this->workers->At(target.address);
+    Outcome refused;
+    if (at == nullptr || !at->Alive()) {
+      SetEnd(&refused, OrderEnd::kRefused);
+      back(refused);
+    } else if (at->Info().id != target.id) {
+      SetEnd(&refused, OrderEnd::kOtherLife);
+      back(refused);
+    } else {
+      task(at, late, back);
+    }
+  }
+
+  [[nodiscard]] bool Cut(const jobs::WorkerTarget& target) const {
+    return this->process->workers_cut ||
+           this->workers->cut.contains(target.id.Text());
+  }
+
+  SimWorkers* workers;
+  Process* process;
+};
+
+std::unique_ptr<jobs::WorkerDriver> SimWorkers::Connect(Process* process) {
+  return std::make_unique<SimDriver>(this, process);
+}
+
+}  // namespace job_sim
