--- a/apps/mustardproxy/src/cell_runtime.cc
+++ b/apps/mustardproxy/src/cell_runtime.cc
@@ -20,6 +20,7 @@
 #include "mustardproxy/peer/job_link.h"
 #include "mustardproxy/telemetry/event_log.h"
 #include "mustardproxy/telemetry/metrics.h"
+#include "mustardproxy/telemetry/process_usage.h"
 #include "thread_executor.h"
 
 namespace mustardproxy {
@@ -32,6 +33,8 @@
 constexpr std::chrono::milliseconds kDrainPoll(50);
 /// How often readiness is brought up to date.
 constexpr Duration kReadinessInterval = std::chrono::milliseconds(100);
+/// How often the totals of calls, processor time and memory are logged.
+constexpr Duration kUsageInterval = std::chrono::seconds(10);
 constexpr std::int32_t kReadinessConnections = 16;
 constexpr std::int32_t kOperatorConnections = 32;
 constexpr std::int64_t kMilliPerUnit = 1000;
@@ -67,6 +70,7 @@
   void Build();
   std::error_code StartLink();
   void UpdateReadiness();
+  void LogUsage();
   void Drain();
 
   CellSettings settings;
@@ -179,6 +183,7 @@
   cell.executor.Post([&cell] {
     cell.node->Start();
     cell.UpdateReadiness();
+    cell.LogUsage();
   });
   return {};
 }
@@ -192,6 +197,27 @@
                           {"applied", 0}});
 }
 
+void CellRuntime::State::LogUsage() {
+  const ProcessUsage usage = ReadProcessUsage();
+  const auto total = [this](std::string_view name) {
+    return this->metrics.Total(name);
+  };
+  this->log.Write("process", "usage",
+                  {{"cpu_s", usage.cpu_seconds},
+                   {"resident_bytes", usage.resident_bytes},
+                   {"store_reads", total("store_reads")},
+                   {"store_lists", total("store_lists")},
+                   {"store_watches", total("store_watches")},
+                   {"store_commits", total("store_commits")},
+                   {"store_renewals", total("store_renewals")},
+                   {"worker_holds", total("worker_holds")},
+                   {"worker_orders", total("worker_orders")},
+                   {"advice_questions", total("advice_questions")},
+                   {"caller_answers", total("caller_answers")},
+                   {"connections", this->callers_listener->Connections()}});
+  this->executor.After(kUsageInterval, [this] { this->LogUsage(); });
+}
+
 void CellRuntime::State::Drain() {
   using std::chrono::steady_clock;
   const auto begun = steady_clock::now();
--- a/packages/http/include/mustardproxy/http/connection_pool.h
+++ b/packages/http/include/mustardproxy/http/connection_pool.h
@@ -1,6 +1,7 @@
 #ifndef MUSTARDPROXY_HTTP_CONNECTION_POOL_H_
 #define MUSTARDPROXY_HTTP_CONNECTION_POOL_H_
 
+#include <chrono>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -16,6 +17,13 @@
 /// Idle connections to each worker. Safe from any thread.
 class ConnectionPool {
  public:
+  /// Well below the time after which HTTP servers close idle connections, so
+  /// that a request seldom meets the close on its way.
+  static constexpr Duration kDefaultIdle = std::chrono::seconds(5);
+
+  explicit ConnectionPool(Duration max_idle = kDefaultIdle)
+      : max_idle(max_idle) {}
+
   /// @return an idle connection, or a new one
   Result<std::unique_ptr<ClientConnection>> Acquire(const std::string& address,
                                                     Duration timeout);
@@ -40,6 +48,7 @@
   std::unique_ptr<ClientConnection> TakeIdle(const std::string& address);
   void Sweep(Instant now, Connections* dropped);
 
+  const Duration max_idle;
   mutable std::mutex mutex;
   std::map<std::string, Entry> entries;
   Instant swept;
--- a/packages/http/src/async_client.cc
+++ b/packages/http/src/async_client.cc
@@ -29,6 +29,11 @@
 /// Longest pause within a reply.
 constexpr Duration kMaxSilence = std::chrono::milliseconds(250);
 
+/// Idle connections are kept this long: a new one costs a round trip and, at
+/// the users' workers, a price of its own. One that the other end has closed
+/// meanwhile is noticed before it is used.
+constexpr Duration kMaxIdle = std::chrono::seconds(60);
+
 /// One call under way. Owned by whoever took it out of the table.
 struct PendingCall {
   Exchange exchange;
@@ -67,7 +72,7 @@
   void Fail(const PendingCallPtr& call);
   static void Settle(const PendingCallPtr& call, ExchangeResult result);
 
-  ConnectionPool pool;
+  ConnectionPool pool{kMaxIdle};
   std::mutex mutex;
   std::condition_variable changed;
   Poco::Net::PollSet sockets;
--- a/packages/http/src/connection_pool.cc
+++ b/packages/http/src/connection_pool.cc
@@ -11,9 +11,6 @@
 namespace {
 
 constexpr std::size_t kMaxIdle = 64;
-/// Well below the time after which HTTP servers close idle connections, so that
-/// a request seldom meets the close on its way.
-constexpr Duration kMaxIdleTime = std::chrono::seconds(5);
 constexpr Duration kSweepInterval = std::chrono::seconds(2);
 /// Longer than any request is in flight.
 constexpr Duration kRetirementKept = std::chrono::hours(1);
@@ -45,7 +42,7 @@
   if (entry == this->entries.end()) return nullptr;
   Connections& idle = entry->second.idle;
   if (idle.empty()) return nullptr;
-  if (idle.back()->LastUsed() + kMaxIdleTime < SteadyNow()) {
+  if (idle.back()->LastUsed() + this->max_idle < SteadyNow()) {
     dropped = std::move(idle);
     idle.clear();
     return nullptr;
@@ -78,7 +75,7 @@
     const auto fresh =
         std::find_if(idle.begin(), idle.end(),
                      [&](const std::unique_ptr<ClientConnection>& one) {
-                       return one->LastUsed() + kMaxIdleTime >= now;
+                       return one->LastUsed() + this->max_idle >= now;
                      });
     dropped->insert(dropped->end(), std::make_move_iterator(idle.begin()),
                     std::make_move_iterator(fresh));
--- a/packages/jobs/src/group_owner.cc
+++ b/packages/jobs/src/group_owner.cc
@@ -71,7 +71,7 @@
   this->workers = std::make_unique<PrefixMirror>(
       shared.executor, shared.store, shared.log,
       PrefixMirror::Options{std::string(this->parts.schema->WorkerPrefix()),
-                            Duration::zero()},
+                            kWorkerWatchPause},
       PrefixMirror::Handlers{
           [this](const StoreEvent& event) { this->OnWorker(event); },
           [this] {
