Intake: another process stores what the store does not take from this one; true pending

A key is created once however often it is tried, so another process is asked where the store refuses or does not answer; nothing is sent to a store that is known to be away, so the refusal is true and at once. Jobs count as pending until a worker has started one of their tasks, and an owner that has heard nothing from the store for 2 s does not count them. Store lease 1,000 instead of 1,500 ms.

Tests: 4 in cell_takeover.

--- a/apps/mustardproxy/src/cell_runtime.cc
+++ b/apps/mustardproxy/src/cell_runtime.cc
@@ -28,8 +28,9 @@
 
 /// The balancer asks once a second and sends nobody here after two refusals.
 constexpr std::chrono::milliseconds kBalancerNotices(2300);
-/// Left of the grace time for the threads to end.
-constexpr std::chrono::milliseconds kEndMargin(1200);
+/// Left of the grace time for the threads to end: calls of and to peers take up
+/// to a second each, and a busy host some more.
+constexpr std::chrono::milliseconds kEndMargin(2800);
 constexpr std::chrono::milliseconds kDrainPoll(50);
 /// How often readiness is brought up to date.
 constexpr Duration kReadinessInterval = std::chrono::milliseconds(100);
--- a/packages/jobs/include/mustardproxy/jobs/job_node.h
+++ b/packages/jobs/include/mustardproxy/jobs/job_node.h
@@ -50,6 +50,8 @@
                   JobPeerHandler::Done<JobAnswer> done) override;
   void OnQueryPending(const QueueName& queue,
                       JobPeerHandler::Done<std::int64_t> done) override;
+  void OnCreate(CreateRequest request,
+                JobPeerHandler::Done<CreateEnd> done) override;
   void OnAsk(AdviceQuestion question,
              JobPeerHandler::Done<Advice> done) override;
 
--- a/packages/jobs/include/mustardproxy/jobs/job_peers.h
+++ b/packages/jobs/include/mustardproxy/jobs/job_peers.h
@@ -26,6 +26,26 @@
   std::optional<JobState> state;
 };
 
+/// A key that is to be created on behalf of a process that can't reach the
+/// store.
+struct CreateRequest {
+  /// `job` or `cancel`, for the log.
+  std::string kind;
+  JobId job;
+  std::string key;
+  std::string value;
+  Duration timeout{0};
+};
+
+/// How that ended.
+enum class CreateEnd {
+  /// The key exists now.
+  kExists,
+  /// It was not created, and will not be.
+  kNotDone,
+  kUncertain,
+};
+
 /// Calls to the other processes of the cell. Each ends by one call of `done`
 /// on the control thread; errors are `kPeerLost`, and `kStarting` from a
 /// process that does not schedule, or not yet.
@@ -50,6 +70,9 @@
   /// How many accepted jobs of the queue have started nothing.
   virtual void QueryPending(const std::string& address, const QueueName& queue,
                             Done<std::int64_t> done) = 0;
+  /// Has that process create a key.
+  virtual void Create(const std::string& address, const CreateRequest& request,
+                      Done<CreateEnd> done) = 0;
   /// Lets that process ask the policy service, which serves each host in turn.
   virtual void Ask(const std::string& address, const AdviceQuestion& question,
                    Done<Advice> done) = 0;
@@ -72,6 +95,7 @@
   virtual void OnQueryJob(const JobId& job, Done<JobAnswer> done) = 0;
   virtual void OnQueryPending(const QueueName& queue,
                               Done<std::int64_t> done) = 0;
+  virtual void OnCreate(CreateRequest request, Done<CreateEnd> done) = 0;
   virtual void OnAsk(AdviceQuestion question, Done<Advice> done) = 0;
 };
 
--- a/packages/jobs/src/cell_member.cc
+++ b/packages/jobs/src/cell_member.cc
@@ -18,10 +18,6 @@
 /// then and the others see it.
 constexpr Duration kElectionStagger = milliseconds(60);
 constexpr std::size_t kMaxStaggers = 5;
-/// A process whose store has been silent for so long tells callers to go
-/// elsewhere: above a slow store's answers (0.4 s), below the time in which
-/// callers give up.
-constexpr Duration kOutOfTouch = milliseconds(1600);
 
 /// Stronger hosts are preferred as owners; the name decides between equals.
 bool Preferred(const NodeRecord& a, const NodeRecord& b) {
@@ -48,9 +44,9 @@
   this->mirror.Start();
 }
 
-bool CellMember::InTouch() const {
-  return this->lease != 0 &&
-         this->executor->Now() < this->renewed_at + kOutOfTouch;
+bool CellMember::StoreAnswers() const {
+  return this->lease != 0 && !this->refused &&
+         this->executor->Now() < this->renewed_at + kStoreSilent;
 }
 
 void CellMember::Acquire() {
@@ -72,6 +68,7 @@
   }
   this->lease = granted.value().id;
   this->renewed_at = asked;
+  this->refused = false;
   this->log->Write("cell", "lease-granted", {{"lease", this->lease}});
   this->Register();
   this->RenewLater();
@@ -124,8 +121,12 @@
   if (renewed != this->lease || this->leaving) return;
   if (answer) {
     this->renewed_at = std::max(this->renewed_at, asked);
+    this->refused = false;
     return;
   }
+  // Silence is told by the time since the last renewal.
+  const Duration took = this->executor->Now() - asked;
+  if (took < kStoreSilent) this->refused = true;
   if (answer.error() == Error::kUnknownRequest) {
     this->LoseLease("lapsed");
   }
--- a/packages/jobs/src/cell_member.h
+++ b/packages/jobs/src/cell_member.h
@@ -60,8 +60,9 @@
   [[nodiscard]] bool Owns() const { return this->token != 0; }
   /// @return when the last renewal was sent that the store has confirmed
   [[nodiscard]] Instant RenewedAt() const { return this->renewed_at; }
-  /// @return true if the store has answered lately
-  [[nodiscard]] bool InTouch() const;
+  /// @return true if the store has answered so lately that a write to it is
+  ///   worth sending
+  [[nodiscard]] bool StoreAnswers() const;
 
  private:
   void Acquire();
@@ -96,6 +97,8 @@
   /// Not zero while this process owns the group.
   FencingToken token = 0;
   bool standing = false;
+  /// The last renewal was refused.
+  bool refused = false;
   bool leaving = false;
   Guard guard;
 };
--- a/packages/jobs/src/group_owner.cc
+++ b/packages/jobs/src/group_owner.cc
@@ -10,6 +10,9 @@
 namespace mustardproxy::jobs {
 namespace {
 
+/// How old the last look at the accepted jobs may be for their number to be
+/// told: the users allow 2 s, and a watch takes up to 1.5 s.
+constexpr Duration kFreshFor = milliseconds(2000);
 /// Longest age that a job's acceptance time is believed to show; beyond, a
 /// clock has jumped.
 constexpr Duration kMaxBelievedAge = seconds(600);
@@ -275,10 +278,15 @@
   return entry->shown;
 }
 
+bool GroupOwner::Fresh() const {
+  return this->loaded && this->workers_listed &&
+         this->parts.executor->Now() < this->intake->FreshAt() + kFreshFor;
+}
+
 std::int64_t GroupOwner::PendingIn(const QueueName& queue) const {
   const auto& active = this->context.jobs.Active();
   return std::count_if(active.begin(), active.end(), [&](const JobEntry* job) {
-    return job->job.queue.name == queue && job->state == JobState::kQueued;
+    return job->job.queue.name == queue && !job->begun;
   });
 }
 
--- a/packages/jobs/src/group_owner.h
+++ b/packages/jobs/src/group_owner.h
@@ -49,6 +49,9 @@
   void SetLanes(const std::vector<AdviceLane>& lanes);
   /// @return true once all that is stored has been read
   [[nodiscard]] bool Loaded() const { return this->loaded; }
+  /// @return true if it has heard lately which jobs were accepted; a former
+  ///   owner that is cut off from the store has not, and must not count them
+  [[nodiscard]] bool Fresh() const;
 
   /// A process has stored this job.
   void OnJob(const JobId& id, std::string_view record);
--- a/packages/jobs/src/intake.cc
+++ b/packages/jobs/src/intake.cc
@@ -14,40 +14,63 @@
 /// Transactions under way at once: one that gets no answer must not hold up
 /// all others.
 constexpr std::size_t kMaxInFlight = 4;
-/// Tries after which a store that refuses is believed to be away; with the
-/// pause between them, a quarter of a second.
-constexpr std::int32_t kMaxRefusals = 3;
-/// Left of the caller's time for the answer to reach it.
-constexpr Duration kAnswerMargin = milliseconds(150);
-/// When to come back while the store is away: outages last seconds.
+/// A write without an answer for so long is also given to another process.
+/// Above the answers of a store that is slow for everybody (0.4 s), where that
+/// would gain nothing.
+constexpr Duration kHedgeAfter = milliseconds(450);
+/// Processes that are asked for one entry.
+constexpr std::size_t kMaxHelpers = 2;
+/// Longest wait for one of them.
+constexpr Duration kHelperTimeout = milliseconds(600);
+/// When to come back while the store is away: outages last seconds, and
+/// callers hand a job in for a few seconds only.
 constexpr Duration kStoreRetryAfter = seconds(1);
 
 }  // namespace
 
-Intake::Intake(Executor* executor, KeyValueStore* store, EventLog* log)
-    : executor(executor), store(store), log(log) {}
+Intake::Intake(Parts parts) : parts(std::move(parts)) {}
 
-void Intake::Create(std::string_view kind, const JobId& id, std::string key,
-                    std::string value, Duration timeout, Done done) {
+void Intake::Create(CreateRequest request, Done done) {
   auto entry = std::make_shared<Entry>();
-  entry->kind = kind;
-  entry->id = id;
-  entry->key = std::move(key);
-  entry->value = std::move(value);
-  entry->deadline = this->executor->Now() + timeout - kAnswerMargin;
+  entry->deadline = this->parts.executor->Now() + request.timeout;
+  entry->request = std::move(request);
   entry->done = std::move(done);
-  if (this->stopped) {
-    this->GiveUp(entry, Error::kShuttingDown);
+  entry->helpers = this->parts.helpers();
+  if (entry->helpers.size() > kMaxHelpers) entry->helpers.resize(kMaxHelpers);
+  this->Begin(entry);
+  this->HedgeLater(entry);
+}
+
+void Intake::CreateForPeer(CreateRequest request, Done done) {
+  auto entry = std::make_shared<Entry>();
+  entry->deadline = this->parts.executor->Now() + request.timeout;
+  entry->request = std::move(request);
+  entry->done = std::move(done);
+  this->Begin(entry);
+}
+
+void Intake::Begin(const EntryPtr& entry) {
+  this->parts.executor->After(entry->request.timeout,
+                              this->guard.Wrap([this, entry] {
+                                this->GiveUp(entry, Error::kDeadlineExceeded);
+                              }));
+  // Failure: the store is away, each write to it ends uncertain, and callers
+  // must be told so, who could have come back had nothing been sent.
+  if (!this->parts.store_answers()) {
+    this->Continue(entry);
     return;
   }
-  this->executor->After(timeout - kAnswerMargin,
-                        this->guard.Wrap([this, entry] {
-                          this->GiveUp(entry, Error::kDeadlineExceeded);
-                        }));
-  this->waiting.push_back(std::move(entry));
+  this->waiting.push_back(entry);
   this->Flush();
 }
 
+void Intake::HedgeLater(const EntryPtr& entry) {
+  if (entry->helpers.empty() || !entry->done) return;
+  this->parts.executor->After(kHedgeAfter, this->guard.Wrap([this, entry] {
+    if (entry->done) (void)this->AskHelper(entry);
+  }));
+}
+
 void Intake::Flush() {
   while (!this->waiting.empty() && this->in_flight < kMaxInFlight) {
     std::vector<EntryPtr> batch;
@@ -56,16 +79,18 @@
       EntryPtr entry = std::move(this->waiting.front());
       this->waiting.pop_front();
       if (!entry->done) continue;
-      transaction.conditions.push_back({entry->key, 0});
-      transaction.puts.push_back({entry->key, entry->value, 0});
+      ++entry->in_flight;
+      transaction.conditions.push_back({entry->request.key, 0});
+      transaction.puts.push_back({entry->request.key, entry->request.value, 0});
       batch.push_back(std::move(entry));
     }
     if (batch.empty()) return;
     ++this->in_flight;
-    this->store->Commit(
+    this->parts.store->Commit(
         std::move(transaction),
         this->guard.Wrap([this, batch](const CommitResult& result) {
           --this->in_flight;
+          for (const EntryPtr& entry : batch) --entry->in_flight;
           this->OnCommitted(batch, result);
           this->Flush();
         }));
@@ -74,23 +99,18 @@
 
 void Intake::OnCommitted(const std::vector<EntryPtr>& batch,
                          const CommitResult& result) {
-  switch (result.end) {
-    case CommitEnd::kCommitted:
-      for (const EntryPtr& entry : batch) this->Accept(entry, false);
-      return;
-    case CommitEnd::kConflict:
-      this->OnConflict(batch, result);
-      return;
-    case CommitEnd::kUncertain:
-      // Sent again, it either creates the key or finds it created.
-      for (const EntryPtr& entry : batch) entry->uncertain = true;
-      break;
-    case CommitEnd::kLeaseGone:
-    case CommitEnd::kNotDone:
-      for (const EntryPtr& entry : batch) ++entry->tries;
-      break;
+  if (result.end == CommitEnd::kConflict) {
+    this->OnConflict(batch, result);
+    return;
+  }
+  for (const EntryPtr& entry : batch) {
+    if (result.end == CommitEnd::kCommitted) {
+      this->Accept(entry, "created");
+      continue;
+    }
+    if (result.end == CommitEnd::kUncertain) entry->uncertain = true;
+    this->Continue(entry);
   }
-  for (const EntryPtr& entry : batch) this->Again(entry);
 }
 
 void Intake::OnConflict(const std::vector<EntryPtr>& batch,
@@ -98,9 +118,9 @@
   for (const EntryPtr& entry : batch) {
     const bool exists = std::any_of(
         result.found.begin(), result.found.end(),
-        [&](const StoreItem& item) { return item.key == entry->key; });
+        [&](const StoreItem& item) { return item.key == entry->request.key; });
     if (exists) {
-      this->Accept(entry, true);
+      this->Accept(entry, "existed");
     } else {
       // Nothing was written because of another one of the batch.
       this->waiting.push_back(entry);
@@ -108,28 +128,63 @@
   }
 }
 
-void Intake::Again(const EntryPtr& entry) {
-  const Instant now = this->executor->Now();
-  // "Not accepted" would be untrue if an earlier write may still be done.
-  if (!entry->uncertain && entry->tries >= kMaxRefusals) {
+void Intake::Continue(const EntryPtr& entry) {
+  if (!entry->done) return;
+  ++entry->tries;
+  if (this->AskHelper(entry) || entry->in_flight > 0) return;
+  const bool away = !this->parts.store_answers();
+  // "Not accepted" would be untrue if an earlier write may still be done; then
+  // the caller is told at its deadline, or as soon as it is known.
+  if (!entry->uncertain && (away || entry->helpers.empty())) {
     this->GiveUp(entry, Error::kStoreUnavailable);
     return;
   }
-  if (now + kStoreRetry >= entry->deadline) return;  // Its timer answers.
-  this->executor->After(kStoreRetry, this->guard.Wrap([this, entry] {
+  this->parts.executor->After(kStoreRetry, this->guard.Wrap([this, entry] {
     if (!entry->done) return;
-    this->waiting.push_back(entry);
-    this->Flush();
+    if (this->parts.store_answers()) {
+      this->waiting.push_back(entry);
+      this->Flush();
+    } else {
+      this->Continue(entry);
+    }
   }));
 }
 
-void Intake::Accept(const EntryPtr& entry, bool existed) {
+bool Intake::AskHelper(const EntryPtr& entry) {
+  if (entry->helpers.empty()) return false;
+  const std::string helper = entry->helpers.front();
+  entry->helpers.erase(entry->helpers.begin());
+  CreateRequest request = entry->request;
+  request.timeout = std::min<Duration>(
+      kHelperTimeout, entry->deadline - this->parts.executor->Now());
+  if (request.timeout <= Duration::zero()) return false;
+  ++entry->in_flight;
+  this->parts.peers->Create(
+      helper, request,
+      this->guard.Wrap([this, entry](const Result<CreateEnd>& end) {
+        --entry->in_flight;
+        this->OnHelper(entry, end);
+      }));
+  return true;
+}
+
+void Intake::OnHelper(const EntryPtr& entry, const Result<CreateEnd>& end) {
+  if (end && end.value() == CreateEnd::kExists) {
+    this->Accept(entry, "by a peer");
+    return;
+  }
+  // A peer that gave no answer may have sent the write.
+  if (!end || end.value() == CreateEnd::kUncertain) entry->uncertain = true;
+  this->Continue(entry);
+}
+
+void Intake::Accept(const EntryPtr& entry, std::string_view how) {
   if (!entry->done) return;
-  this->log->Write("intake", "stored",
-                   {{"kind", entry->kind},
-                    {"job", entry->id.Text()},
-                    {"existed", existed ? 1 : 0},
-                    {"tries", entry->tries}});
+  this->parts.log->Write("intake", "stored",
+                         {{"kind", entry->request.kind},
+                          {"job", entry->request.job.Text()},
+                          {"how", how},
+                          {"tries", entry->tries}});
   this->Settle(entry, {.end = SubmitEnd::kAccepted,
                        .reason = {},
                        .detail = {},
@@ -138,20 +193,20 @@
 
 void Intake::GiveUp(const EntryPtr& entry, std::error_code reason) {
   if (!entry->done) return;
-  const SubmitEnd end =
-      entry->uncertain ? SubmitEnd::kUnknown : SubmitEnd::kNotAccepted;
-  // What still waits here or is on its way might be written later.
-  const bool on_its_way = reason == Error::kDeadlineExceeded;
-  this->log->Write("intake", "not-stored",
-                   {{"kind", entry->kind},
-                    {"job", entry->id.Text()},
-                    {"uncertain", entry->uncertain ? 1 : 0},
-                    {"tries", entry->tries},
-                    {"reason", reason.message()}});
-  this->Settle(entry, {.end = on_its_way ? SubmitEnd::kUnknown : end,
-                       .reason = reason,
-                       .detail = {},
-                       .retry_after = kStoreRetryAfter});
+  // What is on its way might be written later.
+  const bool unknown = entry->uncertain || entry->in_flight > 0;
+  this->parts.log->Write("intake", "not-stored",
+                         {{"kind", entry->request.kind},
+                          {"job", entry->request.job.Text()},
+                          {"unknown", unknown ? 1 : 0},
+                          {"tries", entry->tries},
+                          {"timeout_ms", entry->request.timeout.count() / 1000},
+                          {"reason", reason.message()}});
+  this->Settle(entry,
+               {.end = unknown ? SubmitEnd::kUnknown : SubmitEnd::kNotAccepted,
+                .reason = reason,
+                .detail = {},
+                .retry_after = kStoreRetryAfter});
 }
 
 void Intake::Settle(const EntryPtr& entry, const SubmitResult& result) {
@@ -159,11 +214,4 @@
   done(result);
 }
 
-void Intake::Stop() {
-  this->stopped = true;
-  for (const EntryPtr& entry : std::exchange(this->waiting, {})) {
-    this->GiveUp(entry, Error::kShuttingDown);
-  }
-}
-
 }  // namespace mustardproxy::jobs
--- a/packages/jobs/src/intake.h
+++ b/packages/jobs/src/intake.h
@@ -5,11 +5,13 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "guard.h"
 #include "mustardproxy/jobs/executor.h"
 #include "mustardproxy/jobs/job.h"
+#include "mustardproxy/jobs/job_peers.h"
 #include "mustardproxy/jobs/job_service.h"
 #include "mustardproxy/jobs/key_value_store.h"
 #include "mustardproxy/telemetry/event_log.h"
@@ -19,49 +21,65 @@
 /// Stores what callers hand in, whichever process they reach: a job is accepted
 /// once its key is created, and the same id is one job however often and
 /// wherever it comes. Callers that come together share a transaction.
+///
+/// Creating a key twice does no harm. So where the store refuses this process
+/// or is silent towards it, another process is asked to create the key, which
+/// also settles a write of ours whose answer is lost.
 class Intake {
  public:
   using Done = std::function<void(SubmitResult)>;
 
-  Intake(Executor* executor, KeyValueStore* store, EventLog* log);
+  struct Parts {
+    Executor* executor = nullptr;
+    KeyValueStore* store = nullptr;
+    JobPeers* peers = nullptr;
+    EventLog* log = nullptr;
+    /// @return true while the store answers this process
+    std::function<bool()> store_answers;
+    /// @return processes that may create a key instead, the best first
+    std::function<std::vector<std::string>()> helpers;
+  };
+
+  explicit Intake(Parts parts);
 
   /// Creates a key unless it exists.
-  /// @param kind `job` or `cancel`, for the log
-  void Create(std::string_view kind, const JobId& id, std::string key,
-              std::string value, Duration timeout, Done done);
-  /// Answers all that wait, and takes nothing more.
-  void Stop();
+  void Create(CreateRequest request, Done done);
+  /// The same on behalf of a peer: nobody else is asked.
+  void CreateForPeer(CreateRequest request, Done done);
 
  private:
   struct Entry {
-    std::string_view kind;
-    JobId id;
-    std::string key;
-    std::string value;
+    CreateRequest request;
     Instant deadline;
     Done done;
-    /// A write of it was sent and not answered.
+    /// Processes that may still be asked.
+    std::vector<std::string> helpers;
+    /// A write of it was sent and not answered, here or by another process.
     bool uncertain = false;
+    /// Calls about it that are on their way, here and at other processes.
+    std::int32_t in_flight = 0;
     std::int32_t tries = 0;
   };
   using EntryPtr = std::shared_ptr<Entry>;
 
+  void Begin(const EntryPtr& entry);
   void Flush();
   void OnCommitted(const std::vector<EntryPtr>& batch,
                    const CommitResult& result);
   void OnConflict(const std::vector<EntryPtr>& batch,
                   const CommitResult& result);
-  void Again(const EntryPtr& entry);
-  void Accept(const EntryPtr& entry, bool existed);
+  /// Asks the next helper, or gives up, or tries again later.
+  void Continue(const EntryPtr& entry);
+  bool AskHelper(const EntryPtr& entry);
+  void OnHelper(const EntryPtr& entry, const Result<CreateEnd>& end);
+  void HedgeLater(const EntryPtr& entry);
+  void Accept(const EntryPtr& entry, std::string_view how);
   void GiveUp(const EntryPtr& entry, std::error_code reason);
   void Settle(const EntryPtr& entry, const SubmitResult& result);
 
-  Executor* executor;
-  KeyValueStore* store;
-  EventLog* log;
+  Parts parts;
   std::deque<EntryPtr> waiting;
   std::size_t in_flight = 0;
-  bool stopped = false;
   Guard guard;
 };
 
--- a/packages/jobs/src/job_node.cc
+++ b/packages/jobs/src/job_node.cc
@@ -1,5 +1,6 @@
 #include "mustardproxy/jobs/job_node.h"
 
+#include <algorithm>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -26,6 +27,9 @@
   void OnCellChange();
   void StepDown(std::string_view reason);
   bool Authorized() const;
+  /// @return where processes are reached that may store something instead of
+  ///   this one: the owner first, the others in turn
+  std::vector<std::string> Helpers();
   /// @return where the owner is reached; nothing if there is none, or if it is
   ///   this process
   std::optional<std::string> OwnerAddress() const;
@@ -37,6 +41,7 @@
   JobLookup lookup;
   std::shared_ptr<const DesiredState> desired;
   std::unique_ptr<GroupOwner> owner;
+  std::size_t next_helper = 0;
   bool stepping_down = false;
   bool leaving = false;
   Guard guard;
@@ -56,7 +61,12 @@
            .pause = Duration::zero()},
           {.on_change = [this](const StoreEvent& e) { this->OnDesired(e); },
            .on_listed = {}}),
-      intake(parts.executor, parts.store, parts.log),
+      intake({.executor = parts.executor,
+              .store = parts.store,
+              .peers = parts.peers,
+              .log = parts.log,
+              .store_answers = [this] { return this->member.StoreAnswers(); },
+              .helpers = [this] { return this->Helpers(); }}),
       lookup(parts.executor, parts.store) {}
 
 void JobNode::Internals::OnDesired(const StoreEvent& event) {
@@ -129,6 +139,24 @@
   this->owner->SetLanes(lanes);
 }
 
+std::vector<std::string> JobNode::Internals::Helpers() {
+  std::vector<std::string> helpers;
+  const auto owner = this->OwnerAddress();
+  if (owner) helpers.push_back(*owner);
+  std::vector<std::string> others;
+  for (const auto& [name, node] : this->member.Nodes()) {
+    const bool known = owner && node.peer_address == *owner;
+    if (name == this->given.process || known) continue;
+    others.push_back(node.peer_address);
+  }
+  if (others.empty()) return helpers;
+  const auto first =
+      static_cast<std::ptrdiff_t>(this->next_helper++ % others.size());
+  std::rotate(others.begin(), others.begin() + first, others.end());
+  helpers.insert(helpers.end(), others.begin(), others.end());
+  return helpers;
+}
+
 std::optional<std::string> JobNode::Internals::OwnerAddress() const {
   const auto& owner = this->member.Owner();
   if (!owner || owner->owner.name == this->given.process) return std::nullopt;
@@ -151,7 +179,7 @@
 
 bool JobNode::Ready() const {
   return this->state->desired && !this->state->leaving &&
-         this->state->member.InTouch();
+         this->state->member.StoreAnswers();
 }
 
 bool JobNode::Owns() const {
@@ -181,9 +209,9 @@
     }
     done(result);
   };
-  this->state->intake.Create("job", id, keys::OfJob(id), std::move(record),
-                             timeout,
-                             this->state->guard.Wrap(std::move(stored)));
+  this->state->intake.Create(
+      {"job", id, keys::OfJob(id), std::move(record), timeout},
+      this->state->guard.Wrap(std::move(stored)));
 }
 
 void JobNode::Cancel(const JobId& id, Duration timeout,
@@ -208,7 +236,7 @@
       }
       done(result);
     };
-    this->state->intake.Create("cancel", id, keys::OfCancel(id), "1", timeout,
+    this->state->intake.Create({"cancel", id, keys::OfCancel(id), "1", timeout},
                                this->state->guard.Wrap(std::move(stored)));
   };
   this->state->given.store->Read(keys::OfJob(id),
@@ -242,7 +270,7 @@
 
 void JobNode::Pending(const QueueName& queue, Duration /*timeout*/,
                       std::function<void(Result<std::int64_t>)> done) {
-  if (this->Owns()) {
+  if (this->Owns() && this->state->owner->Fresh()) {
     done(this->state->owner->PendingIn(queue));
     return;
   }
@@ -273,13 +301,24 @@
 
 void JobNode::OnQueryPending(const QueueName& queue,
                              JobPeerHandler::Done<std::int64_t> done) {
-  if (!this->Owns()) {
+  if (!this->Owns() || !this->state->owner->Fresh()) {
     done(make_error_code(Error::kNotOwner));
     return;
   }
   done(this->state->owner->PendingIn(queue));
 }
 
+void JobNode::OnCreate(CreateRequest request,
+                       JobPeerHandler::Done<CreateEnd> done) {
+  this->state->intake.CreateForPeer(
+      std::move(request), [done = std::move(done)](const SubmitResult& result) {
+        const bool refused = result.end == SubmitEnd::kNotAccepted;
+        done(result.end == SubmitEnd::kAccepted ? CreateEnd::kExists
+             : refused                          ? CreateEnd::kNotDone
+                                                : CreateEnd::kUncertain);
+      });
+}
+
 void JobNode::OnAsk(AdviceQuestion question,
                     JobPeerHandler::Done<Advice> done) {
   this->state->given.adviser->Ask(std::move(question), std::move(done));
--- a/packages/jobs/src/job_table.h
+++ b/packages/jobs/src/job_table.h
@@ -59,6 +59,8 @@
 struct JobEntry {
   Job job;
   JobState state = JobState::kQueued;
+  /// A worker has said that a task of it started.
+  bool begun = false;
   /// Open occurrences by number.
   std::map<std::int32_t, OccurrenceEntry> occurrences;
   /// Those before are done.
--- a/packages/jobs/src/options.h
+++ b/packages/jobs/src/options.h
@@ -10,10 +10,15 @@
 using std::chrono::seconds;
 
 /// Lease of a process at the store. A dead owner is replaced this long after
-/// its last renewal; three renewals may be lost. The platform grants a second
+/// its last renewal; two renewals may be lost. The platform grants a second
 /// at least.
-inline constexpr Duration kStoreLease = milliseconds(1500);
-inline constexpr Duration kStoreLeaseRenewal = milliseconds(450);
+inline constexpr Duration kStoreLease = milliseconds(1000);
+inline constexpr Duration kStoreLeaseRenewal = milliseconds(300);
+/// A store that has confirmed no renewal sent within this time is taken for
+/// silent: no write is sent to it that would end uncertain. Above the pause
+/// between two renewals and the answer of the slowest store on the users' pages
+/// (0.4 s) together.
+inline constexpr Duration kStoreSilent = milliseconds(900);
 
 /// Lease that each order gives all that runs on a worker. Long enough that a
 /// dead owner's work lives until the next one renews (store lease 1.5 s, a
--- a/packages/jobs/src/record_codec.cc
+++ b/packages/jobs/src/record_codec.cc
@@ -216,6 +216,9 @@
                    Instant now) {
   const auto stored = Parse<stored::Progress>(bytes);
   if (!stored || !ValidState(stored->state())) return false;
+  // Written down before the first start; it is not known whether that came.
+  entry->begun =
+      stored->state() != static_cast<std::int32_t>(JobState::kQueued);
   entry->first_open = stored->first_open_occurrence();
   entry->next_to_open = std::max(entry->next_to_open, entry->first_open);
   for (const stored::OccurrenceProgress& one : stored->occurrences()) {
--- a/packages/jobs/src/run_control.cc
+++ b/packages/jobs/src/run_control.cc
@@ -183,6 +183,8 @@
     // "Old" after a lost answer: the run is, or was, there. The lists tell.
     record->phase = RunPhase::kStarted;
     record->listed_from = this->context->executor->Now();
+    JobEntry* entry = this->context->jobs.Find(run.task.step.job);
+    if (entry != nullptr) entry->begun = true;
     this->context->holds->Pump(session);
   } else if (first && ProvesNotStarted(result.end)) {
     this->NotStarted(session, run, result.end);
--- a/packages/jobs/tests/cell_takeover_test.cc
+++ b/packages/jobs/tests/cell_takeover_test.cc
@@ -1,4 +1,5 @@
 #include <boost/test/unit_test.hpp>
+#include <optional>
 
 #include "job_sim/sim_cell.h"
 
@@ -175,6 +176,71 @@
   CheckKept(cell.get());
 }
 
+// An owner is cut off from the store; jobs are accepted elsewhere, of which it
+// hears nothing. It must not tell callers that none waits.
+BOOST_AUTO_TEST_CASE(an_owner_cut_off_from_the_store_counts_no_jobs) {
+  const std::size_t owner = Owner();
+  cell->ProcessAt(owner)->store_cut = true;
+  cell->ProcessAt(owner)->peers_cut = true;
+  cell->Time().RunFor(seconds(3));
+  std::optional<Result<std::int64_t>> count;
+  cell->ProcessAt(owner)->Post([&] {
+    cell->NodeAt(owner)->Pending(
+        cell->queue.name, seconds(1),
+        [&count](const Result<std::int64_t>& n) { count = n; });
+  });
+  cell->Time().RunFor(seconds(1));
+  BOOST_REQUIRE(count.has_value());
+  BOOST_TEST(!count->has_value());
+}
+
+// The store turns one process away and serves the others. What callers hand in
+// there is stored by another process, at once.
+BOOST_AUTO_TEST_CASE(a_process_that_the_store_turns_away_still_takes_jobs_in) {
+  const std::size_t away = (Owner() + 1) % 3;
+  cell->ProcessAt(away)->store_cut = true;
+  const Instant begun = cell->Time().Now();
+  SimJob* job = cell->Submit(MakeSpec({MakeStep(1, 1000, seconds(1))}), away);
+  cell->Time().RunUntil([&] { return job->accepted; }, seconds(3));
+  BOOST_TEST((cell->Time().Now() - begun < milliseconds(100)));
+  BOOST_TEST(cell->AwaitFinal(job->job.id, seconds(5)));
+}
+
+// The store falls silent towards one process in the middle of a write. Another
+// one settles it long before the caller gives up.
+BOOST_AUTO_TEST_CASE(a_write_without_an_answer_is_settled_by_another_process) {
+  const std::size_t cut = (Owner() + 1) % 3;
+  cell->Store().lost_answers = 1.0;
+  const Instant begun = cell->Time().Now();
+  SimJob* job = cell->Submit(MakeSpec({MakeStep(1, 1000, seconds(1))}), cut);
+  cell->Time().RunFor(milliseconds(20));
+  cell->Store().lost_answers = 0;
+  cell->Time().RunUntil([&] { return job->accepted; }, seconds(3));
+  BOOST_TEST((cell->Time().Now() - begun < milliseconds(700)));
+}
+
+// The store is away for everybody. Callers are refused at once, and truly: what
+// was refused never runs.
+BOOST_AUTO_TEST_CASE(while_the_store_is_away_callers_are_refused_at_once) {
+  cell->Store().refusing = true;
+  cell->Time().RunFor(seconds(1));
+  std::optional<SubmitResult> result;
+  const Instant begun = cell->Time().Now();
+  cell->ProcessAt(0)->Post([&] {
+    cell->NodeAt(0)->Submit(cell->queue, JobId("refused"),
+                            MakeSpec({MakeStep(1, 1000, seconds(1))}),
+                            seconds(3),
+                            [&result](const SubmitResult& r) { result = r; });
+  });
+  cell->Time().RunUntil([&] { return result.has_value(); }, seconds(4));
+  BOOST_REQUIRE(result.has_value());
+  BOOST_TEST((result->end == SubmitEnd::kNotAccepted));
+  BOOST_TEST((cell->Time().Now() - begun < milliseconds(300)));
+  cell->Store().refusing = false;
+  cell->Time().RunFor(seconds(5));
+  BOOST_TEST(cell->Judge().Runs() == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace mustardproxy::jobs
--- a/packages/peer/include/mustardproxy/peer/job_link.h
+++ b/packages/peer/include/mustardproxy/peer/job_link.h
@@ -35,6 +35,8 @@
                 Done<jobs::JobAnswer> done) override;
   void QueryPending(const std::string& address, const jobs::QueueName& queue,
                     Done<std::int64_t> done) override;
+  void Create(const std::string& address, const jobs::CreateRequest& request,
+              Done<jobs::CreateEnd> done) override;
   void Ask(const std::string& address, const jobs::AdviceQuestion& question,
            Done<jobs::Advice> done) override;
 
--- a/packages/peer/src/job_link.cc
+++ b/packages/peer/src/job_link.cc
@@ -236,6 +236,26 @@
       });
 }
 
+void JobLink::Create(const std::string& address,
+                     const jobs::CreateRequest& request,
+                     Done<jobs::CreateEnd> done) {
+  peer::jobs::CreateRequest wire;
+  wire.set_kind(request.kind);
+  wire.set_job(request.job.Text());
+  wire.set_key(request.key);
+  wire.set_value(request.value);
+  wire.set_timeout_us(request.timeout.count());
+  this->state->Make<peer::jobs::CreateRequest, peer::jobs::CreateReply>(
+      address, request.timeout, std::move(wire), &JobPeer::Stub::async::Create,
+      [done = std::move(done)](const Result<peer::jobs::CreateReply>& reply) {
+        if (!reply) {
+          done(reply.error());
+          return;
+        }
+        done(static_cast<jobs::CreateEnd>(reply.value().end()));
+      });
+}
+
 void JobLink::Ask(const std::string& address,
                   const jobs::AdviceQuestion& question,
                   Done<jobs::Advice> done) {
--- a/packages/peer/src/job_service.cc
+++ b/packages/peer/src/job_service.cc
@@ -92,6 +92,29 @@
   return call.get();
 }
 
+grpc::ServerUnaryReactor* JobService::Create(
+    grpc::CallbackServerContext* /*context*/,
+    const peer::jobs::CreateRequest* request, peer::jobs::CreateReply* reply) {
+  const auto call = MakeCall(reply);
+  jobs::CreateRequest wanted{request->kind(), jobs::JobId(request->job()),
+                             request->key(), request->value(),
+                             Duration(request->timeout_us())};
+  this->executor->Post(
+      [handler = this->handler, wanted = std::move(wanted), call]() mutable {
+        handler->OnCreate(
+            std::move(wanted), [call](const Result<jobs::CreateEnd>& end) {
+              if (!end) {
+                call->Refuse(Refusal(end.error()));
+                return;
+              }
+              call->Answer([&](peer::jobs::CreateReply* out) {
+                out->set_end(static_cast<std::int32_t>(end.value()));
+              });
+            });
+      });
+  return call.get();
+}
+
 grpc::ServerUnaryReactor* JobService::Ask(
     grpc::CallbackServerContext* /*context*/,
     const peer::jobs::AdviceQuestion* request, peer::jobs::Advice* reply) {
--- a/packages/peer/src/job_service.h
+++ b/packages/peer/src/job_service.h
@@ -30,6 +30,9 @@
       grpc::CallbackServerContext* context,
       const peer::jobs::PendingQuestion* request,
       peer::jobs::PendingAnswer* reply) override;
+  grpc::ServerUnaryReactor* Create(grpc::CallbackServerContext* context,
+                                   const peer::jobs::CreateRequest* request,
+                                   peer::jobs::CreateReply* reply) override;
   grpc::ServerUnaryReactor* Ask(grpc::CallbackServerContext* context,
                                 const peer::jobs::AdviceQuestion* request,
                                 peer::jobs::Advice* reply) override;
--- a/packages/peer/tests/job_link_test.cc
+++ b/packages/peer/tests/job_link_test.cc
@@ -46,6 +46,11 @@
                       Done<std::int64_t> done) override {
     done(12);
   }
+  void OnCreate(jobs::CreateRequest request,
+                Done<jobs::CreateEnd> done) override {
+    done(request.key == "taken" ? jobs::CreateEnd::kExists
+                                : jobs::CreateEnd::kNotDone);
+  }
   void OnAsk(jobs::AdviceQuestion question, Done<jobs::Advice> done) override {
     jobs::Advice advice;
     advice.validity = std::chrono::seconds(2);
@@ -127,6 +132,19 @@
   BOOST_TEST((advice.value().validity == std::chrono::seconds(2)));
 }
 
+BOOST_AUTO_TEST_CASE(a_key_is_created_on_behalf_of_another) {
+  const auto create = [&](const char* key) {
+    return Await<jobs::CreateEnd>([&](auto done) {
+      client.Create(
+          address,
+          {"job", jobs::JobId("j"), key, "value", std::chrono::seconds(5)},
+          std::move(done));
+    });
+  };
+  BOOST_TEST((create("taken").value() == jobs::CreateEnd::kExists));
+  BOOST_TEST((create("other").value() == jobs::CreateEnd::kNotDone));
+}
+
 BOOST_AUTO_TEST_CASE(a_process_that_is_gone_is_an_error_soon) {
   server.Stop();
   BOOST_TEST((Query("known").error() == Error::kPeerLost));
--- a/testing/job_sim/src/sim_cell.cc
+++ b/testing/job_sim/src/sim_cell.cc
@@ -117,6 +117,14 @@
       node->OnQueryPending(queue, answer);
     });
   }
+  void Create(const std::string& address, const jobs::CreateRequest& request,
+              Done<jobs::CreateEnd> done) override {
+    const auto answer =
+        this->Once<jobs::CreateEnd>(std::move(done), request.timeout);
+    this->Reach(address, [request, answer](jobs::JobNode* node) {
+      node->OnCreate(request, answer);
+    });
+  }
   void Ask(const std::string& address, const jobs::AdviceQuestion& question,
            Done<jobs::Advice> done) override {
     const auto answer =
