An owner's process that was started anew is replaced without waiting for its lease

Cause: a killed process is back after a second or less, and its key at the store held the group until the lease lapsed. Its new registration proves that the former run is over; the key is taken over by its revision.

--- a/packages/jobs/src/cell_member.cc
+++ b/packages/jobs/src/cell_member.cc
@@ -195,8 +195,16 @@
          static_cast<std::int64_t>(std::min(before, kMaxStaggers));
 }
 
+bool CellMember::OwnerRestarted() const {
+  if (!this->owner) return false;
+  const auto node = this->nodes.find(this->owner->owner.name);
+  return node != this->nodes.end() &&
+         node->second.incarnation != this->owner->owner.incarnation;
+}
+
 void CellMember::ConsiderElection() {
-  const bool may = this->mirror.Listed() && !this->owner && this->lease != 0 &&
+  const bool vacant = !this->owner || this->OwnerRestarted();
+  const bool may = this->mirror.Listed() && vacant && this->lease != 0 &&
                    this->token == 0 && !this->leaving;
   if (!may || std::exchange(this->standing, true)) return;
   this->executor->After(this->ElectionDelay(),
@@ -204,12 +212,16 @@
 }
 
 void CellMember::Stand() {
-  if (this->owner || this->lease == 0 || this->leaving) {
+  const bool vacant = !this->owner || this->OwnerRestarted();
+  if (!vacant || this->lease == 0 || this->leaving) {
     this->standing = false;
     return;
   }
   Transaction transaction;
-  transaction.conditions.push_back({keys::Owner(), 0});
+  // A key whose owner was started anew is taken over as it stands, before its
+  // lease lapses.
+  transaction.conditions.push_back(
+      {keys::Owner(), this->owner ? this->owner->token : 0});
   transaction.puts.push_back(
       {keys::Owner(), EncodeNode(this->self), this->lease});
   this->store->Commit(std::move(transaction),
--- a/packages/jobs/src/cell_member.h
+++ b/packages/jobs/src/cell_member.h
@@ -75,6 +75,9 @@
   void LoseLease(std::string_view reason);
   void OnCell(const StoreEvent& event);
   void OnOwnerKey(const StoreEvent& event);
+  /// @return true if the owner's process has been started anew, so that its
+  ///   former run, which owns the key, is over for certain
+  [[nodiscard]] bool OwnerRestarted() const;
   void ConsiderElection();
   Duration ElectionDelay() const;
   void Stand();
--- a/packages/jobs/tests/cell_takeover_test.cc
+++ b/packages/jobs/tests/cell_takeover_test.cc
@@ -67,6 +67,24 @@
   CheckKept(cell.get());
 }
 
+// The owner's process dies and is started again at once. Its former run is over
+// for certain, so nobody waits for its lease at the store to lapse.
+BOOST_AUTO_TEST_CASE(an_owner_that_was_started_anew_is_replaced_at_once) {
+  Load(6, seconds(5));
+  cell->Time().RunFor(seconds(1));
+  const std::size_t owner = Owner();
+  cell->KillProcess(owner);
+  cell->Time().RunFor(milliseconds(100));
+  cell->StartProcess(owner);
+  const Instant begun = cell->Time().Now();
+  cell->Time().RunUntil([&] { return cell->OwnerIndex().has_value(); },
+                        seconds(5));
+  BOOST_TEST((cell->Time().Now() - begun < milliseconds(400)));
+  cell->Settle(seconds(20));
+  BOOST_TEST(cell->Judge().Runs() == 24);
+  CheckKept(cell.get());
+}
+
 // An owner is told to stop. The next one decides within a second, and no lease
 // lapses meanwhile.
 BOOST_AUTO_TEST_CASE(a_stop_hands_the_group_over_within_a_second) {
