--- a/packages/jobs/src/options.h
+++ b/packages/jobs/src/options.h
@@ -37,14 +37,16 @@
 /// and the time in which it is noticed.
 inline constexpr Duration kOwnerGrace = milliseconds(11'000);
 
-/// How long a hold waits at the worker for an end. A silent connection is
-/// noticed after this and `kHoldTimeout`.
-inline constexpr Duration kHoldWait = milliseconds(1000);
-/// First and longest pause after a hold without an answer.
-inline constexpr Duration kHoldRetry = milliseconds(150);
+/// How long a hold waits at the worker for an end. A hold whose answer is lost,
+/// or whose connection has fallen silent, hides ends for this long and the
+/// driver's slack.
+inline constexpr Duration kHoldWait = milliseconds(600);
+/// First pause after a hold without an answer; later ones are up to four times
+/// as long.
+inline constexpr Duration kHoldRetry = milliseconds(50);
 /// Pause between two sendings of a start or stop that got no answer. The same
 /// run is named, so the worker does it once.
-inline constexpr Duration kOrderRetry = milliseconds(100);
+inline constexpr Duration kOrderRetry = milliseconds(20);
 
 /// Pause between two readings of the journal of new jobs. Processes announce
 /// jobs at once; this is for lost announcements.
--- a/packages/jobs/src/run_control.cc
+++ b/packages/jobs/src/run_control.cc
@@ -41,6 +41,7 @@
   this->context->log->Write(
       "jobs", "step-placed",
       {{"step", Text(ref)},
+       {"queue", entry.job.queue.name.Text()},
        {"tasks", runs.size()},
        {"run", runs.front().run},
        {"worker", workers.front().Text()},
