--- a/apps/mustardproxy/src/cell_runtime.cc
+++ b/apps/mustardproxy/src/cell_runtime.cc
@@ -14,6 +14,7 @@
 #include "mustardproxy/adapter/caller_front.h"
 #include "mustardproxy/adapter/platform_clients.h"
 #include "mustardproxy/core/error.h"
+#include "mustardproxy/gateway/job_surface.h"
 #include "mustardproxy/http/async_client.h"
 #include "mustardproxy/http/listener.h"
 #include "mustardproxy/jobs/job_node.h"
@@ -89,6 +90,7 @@
   std::unique_ptr<adapter::CallerFront> front;
   adapter::ReadinessFront readiness;
   std::unique_ptr<CellOperators> operators;
+  std::unique_ptr<JobSurface> own_jobs;
   std::unique_ptr<http::Listener> callers_listener;
   std::unique_ptr<http::Listener> readiness_listener;
   std::unique_ptr<http::Listener> operators_listener;
@@ -134,12 +136,14 @@
                                   .log = &this->log,
                                   .metrics = &this->metrics});
   this->operators = std::make_unique<CellOperators>(&this->metrics);
+  this->own_jobs = std::make_unique<JobSurface>(
+      jobs::JobGate(&this->executor, this->node.get()), this->operators.get());
   this->callers_listener = std::make_unique<http::Listener>(
       "callers", Limits(), this->settings.max_connections, this->front.get());
   this->readiness_listener = std::make_unique<http::Listener>(
       "readiness", Limits(), kReadinessConnections, &this->readiness);
   this->operators_listener = std::make_unique<http::Listener>(
-      "operators", Limits(), kOperatorConnections, this->operators.get());
+      "operators", Limits(), kOperatorConnections, this->own_jobs.get());
 }
 
 std::error_code CellRuntime::State::StartLink() {
--- /dev/null
+++ b/packages/gateway/src/job_surface.cc
@@ -0,0 +1,148 @@
+#include "mustardproxy/gateway/job_surface.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+#include <variant>
+
+#include "header_check.h"
+#include "mustardproxy/core/error.h"
+#include "mustardproxy/jobs/job_json.h"
+#include "problem.h"
+
+namespace mustardproxy {
+namespace {
+
+using gateway_detail::kDefaultRetryAfter;
+using gateway_detail::Problem;
+using gateway_detail::ProblemAnswer;
+using jobs::SubmitEnd;
+
+constexpr std::string_view kPath = "/v1/jobs/";
+constexpr std::string_view kJsonType = "application/json";
+/// Longest wait that a caller may ask for, and that of one that does not ask.
+constexpr Duration kMaxTimeout = std::chrono::seconds(60);
+
+constexpr std::int32_t kOk = 200;
+constexpr std::int32_t kBadRequest = 400;
+constexpr std::int32_t kNotFound = 404;
+constexpr std::int32_t kNotAllowed = 405;
+constexpr std::int32_t kUnavailable = 503;
+constexpr std::int32_t kTimedOut = 504;
+
+http::HttpAnswer JsonAnswer(const nlohmann::json& body) {
+  return http::TextAnswer(kOk, std::string(kJsonType), body.dump());
+}
+
+http::HttpAnswer AnswerError(std::error_code error, Duration retry_after) {
+  const bool unknown = error == Error::kUnknownQueue ||
+                       error == Error::kUnknownRequest ||
+                       error == Error::kUnknownJob;
+  if (unknown) {
+    const bool job = error != Error::kUnknownQueue;
+    return ProblemAnswer(
+        {.status = kNotFound, .error = job ? Error::kUnknownJob : error});
+  }
+  const bool late = error == Error::kDeadlineExceeded;
+  return ProblemAnswer({.status = late ? kTimedOut : kUnavailable,
+                        .error = error,
+                        .retry_after = retry_after});
+}
+
+http::HttpAnswer AnswerSubmit(const jobs::JobId& id,
+                              const jobs::SubmitResult& result) {
+  switch (result.end) {
+    case SubmitEnd::kAccepted:
+      return JsonAnswer({{"id", id.Text()}});
+    case SubmitEnd::kNoSuchJob:
+      return AnswerError(Error::kUnknownJob, Duration::zero());
+    case SubmitEnd::kNotAccepted:
+      return ProblemAnswer({.status = kUnavailable,
+                            .error = result.reason,
+                            .detail = result.detail,
+                            .outcome = Outcome::kNotRun,
+                            .retry_after = result.retry_after});
+    case SubmitEnd::kUnknown:
+      break;
+  }
+  return ProblemAnswer({.status = kTimedOut,
+                        .error = result.reason,
+                        .outcome = Outcome::kUnknown,
+                        .retry_after = kDefaultRetryAfter});
+}
+
+}  // namespace
+
+std::optional<http::HttpAnswer> JobSurface::Handle(const http::HttpCall& call) {
+  if (!call.path.starts_with(kPath)) return this->other->Handle(call);
+  const std::string_view rest = call.path.substr(kPath.size());
+  const std::size_t slash = rest.find('/');
+  const std::string_view id =
+      slash == std::string_view::npos ? "" : rest.substr(slash + 1);
+  return this->Serve(call, rest.substr(0, slash), id);
+}
+
+http::HttpAnswer JobSurface::Serve(const http::HttpCall& call,
+                                   std::string_view queue_name,
+                                   std::string_view id_text) {
+  gateway_detail::CallerHeaders headers;
+  const std::string fault =
+      gateway_detail::CheckHeaders(*call.header, kMaxTimeout, &headers);
+  if (!fault.empty()) {
+    return ProblemAnswer({.status = kBadRequest,
+                          .error = Error::kHeaderInvalid,
+                          .detail = fault});
+  }
+  const jobs::QueueName name(queue_name);
+  const Result<jobs::Queue> queue = this->gate.Find(
+      [name](const jobs::DesiredState& desired) {
+        return desired.FindQueue(name);
+      },
+      headers.timeout);
+  if (!queue) return AnswerError(queue.error(), kDefaultRetryAfter);
+  if (id_text.empty() && call.method == http::Method::kGet) {
+    const auto pending = this->gate.Pending(name, headers.timeout);
+    if (!pending) return AnswerError(pending.error(), kDefaultRetryAfter);
+    return JsonAnswer({{"pending", pending.value()}});
+  }
+  if (!gateway_detail::IsRequestId(id_text)) {
+    return ProblemAnswer({.status = kBadRequest,
+                          .error = Error::kJobInvalid,
+                          .detail = "the id is missing or malformed"});
+  }
+  const jobs::JobId id(id_text);
+  if (call.method == http::Method::kPost) {
+    return this->Submit(call, queue.value(), id, headers.timeout);
+  }
+  if (call.method == http::Method::kDelete) {
+    return AnswerSubmit(id, this->gate.Cancel(id, headers.timeout));
+  }
+  if (call.method != http::Method::kGet) {
+    return ProblemAnswer(
+        {.status = kNotAllowed, .error = Error::kHeaderInvalid});
+  }
+  const auto state = this->gate.State(id, headers.timeout);
+  if (!state) return AnswerError(state.error(), kDefaultRetryAfter);
+  return JsonAnswer({{"id", id.Text()}, {"state", Name(state.value())}});
+}
+
+http::HttpAnswer JobSurface::Submit(const http::HttpCall& call,
+                                    const jobs::Queue& queue,
+                                    const jobs::JobId& id, Duration timeout) {
+  auto parsed = jobs::ParseJobJson(View(call.body), {});
+  if (const auto* problem = std::get_if<jobs::SpecProblem>(&parsed)) {
+    return ProblemAnswer({.status = kBadRequest,
+                          .error = Error::kJobInvalid,
+                          .detail = problem->field + ": " + problem->reason,
+                          .outcome = Outcome::kNotRun});
+  }
+  return AnswerSubmit(
+      id, this->gate.Submit(
+              queue, id, std::move(std::get<jobs::JobSpec>(parsed)), timeout));
+}
+
+http::HttpAnswer JobSurface::Refuse(std::int32_t status, std::error_code error,
+                                    std::string detail) {
+  return this->other->Refuse(status, error, std::move(detail));
+}
+
+}  // namespace mustardproxy
--- /dev/null
+++ b/packages/jobs/src/job_gate.cc
@@ -0,0 +1,88 @@
+#include "mustardproxy/jobs/job_gate.h"
+
+#include <optional>
+#include <utility>
+
+#include "mustardproxy/core/error.h"
+#include "mustardproxy/jobs/awaited.h"
+
+namespace mustardproxy::jobs {
+namespace {
+
+/// Beyond the time in which the service answers by itself.
+constexpr Duration kLastResort = std::chrono::milliseconds(100);
+
+/// Has `call` run on the control thread with a callback, and waits for that.
+template <typename T>
+std::optional<T> Await(Executor* executor, Duration timeout,
+                       std::function<void(std::function<void(T)>)> call) {
+  auto awaited = std::make_shared<Awaited<T>>();
+  executor->Post([call = std::move(call), awaited] {
+    call([awaited](T value) { awaited->Set(std::move(value)); });
+  });
+  return awaited->Wait(timeout + kLastResort);
+}
+
+SubmitResult Unanswered() {
+  return {.end = SubmitEnd::kUnknown,
+          .reason = Error::kDeadlineExceeded,
+          .detail = {},
+          .retry_after = Duration::zero()};
+}
+
+}  // namespace
+
+Result<Queue> JobGate::Find(const Chooser& chooser, Duration timeout) {
+  const auto found =
+      Await<Result<Queue>>(this->executor, timeout, [this, chooser](auto done) {
+        const auto desired = this->service->Desired();
+        if (!desired) {
+          done(make_error_code(Error::kStarting));
+          return;
+        }
+        const Queue* queue = chooser(*desired);
+        if (queue == nullptr) {
+          done(make_error_code(Error::kUnknownQueue));
+        } else {
+          done(*queue);
+        }
+      });
+  return found ? *found : make_error_code(Error::kDeadlineExceeded);
+}
+
+SubmitResult JobGate::Submit(const Queue& queue, const JobId& id, JobSpec spec,
+                             Duration timeout) {
+  const auto result = Await<SubmitResult>(
+      this->executor, timeout,
+      [this, queue, id, spec = std::move(spec), timeout](auto done) {
+        this->service->Submit(queue, id, spec, timeout, std::move(done));
+      });
+  return result.value_or(Unanswered());
+}
+
+SubmitResult JobGate::Cancel(const JobId& id, Duration timeout) {
+  const auto result = Await<SubmitResult>(
+      this->executor, timeout, [this, id, timeout](auto done) {
+        this->service->Cancel(id, timeout, std::move(done));
+      });
+  return result.value_or(Unanswered());
+}
+
+Result<JobState> JobGate::State(const JobId& id, Duration timeout) {
+  const auto state = Await<Result<JobState>>(
+      this->executor, timeout, [this, id, timeout](auto done) {
+        this->service->State(id, timeout, std::move(done));
+      });
+  return state ? *state : make_error_code(Error::kDeadlineExceeded);
+}
+
+Result<std::int64_t> JobGate::Pending(const QueueName& queue,
+                                      Duration timeout) {
+  const auto pending = Await<Result<std::int64_t>>(
+      this->executor, timeout, [this, queue, timeout](auto done) {
+        this->service->Pending(queue, timeout, std::move(done));
+      });
+  return pending ? *pending : make_error_code(Error::kDeadlineExceeded);
+}
+
+}  // namespace mustardproxy::jobs
--- a/packages/peer/tests/job_link_test.cc
+++ b/packages/peer/tests/job_link_test.cc
@@ -7,25 +7,13 @@
 #include <optional>
 #include <string>
 
+#include "job_sim/immediate_executor.h"
 #include "mustardproxy/core/error.h"
 #include "mustardproxy/jobs/awaited.h"
 
 namespace mustardproxy::testing {
 namespace {
 
-/// Runs what is posted at once, on the thread that posts.
-class ImmediateExecutor final : public jobs::Executor {
- public:
-  [[nodiscard]] Instant Now() const override { return Instant(); }
-  [[nodiscard]] std::int64_t UnixMs() const override { return 0; }
-  void Post(std::function<void()> task) override { task(); }
-  jobs::TimerId After(Duration /*delay*/,
-                      std::function<void()> /*task*/) override {
-    return 0;
-  }
-  void Cancel(jobs::TimerId /*timer*/) override {}
-};
-
 /// Answers as it is told.
 class FakeHandler final : public jobs::JobPeerHandler {
  public:
@@ -86,7 +74,7 @@
     });
   }
 
-  ImmediateExecutor executor;
+  job_sim::ImmediateExecutor executor;
   FakeHandler handler;
   JobLink server{&this->executor};
   JobLink client{&this->executor};
