Job link: calls are kept and freed by our own threads

A call's channel was dropped by the library's own thread, as the registry of client calls already guards against; the link now uses that registry and its monotonic deadlines instead of a count of its own.

--- a/packages/peer/src/job_link.cc
+++ b/packages/peer/src/job_link.cc
@@ -4,13 +4,13 @@
 #include <grpcpp/server.h>
 
 #include <chrono>
-#include <condition_variable>
 #include <map>
 #include <mutex>
 #include <system_error>
 #include <utility>
 
 #include "channel.h"
+#include "client_calls.h"
 #include "job_peer.grpc.pb.h"
 #include "job_service.h"
 #include "mustardproxy/core/error.h"
@@ -20,6 +20,7 @@
 namespace {
 
 using peer::jobs::JobPeer;
+using peer_detail::CallRegistry;
 
 /// Questions about jobs are answered from memory; above the pauses of a busy
 /// peer, and low enough that the store can still be asked in the caller's time.
@@ -28,14 +29,6 @@
 /// Connections that nothing has used for so long are closed.
 constexpr std::chrono::seconds kChannelIdle(60);
 
-/// One call under way.
-template <typename Request, typename Reply>
-struct Call {
-  grpc::ClientContext context;
-  Request request;
-  Reply reply;
-};
-
 /// A call of the generated stub that ends by a callback.
 template <typename Request, typename Reply>
 using Method =
@@ -58,10 +51,17 @@
     std::chrono::steady_clock::time_point used;
   };
 
-  /// @return null once the link stops
+  /// One call with all that must live as long as it.
+  template <typename Request, typename Reply>
+  struct Call {
+    grpc::ClientContext context;
+    std::shared_ptr<Channel> channel;
+    Request request;
+    Reply reply;
+  };
+
   std::shared_ptr<Channel> Use(const std::string& address);
   void Drop(const std::string& address, const std::shared_ptr<Channel>& failed);
-  void Leave();
 
   /// Makes a call; `done` gets its reply or an error, on the executor.
   /// @param method member of the asynchronous stub
@@ -72,18 +72,16 @@
   jobs::Executor* executor;
   peer_detail::JobService service;
   std::unique_ptr<grpc::Server> server;
+  /// Outlives the link, as calls of gRPC may.
+  std::shared_ptr<CallRegistry> registry = std::make_shared<CallRegistry>();
   std::mutex mutex;
-  std::condition_variable changed;
   std::map<std::string, std::shared_ptr<Channel>> channels;
-  std::size_t calls = 0;
-  bool stopping = false;
 };
 
 std::shared_ptr<JobLink::State::Channel> JobLink::State::Use(
     const std::string& address) {
   const auto now = std::chrono::steady_clock::now();
   const std::lock_guard lock(this->mutex);
-  if (this->stopping) return nullptr;
   std::erase_if(this->channels, [&](const auto& entry) {
     return now - entry.second->used > kChannelIdle;
   });
@@ -93,7 +91,6 @@
     channel->stub = JobPeer::NewStub(peer_detail::MakeChannel(address));
   }
   channel->used = now;
-  ++this->calls;
   return channel;
 }
 
@@ -106,44 +103,39 @@
   }
 }
 
-void JobLink::State::Leave() {
-  const std::lock_guard lock(this->mutex);
-  if (--this->calls == 0) this->changed.notify_all();
-}
-
 template <typename Request, typename Reply, typename Handler>
 void JobLink::State::Make(const std::string& address,
                           std::chrono::microseconds timeout, Request request,
                           Method<Request, Reply> method, Handler done) {
-  const auto channel = this->Use(address);
-  if (!channel) {
+  auto call = std::make_shared<Call<Request, Reply>>();
+  call->channel = this->Use(address);
+  call->request = std::move(request);
+  peer_detail::SetTimeout(std::chrono::ceil<std::chrono::milliseconds>(timeout),
+                          &call->context);
+  auto* const begun = call.get();
+  // The call may end, and be freed, before this function returns.
+  const std::shared_ptr<Channel> channel = call->channel;
+  if (!this->registry->Add(&begun->context, std::move(call))) {
     this->executor->Post([done = std::move(done)] {
       done(Result<Reply>(make_error_code(Error::kShuttingDown)));
     });
     return;
   }
-  auto call = std::make_shared<Call<Request, Reply>>();
-  call->request = std::move(request);
-  call->context.set_deadline(std::chrono::system_clock::now() + timeout);
-  const auto finish = [this, address, channel, call,
-                       done = std::move(done)](const grpc::Status& status) {
+  auto finish = [this, address, begun, registry = this->registry,
+                 done = std::move(done)](const grpc::Status& status) {
     const bool answered =
         status.ok() ||
         status.error_code() == grpc::StatusCode::FAILED_PRECONDITION;
     // Failure: a connection falls silent without a word. The next call makes
     // another one instead of meeting its silence again.
-    if (!answered) this->Drop(address, channel);
-    Result<Reply> result = make_error_code(Error::kPeerLost);
-    if (status.ok()) {
-      result = std::move(call->reply);
-    } else {
-      result = ErrorOf(status);
-    }
+    if (!answered) this->Drop(address, begun->channel);
+    Result<Reply> result = ErrorOf(status);
+    if (status.ok()) result = std::move(begun->reply);
     this->executor->Post([done, result = std::move(result)] { done(result); });
-    this->Leave();
+    registry->Retire(&begun->context);
   };
-  auto* stub = channel->stub->async();
-  (stub->*method)(&call->context, &call->request, &call->reply, finish);
+  (channel->stub->async()->*method)(&begun->context, &begun->request,
+                                    &begun->reply, std::move(finish));
 }
 
 JobLink::JobLink(jobs::Executor* executor)
@@ -170,10 +162,8 @@
     this->state->server->Wait();
     this->state->server.reset();
   }
-  std::unique_lock lock(this->state->mutex);
-  this->state->stopping = true;
-  // Each call ends by its deadline.
-  this->state->changed.wait(lock, [this] { return this->state->calls == 0; });
+  this->state->registry->Close(peer_detail::kFlushLimit);
+  const std::lock_guard lock(this->state->mutex);
   this->state->channels.clear();
 }
 
