--- a/apps/mustardctl/src/command_line.cc
+++ b/apps/mustardctl/src/command_line.cc
@@ -40,6 +40,10 @@
     CommandForm{Command::kStatus, "status", "", 0, 0, " json entry ", true},
     CommandForm{Command::kTimeline, "timeline", "", 0, 0,
                 " json entry request worker since ", true},
+    CommandForm{Command::kJobSubmit, "job", "submit", 3, 3, " entry ", true},
+    CommandForm{Command::kJobState, "job", "state", 2, 2, " entry ", true},
+    CommandForm{Command::kJobCancel, "job", "cancel", 2, 2, " entry ", true},
+    CommandForm{Command::kJobPending, "job", "pending", 1, 1, " entry ", true},
 };
 
 /// Ends where the exit codes begin.
@@ -55,13 +59,18 @@
   mustardctl (--platform URL | --entry URL...) status [--json]
   mustardctl (--platform URL | --entry URL...) timeline [--request ID]
              [--worker ID] [--since SECONDS] [--json]
+  mustardctl --entry URL job submit QUEUE ID FILE
+  mustardctl --entry URL job state QUEUE ID
+  mustardctl --entry URL job cancel QUEUE ID
+  mustardctl --entry URL job pending QUEUE
   mustardctl --version | --help
 
 Options:
   --platform URL     key-value service of the platform, http://ip:port
   --entry URL        operator address of an entry process, http://ip:port; may
                      be repeated. status and timeline then ask only these and
-                     need no platform; apply waits for these too.
+                     need no platform; apply waits for these too. job asks the
+                     first one, any process of the cell.
   --json             print JSON
   --dry-run          show the difference and stop
   --base VERSION     refuse unless this version is in force
@@ -204,6 +213,9 @@
       this->line.entries.push_back(*address);
     }
   }
+  if (this->form->group == "job" && this->line.entries.empty()) {
+    return this->Fail("--entry is missing");
+  }
   const bool suffices =
       this->form->entries_suffice && !this->line.entries.empty();
   if (this->line.platform.empty() && !suffices) {
@@ -252,6 +264,12 @@
     this->line.worker = WorkerId(this->parsed["worker"].as<std::string>());
   }
   if (this->words.empty()) return;
+  if (this->form->group == "job") {
+    this->line.queue = this->words[0];
+    if (this->words.size() > 1) this->line.job = this->words[1];
+    if (this->words.size() > 2) this->line.file = this->words[2];
+    return;
+  }
   if (this->line.command == Command::kProfileApply) {
     this->line.file = this->words.front();
   } else {
--- a/apps/mustardctl/src/command_line.h
+++ b/apps/mustardctl/src/command_line.h
@@ -22,6 +22,10 @@
   kProfileHistory,
   kStatus,
   kTimeline,
+  kJobSubmit,
+  kJobState,
+  kJobCancel,
+  kJobPending,
 };
 
 /// What the operator asked for.
@@ -31,7 +35,7 @@
   std::string platform;
   /// `ip:port` of entry processes' operator listeners.
   std::vector<std::string> entries;
-  /// File to apply.
+  /// File to apply, or to hand in as a job.
   std::string file;
   /// Profile to show; empty for the whole document.
   ProfileId profile;
@@ -43,6 +47,9 @@
   Duration timeout = std::chrono::seconds(9);
   /// Past versions to show.
   std::size_t last = 20;
+  /// Queue and job of the `job` commands.
+  std::string queue;
+  std::string job;
   RequestId request;
   WorkerId worker;
   /// Events of this long before the newest one; nothing means all.
--- a/apps/mustardctl/src/exit_code.h
+++ b/apps/mustardctl/src/exit_code.h
@@ -22,6 +22,8 @@
   kPlatformUnavailable = 5,
   /// Some entry processes could not be reached; the output lacks theirs.
   kEntryUnreachable = 6,
+  /// It can't be told whether a job was stored; the same id may be tried again.
+  kUnknownOutcome = 7,
 };
 
 /// An exit code and what it tells the operator.
@@ -44,6 +46,8 @@
                     "the platform does not answer"},
     ExitCodeMeaning{ExitCode::kEntryUnreachable,
                     "some entry processes were not reached"},
+    ExitCodeMeaning{ExitCode::kUnknownOutcome,
+                    "not known whether the job was stored"},
 };
 
 }  // namespace mustardproxy::ctl
--- a/apps/mustardctl/src/http_get.cc
+++ b/apps/mustardctl/src/http_get.cc
@@ -11,6 +11,7 @@
 #include <array>
 #include <istream>
 #include <system_error>
+#include <utility>
 
 #include "mustardproxy/core/error.h"
 #include "mustardproxy/telemetry/clock.h"
@@ -39,35 +40,36 @@
   return body;
 }
 
-Result<std::string> Get(const std::string& address, const std::string& path,
-                        Duration timeout) {
+Result<HttpText> Call(const std::string& address, const HttpQuery& query,
+                      Duration timeout) {
   const Instant deadline = SteadyNow() + timeout;
   Poco::Net::HTTPClientSession session{Poco::Net::SocketAddress(address)};
   const Poco::Timespan limit(Poco::Timespan::TimeDiff{timeout.count()});
   session.setTimeout(limit, limit, limit);
-  Poco::Net::HTTPRequest request(Poco::Net::HTTPRequest::HTTP_GET, path,
+  Poco::Net::HTTPRequest request(query.method, query.path,
                                  Poco::Net::HTTPMessage::HTTP_1_1);
-  session.sendRequest(request);
+  if (!query.body.empty()) {
+    request.setContentType("application/json");
+    request.setContentLength64(static_cast<Poco::Int64>(query.body.size()));
+  }
+  session.sendRequest(request) << query.body;
   Poco::Net::HTTPResponse response;
   std::istream& in = session.receiveResponse(response);
   Result<std::string> body = ReadBody(in, deadline);
-  if (!body) return body;
-  if (response.getStatus() != Poco::Net::HTTPResponse::HTTP_OK) {
-    return Error::kMalformedReply;
-  }
+  if (!body) return body.error();
   const bool cut = response.hasContentLength() &&
                    response.getContentLength64() !=
                        static_cast<Poco::Int64>(body.value().size());
   if (cut) return Error::kMalformedReply;
-  return body;
+  return HttpText{response.getStatus(), std::move(body.value())};
 }
 
 }  // namespace
 
-Result<std::string> HttpGet(const std::string& address, const std::string& path,
-                            Duration timeout) {
+Result<HttpText> HttpCall(const std::string& address, const HttpQuery& query,
+                          Duration timeout) {
   try {
-    return Get(address, path, timeout);
+    return Call(address, query, timeout);
   } catch (const Poco::TimeoutException&) {
     return TimedOut();
   } catch (const Poco::Net::ConnectionRefusedException&) {
@@ -79,4 +81,15 @@
   }
 }
 
+Result<std::string> HttpGet(const std::string& address, const std::string& path,
+                            Duration timeout) {
+  Result<HttpText> answer =
+      HttpCall(address, {Poco::Net::HTTPRequest::HTTP_GET, path, ""}, timeout);
+  if (!answer) return answer.error();
+  if (answer.value().status != Poco::Net::HTTPResponse::HTTP_OK) {
+    return Error::kMalformedReply;
+  }
+  return std::move(answer.value().body);
+}
+
 }  // namespace mustardproxy::ctl
--- a/apps/mustardctl/src/run.cc
+++ b/apps/mustardctl/src/run.cc
@@ -7,6 +7,7 @@
 #include "apply.h"
 #include "command_line.h"
 #include "entries.h"
+#include "jobs.h"
 #include "key_value_store.h"
 #include "profiles.h"
 #include "reports.h"
@@ -47,6 +48,11 @@
       return ExitCode::kOk;
     case Command::kStatus:
       return ReportOnEntries(line, console, ShowStatus);
+    case Command::kJobSubmit:
+    case Command::kJobState:
+    case Command::kJobCancel:
+    case Command::kJobPending:
+      return CallJobs(line, console);
     case Command::kTimeline:
       return ReportOnEntries(line, console, ShowTimeline);
     case Command::kProfileList:
--- a/packages/jobs/src/job_table.cc
+++ b/packages/jobs/src/job_table.cc
@@ -163,6 +163,7 @@
   }
   StepEntry* step = this->FindStepEntry(run.task.step);
   const Step* spec = this->FindStep(run.task.step);
+  if (end == RunEnd::kFailed) task->failed_at = task->worker;
   CloseRun(step, task);
   if (!checkpoint.empty()) this->NoteCheckpoint(run, checkpoint);
   EndEffect effect;
--- a/packages/jobs/src/job_table.h
+++ b/packages/jobs/src/job_table.h
@@ -30,6 +30,8 @@
   RunNumber counted_run = 0;
   /// Where the open run is.
   WorkerId worker;
+  /// Where it failed last; another worker is tried first.
+  WorkerId failed_at;
   /// Where the next run resumes.
   std::string checkpoint;
   /// No new run before.
--- a/packages/settings/tests/pages_test.cc
+++ b/packages/settings/tests/pages_test.cc
@@ -32,6 +32,12 @@
   BOOST_TEST(Block("settings") == FormatFieldTable(fields));
 }
 
+BOOST_AUTO_TEST_CASE(the_settings_page_holds_the_cells_fields) {
+  const auto fields = CellSettingsFields();
+  BOOST_TEST(fields.size() >= 10U);
+  BOOST_TEST(Block("cell") == FormatFieldTable(fields));
+}
+
 BOOST_AUTO_TEST_CASE(the_settings_page_holds_the_configuration_document) {
   const auto fields = ConfigurationFields();
   BOOST_TEST(fields.size() > 25U);
