--- a/packages/jobs/src/dispatcher.cc
+++ b/packages/jobs/src/dispatcher.cc
@@ -65,6 +65,24 @@
       factor * static_cast<double>(duration.count())));
 }
 
+/// Moves workers on which one of the tasks failed last to the end.
+/// @return how many candidates come before them
+std::size_t PutFailedLast(const Unit& unit,
+                          std::vector<Candidate>* candidates) {
+  const auto failed_there = [&](const Candidate& candidate) {
+    const WorkerId& worker = candidate.room->session->info.id;
+    return std::any_of(
+        unit.tasks.begin(), unit.tasks.end(), [&](std::int32_t index) {
+          return unit.progress->tasks[static_cast<std::size_t>(index)]
+                     .failed_at == worker;
+        });
+  };
+  const auto first_failed = std::stable_partition(
+      candidates->begin(), candidates->end(),
+      [&](const Candidate& candidate) { return !failed_there(candidate); });
+  return static_cast<std::size_t>(first_failed - candidates->begin());
+}
+
 std::int32_t CountSiblings(const StepEntry& progress, const WorkerId& worker) {
   return static_cast<std::int32_t>(std::count_if(
       progress.tasks.begin(), progress.tasks.end(), [&](const TaskEntry& task) {
@@ -232,8 +250,13 @@
                            now + kTicketMargin) == nullptr;
     });
   }
-  const std::vector<WorkerId> workers = PlaceTasks(
-      *unit->step, static_cast<std::int32_t>(unit->tasks.size()), candidates);
+  // Failure: a worker fails part of what it runs, and the task that failed
+  // there goes back to it until its attempts are used up.
+  const std::size_t others = PutFailedLast(*unit, &candidates);
+  const auto count = static_cast<std::int32_t>(unit->tasks.size());
+  std::vector<WorkerId> workers =
+      PlaceTasks(*unit->step, count, std::span(candidates).first(others));
+  if (workers.empty()) workers = PlaceTasks(*unit->step, count, candidates);
   if (workers.empty()) return;
   this->Start(unit, workers);
 }
--- a/packages/jobs/tests/cell_basic_test.cc
+++ b/packages/jobs/tests/cell_basic_test.cc
@@ -171,6 +171,17 @@
   CheckKept(cell.get());
 }
 
+// A worker fails what it runs. A task that failed there is tried elsewhere, so
+// that its two attempts are not both lost on that worker.
+BOOST_AUTO_TEST_CASE(a_task_that_failed_is_tried_on_another_worker) {
+  const auto cell = SimCell::Builder().Workers(2).MaxAttempts(2).Build();
+  cell->Workers().Find("w0")->fails_all = true;
+  SimJob* job = cell->Submit(MakeSpec({MakeStep(1, 16'000, seconds(1))}));
+  BOOST_TEST(cell->AwaitFinal(job->job.id, seconds(5)));
+  BOOST_TEST((cell->Ask(job->job.id) == JobState::kCompleted));
+  BOOST_TEST(cell->Judge().Runs() == 2);
+}
+
 BOOST_AUTO_TEST_CASE(pending_counts_jobs_that_have_started_nothing) {
   const auto cell = SimCell::Builder().Workers(1).Build();
   cell->Submit(MakeSpec({MakeStep(1, 16'000, seconds(5))}));
