--- a/packages/telemetry/include/mustardproxy/telemetry/event_log.h
+++ b/packages/telemetry/include/mustardproxy/telemetry/event_log.h
@@ -17,7 +17,7 @@
   template <std::convertible_to<std::string_view> Text>
   LogField(std::string_view key, const Text& text)
       : key(key) {  // NOLINT(google-readability-casting)
-    this->value = std::string_view(text);
+    this->value.emplace<std::string_view>(text);
   }
   template <std::integral Number>
   LogField(std::string_view key, Number value)
