--- a/packages/gateway/src/job_surface.cc
+++ b/packages/gateway/src/job_surface.cc
@@ -13,7 +13,6 @@
 namespace {
 
 using gateway_detail::kDefaultRetryAfter;
-using gateway_detail::Problem;
 using gateway_detail::ProblemAnswer;
 using jobs::SubmitEnd;
 
--- a/packages/jobs/src/hold_loop.cc
+++ b/packages/jobs/src/hold_loop.cc
@@ -98,22 +98,11 @@
 
 void HoldLoop::OnHold(const WorkerId& worker, ClockReading sent,
                       std::int64_t told_end, const HoldResult& result) {
-  WorkerSession* session = Find(this->context->workers, worker);
+  WorkerSession* known = Find(this->context->workers, worker);
+  if (known != nullptr) known->hold_in_flight = false;
+  WorkerSession* session =
+      this->context->runs->NoteAnswer(worker, sent, result.order);
   if (session == nullptr) return;
-  session->hold_in_flight = false;
-  if (result.order.clock_ms != 0) {
-    sent.clock_ms = result.order.clock_ms;
-    sent.answered = this->context->executor->Now();
-    session->NoteClock(sent);
-  }
-  if (result.order.end == OrderEnd::kFenced) {
-    this->context->step_down("a worker obeys a newer owner");
-    return;
-  }
-  if (result.order.end == OrderEnd::kOtherLife) {
-    this->context->runs->LoseAll(session, LossCause::kOtherLife);
-    return;
-  }
   if (result.order.end != OrderEnd::kDone) {
     this->OnSilence(session, result.order.end);
     return;
--- a/packages/jobs/src/run_control.cc
+++ b/packages/jobs/src/run_control.cc
@@ -141,27 +141,30 @@
           }));
 }
 
-void RunControl::NoteAnswer(WorkerSession* session, ClockReading sent,
-                            const OrderResult& result) {
-  if (result.clock_ms == 0) return;
-  sent.clock_ms = result.clock_ms;
-  sent.answered = this->context->executor->Now();
-  session->NoteClock(sent);
-}
-
-void RunControl::OnStart(const WorkerId& worker, const RunRef& run, bool first,
-                         ClockReading sent, const OrderResult& result) {
+WorkerSession* RunControl::NoteAnswer(const WorkerId& worker, ClockReading sent,
+                                      const OrderResult& result) {
   WorkerSession* session = Find(this->context->workers, worker);
-  if (session == nullptr) return;
-  this->NoteAnswer(session, sent, result);
+  if (session == nullptr) return nullptr;
+  if (result.clock_ms != 0) {
+    sent.clock_ms = result.clock_ms;
+    sent.answered = this->context->executor->Now();
+    session->NoteClock(sent);
+  }
   if (result.end == OrderEnd::kFenced) {
     this->context->step_down("a worker obeys a newer owner");
-    return;
+    return nullptr;
   }
   if (result.end == OrderEnd::kOtherLife) {
     this->LoseAll(session, LossCause::kOtherLife);
-    return;
+    return nullptr;
   }
+  return session;
+}
+
+void RunControl::OnStart(const WorkerId& worker, const RunRef& run, bool first,
+                         ClockReading sent, const OrderResult& result) {
+  WorkerSession* session = this->NoteAnswer(worker, sent, result);
+  if (session == nullptr) return;
   SessionRun* record = session->FindRun(run);
   if (record == nullptr) return;
   record->order_in_flight = false;
@@ -275,17 +278,8 @@
 
 void RunControl::OnStop(const WorkerId& worker, const RunRef& run,
                         ClockReading sent, const OrderResult& result) {
-  WorkerSession* session = Find(this->context->workers, worker);
+  WorkerSession* session = this->NoteAnswer(worker, sent, result);
   if (session == nullptr) return;
-  this->NoteAnswer(session, sent, result);
-  if (result.end == OrderEnd::kFenced) {
-    this->context->step_down("a worker obeys a newer owner");
-    return;
-  }
-  if (result.end == OrderEnd::kOtherLife) {
-    this->LoseAll(session, LossCause::kOtherLife);
-    return;
-  }
   SessionRun* record = session->FindRun(run);
   if (record == nullptr) return;
   if (result.end == OrderEnd::kDone || result.end == OrderEnd::kOldRun) {
--- a/packages/jobs/src/run_control.h
+++ b/packages/jobs/src/run_control.h
@@ -47,6 +47,10 @@
            std::string_view checkpoint, std::function<void()> durable);
   /// All that ran there has ended for certain.
   void LoseAll(WorkerSession* session, LossCause cause);
+  /// Takes note of what any answer of a worker tells.
+  /// @return its session, or null if it tells that the order was for nothing
+  WorkerSession* NoteAnswer(const WorkerId& worker, ClockReading sent,
+                            const OrderResult& result);
   /// The job became final or was changed otherwise; stores that.
   void StoreFinal(JobEntry* entry);
 
@@ -60,8 +64,6 @@
   void OnStop(const WorkerId& worker, const RunRef& run, ClockReading sent,
               const OrderResult& result);
   void StopGang(const RunRef& member);
-  void NoteAnswer(WorkerSession* session, ClockReading sent,
-                  const OrderResult& result);
   void NoteOutcome(const WorkerSession& session, const SessionRun& record,
                    const RunRef& run, RunEnd end);
   void Later(Duration delay, std::function<void()> task);
