--- a/packages/jobs/src/record_codec.cc
+++ b/packages/jobs/src/record_codec.cc
@@ -92,7 +92,8 @@
   std::string bits((step.tasks.size() + CHAR_BIT - 1) / CHAR_BIT, '\0');
   for (std::size_t i = 0; i < step.tasks.size(); ++i) {
     if (!step.tasks[i].done) continue;
-    bits[i / CHAR_BIT] |= static_cast<char>(1U << (i % CHAR_BIT));
+    const unsigned before = static_cast<unsigned char>(bits[i / CHAR_BIT]);
+    bits[i / CHAR_BIT] = static_cast<char>(before | (1U << (i % CHAR_BIT)));
   }
   return bits;
 }
