--- a/testing/job_sim/src/sim_cell.cc
+++ b/testing/job_sim/src/sim_cell.cc
@@ -23,6 +23,7 @@
 constexpr Duration kPeerTimeout = milliseconds(400);
 constexpr Duration kCallerTimeout = seconds(3);
 constexpr int kMostTries = 60;
+constexpr Duration kLeastWait = milliseconds(200);
 constexpr std::string_view kDesiredKey = "desired";
 constexpr std::string_view kWorkerPrefix = "workers/";
 
@@ -136,7 +137,7 @@
 
  private:
   void Reach(const std::string& address,
-             std::function<void(jobs::JobNode*)> task);
+             const std::function<void(jobs::JobNode*)>& task);
   template <typename T>
   std::function<void(Result<T>)> Once(Done<T> done,
                                       Duration limit = kPeerTimeout) {
@@ -239,7 +240,7 @@
 };
 
 void SimCell::Peers::Reach(const std::string& address,
-                           std::function<void(jobs::JobNode*)> task) {
+                           const std::function<void(jobs::JobNode*)>& task) {
   if (this->self->peers_cut) return;
   this->cell->time.After(kPeerLatency, [this, address, task] {
     for (const auto& slot : this->cell->slots) {
@@ -375,7 +376,7 @@
   });
   Slot* slot = this->slots[index].get();
   if (slot == nullptr) return;
-  slot->process.Post([this, slot, entry, id, index, tries] {
+  slot->process.Post([slot, entry, id] {
     slot->node->Submit(entry->job.queue, id, entry->job.spec, kCallerTimeout,
                        [entry](const jobs::SubmitResult& result) {
                          if (result.end == jobs::SubmitEnd::kAccepted) {
@@ -441,8 +442,8 @@
   const Instant end = this->time.Now() + limit;
   for (const auto& [id, entry] : this->promises.Jobs()) {
     if (!entry.accepted) continue;
-    const Duration left =
-        std::max(Duration(end - this->time.Now()), Duration(milliseconds(200)));
+    const Duration remaining = end - this->time.Now();
+    const Duration left = std::max<Duration>(remaining, kLeastWait);
     if (this->AwaitFinal(id, left)) continue;
     this->promises.OnUnfinished(
         id, this->Ask(id).value_or(jobs::JobState::kQueued));
