Unreadable records, ungranted leases and unread progress are told of

Cause: reading the sources for errors that are swallowed: three of them left no line, so a process that never got ready, or served without a peer, showed no reason. Tests: cell_takeover/a_lease_that_is_not_granted_is_told_of_once and a_record_that_cannot_be_read_is_told_of, both red before.

--- a/packages/jobs/src/cell_member.cc
+++ b/packages/jobs/src/cell_member.cc
@@ -62,6 +62,11 @@
 void CellMember::OnLease(Instant asked, const Result<StoreLease>& granted) {
   if (this->leaving) return;
   if (!granted) {
+    // Tried many times a second while the store is away: told of once.
+    if (!std::exchange(this->grant_failing, true)) {
+      this->log->Write("cell", "lease-not-granted",
+                       {{"reason", granted.error().message()}});
+    }
     this->executor->After(kStoreRetry,
                           this->guard.Wrap([this] { this->Acquire(); }));
     return;
@@ -69,6 +74,7 @@
   this->lease = granted.value().id;
   this->renewed_at = asked;
   this->refused = false;
+  this->grant_failing = false;
   this->log->Write("cell", "lease-granted", {{"lease", this->lease}});
   this->Register();
   this->RenewLater();
@@ -154,6 +160,8 @@
       this->log->Write(
           "cell", "process-joined",
           {{"process", name.Text()}, {"address", node->peer_address}});
+    } else {
+      this->LogBroken(event);
     }
   } else if (key == keys::Owner()) {
     this->OnOwnerKey(event);
@@ -171,7 +179,10 @@
     return;
   }
   const auto node = DecodeNode(event.item.value);
-  if (!node) return;
+  if (!node) {
+    this->LogBroken(event);
+    return;
+  }
   this->owner = Ownership{*node, event.item.revision};
   this->log->Write(
       "cell", "owner-changed",
@@ -186,6 +197,12 @@
   }
 }
 
+void CellMember::LogBroken(const StoreEvent& event) {
+  this->log->Write(
+      "cell", "record-broken",
+      {{"key", event.item.key}, {"revision", event.item.revision}});
+}
+
 Duration CellMember::ElectionDelay() const {
   std::size_t before = 0;
   for (const auto& [name, node] : this->nodes) {
--- a/packages/jobs/src/cell_member.h
+++ b/packages/jobs/src/cell_member.h
@@ -75,6 +75,7 @@
   void LoseLease(std::string_view reason);
   void OnCell(const StoreEvent& event);
   void OnOwnerKey(const StoreEvent& event);
+  void LogBroken(const StoreEvent& event);
   /// @return true if the owner's process has been started anew, so that its
   ///   former run, which owns the key, is over for certain
   [[nodiscard]] bool OwnerRestarted() const;
@@ -102,6 +103,8 @@
   bool standing = false;
   /// The last renewal was refused.
   bool refused = false;
+  /// The store has not granted a lease since this process has none.
+  bool grant_failing = false;
   bool leaving = false;
   Guard guard;
 };
--- a/packages/jobs/src/group_owner.cc
+++ b/packages/jobs/src/group_owner.cc
@@ -209,10 +209,15 @@
 
 void GroupOwner::OnProgressPage(const Result<StorePage>& page) {
   if (!page) {
+    if (!std::exchange(this->load_failing, true)) {
+      this->parts.log->Write("owner", "progress-not-read",
+                             {{"reason", page.error().message()}});
+    }
     this->parts.executor->After(
         kStoreRetry, this->guard.Wrap([this] { this->LoadProgress(""); }));
     return;
   }
+  this->load_failing = false;
   for (const StoreItem& item : page.value().items) {
     this->ApplyProgressItem(item);
   }
--- a/packages/jobs/src/group_owner.h
+++ b/packages/jobs/src/group_owner.h
@@ -81,6 +81,8 @@
   bool intake_listed = false;
   bool workers_listed = false;
   bool loaded = false;
+  /// The last attempt to read the progress failed, and has been told of.
+  bool load_failing = false;
   /// Cancellations that were read before their jobs.
   std::set<JobId> cancelled_early;
   std::unique_ptr<ProgressWriter> writer;
--- a/packages/jobs/tests/cell_takeover_test.cc
+++ b/packages/jobs/tests/cell_takeover_test.cc
@@ -259,6 +259,33 @@
   BOOST_TEST(cell->Judge().Runs() == 0);
 }
 
+// A process starts while the store refuses everybody, and asks for a lease ten
+// times a second. The log would be full of it, or, with no line at all, nobody
+// would see why the process is not ready.
+BOOST_AUTO_TEST_CASE(a_lease_that_is_not_granted_is_told_of_once) {
+  const auto cell = SimCell::Builder().Processes(3).Build();
+  cell->KillProcess(2);
+  cell->Store().refusing = true;
+  cell->StartProcess(2);
+  cell->Time().RunFor(seconds(2));
+  BOOST_TEST(cell->Log().Count("lease-not-granted") == 1);
+  BOOST_TEST(!cell->NodeAt(2)->Ready());
+  cell->Store().refusing = false;
+  cell->Time().RunFor(seconds(2));
+  BOOST_TEST(cell->NodeAt(2)->Ready());
+}
+
+// A process of another version registers with a record that this one can't
+// read. Every process says so and serves on with those that it understands.
+BOOST_AUTO_TEST_CASE(a_record_that_cannot_be_read_is_told_of) {
+  const auto cell = SimCell::Builder().Processes(3).Build();
+  cell->Store().Put("mustardproxy/cell/node/later", "\x07");
+  cell->Time().RunFor(seconds(1));
+  BOOST_TEST(cell->Log().Count("record-broken") == 3);
+  SimJob* job = cell->Submit(MakeSpec({MakeStep(2, 1000, seconds(1))}));
+  BOOST_TEST(cell->AwaitFinal(job->job.id, seconds(10)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace mustardproxy::jobs
