Nothing unused is left in the jobs' parts

Found on reading the change again: a flag that was set and never read, a method and a timeout that nothing used, switches of the virtual cell that no test turns, a call of the old connection that nobody makes, and a comment that named former values of two leases.

--- a/packages/http/include/mustardproxy/http/client_connection.h
+++ b/packages/http/include/mustardproxy/http/client_connection.h
@@ -66,8 +66,6 @@
 
   /// @return true if the last exchange ended so that another may follow
   [[nodiscard]] bool Reusable() const { return this->reusable; }
-  /// Ends the use of the connection after this exchange.
-  void Condemn() { this->reusable = false; }
   /// @return true if a request was sent on it
   [[nodiscard]] bool Exchanged() const { return this->exchanged; }
   [[nodiscard]] const std::string& Address() const { return this->address; }
--- a/packages/jobs/src/advice_desk.cc
+++ b/packages/jobs/src/advice_desk.cc
@@ -73,13 +73,6 @@
   }
 }
 
-void AdviceDesk::Forget(const StepRef& step) {
-  this->steps.erase(step);
-  std::erase_if(this->queue, [&](const Waiting& waiting) {
-    return waiting.need.step == step;
-  });
-}
-
 void AdviceDesk::ForgetJob(const JobId& job) {
   std::erase_if(this->steps,
                 [&](const auto& entry) { return entry.first.job == job; });
--- a/packages/jobs/src/advice_desk.h
+++ b/packages/jobs/src/advice_desk.h
@@ -80,7 +80,6 @@
   [[nodiscard]] double PermittedShare(const QueueName& queue) const;
   /// A worker has refused this permission.
   void DropTicket(const StepRef& step, const WorkerId& worker);
-  void Forget(const StepRef& step);
   void ForgetJob(const JobId& job);
 
  private:
--- a/packages/jobs/src/group_owner.cc
+++ b/packages/jobs/src/group_owner.cc
@@ -67,10 +67,7 @@
       PrefixMirror::Options{std::string(keys::kIntake), kIntakeWatchPause},
       PrefixMirror::Handlers{
           [this](const StoreEvent& event) { this->OnIntake(event); },
-          [this] {
-            this->intake_listed = true;
-            this->LoadProgress("");
-          }});
+          [this] { this->LoadProgress(""); }});
   this->workers = std::make_unique<PrefixMirror>(
       shared.executor, shared.store, shared.log,
       PrefixMirror::Options{std::string(this->parts.schema->WorkerPrefix()),
--- a/packages/jobs/src/group_owner.h
+++ b/packages/jobs/src/group_owner.h
@@ -78,7 +78,6 @@
   OwnerContext context;
   /// When the token was drawn.
   Instant elected_at;
-  bool intake_listed = false;
   bool workers_listed = false;
   bool loaded = false;
   /// The last attempt to read the progress failed, and has been told of.
--- a/packages/jobs/src/options.h
+++ b/packages/jobs/src/options.h
@@ -21,8 +21,8 @@
 inline constexpr Duration kStoreSilent = milliseconds(900);
 
 /// Lease that each order gives all that runs on a worker. Long enough that a
-/// dead owner's work lives until the next one renews (store lease 1.5 s, a
-/// hold's wait 1 s, taking over under a second), short enough that the work of
+/// dead owner's work lives until the next one renews (store lease 1 s, a hold's
+/// wait 0.6 s, taking over under a second), short enough that the work of
 /// a dead worker starts again soon. Measured on days with crashing workers:
 /// see docs/MACHINES.md.
 inline constexpr Duration kWorkerLease = milliseconds(4500);
@@ -89,9 +89,6 @@
 /// Pause before a task that failed is started again.
 inline constexpr Duration kRetryPause = milliseconds(20);
 
-/// Timeout of a question to the owner about a job; the store is asked then.
-inline constexpr Duration kPeerTimeout = milliseconds(400);
-
 }  // namespace mustardproxy::jobs
 
 #endif  // MUSTARDPROXY_JOBS_OPTIONS_H_
--- a/testing/job_sim/include/job_sim/process.h
+++ b/testing/job_sim/include/job_sim/process.h
@@ -33,8 +33,6 @@
   [[nodiscard]] bool Alive() const { return !this->killed; }
   [[nodiscard]] bool Running() const { return !this->killed && !this->paused; }
   [[nodiscard]] const std::string& Name() const { return this->name; }
-  /// The time of day is off by this.
-  void StepClock(std::int64_t ms) { this->clock_error_ms = ms; }
   /// Cut off from the store, from workers, from other processes.
   bool store_cut = false;
   bool workers_cut = false;
@@ -47,7 +45,6 @@
   std::string name;
   bool paused = false;
   bool killed = false;
-  std::int64_t clock_error_ms = 0;
   std::deque<std::function<void()>> held;
   mustardproxy::jobs::TimerId next_timer = 1;
   std::unordered_set<mustardproxy::jobs::TimerId> cancelled;
--- a/testing/job_sim/include/job_sim/sim_cell.h
+++ b/testing/job_sim/include/job_sim/sim_cell.h
@@ -60,7 +60,6 @@
   mustardproxy::jobs::JobNode* NodeAt(std::size_t index);
   /// @return the process that decides, if one does
   std::optional<std::size_t> OwnerIndex();
-  [[nodiscard]] std::size_t ProcessCount() const { return this->slots.size(); }
 
   /// Adds a worker and its entry in the store.
   SimWorker* AddWorker();
--- a/testing/job_sim/src/process.cc
+++ b/testing/job_sim/src/process.cc
@@ -15,7 +15,7 @@
 
 std::int64_t Process::UnixMs() const {
   const auto since = this->time->Now().time_since_epoch();
-  return kEpochMs + this->clock_error_ms +
+  return kEpochMs +
          std::chrono::duration_cast<std::chrono::milliseconds>(since).count();
 }
 
