Orders: when they were asked, and one question before each

A clock reading with two made-up fields was carried through every order only for the moment at which it was sent; that moment is carried now, and the reading is made where the answer gives it. The check that an owner may still act stood three times with its reason: it is OwnerContext::MayAct.

--- a/packages/jobs/src/hold_loop.cc
+++ b/packages/jobs/src/hold_loop.cc
@@ -57,22 +57,18 @@
 
 void HoldLoop::Pump(WorkerSession* session) {
   if (!this->Due(*session)) return;
-  if (!this->context->authorized()) {
-    this->context->step_down("the store is silent for too long");
-    return;
-  }
+  if (!this->context->MayAct()) return;
   const Instant now = this->context->executor->Now();
   HoldOrder order = this->MakeOrder(*session, now);
   session->NoteLeaseSent(order.lease_until_ms);
   session->hold_in_flight = true;
   session->hold_sent = now;
   const std::int64_t told_end = order.last_noted_end;
-  const ClockReading sent{.clock_ms = 0, .asked = now, .answered = now};
   this->context->driver->Hold(
       session->Target(), order,
-      this->guard.Wrap([this, worker = session->info.id, sent,
+      this->guard.Wrap([this, worker = session->info.id, now,
                         told_end](const HoldResult& result) {
-        this->OnHold(worker, sent, told_end, result);
+        this->OnHold(worker, now, told_end, result);
       }));
 }
 
@@ -96,19 +92,19 @@
   }
 }
 
-void HoldLoop::OnHold(const WorkerId& worker, ClockReading sent,
+void HoldLoop::OnHold(const WorkerId& worker, Instant asked,
                       std::int64_t told_end, const HoldResult& result) {
   WorkerSession* known = Find(this->context->workers, worker);
   if (known != nullptr) known->hold_in_flight = false;
   WorkerSession* session =
-      this->context->runs->NoteAnswer(worker, sent, result.order);
+      this->context->runs->NoteAnswer(worker, asked, result.order);
   if (session == nullptr) return;
   if (result.order.end != OrderEnd::kDone) {
     this->OnSilence(session, result.order.end);
     return;
   }
   session->told_end = std::max(session->told_end, told_end);
-  this->OnAnswer(session, sent.asked, result);
+  this->OnAnswer(session, asked, result);
 }
 
 void HoldLoop::OnSilence(WorkerSession* session, OrderEnd end) {
@@ -123,7 +119,7 @@
       this->context->executor->Now() + kHoldRetry * session->silent_holds;
 }
 
-void HoldLoop::OnAnswer(WorkerSession* session, Instant sent,
+void HoldLoop::OnAnswer(WorkerSession* session, Instant asked,
                         const HoldResult& result) {
   const bool back = std::exchange(session->suspect, false);
   const bool first = !std::exchange(session->fenced, true);
@@ -138,7 +134,7 @@
     this->context->dispatcher->Kick();
   }
   this->ReadRunning(session, result);
-  this->DropUnlisted(session, sent, result);
+  this->DropUnlisted(session, asked, result);
   this->ReadEnded(session, result);
 }
 
@@ -176,7 +172,7 @@
   this->context->runs->Stop(session, listed.run);
 }
 
-void HoldLoop::DropUnlisted(WorkerSession* session, Instant sent,
+void HoldLoop::DropUnlisted(WorkerSession* session, Instant asked,
                             const HoldResult& result) {
   if (result.more_ended) return;
   std::set<RunRef> listed;
@@ -184,7 +180,7 @@
   for (const EndedRun& run : result.ended) listed.insert(run.run);
   std::vector<RunRef> gone;
   for (const auto& [run, record] : session->runs) {
-    const bool must_show = record.listed_from && *record.listed_from <= sent &&
+    const bool must_show = record.listed_from && *record.listed_from <= asked &&
                            !record.order_in_flight;
     if (must_show && !listed.contains(run)) gone.push_back(run);
   }
--- a/packages/jobs/src/hold_loop.h
+++ b/packages/jobs/src/hold_loop.h
@@ -25,13 +25,14 @@
  private:
   bool Due(const WorkerSession& session) const;
   HoldOrder MakeOrder(const WorkerSession& session, Instant now) const;
-  void OnHold(const WorkerId& worker, ClockReading sent, std::int64_t told_end,
+  void OnHold(const WorkerId& worker, Instant asked, std::int64_t told_end,
               const HoldResult& result);
-  void OnAnswer(WorkerSession* session, Instant sent, const HoldResult& result);
+  void OnAnswer(WorkerSession* session, Instant asked,
+                const HoldResult& result);
   void OnSilence(WorkerSession* session, OrderEnd end);
   void ReadRunning(WorkerSession* session, const HoldResult& result);
   void ReadEnded(WorkerSession* session, const HoldResult& result);
-  void DropUnlisted(WorkerSession* session, Instant sent,
+  void DropUnlisted(WorkerSession* session, Instant asked,
                     const HoldResult& result);
   void Adopt(WorkerSession* session, const RunningRun& listed);
   void OnStored(const WorkerId& worker);
--- a/packages/jobs/src/owner_context.h
+++ b/packages/jobs/src/owner_context.h
@@ -47,11 +47,18 @@
   Dispatcher* dispatcher = nullptr;
 
   /// @return false once the store has been silent for longer than an owner may
-  ///   act on; asked before each order
+  ///   act on
   std::function<bool()> authorized;
   /// Ends this ownership soon.
   std::function<void(std::string_view reason)> step_down;
 
+  /// Asked before each order to a worker.
+  /// @return false, and ends this ownership, if it may not act any more
+  [[nodiscard]] bool MayAct() const {
+    if (this->authorized()) return true;
+    this->step_down("the store is silent for too long");
+    return false;
+  }
   /// @return how the job's queue is treated now
   [[nodiscard]] const Queue& QueueOf(const JobEntry& entry) const {
     const Queue* queue = this->desired
--- a/packages/jobs/src/run_control.cc
+++ b/packages/jobs/src/run_control.cc
@@ -108,10 +108,7 @@
   SessionRun* record = session == nullptr ? nullptr : session->FindRun(run);
   if (record == nullptr || record->stopping) return;
   if (record->phase == RunPhase::kStarted) return;
-  if (!this->context->authorized()) {
-    this->context->step_down("the store is silent for too long");
-    return;
-  }
+  if (!this->context->MayAct()) return;
   const bool first = record->phase == RunPhase::kPlanned;
   StartOrder order;
   const bool draining = session->info.draining || !session->listed;
@@ -132,24 +129,20 @@
   record->phase = RunPhase::kOrdered;
   record->order_in_flight = true;
   record->listed_from.reset();
-  const ClockReading sent{.clock_ms = 0, .asked = now, .answered = now};
-  this->context->driver->Start(
-      session->Target(), std::move(order),
-      this->guard.Wrap(
-          [this, worker, run, first, sent](const OrderResult& result) {
-            this->OnStart(worker, run, first, sent, result);
-          }));
+  this->context->driver->Start(session->Target(), std::move(order),
+                               this->guard.Wrap([this, worker, run, first, now](
+                                                    const OrderResult& result) {
+                                 this->OnStart(worker, run, first, now, result);
+                               }));
 }
 
-WorkerSession* RunControl::NoteAnswer(const WorkerId& worker, ClockReading sent,
+WorkerSession* RunControl::NoteAnswer(const WorkerId& worker, Instant asked,
                                       const OrderResult& result) {
   WorkerSession* session = Find(this->context->workers, worker);
   if (session == nullptr) return nullptr;
-  if (result.clock_ms != 0) {
-    sent.clock_ms = result.clock_ms;
-    sent.answered = this->context->executor->Now();
-    session->NoteClock(sent);
-  }
+  session->NoteClock({.clock_ms = result.clock_ms,
+                      .asked = asked,
+                      .answered = this->context->executor->Now()});
   if (result.end == OrderEnd::kFenced) {
     this->context->step_down("a worker obeys a newer owner");
     return nullptr;
@@ -162,8 +155,8 @@
 }
 
 void RunControl::OnStart(const WorkerId& worker, const RunRef& run, bool first,
-                         ClockReading sent, const OrderResult& result) {
-  WorkerSession* session = this->NoteAnswer(worker, sent, result);
+                         Instant asked, const OrderResult& result) {
+  WorkerSession* session = this->NoteAnswer(worker, asked, result);
   if (session == nullptr) return;
   SessionRun* record = session->FindRun(run);
   if (record == nullptr) return;
@@ -263,22 +256,18 @@
   WorkerSession* session = Find(this->context->workers, worker);
   SessionRun* record = session == nullptr ? nullptr : session->FindRun(run);
   if (record == nullptr || record->stop_noted) return;
-  if (!this->context->authorized()) {
-    this->context->step_down("the store is silent for too long");
-    return;
-  }
+  if (!this->context->MayAct()) return;
   const Instant now = this->context->executor->Now();
-  const ClockReading sent{.clock_ms = 0, .asked = now, .answered = now};
   this->context->driver->Stop(
       session->Target(), StopOrder{run, this->context->token},
-      this->guard.Wrap([this, worker, run, sent](const OrderResult& result) {
-        this->OnStop(worker, run, sent, result);
+      this->guard.Wrap([this, worker, run, now](const OrderResult& result) {
+        this->OnStop(worker, run, now, result);
       }));
 }
 
 void RunControl::OnStop(const WorkerId& worker, const RunRef& run,
-                        ClockReading sent, const OrderResult& result) {
-  WorkerSession* session = this->NoteAnswer(worker, sent, result);
+                        Instant asked, const OrderResult& result) {
+  WorkerSession* session = this->NoteAnswer(worker, asked, result);
   if (session == nullptr) return;
   SessionRun* record = session->FindRun(run);
   if (record == nullptr) return;
--- a/packages/jobs/src/run_control.h
+++ b/packages/jobs/src/run_control.h
@@ -48,8 +48,9 @@
   /// All that ran there has ended for certain.
   void LoseAll(WorkerSession* session, LossCause cause);
   /// Takes note of what any answer of a worker tells.
+  /// @param asked when the order was sent
   /// @return its session, or null if it tells that the order was for nothing
-  WorkerSession* NoteAnswer(const WorkerId& worker, ClockReading sent,
+  WorkerSession* NoteAnswer(const WorkerId& worker, Instant asked,
                             const OrderResult& result);
   /// The job became final or was changed otherwise; stores that.
   void StoreFinal(JobEntry* entry);
@@ -58,10 +59,10 @@
   void SendStart(const WorkerId& worker, const RunRef& run);
   bool FillOrder(const WorkerId& worker, const RunRef& run, StartOrder* order);
   void OnStart(const WorkerId& worker, const RunRef& run, bool first,
-               ClockReading sent, const OrderResult& result);
+               Instant asked, const OrderResult& result);
   void NotStarted(WorkerSession* session, const RunRef& run, OrderEnd why);
   void SendStop(const WorkerId& worker, const RunRef& run);
-  void OnStop(const WorkerId& worker, const RunRef& run, ClockReading sent,
+  void OnStop(const WorkerId& worker, const RunRef& run, Instant asked,
               const OrderResult& result);
   void StopGang(const RunRef& member);
   void NoteOutcome(const WorkerSession& session, const SessionRun& record,
