An owner keeps its parts once, an entry of the intake is made at one place

The owner held the executor, store, log and metrics twice, in its parts and in the context that its own parts share; only the schema is left beside the context. Both ways into the intake filled an entry line by line, and two places chose between writing here and asking a peer.

--- a/packages/jobs/src/group_owner.cc
+++ b/packages/jobs/src/group_owner.cc
@@ -29,19 +29,19 @@
 
 }  // namespace
 
-GroupOwner::GroupOwner(Parts given, FencingToken token,
+GroupOwner::GroupOwner(const Parts& parts, FencingToken token,
                        std::shared_ptr<const DesiredState> desired)
-    : parts(std::move(given)), elected_at(this->parts.executor->Now()) {
+    : schema(parts.schema), elected_at(parts.executor->Now()) {
   OwnerContext& shared = this->context;
-  shared.executor = this->parts.executor;
-  shared.store = this->parts.store;
-  shared.driver = this->parts.driver;
-  shared.log = this->parts.log;
-  shared.metrics = this->parts.metrics;
+  shared.executor = parts.executor;
+  shared.store = parts.store;
+  shared.driver = parts.driver;
+  shared.log = parts.log;
+  shared.metrics = parts.metrics;
   shared.token = token;
   shared.desired = std::move(desired);
-  shared.authorized = this->parts.authorized;
-  shared.step_down = this->parts.step_down;
+  shared.authorized = parts.authorized;
+  shared.step_down = parts.step_down;
 
   this->writer = std::make_unique<ProgressWriter>(
       shared.executor, shared.store, shared.log, &shared.jobs, token,
@@ -50,8 +50,8 @@
   this->runs = std::make_unique<RunControl>(&shared);
   this->holds = std::make_unique<HoldLoop>(&shared);
   this->advice = std::make_unique<AdviceDesk>(
-      AdviceDesk::Parts{shared.executor, this->parts.adviser, this->parts.peers,
-                        shared.log, shared.metrics},
+      AdviceDesk::Parts{shared.executor, parts.adviser, parts.peers, shared.log,
+                        shared.metrics},
       [this](const StepRef& step) {
         return this->dispatcher->ChooseForAdvice(step);
       },
@@ -70,7 +70,7 @@
           [this] { this->LoadProgress(""); }});
   this->workers = std::make_unique<PrefixMirror>(
       shared.executor, shared.store, shared.log,
-      PrefixMirror::Options{std::string(this->parts.schema->WorkerPrefix()),
+      PrefixMirror::Options{std::string(this->schema->WorkerPrefix()),
                             kWorkerWatchPause},
       PrefixMirror::Handlers{
           [this](const StoreEvent& event) { this->OnWorker(event); },
@@ -81,8 +81,8 @@
 }
 
 void GroupOwner::Start() {
-  this->parts.log->Write("owner", "taking-over",
-                         {{"token", this->context.token}});
+  this->context.log->Write("owner", "taking-over",
+                           {{"token", this->context.token}});
   this->intake->Start();
   this->workers->Start();
   this->Tick();
@@ -111,13 +111,13 @@
   if (this->context.jobs.Find(id) != nullptr) return;
   std::optional<Job> job = DecodeJob(record);
   if (!job || job->id != id) {
-    this->parts.log->Write("jobs", "record-broken",
-                           {{"job", id.Text()}, {"bytes", record.size()}});
+    this->context.log->Write("jobs", "record-broken",
+                             {{"job", id.Text()}, {"bytes", record.size()}});
     return;
   }
-  const Instant now = this->parts.executor->Now();
+  const Instant now = this->context.executor->Now();
   const Duration age =
-      milliseconds(this->parts.executor->UnixMs() - job->accepted_unix_ms);
+      milliseconds(this->context.executor->UnixMs() - job->accepted_unix_ms);
   const bool believed = age > Duration::zero() && age < kMaxBelievedAge;
   JobEntry* entry = this->context.jobs.Add(std::move(*job), now);
   if (believed) entry->learnt = now - age;
@@ -126,10 +126,10 @@
     if (cancelled) this->cancelled_early.insert(id);
     return;
   }
-  this->parts.log->Write("jobs", "job-learnt",
-                         {{"job", id.Text()},
-                          {"queue", entry->job.queue.name.Text()},
-                          {"steps", entry->job.spec.steps.size()}});
+  this->context.log->Write("jobs", "job-learnt",
+                           {{"job", id.Text()},
+                            {"queue", entry->job.queue.name.Text()},
+                            {"steps", entry->job.spec.steps.size()}});
   if (cancelled) this->OnCancel(id);
   this->dispatcher->Kick();
 }
@@ -140,31 +140,31 @@
     this->cancelled_early.insert(id);
     return;
   }
-  if (!this->context.jobs.Cancel(entry, this->parts.executor->Now())) return;
+  if (!this->context.jobs.Cancel(entry, this->context.executor->Now())) return;
   // The cancellation itself is stored already.
   entry->shown = JobState::kCancelled;
-  this->parts.log->Write("jobs", "job-cancelled", {{"job", id.Text()}});
+  this->context.log->Write("jobs", "job-cancelled", {{"job", id.Text()}});
   this->runs->StoreFinal(entry);
   this->dispatcher->Kick();
 }
 
 void GroupOwner::OnWorker(const StoreEvent& event) {
-  const std::string_view prefix = this->parts.schema->WorkerPrefix();
+  const std::string_view prefix = this->schema->WorkerPrefix();
   const std::string id = event.item.key.substr(prefix.size());
   WorkerSession* session = Find(this->context.workers, WorkerId(id));
   if (event.deleted) {
     if (session == nullptr) return;
     session->listed = false;
-    this->parts.log->Write("workers", "worker-unlisted",
-                           {{"worker", id},
-                            {"runs", session->runs.size()},
-                            {"revision", event.item.revision}});
+    this->context.log->Write("workers", "worker-unlisted",
+                             {{"worker", id},
+                              {"runs", session->runs.size()},
+                              {"revision", event.item.revision}});
     return;
   }
   const Result<WorkerInfo> info =
-      this->parts.schema->ParseWorker(id, event.item.value);
+      this->schema->ParseWorker(id, event.item.value);
   if (!info) {
-    this->parts.log->Write(
+    this->context.log->Write(
         "workers", "entry-broken",
         {{"worker", id}, {"reason", info.error().message()}});
     return;
@@ -180,14 +180,14 @@
     this->context.health.Add(info.id);
     // Those found at a takeover are told of by their number.
     if (this->workers_listed) {
-      this->parts.log->Write("workers", "worker-listed",
-                             {{"worker", info.id.Text()},
-                              {"address", info.address},
-                              {"rack", info.rack}});
+      this->context.log->Write("workers", "worker-listed",
+                               {{"worker", info.id.Text()},
+                                {"address", info.address},
+                                {"rack", info.rack}});
     }
   }
   if (info.draining && !session->info.draining) {
-    this->parts.log->Write(
+    this->context.log->Write(
         "workers", "worker-draining",
         {{"worker", info.id.Text()}, {"runs", session->runs.size()}});
   }
@@ -198,19 +198,19 @@
 }
 
 void GroupOwner::LoadProgress(const std::string& after) {
-  this->parts.store->List(keys::kProgress, after,
-                          this->guard.Wrap([this](const Result<StorePage>& p) {
-                            this->OnProgressPage(p);
-                          }));
+  this->context.store->List(
+      keys::kProgress, after,
+      this->guard.Wrap(
+          [this](const Result<StorePage>& p) { this->OnProgressPage(p); }));
 }
 
 void GroupOwner::OnProgressPage(const Result<StorePage>& page) {
   if (!page) {
     if (!std::exchange(this->load_failing, true)) {
-      this->parts.log->Write("owner", "progress-not-read",
-                             {{"reason", page.error().message()}});
+      this->context.log->Write("owner", "progress-not-read",
+                               {{"reason", page.error().message()}});
     }
-    this->parts.executor->After(
+    this->context.executor->After(
         kStoreRetry, this->guard.Wrap([this] { this->LoadProgress(""); }));
     return;
   }
@@ -232,8 +232,8 @@
   // Its job is being removed.
   if (entry == nullptr || entry->progress_revision != 0) return;
   if (!ApplyProgress(&this->context.jobs, entry, item.value,
-                     this->parts.executor->Now())) {
-    this->parts.log->Write("jobs", "progress-broken", {{"job", id.Text()}});
+                     this->context.executor->Now())) {
+    this->context.log->Write("jobs", "progress-broken", {{"job", id.Text()}});
     return;
   }
   entry->progress_revision = item.revision;
@@ -249,8 +249,8 @@
     this->cancelled_early.erase(id);
     this->OnCancel(id);
   }
-  const Duration took = this->parts.executor->Now() - this->elected_at;
-  this->parts.log->Write(
+  const Duration took = this->context.executor->Now() - this->elected_at;
+  this->context.log->Write(
       "owner", "loaded",
       {{"token", this->context.token},
        {"jobs", this->context.jobs.All().size()},
@@ -285,7 +285,7 @@
 
 bool GroupOwner::Fresh() const {
   return this->loaded && this->workers_listed &&
-         this->parts.executor->Now() < this->intake->FreshAt() + kFreshFor;
+         this->context.executor->Now() < this->intake->FreshAt() + kFreshFor;
 }
 
 std::int64_t GroupOwner::PendingIn(const QueueName& queue) const {
@@ -303,19 +303,19 @@
     this->dispatcher->Kick();
     this->Publish();
   }
-  this->parts.executor->After(kTick,
-                              this->guard.Wrap([this] { this->Tick(); }));
+  this->context.executor->After(kTick,
+                                this->guard.Wrap([this] { this->Tick(); }));
 }
 
 void GroupOwner::OpenDue() {
-  const std::int64_t unix_ms = this->parts.executor->UnixMs();
+  const std::int64_t unix_ms = this->context.executor->UnixMs();
   for (JobEntry* entry : this->context.jobs.Active()) {
     JobTable::OpenDue(entry, unix_ms);
   }
 }
 
 void GroupOwner::ForgetOld() {
-  const Instant now = this->parts.executor->Now();
+  const Instant now = this->context.executor->Now();
   std::vector<JobId> old;
   for (const auto& [id, entry] : this->context.jobs.All()) {
     if (!IsFinal(entry->state) || now < entry->ended + kRetention) continue;
@@ -331,7 +331,7 @@
     running += session->runs.size();
   }
   const auto set = [this](std::string_view name, std::size_t value) {
-    this->parts.metrics->Set(name, "", static_cast<double>(value));
+    this->context.metrics->Set(name, "", static_cast<double>(value));
   };
   set("job_runs", running);
   set("active_jobs", this->context.jobs.Active().size());
--- a/packages/jobs/src/group_owner.h
+++ b/packages/jobs/src/group_owner.h
@@ -41,7 +41,7 @@
     std::function<void(std::string_view)> step_down;
   };
 
-  GroupOwner(Parts parts, FencingToken token,
+  GroupOwner(const Parts& parts, FencingToken token,
              std::shared_ptr<const DesiredState> desired);
 
   void Start();
@@ -74,7 +74,7 @@
   void ForgetOld();
   void Publish();
 
-  Parts parts;
+  const PlatformSchema* schema;
   OwnerContext context;
   /// When the token was drawn.
   Instant elected_at;
--- a/packages/jobs/src/intake.cc
+++ b/packages/jobs/src/intake.cc
@@ -31,37 +31,40 @@
 Intake::Intake(Parts parts) : parts(std::move(parts)) {}
 
 void Intake::Create(CreateRequest request, Done done) {
-  auto entry = std::make_shared<Entry>();
-  entry->deadline = this->parts.executor->Now() + request.timeout;
-  entry->request = std::move(request);
-  entry->done = std::move(done);
-  entry->helpers = this->parts.helpers();
-  if (entry->helpers.size() > kMaxHelpers) entry->helpers.resize(kMaxHelpers);
-  this->Begin(entry);
-  this->HedgeLater(entry);
+  std::vector<std::string> helpers = this->parts.helpers();
+  if (helpers.size() > kMaxHelpers) helpers.resize(kMaxHelpers);
+  this->HedgeLater(
+      this->Begin(std::move(request), std::move(helpers), std::move(done)));
 }
 
 void Intake::CreateForPeer(CreateRequest request, Done done) {
+  (void)this->Begin(std::move(request), {}, std::move(done));
+}
+
+Intake::EntryPtr Intake::Begin(CreateRequest request,
+                               std::vector<std::string> helpers, Done done) {
   auto entry = std::make_shared<Entry>();
   entry->deadline = this->parts.executor->Now() + request.timeout;
   entry->request = std::move(request);
+  entry->helpers = std::move(helpers);
   entry->done = std::move(done);
-  this->Begin(entry);
-}
-
-void Intake::Begin(const EntryPtr& entry) {
   this->parts.executor->After(entry->request.timeout,
                               this->guard.Wrap([this, entry] {
                                 this->GiveUp(entry, Error::kDeadlineExceeded);
                               }));
+  this->Pursue(entry);
+  return entry;
+}
+
+void Intake::Pursue(const EntryPtr& entry) {
   // Failure: the store is away, each write to it ends uncertain, and callers
   // must be told so, who could have come back had nothing been sent.
-  if (!this->parts.store_answers()) {
+  if (this->parts.store_answers()) {
+    this->waiting.push_back(entry);
+    this->Flush();
+  } else {
     this->Continue(entry);
-    return;
   }
-  this->waiting.push_back(entry);
-  this->Flush();
 }
 
 void Intake::HedgeLater(const EntryPtr& entry) {
@@ -140,13 +143,7 @@
     return;
   }
   this->parts.executor->After(kStoreRetry, this->guard.Wrap([this, entry] {
-    if (!entry->done) return;
-    if (this->parts.store_answers()) {
-      this->waiting.push_back(entry);
-      this->Flush();
-    } else {
-      this->Continue(entry);
-    }
+    if (entry->done) this->Pursue(entry);
   }));
 }
 
--- a/packages/jobs/src/intake.h
+++ b/packages/jobs/src/intake.h
@@ -62,7 +62,11 @@
   };
   using EntryPtr = std::shared_ptr<Entry>;
 
-  void Begin(const EntryPtr& entry);
+  /// @param helpers processes that may be asked to create the key instead
+  EntryPtr Begin(CreateRequest request, std::vector<std::string> helpers,
+                 Done done);
+  /// Has the key written here, or elsewhere while the store is away.
+  void Pursue(const EntryPtr& entry);
   void Flush();
   void OnCommitted(const std::vector<EntryPtr>& batch,
                    const CommitResult& result);
