A pass weighs a job's objective once, and has one filter for refused workers

The longest chain of a job was sought anew for each of its steps that may start, in every pass of the owner; it is the same for all of them. The workers that the policy service has refused were left out by the same lines at two places. Unit no longer keeps a moment that only its ranking used.

--- a/packages/jobs/src/dispatcher.cc
+++ b/packages/jobs/src/dispatcher.cc
@@ -1,6 +1,7 @@
 #include "dispatcher.h"
 
 #include <algorithm>
+#include <optional>
 #include <tuple>
 #include <utility>
 
@@ -149,6 +150,8 @@
 
 void Dispatcher::CollectUnits(JobEntry* entry, Instant now,
                               std::vector<Unit>* units) {
+  // The same for all steps of the job.
+  std::optional<Duration> objective;
   for (const auto& [number, occurrence] : entry->occurrences) {
     for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
       const auto index = static_cast<std::int32_t>(i);
@@ -160,28 +163,32 @@
       if (tasks.empty()) continue;
       Unit unit = this->MakeUnit(entry, {entry->job.id, number, index});
       unit.tasks = std::move(tasks);
-      this->Rank(&unit, now);
+      if (!objective) objective = this->Objective(unit);
+      this->Rank(&unit, *objective, now);
       units->push_back(std::move(unit));
     }
   }
 }
 
-void Dispatcher::Rank(Unit* unit, Instant now) const {
+Duration Dispatcher::Objective(const Unit& unit) const {
+  const Duration chain = WholeChain(unit.entry->job, this->context->run_times);
+  return Scale(chain, unit.queue->stretch) + unit.queue->target;
+}
+
+void Dispatcher::Rank(Unit* unit, Duration objective, Instant now) const {
   const Job& job = unit->entry->job;
   const RunTimes& times = this->context->run_times;
-  const Duration objective =
-      Scale(WholeChain(job, times), unit->queue->stretch) + unit->queue->target;
-  unit->due = unit->entry->learnt + objective;
-  unit->begin_by = unit->due;
+  const Instant due = unit->entry->learnt + objective;
+  unit->begin_by = due;
   if (unit->step->long_running) return;
   const Duration chain =
       ChainFrom(job, times, static_cast<std::size_t>(unit->ref.step));
-  unit->begin_by = unit->due - chain;
+  unit->begin_by = due - chain;
   const Instant end = now + chain;
   const Instant worthless = unit->entry->learnt + kWorthlessAfter * objective;
   if (end > worthless) {
     unit->hope = Unit::Hope::kNone;
-  } else if (end > unit->due) {
+  } else if (end > due) {
     unit->hope = Unit::Hope::kLate;
   }
 }
@@ -271,6 +278,17 @@
                     unit->tasks.begin() + std::ssize(workers));
 }
 
+std::vector<Candidate> Dispatcher::Unrefused(const Unit& unit,
+                                             const StepAdvice& advice,
+                                             std::vector<Room>* rooms,
+                                             Instant now) const {
+  std::vector<Candidate> candidates = this->Candidates(unit, rooms, now);
+  std::erase_if(candidates, [&](const Candidate& candidate) {
+    return advice.refused.contains(candidate.room->session->info.id);
+  });
+  return candidates;
+}
+
 void Dispatcher::ConsiderAdvice(const Unit& unit, std::vector<Room>* rooms,
                                 Instant now) {
   const StepAdvice* advice = this->context->advice->Find(unit.ref);
@@ -284,10 +302,8 @@
   // Permissions lapse while room is short. They are asked for again only once
   // there would be room, or the policy service would be asked all the time.
   std::vector<Room> trial = *rooms;
-  std::vector<Candidate> candidates = this->Candidates(unit, &trial, now);
-  std::erase_if(candidates, [&](const Candidate& candidate) {
-    return advice->refused.contains(candidate.room->session->info.id);
-  });
+  std::vector<Candidate> candidates =
+      this->Unrefused(unit, *advice, &trial, now);
   const auto count = static_cast<std::int32_t>(unit.tasks.size());
   if (PlaceTasks(*unit.step, count, candidates).empty()) return;
   this->context->advice->Want(need);
@@ -304,10 +320,8 @@
   const StepAdvice* advice = this->context->advice->Find(ref);
   if (tasks == 0 || advice == nullptr) return {};
   std::vector<Room> rooms = this->CollectRooms(now);
-  std::vector<Candidate> candidates = this->Candidates(unit, &rooms, now);
-  std::erase_if(candidates, [&](const Candidate& candidate) {
-    return advice->refused.contains(candidate.room->session->info.id);
-  });
+  std::vector<Candidate> candidates =
+      this->Unrefused(unit, *advice, &rooms, now);
   const auto known = [&](const Candidate& candidate) {
     return advice->permitted.contains(candidate.room->session->info.id);
   };
--- a/packages/jobs/src/dispatcher.h
+++ b/packages/jobs/src/dispatcher.h
@@ -10,6 +10,8 @@
 
 namespace mustardproxy::jobs {
 
+struct StepAdvice;
+
 /// Tasks of one step that may start now.
 struct Unit {
   JobEntry* entry = nullptr;
@@ -20,10 +22,8 @@
   std::vector<std::int32_t> tasks;
   /// What is left of the job's worth if it starts now.
   enum class Hope { kInTime, kLate, kNone } hope = Hope::kInTime;
-  /// When the job should be done.
-  Instant due;
-  /// When the step has to be begun for that: a gang's room has to be gathered
-  /// before it can start.
+  /// When the step has to be begun for the job to be done in time: a gang's
+  /// room has to be gathered before it can start.
   Instant begin_by;
 };
 
@@ -42,7 +42,9 @@
   void Pass();
   std::vector<Unit> CollectUnits(Instant now);
   void CollectUnits(JobEntry* entry, Instant now, std::vector<Unit>* units);
-  void Rank(Unit* unit, Instant now) const;
+  /// @return the time from a job's acceptance in which it should be done
+  Duration Objective(const Unit& unit) const;
+  void Rank(Unit* unit, Duration objective, Instant now) const;
   void AllowForGathering(std::vector<Unit>* units, std::vector<Room>* rooms,
                          Instant now) const;
   /// Rooms that a gang may use, with permissions or without.
@@ -53,6 +55,9 @@
   void PlaceUnit(Unit* unit, std::vector<Room>* rooms, Instant now);
   std::vector<Candidate> Candidates(const Unit& unit, std::vector<Room>* rooms,
                                     Instant now) const;
+  /// Those that the policy service has not refused for the step.
+  std::vector<Candidate> Unrefused(const Unit& unit, const StepAdvice& advice,
+                                   std::vector<Room>* rooms, Instant now) const;
   void Start(Unit* unit, const std::vector<WorkerId>& workers);
   void ConsiderAdvice(const Unit& unit, std::vector<Room>* rooms, Instant now);
   void HoldForGang(const Unit& unit, std::vector<Room>* rooms, Instant now);
