--- a/apps/mustardctl/src/jobs.cc
+++ b/apps/mustardctl/src/jobs.cc
@@ -1,5 +1,7 @@
 #include "jobs.h"
 
+#include <Poco/Net/HTTPResponse.h>
+
 #include <fstream>
 #include <iterator>
 #include <optional>
@@ -10,14 +12,11 @@
 namespace mustardproxy::ctl {
 namespace {
 
+using Status = Poco::Net::HTTPResponse;
+
 /// Longer than a process takes to find out what became of a write.
 constexpr Duration kTimeout = std::chrono::seconds(15);
 
-constexpr int kOk = 200;
-constexpr int kBadRequest = 400;
-constexpr int kNotFound = 404;
-constexpr int kTimedOut = 504;
-
 std::string PathOf(const CommandLine& line) {
   std::string path = "/v1/jobs/" + line.queue;
   if (!line.job.empty()) path += "/" + line.job;
@@ -41,13 +40,13 @@
 
 ExitCode CodeOf(int status) {
   switch (status) {
-    case kOk:
+    case Status::HTTP_OK:
       return ExitCode::kOk;
-    case kBadRequest:
+    case Status::HTTP_BAD_REQUEST:
       return ExitCode::kInvalidDocument;
-    case kNotFound:
+    case Status::HTTP_NOT_FOUND:
       return ExitCode::kUsage;
-    case kTimedOut:
+    case Status::HTTP_GATEWAY_TIMEOUT:
       return ExitCode::kUnknownOutcome;
     default:
       return ExitCode::kPlatformUnavailable;
--- a/packages/gateway/src/job_surface.cc
+++ b/packages/gateway/src/job_surface.cc
@@ -1,5 +1,7 @@
 #include "mustardproxy/gateway/job_surface.h"
 
+#include <Poco/Net/HTTPResponse.h>
+
 #include <nlohmann/json.hpp>
 #include <utility>
 #include <variant>
@@ -12,6 +14,8 @@
 namespace mustardproxy {
 namespace {
 
+using Status = Poco::Net::HTTPResponse;
+
 using gateway_detail::kDefaultRetryAfter;
 using gateway_detail::ProblemAnswer;
 using jobs::SubmitEnd;
@@ -21,15 +25,8 @@
 /// Longest wait that a caller may ask for, and that of one that does not ask.
 constexpr Duration kMaxTimeout = std::chrono::seconds(60);
 
-constexpr std::int32_t kOk = 200;
-constexpr std::int32_t kBadRequest = 400;
-constexpr std::int32_t kNotFound = 404;
-constexpr std::int32_t kNotAllowed = 405;
-constexpr std::int32_t kUnavailable = 503;
-constexpr std::int32_t kTimedOut = 504;
-
 http::HttpAnswer JsonAnswer(const nlohmann::json& body) {
-  return http::TextAnswer(kOk, std::string(kJsonType), body.dump());
+  return http::TextAnswer(Status::HTTP_OK, std::string(kJsonType), body.dump());
 }
 
 http::HttpAnswer AnswerError(std::error_code error, Duration retry_after) {
@@ -38,11 +35,12 @@
                        error == Error::kUnknownJob;
   if (unknown) {
     const bool job = error != Error::kUnknownQueue;
-    return ProblemAnswer(
-        {.status = kNotFound, .error = job ? Error::kUnknownJob : error});
+    return ProblemAnswer({.status = Status::HTTP_NOT_FOUND,
+                          .error = job ? Error::kUnknownJob : error});
   }
   const bool late = error == Error::kDeadlineExceeded;
-  return ProblemAnswer({.status = late ? kTimedOut : kUnavailable,
+  return ProblemAnswer({.status = late ? Status::HTTP_GATEWAY_TIMEOUT
+                                       : Status::HTTP_SERVICE_UNAVAILABLE,
                         .error = error,
                         .retry_after = retry_after});
 }
@@ -55,7 +53,7 @@
     case SubmitEnd::kNoSuchJob:
       return AnswerError(Error::kUnknownJob, Duration::zero());
     case SubmitEnd::kNotAccepted:
-      return ProblemAnswer({.status = kUnavailable,
+      return ProblemAnswer({.status = Status::HTTP_SERVICE_UNAVAILABLE,
                             .error = result.reason,
                             .detail = result.detail,
                             .outcome = Outcome::kNotRun,
@@ -63,7 +61,7 @@
     case SubmitEnd::kUnknown:
       break;
   }
-  return ProblemAnswer({.status = kTimedOut,
+  return ProblemAnswer({.status = Status::HTTP_GATEWAY_TIMEOUT,
                         .error = result.reason,
                         .outcome = Outcome::kUnknown,
                         .retry_after = kDefaultRetryAfter});
@@ -87,7 +85,7 @@
   const std::string fault =
       gateway_detail::CheckHeaders(*call.header, kMaxTimeout, &headers);
   if (!fault.empty()) {
-    return ProblemAnswer({.status = kBadRequest,
+    return ProblemAnswer({.status = Status::HTTP_BAD_REQUEST,
                           .error = Error::kHeaderInvalid,
                           .detail = fault});
   }
@@ -104,7 +102,7 @@
     return JsonAnswer({{"pending", pending.value()}});
   }
   if (!gateway_detail::IsRequestId(id_text)) {
-    return ProblemAnswer({.status = kBadRequest,
+    return ProblemAnswer({.status = Status::HTTP_BAD_REQUEST,
                           .error = Error::kJobInvalid,
                           .detail = "the id is missing or malformed"});
   }
@@ -116,8 +114,8 @@
     return AnswerSubmit(id, this->gate.Cancel(id, headers.timeout));
   }
   if (call.method != http::Method::kGet) {
-    return ProblemAnswer(
-        {.status = kNotAllowed, .error = Error::kHeaderInvalid});
+    return ProblemAnswer({.status = Status::HTTP_METHOD_NOT_ALLOWED,
+                          .error = Error::kHeaderInvalid});
   }
   const auto state = this->gate.State(id, headers.timeout);
   if (!state) return AnswerError(state.error(), kDefaultRetryAfter);
@@ -129,7 +127,7 @@
                                     const jobs::JobId& id, Duration timeout) {
   auto parsed = jobs::ParseJobJson(View(call.body), {});
   if (const auto* problem = std::get_if<jobs::SpecProblem>(&parsed)) {
-    return ProblemAnswer({.status = kBadRequest,
+    return ProblemAnswer({.status = Status::HTTP_BAD_REQUEST,
                           .error = Error::kJobInvalid,
                           .detail = problem->field + ": " + problem->reason,
                           .outcome = Outcome::kNotRun});
