--- a/packages/gateway/src/problem.cc
+++ b/packages/gateway/src/problem.cc
@@ -3,7 +3,6 @@
 #include <Poco/JSON/Object.h>
 
 #include <algorithm>
-#include <chrono>
 #include <sstream>
 
 #include "header_names.h"
@@ -38,12 +37,6 @@
       {std::string(kOutcomeHeader), std::string(Name(*outcome))});
 }
 
-void AddRetryAfter(Duration retry_after, http::HttpAnswer* answer) {
-  if (retry_after <= Duration::zero()) return;
-  auto seconds = std::chrono::ceil<std::chrono::seconds>(retry_after);
-  answer->headers.push_back({"Retry-After", std::to_string(seconds.count())});
-}
-
 }  // namespace
 
 std::string_view Name(Outcome outcome) {
@@ -72,7 +65,7 @@
   http::HttpAnswer answer = http::TextAnswer(
       problem.status, "application/problem+json", std::move(text).str());
   AddIdentity(problem.request, problem.outcome, &answer);
-  AddRetryAfter(problem.retry_after, &answer);
+  http::AddRetryAfter(problem.retry_after, &answer);
   return answer;
 }
 
--- a/packages/http/include/mustardproxy/http/message.h
+++ b/packages/http/include/mustardproxy/http/message.h
@@ -3,6 +3,7 @@
 
 #include <Poco/Net/HTTPRequest.h>
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -10,6 +11,7 @@
 #include <vector>
 
 #include "mustardproxy/core/request.h"
+#include "mustardproxy/core/time.h"
 #include "mustardproxy/http/header.h"
 
 namespace mustardproxy::http {
@@ -67,6 +69,14 @@
   return answer;
 }
 
+/// Tells the caller when to come back, in whole seconds and not too early;
+/// nothing if that is zero.
+inline void AddRetryAfter(Duration retry_after, HttpAnswer* answer) {
+  if (retry_after <= Duration::zero()) return;
+  const auto whole = std::chrono::ceil<std::chrono::seconds>(retry_after);
+  answer->headers.push_back({"Retry-After", std::to_string(whole.count())});
+}
+
 }  // namespace mustardproxy::http
 
 #endif  // MUSTARDPROXY_HTTP_MESSAGE_H_
