--- a/apps/mustardctl/src/profiles.cc
+++ b/apps/mustardctl/src/profiles.cc
@@ -35,9 +35,7 @@
 }
 
 std::string Milliseconds(Duration duration) {
-  const auto value =
-      std::chrono::duration_cast<std::chrono::milliseconds>(duration);
-  return std::to_string(value.count());
+  return std::to_string(WholeMilliseconds(duration));
 }
 
 std::string_view Word(Packing packing) {
--- a/packages/core/include/mustardproxy/core/time.h
+++ b/packages/core/include/mustardproxy/core/time.h
@@ -2,12 +2,19 @@
 #define MUSTARDPROXY_CORE_TIME_H_
 
 #include <chrono>
+#include <cstdint>
 
 namespace mustardproxy {
 
 /// Length of time. All of the core counts in microseconds.
 using Duration = std::chrono::microseconds;
 
+/// @return whole milliseconds, the fraction cut off
+[[nodiscard]] constexpr std::int64_t WholeMilliseconds(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+      .count();
+}
+
 /// Clock of the core: monotonic, local to one process, advanced only by the
 /// caller. It names a time line; it has no `now()` on purpose, since the core
 /// takes the time as an argument.
--- a/packages/core/src/scheduler/admission.cc
+++ b/packages/core/src/scheduler/admission.cc
@@ -127,14 +127,10 @@
   const Duration room_wait = ForecastWait(now, state, ledger, service, team);
   const Duration wait = std::max(quota_wait, room_wait);
   if (wait <= allowed) return {};
-  const auto milliseconds = [](Duration duration) {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
-        .count();
-  };
   std::ostringstream text;
-  text << "the predicted wait is " << milliseconds(wait) << " ms";
+  text << "the predicted wait is " << WholeMilliseconds(wait) << " ms";
   if (quota_wait > room_wait) text << " for the quota of the team";
-  text << "; allowed are " << milliseconds(allowed) << " ms";
+  text << "; allowed are " << WholeMilliseconds(allowed) << " ms";
   return {Error::kWaitTooLong, text.str(), BoundRetryAfter(wait - allowed)};
 }
 
--- a/packages/gateway/src/header_check.cc
+++ b/packages/gateway/src/header_check.cc
@@ -38,8 +38,7 @@
   const char* end = text.data() + text.size();
   auto parsed = std::from_chars(text.data(), end, value);
   if (parsed.ec != std::errc() || parsed.ptr != end || value < 1) return false;
-  auto most = std::chrono::duration_cast<std::chrono::milliseconds>(max);
-  if (value > most.count()) return false;
+  if (value > WholeMilliseconds(max)) return false;
   *timeout = std::chrono::milliseconds(value);
   return true;
 }
@@ -86,10 +85,9 @@
   bool valid = timeout == Field::kValid &&
                ParseTimeout(text, max_timeout, &headers->timeout);
   if (timeout == Field::kAbsent || valid) return {};
-  auto most =
-      std::chrono::duration_cast<std::chrono::milliseconds>(max_timeout);
+  const std::int64_t most = WholeMilliseconds(max_timeout);
   return Fault(kTimeoutHeader,
-               "a whole number from 1 to " + std::to_string(most.count()));
+               "a whole number from 1 to " + std::to_string(most));
 }
 
 }  // namespace mustardproxy::gateway_detail
--- a/packages/jobs/src/advice_desk.cc
+++ b/packages/jobs/src/advice_desk.cc
@@ -204,8 +204,8 @@
                           {"by", sent.lane.Text()},
                           {"asked", sent.workers.size()},
                           {"permitted", advice.permitted.size()},
-                          {"waited_ms", wait.count() / 1000},
-                          {"valid_ms", advice.validity.count() / 1000}});
+                          {"waited_ms", WholeMilliseconds(wait)},
+                          {"valid_ms", WholeMilliseconds(advice.validity)}});
 }
 
 }  // namespace mustardproxy::jobs
--- a/packages/jobs/src/group_owner.cc
+++ b/packages/jobs/src/group_owner.cc
@@ -250,13 +250,12 @@
     this->OnCancel(id);
   }
   const Duration took = this->context.executor->Now() - this->elected_at;
-  this->context.log->Write(
-      "owner", "loaded",
-      {{"token", this->context.token},
-       {"jobs", this->context.jobs.All().size()},
-       {"active", this->context.jobs.Active().size()},
-       {"workers", this->context.workers.size()},
-       {"took_ms", std::chrono::duration_cast<milliseconds>(took).count()}});
+  this->context.log->Write("owner", "loaded",
+                           {{"token", this->context.token},
+                            {"jobs", this->context.jobs.All().size()},
+                            {"active", this->context.jobs.Active().size()},
+                            {"workers", this->context.workers.size()},
+                            {"took_ms", WholeMilliseconds(took)}});
   this->holds->PumpAll();
   this->dispatcher->Kick();
 }
--- a/packages/jobs/src/intake.cc
+++ b/packages/jobs/src/intake.cc
@@ -192,13 +192,14 @@
   if (!entry->done) return;
   // What is on its way might be written later.
   const bool unknown = entry->uncertain || entry->in_flight > 0;
-  this->parts.log->Write("intake", "not-stored",
-                         {{"kind", entry->request.kind},
-                          {"job", entry->request.job.Text()},
-                          {"unknown", unknown ? 1 : 0},
-                          {"tries", entry->tries},
-                          {"timeout_ms", entry->request.timeout.count() / 1000},
-                          {"reason", reason.message()}});
+  this->parts.log->Write(
+      "intake", "not-stored",
+      {{"kind", entry->request.kind},
+       {"job", entry->request.job.Text()},
+       {"unknown", unknown ? 1 : 0},
+       {"tries", entry->tries},
+       {"timeout_ms", WholeMilliseconds(entry->request.timeout)},
+       {"reason", reason.message()}});
   this->Settle(entry,
                {.end = unknown ? SubmitEnd::kUnknown : SubmitEnd::kNotAccepted,
                 .reason = reason,
--- a/packages/jobs/src/run_control.cc
+++ b/packages/jobs/src/run_control.cc
@@ -46,8 +46,7 @@
        {"run", runs.front().run},
        {"worker", workers.front().Text()},
        {"version", this->context->desired->version},
-       {"waited_ms",
-        std::chrono::duration_cast<milliseconds>(now - entry.learnt).count()}});
+       {"waited_ms", WholeMilliseconds(now - entry.learnt)}});
   // Failure: the owner dies right after a start, and its successor starts the
   // task elsewhere. The run and its worker are stored first, so the successor
   // knows where to look before it starts the task again.
--- a/packages/jobs/src/worker_session.cc
+++ b/packages/jobs/src/worker_session.cc
@@ -6,13 +6,6 @@
 #include "options.h"
 
 namespace mustardproxy::jobs {
-namespace {
-
-std::int64_t Milliseconds(Duration duration) {
-  return std::chrono::duration_cast<milliseconds>(duration).count();
-}
-
-}  // namespace
 
 WorkerSession::WorkerSession(WorkerInfo info, Instant inherited_until)
     : info(std::move(info)), lapses_at(inherited_until) {}
@@ -20,7 +13,7 @@
 std::int64_t WorkerSession::LeaseUntilMs(Instant now, Duration lease) const {
   if (!this->clock) return 0;
   return this->clock->clock_ms +
-         Milliseconds(now - this->clock->answered + lease);
+         WholeMilliseconds(now - this->clock->answered + lease);
 }
 
 void WorkerSession::NoteLeaseSent(std::int64_t until_ms) {
--- a/packages/platform/src/key_value_client.cc
+++ b/packages/platform/src/key_value_client.cc
@@ -29,10 +29,8 @@
 }
 
 std::string WatchQuery(std::uint64_t index, Duration wait) {
-  const auto millis =
-      std::chrono::duration_cast<std::chrono::milliseconds>(wait);
   return "index=" + std::to_string(index) +
-         "&wait=" + std::to_string(millis.count()) + "ms";
+         "&wait=" + std::to_string(WholeMilliseconds(wait)) + "ms";
 }
 
 std::string CasQuery(std::uint64_t index) {
--- a/packages/settings/src/simple_fields.h
+++ b/packages/settings/src/simple_fields.h
@@ -55,9 +55,7 @@
     if (value) object->*this->member = std::chrono::milliseconds(*value);
   }
   [[nodiscard]] JsonNode Write(const T& object) const override {
-    const auto value = std::chrono::duration_cast<std::chrono::milliseconds>(
-        object.*this->member);
-    return JsonNode::Integer(value.count());
+    return JsonNode::Integer(WholeMilliseconds(object.*this->member));
   }
   void Describe(const std::string& path, const T& defaults,
                 std::vector<FieldDescription>* fields) const override {
--- a/packages/worker/src/messages.cc
+++ b/packages/worker/src/messages.cc
@@ -18,10 +18,6 @@
 
 using Poco::JSON::Object;
 
-std::int64_t MillisOf(Duration length) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(length).count();
-}
-
 std::string Format(const Object& object) {
   std::ostringstream out;
   object.stringify(out);
@@ -188,14 +184,14 @@
 
 std::string AttachBody(const Sender& sender, const AttachWorker& action) {
   Object order = OrderOf(sender, action.epoch);
-  order.set("lease_ms", MillisOf(action.lease));
+  order.set("lease_ms", WholeMilliseconds(action.lease));
   return Format(order);
 }
 
 std::string RenewBody(const Sender& sender, const RenewWorker& action,
                       const ReceivedRanges& received) {
   Object order = OrderOf(sender, action.epoch);
-  order.set("lease_ms", MillisOf(action.lease));
+  order.set("lease_ms", WholeMilliseconds(action.lease));
   order.set("ended_sequence", Poco::UInt64{action.ended_sequence});
   if (!received.ranges.empty()) {
     order.set("received", FormatReceived(received));
@@ -233,9 +229,10 @@
       {"Mustardproxy-Request-Id", order.request.Text()},
       {"Mustardproxy-Service", order.service.Text()},
       {"Mustardproxy-Resources", FormatResources(order.resources)},
-      {"Mustardproxy-Max-Run-Ms", std::to_string(MillisOf(order.max_run))},
+      {"Mustardproxy-Max-Run-Ms",
+       std::to_string(WholeMilliseconds(order.max_run))},
       {"Mustardproxy-Task-Lease-Ms",
-       std::to_string(MillisOf(sender.task_lease))},
+       std::to_string(WholeMilliseconds(sender.task_lease))},
       {"Mustardproxy-Detached", order.detached ? "1" : "0"},
   };
   return request;
