Both commands of the entry process share signals, arguments and complaints

The cell's command had its own copies of the signal set, of the parsing with its complaint, of the printing of problems and of the draw of an incarnation. One piece of code serves both; the cell takes SIGHUP too, which the first command leaves at its default as before. mustardproxy_app_tests keep their cases.

--- a/apps/mustardproxy/src/cell_program.cc
+++ b/apps/mustardproxy/src/cell_program.cc
@@ -5,59 +5,28 @@
 #include <cxxopts.hpp>
 #include <optional>
 #include <utility>
-#include <variant>
 
+#include "arguments.h"
 #include "cell_runtime.h"
+#include "complain.h"
 #include "mustardproxy/settings/load.h"
 #include "mustardproxy/telemetry/log.h"
-#include "pointers.h"
 #include "program.h"
+#include "signals.h"
 
 namespace mustardproxy {
 namespace {
 
 constexpr const char* kSettingsVariable = "MUSTARDPROXY_SETTINGS";
 
-/// Blocked before any thread is made, so that all threads inherit that and only
-/// `Wait` takes them.
-class CellSignals {
- public:
-  CellSignals() {
-    sigemptyset(&this->signals);
-    sigaddset(&this->signals, SIGTERM);
-    sigaddset(&this->signals, SIGINT);
-    sigaddset(&this->signals, SIGHUP);
-    pthread_sigmask(SIG_BLOCK, &this->signals, nullptr);
-    // A write to a connection that the other end has closed raises it.
-    std::signal(SIGPIPE, SIG_IGN);
-  }
-  /// @return the signal that came
-  [[nodiscard]] int Wait() const {
-    int signal = 0;
-    while (sigwait(&this->signals, &signal) != 0) {
-    }
-    return signal;
-  }
-
- private:
-  sigset_t signals{};
-};
-
 std::optional<CellSettings> LoadOrComplain(const std::string& path,
                                            std::ostream& errors) {
-  auto loaded = LoadCellSettings(path);
-  if (auto* settings = std::get_if<CellSettings>(&loaded)) {
-    return std::move(*settings);
-  }
-  for (const Problem& problem : std::get<Problems>(loaded)) {
-    errors << path << ": " << FormatProblem(problem) << '\n';
-  }
-  return std::nullopt;
+  return TakeOrComplain(LoadCellSettings(path), path + ": ", errors);
 }
 
 int Serve(const std::string& path, CellSettings settings,
           std::ostream& errors) {
-  const CellSignals signals;
+  const Signals signals({SIGTERM, SIGINT, SIGHUP});
   StartLog(settings.log_level, settings.process.Text());
   CellRuntime runtime(std::move(settings));
   if (const auto failure = runtime.Start()) {
@@ -121,16 +90,11 @@
 
 int RunCell(const std::vector<std::string>& arguments, std::ostream& out,
             std::ostream& errors) {
-  const std::vector<const char*> pointers = Pointers(arguments);
-  cxxopts::Options options = MakeOptions();
-  try {
-    const auto parsed =
-        options.parse(static_cast<int>(pointers.size()), pointers.data());
-    return RunParsed(parsed, options.help(), out, errors);
-  } catch (const cxxopts::exceptions::exception& problem) {
-    errors << problem.what() << '\n';
-    return kExitBadSettings;
-  }
+  return ParseAndRun(
+      arguments, MakeOptions(), errors,
+      [&](const cxxopts::ParseResult& parsed, const std::string& help) {
+        return RunParsed(parsed, help, out, errors);
+      });
 }
 
 }  // namespace mustardproxy
--- a/apps/mustardproxy/src/cell_runtime.cc
+++ b/apps/mustardproxy/src/cell_runtime.cc
@@ -5,12 +5,12 @@
 #include <algorithm>
 #include <chrono>
 #include <optional>
-#include <random>
 #include <string>
 #include <thread>
 #include <utility>
 
 #include "cell_operators.h"
+#include "incarnation.h"
 #include "mustardproxy/adapter/caller_front.h"
 #include "mustardproxy/adapter/platform_clients.h"
 #include "mustardproxy/core/error.h"
@@ -40,17 +40,10 @@
 constexpr std::int32_t kReadinessConnections = 16;
 constexpr std::int32_t kOperatorConnections = 32;
 constexpr std::int64_t kMilliPerUnit = 1000;
-constexpr int kWordBits = 32;
 /// Until the first desired state tells the users' bounds.
 constexpr std::int32_t kMaxHeaderBytes = 16'384;
 constexpr std::int64_t kMaxBodyBytes = 262'144;
 
-Incarnation DrawIncarnation() {
-  std::random_device device;
-  const Incarnation high = device();
-  return (high << kWordBits) | device();
-}
-
 http::ConnectionLimits Limits() {
   http::ConnectionLimits limits;
   limits.max_header_bytes = kMaxHeaderBytes;
--- a/apps/mustardproxy/src/program.cc
+++ b/apps/mustardproxy/src/program.cc
@@ -4,41 +4,20 @@
 #include <cxxopts.hpp>
 #include <optional>
 #include <utility>
-#include <variant>
 
+#include "arguments.h"
 #include "cell_program.h"
+#include "complain.h"
 #include "mustardproxy/settings/load.h"
 #include "mustardproxy/telemetry/log.h"
-#include "pointers.h"
 #include "runtime.h"
+#include "signals.h"
 
 namespace mustardproxy {
 namespace {
 
 constexpr std::string_view kCellCommand = "cell";
 
-/// The signals that ask for a graceful stop. They are blocked before any thread
-/// is made, so that all threads inherit that and only `Wait` takes them.
-class StopSignals {
- public:
-  StopSignals() {
-    sigemptyset(&this->signals);
-    sigaddset(&this->signals, SIGTERM);
-    sigaddset(&this->signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &this->signals, nullptr);
-    // A write to a connection that the other end has closed raises it.
-    std::signal(SIGPIPE, SIG_IGN);
-  }
-  void Wait() const {
-    int signal = 0;
-    while (sigwait(&this->signals, &signal) != 0) {
-    }
-  }
-
- private:
-  sigset_t signals{};
-};
-
 cxxopts::Options MakeOptions() {
   cxxopts::Options options("mustardproxy", "Entry process of a cell.");
   auto add = options.add_options();
@@ -50,20 +29,8 @@
   return options;
 }
 
-std::optional<Settings> LoadOrComplain(const std::string& path,
-                                       std::ostream& errors) {
-  auto loaded = LoadSettings(path);
-  if (auto* settings = std::get_if<Settings>(&loaded)) {
-    return std::move(*settings);
-  }
-  for (const Problem& problem : std::get<Problems>(loaded)) {
-    errors << FormatProblem(problem) << '\n';
-  }
-  return std::nullopt;
-}
-
 int Serve(Settings settings, std::ostream& errors) {
-  const StopSignals signals;
+  const Signals signals({SIGTERM, SIGINT});
   StartLog(settings.log_level, settings.process.Text());
   std::string address_file = settings.address_file;
   Runtime runtime(std::move(settings));
@@ -79,7 +46,7 @@
       return kExitCannotStart;
     }
   }
-  signals.Wait();
+  (void)signals.Wait();
   Log(Part::kControl, Level::kInfo, "Stopping gracefully.");
   bool whole = runtime.Shutdown();
   Log(Part::kControl, Level::kInfo,
@@ -103,7 +70,8 @@
     return kExitBadSettings;
   }
   auto path = arguments["settings"].as<std::string>();
-  std::optional<Settings> settings = LoadOrComplain(path, errors);
+  std::optional<Settings> settings =
+      TakeOrComplain(LoadSettings(path), "", errors);
   if (!settings) return kExitBadSettings;
   if (arguments.count("check") > 0) {
     out << path << ": no problems found\n";
@@ -121,16 +89,11 @@
     rest.erase(rest.begin() + 1);
     return RunCell(rest, out, errors);
   }
-  std::vector<const char*> pointers = Pointers(arguments);
-  cxxopts::Options options = MakeOptions();
-  try {
-    auto parsed =
-        options.parse(static_cast<int>(pointers.size()), pointers.data());
-    return RunParsed(parsed, options.help(), out, errors);
-  } catch (const cxxopts::exceptions::exception& problem) {
-    errors << problem.what() << '\n';
-    return kExitBadSettings;
-  }
+  return ParseAndRun(
+      arguments, MakeOptions(), errors,
+      [&](const cxxopts::ParseResult& parsed, const std::string& help) {
+        return RunParsed(parsed, help, out, errors);
+      });
 }
 
 }  // namespace mustardproxy
--- a/apps/mustardproxy/src/runtime.cc
+++ b/apps/mustardproxy/src/runtime.cc
@@ -1,7 +1,6 @@
 #include "runtime.h"
 
 #include <optional>
-#include <random>
 #include <string_view>
 #include <utility>
 #include <variant>
@@ -10,6 +9,7 @@
 #include "control_loop.h"
 #include "decisions.h"
 #include "dispatcher.h"
+#include "incarnation.h"
 #include "mustardproxy/settings/load.h"
 #include "mustardproxy/telemetry/clock.h"
 #include "mustardproxy/telemetry/log.h"
@@ -18,14 +18,6 @@
 namespace mustardproxy {
 namespace {
 
-constexpr int kWordBits = 32;
-
-Incarnation DrawIncarnation() {
-  std::random_device device;
-  Incarnation high = device();
-  return (high << kWordBits) | device();
-}
-
 std::optional<Configuration> ParseOrNothing(std::string_view text) {
   auto parsed = ParseConfiguration(text);
   if (auto* configuration = std::get_if<Configuration>(&parsed)) {
