Both flows put a request into the queue through one function

Urgent and deferred work built the same queue entry and the same refusal of a process without workers, thirteen lines each; Placing::Enqueue serves both. Deferred work is checked before its first attempt, so the attempt's number and the avoided workers are what the defaults were. core_tests keep their cases.

--- a/packages/core/src/lifecycle/deferred_acceptance.cc
+++ b/packages/core/src/lifecycle/deferred_acceptance.cc
@@ -22,13 +22,13 @@
   if (!this->FitsJournal(entry)) {
     return;
   }
-  Admission admission;
   const bool fits_now =
       !this->parts->ledger
            .FindGang(entry->terms.resources, entry->terms.tasks,
                      Packing::kFirstFit, {})
            .empty();
-  const bool admitted = this->AdmitHere(entry, &admission);
+  const Admission admission = this->CheckAdmission(*entry);
+  const bool admitted = !admission.refusal;
   if (!admitted || !fits_now) {
     const bool forwarded =
         admitted
@@ -71,25 +71,12 @@
   return false;
 }
 
-bool DeferredFlow::AdmitHere(ActiveRequest* entry, Admission* admission) {
-  const Instant now = this->parts->context.now;
-  if (this->parts->ledger.WorkerCount() == 0) {
-    admission->refusal = Error::kNoWorker;
-    admission->detail = "this entry process owns no worker";
-    admission->retry_after = this->parts->scheduler.RetryAfter(now);
-    return false;
-  }
-  QueuedRequest queued;
-  queued.request = entry->request.id;
-  queued.service = entry->request.service;
-  queued.team = entry->request.team;
-  queued.arrived = entry->arrived;
-  queued.place_by = entry->arrived + entry->terms.max_wait;
-  *admission = this->parts->scheduler.Enqueue(now, this->parts->ledger,
-                                              std::move(queued));
+Admission DeferredFlow::CheckAdmission(const ActiveRequest& entry) {
+  Admission admission =
+      this->parts->placing.Enqueue(entry, entry.arrived + entry.terms.max_wait);
   // Only a check: it joins the queue once its record is durable.
-  this->parts->scheduler.Cancel(entry->request.id);
-  return !admission->refusal;
+  this->parts->scheduler.Cancel(entry.request.id);
+  return admission;
 }
 
 void DeferredFlow::OnAcceptTimeout(ActiveRequest* entry) {
--- a/packages/core/src/lifecycle/deferred_flow.h
+++ b/packages/core/src/lifecycle/deferred_flow.h
@@ -109,7 +109,7 @@
   /// Refuses work whose record no batch can hold.
   /// @return false if it was refused
   [[nodiscard]] bool FitsJournal(ActiveRequest* entry);
-  [[nodiscard]] bool AdmitHere(ActiveRequest* entry, Admission* admission);
+  [[nodiscard]] Admission CheckAdmission(const ActiveRequest& entry);
   [[nodiscard]] bool MayStart() const;
   void Enqueue(DeferredWork* work);
   void Park(DeferredWork* work, Duration pause);
--- a/packages/core/src/lifecycle/placing.cc
+++ b/packages/core/src/lifecycle/placing.cc
@@ -28,6 +28,24 @@
 
 }  // namespace
 
+Admission Placing::Enqueue(const ActiveRequest& entry, Instant place_by) {
+  const Instant now = this->parts->context.now;
+  if (this->parts->ledger.WorkerCount() == 0) {
+    return {Error::kNoWorker, "this entry process owns no worker",
+            this->parts->scheduler.RetryAfter(now)};
+  }
+  QueuedRequest queued;
+  queued.request = entry.request.id;
+  queued.service = entry.request.service;
+  queued.team = entry.request.team;
+  queued.arrived = entry.arrived;
+  queued.place_by = place_by;
+  queued.attempt = entry.last_attempt + 1;
+  queued.avoid = entry.avoid;
+  return this->parts->scheduler.Enqueue(now, this->parts->ledger,
+                                        std::move(queued));
+}
+
 void Placing::Run() {
   const std::vector<Placement> placed = this->parts->scheduler.Schedule(
       this->parts->context.now, &this->parts->ledger, kPlacementLimit);
--- a/packages/core/src/lifecycle/placing.h
+++ b/packages/core/src/lifecycle/placing.h
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include "lifecycle/request_table.h"
 #include "lifecycle/task_tracker.h"
 #include "mustardproxy/core/ids.h"
 #include "mustardproxy/core/journal_record.h"
@@ -21,6 +22,10 @@
  public:
   explicit Placing(Parts* parts) : parts(parts) {}
 
+  /// Puts a request into the queue of this process.
+  /// @return a refusal if no room is to be expected in time, or if this process
+  ///   owns no worker
+  [[nodiscard]] Admission Enqueue(const ActiveRequest& entry, Instant place_by);
   /// Places what fits, within a bound on the time.
   void Run();
   /// Tells the flows what the scheduler has given up on.
--- a/packages/core/src/lifecycle/request_flow.cc
+++ b/packages/core/src/lifecycle/request_flow.cc
@@ -86,8 +86,8 @@
     this->parts->deferred.Accept(entry);
     return;
   }
-  Admission admission;
-  if (!this->TryQueue(entry, &admission)) {
+  const Admission admission = this->Queue(entry);
+  if (admission.refusal) {
     if (!this->ForwardUnqueued(entry, admission)) {
       this->parts->answers.RefuseAdmission(entry, admission);
     }
@@ -122,31 +122,15 @@
   return this->parts->forwarding.TryForward(entry, Reach::kAnywhere);
 }
 
-bool RequestFlow::TryQueue(ActiveRequest* entry, Admission* admission) {
-  const Instant now = this->parts->context.now;
-  if (this->parts->ledger.WorkerCount() == 0) {
-    admission->refusal = Error::kNoWorker;
-    admission->detail = "this entry process owns no worker";
-    admission->retry_after = this->parts->scheduler.RetryAfter(now);
-    return false;
-  }
-  QueuedRequest queued;
-  queued.request = entry->request.id;
-  queued.service = entry->request.service;
-  queued.team = entry->request.team;
-  queued.arrived = entry->arrived;
-  queued.place_by = entry->place_by;
-  queued.attempt = entry->last_attempt + 1;
-  queued.avoid = entry->avoid;
-  *admission = this->parts->scheduler.Enqueue(now, this->parts->ledger,
-                                              std::move(queued));
-  if (admission->refusal) {
-    return false;
+Admission RequestFlow::Queue(ActiveRequest* entry) {
+  Admission admission = this->parts->placing.Enqueue(*entry, entry->place_by);
+  if (admission.refusal) {
+    return admission;
   }
   ++entry->last_attempt;
   entry->phase = RequestPhase::kQueued;
-  entry->queued_at = now;
-  return true;
+  entry->queued_at = this->parts->context.now;
+  return admission;
 }
 
 void RequestFlow::OnPlaced(std::span<const Placement> placements) {
--- a/packages/core/src/lifecycle/request_flow.h
+++ b/packages/core/src/lifecycle/request_flow.h
@@ -53,7 +53,7 @@
 
  private:
   [[nodiscard]] bool Admit(const Request& request);
-  [[nodiscard]] bool TryQueue(ActiveRequest* entry, Admission* admission);
+  [[nodiscard]] Admission Queue(ActiveRequest* entry);
   /// Forwards what could not be queued here.
   [[nodiscard]] bool ForwardUnqueued(ActiveRequest* entry,
                                      const Admission& admission);
