--- a/packages/jobs/tests/cell_basic_test.cc
+++ b/packages/jobs/tests/cell_basic_test.cc
@@ -1,6 +1,7 @@
 #include <boost/test/unit_test.hpp>
 #include <set>
 
+#include "check_kept.h"
 #include "job_sim/sim_cell.h"
 #include "mustardproxy/core/error.h"
 
@@ -14,10 +15,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-void CheckKept(SimCell* cell) {
-  for (const std::string& line : cell->Judge().Broken()) BOOST_TEST_ERROR(line);
-}
-
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(cell_basic)
--- a/packages/jobs/tests/cell_takeover_test.cc
+++ b/packages/jobs/tests/cell_takeover_test.cc
@@ -1,6 +1,7 @@
 #include <boost/test/unit_test.hpp>
 #include <optional>
 
+#include "check_kept.h"
 #include "job_sim/sim_cell.h"
 
 namespace mustardproxy::jobs {
@@ -13,10 +14,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-void CheckKept(SimCell* cell) {
-  for (const std::string& line : cell->Judge().Broken()) BOOST_TEST_ERROR(line);
-}
-
 struct Fixture {
   /// Fills the cell with work of some length.
   void Load(int jobs, Duration length) {
--- a/packages/jobs/tests/cell_worker_test.cc
+++ b/packages/jobs/tests/cell_worker_test.cc
@@ -1,5 +1,6 @@
 #include <boost/test/unit_test.hpp>
 
+#include "check_kept.h"
 #include "job_sim/sim_cell.h"
 
 namespace mustardproxy::jobs {
@@ -13,10 +14,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-void CheckKept(SimCell* cell) {
-  for (const std::string& line : cell->Judge().Broken()) BOOST_TEST_ERROR(line);
-}
-
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(cell_worker)
