--- a/apps/mustardproxy/src/cell_program.cc
+++ b/apps/mustardproxy/src/cell_program.cc
@@ -1,5 +1,6 @@
 #include "cell_program.h"
 
+#include <array>
 #include <csignal>
 #include <cstdlib>
 #include <cxxopts.hpp>
@@ -18,6 +19,8 @@
 namespace {
 
 constexpr const char* kSettingsVariable = "MUSTARDPROXY_SETTINGS";
+/// The last one asks for the settings to be read again.
+constexpr std::array kAwaitedSignals{SIGTERM, SIGINT, SIGHUP};
 
 std::optional<CellSettings> LoadOrComplain(const std::string& path,
                                            std::ostream& errors) {
@@ -26,7 +29,7 @@
 
 int Serve(const std::string& path, CellSettings settings,
           std::ostream& errors) {
-  const Signals signals({SIGTERM, SIGINT, SIGHUP});
+  const Signals signals(kAwaitedSignals);
   StartLog(settings.log_level, settings.process.Text());
   CellRuntime runtime(std::move(settings));
   if (const auto failure = runtime.Start()) {
--- a/apps/mustardproxy/src/program.cc
+++ b/apps/mustardproxy/src/program.cc
@@ -1,5 +1,6 @@
 #include "program.h"
 
+#include <array>
 #include <csignal>
 #include <cxxopts.hpp>
 #include <optional>
@@ -17,6 +18,7 @@
 namespace {
 
 constexpr std::string_view kCellCommand = "cell";
+constexpr std::array kStopSignals{SIGTERM, SIGINT};
 
 cxxopts::Options MakeOptions() {
   cxxopts::Options options("mustardproxy", "Entry process of a cell.");
@@ -30,7 +32,7 @@
 }
 
 int Serve(Settings settings, std::ostream& errors) {
-  const Signals signals({SIGTERM, SIGINT});
+  const Signals signals(kStopSignals);
   StartLog(settings.log_level, settings.process.Text());
   std::string address_file = settings.address_file;
   Runtime runtime(std::move(settings));
--- a/apps/mustardproxy/src/signals.cc
+++ b/apps/mustardproxy/src/signals.cc
@@ -2,7 +2,7 @@
 
 namespace mustardproxy {
 
-Signals::Signals(std::initializer_list<int> awaited) {
+Signals::Signals(std::span<const int> awaited) {
   sigemptyset(&this->signals);
   for (const int signal : awaited) sigaddset(&this->signals, signal);
   pthread_sigmask(SIG_BLOCK, &this->signals, nullptr);
--- a/apps/mustardproxy/src/signals.h
+++ b/apps/mustardproxy/src/signals.h
@@ -2,7 +2,7 @@
 #define MUSTARDPROXY_APP_SIGNALS_H_
 
 #include <csignal>
-#include <initializer_list>
+#include <span>
 
 namespace mustardproxy {
 
@@ -11,7 +11,7 @@
 /// write to a connection that the other end has closed raises it.
 class Signals {
  public:
-  explicit Signals(std::initializer_list<int> awaited);
+  explicit Signals(std::span<const int> awaited);
 
   /// @return the signal that came
   [[nodiscard]] int Wait() const;
