job_load: an experiment tool over the cell in virtual time

A description (workers, queues with policies, load with bursts, faults) is played by packages/jobs between the stand-ins; the report has waiting and end by queue, worth, use of the cell and processor time a run, and a picture.

--- a/packages/jobs/tests/cell_worker_test.cc
+++ b/packages/jobs/tests/cell_worker_test.cc
@@ -30,6 +30,20 @@
   CheckKept(cell.get());
 }
 
+// A worker has run nothing for a while, so its lease has lapsed. A task is
+// placed there, and while its start is being stored the worker was taken for
+// lost, and its other new tasks with it: each was placed again, a store call
+// later, at a worker that had to be fenced anew.
+BOOST_AUTO_TEST_CASE(an_idle_worker_is_not_lost_while_a_start_is_stored) {
+  const auto cell = SimCell::Builder().Workers(2).Build();
+  cell->Time().RunFor(seconds(30));
+  cell->Store().latency = milliseconds(250);
+  SimJob* job = cell->Submit(MakeSpec({MakeStep(4, 3000, seconds(1))}));
+  BOOST_TEST(cell->AwaitFinal(job->job.id, seconds(20)));
+  BOOST_TEST(cell->Log().Count("worker-lost") == 0U);
+  CheckKept(cell.get());
+}
+
 // A worker crashes and comes back at once at the same address. Its next life
 // proves that the former one is over: nothing is waited for.
 BOOST_AUTO_TEST_CASE(the_next_life_of_a_worker_ends_the_wait) {
--- /dev/null
+++ b/testing/job_load/src/load.h
@@ -0,0 +1,30 @@
+#ifndef JOB_LOAD_SRC_LOAD_H_
+#define JOB_LOAD_SRC_LOAD_H_
+
+#include "job_load/deployment.h"
+#include "job_sim/virtual_time.h"
+
+namespace job_load {
+
+/// A job as drawn from the description of its kind.
+struct DrawnJob {
+  jobs::JobSpec spec;
+  /// Actual run times, as a multiple of the declared ones.
+  double length_factor = 1.0;
+  bool hopeless = false;
+};
+
+/// @return a value around the mean, at least 1 where `whole` values count
+double Draw(job_sim::VirtualTime* time, const Spread& spread);
+DrawnJob DrawJob(job_sim::VirtualTime* time, const QueueLoad& load);
+/// @return time until the next job of this kind
+Duration DrawPause(job_sim::VirtualTime* time, const QueueLoad& load,
+                   Duration since_start);
+/// @return the longest chain of a job's steps, with actual run times
+Duration LongestChain(const DrawnJob& job);
+/// @return processor seconds of all its tasks
+double CoreSeconds(const DrawnJob& job);
+
+}  // namespace job_load
+
+#endif  // JOB_LOAD_SRC_LOAD_H_
--- /dev/null
+++ b/testing/job_load/tests/job_load_tests_main.cc
@@ -0,0 +1,2 @@
+#define BOOST_TEST_MODULE job_load
+#include <boost/test/unit_test.hpp>
--- a/testing/job_sim/include/job_sim/process.h
+++ b/testing/job_sim/include/job_sim/process.h
@@ -33,6 +33,8 @@
   [[nodiscard]] bool Alive() const { return !this->killed; }
   [[nodiscard]] bool Running() const { return !this->killed && !this->paused; }
   [[nodiscard]] const std::string& Name() const { return this->name; }
+  /// @return processor time that its tasks took so far
+  [[nodiscard]] double ProcessorSeconds() const { return this->cpu_seconds; }
   /// Cut off from the store, from workers, from other processes.
   bool store_cut = false;
   bool workers_cut = false;
@@ -45,6 +47,7 @@
   std::string name;
   bool paused = false;
   bool killed = false;
+  double cpu_seconds = 0.0;
   std::deque<std::function<void()>> held;
   mustardproxy::jobs::TimerId next_timer = 1;
   std::unordered_set<mustardproxy::jobs::TimerId> cancelled;
--- a/testing/job_sim/include/job_sim/promises.h
+++ b/testing/job_sim/include/job_sim/promises.h
@@ -1,7 +1,9 @@
 #ifndef JOB_SIM_PROMISES_H_
 #define JOB_SIM_PROMISES_H_
 
+#include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -24,6 +26,12 @@
   Instant cancelled_at;
   /// Each run of it fails.
   bool hopeless = false;
+  /// How long its runs take, as a multiple of what it declares.
+  double length_factor = 1.0;
+  /// When the first of its tasks began, and the last one ended well.
+  std::optional<Instant> first_start;
+  std::optional<Instant> done_at;
+  std::int64_t tasks_done = 0;
 };
 
 /// Watches what workers do and keeps a list of what must never happen. Judged
@@ -39,6 +47,8 @@
     return this->jobs;
   }
   [[nodiscard]] const jobs::Step* StepOf(const jobs::StepRef& ref) const;
+  /// @return how long a run of the step works
+  [[nodiscard]] Duration LengthOf(const jobs::StepRef& ref) const;
 
   /// A worker begins a run.
   /// @param late the order was carried out seconds after it was sent
--- a/testing/job_sim/include/job_sim/sim_cell.h
+++ b/testing/job_sim/include/job_sim/sim_cell.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "job_sim/process.h"
@@ -75,12 +76,18 @@
 
   /// Hands a job in at a process, and again elsewhere until it is accepted.
   SimJob* Submit(jobs::JobSpec spec, std::size_t process = 0);
+  /// The same for another queue than `queue`.
+  SimJob* SubmitTo(const jobs::QueueName& name, jobs::JobSpec spec,
+                   std::size_t process);
   void Cancel(const jobs::JobId& id, std::size_t process = 0);
   /// @return what a caller is told; nothing if there was no answer
   std::optional<jobs::JobState> Ask(const jobs::JobId& id,
                                     std::size_t process = 0);
   /// Runs until the job is final for callers.
   bool AwaitFinal(const jobs::JobId& id, Duration limit);
+  /// @return processor time that the control thread of each process took, all
+  ///   its lives together
+  [[nodiscard]] std::vector<double> ProcessorSeconds() const;
   /// Ends all faults, and judges that every accepted job ends.
   void Settle(Duration limit);
 
@@ -93,6 +100,8 @@
   void SubmitAt(const jobs::JobId& id, std::size_t process, int tries);
   void CancelAt(const jobs::JobId& id, std::size_t process, int tries);
   std::size_t RunningFrom(std::size_t process);
+  [[nodiscard]] const jobs::Queue& QueueOf(const jobs::QueueName& name) const;
+  SimWorker* ListWorker(const mustardproxy::Resources& capacity);
 
   VirtualTime time;
   KeptLog log;
@@ -108,7 +117,10 @@
   std::int32_t next_worker = 0;
   std::int32_t next_job = 0;
   mustardproxy::Incarnation next_incarnation = 1;
-  double permitted_share = 1.0;
+  /// Queues beside `queue`.
+  std::vector<jobs::Queue> other_queues;
+  std::map<jobs::QueueName, double> permitted_shares;
+  std::size_t workers_per_rack = 2;
 };
 
 class SimCell::Builder {
@@ -121,6 +133,10 @@
   /// The queue needs permissions, which this share of the workers gets.
   Builder& Advice(double permitted_share, Duration decision);
   Builder& MaxAttempts(std::int32_t attempts);
+  Builder& WorkersPerRack(std::size_t count);
+  /// Another queue; its service is that of the cell. If it has a policy, this
+  /// share of the workers is permitted.
+  Builder& Queue(jobs::Queue queue, double permitted_share);
   /// @return a cell whose processes have started and whose owner is at work
   std::unique_ptr<SimCell> Build();
 
@@ -133,6 +149,8 @@
   std::optional<double> permitted_share;
   Duration decision{0};
   std::int32_t max_attempts = 3;
+  std::size_t workers_per_rack = 2;
+  std::vector<std::pair<jobs::Queue, double>> queues;
 
   friend class SimCell;
 };
--- a/testing/job_sim/include/job_sim/sim_worker.h
+++ b/testing/job_sim/include/job_sim/sim_worker.h
@@ -37,6 +37,8 @@
   [[nodiscard]] std::size_t RunningCount() const {
     return this->running.size();
   }
+  /// What the tasks that run take.
+  [[nodiscard]] mustardproxy::Resources Used() const;
 
   /// Each run that it starts fails at once.
   bool fails_all = false;
@@ -61,6 +63,7 @@
   void Extend(std::int64_t until_ms);
   void CheckLease();
   void Begin(const jobs::RunRef& run, Running* record);
+  [[nodiscard]] mustardproxy::Resources Each(const jobs::RunRef& run) const;
   void CheckCapacity(const jobs::RunRef& run);
   jobs::HoldResult Lists() const;
   void Answer();
--- a/testing/job_sim/src/process.cc
+++ b/testing/job_sim/src/process.cc
@@ -1,6 +1,7 @@
 #include "job_sim/process.h"
 
 #include <chrono>
+#include <ctime>
 #include <utility>
 
 namespace job_sim {
@@ -10,6 +11,15 @@
 constexpr std::int64_t kEpochMs = 1'700'000'000'000;
 /// What handing a task to the control thread takes.
 constexpr Duration kPostDelay{20};
+constexpr double kNanosPerSecond = 1e9;
+
+/// @return processor time of this thread so far
+double ThreadSeconds() {
+  timespec now{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &now);
+  return static_cast<double>(now.tv_sec) +
+         static_cast<double>(now.tv_nsec) / kNanosPerSecond;
+}
 
 }  // namespace
 
@@ -25,7 +35,9 @@
     this->held.push_back(std::move(task));
     return;
   }
+  const double begun = ThreadSeconds();
   task();
+  this->cpu_seconds += ThreadSeconds() - begun;
 }
 
 void Process::Post(std::function<void()> task) {
--- a/testing/job_sim/src/promises.cc
+++ b/testing/job_sim/src/promises.cc
@@ -32,6 +32,14 @@
   return &found->second.job.spec.steps.at(static_cast<std::size_t>(ref.step));
 }
 
+Duration Promises::LengthOf(const jobs::StepRef& ref) const {
+  const auto found = this->jobs.find(ref.job);
+  const auto declared =
+      static_cast<double>(this->StepOf(ref)->estimate.count());
+  return Duration(
+      static_cast<std::int64_t>(declared * found->second.length_factor));
+}
+
 void Promises::Break(const std::string& promise, const std::string& detail) {
   const auto at = std::chrono::duration_cast<std::chrono::milliseconds>(
       this->time->Now().time_since_epoch());
@@ -64,6 +72,7 @@
     this->Break("started what nobody handed in", Describe(run));
     return;
   }
+  if (!job->first_start) job->first_start = this->time->Now();
   std::set<jobs::RunNumber>& now = this->running[run.task];
   if (!now.empty()) this->Break("two runs at once", Describe(run));
   now.insert(run.run);
@@ -89,7 +98,13 @@
                     {"worker", worker},
                     {"end", Name(end)}});
   this->running[run.task].erase(run.run);
-  if (end == jobs::RunEnd::kDone) this->done.insert(run.task);
+  if (end != jobs::RunEnd::kDone) return;
+  SimJob* job = this->Find(run.task.step.job);
+  const bool first = this->done.insert(run.task).second;
+  if (!first || job == nullptr) return;
+  std::int64_t tasks = 0;
+  for (const jobs::Step& step : job->job.spec.steps) tasks += step.tasks;
+  if (++job->tasks_done == tasks) job->done_at = this->time->Now();
 }
 
 void Promises::OnNoted(const jobs::RunRef& run, jobs::RunEnd end) {
--- a/testing/job_sim/src/sim_cell.cc
+++ b/testing/job_sim/src/sim_cell.cc
@@ -18,7 +18,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr std::size_t kWorkersPerRack = 2;
 constexpr Duration kPeerLatency = milliseconds(1);
 constexpr Duration kPeerTimeout = milliseconds(400);
 constexpr Duration kCallerTimeout = seconds(3);
@@ -71,6 +70,7 @@
       std::string_view value) const override {
     jobs::DesiredState desired;
     desired.version = std::stoull(std::string(value));
+    desired.queues = this->cell->other_queues;
     desired.queues.push_back(this->cell->queue);
     desired.services.push_back({this->cell->queue.service, false, false});
     return desired;
@@ -165,8 +165,9 @@
 
   void Ask(jobs::AdviceQuestion question,
            std::function<void(Result<jobs::Advice>)> done) override {
+    const jobs::Queue& queue = this->QueueOf(question.step);
     const jobs::AdvicePolicy policy =
-        this->cell->queue.advice.value_or(jobs::AdvicePolicy{});
+        queue.advice.value_or(jobs::AdvicePolicy{});
     const Duration cost =
         policy.decision +
         policy.per_worker * static_cast<std::int64_t>(question.workers.size());
@@ -174,7 +175,7 @@
     jobs::Advice advice;
     advice.validity = policy.validity;
     for (const WorkerId& worker : question.workers) {
-      if (this->Permits(question.step, worker)) {
+      if (this->Permits(queue, question.step, worker)) {
         advice.permitted.push_back({worker, "ticket"});
       }
     }
@@ -187,7 +188,8 @@
 
  private:
   /// The same answer for the same step and worker, whoever asks.
-  [[nodiscard]] bool Permits(const jobs::StepRef& step,
+  [[nodiscard]] bool Permits(const jobs::Queue& queue,
+                             const jobs::StepRef& step,
                              const WorkerId& worker) const {
     constexpr std::size_t kSteps = 1000;
     // Never none at all, or the step could not run.
@@ -197,7 +199,12 @@
     const std::size_t drawn =
         std::hash<std::string>{}(jobs::Text(step) + worker.Text()) % kSteps;
     return static_cast<double>(drawn) <
-           this->cell->permitted_share * static_cast<double>(kSteps);
+           this->cell->permitted_shares.at(queue.name) *
+               static_cast<double>(kSteps);
+  }
+  [[nodiscard]] const jobs::Queue& QueueOf(const jobs::StepRef& step) const {
+    const SimJob* job = this->cell->promises.Find(step.job);
+    return this->cell->QueueOf(job->job.queue.name);
   }
 
   SimCell* cell;
@@ -303,17 +310,22 @@
 }
 
 SimWorker* SimCell::AddWorker() {
+  const std::vector<SimWorker*> alive = this->workers.Alive();
+  return this->ListWorker(alive.empty()
+                              ? mustardproxy::Resources{16'000, 64'000, 0, 0}
+                              : alive.front()->Info().capacity);
+}
+
+SimWorker* SimCell::ListWorker(const mustardproxy::Resources& capacity) {
   const auto number = static_cast<std::size_t>(this->next_worker++);
   jobs::WorkerInfo info;
   info.id = WorkerId("w" + std::to_string(number));
   info.address = "worker-" + std::to_string(number);
   info.service = this->queue.service;
   info.data_center = DataCenterId("dc");
-  info.rack = "rack-" + std::to_string(number / kWorkersPerRack);
+  info.rack = "rack-" + std::to_string(number / this->workers_per_rack);
   info.labels = {"a", info.rack};
-  info.capacity = this->workers.Alive().empty()
-                      ? mustardproxy::Resources{16'000, 64'000, 0, 0}
-                      : this->workers.Alive().front()->Info().capacity;
+  info.capacity = capacity;
   SimWorker* worker = this->workers.Add(info);
   this->store.Put(std::string(kWorkerPrefix) + info.id.Text(), "ready");
   return worker;
@@ -356,10 +368,22 @@
   return process % this->slots.size();
 }
 
+const jobs::Queue& SimCell::QueueOf(const jobs::QueueName& name) const {
+  const auto found = std::find_if(
+      this->other_queues.begin(), this->other_queues.end(),
+      [&](const jobs::Queue& other) { return other.name == name; });
+  return found == this->other_queues.end() ? this->queue : *found;
+}
+
 SimJob* SimCell::Submit(jobs::JobSpec spec, std::size_t process) {
+  return this->SubmitTo(this->queue.name, std::move(spec), process);
+}
+
+SimJob* SimCell::SubmitTo(const jobs::QueueName& name, jobs::JobSpec spec,
+                          std::size_t process) {
   jobs::Job job;
   job.id = jobs::JobId("job" + std::to_string(this->next_job++));
-  job.queue = this->queue;
+  job.queue = this->QueueOf(name);
   job.spec = std::move(spec);
   SimJob* entry = this->promises.Add(std::move(job));
   this->SubmitAt(entry->job.id, process, kMostTries);
@@ -450,6 +474,19 @@
   }
 }
 
+std::vector<double> SimCell::ProcessorSeconds() const {
+  std::map<std::string, double> taken;
+  for (const auto* lives : {&this->slots, &this->ended}) {
+    for (const auto& slot : *lives) {
+      if (!slot) continue;
+      taken[slot->process.Name()] += slot->process.ProcessorSeconds();
+    }
+  }
+  std::vector<double> seconds;
+  for (const auto& [name, one] : taken) seconds.push_back(one);
+  return seconds;
+}
+
 SimCell::Builder& SimCell::Builder::Seed(std::uint64_t value) {
   this->seed = value;
   return *this;
@@ -483,6 +520,16 @@
   return *this;
 }
 
+SimCell::Builder& SimCell::Builder::WorkersPerRack(std::size_t count) {
+  this->workers_per_rack = count;
+  return *this;
+}
+
+SimCell::Builder& SimCell::Builder::Queue(jobs::Queue given, double share) {
+  this->queues.emplace_back(std::move(given), share);
+  return *this;
+}
+
 std::unique_ptr<SimCell> SimCell::Builder::Build() {
   std::unique_ptr<SimCell> cell(new SimCell(this->seed));
   cell->queue.name = jobs::QueueName("queue");
@@ -493,22 +540,19 @@
   cell->queue.stretch = 2.0;
   cell->queue.target = seconds(1);
   if (this->permitted_share) {
-    cell->permitted_share = *this->permitted_share;
+    cell->permitted_shares[cell->queue.name] = *this->permitted_share;
     cell->queue.advice =
         jobs::AdvicePolicy{this->decision, milliseconds(1), milliseconds(2000)};
   }
+  for (auto& [other, share] : this->queues) {
+    other.service = cell->queue.service;
+    cell->permitted_shares[other.name] = share;
+    cell->other_queues.push_back(other);
+  }
+  cell->workers_per_rack = this->workers_per_rack;
   cell->Apply();
   for (std::size_t i = 0; i < this->workers; ++i) {
-    jobs::WorkerInfo info;
-    info.id = WorkerId("w" + std::to_string(cell->next_worker));
-    info.address = "worker-" + std::to_string(cell->next_worker++);
-    info.service = cell->queue.service;
-    info.data_center = DataCenterId("dc");
-    info.rack = "rack-" + std::to_string(i / kWorkersPerRack);
-    info.labels = {"a", info.rack};
-    info.capacity = {this->cpu_milli, this->memory_mb, 0, 0};
-    cell->workers.Add(info);
-    cell->store.Put(std::string(kWorkerPrefix) + info.id.Text(), "ready");
+    cell->ListWorker({this->cpu_milli, this->memory_mb, 0, 0});
   }
   cell->slots.resize(this->processes);
   for (std::size_t i = 0; i < this->processes; ++i) cell->StartProcess(i);
--- a/testing/job_sim/src/sim_store.cc
+++ b/testing/job_sim/src/sim_store.cc
@@ -260,10 +260,13 @@
   if (after < this->compacted) return make_error_code(Error::kHistoryLost);
   StoreEvents events;
   events.current = this->revision;
-  for (const jobs::StoreEvent& event : this->history) {
-    const bool wanted =
-        event.item.revision > after && event.item.key.starts_with(prefix);
-    if (wanted) events.events.push_back(event);
+  auto event =
+      std::upper_bound(this->history.begin(), this->history.end(), after,
+                       [](Revision revision, const jobs::StoreEvent& one) {
+                         return revision < one.item.revision;
+                       });
+  for (; event != this->history.end(); ++event) {
+    if (event->item.key.starts_with(prefix)) events.events.push_back(*event);
   }
   return events;
 }
--- a/testing/job_sim/src/sim_worker.cc
+++ b/testing/job_sim/src/sim_worker.cc
@@ -68,16 +68,22 @@
   for (const jobs::RunRef& run : all_runs) this->EndRun(run, RunEnd::kLapsed);
 }
 
-void SimWorker::CheckCapacity(const jobs::RunRef& run) {
+mustardproxy::Resources SimWorker::Each(const jobs::RunRef& run) const {
+  mustardproxy::Resources each =
+      this->all->promises->StepOf(run.task.step)->each;
+  each.slots = 0;
+  return each;
+}
+
+mustardproxy::Resources SimWorker::Used() const {
   mustardproxy::Resources used;
-  const auto add = [&](const jobs::RunRef& one) {
-    mustardproxy::Resources each =
-        this->all->promises->StepOf(one.task.step)->each;
-    each.slots = 0;
-    used += each;
-  };
-  for (const auto& [one, record] : this->running) add(one);
-  add(run);
+  for (const auto& [run, record] : this->running) used += this->Each(run);
+  return used;
+}
+
+void SimWorker::CheckCapacity(const jobs::RunRef& run) {
+  mustardproxy::Resources used = this->Used();
+  used += this->Each(run);
   if (!used.FitsIn(this->info.capacity)) {
     this->all->promises->OnOvercommit(this->info.id.Text(), run);
   }
@@ -102,7 +108,7 @@
   this->all->promises->OnStart(this->info.id.Text(), order.run, late);
   Running record;
   record.started = this->all->time->Now();
-  record.work = this->all->promises->StepOf(order.run.task.step)->estimate;
+  record.work = this->all->promises->LengthOf(order.run.task.step);
   record.saved_ms = order.checkpoint.empty() ? 0 : std::stoll(order.checkpoint);
   this->running[order.run] = record;
   this->Begin(order.run, &this->running[order.run]);
@@ -244,7 +250,7 @@
     at->running[member].working = true;
     at->running[member].started = this->time->Now();
   }
-  this->time->After(step->estimate, [this, key] {
+  this->time->After(this->promises->LengthOf(run.task.step), [this, key] {
     const auto found = this->gangs.find(key);
     if (found == this->gangs.end()) return;
     const Gang whole = found->second;
