A worker that was idle is not lost while a start is being stored

Cause: a worker that has run nothing for a while has no lease; a tick between the placement of a task there and its start (a write to the store) took the worker for lost, dropped all that was placed and fenced it anew. With answers of the store of 250 ms the task never started. Only a run whose start was sent counts for a lapse.

--- a/packages/jobs/src/hold_loop.cc
+++ b/packages/jobs/src/hold_loop.cc
@@ -76,7 +76,8 @@
   const Instant now = this->context->executor->Now();
   std::vector<WorkerId> finished;
   for (const auto& [id, session] : this->context->workers) {
-    if (!session->runs.empty() && now >= session->LapsesAt()) {
+    // A run whose start was never sent has no lease that could lapse.
+    if (session->HasOrdered() && now >= session->LapsesAt()) {
       this->context->runs->LoseAll(session.get(), LossCause::kLeaseLapsed);
     }
     this->Pump(session.get());
--- a/packages/jobs/src/worker_session.cc
+++ b/packages/jobs/src/worker_session.cc
@@ -54,6 +54,12 @@
   return found == this->runs.end() ? nullptr : &found->second;
 }
 
+bool WorkerSession::HasOrdered() const {
+  return std::any_of(this->runs.begin(), this->runs.end(), [](const auto& run) {
+    return run.second.phase != RunPhase::kPlanned;
+  });
+}
+
 Resources WorkerSession::Free() const {
   return this->info.capacity - this->used;
 }
--- a/packages/jobs/src/worker_session.h
+++ b/packages/jobs/src/worker_session.h
@@ -87,6 +87,8 @@
   void AddRun(const RunRef& run, SessionRun record);
   void RemoveRun(const RunRef& run);
   [[nodiscard]] SessionRun* FindRun(const RunRef& run);
+  /// @return true if a start was sent of any run whose end is not known
+  [[nodiscard]] bool HasOrdered() const;
   [[nodiscard]] Resources Free() const;
   [[nodiscard]] bool HasLabel(const std::string& label) const;
   [[nodiscard]] WorkerTarget Target() const;
