A pass over the queue finds workers and permissions by number

Cause: on 350 workers the owner's half core was used up by passes: each looked at all workers by name for each waiting step, copied all rooms, and computed each job's chain anew; the queue grew, and so did the pass.

--- a/packages/jobs/src/advice_desk.cc
+++ b/packages/jobs/src/advice_desk.cc
@@ -18,6 +18,40 @@
 /// One process of this many is kept for short questions.
 constexpr std::size_t kLanesPerShortLane = 3;
 
+std::pair<std::int32_t, std::int32_t> NumberOf(const StepRef& step) {
+  return {step.occurrence, step.step};
+}
+
+void Permit(SessionNumber session, Ticket ticket, StepAdvice* known) {
+  for (PermittedWorker& one : known->permitted) {
+    if (one.session != session) continue;
+    one.ticket = std::move(ticket);
+    return;
+  }
+  known->permitted.push_back({session, std::move(ticket)});
+}
+
+void Refuse(SessionNumber session, StepAdvice* known) {
+  std::erase_if(known->permitted, [&](const PermittedWorker& one) {
+    return one.session == session;
+  });
+  const auto place =
+      std::lower_bound(known->refused.begin(), known->refused.end(), session);
+  const bool there = place != known->refused.end() && *place == session;
+  if (!there) known->refused.insert(place, session);
+}
+
+/// @param steps advice by job, and then by occurrence and step
+/// @return what is known of a step, or null
+template <typename Steps>
+auto* FindIn(Steps& steps, const StepRef& step) {
+  const auto job = steps.find(step.job);
+  using Found = decltype(&job->second.begin()->second);
+  if (job == steps.end()) return Found{nullptr};
+  const auto found = job->second.find(NumberOf(step));
+  return found == job->second.end() ? nullptr : &found->second;
+}
+
 Duration Cost(const AdvicePolicy& policy, std::size_t workers) {
   return policy.decision +
          policy.per_worker * static_cast<std::int64_t>(workers);
@@ -25,10 +59,16 @@
 
 }  // namespace
 
-const Ticket* StepAdvice::Valid(const WorkerId& worker, Instant now) const {
-  const auto found = this->permitted.find(worker);
-  if (found == this->permitted.end()) return nullptr;
-  return found->second.expires > now ? &found->second : nullptr;
+const Ticket* StepAdvice::TicketFor(SessionNumber session) const {
+  const auto found = std::find_if(
+      this->permitted.begin(), this->permitted.end(),
+      [&](const PermittedWorker& one) { return one.session == session; });
+  return found == this->permitted.end() ? nullptr : &found->ticket;
+}
+
+bool StepAdvice::Refuses(SessionNumber session) const {
+  return std::binary_search(this->refused.begin(), this->refused.end(),
+                            session);
 }
 
 AdviceDesk::AdviceDesk(Parts parts, Chooser chooser,
@@ -52,7 +92,7 @@
 }
 
 void AdviceDesk::Want(const AdviceNeed& need) {
-  StepAdvice& known = this->steps[need.step];
+  StepAdvice& known = this->steps[need.step.job][NumberOf(need.step)];
   if (std::exchange(known.asking, true)) return;
   this->queue.push_back(
       {need, this->parts.executor->Now(), this->next_number++});
@@ -60,22 +100,19 @@
 }
 
 const StepAdvice* AdviceDesk::Find(const StepRef& step) const {
-  const auto found = this->steps.find(step);
-  return found == this->steps.end() ? nullptr : &found->second;
+  return FindIn(this->steps, step);
 }
 
-void AdviceDesk::DropTicket(const StepRef& step, const WorkerId& worker) {
-  const auto found = this->steps.find(step);
-  if (found == this->steps.end()) return;
-  const auto ticket = found->second.permitted.find(worker);
-  if (ticket != found->second.permitted.end()) {
-    ticket->second.expires = Instant::min();
+void AdviceDesk::DropTicket(const StepRef& step, SessionNumber session) {
+  StepAdvice* known = FindIn(this->steps, step);
+  if (known == nullptr) return;
+  for (PermittedWorker& one : known->permitted) {
+    if (one.session == session) one.ticket.expires = Instant::min();
   }
 }
 
 void AdviceDesk::ForgetJob(const JobId& job) {
-  std::erase_if(this->steps,
-                [&](const auto& entry) { return entry.first.job == job; });
+  this->steps.erase(job);
   std::erase_if(this->queue, [&](const Waiting& waiting) {
     return waiting.need.step.job == job;
   });
@@ -121,10 +158,10 @@
       continue;
     }
     this->queue.erase(this->queue.begin() + static_cast<std::ptrdiff_t>(i));
-    std::vector<WorkerId> workers = this->chooser(waiting.need.step);
+    std::vector<AskedWorker> workers = this->chooser(waiting.need.step);
     if (workers.empty()) {
-      const auto known = this->steps.find(waiting.need.step);
-      if (known != this->steps.end()) known->second.asking = false;
+      StepAdvice* known = FindIn(this->steps, waiting.need.step);
+      if (known != nullptr) known->asking = false;
       continue;
     }
     const Duration cost = Cost(waiting.need.policy, workers.size());
@@ -133,10 +170,13 @@
   }
 }
 
-void AdviceDesk::Send(const Waiting& waiting, std::vector<WorkerId> workers,
+void AdviceDesk::Send(const Waiting& waiting, std::vector<AskedWorker> workers,
                       const ProcessId& process, Lane* lane, Duration cost) {
   lane->busy = true;
-  AdviceQuestion question{waiting.need.step, workers, cost + kAdviceSlack};
+  AdviceQuestion question{waiting.need.step, {}, cost + kAdviceSlack};
+  for (const AskedWorker& worker : workers) {
+    question.workers.push_back(worker.id);
+  }
   const Sent sent{waiting.need.step, std::move(workers),
                   process,           this->parts.executor->Now(),
                   waiting.since,     waiting.need.queue};
@@ -158,10 +198,9 @@
     lane->second.busy_with_long = false;
     if (!answer) lane->second.out_until = now + kAdviceLanePause;
   }
-  const auto known = this->steps.find(sent.step);
-  if (known != this->steps.end()) {
-    known->second.asking = false;
-    if (answer) this->Record(sent, answer.value(), &known->second);
+  if (StepAdvice* known = FindIn(this->steps, sent.step)) {
+    known->asking = false;
+    if (answer) this->Record(sent, answer.value(), known);
   }
   if (!answer) {
     this->parts.log->Write("advice", "question-failed",
@@ -189,11 +228,18 @@
 void AdviceDesk::Record(const Sent& sent, const Advice& advice,
                         StepAdvice* known) {
   const Instant now = this->parts.executor->Now();
-  for (const WorkerId& worker : sent.workers) known->refused.insert(worker);
+  std::unordered_map<WorkerId, const Permission*> permitted;
   for (const Permission& permission : advice.permitted) {
-    known->refused.erase(permission.worker);
-    known->permitted[permission.worker] = {permission.ticket,
-                                           now + advice.validity};
+    permitted.emplace(permission.worker, &permission);
+  }
+  for (const AskedWorker& worker : sent.workers) {
+    const auto found = permitted.find(worker.id);
+    if (found == permitted.end()) {
+      Refuse(worker.session, known);
+    } else {
+      Permit(worker.session, {found->second->ticket, now + advice.validity},
+             known);
+    }
   }
   this->NoteShare(sent, advice);
   const auto wait = std::chrono::duration_cast<Duration>(now - sent.since);
--- a/packages/jobs/src/advice_desk.h
+++ b/packages/jobs/src/advice_desk.h
@@ -4,8 +4,9 @@
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <set>
 #include <string>
+#include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "guard.h"
@@ -15,6 +16,7 @@
 #include "mustardproxy/jobs/placement_adviser.h"
 #include "mustardproxy/telemetry/event_log.h"
 #include "mustardproxy/telemetry/metrics.h"
+#include "worker_session.h"
 
 namespace mustardproxy::jobs {
 
@@ -24,16 +26,30 @@
   Instant expires;
 };
 
+/// A worker that may run a step, with the last permission for it.
+struct PermittedWorker {
+  SessionNumber session = 0;
+  Ticket ticket;
+};
+
 /// What the policy service has said of one step.
 struct StepAdvice {
-  /// Workers that may run it, with the last permission for each.
-  std::map<WorkerId, Ticket> permitted;
-  /// Workers that may not, in this life of theirs.
-  std::set<WorkerId> refused;
+  /// Workers that may run it, by session.
+  std::vector<PermittedWorker> permitted;
+  /// Workers that may not, in this life of theirs; sorted.
+  std::vector<SessionNumber> refused;
   /// A question waits or is on its way.
   bool asking = false;
 
-  [[nodiscard]] const Ticket* Valid(const WorkerId& worker, Instant now) const;
+  /// @return the last permission for a worker, or null
+  [[nodiscard]] const Ticket* TicketFor(SessionNumber session) const;
+  [[nodiscard]] bool Refuses(SessionNumber session) const;
+};
+
+/// A worker to ask about.
+struct AskedWorker {
+  WorkerId id;
+  SessionNumber session = 0;
 };
 
 /// A process that can ask the policy service.
@@ -59,7 +75,7 @@
  public:
   /// Chooses the workers to ask about at the moment when the question is sent;
   /// none: the question is dropped.
-  using Chooser = std::function<std::vector<WorkerId>(const StepRef&)>;
+  using Chooser = std::function<std::vector<AskedWorker>(const StepRef&)>;
 
   struct Parts {
     Executor* executor = nullptr;
@@ -79,7 +95,7 @@
   /// @return which share of the workers asked about was permitted lately
   [[nodiscard]] double PermittedShare(const QueueName& queue) const;
   /// A worker has refused this permission.
-  void DropTicket(const StepRef& step, const WorkerId& worker);
+  void DropTicket(const StepRef& step, SessionNumber session);
   void ForgetJob(const JobId& job);
 
  private:
@@ -96,16 +112,18 @@
   };
   struct Sent {
     StepRef step;
-    std::vector<WorkerId> workers;
+    std::vector<AskedWorker> workers;
     ProcessId lane;
     Instant at;
     Instant since;
     QueueName queue;
   };
 
+  using StepNumber = std::pair<std::int32_t, std::int32_t>;
+
   void Pump();
   Lane* FreeLane(bool long_question, ProcessId* process);
-  void Send(const Waiting& waiting, std::vector<WorkerId> workers,
+  void Send(const Waiting& waiting, std::vector<AskedWorker> workers,
             const ProcessId& process, Lane* lane, Duration cost);
   void OnAnswer(const Sent& sent, const Result<Advice>& answer);
   void NoteShare(const Sent& sent, const Advice& advice);
@@ -117,7 +135,9 @@
   std::map<ProcessId, Lane> lanes;
   std::vector<Waiting> queue;
   std::uint64_t next_number = 1;
-  std::map<StepRef, StepAdvice> steps;
+  /// By job, and then by occurrence and step: a pass looks one up for each
+  /// step that waits.
+  std::unordered_map<JobId, std::map<StepNumber, StepAdvice>> steps;
   std::map<QueueName, double> permitted_shares;
   Guard guard;
 };
--- a/packages/jobs/src/dispatcher.cc
+++ b/packages/jobs/src/dispatcher.cc
@@ -30,37 +30,6 @@
 /// question's fixed part.
 constexpr std::size_t kMinAsked = 6;
 
-/// @return longest expected time from the start of `step` to the job's end
-Duration ChainFrom(const Job& job, const RunTimes& times, std::size_t step) {
-  std::vector<Duration> longest(job.spec.steps.size(), Duration::zero());
-  Duration most{0};
-  for (std::size_t i = step; i < job.spec.steps.size(); ++i) {
-    const Step& spec = job.spec.steps[i];
-    Duration before{0};
-    bool follows = i == step;
-    for (const std::int32_t earlier : spec.after) {
-      const auto index = static_cast<std::size_t>(earlier);
-      if (index < step || longest[index] == Duration::zero()) continue;
-      before = std::max(before, longest[index]);
-      follows = true;
-    }
-    if (!follows) continue;
-    longest[i] = before + times.Expect(job.queue.name, spec.estimate);
-    most = std::max(most, longest[i]);
-  }
-  return most;
-}
-
-/// @return the longest chain of the whole job
-Duration WholeChain(const Job& job, const RunTimes& times) {
-  Duration most{0};
-  for (std::size_t i = 0; i < job.spec.steps.size(); ++i) {
-    if (!job.spec.steps[i].after.empty()) continue;
-    most = std::max(most, ChainFrom(job, times, i));
-  }
-  return most;
-}
-
 Duration Scale(Duration duration, double factor) {
   return Duration(static_cast<std::int64_t>(
       factor * static_cast<double>(duration.count())));
@@ -91,6 +60,52 @@
       }));
 }
 
+/// What a question about a step has to bring.
+struct AdviceWish {
+  std::int64_t tasks = 0;
+  /// Which share of the workers asked about is permitted as a rule.
+  double permitted_share = 0.0;
+};
+
+/// A worker that may be asked about.
+struct AskChoice {
+  const Room* room = nullptr;
+  bool known_permitted = false;
+  std::int64_t fitting = 0;
+};
+
+/// @return workers that are likely to have room for the step's tasks: those
+///   known to be permitted first, then those with most room
+std::vector<AskedWorker> ChooseAsked(const Unit& unit, const StepAdvice& advice,
+                                     std::span<Room* const> rooms,
+                                     const AdviceWish& wish) {
+  std::vector<AskChoice> choices;
+  for (const Room* room : rooms) {
+    const SessionNumber session = room->session->Number();
+    if (advice.Refuses(session)) continue;
+    if (!room->session->HasLabel(unit.step->required_label)) continue;
+    choices.push_back({room, advice.TicketFor(session) != nullptr,
+                       CountFitting(*unit.step, room->free, wish.tasks)});
+  }
+  std::stable_sort(choices.begin(), choices.end(),
+                   [](const AskChoice& a, const AskChoice& b) {
+                     return std::make_pair(!a.known_permitted, -a.fitting) <
+                            std::make_pair(!b.known_permitted, -b.fitting);
+                   });
+  const double wanted = kAskedRoom * static_cast<double>(wish.tasks);
+  double expected = 0;
+  std::vector<AskedWorker> workers;
+  for (const AskChoice& choice : choices) {
+    const bool enough = expected >= wanted && workers.size() >= kMinAsked;
+    if (enough || workers.size() == kMaxAdviceWorkers) break;
+    const WorkerSession& session = *choice.room->session;
+    workers.push_back({session.info.id, session.Number()});
+    expected += static_cast<double>(choice.fitting) *
+                (choice.known_permitted ? 1.0 : wish.permitted_share);
+  }
+  return workers;
+}
+
 }  // namespace
 
 Dispatcher::Dispatcher(OwnerContext* context) : context(context) {}
@@ -109,8 +124,8 @@
   const Instant now = this->context->executor->Now();
   this->last_pass = now;
   std::vector<Unit> units = this->CollectUnits(now);
-  std::vector<Room> rooms = this->CollectRooms(now);
-  this->AllowForGathering(&units, &rooms, now);
+  const PassRooms rooms(this->context->workers, this->context->health, now);
+  this->AllowForGathering(&units, rooms, now);
   std::stable_sort(units.begin(), units.end(),
                    [](const Unit& a, const Unit& b) {
                      return std::tie(a.hope, a.queue->priority, a.begin_by) <
@@ -118,12 +133,12 @@
                    });
   std::int32_t holds = 0;
   for (Unit& unit : units) {
-    this->PlaceUnit(&unit, &rooms, now);
+    this->PlaceUnit(&unit, rooms, now);
     if (unit.tasks.empty()) continue;
-    if (unit.queue->advice) this->ConsiderAdvice(unit, &rooms, now);
+    if (unit.queue->advice) this->ConsiderAdvice(unit, rooms, now);
     const bool holds_room = unit.step->gang && unit.hope != Unit::Hope::kNone;
     if (holds_room && holds < kMaxHolds) {
-      this->HoldForGang(unit, &rooms, now);
+      this->HoldForGang(unit, rooms, now);
       ++holds;
     }
   }
@@ -156,7 +171,7 @@
     for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
       const auto index = static_cast<std::int32_t>(i);
       const StepEntry& progress = occurrence.steps[i];
-      if (progress.Done()) continue;
+      if (progress.AllUnderWay()) continue;
       if (!JobTable::Ready(*entry, occurrence, index)) continue;
       std::vector<std::int32_t> tasks =
           JobTable::Startable(*entry, progress, index, now);
@@ -171,18 +186,19 @@
 }
 
 Duration Dispatcher::Objective(const Unit& unit) const {
-  const Duration chain = WholeChain(unit.entry->job, this->context->run_times);
+  const JobEntry& entry = *unit.entry;
+  const Duration chain =
+      this->context->run_times.Expect(entry.job.queue.name, entry.whole_chain);
   return Scale(chain, unit.queue->stretch) + unit.queue->target;
 }
 
 void Dispatcher::Rank(Unit* unit, Duration objective, Instant now) const {
-  const Job& job = unit->entry->job;
-  const RunTimes& times = this->context->run_times;
   const Instant due = unit->entry->learnt + objective;
   unit->begin_by = due;
   if (unit->step->long_running) return;
-  const Duration chain =
-      ChainFrom(job, times, static_cast<std::size_t>(unit->ref.step));
+  const auto step = static_cast<std::size_t>(unit->ref.step);
+  const Duration chain = this->context->run_times.Expect(
+      unit->entry->job.queue.name, unit->entry->chains[step]);
   unit->begin_by = due - chain;
   const Instant end = now + chain;
   const Instant worthless = unit->entry->learnt + kWorthlessAfter * objective;
@@ -194,8 +210,7 @@
 }
 
 void Dispatcher::AllowForGathering(std::vector<Unit>* units,
-                                   std::vector<Room>* rooms,
-                                   Instant now) const {
+                                   const PassRooms& rooms, Instant now) const {
   for (Unit& unit : *units) {
     if (!unit.step->gang || unit.hope == Unit::Hope::kNone) continue;
     std::vector<Candidate> candidates = this->GangCandidates(unit, rooms, now);
@@ -214,49 +229,60 @@
   }
 }
 
-std::vector<Room> Dispatcher::CollectRooms(Instant now) {
-  std::vector<Room> rooms;
-  for (const auto& [id, session] : this->context->workers) {
-    const bool usable = session->listed && !session->gone && session->fenced &&
-                        !session->suspect && !session->info.draining;
-    if (!usable || !this->context->health.Standing(now, id).placeable) continue;
-    Room room;
-    room.session = session.get();
-    room.free = session->Free();
-    rooms.push_back(room);
+Instant Dispatcher::ExpectedEnd(const Unit& unit, Instant now) const {
+  return now + this->context->run_times.Expect(unit.entry->job.queue.name,
+                                               unit.step->estimate);
+}
+
+void Dispatcher::AddCandidate(const Unit& unit, Room* room, Instant end,
+                              std::vector<Candidate>* candidates) const {
+  if (room->held && end > room->held_until) return;
+  if (!room->session->HasLabel(unit.step->required_label)) return;
+  if (!Takes(*unit.step).FitsIn(room->free) && !unit.step->gang) return;
+  Candidate candidate{.room = room};
+  if (unit.step->max_per_worker > 0) {
+    candidate.siblings = CountSiblings(*unit.progress, room->session->info.id);
   }
-  return rooms;
+  candidates->push_back(candidate);
 }
 
 std::vector<Candidate> Dispatcher::Candidates(const Unit& unit,
-                                              std::vector<Room>* rooms,
+                                              const PassRooms& rooms,
                                               Instant now) const {
   std::vector<Candidate> candidates;
-  const Instant end = now + this->context->run_times.Expect(
-                                unit.queue->name, unit.step->estimate);
-  for (Room& room : *rooms) {
-    if (room.session->info.service != unit.queue->service) continue;
-    if (!room.session->HasLabel(unit.step->required_label)) continue;
-    if (room.held && end > room.held_until) continue;
-    Candidate candidate{.room = &room};
-    if (unit.step->max_per_worker > 0) {
-      candidate.siblings = CountSiblings(*unit.progress, room.session->info.id);
-    }
-    candidates.push_back(candidate);
+  const Instant end = this->ExpectedEnd(unit, now);
+  for (Room* room : rooms.OfService(unit.queue->service)) {
+    this->AddCandidate(unit, room, end, &candidates);
   }
   return candidates;
 }
 
-void Dispatcher::PlaceUnit(Unit* unit, std::vector<Room>* rooms, Instant now) {
-  std::vector<Candidate> candidates = this->Candidates(*unit, rooms, now);
-  if (unit->queue->advice) {
-    const StepAdvice* advice = this->context->advice->Find(unit->ref);
-    if (advice == nullptr) return;
-    std::erase_if(candidates, [&](const Candidate& candidate) {
-      return advice->Valid(candidate.room->session->info.id,
-                           now + kTicketMargin) == nullptr;
-    });
+std::vector<Candidate> Dispatcher::Permitted(const Unit& unit,
+                                             const PassRooms& rooms,
+                                             Instant now,
+                                             Instant valid_at) const {
+  std::vector<Candidate> candidates;
+  const StepAdvice* advice = this->context->advice->Find(unit.ref);
+  if (advice == nullptr) return candidates;
+  const Instant end = this->ExpectedEnd(unit, now);
+  for (const PermittedWorker& one : advice->permitted) {
+    if (one.ticket.expires <= valid_at) continue;
+    Room* room = rooms.At(one.session);
+    // The queue may have been given to another service meanwhile.
+    const bool serves =
+        room != nullptr && room->session->info.service == unit.queue->service;
+    if (serves) this->AddCandidate(unit, room, end, &candidates);
   }
+  return candidates;
+}
+
+void Dispatcher::PlaceUnit(Unit* unit, const PassRooms& rooms, Instant now) {
+  if (!rooms.MayFit(unit->queue->service, *unit->step)) return;
+  std::vector<Candidate> candidates =
+      unit->queue->advice
+          ? this->Permitted(*unit, rooms, now, now + kTicketMargin)
+          : this->Candidates(*unit, rooms, now);
+  if (candidates.empty()) return;
   // Failure: a worker fails part of what it runs, and the task that failed
   // there goes back to it until its attempts are used up.
   const std::size_t others = PutFailedLast(*unit, &candidates);
@@ -278,38 +304,38 @@
                     unit->tasks.begin() + std::ssize(workers));
 }
 
-std::vector<Candidate> Dispatcher::Unrefused(const Unit& unit,
-                                             const StepAdvice& advice,
-                                             std::vector<Room>* rooms,
-                                             Instant now) const {
-  std::vector<Candidate> candidates = this->Candidates(unit, rooms, now);
-  std::erase_if(candidates, [&](const Candidate& candidate) {
-    return advice.refused.contains(candidate.room->session->info.id);
-  });
-  return candidates;
-}
-
-void Dispatcher::ConsiderAdvice(const Unit& unit, std::vector<Room>* rooms,
+void Dispatcher::ConsiderAdvice(const Unit& unit, const PassRooms& rooms,
                                 Instant now) {
   const StepAdvice* advice = this->context->advice->Find(unit.ref);
   if (advice != nullptr && advice->asking) return;
-  const AdviceNeed need{unit.ref, unit.queue->name, unit.queue->priority,
-                        *unit.queue->advice};
-  if (advice == nullptr || advice->permitted.empty()) {
-    this->context->advice->Want(need);
-    return;
-  }
   // Permissions lapse while room is short. They are asked for again only once
   // there would be room, or the policy service would be asked all the time.
-  std::vector<Room> trial = *rooms;
-  std::vector<Candidate> candidates =
-      this->Unrefused(unit, *advice, &trial, now);
-  const auto count = static_cast<std::int32_t>(unit.tasks.size());
-  if (PlaceTasks(*unit.step, count, candidates).empty()) return;
-  this->context->advice->Want(need);
+  const bool useful = advice == nullptr || advice->permitted.empty() ||
+                      this->RoomIfPermitted(unit, *advice, rooms, now);
+  if (!useful) return;
+  this->context->advice->Want(
+      {unit.ref, unit.queue->name, unit.queue->priority, *unit.queue->advice});
+}
+
+bool Dispatcher::RoomIfPermitted(const Unit& unit, const StepAdvice& advice,
+                                 const PassRooms& rooms, Instant now) const {
+  if (!rooms.MayFit(unit.queue->service, *unit.step)) return false;
+  const auto tasks = static_cast<std::int64_t>(unit.tasks.size());
+  std::int64_t missing = unit.step->gang ? tasks : 1;
+  const Instant end = this->ExpectedEnd(unit, now);
+  std::vector<Candidate> one;
+  for (Room* room : rooms.OfService(unit.queue->service)) {
+    if (advice.Refuses(room->session->Number())) continue;
+    one.clear();
+    this->AddCandidate(unit, room, end, &one);
+    if (one.empty()) continue;
+    missing -= RoomFor(*unit.step, one.front(), missing);
+    if (missing <= 0) return true;
+  }
+  return false;
 }
 
-std::vector<WorkerId> Dispatcher::ChooseForAdvice(const StepRef& ref) {
+std::vector<AskedWorker> Dispatcher::ChooseForAdvice(const StepRef& ref) {
   JobEntry* entry = this->context->jobs.Find(ref.job);
   if (entry == nullptr || IsFinal(entry->state)) return {};
   if (!entry->occurrences.contains(ref.occurrence)) return {};
@@ -319,49 +345,20 @@
       JobTable::Startable(*entry, *unit.progress, ref.step, now).size());
   const StepAdvice* advice = this->context->advice->Find(ref);
   if (tasks == 0 || advice == nullptr) return {};
-  std::vector<Room> rooms = this->CollectRooms(now);
-  std::vector<Candidate> candidates =
-      this->Unrefused(unit, *advice, &rooms, now);
-  const auto known = [&](const Candidate& candidate) {
-    return advice->permitted.contains(candidate.room->session->info.id);
-  };
-  const auto fitting = [&](const Candidate& candidate) {
-    return CountFitting(*unit.step, candidate.room->free, tasks);
-  };
-  // Those known to be permitted first, then those with most room.
-  std::stable_sort(candidates.begin(), candidates.end(),
-                   [&](const Candidate& a, const Candidate& b) {
-                     return std::make_pair(!known(a), -fitting(a)) <
-                            std::make_pair(!known(b), -fitting(b));
-                   });
+  const PassRooms rooms(this->context->workers, this->context->health, now);
   const double share = this->context->advice->PermittedShare(unit.queue->name);
-  const double wanted = kAskedRoom * static_cast<double>(tasks);
-  double expected = 0;
-  std::vector<WorkerId> workers;
-  for (const Candidate& candidate : candidates) {
-    const bool enough = expected >= wanted && workers.size() >= kMinAsked;
-    if (enough || workers.size() == kMaxAdviceWorkers) break;
-    workers.push_back(candidate.room->session->info.id);
-    expected += static_cast<double>(fitting(candidate)) *
-                (known(candidate) ? 1.0 : share);
-  }
-  return workers;
+  return ChooseAsked(unit, *advice, rooms.OfService(unit.queue->service),
+                     {.tasks = tasks, .permitted_share = share});
 }
 
 std::vector<Candidate> Dispatcher::GangCandidates(const Unit& unit,
-                                                  std::vector<Room>* rooms,
+                                                  const PassRooms& rooms,
                                                   Instant now) const {
-  std::vector<Candidate> candidates = this->Candidates(unit, rooms, now);
-  if (!unit.queue->advice) return candidates;
-  const StepAdvice* advice = this->context->advice->Find(unit.ref);
-  if (advice == nullptr) return {};
-  std::erase_if(candidates, [&](const Candidate& candidate) {
-    return !advice->permitted.contains(candidate.room->session->info.id);
-  });
-  return candidates;
+  return unit.queue->advice ? this->Permitted(unit, rooms, now, Instant::min())
+                            : this->Candidates(unit, rooms, now);
 }
 
-void Dispatcher::HoldForGang(const Unit& unit, std::vector<Room>* rooms,
+void Dispatcher::HoldForGang(const Unit& unit, const PassRooms& rooms,
                              Instant now) {
   std::vector<Candidate> candidates = this->GangCandidates(unit, rooms, now);
   HoldRooms(*unit.step, static_cast<std::int64_t>(unit.tasks.size()),
--- a/packages/jobs/src/dispatcher.h
+++ b/packages/jobs/src/dispatcher.h
@@ -4,14 +4,14 @@
 #include <cstdint>
 #include <vector>
 
+#include "advice_desk.h"
 #include "guard.h"
 #include "owner_context.h"
+#include "pass_rooms.h"
 #include "placement.h"
 
 namespace mustardproxy::jobs {
 
-struct StepAdvice;
-
 /// Tasks of one step that may start now.
 struct Unit {
   JobEntry* entry = nullptr;
@@ -36,7 +36,7 @@
   /// Has a pass made soon.
   void Kick();
   /// Workers to ask the policy service about for a step.
-  [[nodiscard]] std::vector<WorkerId> ChooseForAdvice(const StepRef& ref);
+  [[nodiscard]] std::vector<AskedWorker> ChooseForAdvice(const StepRef& ref);
 
  private:
   void Pass();
@@ -45,22 +45,28 @@
   /// @return the time from a job's acceptance in which it should be done
   Duration Objective(const Unit& unit) const;
   void Rank(Unit* unit, Duration objective, Instant now) const;
-  void AllowForGathering(std::vector<Unit>* units, std::vector<Room>* rooms,
+  void AllowForGathering(std::vector<Unit>* units, const PassRooms& rooms,
                          Instant now) const;
-  /// Rooms that a gang may use, with permissions or without.
+  void PlaceUnit(Unit* unit, const PassRooms& rooms, Instant now);
+  /// Rooms that the step may use, permissions aside.
+  std::vector<Candidate> Candidates(const Unit& unit, const PassRooms& rooms,
+                                    Instant now) const;
+  /// Rooms for which there is a permission that holds until `valid_at`.
+  std::vector<Candidate> Permitted(const Unit& unit, const PassRooms& rooms,
+                                   Instant now, Instant valid_at) const;
+  /// Rooms that a gang may use, whether its permissions have lapsed or not.
   std::vector<Candidate> GangCandidates(const Unit& unit,
-                                        std::vector<Room>* rooms,
+                                        const PassRooms& rooms,
                                         Instant now) const;
-  std::vector<Room> CollectRooms(Instant now);
-  void PlaceUnit(Unit* unit, std::vector<Room>* rooms, Instant now);
-  std::vector<Candidate> Candidates(const Unit& unit, std::vector<Room>* rooms,
-                                    Instant now) const;
-  /// Those that the policy service has not refused for the step.
-  std::vector<Candidate> Unrefused(const Unit& unit, const StepAdvice& advice,
-                                   std::vector<Room>* rooms, Instant now) const;
+  void AddCandidate(const Unit& unit, Room* room, Instant end,
+                    std::vector<Candidate>* candidates) const;
+  /// @return true if there is room where the policy service has not refused
+  bool RoomIfPermitted(const Unit& unit, const StepAdvice& advice,
+                       const PassRooms& rooms, Instant now) const;
+  Instant ExpectedEnd(const Unit& unit, Instant now) const;
   void Start(Unit* unit, const std::vector<WorkerId>& workers);
-  void ConsiderAdvice(const Unit& unit, std::vector<Room>* rooms, Instant now);
-  void HoldForGang(const Unit& unit, std::vector<Room>* rooms, Instant now);
+  void ConsiderAdvice(const Unit& unit, const PassRooms& rooms, Instant now);
+  void HoldForGang(const Unit& unit, const PassRooms& rooms, Instant now);
   Unit MakeUnit(JobEntry* entry, const StepRef& ref) const;
 
   OwnerContext* context;
--- a/packages/jobs/src/group_owner.cc
+++ b/packages/jobs/src/group_owner.cc
@@ -39,7 +39,7 @@
   shared.log = parts.log;
   shared.metrics = parts.metrics;
   shared.token = token;
-  shared.desired = std::move(desired);
+  shared.SetDesired(std::move(desired));
   shared.authorized = parts.authorized;
   shared.step_down = parts.step_down;
 
@@ -89,7 +89,7 @@
 }
 
 void GroupOwner::SetDesired(std::shared_ptr<const DesiredState> desired) {
-  this->context.desired = std::move(desired);
+  this->context.SetDesired(std::move(desired));
   this->dispatcher->Kick();
 }
 
@@ -151,7 +151,7 @@
 void GroupOwner::OnWorker(const StoreEvent& event) {
   const std::string_view prefix = this->schema->WorkerPrefix();
   const std::string id = event.item.key.substr(prefix.size());
-  WorkerSession* session = Find(this->context.workers, WorkerId(id));
+  WorkerSession* session = this->context.workers.Find(WorkerId(id));
   if (event.deleted) {
     if (session == nullptr) return;
     session->listed = false;
@@ -173,10 +173,10 @@
 }
 
 void GroupOwner::AddWorker(const WorkerInfo& info) {
-  auto& session = this->context.workers[info.id];
-  if (!session) {
-    session = std::make_unique<WorkerSession>(
-        info, this->elected_at + InheritedFor());
+  WorkerSession* session = this->context.workers.Find(info.id);
+  if (session == nullptr) {
+    session =
+        this->context.workers.Add(info, this->elected_at + InheritedFor());
     this->context.health.Add(info.id);
     // Those found at a takeover are told of by their number.
     if (this->workers_listed) {
@@ -193,7 +193,7 @@
   }
   session->info = info;
   session->listed = true;
-  if (this->loaded) this->holds->Pump(session.get());
+  if (this->loaded) this->holds->Pump(session);
   this->dispatcher->Kick();
 }
 
@@ -254,7 +254,7 @@
                            {{"token", this->context.token},
                             {"jobs", this->context.jobs.All().size()},
                             {"active", this->context.jobs.Active().size()},
-                            {"workers", this->context.workers.size()},
+                            {"workers", this->context.workers.Size()},
                             {"took_ms", WholeMilliseconds(took)}});
   this->holds->PumpAll();
   this->dispatcher->Kick();
@@ -315,12 +315,8 @@
 
 void GroupOwner::ForgetOld() {
   const Instant now = this->context.executor->Now();
-  std::vector<JobId> old;
-  for (const auto& [id, entry] : this->context.jobs.All()) {
-    if (!IsFinal(entry->state) || now < entry->ended + kRetention) continue;
-    old.push_back(id);
-    if (old.size() == kRetentionBatch) break;
-  }
+  std::vector<JobId> old =
+      this->context.jobs.EndedBefore(now - kRetention, kRetentionBatch);
   if (!old.empty()) this->writer->Remove(std::move(old));
 }
 
@@ -334,7 +330,7 @@
   };
   set("job_runs", running);
   set("active_jobs", this->context.jobs.Active().size());
-  set("known_workers", this->context.workers.size());
+  set("known_workers", this->context.workers.Size());
   set("progress_backlog", this->writer->Backlog());
 }
 
--- a/packages/jobs/src/hold_loop.cc
+++ b/packages/jobs/src/hold_loop.cc
@@ -85,17 +85,17 @@
     if (over && session->runs.empty()) finished.push_back(id);
   }
   for (const WorkerId& id : finished) {
-    WorkerSession* session = Find(this->context->workers, id);
+    WorkerSession* session = this->context->workers.Find(id);
     // An entry of a life that is over stays until the platform removes it.
     if (session->listed) continue;
     this->context->health.Remove(id);
-    this->context->workers.erase(id);
+    this->context->workers.Remove(id);
   }
 }
 
 void HoldLoop::OnHold(const WorkerId& worker, Instant asked,
                       std::int64_t told_end, const HoldResult& result) {
-  WorkerSession* known = Find(this->context->workers, worker);
+  WorkerSession* known = this->context->workers.Find(worker);
   if (known != nullptr) known->hold_in_flight = false;
   WorkerSession* session =
       this->context->runs->NoteAnswer(worker, asked, result.order);
@@ -214,7 +214,7 @@
 }
 
 void HoldLoop::OnStored(const WorkerId& worker) {
-  WorkerSession* session = Find(this->context->workers, worker);
+  WorkerSession* session = this->context->workers.Find(worker);
   if (session == nullptr) return;
   auto& batches = session->unstored_ends;
   while (!batches.empty() && batches.front()->open_writes == 0) {
--- a/packages/jobs/src/job_table.cc
+++ b/packages/jobs/src/job_table.cc
@@ -19,6 +19,34 @@
   --step->open;
 }
 
+/// @return longest declared time from the start of `step` to the job's end
+Duration ChainFrom(const JobSpec& spec, std::size_t step) {
+  std::vector<Duration> longest(spec.steps.size(), Duration::zero());
+  Duration most{0};
+  for (std::size_t i = step; i < spec.steps.size(); ++i) {
+    Duration before{0};
+    bool follows = i == step;
+    for (const std::int32_t earlier : spec.steps[i].after) {
+      const auto index = static_cast<std::size_t>(earlier);
+      if (index < step || longest[index] == Duration::zero()) continue;
+      before = std::max(before, longest[index]);
+      follows = true;
+    }
+    if (!follows) continue;
+    longest[i] = before + spec.steps[i].estimate;
+    most = std::max(most, longest[i]);
+  }
+  return most;
+}
+
+void MeasureChains(JobEntry* entry) {
+  const JobSpec& spec = entry->job.spec;
+  for (std::size_t i = 0; i < spec.steps.size(); ++i) {
+    entry->chains.push_back(ChainFrom(spec, i));
+    entry->whole_chain = std::max(entry->whole_chain, entry->chains.back());
+  }
+}
+
 void MarkDone(StepEntry* step, TaskEntry* task) {
   if (task->done) return;
   task->done = true;
@@ -34,6 +62,7 @@
   slot = std::make_unique<JobEntry>();
   slot->job = std::move(job);
   slot->learnt = now;
+  MeasureChains(slot.get());
   this->active.push_back(slot.get());
   if (slot->job.spec.schedule.occurrences == 0) {
     Open(slot.get(), 0);
@@ -56,9 +85,20 @@
   JobEntry* entry = this->Find(id);
   if (entry == nullptr) return;
   std::erase(this->active, entry);
+  std::erase(this->ended, id);
   this->jobs.erase(id);
 }
 
+std::vector<JobId> JobTable::EndedBefore(Instant moment,
+                                         std::size_t limit) const {
+  std::vector<JobId> old;
+  for (const JobId& id : this->ended) {
+    if (old.size() == limit || this->Find(id)->ended > moment) break;
+    old.push_back(id);
+  }
+  return old;
+}
+
 OccurrenceEntry* JobTable::Open(JobEntry* entry, std::int32_t number) {
   OccurrenceEntry& occurrence = entry->occurrences[number];
   if (!occurrence.steps.empty()) return &occurrence;
@@ -254,6 +294,7 @@
   entry->state = state;
   if (!IsFinal(state)) return;
   entry->ended = now;
+  this->ended.push_back(entry->job.id);
   std::erase(this->active, entry);
 }
 
--- a/packages/jobs/src/job_table.h
+++ b/packages/jobs/src/job_table.h
@@ -2,6 +2,7 @@
 #define MUSTARDPROXY_JOBS_JOB_TABLE_H_
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -51,6 +52,11 @@
   [[nodiscard]] bool Done() const {
     return this->done == static_cast<std::int32_t>(this->tasks.size());
   }
+  /// @return true if each task is done or has an open run
+  [[nodiscard]] bool AllUnderWay() const {
+    return this->done + this->open >=
+           static_cast<std::int32_t>(this->tasks.size());
+  }
 };
 
 struct OccurrenceEntry {
@@ -60,6 +66,10 @@
 /// One job as its owner knows it.
 struct JobEntry {
   Job job;
+  /// By step: the longest chain of declared run times from its start on.
+  std::vector<Duration> chains;
+  /// The longest of them, from the start of the job.
+  Duration whole_chain{0};
   JobState state = JobState::kQueued;
   /// A worker has said that a task of it started.
   bool begun = false;
@@ -140,6 +150,9 @@
   [[nodiscard]] TaskEntry* FindTask(const TaskRef& task);
   [[nodiscard]] const Step* FindStep(const StepRef& step) const;
 
+  /// @return final jobs that ended before, the oldest first
+  [[nodiscard]] std::vector<JobId> EndedBefore(Instant moment,
+                                               std::size_t limit) const;
   /// Jobs that are not final, in the order in which they were learnt.
   [[nodiscard]] const std::vector<JobEntry*>& Active() const {
     return this->active;
@@ -161,6 +174,8 @@
 
   std::unordered_map<JobId, std::unique_ptr<JobEntry>> jobs;
   std::vector<JobEntry*> active;
+  /// Final jobs in the order in which they ended.
+  std::deque<JobId> ended;
 };
 
 }  // namespace mustardproxy::jobs
--- a/packages/jobs/src/owner_context.h
+++ b/packages/jobs/src/owner_context.h
@@ -4,6 +4,8 @@
 #include <functional>
 #include <memory>
 #include <string_view>
+#include <unordered_map>
+#include <utility>
 
 #include "job_table.h"
 #include "mustardproxy/core/worker_health.h"
@@ -34,6 +36,8 @@
   /// Revision of the owner's key: what workers and the store compare.
   FencingToken token = 0;
   std::shared_ptr<const DesiredState> desired;
+  /// The queues of `desired`, by name: there may be thousands.
+  std::unordered_map<QueueName, const Queue*> queues;
 
   JobTable jobs;
   WorkerTable workers;
@@ -59,12 +63,18 @@
     this->step_down("the store is silent for too long");
     return false;
   }
+  void SetDesired(std::shared_ptr<const DesiredState> changed) {
+    this->desired = std::move(changed);
+    this->queues.clear();
+    if (!this->desired) return;
+    for (const Queue& queue : this->desired->queues) {
+      this->queues.emplace(queue.name, &queue);
+    }
+  }
   /// @return how the job's queue is treated now
   [[nodiscard]] const Queue& QueueOf(const JobEntry& entry) const {
-    const Queue* queue = this->desired
-                             ? this->desired->FindQueue(entry.job.queue.name)
-                             : nullptr;
-    return queue != nullptr ? *queue : entry.job.queue;
+    const auto found = this->queues.find(entry.job.queue.name);
+    return found == this->queues.end() ? entry.job.queue : *found->second;
   }
 };
 
--- a/packages/jobs/src/placement.cc
+++ b/packages/jobs/src/placement.cc
@@ -10,21 +10,12 @@
 namespace mustardproxy::jobs {
 namespace {
 
-/// @return how many tasks of the step fit there, however few are wanted: the
-///   search fills the smallest gaps first
-std::int64_t RoomFor(const Step& step, const Candidate& candidate) {
-  const std::int64_t limit =
-      step.max_per_worker > 0
-          ? std::max(0, step.max_per_worker - candidate.siblings)
-          : kUnboundedCount;
-  return CountFitting(step, candidate.room->free, limit);
-}
-
 std::vector<GangCandidate> Group(const Step& step,
                                  std::span<Candidate> candidates) {
   std::map<std::string, std::uint32_t> racks;
   std::vector<GangCandidate> grouped;
   for (std::size_t i = 0; i < candidates.size(); ++i) {
+    // However few are wanted: the search fills the smallest gaps first.
     const std::int64_t room = RoomFor(step, candidates[i]);
     if (room == 0) continue;
     const auto rack =
@@ -71,6 +62,16 @@
   return std::min(limit, mustardproxy::CountFitting(Takes(step), free));
 }
 
+std::int64_t RoomFor(const Step& step, const Candidate& candidate,
+                     std::int64_t limit) {
+  if (step.max_per_worker > 0) {
+    const std::int64_t left =
+        std::max(0, step.max_per_worker - candidate.siblings);
+    limit = std::min(limit, left);
+  }
+  return CountFitting(step, candidate.room->free, limit);
+}
+
 std::vector<WorkerId> PlaceTasks(const Step& step, std::int32_t tasks,
                                  std::span<Candidate> candidates) {
   if (step.near_rack.empty()) return Place(step, tasks, candidates);
--- a/packages/jobs/src/placement.h
+++ b/packages/jobs/src/placement.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "mustardproxy/core/ids.h"
+#include "mustardproxy/core/resource_math.h"
 #include "mustardproxy/core/resources.h"
 #include "mustardproxy/jobs/job.h"
 #include "worker_session.h"
@@ -36,6 +37,10 @@
 [[nodiscard]] std::int64_t CountFitting(const Step& step, const Resources& free,
                                         std::int64_t limit);
 
+/// @return how many tasks of the step a candidate takes, at most `limit`
+[[nodiscard]] std::int64_t RoomFor(const Step& step, const Candidate& candidate,
+                                   std::int64_t limit = kUnboundedCount);
+
 /// Chooses workers for `tasks` tasks of a step: the data's rack first, else one
 /// rack if it holds all, best fit within. Takes the room in `candidates`.
 /// @return one worker a task; fewer if room is short, and none of a gang then
--- a/packages/jobs/src/run_control.cc
+++ b/packages/jobs/src/run_control.cc
@@ -36,7 +36,7 @@
   record.expected_end = now + this->context->run_times.Expect(
                                   entry.job.queue.name, step.estimate);
   for (std::size_t i = 0; i < runs.size(); ++i) {
-    Find(this->context->workers, workers[i])->AddRun(runs[i], record);
+    this->context->workers.Find(workers[i])->AddRun(runs[i], record);
   }
   this->context->log->Write(
       "jobs", "step-placed",
@@ -62,12 +62,12 @@
 void RunControl::Inherit(const RunRef& run, const WorkerId& worker,
                          Instant inherited_until) {
   const Step* step = this->context->jobs.FindStep(run.task.step);
-  auto& session = this->context->workers[worker];
-  if (!session) {
+  WorkerSession* session = this->context->workers.Find(worker);
+  if (session == nullptr) {
     // Its entry is gone from the store; the worker may live on all the same.
     WorkerInfo unknown;
     unknown.id = worker;
-    session = std::make_unique<WorkerSession>(unknown, inherited_until);
+    session = this->context->workers.Add(unknown, inherited_until);
     session->listed = false;
   }
   const Instant now = this->context->executor->Now();
@@ -81,7 +81,7 @@
   session->AddRun(run, record);
 }
 
-bool RunControl::FillOrder(const WorkerId& worker, const RunRef& run,
+bool RunControl::FillOrder(const WorkerSession& session, const RunRef& run,
                            StartOrder* order) {
   JobEntry* entry = this->context->jobs.Find(run.task.step.job);
   const TaskEntry* task = this->context->jobs.FindOpen(run);
@@ -93,17 +93,14 @@
   order->checkpoint = task->checkpoint;
   order->token = this->context->token;
   const StepAdvice* advice = this->context->advice->Find(run.task.step);
-  if (advice != nullptr) {
-    const auto permission = advice->permitted.find(worker);
-    if (permission != advice->permitted.end()) {
-      order->ticket = permission->second.text;
-    }
-  }
+  const Ticket* ticket =
+      advice == nullptr ? nullptr : advice->TicketFor(session.Number());
+  if (ticket != nullptr) order->ticket = ticket->text;
   return true;
 }
 
 void RunControl::SendStart(const WorkerId& worker, const RunRef& run) {
-  WorkerSession* session = Find(this->context->workers, worker);
+  WorkerSession* session = this->context->workers.Find(worker);
   SessionRun* record = session == nullptr ? nullptr : session->FindRun(run);
   if (record == nullptr || record->stopping) return;
   if (record->phase == RunPhase::kStarted) return;
@@ -111,7 +108,7 @@
   const bool first = record->phase == RunPhase::kPlanned;
   StartOrder order;
   const bool draining = session->info.draining || !session->listed;
-  if (!this->FillOrder(worker, run, &order) || (first && draining)) {
+  if (!this->FillOrder(*session, run, &order) || (first && draining)) {
     if (first) {
       this->NotStarted(session, run, OrderEnd::kRefused);
     } else {
@@ -137,7 +134,7 @@
 
 WorkerSession* RunControl::NoteAnswer(const WorkerId& worker, Instant asked,
                                       const OrderResult& result) {
-  WorkerSession* session = Find(this->context->workers, worker);
+  WorkerSession* session = this->context->workers.Find(worker);
   if (session == nullptr) return nullptr;
   session->NoteClock({.clock_ms = result.clock_ms,
                       .asked = asked,
@@ -169,7 +166,7 @@
                                {"first_try", first ? 1 : 0}});
   }
   if (result.end == OrderEnd::kNoTicket) {
-    this->context->advice->DropTicket(run.task.step, worker);
+    this->context->advice->DropTicket(run.task.step, session->Number());
   }
   if (result.end == OrderEnd::kRefused || result.end == OrderEnd::kUncertain) {
     session->suspect = true;
@@ -221,7 +218,7 @@
     const RunRef other{{member.task.step, i}, member.run};
     const TaskEntry* task = this->context->jobs.FindOpen(other);
     if (task == nullptr) continue;
-    WorkerSession* session = Find(this->context->workers, task->worker);
+    WorkerSession* session = this->context->workers.Find(task->worker);
     if (session != nullptr) this->Stop(session, other);
   }
 }
@@ -252,7 +249,7 @@
 }
 
 void RunControl::SendStop(const WorkerId& worker, const RunRef& run) {
-  WorkerSession* session = Find(this->context->workers, worker);
+  WorkerSession* session = this->context->workers.Find(worker);
   SessionRun* record = session == nullptr ? nullptr : session->FindRun(run);
   if (record == nullptr || record->stop_noted) return;
   if (!this->context->MayAct()) return;
--- a/packages/jobs/src/run_control.h
+++ b/packages/jobs/src/run_control.h
@@ -57,7 +57,8 @@
 
  private:
   void SendStart(const WorkerId& worker, const RunRef& run);
-  bool FillOrder(const WorkerId& worker, const RunRef& run, StartOrder* order);
+  bool FillOrder(const WorkerSession& session, const RunRef& run,
+                 StartOrder* order);
   void OnStart(const WorkerId& worker, const RunRef& run, bool first,
                Instant asked, const OrderResult& result);
   void NotStarted(WorkerSession* session, const RunRef& run, OrderEnd why);
--- a/packages/jobs/src/worker_session.cc
+++ b/packages/jobs/src/worker_session.cc
@@ -7,8 +7,9 @@
 
 namespace mustardproxy::jobs {
 
-WorkerSession::WorkerSession(WorkerInfo info, Instant inherited_until)
-    : info(std::move(info)), lapses_at(inherited_until) {}
+WorkerSession::WorkerSession(SessionNumber number, WorkerInfo info,
+                             Instant inherited_until)
+    : info(std::move(info)), number(number), lapses_at(inherited_until) {}
 
 std::int64_t WorkerSession::LeaseUntilMs(Instant now, Duration lease) const {
   if (!this->clock) return 0;
--- a/packages/jobs/src/worker_session.h
+++ b/packages/jobs/src/worker_session.h
@@ -14,6 +14,10 @@
 
 namespace mustardproxy::jobs {
 
+/// Counts the sessions of one ownership from 0; what is kept for each worker is
+/// found by it in a vector.
+using SessionNumber = std::uint32_t;
+
 /// How far the order to start a run has come.
 enum class RunPhase {
   /// Room is taken; the start is being written down and was not sent.
@@ -68,7 +72,9 @@
  public:
   /// @param inherited_until runs that a former owner ordered may last until
   ///   then, however unreachable the worker is
-  WorkerSession(WorkerInfo info, Instant inherited_until);
+  WorkerSession(SessionNumber number, WorkerInfo info, Instant inherited_until);
+
+  [[nodiscard]] SessionNumber Number() const { return this->number; }
 
   /// @return a worker's time, on its clock, at which a lease given now ends
   /// @param now sending time of the order
@@ -121,6 +127,7 @@
   std::int32_t silent_holds = 0;
 
  private:
+  SessionNumber number;
   Resources used;
   std::optional<ClockReading> clock;
   /// Latest end of lease ever sent, on the worker's clock.
--- a/packages/jobs/tests/placement_test.cc
+++ b/packages/jobs/tests/placement_test.cc
@@ -25,8 +25,8 @@
     info.id = WorkerId("w" + std::to_string(number));
     info.rack = "r" + std::to_string(number / 2);
     info.capacity = {16'000, 64'000, 0, 0};
-    this->sessions.push_back(
-        std::make_unique<WorkerSession>(info, Instant::min()));
+    this->sessions.push_back(std::make_unique<WorkerSession>(
+        static_cast<SessionNumber>(number), info, Instant::min()));
     Room room;
     room.session = this->sessions.back().get();
     room.free = {free_cpu, 64'000, 0, 0};
