--- /dev/null
+++ b/testing/soak/src/faults.cc
@@ -0,0 +1,269 @@
+#include "faults.h"
+
+#include <thread>
+
+namespace soak {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+constexpr milliseconds kLeastLength(400);
+constexpr milliseconds kMostLength(6000);
+constexpr milliseconds kFirstFault(500);
+constexpr milliseconds kLinkDelay(150);
+/// A process that ended is started again after this.
+constexpr milliseconds kRestartAfter(700);
+constexpr milliseconds kPoll(20);
+constexpr double kFaultyShare = 0.2;
+constexpr std::size_t kKinds = 5;
+
+}  // namespace
+
+Faults::Faults(SoakCell* cell, const SoakOptions& options)
+    : cell(cell), options(options), random(options.seed) {}
+
+std::size_t Faults::DrawIndex(std::size_t count) {
+  return std::uniform_int_distribution<std::size_t>(0, count - 1)(this->random);
+}
+
+Faults::Millis Faults::DrawLength() {
+  return milliseconds(std::uniform_int_distribution<std::int64_t>(
+      kLeastLength.count(), kMostLength.count())(this->random));
+}
+
+void Faults::At(Millis time, std::function<void()> task) {
+  this->plan.emplace(time, std::move(task));
+}
+
+void Faults::Note(const std::string& event) {
+  const auto at = std::chrono::duration_cast<milliseconds>(steady_clock::now() -
+                                                           this->begun);
+  this->events.push_back(std::to_string(at.count()) + " ms " + event);
+}
+
+void Faults::PlanSpan(Millis at, const std::string& name,
+                      const std::function<void()>& begin,
+                      const std::function<void()>& end) {
+  this->At(at, [this, name, begin] {
+    this->Note(name);
+    begin();
+  });
+  this->At(at + this->DrawLength(), [this, name, end] {
+    this->Note("end of " + name);
+    end();
+  });
+}
+
+void Faults::Plan(Millis at) {
+  switch (this->DrawIndex(kKinds)) {
+    case 0:
+      this->PlanProcess(at);
+      return;
+    case 1:
+      this->PlanStoreLink(at);
+      return;
+    case 2:
+      this->PlanRackLink(at);
+      return;
+    case 3:
+      this->PlanStore(at);
+      return;
+    default:
+      this->PlanWorkers(at);
+  }
+}
+
+void Faults::PlanProcess(Millis at) {
+  SoakProcess* process =
+      this->cell->Processes()[this->DrawIndex(this->options.processes)].get();
+  const std::string& name = process->Name();
+  switch (this->DrawIndex(4)) {
+    case 0:
+      this->At(at, [this, process, name] {
+        this->Note("kill " + name);
+        process->Kill();
+      });
+      return;
+    case 1:
+      this->At(at, [this, process, name] {
+        this->Note("terminate " + name);
+        process->Terminate();
+      });
+      return;
+    case 2:
+      for (const auto& one : this->cell->Processes()) {
+        this->At(at, [this, each = one.get()] {
+          this->Note("kill " + each->Name());
+          each->Kill();
+        });
+      }
+      return;
+    default:
+      this->PlanSpan(
+          at, "pause " + name, [process] { process->Pause(); },
+          [process] { process->Resume(); });
+  }
+}
+
+void Faults::PlanRelay(Millis at, const std::string& name, Relay* relay) {
+  using mustardproxy::standin::RelayFaults;
+  const auto clear = [relay] { relay->Set(RelayFaults{}); };
+  switch (this->DrawIndex(4)) {
+    case 0:
+      this->PlanSpan(
+          at, "cut " + name, [relay] { relay->Set(RelayFaults{.cut = true}); },
+          clear);
+      return;
+    case 1:
+      this->PlanSpan(
+          at, "freeze " + name,
+          [relay] { relay->Set(RelayFaults{.freeze = true}); }, clear);
+      return;
+    case 2:
+      this->PlanSpan(
+          at, "delay " + name,
+          [relay] { relay->Set(RelayFaults{.delay = kLinkDelay}); }, clear);
+      return;
+    default:
+      this->At(at, [this, name, relay] {
+        this->Note("silence open connections of " + name);
+        relay->SilenceOpen();
+      });
+  }
+}
+
+void Faults::PlanStoreLink(Millis at) {
+  SoakProcess* process =
+      this->cell->Processes()[this->DrawIndex(this->options.processes)].get();
+  this->PlanRelay(at, "store link of " + process->Name(),
+                  &process->StoreLink());
+}
+
+void Faults::PlanRackLink(Millis at) {
+  const std::size_t rack = this->DrawIndex(this->cell->RackLinks().size());
+  this->PlanRelay(at, "link of rack " + std::to_string(rack),
+                  this->cell->RackLinks()[rack].get());
+}
+
+void Faults::PlanStore(Millis at) {
+  Platform* platform = &this->cell->Machines();
+  const auto set = [platform](auto member, auto value) {
+    return [platform, member, value] {
+      platform->Do([&] { platform->Store().*member = value; });
+    };
+  };
+  using job_sim::SimStore;
+  switch (this->DrawIndex(6)) {
+    case 0:
+      this->PlanSpan(at, "store silent", set(&SimStore::silent, true),
+                     set(&SimStore::silent, false));
+      return;
+    case 1:
+      this->PlanSpan(at, "store refuses", set(&SimStore::refusing, true),
+                     set(&SimStore::refusing, false));
+      return;
+    case 2:
+      this->PlanSpan(at, "answers of the store lost",
+                     set(&SimStore::lost_answers, kFaultyShare),
+                     set(&SimStore::lost_answers, 0.0));
+      return;
+    case 3:
+      this->PlanSpan(at, "writes of the store late",
+                     set(&SimStore::late_writes, kFaultyShare),
+                     set(&SimStore::late_writes, 0.0));
+      return;
+    case 4:
+      this->At(at, [this, platform] {
+        this->Note("store forgets its history");
+        platform->Do([&] { platform->Store().Compact(); });
+      });
+      return;
+    default:
+      this->At(at, [this, platform] {
+        this->Note("leases revoked");
+        platform->Do([&] { platform->Store().RevokeLeases(); });
+      });
+  }
+}
+
+job_sim::SimWorker* Faults::DrawWorker() {
+  const auto alive = this->cell->Machines().Workers().Alive();
+  return alive[this->DrawIndex(alive.size())];
+}
+
+void Faults::PlanWorkers(Millis at) {
+  Platform* platform = &this->cell->Machines();
+  switch (this->DrawIndex(4)) {
+    case 0:
+      this->At(at, [this, platform] {
+        platform->Do([&] {
+          job_sim::SimWorker* worker = this->DrawWorker();
+          this->Note("crash " + worker->Info().id.Text());
+          platform->CrashWorker(worker, this->DrawLength());
+        });
+      });
+      return;
+    case 1:
+      this->PlanSpan(
+          at, "orders late",
+          [platform] {
+            platform->Do(
+                [&] { platform->Workers().late_orders = kFaultyShare; });
+          },
+          [platform] {
+            platform->Do([&] { platform->Workers().late_orders = 0; });
+          });
+      return;
+    case 2:
+      this->PlanSpan(
+          at, "answers of workers lost",
+          [platform] {
+            platform->Do(
+                [&] { platform->Workers().lost_answers = kFaultyShare; });
+          },
+          [platform] {
+            platform->Do([&] { platform->Workers().lost_answers = 0; });
+          });
+      return;
+    default:
+      this->At(at, [this, platform] {
+        this->Note("desired state again");
+        platform->Do([&] { platform->ApplyAgain(); });
+      });
+  }
+}
+
+void Faults::RestartEnded() {
+  for (const auto& process : this->cell->Processes()) {
+    if (!process->Ended()) continue;
+    std::this_thread::sleep_for(kRestartAfter);
+    this->Note("start " + process->Name());
+    process->Start();
+  }
+}
+
+void Faults::Play() {
+  this->begun = steady_clock::now();
+  for (std::int32_t i = 0; i < this->options.faults; ++i) {
+    this->Plan(milliseconds(std::uniform_int_distribution<std::int64_t>(
+        kFirstFault.count(), this->options.length.count())(this->random)));
+  }
+  while (!this->plan.empty() ||
+         steady_clock::now() < this->begun + this->options.length) {
+    this->RestartEnded();
+    const auto first = this->plan.begin();
+    const bool due = first != this->plan.end() &&
+                     steady_clock::now() >= this->begun + first->first;
+    if (!due) {
+      std::this_thread::sleep_for(kPoll);
+      continue;
+    }
+    const auto task = std::move(first->second);
+    this->plan.erase(first);
+    task();
+  }
+  this->RestartEnded();
+}
+
+}  // namespace soak
