--- a/packages/jobs/tests/progress_writer_test.cc
+++ b/packages/jobs/tests/progress_writer_test.cc
@@ -45,7 +45,7 @@
     constexpr int kChanges = 500;
     for (int i = 0; i < kChanges; ++i) {
       this->writer->Write(entry->job.id, {});
-      this->time.RunFor(seconds(1) / kChanges);
+      this->time.RunFor(Duration(seconds(1)) / kChanges);
     }
     return entry->progress_revision - before;
   }
