--- a/packages/jobs/tests/progress_writer_test.cc
+++ b/packages/jobs/tests/progress_writer_test.cc
@@ -41,6 +41,8 @@
   Revision WritesInASecond(std::int64_t store_writes_per_second) {
     this->Open(store_writes_per_second);
     JobEntry* entry = this->Add(std::to_string(store_writes_per_second));
+    this->writer->Write(entry->job.id, {});
+    this->time.RunFor(seconds(1));
     const Revision before = entry->progress_revision;
     constexpr int kChanges = 500;
     for (int i = 0; i < kChanges; ++i) {
