Questions to the policy service: least time left first, renewals apart from learning

Now a refused worker is never asked about again, a gang that fits where it is known to be permitted only renews these, long questions go by the time left of their steps, and four processes at most are kept for short ones.

--- a/packages/jobs/src/advice_desk.cc
+++ b/packages/jobs/src/advice_desk.cc
@@ -15,8 +15,16 @@
 /// share assumed before the first.
 constexpr double kShareWeight = 0.05;
 constexpr double kFirstShare = 0.4;
-/// One process of this many is kept for short questions.
+/// One process of this many is kept for short questions …
 constexpr std::size_t kLanesPerShortLane = 3;
+/// … up to so many, each of which answers dozens a second.
+constexpr std::size_t kMostShortLanes = 4;
+
+/// Most questions name far fewer workers than they may; the fixed part alone
+/// tells long from short ones well enough.
+bool IsLong(const AdvicePolicy& policy) {
+  return policy.decision >= kLongQuestion;
+}
 
 std::pair<std::int32_t, std::int32_t> NumberOf(const StepRef& step) {
   return {step.occurrence, step.step};
@@ -127,7 +135,8 @@
     ++usable;
     if (lane.busy_with_long) ++longs;
   }
-  const std::size_t kept = usable / kLanesPerShortLane;
+  const std::size_t kept =
+      std::min(usable / kLanesPerShortLane, kMostShortLanes);
   if (long_question && longs >= std::max<std::size_t>(1, usable - kept)) {
     return nullptr;
   }
@@ -140,17 +149,18 @@
 }
 
 void AdviceDesk::Pump() {
-  std::sort(this->queue.begin(), this->queue.end(),
-            [](const Waiting& a, const Waiting& b) {
-              return std::tie(a.need.priority, a.number) <
-                     std::tie(b.need.priority, b.number);
-            });
+  std::sort(
+      this->queue.begin(), this->queue.end(),
+      [](const Waiting& a, const Waiting& b) {
+        const bool a_long = IsLong(a.need.policy);
+        const bool b_long = IsLong(b.need.policy);
+        return std::tie(a_long, a.need.hopeless, a.need.begin_by, a.number) <
+               std::tie(b_long, b.need.hopeless, b.need.begin_by, b.number);
+      });
   for (std::size_t i = 0; i < this->queue.size();) {
     const Waiting waiting = this->queue[i];
     ProcessId process;
-    // Most questions name far fewer workers than they may; the fixed part
-    // alone tells long from short ones well enough to look for a host.
-    const bool is_long = waiting.need.policy.decision >= kLongQuestion;
+    const bool is_long = IsLong(waiting.need.policy);
     Lane* lane = this->FreeLane(is_long, &process);
     if (lane == nullptr) {
       if (!is_long) return;
--- a/packages/jobs/src/advice_desk.h
+++ b/packages/jobs/src/advice_desk.h
@@ -11,6 +11,7 @@
 
 #include "guard.h"
 #include "mustardproxy/core/ids.h"
+#include "mustardproxy/core/time.h"
 #include "mustardproxy/jobs/executor.h"
 #include "mustardproxy/jobs/job_peers.h"
 #include "mustardproxy/jobs/placement_adviser.h"
@@ -63,14 +64,19 @@
 struct AdviceNeed {
   StepRef step;
   QueueName queue;
-  std::int32_t priority = 0;
   AdvicePolicy policy;
+  /// Its job can't be done in time to be worth anything.
+  bool hopeless = false;
+  /// When the step has to be begun for its job to be done in time.
+  Instant begin_by;
 };
 
 /// Gets permissions from the policy service. It serves one question at a time
 /// for each calling host, so questions are spread over all processes of the
-/// cell, one on each, and the most urgent ones go first. Some processes are
-/// kept for short questions, which would otherwise wait behind long ones.
+/// cell, one on each. Short questions go first, and some processes are kept for
+/// them. Of the others those go first whose steps have least time left: by
+/// their queues' priorities the gangs of one queue kept all processes busy, and
+/// steps of the next waited 32 s. Priorities decide who gets the room.
 class AdviceDesk {
  public:
   /// Chooses the workers to ask about at the moment when the question is sent;
--- /dev/null
+++ b/packages/jobs/src/ask_choice.cc
@@ -0,0 +1,119 @@
+#include "ask_choice.h"
+
+#include <algorithm>
+
+#include "options.h"
+
+namespace mustardproxy::jobs {
+namespace {
+
+/// Room asked about, as a multiple of what the step needs: what is permitted
+/// varies, and room may go while the question is answered.
+constexpr double kAskedRoom = 1.6;
+/// The same where the workers are known to be permitted.
+constexpr double kRenewedRoom = 1.3;
+/// Fewest workers in a question that is to learn something: one more costs a
+/// hundredth of the question's fixed part.
+constexpr std::size_t kMinAsked = 6;
+
+/// A worker that may be asked about.
+struct Choice {
+  const WorkerSession* session = nullptr;
+  std::int64_t fitting = 0;
+};
+
+/// Workers with room for the step, by what is known of them.
+struct Choices {
+  std::vector<Choice> lapsed;
+  std::vector<Choice> unknown;
+  /// Tasks that fit where permissions hold, or have held.
+  std::int64_t fresh_room = 0;
+  std::int64_t known_room = 0;
+};
+
+void SortByRoom(std::vector<Choice>* choices) {
+  std::stable_sort(
+      choices->begin(), choices->end(),
+      [](const Choice& a, const Choice& b) { return a.fitting > b.fitting; });
+}
+
+/// @return tasks that should fit there when the answer comes. For a gang only
+///   the room that is free now counts: of what should become free in time some
+///   part always does not, and the permissions lapse meanwhile. With it a gang
+///   renewed its permissions up to 17 times.
+std::int64_t Fitting(const AskWish& wish, const Candidate& candidate) {
+  Room room = *candidate.room;
+  if (!wish.step->gang) {
+    room.free = room.session->FreeBy(wish.now, wish.answered, room.free);
+  }
+  Candidate then = candidate;
+  then.room = &room;
+  return RoomFor(*wish.step, then, wish.tasks);
+}
+
+Choices Sort(const AskWish& wish, std::span<const Candidate> candidates) {
+  Choices choices;
+  for (const Candidate& candidate : candidates) {
+    const WorkerSession* session = candidate.room->session;
+    if (wish.advice->Refuses(session->Number())) continue;
+    const std::int64_t fitting = Fitting(wish, candidate);
+    if (fitting == 0) continue;
+    const Ticket* ticket = wish.advice->TicketFor(session->Number());
+    if (ticket == nullptr) {
+      choices.unknown.push_back({session, fitting});
+      continue;
+    }
+    choices.known_room += fitting;
+    if (ticket->expires > wish.answered) {
+      choices.fresh_room += fitting;
+    } else {
+      choices.lapsed.push_back({session, fitting});
+    }
+  }
+  SortByRoom(&choices.lapsed);
+  SortByRoom(&choices.unknown);
+  return choices;
+}
+
+/// Takes choices until room for `wanted` tasks is expected.
+/// @param share of the workers that will be permitted
+/// @return what is still wanted
+double Take(const std::vector<Choice>& choices, double wanted, double share,
+            std::size_t fewest, std::vector<AskedWorker>* workers) {
+  std::size_t taken = 0;
+  for (const Choice& choice : choices) {
+    const bool enough = wanted <= 0 && taken >= fewest;
+    if (enough || workers->size() == kMaxAdviceWorkers) break;
+    workers->push_back({choice.session->info.id, choice.session->Number()});
+    wanted -= share * static_cast<double>(choice.fitting);
+    ++taken;
+  }
+  return wanted;
+}
+
+}  // namespace
+
+std::vector<AskedWorker> ChooseAsked(const AskWish& wish,
+                                     std::span<const Candidate> candidates) {
+  const Choices choices = Sort(wish, candidates);
+  std::vector<AskedWorker> workers;
+  if (choices.fresh_room >= wish.tasks) return workers;
+  const auto tasks = static_cast<double>(wish.tasks);
+  const auto fresh = static_cast<double>(choices.fresh_room);
+  const bool learn = choices.known_room < wish.tasks;
+  if (wish.step->gang && learn) {
+    const double missing =
+        kAskedRoom * tasks - static_cast<double>(choices.known_room);
+    Take(choices.unknown, missing, wish.permitted_share, kMinAsked, &workers);
+    return workers;
+  }
+  const double left =
+      Take(choices.lapsed, kRenewedRoom * tasks - fresh, 1.0, 0, &workers);
+  if (learn) {
+    Take(choices.unknown, left * kAskedRoom / kRenewedRoom,
+         wish.permitted_share, kMinAsked, &workers);
+  }
+  return workers;
+}
+
+}  // namespace mustardproxy::jobs
--- /dev/null
+++ b/packages/jobs/src/ask_choice.h
@@ -0,0 +1,46 @@
+#ifndef MUSTARDPROXY_JOBS_ASK_CHOICE_H_
+#define MUSTARDPROXY_JOBS_ASK_CHOICE_H_
+
+#include <cstdint>
+#include <span>
+#include <vector>
+
+#include "advice_desk.h"
+#include "mustardproxy/jobs/job.h"
+#include "placement.h"
+
+namespace mustardproxy::jobs {
+
+/// A step that needs permissions, seen when a question about it could be sent.
+struct AskWish {
+  const Step* step = nullptr;
+  /// How many of its tasks may start now.
+  std::int64_t tasks = 0;
+  const StepAdvice* advice = nullptr;
+  /// Which share of the workers asked about is permitted as a rule.
+  double permitted_share = 0.0;
+  Instant now;
+  /// When the answer should have come.
+  Instant answered;
+};
+
+/// Chooses the workers to ask the policy service about. What it said of a
+/// worker stays true for the worker's life; only the permission lapses. So:
+/// - workers that it has refused are never asked about again;
+/// - a gang that fits where it is known to be permitted only has these
+///   permissions renewed; else others are asked about, to learn more;
+/// - other tasks take room wherever there is some.
+///
+/// Load answered: gangs of 20 tasks whose questions cost 0.6 s and more, on
+/// hosts that can ask one at a time each. Asked about with all known workers
+/// each time their permissions lapsed, a gang took 3 to 8 questions of 0.85 s,
+/// and steps of other queues waited 32 s for their first.
+///
+/// @param candidates rooms that the step may use, permissions aside
+/// @return none if a question would not help now
+[[nodiscard]] std::vector<AskedWorker> ChooseAsked(
+    const AskWish& wish, std::span<const Candidate> candidates);
+
+}  // namespace mustardproxy::jobs
+
+#endif  // MUSTARDPROXY_JOBS_ASK_CHOICE_H_
--- a/packages/jobs/src/dispatcher.cc
+++ b/packages/jobs/src/dispatcher.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "advice_desk.h"
+#include "ask_choice.h"
 #include "gang_hold.h"
 #include "options.h"
 #include "run_control.h"
@@ -15,20 +16,16 @@
 
 /// A job that takes more than this times its objective is worth nothing.
 constexpr std::int64_t kWorthlessAfter = 3;
-/// Gangs that may hold room at the same time. With more, a burst of gangs would
-/// hold the whole cell empty for each other.
+/// Gangs that may hold room at the same time, however large their part of the
+/// cell. With more, a burst of gangs would hold it all empty for each other.
 constexpr std::int32_t kMaxHolds = 2;
 /// Time allowed for a gang to gather its room, as a multiple of what it takes
 /// if nothing else starts: steps of higher rank do start meanwhile. With 1 a
 /// gang of three quarters of a cell at 2.5 times its load came 0.3 s too late
 /// (cell_basic/a_wide_gang_is_not_starved_by_small_tasks).
 constexpr std::int64_t kGatherMargin = 2;
-/// Room asked about, as a multiple of what the step needs: what is permitted
-/// varies, and room may go while the question is answered.
-constexpr double kAskedRoom = 1.6;
-/// Fewest workers in a first question: one more costs a hundredth of the
-/// question's fixed part.
-constexpr std::size_t kMinAsked = 6;
+/// Least time between two looks at whether a question about a step would help.
+constexpr Duration kAskPause = milliseconds(50);
 
 Duration Scale(Duration duration, double factor) {
   return Duration(static_cast<std::int64_t>(
@@ -60,52 +57,6 @@
       }));
 }
 
-/// What a question about a step has to bring.
-struct AdviceWish {
-  std::int64_t tasks = 0;
-  /// Which share of the workers asked about is permitted as a rule.
-  double permitted_share = 0.0;
-};
-
-/// A worker that may be asked about.
-struct AskChoice {
-  const Room* room = nullptr;
-  bool known_permitted = false;
-  std::int64_t fitting = 0;
-};
-
-/// @return workers that are likely to have room for the step's tasks: those
-///   known to be permitted first, then those with most room
-std::vector<AskedWorker> ChooseAsked(const Unit& unit, const StepAdvice& advice,
-                                     std::span<Room* const> rooms,
-                                     const AdviceWish& wish) {
-  std::vector<AskChoice> choices;
-  for (const Room* room : rooms) {
-    const SessionNumber session = room->session->Number();
-    if (advice.Refuses(session)) continue;
-    if (!room->session->HasLabel(unit.step->required_label)) continue;
-    choices.push_back({room, advice.TicketFor(session) != nullptr,
-                       CountFitting(*unit.step, room->free, wish.tasks)});
-  }
-  std::stable_sort(choices.begin(), choices.end(),
-                   [](const AskChoice& a, const AskChoice& b) {
-                     return std::make_pair(!a.known_permitted, -a.fitting) <
-                            std::make_pair(!b.known_permitted, -b.fitting);
-                   });
-  const double wanted = kAskedRoom * static_cast<double>(wish.tasks);
-  double expected = 0;
-  std::vector<AskedWorker> workers;
-  for (const AskChoice& choice : choices) {
-    const bool enough = expected >= wanted && workers.size() >= kMinAsked;
-    if (enough || workers.size() == kMaxAdviceWorkers) break;
-    const WorkerSession& session = *choice.room->session;
-    workers.push_back({session.info.id, session.Number()});
-    expected += static_cast<double>(choice.fitting) *
-                (choice.known_permitted ? 1.0 : wish.permitted_share);
-  }
-  return workers;
-}
-
 }  // namespace
 
 Dispatcher::Dispatcher(OwnerContext* context) : context(context) {}
@@ -321,32 +272,39 @@
 void Dispatcher::ConsiderAdvice(const Unit& unit, const PassRooms& rooms,
                                 Instant now) {
   const StepAdvice* advice = this->context->advice->Find(unit.ref);
-  if (advice != nullptr && advice->asking) return;
-  // Permissions lapse while room is short. They are asked for again only once
-  // there would be room, or the policy service would be asked all the time.
-  const bool useful = advice == nullptr || advice->permitted.empty() ||
-                      this->RoomIfPermitted(unit, *advice, rooms, now);
-  if (!useful) return;
-  this->context->advice->Want(
-      {unit.ref, unit.queue->name, unit.queue->priority, *unit.queue->advice});
+  if (advice != nullptr) {
+    if (advice->asking || now < unit.progress->ask_after) return;
+    unit.progress->ask_after = now + kAskPause;
+    if (this->WorkersToAsk(unit, rooms, now).empty()) return;
+  }
+  this->context->advice->Want({.step = unit.ref,
+                               .queue = unit.queue->name,
+                               .policy = *unit.queue->advice,
+                               .hopeless = unit.hope == Unit::Hope::kNone,
+                               .begin_by = unit.begin_by});
 }
 
-bool Dispatcher::RoomIfPermitted(const Unit& unit, const StepAdvice& advice,
-                                 const PassRooms& rooms, Instant now) const {
-  if (!rooms.MayFit(unit.queue->service, *unit.step)) return false;
+std::vector<AskedWorker> Dispatcher::WorkersToAsk(const Unit& unit,
+                                                  const PassRooms& rooms,
+                                                  Instant now) const {
+  const AdvicePolicy& policy = *unit.queue->advice;
   const auto tasks = static_cast<std::int64_t>(unit.tasks.size());
-  std::int64_t missing = unit.step->gang ? tasks : 1;
-  const Instant end = this->ExpectedEnd(unit, now);
-  std::vector<Candidate> one;
+  AskWish wish;
+  wish.step = unit.step;
+  wish.tasks = tasks;
+  wish.advice = this->context->advice->Find(unit.ref);
+  wish.permitted_share =
+      this->context->advice->PermittedShare(unit.queue->name);
+  wish.now = now;
+  wish.answered = now + policy.decision + policy.per_worker * tasks;
+  std::vector<Candidate> candidates;
+  const Instant end = this->ExpectedEnd(unit, wish.answered);
   for (Room* room : rooms.OfService(unit.queue->service)) {
-    if (advice.Refuses(room->session->Number())) continue;
-    one.clear();
-    this->AddCandidate(unit, room, end, &one);
-    if (one.empty()) continue;
-    missing -= RoomFor(*unit.step, one.front(), missing);
-    if (missing <= 0) return true;
+    if (room->held && end > room->held_until) continue;
+    if (!room->session->HasLabel(unit.step->required_label)) continue;
+    candidates.push_back({.room = room});
   }
-  return false;
+  return ChooseAsked(wish, candidates);
 }
 
 std::vector<AskedWorker> Dispatcher::ChooseForAdvice(const StepRef& ref) {
@@ -354,15 +312,11 @@
   if (entry == nullptr || IsFinal(entry->state)) return {};
   if (!entry->occurrences.contains(ref.occurrence)) return {};
   const Instant now = this->context->executor->Now();
-  const Unit unit = this->MakeUnit(entry, ref);
-  const auto tasks = static_cast<std::int64_t>(
-      JobTable::Startable(*entry, *unit.progress, ref.step, now).size());
-  const StepAdvice* advice = this->context->advice->Find(ref);
-  if (tasks == 0 || advice == nullptr) return {};
-  const PassRooms rooms(this->context->workers);
-  const double share = this->context->advice->PermittedShare(unit.queue->name);
-  return ChooseAsked(unit, *advice, rooms.OfService(unit.queue->service),
-                     {.tasks = tasks, .permitted_share = share});
+  Unit unit = this->MakeUnit(entry, ref);
+  unit.tasks = JobTable::Startable(*entry, *unit.progress, ref.step, now);
+  const bool known = this->context->advice->Find(ref) != nullptr;
+  if (unit.tasks.empty() || !unit.queue->advice || !known) return {};
+  return this->WorkersToAsk(unit, PassRooms(this->context->workers), now);
 }
 
 std::vector<Candidate> Dispatcher::GangCandidates(const Unit& unit,
--- a/packages/jobs/src/dispatcher.h
+++ b/packages/jobs/src/dispatcher.h
@@ -62,9 +62,11 @@
                                         Instant now) const;
   void AddCandidate(const Unit& unit, Room* room, Instant end,
                     std::vector<Candidate>* candidates) const;
-  /// @return true if there is room where the policy service has not refused
-  bool RoomIfPermitted(const Unit& unit, const StepAdvice& advice,
-                       const PassRooms& rooms, Instant now) const;
+  /// @return workers that a question about the step would be about; none if it
+  ///   would not help
+  std::vector<AskedWorker> WorkersToAsk(const Unit& unit,
+                                        const PassRooms& rooms,
+                                        Instant now) const;
   Instant ExpectedEnd(const Unit& unit, Instant now) const;
   void Start(Unit* unit, const std::vector<WorkerId>& workers);
   void ConsiderAdvice(const Unit& unit, const PassRooms& rooms, Instant now);
--- a/packages/jobs/src/job_table.h
+++ b/packages/jobs/src/job_table.h
@@ -48,6 +48,8 @@
   RunNumber counted_gang_run = 0;
   /// Earliest moment at which the gang's room was to be gathered so far.
   Instant gather_by = Instant::max();
+  /// No look before at whether the policy service should be asked.
+  Instant ask_after;
 
   [[nodiscard]] bool Done() const {
     return this->done == static_cast<std::int32_t>(this->tasks.size());
--- a/packages/jobs/src/worker_session.cc
+++ b/packages/jobs/src/worker_session.cc
@@ -65,6 +65,17 @@
   return this->info.capacity - this->used;
 }
 
+Resources WorkerSession::FreeBy(Instant now, Instant moment,
+                                Resources free) const {
+  for (const auto& [run, record] : this->runs) {
+    // One that is overdue already may take any time.
+    const bool ends =
+        record.expected_end > now && record.expected_end <= moment;
+    if (ends) free += record.takes;
+  }
+  return free;
+}
+
 bool WorkerSession::HasLabel(const std::string& label) const {
   return label.empty() ||
          std::find(this->info.labels.begin(), this->info.labels.end(), label) !=
--- a/packages/jobs/src/worker_session.h
+++ b/packages/jobs/src/worker_session.h
@@ -96,6 +96,10 @@
   /// @return true if a start was sent of any run whose end is not known
   [[nodiscard]] bool HasOrdered() const;
   [[nodiscard]] Resources Free() const;
+  /// @param free what is free now
+  /// @return that, and what runs take that should end by `moment`
+  [[nodiscard]] Resources FreeBy(Instant now, Instant moment,
+                                 Resources free) const;
   [[nodiscard]] bool HasLabel(const std::string& label) const;
   [[nodiscard]] WorkerTarget Target() const;
 
