Soak of real processes under random faults

Real processes of the cell between a stand-in of the platform and relays; processes killed, stopped, paused; links to the store and to the racks cut, frozen, delayed and silenced; the store silent, refusing, forgetful, its answers lost or late; workers crashed, their orders late. Judged by the workers' side and by what callers see; each process has to end well on SIGTERM. Traced: the start left 190 ms before the cancellation, was held up by the frozen link of the rack for 3.75 s and was carried out within its own lease; no bound on time holds for orders that were held up. The judge is told when a way is harmed now.

--- a/testing/soak/program/main.cc
+++ b/testing/soak/program/main.cc
@@ -15,7 +15,8 @@
   std::cout << "seed " << options.seed << ": " << result.jobs << " jobs, "
             << result.accepted << " accepted, " << result.refused
             << " refused, " << result.unknown << " unknown, " << result.runs
-            << " runs, " << result.broken.size() << " promises broken\n";
+            << " runs, " << result.broken.size() << " promises broken"
+            << std::endl;
   if (result.broken.empty()) return;
   for (const std::string& event : result.events) {
     std::cout << "  " << event << '\n';
--- a/testing/soak/src/faults.cc
+++ b/testing/soak/src/faults.cc
@@ -106,24 +106,30 @@
   }
 }
 
-void Faults::PlanRelay(Millis at, const std::string& name, Relay* relay) {
+void Faults::PlanRelay(Millis at, const std::string& name, Relay* relay,
+                       const std::function<void(bool harmed)>& note) {
   using mustardproxy::standin::RelayFaults;
-  const auto clear = [relay] { relay->Set(RelayFaults{}); };
+  const auto plan = [&](const std::string& what, RelayFaults faults) {
+    this->PlanSpan(
+        at, what + " " + name,
+        [relay, note, faults] {
+          note(true);
+          relay->Set(faults);
+        },
+        [relay, note] {
+          relay->Set(RelayFaults{});
+          note(false);
+        });
+  };
   switch (this->DrawIndex(4)) {
     case 0:
-      this->PlanSpan(
-          at, "cut " + name, [relay] { relay->Set(RelayFaults{.cut = true}); },
-          clear);
+      plan("cut", {.cut = true, .freeze = false, .delay = Millis(0)});
       return;
     case 1:
-      this->PlanSpan(
-          at, "freeze " + name,
-          [relay] { relay->Set(RelayFaults{.freeze = true}); }, clear);
+      plan("freeze", {.cut = false, .freeze = true, .delay = Millis(0)});
       return;
     case 2:
-      this->PlanSpan(
-          at, "delay " + name,
-          [relay] { relay->Set(RelayFaults{.delay = kLinkDelay}); }, clear);
+      plan("delay", {.cut = false, .freeze = false, .delay = kLinkDelay});
       return;
     default:
       this->At(at, [this, name, relay] {
@@ -136,14 +142,18 @@
 void Faults::PlanStoreLink(Millis at) {
   SoakProcess* process =
       this->cell->Processes()[this->DrawIndex(this->options.processes)].get();
-  this->PlanRelay(at, "store link of " + process->Name(),
-                  &process->StoreLink());
+  this->PlanRelay(at, "store link of " + process->Name(), &process->StoreLink(),
+                  [](bool /*harmed*/) {});
 }
 
 void Faults::PlanRackLink(Millis at) {
   const std::size_t rack = this->DrawIndex(this->cell->RackLinks().size());
+  Platform* platform = &this->cell->Machines();
   this->PlanRelay(at, "link of rack " + std::to_string(rack),
-                  this->cell->RackLinks()[rack].get());
+                  this->cell->RackLinks()[rack].get(),
+                  [platform, rack](bool harmed) {
+                    platform->Do([&] { platform->SetWayHarmed(rack, harmed); });
+                  });
 }
 
 void Faults::PlanStore(Millis at) {
--- a/testing/soak/src/faults.h
+++ b/testing/soak/src/faults.h
@@ -38,7 +38,9 @@
   void PlanSpan(Millis at, const std::string& name,
                 const std::function<void()>& begin,
                 const std::function<void()>& end);
-  void PlanRelay(Millis at, const std::string& name, Relay* relay);
+  /// @param note told when the link is harmed, and when it is whole again
+  void PlanRelay(Millis at, const std::string& name, Relay* relay,
+                 const std::function<void(bool harmed)>& note);
   void Note(const std::string& event);
   Millis DrawLength();
   std::size_t DrawIndex(std::size_t count);
