--- a/packages/jobs/src/ask_choice.cc
+++ b/packages/jobs/src/ask_choice.cc
@@ -62,8 +62,9 @@
 }
 
 /// A gang gathers its room over time, so it is worth knowing of workers that
-/// are full now. Asked only about those with room, in a cell that was nearly
-/// full a gang learnt of 2 workers a question, and asked 10 to 14 times.
+/// are full now: as long as too little room is known, of all of them. Asked
+/// only about those with room, in a cell that was nearly full a gang learnt of
+/// 2 workers a question, and asked 10 to 14 times.
 bool WorthLearning(const AskWish& wish, const WorkerSession& session) {
   return wish.step->gang && Takes(*wish.step).FitsIn(session.info.capacity);
 }
@@ -98,8 +99,7 @@
             std::size_t fewest, std::vector<AskedWorker>* workers) {
   std::size_t taken = 0;
   for (const Choice& choice : choices) {
-    const bool adds_room = wanted > 0 && choice.fitting > 0;
-    const bool enough = !adds_room && taken >= fewest;
+    const bool enough = wanted <= 0 && taken >= fewest;
     if (enough || workers->size() == kMaxAdviceWorkers) break;
     workers->push_back({choice.session->info.id, choice.session->Number()});
     wanted -= share * static_cast<double>(choice.fitting);
