--- a/packages/http/src/bounded_socket.cc
+++ b/packages/http/src/bounded_socket.cc
@@ -59,11 +59,12 @@
   this->breach = Breach::kNone;
 }
 
-bool BoundedSocketImpl::AwaitInput(Poco::Timespan time) const {
+bool BoundedSocketImpl::AwaitInput(const Poco::Timespan& time) const {
   return this->WaitReady(POLLIN, time);
 }
 
-bool BoundedSocketImpl::WaitReady(short events, Poco::Timespan time) const {
+bool BoundedSocketImpl::WaitReady(short events,
+                                  const Poco::Timespan& time) const {
   pollfd entry{.fd = this->sockfd(), .events = events, .revents = 0};
   const auto limit =
       Clock::now() + std::chrono::microseconds(time.totalMicroseconds());
--- a/packages/http/src/bounded_socket.h
+++ b/packages/http/src/bounded_socket.h
@@ -31,7 +31,7 @@
   [[nodiscard]] Breach Breached() const { return this->breach; }
 
   /// @return false if nothing came within `time`
-  bool AwaitInput(Poco::Timespan time) const;
+  bool AwaitInput(const Poco::Timespan& time) const;
 
   int receiveBytes(void* buffer, int length, int flags = 0) override;
   int sendBytes(const void* buffer, int length, int flags = 0) override;
@@ -42,7 +42,7 @@
   /// system in place of one.
   /// @param events as for ::poll
   /// @return false if the time ran out
-  bool WaitReady(short events, Poco::Timespan time) const;
+  bool WaitReady(short events, const Poco::Timespan& time) const;
 
   Clock::time_point receive_deadline = Clock::time_point::max();
   Clock::time_point send_deadline = Clock::time_point::max();
--- a/testing/job_sim/src/sim_cell.cc
+++ b/testing/job_sim/src/sim_cell.cc
@@ -484,6 +484,7 @@
     }
   }
   std::vector<double> seconds;
+  seconds.reserve(taken.size());
   for (const auto& [name, one] : taken) seconds.push_back(one);
   return seconds;
 }
