--- a/packages/jobs/src/advice_desk.cc
+++ b/packages/jobs/src/advice_desk.cc
@@ -1,6 +1,7 @@
 #include "advice_desk.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "options.h"
@@ -12,10 +13,15 @@
 /// share assumed before the first.
 constexpr double kShareWeight = 0.05;
 constexpr double kFirstShare = 0.4;
-/// One process of this many is kept for short questions …
+/// Processes kept for short questions: so many beside twice those that these
+/// have kept busy lately, and no more than one of three. A burst of urgent
+/// steps needs three times as many as the usual load; kept for it all the time,
+/// they are missing where questions take a second.
+constexpr double kSpareShortLanes = 1.0;
+constexpr double kShortLanesPerBusy = 2.0;
 constexpr std::size_t kLanesPerShortLane = 3;
-/// … up to so many, each of which answers dozens a second.
-constexpr std::size_t kMostShortLanes = 4;
+/// Over which time "lately" goes.
+constexpr Duration kLoadMemory = milliseconds(1500);
 
 std::pair<std::int32_t, std::int32_t> NumberOf(const StepRef& step) {
   return {step.occurrence, step.step};
@@ -62,6 +68,24 @@
   return policy.decision >= kLongQuestion;
 }
 
+void ShortLoad::Note(Instant now, Duration took) {
+  this->busy = this->BusyAt(now) + static_cast<double>(took.count());
+  this->noted = now;
+}
+
+double ShortLoad::BusyAt(Instant now) const {
+  const auto passed = static_cast<double>((now - this->noted).count());
+  return this->busy *
+         std::exp(-passed / static_cast<double>(kLoadMemory.count()));
+}
+
+std::size_t ShortLoad::LanesToKeep(Instant now) const {
+  const double lanes =
+      this->BusyAt(now) / static_cast<double>(kLoadMemory.count());
+  return static_cast<std::size_t>(
+      std::ceil(kSpareShortLanes + kShortLanesPerBusy * lanes));
+}
+
 const Ticket* StepAdvice::TicketFor(SessionNumber session) const {
   const auto found = std::find_if(
       this->permitted.begin(), this->permitted.end(),
@@ -131,7 +155,7 @@
     if (lane.busy_with_long) ++longs;
   }
   const std::size_t kept =
-      std::min(usable / kLanesPerShortLane, kMostShortLanes);
+      std::min(usable / kLanesPerShortLane, this->short_load.LanesToKeep(now));
   if (long_question && longs >= std::max<std::size_t>(1, usable - kept)) {
     return nullptr;
   }
@@ -182,9 +206,10 @@
   for (const AskedWorker& worker : workers) {
     question.workers.push_back(worker.id);
   }
-  const Sent sent{waiting.need.step, std::move(workers),
-                  process,           this->parts.executor->Now(),
-                  waiting.since,     waiting.need.queue};
+  const Sent sent{
+      waiting.need.step,           std::move(workers), process,
+      this->parts.executor->Now(), waiting.since,      waiting.need.queue,
+      IsLong(waiting.need.policy)};
   auto done = this->guard.Wrap([this, sent](const Result<Advice>& answer) {
     this->OnAnswer(sent, answer);
   });
@@ -197,6 +222,10 @@
 
 void AdviceDesk::OnAnswer(const Sent& sent, const Result<Advice>& answer) {
   const Instant now = this->parts.executor->Now();
+  if (!sent.is_long) {
+    this->short_load.Note(now,
+                          std::chrono::duration_cast<Duration>(now - sent.at));
+  }
   const auto lane = this->lanes.find(sent.lane);
   if (lane != this->lanes.end()) {
     lane->second.busy = false;
--- a/packages/jobs/src/advice_desk.h
+++ b/packages/jobs/src/advice_desk.h
@@ -78,6 +78,22 @@
   Instant begin_by;
 };
 
+/// How busy short questions have kept processes lately.
+class ShortLoad {
+ public:
+  /// A short question has ended.
+  void Note(Instant now, Duration took);
+  /// @return processes that should be kept for the next ones
+  [[nodiscard]] std::size_t LanesToKeep(Instant now) const;
+
+ private:
+  [[nodiscard]] double BusyAt(Instant now) const;
+
+  /// Microseconds, the older the less they count.
+  double busy = 0.0;
+  Instant noted;
+};
+
 /// Gets permissions from the policy service. It serves one question at a time
 /// for each calling host, so questions are spread over all processes of the
 /// cell, one on each. Short questions go first, and some processes are kept for
@@ -130,6 +146,7 @@
     Instant at;
     Instant since;
     QueueName queue;
+    bool is_long = false;
   };
 
   using StepNumber = std::pair<std::int32_t, std::int32_t>;
@@ -152,6 +169,7 @@
   /// step that waits.
   std::unordered_map<JobId, std::map<StepNumber, StepAdvice>> steps;
   std::map<QueueName, double> permitted_shares;
+  ShortLoad short_load;
   Guard guard;
 };
 
--- a/packages/jobs/src/dispatcher.cc
+++ b/packages/jobs/src/dispatcher.cc
@@ -295,9 +295,7 @@
   wish.advice = this->context->advice->Find(unit.ref);
   wish.permitted_share =
       this->context->advice->PermittedShare(unit.queue->name);
-  // Short questions leave hosts to spare; there, more workers only cost
-  // processor time.
-  if (IsLong(policy) && policy.per_worker > Duration::zero()) {
+  if (policy.per_worker > Duration::zero()) {
     wish.cheap_workers =
         static_cast<std::size_t>(policy.decision / policy.per_worker);
   }
