--- a/testing/soak/tests/seeds_test.cc
+++ b/testing/soak/tests/seeds_test.cc
@@ -12,6 +12,7 @@
     25,  // a start that a frozen link held up was taken for a late decision
     49,  // the same, for a whole step
     40,  // a process that was told to end late was not started again
+    50,  // the same
 };
 
 void Play(std::uint64_t seed, SoakOptions options) {
