Workers: an entry of another writer names no worker

Now an entry names a worker only if it is whole; a known worker whose entry is overwritten gets nothing more until it writes anew. Ruled out: dropping a page or event for one bad entry; each is judged by itself.

--- a/packages/jobs/src/group_owner.cc
+++ b/packages/jobs/src/group_owner.cc
@@ -159,12 +159,7 @@
   const std::string id = event.item.key.substr(prefix.size());
   WorkerSession* session = this->context.workers.Find(WorkerId(id));
   if (event.deleted) {
-    if (session == nullptr) return;
-    session->listed = false;
-    this->context.log->Write("workers", "worker-unlisted",
-                             {{"worker", id},
-                              {"runs", session->runs.size()},
-                              {"revision", event.item.revision}});
+    this->Unlist(session, event.item.revision);
     return;
   }
   const Result<WorkerInfo> info =
@@ -173,11 +168,22 @@
     this->context.log->Write(
         "workers", "entry-broken",
         {{"worker", id}, {"reason", info.error().message()}});
+    // Failure: something else overwrites a worker's entry, and tasks go on
+    // being started at a worker that nothing names any more.
+    this->Unlist(session, event.item.revision);
     return;
   }
   this->AddWorker(info.value());
 }
 
+void GroupOwner::Unlist(WorkerSession* session, Revision revision) {
+  if (session == nullptr || !std::exchange(session->listed, false)) return;
+  this->context.log->Write("workers", "worker-unlisted",
+                           {{"worker", session->info.id.Text()},
+                            {"runs", session->runs.size()},
+                            {"revision", revision}});
+}
+
 void GroupOwner::AddWorker(const WorkerInfo& info) {
   WorkerSession* session = this->context.workers.Find(info.id);
   if (session == nullptr) {
--- a/packages/jobs/src/group_owner.h
+++ b/packages/jobs/src/group_owner.h
@@ -66,6 +66,8 @@
   void OnIntake(const StoreEvent& event);
   void OnWorker(const StoreEvent& event);
   void AddWorker(const WorkerInfo& info);
+  /// No entry names the worker any more: nothing is started there.
+  void Unlist(WorkerSession* session, Revision revision);
   void LoadProgress(const std::string& after);
   void OnProgressPage(const Result<StorePage>& page);
   void ApplyProgressItem(const StoreItem& item);
--- a/packages/jobs/src/owner_context.h
+++ b/packages/jobs/src/owner_context.h
@@ -1,6 +1,7 @@
 #ifndef MUSTARDPROXY_JOBS_OWNER_CONTEXT_H_
 #define MUSTARDPROXY_JOBS_OWNER_CONTEXT_H_
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <string_view>
@@ -71,6 +72,13 @@
       this->queues.emplace(queue.name, &queue);
     }
   }
+  /// @return true if the desired state names the service
+  [[nodiscard]] bool Names(const ServiceId& service) const {
+    if (!this->desired) return false;
+    const auto& services = this->desired->services;
+    return std::any_of(services.begin(), services.end(),
+                       [&](const Service& one) { return one.id == service; });
+  }
   /// @return how the job's queue is treated now
   [[nodiscard]] const Queue& QueueOf(const JobEntry& entry) const {
     const auto found = this->queues.find(entry.job.queue.name);
--- a/packages/jobs/tests/cell_worker_test.cc
+++ b/packages/jobs/tests/cell_worker_test.cc
@@ -129,6 +129,26 @@
   BOOST_TEST((cell->Time().Now() - stopped < seconds(6)));
 }
 
+// Something else overwrites a worker's entry. Nothing is started there until the
+// worker writes it anew; the other workers get work all the while.
+BOOST_AUTO_TEST_CASE(an_entry_that_is_broken_names_no_worker) {
+  const auto cell = SimCell::Builder().Workers(2).Build();
+  SimWorker* broken = cell->Workers().Alive().front();
+  const std::string key = "workers/" + broken->Info().id.Text();
+  cell->Store().Put(key, "{\"state\":");
+  cell->Time().RunFor(seconds(1));
+  SimJob* first = cell->Submit(MakeSpec({MakeStep(8, 4000, seconds(1))}));
+  cell->Time().RunFor(milliseconds(500));
+  BOOST_TEST(broken->RunningCount() == 0U);
+  BOOST_TEST(cell->Workers().Alive().back()->RunningCount() == 4U);
+  cell->Store().Put(key, "ready");
+  BOOST_TEST(cell->AwaitFinal(first->job.id, seconds(10)));
+  cell->Submit(MakeSpec({MakeStep(8, 4000, seconds(5))}));
+  cell->Time().RunFor(seconds(1));
+  BOOST_TEST(broken->RunningCount() == 4U);
+  CheckKept(cell.get());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace mustardproxy::jobs
--- a/testing/job_sim/src/sim_cell.cc
+++ b/testing/job_sim/src/sim_cell.cc
@@ -81,7 +81,8 @@
   [[nodiscard]] Result<jobs::WorkerInfo> ParseWorker(
       std::string_view id, std::string_view value) const override {
     SimWorker* worker = this->cell->workers.Find(std::string(id));
-    if (worker == nullptr) return make_error_code(Error::kSyntax);
+    const bool read = value == "ready" || value == "draining";
+    if (worker == nullptr || !read) return make_error_code(Error::kSyntax);
     jobs::WorkerInfo info = worker->Info();
     info.draining = value == "draining";
     return info;
