Intake: writes wait unsent while one is overdue

Ruled out: a fixed short limit, which takes a store of 0.4 s an answer for a silent one (write_gate/patience_follows_what_answers_take).

--- a/packages/jobs/src/cell_member.cc
+++ b/packages/jobs/src/cell_member.cc
@@ -56,6 +56,10 @@
          this->executor->Now() < this->renewed_at + kStoreSilent;
 }
 
+Instant CellMember::StoreAliveAt() const {
+  return std::max(this->renewed_at, this->mirror.FreshAt());
+}
+
 void CellMember::Acquire() {
   if (this->leaving) return;
   const Instant asked = this->executor->Now();
--- a/packages/jobs/src/cell_member.h
+++ b/packages/jobs/src/cell_member.h
@@ -69,6 +69,8 @@
   [[nodiscard]] bool Owns() const { return this->token != 0; }
   /// @return when the last renewal was sent that the store has confirmed
   [[nodiscard]] Instant RenewedAt() const { return this->renewed_at; }
+  /// @return when the last call was sent that the store has answered
+  [[nodiscard]] Instant StoreAliveAt() const;
   /// @return true if the store has answered so lately that a write to it is
   ///   worth sending
   [[nodiscard]] bool StoreAnswers() const;
--- a/packages/jobs/src/intake.cc
+++ b/packages/jobs/src/intake.cc
@@ -19,6 +19,8 @@
 /// Above the answers of a store that is slow for everybody (0.4 s), where that
 /// would gain nothing.
 constexpr Duration kHedgeAfter = milliseconds(450);
+/// Pause between two looks at whether the store has answered.
+constexpr Duration kGateLook = milliseconds(20);
 /// Processes that are asked for one entry.
 constexpr std::size_t kMaxHelpers = 2;
 /// Longest wait for one of them.
@@ -67,12 +69,18 @@
 void Intake::Pursue(const EntryPtr& entry) {
   // Failure: the store is away, each write to it ends uncertain, and callers
   // must be told so, who could have come back had nothing been sent.
-  if (this->parts.store_answers()) {
-    this->waiting.push_back(entry);
-    this->Flush();
-  } else {
+  if (this->Gate() == WriteGate::Answer::kRefuse) {
     this->Continue(entry);
+    return;
   }
+  this->waiting.push_back(entry);
+  this->Flush();
+}
+
+WriteGate::Answer Intake::Gate() {
+  if (!this->parts.store_answers()) return WriteGate::Answer::kRefuse;
+  this->gate.NoteAlive(this->parts.store_alive_at());
+  return this->gate.At(this->parts.executor->Now());
 }
 
 void Intake::HedgeLater(const EntryPtr& entry) {
@@ -83,33 +91,80 @@
 }
 
 void Intake::Flush() {
+  const WriteGate::Answer answer = this->Gate();
+  const bool holds = answer != WriteGate::Answer::kSend;
+  if (holds != std::exchange(this->holding, holds)) {
+    this->parts.log->Write(
+        "intake", holds ? "store-overdue" : "store-answers",
+        {{"waiting", this->waiting.size()}, {"in_flight", this->in_flight}});
+  }
+  if (answer == WriteGate::Answer::kRefuse) {
+    this->TurnAwayWaiting();
+    return;
+  }
+  if (answer == WriteGate::Answer::kHold) {
+    this->FlushLater();
+    return;
+  }
   while (!this->waiting.empty() && this->in_flight < kMaxInFlight) {
     std::vector<EntryPtr> batch;
-    Transaction transaction;
-    while (!this->waiting.empty() && batch.size() < kMaxBatch) {
-      EntryPtr entry = std::move(this->waiting.front());
-      this->waiting.pop_front();
-      if (!entry->done) continue;
-      ++entry->in_flight;
-      transaction.conditions.push_back({entry->request.key, 0});
-      // The end of a job takes the place of its key.
-      transaction.conditions.push_back({keys::OfEnded(entry->request.job), 0});
-      transaction.puts.push_back({entry->request.key, entry->request.value, 0});
-      batch.push_back(std::move(entry));
-    }
+    Transaction transaction = this->TakeBatch(&batch);
     if (batch.empty()) return;
     ++this->in_flight;
+    const Instant sent = this->parts.executor->Now();
+    this->gate.OnSent(sent);
     this->parts.store->Commit(
         std::move(transaction),
-        this->guard.Wrap([this, batch](const CommitResult& result) {
-          --this->in_flight;
-          for (const EntryPtr& entry : batch) --entry->in_flight;
-          this->OnCommitted(batch, result);
-          this->Flush();
+        this->guard.Wrap([this, batch, sent](const CommitResult& result) {
+          this->OnEnd(batch, sent, result);
         }));
   }
 }
 
+Transaction Intake::TakeBatch(std::vector<EntryPtr>* batch) {
+  Transaction transaction;
+  while (!this->waiting.empty() && batch->size() < kMaxBatch) {
+    EntryPtr entry = std::move(this->waiting.front());
+    this->waiting.pop_front();
+    if (!entry->done) continue;
+    ++entry->in_flight;
+    transaction.conditions.push_back({entry->request.key, 0});
+    // The end of a job takes the place of its key.
+    transaction.conditions.push_back({keys::OfEnded(entry->request.job), 0});
+    transaction.puts.push_back({entry->request.key, entry->request.value, 0});
+    batch->push_back(std::move(entry));
+  }
+  return transaction;
+}
+
+void Intake::FlushLater() {
+  if (this->waiting.empty() || std::exchange(this->flush_due, true)) return;
+  this->parts.executor->After(kGateLook, this->guard.Wrap([this] {
+    this->flush_due = false;
+    this->Flush();
+  }));
+}
+
+void Intake::TurnAwayWaiting() {
+  for (const EntryPtr& entry : std::exchange(this->waiting, {})) {
+    this->Continue(entry);
+  }
+}
+
+void Intake::OnEnd(const std::vector<EntryPtr>& batch, Instant sent,
+                   const CommitResult& result) {
+  --this->in_flight;
+  const Instant now = this->parts.executor->Now();
+  if (result.end == CommitEnd::kUncertain) {
+    this->gate.OnUnanswered(sent, now);
+  } else {
+    this->gate.OnAnswered(sent, now);
+  }
+  for (const EntryPtr& entry : batch) --entry->in_flight;
+  this->OnCommitted(batch, result);
+  this->Flush();
+}
+
 void Intake::OnCommitted(const std::vector<EntryPtr>& batch,
                          const CommitResult& result) {
   if (result.end == CommitEnd::kConflict) {
@@ -145,7 +200,7 @@
   if (!entry->done) return;
   ++entry->tries;
   if (this->AskHelper(entry) || entry->in_flight > 0) return;
-  const bool away = !this->parts.store_answers();
+  const bool away = this->Gate() == WriteGate::Answer::kRefuse;
   // "Not accepted" would be untrue if an earlier write may still be done; then
   // the caller is told at its deadline, or as soon as it is known.
   if (!entry->uncertain && (away || entry->helpers.empty())) {
--- a/packages/jobs/src/intake.h
+++ b/packages/jobs/src/intake.h
@@ -16,6 +16,7 @@
 #include "mustardproxy/jobs/job_service.h"
 #include "mustardproxy/jobs/key_value_store.h"
 #include "mustardproxy/telemetry/event_log.h"
+#include "write_gate.h"
 
 namespace mustardproxy::jobs {
 
@@ -36,8 +37,11 @@
     KeyValueStore* store = nullptr;
     JobPeers* peers = nullptr;
     EventLog* log = nullptr;
-    /// @return true while the store answers this process
+    /// @return true unless the store turns this process away or has been silent
+    ///   for long
     std::function<bool()> store_answers;
+    /// @return when the last other call was sent that the store has answered
+    std::function<Instant()> store_alive_at;
     /// @return processes that may create a key instead, the best first
     std::function<std::vector<std::string>()> helpers;
     /// A key is known to exist, created by that revision.
@@ -71,7 +75,15 @@
                  Done done);
   /// Has the key written here, or elsewhere while the store is away.
   void Pursue(const EntryPtr& entry);
+  /// @return whether a write is worth sending now
+  WriteGate::Answer Gate();
   void Flush();
+  void FlushLater();
+  /// Nothing has come of waiting for the store.
+  void TurnAwayWaiting();
+  Transaction TakeBatch(std::vector<EntryPtr>* batch);
+  void OnEnd(const std::vector<EntryPtr>& batch, Instant sent,
+             const CommitResult& result);
   void OnCommitted(const std::vector<EntryPtr>& batch,
                    const CommitResult& result);
   void OnConflict(const std::vector<EntryPtr>& batch,
@@ -90,6 +102,10 @@
   Parts parts;
   std::deque<EntryPtr> waiting;
   std::size_t in_flight = 0;
+  WriteGate gate;
+  /// A look at the gate is due soon, as entries wait behind it.
+  bool flush_due = false;
+  bool holding = false;
   Guard guard;
 };
 
--- a/packages/jobs/src/job_node.cc
+++ b/packages/jobs/src/job_node.cc
@@ -94,6 +94,7 @@
               .peers = parts.peers,
               .log = parts.log,
               .store_answers = [this] { return this->member.StoreAnswers(); },
+              .store_alive_at = [this] { return this->member.StoreAliveAt(); },
               .helpers = [this] { return this->Helpers(); },
               .on_exists =
                   [this](const CreateRequest& created, Revision revision) {
--- /dev/null
+++ b/packages/jobs/src/write_gate.cc
@@ -0,0 +1,67 @@
+#include "write_gate.h"
+
+#include <algorithm>
+
+#include "options.h"
+
+namespace mustardproxy::jobs {
+namespace {
+
+/// A write is overdue after this multiple of what answers take, and not before
+/// the least: 25 times the usual 4 ms of the users' store. Callers come seven
+/// times a second to a process, so one or two more writes are sent until then.
+constexpr std::int64_t kPatienceFactor = 3;
+constexpr Duration kLeastPatience = milliseconds(100);
+/// Longest hold: the next renewal of the lease is sent within 0.3 s, and its
+/// answer tells that the store lives.
+constexpr Duration kLongestHold = kStoreLeaseRenewal + milliseconds(100);
+/// Part of a shorter answer in what is taken for usual.
+constexpr std::int64_t kFallDivisor = 8;
+
+}  // namespace
+
+void WriteGate::OnSent(Instant sent) { this->open.insert(sent); }
+
+void WriteGate::OnAnswered(Instant sent, Instant now) {
+  const auto found = this->open.find(sent);
+  if (found != this->open.end()) this->open.erase(found);
+  const Duration took = now - sent;
+  const Duration fallen = this->usual + (took - this->usual) / kFallDivisor;
+  this->usual = std::max(took, fallen);
+  this->NoteAlive(sent);
+}
+
+void WriteGate::OnUnanswered(Instant sent, Instant now) {
+  const auto found = this->open.find(sent);
+  if (found != this->open.end()) this->open.erase(found);
+  this->failed_at = now;
+}
+
+void WriteGate::NoteAlive(Instant sent) {
+  this->alive_at = std::max(this->alive_at, sent);
+}
+
+Duration WriteGate::Patience() const {
+  return std::max(kLeastPatience, kPatienceFactor * this->usual);
+}
+
+std::optional<Instant> WriteGate::DoubtedSince(Instant now) const {
+  if (this->failed_at && *this->failed_at >= this->alive_at) {
+    return this->failed_at;
+  }
+  // Those sent before a call that was answered prove nothing: their answers are
+  // lost, and the store lives.
+  const auto oldest = this->open.upper_bound(this->alive_at);
+  if (oldest == this->open.end()) return std::nullopt;
+  const Instant overdue = *oldest + this->Patience();
+  if (now < overdue) return std::nullopt;
+  return overdue;
+}
+
+WriteGate::Answer WriteGate::At(Instant now) const {
+  const auto since = this->DoubtedSince(now);
+  if (!since) return Answer::kSend;
+  return now - *since < kLongestHold ? Answer::kHold : Answer::kRefuse;
+}
+
+}  // namespace mustardproxy::jobs
--- a/packages/jobs/tests/cell_takeover_test.cc
+++ b/packages/jobs/tests/cell_takeover_test.cc
@@ -293,6 +293,35 @@
   BOOST_TEST(cell->Judge().Runs() == 0);
 }
 
+// The store falls silent for everybody while callers hand jobs in, fifty a
+// second. Most of them are told truly that nothing was stored, and can come
+// back; only those whose writes the silence swallowed must be told that nobody
+// knows.
+BOOST_AUTO_TEST_CASE(few_callers_of_a_silent_store_are_left_in_doubt) {
+  cell->Time().RunFor(seconds(1));
+  cell->Store().silent = true;
+  int refused = 0;
+  int unknown = 0;
+  constexpr int kCallers = 100;
+  for (int i = 0; i < kCallers; ++i) {
+    const std::size_t at = static_cast<std::size_t>(i) % 3;
+    cell->ProcessAt(at)->Post([&, at, i] {
+      cell->NodeAt(at)->Submit(
+          cell->queue, JobId("caller" + std::to_string(i)),
+          MakeSpec({MakeStep(1, 1000, seconds(1))}), seconds(3),
+          [&](const SubmitResult& result) {
+            refused += result.end == SubmitEnd::kNotAccepted ? 1 : 0;
+            unknown += result.end == SubmitEnd::kUnknown ? 1 : 0;
+          });
+    });
+    cell->Time().RunFor(milliseconds(20));
+  }
+  cell->Time().RunFor(seconds(4));
+  BOOST_TEST(refused + unknown == kCallers);
+  BOOST_TEST(unknown <= 8);
+  cell->Store().silent = false;
+}
+
 // A process starts while the store refuses everybody, and asks for a lease ten
 // times a second. The log would be full of it, or, with no line at all, nobody
 // would see why the process is not ready.
--- /dev/null
+++ b/packages/jobs/tests/write_gate_test.cc
@@ -0,0 +1,84 @@
+#include "write_gate.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace mustardproxy::jobs {
+namespace {
+
+using std::chrono::milliseconds;
+using Answer = WriteGate::Answer;
+
+struct Fixture {
+  static Instant At(int ms) { return Instant() + milliseconds(ms); }
+  void Answered(int sent, int now) {
+    this->gate.OnSent(At(sent));
+    this->gate.OnAnswered(At(sent), At(now));
+  }
+  bool Is(int now, Answer answer) const {
+    return this->gate.At(At(now)) == answer;
+  }
+
+  WriteGate gate;
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(write_gate, Fixture)
+
+BOOST_AUTO_TEST_CASE(writes_go_out_while_the_store_answers) {
+  BOOST_TEST(Is(0, Answer::kSend));
+  Answered(1000, 1004);
+  gate.OnSent(At(1010));
+  BOOST_TEST(Is(1050, Answer::kSend));
+}
+
+// The store falls silent: what comes after the first overdue write waits, and
+// is refused once nothing has been heard for the time of a renewal.
+BOOST_AUTO_TEST_CASE(an_overdue_write_holds_the_others_back) {
+  Answered(1000, 1004);
+  gate.OnSent(At(1010));
+  BOOST_TEST(Is(1111, Answer::kHold));
+  BOOST_TEST(Is(1509, Answer::kHold));
+  BOOST_TEST(Is(1511, Answer::kRefuse));
+  gate.NoteAlive(At(1500));
+  BOOST_TEST(Is(1512, Answer::kSend));
+}
+
+// One answer of a store that lives is lost, and a later write is answered.
+BOOST_AUTO_TEST_CASE(a_lost_answer_holds_nothing_back_for_long) {
+  gate.OnSent(At(1000));
+  Answered(1050, 1054);
+  BOOST_TEST(Is(1200, Answer::kSend));
+  gate.OnUnanswered(At(1000), At(2000));
+  BOOST_TEST(Is(2001, Answer::kHold));
+  gate.NoteAlive(At(2100));
+  BOOST_TEST(Is(2104, Answer::kSend));
+}
+
+// A store that takes 0.4 s an answer is slow, not silent.
+BOOST_AUTO_TEST_CASE(patience_follows_what_answers_take) {
+  Answered(1000, 1400);
+  gate.OnSent(At(1500));
+  BOOST_TEST(Is(2600, Answer::kSend));
+  BOOST_TEST(Is(2701, Answer::kHold));
+  gate.OnAnswered(At(1500), At(2710));
+  constexpr int kAnswers = 60;
+  for (int i = 0; i < kAnswers; ++i) Answered(3000 + 10 * i, 3004 + 10 * i);
+  gate.OnSent(At(5000));
+  BOOST_TEST(Is(5101, Answer::kHold));
+}
+
+// Connections are reset in the middle of writes.
+BOOST_AUTO_TEST_CASE(a_write_that_was_cut_off_holds_the_others_back) {
+  gate.OnSent(At(1000));
+  gate.OnUnanswered(At(1000), At(1001));
+  BOOST_TEST(Is(1002, Answer::kHold));
+  gate.NoteAlive(At(900));
+  BOOST_TEST(Is(1003, Answer::kHold));
+  gate.NoteAlive(At(1200));
+  BOOST_TEST(Is(1204, Answer::kSend));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace mustardproxy::jobs
