--- a/packages/jobs/src/intake.cc
+++ b/packages/jobs/src/intake.cc
@@ -25,6 +25,8 @@
 constexpr std::size_t kMaxHelpers = 2;
 /// Longest wait for one of them.
 constexpr Duration kHelperTimeout = milliseconds(600);
+/// How long one that does not answer is left out.
+constexpr Duration kHelperPause = seconds(1);
 /// When to come back while the store is away: outages last seconds, and
 /// callers hand a job in for a few seconds only.
 constexpr Duration kStoreRetryAfter = seconds(1);
@@ -212,14 +214,56 @@
   }));
 }
 
+std::optional<std::string> Intake::NextHelper(const EntryPtr& entry) {
+  const Instant now = this->parts.executor->Now();
+  while (!entry->helpers.empty()) {
+    std::string helper = entry->helpers.front();
+    entry->helpers.erase(entry->helpers.begin());
+    const auto out = this->lost_helpers.find(helper);
+    if (out == this->lost_helpers.end() || out->second <= now) return helper;
+  }
+  return std::nullopt;
+}
+
 bool Intake::AskHelper(const EntryPtr& entry) {
-  if (entry->helpers.empty()) return false;
-  const std::string helper = entry->helpers.front();
-  entry->helpers.erase(entry->helpers.begin());
+  const auto helper = this->NextHelper(entry);
+  if (!helper) return false;
+  // Failure: a data centre is cut off, the helper is on the other side, and a
+  // caller who could come back elsewhere is told that nobody knows. So only one
+  // that has just answered a question gets the key to create.
+  ++entry->in_flight;
+  this->parts.peers->QueryJob(
+      *helper, entry->request.job,
+      this->guard.Wrap(
+          [this, entry, helper = *helper](const Result<JobAnswer>& answer) {
+            --entry->in_flight;
+            const bool lost = !answer && answer.error() == Error::kPeerLost;
+            if (lost) {
+              this->LeaveOut(helper);
+              this->Continue(entry);
+            } else {
+              this->CreateAt(helper, entry);
+            }
+          }));
+  return true;
+}
+
+void Intake::LeaveOut(const std::string& helper) {
+  const Instant until = this->parts.executor->Now() + kHelperPause;
+  const bool added = this->lost_helpers.insert_or_assign(helper, until).second;
+  if (!added) return;
+  this->parts.log->Write("intake", "helper-lost", {{"helper", helper}});
+}
+
+void Intake::CreateAt(const std::string& helper, const EntryPtr& entry) {
+  if (!entry->done) return;
+  if (this->lost_helpers.erase(helper) > 0) {
+    this->parts.log->Write("intake", "helper-back", {{"helper", helper}});
+  }
   CreateRequest request = entry->request;
   request.timeout = std::min<Duration>(
       kHelperTimeout, entry->deadline - this->parts.executor->Now());
-  if (request.timeout <= Duration::zero()) return false;
+  if (request.timeout <= Duration::zero()) return;
   ++entry->in_flight;
   this->parts.peers->Create(
       helper, request,
@@ -227,7 +271,6 @@
         --entry->in_flight;
         this->OnHelper(entry, end);
       }));
-  return true;
 }
 
 void Intake::OnHelper(const EntryPtr& entry, const Result<CreateEnd>& end) {
--- a/packages/jobs/src/intake.h
+++ b/packages/jobs/src/intake.h
@@ -3,6 +3,7 @@
 
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -91,6 +92,9 @@
   /// Asks the next helper, or gives up, or tries again later.
   void Continue(const EntryPtr& entry);
   bool AskHelper(const EntryPtr& entry);
+  std::optional<std::string> NextHelper(const EntryPtr& entry);
+  void LeaveOut(const std::string& helper);
+  void CreateAt(const std::string& helper, const EntryPtr& entry);
   void OnHelper(const EntryPtr& entry, const Result<CreateEnd>& end);
   void HedgeLater(const EntryPtr& entry);
   /// @param revision of the key, if it is known
@@ -106,6 +110,8 @@
   /// A look at the gate is due soon, as entries wait behind it.
   bool flush_due = false;
   bool holding = false;
+  /// Until when helpers are left out that did not answer.
+  std::map<std::string, Instant> lost_helpers;
   Guard guard;
 };
 
--- a/packages/jobs/tests/cell_takeover_test.cc
+++ b/packages/jobs/tests/cell_takeover_test.cc
@@ -322,6 +322,35 @@
   cell->Store().silent = false;
 }
 
+// A data centre is cut off from the store and from the other processes. Callers
+// there are told truly, and soon, that nothing was stored: they can come back,
+// and are then led elsewhere. Asking a process on the other side of the cut
+// left each of them in doubt until its time was up.
+BOOST_AUTO_TEST_CASE(callers_of_a_cut_off_process_are_refused_truly) {
+  const std::size_t cut = (Owner() + 1) % 3;
+  cell->ProcessAt(cut)->store_cut = true;
+  cell->ProcessAt(cut)->peers_cut = true;
+  cell->Time().RunFor(seconds(1));
+  int refused = 0;
+  const Instant begun = cell->Time().Now();
+  Instant last;
+  constexpr int kCallers = 20;
+  for (int i = 0; i < kCallers; ++i) {
+    cell->ProcessAt(cut)->Post([&, i] {
+      cell->NodeAt(cut)->Submit(
+          cell->queue, JobId("caller" + std::to_string(i)),
+          MakeSpec({MakeStep(1, 1000, seconds(1))}), seconds(3),
+          [&](const SubmitResult& result) {
+            refused += result.end == SubmitEnd::kNotAccepted ? 1 : 0;
+            last = cell->Time().Now();
+          });
+    });
+  }
+  cell->Time().RunFor(seconds(4));
+  BOOST_TEST(refused == kCallers);
+  BOOST_TEST((last - begun < seconds(1)));
+}
+
 // A process starts while the store refuses everybody, and asks for a lease ten
 // times a second. The log would be full of it, or, with no line at all, nobody
 // would see why the process is not ready.
