--- a/packages/jobs/src/group_owner.cc
+++ b/packages/jobs/src/group_owner.cc
@@ -320,6 +320,8 @@
   }
   entry->progress_revision = item.revision;
   entry->shown = entry->state;
+  // Written so by the version before, which kept ends as progress.
+  if (IsFinal(entry->state)) this->runs->StoreFinal(entry);
 }
 
 void GroupOwner::FinishLoading() {
--- a/packages/jobs/tests/cell_ended_test.cc
+++ b/packages/jobs/tests/cell_ended_test.cc
@@ -118,6 +118,24 @@
   }
 }
 
+// The store holds a job that the version before has ended: its job is still
+// there, and its progress tells the end.
+BOOST_AUTO_TEST_CASE(an_end_that_was_kept_as_progress_is_taken_up) {
+  Job job;
+  job.id = JobId("former");
+  job.queue = cell->queue;
+  job.spec = MakeSpec({MakeStep(1, 100, seconds(1))});
+  for (std::size_t i = 0; i < 3; ++i) cell->KillProcess(i);
+  cell->Store().Put(keys::OfJob(job.id), EncodeJob(job));
+  cell->Store().Put(keys::OfProgress(job.id), EncodeEnd(JobState::kCompleted));
+  for (std::size_t i = 0; i < 3; ++i) cell->StartProcess(i);
+  cell->Time().RunFor(seconds(5));
+  BOOST_TEST((cell->Ask(job.id) == JobState::kCompleted));
+  BOOST_TEST(cell->Store().Get(keys::OfEnded(job.id)) != nullptr);
+  BOOST_TEST(cell->Store().Get(keys::OfProgress(job.id)) == nullptr);
+  BOOST_TEST(cell->Judge().Runs() == 0);
+}
+
 // Final jobs are kept for as long as callers may ask, and then leave nothing.
 BOOST_AUTO_TEST_CASE(nothing_is_left_of_a_job_after_its_retention) {
   SimJob* job = Submit(seconds(60));
