Takeover: what is stored of jobs' progress is read and given out by one class

GroupOwner had grown by reading, by progress without a job and by its removal; StoredProgress does these.

--- a/packages/jobs/src/group_owner.cc
+++ b/packages/jobs/src/group_owner.cc
@@ -71,6 +71,12 @@
                                                    .store = shared.store,
                                                    .log = shared.log,
                                                    .token = token});
+  this->stored = std::make_unique<StoredProgress>(
+      StoredProgress::Parts{.executor = shared.executor,
+                            .store = shared.store,
+                            .log = shared.log,
+                            .token = token},
+      [this] { this->FinishLoading(); });
   shared.writer = this->writer.get();
   shared.ended = this->ended.get();
   shared.advice = this->advice.get();
@@ -101,7 +107,7 @@
   // away, and the former one's writes fail by now; so what is read at different
   // moments fits together.
   this->intake->Start();
-  this->LoadProgress("");
+  this->stored->Read();
   this->workers->Start();
   this->Tick();
 }
@@ -283,50 +289,27 @@
   this->dispatcher->Kick();
 }
 
-void GroupOwner::LoadProgress(const std::string& after) {
-  this->context.store->List(
-      keys::kProgress, after,
-      this->guard.Wrap(
-          [this](const Result<StorePage>& p) { this->OnProgressPage(p); }));
-}
-
-void GroupOwner::OnProgressPage(const Result<StorePage>& page) {
-  if (!page) {
-    if (!std::exchange(this->load_failing, true)) {
-      this->context.log->Write("owner", "progress-not-read",
-                               {{"reason", page.error().message()}});
-    }
-    this->progress.clear();
-    this->context.executor->After(
-        kStoreRetry, this->guard.Wrap([this] { this->LoadProgress(""); }));
-    return;
-  }
-  this->load_failing = false;
-  const std::vector<StoreItem>& items = page.value().items;
-  this->progress.insert(this->progress.end(), items.begin(), items.end());
-  if (page.value().truncated && !items.empty()) {
-    this->LoadProgress(items.back().key);
-    return;
-  }
-  this->progress_read = true;
-  this->FinishLoading();
-}
-
-void GroupOwner::ApplyProgressItem(JobEntry* entry, const StoreItem& item) {
-  const JobId& id = entry->job.id;
-  if (!ApplyProgress(&this->context.jobs, entry, item.value)) {
-    this->context.log->Write("jobs", "progress-broken", {{"job", id.Text()}});
+void GroupOwner::ClaimProgress(JobEntry* entry) {
+  const auto item = this->stored->Claim(entry->job.id);
+  if (!item) return;
+  if (!ApplyProgress(&this->context.jobs, entry, item->value)) {
+    this->context.log->Write("jobs", "progress-broken",
+                             {{"job", entry->job.id.Text()}});
     return;
   }
-  entry->progress_revision = item.revision;
+  entry->progress_revision = item->revision;
   entry->shown = entry->state;
-  // Written so by the version before, which kept ends as progress.
-  if (IsFinal(entry->state)) this->runs->StoreFinal(entry);
+  if (IsFinal(entry->state)) {
+    // Written so by the version before, which kept ends as progress.
+    this->runs->StoreFinal(entry);
+  } else {
+    this->InheritRuns(entry);
+  }
 }
 
 void GroupOwner::FinishLoading() {
-  const bool complete =
-      this->intake->Listed() && this->workers->Listed() && this->progress_read;
+  const bool complete = this->intake->Listed() && this->workers->Listed() &&
+                        this->stored->Complete();
   if (!complete || std::exchange(this->loaded, true)) return;
   this->TakeOver();
   const Duration took = this->context.executor->Now() - this->elected_at;
@@ -343,17 +326,8 @@
 }
 
 void GroupOwner::TakeOver() {
-  for (StoreItem& item : std::exchange(this->progress, {})) {
-    const JobId id(item.key.substr(keys::kProgress.size()));
-    JobEntry* entry = this->context.jobs.Find(id);
-    if (entry != nullptr) {
-      this->ApplyProgressItem(entry, item);
-    } else {
-      this->unclaimed.emplace(id, std::move(item));
-    }
-  }
-  std::vector<JobEntry*> active = this->context.jobs.Active();
-  for (JobEntry* entry : active) this->InheritRuns(entry);
+  const std::vector<JobEntry*> active = this->context.jobs.Active();
+  for (JobEntry* entry : active) this->ClaimProgress(entry);
   for (const JobId& id : std::set<JobId>(this->cancelled_early)) {
     if (this->context.jobs.Find(id) == nullptr) continue;
     this->cancelled_early.erase(id);
@@ -361,48 +335,18 @@
   }
 }
 
-void GroupOwner::ClaimProgress(JobEntry* entry) {
-  // Failure: the former owner has placed a job that was being stored, and
-  // starts it on a worker that does not obey the new one yet; the new one
-  // learns of the job later and would start it a second time.
-  const auto found = this->unclaimed.find(entry->job.id);
-  if (found == this->unclaimed.end()) return;
-  this->ApplyProgressItem(entry, found->second);
-  this->unclaimed.erase(found);
-  this->InheritRuns(entry);
-}
-
-void GroupOwner::ForgetUnclaimed() {
+void GroupOwner::ForgetParked() {
   const Instant old = this->context.executor->Now() - kRetention;
   while (!this->parked.empty() && this->parked.front().first < old) {
     const JobId id = this->parked.front().second;
     this->parked.pop_front();
     const JobEntry* entry = this->context.jobs.Find(id);
     if (entry == nullptr || entry->stored) continue;
-    this->RemoveProgress(id, entry->progress_revision);
+    if (entry->progress_revision != 0) {
+      this->stored->Remove(id, entry->progress_revision);
+    }
     this->context.jobs.Remove(id);
   }
-  if (this->elected_at > old) return;
-  for (const auto& [id, item] : std::exchange(this->unclaimed, {})) {
-    this->RemoveProgress(id, item.revision);
-  }
-}
-
-void GroupOwner::RemoveProgress(const JobId& id, Revision revision) {
-  if (revision == 0) return;
-  Transaction transaction;
-  transaction.conditions.push_back({keys::Owner(), this->context.token});
-  transaction.conditions.push_back({keys::OfProgress(id), revision});
-  transaction.removals.push_back(keys::OfProgress(id));
-  this->context.store->Commit(
-      std::move(transaction),
-      this->guard.Wrap([this, id](const CommitResult& result) {
-        // What is left is read by the next owner, which tries again.
-        this->context.log->Write(
-            "jobs", "progress-removed",
-            {{"job", id.Text()},
-             {"done", result.end == CommitEnd::kCommitted ? 1 : 0}});
-      }));
 }
 
 void GroupOwner::InheritRuns(JobEntry* entry) {
@@ -445,7 +389,8 @@
     this->OpenDue();
     this->holds->PumpAll();
     this->ended->ForgetOld();
-    this->ForgetUnclaimed();
+    this->stored->ForgetUnclaimed();
+    this->ForgetParked();
     this->dispatcher->Kick();
     this->Publish();
   }
--- a/packages/jobs/src/group_owner.h
+++ b/packages/jobs/src/group_owner.h
@@ -8,7 +8,6 @@
 #include <set>
 #include <string>
 #include <string_view>
-#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -23,6 +22,7 @@
 #include "prefix_mirror.h"
 #include "progress_writer.h"
 #include "run_control.h"
+#include "stored_progress.h"
 
 namespace mustardproxy::jobs {
 
@@ -81,14 +81,10 @@
   void AddWorker(const WorkerInfo& info);
   /// No entry names the worker any more: nothing is started there.
   void Unlist(WorkerSession* session, Revision revision);
-  void LoadProgress(const std::string& after);
-  void OnProgressPage(const Result<StorePage>& page);
-  void ApplyProgressItem(JobEntry* entry, const StoreItem& item);
-  /// Applies what is stored of the progress of a job that was not known then.
+  /// Applies what former owners have stored of a job's progress, if anything.
   void ClaimProgress(JobEntry* entry);
-  /// Removes progress of jobs that were never stored.
-  void ForgetUnclaimed();
-  void RemoveProgress(const JobId& id, Revision revision);
+  /// Forgets jobs that were proposed and never stored.
+  void ForgetParked();
   /// Goes to work once jobs, progress and workers have all been read.
   void FinishLoading();
   void TakeOver();
@@ -101,20 +97,14 @@
   OwnerContext context;
   /// When the token was drawn.
   Instant elected_at;
-  /// What was read of the jobs' progress; kept until all jobs are read.
-  std::vector<StoreItem> progress;
-  bool progress_read = false;
-  /// Progress that is stored of jobs that are not.
-  std::unordered_map<JobId, StoreItem> unclaimed;
   /// Jobs that were proposed and not stored in time, the oldest first.
   std::deque<std::pair<Instant, JobId>> parked;
   bool loaded = false;
-  /// The last attempt to read the progress failed, and has been told of.
-  bool load_failing = false;
   /// Cancellations that were read before their jobs.
   std::set<JobId> cancelled_early;
   std::unique_ptr<ProgressWriter> writer;
   std::unique_ptr<EndedJobs> ended;
+  std::unique_ptr<StoredProgress> stored;
   std::unique_ptr<AdviceDesk> advice;
   std::unique_ptr<RunControl> runs;
   std::unique_ptr<HoldLoop> holds;
