Sight: what a step that waits lacks, and what the largest jobs got

Cause: a wide gang that waits left no trace of what it had and lacked, so the hypotheses on its starvation could not be told apart.

--- a/packages/jobs/src/dispatcher.cc
+++ b/packages/jobs/src/dispatcher.cc
@@ -61,7 +61,8 @@
 
 }  // namespace
 
-Dispatcher::Dispatcher(OwnerContext* context) : context(context) {}
+Dispatcher::Dispatcher(OwnerContext* context)
+    : context(context), waits(context->log, context->metrics) {}
 
 void Dispatcher::Kick() {
   if (std::exchange(this->kicked, true)) return;
@@ -89,6 +90,9 @@
   for (Unit& unit : units) {
     this->PlaceUnit(&unit, rooms, now);
     if (unit.tasks.empty()) continue;
+    if (this->waits.Due(unit, now)) {
+      this->waits.Write(unit, this->LookAtWait(unit, rooms, now), now);
+    }
     if (unit.queue->advice) this->ConsiderAdvice(unit, rooms, now);
     const bool holds_room = unit.step->gang && unit.hope != Unit::Hope::kNone;
     if (holds_room && holds < kMaxHolds) {
@@ -339,4 +343,42 @@
             candidates, now);
 }
 
+WaitFacts Dispatcher::LookAtWait(const Unit& unit, const PassRooms& rooms,
+                                 Instant now) const {
+  const auto tasks = static_cast<std::int64_t>(unit.tasks.size());
+  const auto sum = [&](const std::vector<Candidate>& candidates) {
+    std::int64_t room = 0;
+    for (const Candidate& one : candidates) {
+      room += RoomFor(*unit.step, one, tasks);
+    }
+    return room;
+  };
+  const StepAdvice* advice = this->context->advice->Find(unit.ref);
+  WaitFacts facts;
+  facts.needed = unit.step->gang ? tasks : 1;
+  facts.has_policy = unit.queue->advice.has_value();
+  if (advice != nullptr) {
+    facts.permitted = std::ssize(advice->permitted);
+    facts.refused = std::ssize(advice->refused);
+  }
+  for (const Room* room : rooms.OfService(unit.queue->service)) {
+    const WorkerSession& session = *room->session;
+    if (!session.HasLabel(unit.step->required_label)) continue;
+    const std::int64_t fits =
+        CountFitting(*unit.step, session.info.capacity, tasks);
+    if (fits == 0) continue;
+    ++facts.eligible;
+    const bool permitted =
+        !facts.has_policy || (advice != nullptr &&
+                              advice->TicketFor(session.Number()) != nullptr);
+    if (permitted) facts.could_fit += fits;
+  }
+  facts.room = sum(this->GangCandidates(unit, rooms, now));
+  facts.fresh_room =
+      facts.has_policy
+          ? sum(this->Permitted(unit, rooms, now, now + kTicketMargin))
+          : facts.room;
+  return facts;
+}
+
 }  // namespace mustardproxy::jobs
--- a/packages/jobs/src/dispatcher.h
+++ b/packages/jobs/src/dispatcher.h
@@ -9,24 +9,11 @@
 #include "owner_context.h"
 #include "pass_rooms.h"
 #include "placement.h"
+#include "unit.h"
+#include "wait_report.h"
 
 namespace mustardproxy::jobs {
 
-/// Tasks of one step that may start now.
-struct Unit {
-  JobEntry* entry = nullptr;
-  const Queue* queue = nullptr;
-  const Step* step = nullptr;
-  StepEntry* progress = nullptr;
-  StepRef ref;
-  std::vector<std::int32_t> tasks;
-  /// What is left of the job's worth if it starts now.
-  enum class Hope { kInTime, kLate, kNone } hope = Hope::kInTime;
-  /// When the step has to be begun for the job to be done in time: a gang's
-  /// room has to be gathered before it can start.
-  Instant begin_by;
-};
-
 /// Decides which tasks start next and where: a pass over all that may start, in
 /// order of rank, whenever something has changed.
 class Dispatcher {
@@ -71,9 +58,13 @@
   void Start(Unit* unit, const std::vector<WorkerId>& workers);
   void ConsiderAdvice(const Unit& unit, const PassRooms& rooms, Instant now);
   void HoldForGang(const Unit& unit, const PassRooms& rooms, Instant now);
+  /// @return what a step that waits has
+  WaitFacts LookAtWait(const Unit& unit, const PassRooms& rooms,
+                       Instant now) const;
   Unit MakeUnit(JobEntry* entry, const StepRef& ref) const;
 
   OwnerContext* context;
+  WaitReport waits;
   bool kicked = false;
   Instant last_pass;
   Guard guard;
--- a/packages/jobs/src/job_table.h
+++ b/packages/jobs/src/job_table.h
@@ -50,6 +50,8 @@
   Instant gather_by = Instant::max();
   /// No look before at whether the policy service should be asked.
   Instant ask_after;
+  /// No line in the log before about what it waits for.
+  Instant report_after;
 
   [[nodiscard]] bool Done() const {
     return this->done == static_cast<std::int32_t>(this->tasks.size());
--- /dev/null
+++ b/packages/jobs/src/unit.h
@@ -0,0 +1,28 @@
+#ifndef MUSTARDPROXY_JOBS_UNIT_H_
+#define MUSTARDPROXY_JOBS_UNIT_H_
+
+#include <cstdint>
+#include <vector>
+
+#include "job_table.h"
+
+namespace mustardproxy::jobs {
+
+/// Tasks of one step that may start now.
+struct Unit {
+  JobEntry* entry = nullptr;
+  const Queue* queue = nullptr;
+  const Step* step = nullptr;
+  StepEntry* progress = nullptr;
+  StepRef ref;
+  std::vector<std::int32_t> tasks;
+  /// What is left of the job's worth if it starts now.
+  enum class Hope { kInTime, kLate, kNone } hope = Hope::kInTime;
+  /// When the step has to be begun for the job to be done in time: a gang's
+  /// room has to be gathered before it can start.
+  Instant begin_by;
+};
+
+}  // namespace mustardproxy::jobs
+
+#endif  // MUSTARDPROXY_JOBS_UNIT_H_
--- /dev/null
+++ b/packages/jobs/src/wait_report.cc
@@ -0,0 +1,93 @@
+#include "wait_report.h"
+
+#include <string>
+
+namespace mustardproxy::jobs {
+namespace {
+
+using std::chrono::seconds;
+
+/// Pause between two lines about one step, and before the first.
+constexpr Duration kPause = seconds(2);
+/// Most lines a second: a fortieth of what the log takes.
+constexpr std::int32_t kMaxLines = 50;
+
+std::string_view Name(Unit::Hope hope) {
+  switch (hope) {
+    case Unit::Hope::kInTime:
+      return "in-time";
+    case Unit::Hope::kLate:
+      return "late";
+    case Unit::Hope::kNone:
+      break;
+  }
+  return "none";
+}
+
+}  // namespace
+
+std::string_view Name(WaitReason reason) {
+  switch (reason) {
+    case WaitReason::kNoWorker:
+      return "no-worker";
+    case WaitReason::kPermissions:
+      return "permissions";
+    case WaitReason::kRoom:
+      return "room";
+    case WaitReason::kLapsed:
+      return "lapsed";
+    case WaitReason::kNone:
+      break;
+  }
+  return "none";
+}
+
+WaitReason WaitFacts::Reason() const {
+  if (this->eligible == 0) return WaitReason::kNoWorker;
+  if (this->could_fit < this->needed) {
+    return this->has_policy ? WaitReason::kPermissions : WaitReason::kNoWorker;
+  }
+  if (this->room < this->needed) return WaitReason::kRoom;
+  if (this->fresh_room < this->needed) return WaitReason::kLapsed;
+  return WaitReason::kNone;
+}
+
+WaitReport::WaitReport(EventLog* log, Metrics* metrics)
+    : log(log), metrics(metrics) {}
+
+bool WaitReport::Due(const Unit& unit, Instant now) {
+  Instant& report_after = unit.progress->report_after;
+  if (report_after == Instant()) report_after = now + kPause;
+  if (now < report_after) return false;
+  if (now - this->second >= seconds(1)) {
+    this->second = now;
+    this->lines = 0;
+  }
+  if (this->lines == kMaxLines) return false;
+  ++this->lines;
+  report_after = now + kPause;
+  return true;
+}
+
+void WaitReport::Write(const Unit& unit, const WaitFacts& facts, Instant now) {
+  const std::string_view reason = Name(facts.Reason());
+  this->log->Write("jobs", "step-waits",
+                   {{"step", Text(unit.ref)},
+                    {"queue", unit.queue->name.Text()},
+                    {"reason", reason},
+                    {"tasks", unit.tasks.size()},
+                    {"needed", facts.needed},
+                    {"hope", Name(unit.hope)},
+                    {"eligible", facts.eligible},
+                    {"permitted", facts.permitted},
+                    {"refused", facts.refused},
+                    {"could_fit", facts.could_fit},
+                    {"room", facts.room},
+                    {"fresh_room", facts.fresh_room},
+                    {"waited_ms", WholeMilliseconds(now - unit.entry->learnt)}});
+  const std::string label =
+      "queue=" + unit.queue->name.Text() + ",reason=" + std::string(reason);
+  this->metrics->Count("step_waits", label);
+}
+
+}  // namespace mustardproxy::jobs
--- /dev/null
+++ b/packages/jobs/src/wait_report.h
@@ -0,0 +1,71 @@
+#ifndef MUSTARDPROXY_JOBS_WAIT_REPORT_H_
+#define MUSTARDPROXY_JOBS_WAIT_REPORT_H_
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+
+#include "mustardproxy/core/time.h"
+#include "mustardproxy/telemetry/event_log.h"
+#include "mustardproxy/telemetry/metrics.h"
+#include "placement.h"
+#include "unit.h"
+
+namespace mustardproxy::jobs {
+
+/// What keeps a step from starting.
+enum class WaitReason {
+  /// No worker has its label and could hold one of its tasks.
+  kNoWorker,
+  /// Too few workers are known to be permitted.
+  kPermissions,
+  /// The permitted ones have too little room at this moment.
+  kRoom,
+  /// They have room, but their permissions have lapsed.
+  kLapsed,
+  /// Nothing: it should start with the next pass.
+  kNone,
+};
+
+/// @return `no-worker`, `permissions`, `room`, `lapsed` or `none`
+[[nodiscard]] std::string_view Name(WaitReason reason);
+
+/// What a step that waits has, in tasks of its own.
+struct WaitFacts {
+  /// Fewest tasks that start together.
+  std::int64_t needed = 1;
+  /// Workers that could hold a task if they were empty, permissions aside.
+  std::int64_t eligible = 0;
+  /// The queue has a policy; without one all workers are permitted.
+  bool has_policy = false;
+  std::int64_t permitted = 0;
+  std::int64_t refused = 0;
+  /// Tasks that the permitted workers hold if empty, and now.
+  std::int64_t could_fit = 0;
+  std::int64_t room = 0;
+  /// Of the room now, that for which permissions hold.
+  std::int64_t fresh_room = 0;
+
+  [[nodiscard]] WaitReason Reason() const;
+};
+
+/// Says what steps wait for: a line a step every two seconds, a bounded number
+/// a second in all, and a counter by reason.
+class WaitReport {
+ public:
+  WaitReport(EventLog* log, Metrics* metrics);
+
+  /// @return true if the step has waited and is to be reported now
+  [[nodiscard]] bool Due(const Unit& unit, Instant now);
+  void Write(const Unit& unit, const WaitFacts& facts, Instant now);
+
+ private:
+  EventLog* log;
+  Metrics* metrics;
+  Instant second;
+  std::int32_t lines = 0;
+};
+
+}  // namespace mustardproxy::jobs
+
+#endif  // MUSTARDPROXY_JOBS_WAIT_REPORT_H_
--- a/testing/job_load/include/job_load/report.h
+++ b/testing/job_load/include/job_load/report.h
@@ -8,6 +8,15 @@
 
 namespace job_load {
 
+/// What became of jobs of about one size.
+struct SizeFigures {
+  std::size_t jobs = 0;
+  /// Share that was done within three times the objective.
+  double served = 1.0;
+  /// Share of the work that earned its worth: whole in time, a fifth if late.
+  double worth = 1.0;
+};
+
 /// What callers of one queue got.
 struct QueueFigures {
   std::string queue;
@@ -22,8 +31,11 @@
   /// Time to the end as a multiple of the objective.
   double stretch_p50 = 0.0;
   double stretch_p99 = 0.0;
-  /// Share of the work that earned its worth: whole in time, a fifth if late.
-  double worth = 0.0;
+  SizeFigures all;
+  /// By work in core seconds. A scheduler that starves wide gangs serves nine
+  /// jobs of ten all the same; these two show it.
+  SizeFigures largest_tenth;
+  SizeFigures next_fifth;
 };
 
 /// @return one row a queue, in their order
--- a/testing/job_load/src/report.cc
+++ b/testing/job_load/src/report.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <span>
 #include <vector>
 
 namespace job_load {
@@ -15,6 +16,7 @@
 constexpr double kMedian = 0.5;
 constexpr double kTail = 0.99;
 constexpr double kPercent = 100.0;
+constexpr std::size_t kTenths = 10;
 
 double Quantile(std::vector<double> values, double share) {
   if (values.empty()) return 0.0;
@@ -38,37 +40,78 @@
   return line;
 }
 
+bool IsServed(const JobOutcome& job) {
+  return job.done && *job.done <= kWorthlessAfter * job.objective;
+}
+
+double Earned(const JobOutcome& job) {
+  if (!IsServed(job)) return 0.0;
+  const bool in_time = *job.done <= job.objective;
+  return in_time ? job.core_seconds : kLateWorth * job.core_seconds;
+}
+
+SizeFigures SummarizeSize(std::span<const JobOutcome* const> jobs) {
+  SizeFigures figures;
+  figures.jobs = jobs.size();
+  std::size_t served = 0;
+  double owed = 0.0;
+  double earned = 0.0;
+  for (const JobOutcome* job : jobs) {
+    if (IsServed(*job)) ++served;
+    owed += job->core_seconds;
+    earned += Earned(*job);
+  }
+  if (owed == 0.0) return figures;
+  figures.served =
+      static_cast<double>(served) / static_cast<double>(jobs.size());
+  figures.worth = earned / owed;
+  return figures;
+}
+
+/// @return the queue's jobs that can be done, the largest first
+std::vector<const JobOutcome*> BySize(const ExperimentResult& result,
+                                      std::size_t queue) {
+  std::vector<const JobOutcome*> jobs;
+  for (const JobOutcome& job : result.jobs) {
+    if (job.queue == queue && !job.hopeless) jobs.push_back(&job);
+  }
+  std::stable_sort(jobs.begin(), jobs.end(),
+                   [](const JobOutcome* a, const JobOutcome* b) {
+                     return a->core_seconds > b->core_seconds;
+                   });
+  return jobs;
+}
+
 QueueFigures SummarizeQueue(const Deployment& deployment,
                             const ExperimentResult& result, std::size_t queue) {
   QueueFigures figures;
   figures.queue = deployment.queues[queue].queue.name.Text();
+  const std::vector<const JobOutcome*> jobs = BySize(result, queue);
+  figures.jobs = jobs.size();
   std::vector<double> starts;
   std::vector<double> stretches;
-  double owed = 0.0;
-  double earned = 0.0;
-  for (const JobOutcome& job : result.jobs) {
-    if (job.queue != queue || job.hopeless) continue;
-    ++figures.jobs;
-    owed += job.core_seconds;
-    if (job.first_start) starts.push_back(Millis(*job.first_start));
-    if (job.done) {
-      stretches.push_back(Millis(*job.done) / Millis(job.objective));
+  for (const JobOutcome* job : jobs) {
+    if (job->first_start) starts.push_back(Millis(*job->first_start));
+    if (job->done) {
+      stretches.push_back(Millis(*job->done) / Millis(job->objective));
     }
-    if (job.done && *job.done <= job.objective) {
+    if (!IsServed(*job)) {
+      ++figures.lost;
+    } else if (*job->done <= job->objective) {
       ++figures.in_time;
-      earned += job.core_seconds;
-    } else if (job.done && *job.done <= kWorthlessAfter * job.objective) {
-      ++figures.late;
-      earned += kLateWorth * job.core_seconds;
     } else {
-      ++figures.lost;
+      ++figures.late;
     }
   }
   figures.start_p50_ms = Quantile(starts, kMedian);
   figures.start_p99_ms = Quantile(starts, kTail);
   figures.stretch_p50 = Quantile(stretches, kMedian);
   figures.stretch_p99 = Quantile(stretches, kTail);
-  figures.worth = owed > 0.0 ? earned / owed : 1.0;
+  const std::span all(jobs);
+  const std::size_t tenth = jobs.size() / kTenths;
+  figures.all = SummarizeSize(all);
+  figures.largest_tenth = SummarizeSize(all.first(tenth));
+  figures.next_fifth = SummarizeSize(all.subspan(tenth, 2 * tenth));
   return figures;
 }
 
@@ -93,12 +136,22 @@
   text += Line("%-16s %6s %8s %6s %6s %7s %10s %10s %8s %8s", "queue", "jobs",
                "in time", "late", "lost", "worth", "start p50", "start p99",
                "end p50", "end p99");
-  for (const QueueFigures& row : Summarize(deployment, result)) {
+  const std::vector<QueueFigures> rows = Summarize(deployment, result);
+  for (const QueueFigures& row : rows) {
     text += Line(
         "%-16s %6zu %8zu %6zu %6zu %7.3f %7.0f ms %7.0f ms %8.2f %8.2f",
-        row.queue.c_str(), row.jobs, row.in_time, row.late, row.lost, row.worth,
+        row.queue.c_str(), row.jobs, row.in_time, row.late, row.lost, row.all.worth,
         row.start_p50_ms, row.start_p99_ms, row.stretch_p50, row.stretch_p99);
   }
+  text += Line("%-16s %8s %14s %12s %8s %14s %12s", "by work", "served",
+               "largest tenth", "next fifth", "worth", "largest tenth",
+               "next fifth");
+  for (const QueueFigures& row : rows) {
+    text += Line("%-16s %8.2f %14.2f %12.2f %8.3f %14.3f %12.3f",
+                 row.queue.c_str(), row.all.served, row.largest_tenth.served,
+                 row.next_fifth.served, row.all.worth, row.largest_tenth.worth,
+                 row.next_fifth.worth);
+  }
   double used = 0.0;
   double cores = 0.0;
   for (const CellSample& sample : result.samples) {
--- a/testing/job_load/tests/experiment_test.cc
+++ b/testing/job_load/tests/experiment_test.cc
@@ -50,7 +50,7 @@
   for (const QueueFigures& row : Summarize(deployment, result)) {
     BOOST_TEST_CONTEXT(row.queue) {
       BOOST_TEST(row.jobs > 5U);
-      BOOST_TEST(row.worth > 0.98);
+      BOOST_TEST(row.all.worth > 0.98);
       BOOST_TEST(row.start_p99_ms < 1000.0);
     }
   }
