--- a/packages/jobs/src/dispatcher.cc
+++ b/packages/jobs/src/dispatcher.cc
@@ -369,8 +369,8 @@
     if (fits == 0) continue;
     ++facts.eligible;
     const bool permitted =
-        !facts.has_policy || (advice != nullptr &&
-                              advice->TicketFor(session.Number()) != nullptr);
+        !facts.has_policy ||
+        (advice != nullptr && advice->TicketFor(session.Number()) != nullptr);
     if (permitted) facts.could_fit += fits;
   }
   facts.room = sum(this->GangCandidates(unit, rooms, now));
--- a/packages/jobs/src/wait_report.cc
+++ b/packages/jobs/src/wait_report.cc
@@ -71,20 +71,21 @@
 
 void WaitReport::Write(const Unit& unit, const WaitFacts& facts, Instant now) {
   const std::string_view reason = Name(facts.Reason());
-  this->log->Write("jobs", "step-waits",
-                   {{"step", Text(unit.ref)},
-                    {"queue", unit.queue->name.Text()},
-                    {"reason", reason},
-                    {"tasks", unit.tasks.size()},
-                    {"needed", facts.needed},
-                    {"hope", Name(unit.hope)},
-                    {"eligible", facts.eligible},
-                    {"permitted", facts.permitted},
-                    {"refused", facts.refused},
-                    {"could_fit", facts.could_fit},
-                    {"room", facts.room},
-                    {"fresh_room", facts.fresh_room},
-                    {"waited_ms", WholeMilliseconds(now - unit.entry->learnt)}});
+  this->log->Write(
+      "jobs", "step-waits",
+      {{"step", Text(unit.ref)},
+       {"queue", unit.queue->name.Text()},
+       {"reason", reason},
+       {"tasks", unit.tasks.size()},
+       {"needed", facts.needed},
+       {"hope", Name(unit.hope)},
+       {"eligible", facts.eligible},
+       {"permitted", facts.permitted},
+       {"refused", facts.refused},
+       {"could_fit", facts.could_fit},
+       {"room", facts.room},
+       {"fresh_room", facts.fresh_room},
+       {"waited_ms", WholeMilliseconds(now - unit.entry->learnt)}});
   const std::string label =
       "queue=" + unit.queue->name.Text() + ",reason=" + std::string(reason);
   this->metrics->Count("step_waits", label);
--- a/testing/job_load/src/report.cc
+++ b/testing/job_load/src/report.cc
@@ -138,19 +138,20 @@
                "end p50", "end p99");
   const std::vector<QueueFigures> rows = Summarize(deployment, result);
   for (const QueueFigures& row : rows) {
-    text += Line(
-        "%-16s %6zu %8zu %6zu %6zu %7.3f %7.0f ms %7.0f ms %8.2f %8.2f",
-        row.queue.c_str(), row.jobs, row.in_time, row.late, row.lost, row.all.worth,
-        row.start_p50_ms, row.start_p99_ms, row.stretch_p50, row.stretch_p99);
+    text +=
+        Line("%-16s %6zu %8zu %6zu %6zu %7.3f %7.0f ms %7.0f ms %8.2f %8.2f",
+             row.queue.c_str(), row.jobs, row.in_time, row.late, row.lost,
+             row.all.worth, row.start_p50_ms, row.start_p99_ms, row.stretch_p50,
+             row.stretch_p99);
   }
   text += Line("%-16s %8s %14s %12s %8s %14s %12s", "by work", "served",
                "largest tenth", "next fifth", "worth", "largest tenth",
                "next fifth");
   for (const QueueFigures& row : rows) {
-    text += Line("%-16s %8.2f %14.2f %12.2f %8.3f %14.3f %12.3f",
-                 row.queue.c_str(), row.all.served, row.largest_tenth.served,
-                 row.next_fifth.served, row.all.worth, row.largest_tenth.worth,
-                 row.next_fifth.worth);
+    text +=
+        Line("%-16s %8.2f %14.2f %12.2f %8.3f %14.3f %12.3f", row.queue.c_str(),
+             row.all.served, row.largest_tenth.served, row.next_fifth.served,
+             row.all.worth, row.largest_tenth.worth, row.next_fifth.worth);
   }
   double used = 0.0;
   double cores = 0.0;
--- a/testing/job_sim/include/job_sim/sim_worker.h
+++ b/testing/job_sim/include/job_sim/sim_worker.h
@@ -65,6 +65,8 @@
   void Begin(const jobs::RunRef& run, Running* record);
   [[nodiscard]] mustardproxy::Resources Each(const jobs::RunRef& run) const;
   void CheckCapacity(const jobs::RunRef& run);
+  /// @return false if its queue asks for a ticket and this one does not hold
+  [[nodiscard]] bool Permitted(const jobs::StartOrder& order) const;
   jobs::HoldResult Lists() const;
   void Answer();
   std::string Checkpoint(const Running& record) const;
@@ -100,6 +102,8 @@
   [[nodiscard]] SimWorker* At(const std::string& address);
   [[nodiscard]] SimWorker* Find(const std::string& id);
   [[nodiscard]] std::vector<SimWorker*> Alive();
+  /// @return how many addresses there are
+  [[nodiscard]] std::size_t Size() const { return this->at_address.size(); }
 
   /// Share of the orders that are carried out seconds later, without an
   /// answer, and of those whose answer is lost.
--- a/testing/job_sim/src/sim_worker.cc
+++ b/testing/job_sim/src/sim_worker.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "job_sim/sim_ticket.h"
 #include "mustardproxy/core/resource_math.h"
 
 namespace job_sim {
@@ -89,6 +90,14 @@
   }
 }
 
+bool SimWorker::Permitted(const jobs::StartOrder& order) const {
+  const SimJob* job = this->all->promises->Find(order.run.task.step.job);
+  if (job == nullptr || !job->job.queue.advice) return true;
+  const SimTicket now{order.run.task.step, this->info.id,
+                      this->all->time->Now()};
+  return now.Admits(order.ticket);
+}
+
 OrderResult SimWorker::Start(const jobs::StartOrder& order, bool late) {
   if (this->Fenced(order.token)) return this->Refuse(OrderEnd::kFenced);
   if (this->running.contains(order.run)) {
@@ -104,6 +113,7 @@
     return this->Refuse(OrderEnd::kLate);
   }
   this->Extend(order.lease_until_ms);
+  if (!this->Permitted(order)) return this->Refuse(OrderEnd::kNoTicket);
   this->CheckCapacity(order.run);
   this->all->promises->OnStart(this->info.id.Text(), order.run, late);
   Running record;
