--- a/packages/jobs/src/wait_report.cc
+++ b/packages/jobs/src/wait_report.cc
@@ -12,13 +12,13 @@
 /// Most lines a second: a fortieth of what the log takes.
 constexpr std::int32_t kMaxLines = 50;
 
-std::string_view Name(Unit::Hope hope) {
+std::string_view Name(Hope hope) {
   switch (hope) {
-    case Unit::Hope::kInTime:
+    case Hope::kInTime:
       return "in-time";
-    case Unit::Hope::kLate:
+    case Hope::kLate:
       return "late";
-    case Unit::Hope::kNone:
+    case Hope::kNone:
       break;
   }
   return "none";
