A hopeless gang still takes its room and ends

Cause: gangs that can't be in time were not let take room before they asked, and a gang that fits where it may run asks nothing else: with its permissions lapsed and the cell empty it never started. It comes last in each pass, within the same bound.

--- a/packages/jobs/src/advice_desk.h
+++ b/packages/jobs/src/advice_desk.h
@@ -100,13 +100,13 @@
 /// for each calling host, so questions are spread over all processes of the
 /// cell, one on each. Short questions go first, and some processes are kept for
 /// them. Of the others those go first for which room stands empty, then those
-/// whose jobs can be done in time, then those whose steps have least time left:
-/// by their queues' priorities the gangs of one queue kept all processes busy,
-/// and steps of the next waited 32 s. Priorities decide who gets the room.
+/// whose steps have least time left, and what is hopeless last: by their
+/// queues' priorities the gangs of one queue kept all processes busy, and steps
+/// of the next waited 32 s. Priorities decide who gets the room.
 ///
-/// Failure guarded against: late steps have least time left and come first
-/// here, but last for room; asked about all the time, they kept the others
-/// waiting until these were late too.
+/// So late steps come first here, though last for room. With those that can be
+/// in time first, the widest gangs, which are late most often, were not served:
+/// 0.37 of the largest tenth, of all 0.71 (job_load reviews-350-faults).
 class AdviceDesk {
  public:
   /// Chooses the workers to ask about at the moment when the question is sent;
--- a/packages/jobs/src/dispatcher.cc
+++ b/packages/jobs/src/dispatcher.cc
@@ -266,7 +266,7 @@
   }
   this->PlaceIn(unit, this->Permitted(*unit, rooms, now, now + kTicketMargin));
   const bool claims =
-      unit->step->gang && !unit->tasks.empty() && unit->hope != Hope::kNone &&
+      unit->step->gang && !unit->tasks.empty() &&
       this->context->claims->MayAdd(
           *unit->step, rooms.Capacity(unit->queue->service).cpu_milli);
   if (!claims) return;
