A wide gang is not kept from its room by narrow ones

Cause: a gang could take room before it asked only if its own size fitted into the twentieth beside the rest. While narrow gangs asked all the time a wide one never could.

Change: what others hold counts, not the size of the one that asks.

--- a/packages/jobs/src/dispatcher.cc
+++ b/packages/jobs/src/dispatcher.cc
@@ -265,10 +265,9 @@
     return;
   }
   this->PlaceIn(unit, this->Permitted(*unit, rooms, now, now + kTicketMargin));
-  const bool claims =
-      unit->step->gang && !unit->tasks.empty() &&
-      this->context->claims->MayAdd(
-          *unit->step, rooms.Capacity(unit->queue->service).cpu_milli);
+  const bool claims = unit->step->gang && !unit->tasks.empty() &&
+                      this->context->claims->MayAdd(
+                          rooms.Capacity(unit->queue->service).cpu_milli);
   if (!claims) return;
   std::vector<Candidate> candidates = this->GangCandidates(*unit, rooms, now);
   // Most gangs that wait have too little room, and a pass looks at a hundred of
--- a/packages/jobs/src/gang_claims.cc
+++ b/packages/jobs/src/gang_claims.cc
@@ -13,16 +13,21 @@
 /// questions about the most workers at the dearest policy on the users' pages
 /// (0.57 s and 8 ms a worker). Longer only if the policy service fails.
 constexpr Duration kLongestClaim = milliseconds(3000);
-/// Most of the cell's processors that stand empty at a time for gangs whose
-/// question is being answered, unless one gang alone takes more: four gangs of
-/// a hundredth each. Without a bound urgent tasks found less room: 0.80 of the
-/// worth of the shortest work in place of 0.84, on 350 workers.
+/// Share of the cell's processors that may stand empty for gangs whose question
+/// is being answered before one more may take its room. Without it urgent tasks
+/// found less room: 0.80 of the worth of the shortest work in place of 0.84, on
+/// 350 workers.
 constexpr double kMaxClaimedShare = 0.05;
 /// How long a gang that was given up on leaves the room to others.
 constexpr Duration kClaimPause = seconds(1);
 
 }  // namespace
 
+bool MayClaim(std::int64_t claimed_cpu_milli, std::int64_t cell_cpu_milli) {
+  return static_cast<double>(claimed_cpu_milli) <
+         kMaxClaimedShare * static_cast<double>(cell_cpu_milli);
+}
+
 GangClaims::GangClaims(OwnerContext* context) : context(context) {}
 
 void GangClaims::Add(std::vector<RunRef> runs, std::vector<WorkerId> workers) {
@@ -57,15 +62,12 @@
   for (const StepRef& step : steps) this->Check(step);
 }
 
-bool GangClaims::MayAdd(const Step& step, std::int64_t cell_cpu_milli) const {
+bool GangClaims::MayAdd(std::int64_t cell_cpu_milli) const {
   std::int64_t claimed = 0;
-  for (const auto& [ref, claim] : this->claims) {
+  for (const auto& [step, claim] : this->claims) {
     if (claim.asks) claimed += claim.cpu_milli;
   }
-  if (claimed == 0) return true;
-  const std::int64_t wanted = claimed + step.each.cpu_milli * step.tasks;
-  return static_cast<double>(wanted) <=
-         kMaxClaimedShare * static_cast<double>(cell_cpu_milli);
+  return MayClaim(claimed, cell_cpu_milli);
 }
 
 bool GangClaims::Holds(const StepRef& step) const {
--- a/packages/jobs/src/gang_claims.h
+++ b/packages/jobs/src/gang_claims.h
@@ -12,6 +12,15 @@
 
 namespace mustardproxy::jobs {
 
+/// @return true if one more gang, however wide, may take its room before it
+/// asks
+///
+/// Failure guarded against: the size of the one that asks counts too, and while
+/// narrow gangs come all the time a wide one never finds enough left; it stayed
+/// behind in a cell that was nearly empty.
+[[nodiscard]] bool MayClaim(std::int64_t claimed_cpu_milli,
+                            std::int64_t cell_cpu_milli);
+
 /// Gangs whose room is taken while the policy service is asked for permission
 /// to start exactly there.
 ///
@@ -37,9 +46,8 @@
 
   [[nodiscard]] bool Holds(const StepRef& step) const;
   /// @param cell_cpu_milli processors of the service's workers
-  /// @return true if a gang may take its room now before it asks
-  [[nodiscard]] bool MayAdd(const Step& step,
-                            std::int64_t cell_cpu_milli) const;
+  /// @return true if one more gang may take its room before it asks
+  [[nodiscard]] bool MayAdd(std::int64_t cell_cpu_milli) const;
   /// @return the workers of a claim whose permissions would not hold when the
   ///   answer comes
   [[nodiscard]] std::vector<AskedWorker> WorkersToAsk(const StepRef& step);
