--- a/packages/jobs/src/ask_choice.cc
+++ b/packages/jobs/src/ask_choice.cc
@@ -118,8 +118,7 @@
   const auto tasks = static_cast<double>(wish.tasks);
   const auto fresh = static_cast<double>(choices.fresh_room);
   const bool learn = choices.known_room < wish.tasks;
-  if (wish.step->gang) {
-    if (!learn) return workers;
+  if (wish.step->gang && learn) {
     const double missing =
         kAskedRoom * tasks - static_cast<double>(choices.known_room);
     Take(choices.unknown, missing, wish.permitted_share,
--- a/packages/jobs/src/ask_choice.h
+++ b/packages/jobs/src/ask_choice.h
@@ -29,9 +29,8 @@
 /// Chooses the workers to ask the policy service about. What it said of a
 /// worker stays true for the worker's life; only the permission lapses. So:
 /// - workers that it has refused are never asked about again;
-/// - a gang that fits where it is known to be permitted takes that room first
-///   and has these permissions renewed then (`GangClaims`); else others are
-///   asked about, to learn more;
+/// - a gang that fits where it is known to be permitted only has these
+///   permissions renewed; else others are asked about, to learn more;
 /// - other tasks take room wherever there is some.
 ///
 /// Load answered: gangs of 20 tasks whose questions cost 0.6 s and more, on
--- a/packages/jobs/src/dispatcher.cc
+++ b/packages/jobs/src/dispatcher.cc
@@ -7,7 +7,6 @@
 
 #include "advice_desk.h"
 #include "ask_choice.h"
-#include "gang_claims.h"
 #include "gang_hold.h"
 #include "options.h"
 #include "run_control.h"
@@ -60,16 +59,6 @@
       }));
 }
 
-/// @return how many of the unit's tasks the candidates take now
-std::int64_t CountRoom(const Unit& unit,
-                       const std::vector<Candidate>& candidates) {
-  std::int64_t room = 0;
-  for (const Candidate& one : candidates) {
-    room += RoomFor(*unit.step, one, std::ssize(unit.tasks));
-  }
-  return room;
-}
-
 }  // namespace
 
 Dispatcher::Dispatcher(OwnerContext* context)
@@ -105,7 +94,7 @@
       this->waits.Write(unit, this->LookAtWait(unit, rooms, now), now);
     }
     if (unit.queue->advice) this->ConsiderAdvice(unit, rooms, now);
-    const bool holds_room = unit.step->gang && unit.hope != Hope::kNone;
+    const bool holds_room = unit.step->gang && unit.hope != Unit::Hope::kNone;
     if (holds_room && holds < kMaxHolds) {
       this->HoldForGang(unit, rooms, now);
       ++holds;
@@ -185,16 +174,16 @@
   const Instant end = now + chain;
   const Instant worthless = unit->entry->learnt + kWorthlessAfter * objective;
   if (end > worthless) {
-    unit->hope = Hope::kNone;
+    unit->hope = Unit::Hope::kNone;
   } else if (end > due) {
-    unit->hope = Hope::kLate;
+    unit->hope = Unit::Hope::kLate;
   }
 }
 
 void Dispatcher::AllowForGathering(std::vector<Unit>* units,
                                    const PassRooms& rooms, Instant now) const {
   for (Unit& unit : *units) {
-    if (!unit.step->gang || unit.hope == Hope::kNone) continue;
+    if (!unit.step->gang || unit.hope == Unit::Hope::kNone) continue;
     std::vector<Candidate> candidates = this->GangCandidates(unit, rooms, now);
     const auto fit =
         FindGangFit(*unit.step, static_cast<std::int64_t>(unit.tasks.size()),
@@ -260,23 +249,10 @@
 
 void Dispatcher::PlaceUnit(Unit* unit, const PassRooms& rooms, Instant now) {
   if (!rooms.MayFit(unit->queue->service, *unit->step)) return;
-  if (!unit->queue->advice) {
-    this->PlaceIn(unit, this->Candidates(*unit, rooms, now));
-    return;
-  }
-  this->PlaceIn(unit, this->Permitted(*unit, rooms, now, now + kTicketMargin));
-  const bool claims = unit->step->gang && !unit->tasks.empty() &&
-                      this->context->claims->MayAdd(
-                          rooms.Capacity(unit->queue->service).cpu_milli);
-  if (!claims) return;
-  std::vector<Candidate> candidates = this->GangCandidates(*unit, rooms, now);
-  // Most gangs that wait have too little room, and a pass looks at a hundred of
-  // them; the search for places costs far more than this.
-  if (CountRoom(*unit, candidates) < std::ssize(unit->tasks)) return;
-  this->PlaceIn(unit, std::move(candidates));
-}
-
-void Dispatcher::PlaceIn(Unit* unit, std::vector<Candidate> candidates) {
+  std::vector<Candidate> candidates =
+      unit->queue->advice
+          ? this->Permitted(*unit, rooms, now, now + kTicketMargin)
+          : this->Candidates(*unit, rooms, now);
   if (candidates.empty()) return;
   // Failure: a worker fails part of what it runs, and the task that failed
   // there goes back to it until its attempts are used up.
@@ -310,7 +286,7 @@
   this->context->advice->Want({.step = unit.ref,
                                .queue = unit.queue->name,
                                .policy = *unit.queue->advice,
-                               .hope = unit.hope,
+                               .hopeless = unit.hope == Unit::Hope::kNone,
                                .begin_by = unit.begin_by});
 }
 
@@ -342,9 +318,6 @@
 }
 
 std::vector<AskedWorker> Dispatcher::ChooseForAdvice(const StepRef& ref) {
-  if (this->context->claims->Holds(ref)) {
-    return this->context->claims->WorkersToAsk(ref);
-  }
   JobEntry* entry = this->context->jobs.Find(ref.job);
   if (entry == nullptr || IsFinal(entry->state)) return {};
   if (!entry->occurrences.contains(ref.occurrence)) return {};
@@ -373,6 +346,13 @@
 WaitFacts Dispatcher::LookAtWait(const Unit& unit, const PassRooms& rooms,
                                  Instant now) const {
   const auto tasks = static_cast<std::int64_t>(unit.tasks.size());
+  const auto sum = [&](const std::vector<Candidate>& candidates) {
+    std::int64_t room = 0;
+    for (const Candidate& one : candidates) {
+      room += RoomFor(*unit.step, one, tasks);
+    }
+    return room;
+  };
   const StepAdvice* advice = this->context->advice->Find(unit.ref);
   WaitFacts facts;
   facts.needed = unit.step->gang ? tasks : 1;
@@ -393,11 +373,11 @@
         (advice != nullptr && advice->TicketFor(session.Number()) != nullptr);
     if (permitted) facts.could_fit += fits;
   }
-  facts.room = CountRoom(unit, this->GangCandidates(unit, rooms, now));
-  facts.fresh_room = facts.has_policy
-                         ? CountRoom(unit, this->Permitted(unit, rooms, now,
-                                                           now + kTicketMargin))
-                         : facts.room;
+  facts.room = sum(this->GangCandidates(unit, rooms, now));
+  facts.fresh_room =
+      facts.has_policy
+          ? sum(this->Permitted(unit, rooms, now, now + kTicketMargin))
+          : facts.room;
   return facts;
 }
 
--- a/packages/jobs/src/dispatcher.h
+++ b/packages/jobs/src/dispatcher.h
@@ -37,8 +37,6 @@
   void AllowForGathering(std::vector<Unit>* units, const PassRooms& rooms,
                          Instant now) const;
   void PlaceUnit(Unit* unit, const PassRooms& rooms, Instant now);
-  /// Starts what fits of the unit, a gang only whole.
-  void PlaceIn(Unit* unit, std::vector<Candidate> candidates);
   /// Rooms that the step may use, permissions aside.
   std::vector<Candidate> Candidates(const Unit& unit, const PassRooms& rooms,
                                     Instant now) const;
--- a/packages/jobs/src/job_table.cc
+++ b/packages/jobs/src/job_table.cc
@@ -19,26 +19,22 @@
   --step->open;
 }
 
-bool IsShorter(const Chain& one, const Chain& other) {
-  return one.declared < other.declared;
-}
-
 /// @return longest declared time from the start of `step` to the job's end
-Chain ChainFrom(const JobSpec& spec, std::size_t step) {
-  std::vector<Chain> longest(spec.steps.size());
-  Chain most;
+Duration ChainFrom(const JobSpec& spec, std::size_t step) {
+  std::vector<Duration> longest(spec.steps.size(), Duration::zero());
+  Duration most{0};
   for (std::size_t i = step; i < spec.steps.size(); ++i) {
-    Chain before;
+    Duration before{0};
     bool follows = i == step;
     for (const std::int32_t earlier : spec.steps[i].after) {
       const auto index = static_cast<std::size_t>(earlier);
-      if (index < step || longest[index].steps == 0) continue;
-      before = std::max(before, longest[index], IsShorter);
+      if (index < step || longest[index] == Duration::zero()) continue;
+      before = std::max(before, longest[index]);
       follows = true;
     }
     if (!follows) continue;
-    longest[i] = {before.declared + spec.steps[i].estimate, before.steps + 1};
-    most = std::max(most, longest[i], IsShorter);
+    longest[i] = before + spec.steps[i].estimate;
+    most = std::max(most, longest[i]);
   }
   return most;
 }
@@ -47,8 +43,7 @@
   const JobSpec& spec = entry->job.spec;
   for (std::size_t i = 0; i < spec.steps.size(); ++i) {
     entry->chains.push_back(ChainFrom(spec, i));
-    entry->whole_chain =
-        std::max(entry->whole_chain, entry->chains.back(), IsShorter);
+    entry->whole_chain = std::max(entry->whole_chain, entry->chains.back());
   }
 }
 
--- a/packages/jobs/src/job_table.h
+++ b/packages/jobs/src/job_table.h
@@ -67,20 +67,13 @@
   std::vector<StepEntry> steps;
 };
 
-/// Steps of which each waits for the one before.
-struct Chain {
-  /// Run times of all together, as declared.
-  Duration declared{0};
-  std::int32_t steps = 0;
-};
-
 /// One job as its owner knows it.
 struct JobEntry {
   Job job;
-  /// By step: the longest chain from its start on.
-  std::vector<Chain> chains;
+  /// By step: the longest chain of declared run times from its start on.
+  std::vector<Duration> chains;
   /// The longest of them, from the start of the job.
-  Chain whole_chain;
+  Duration whole_chain{0};
   JobState state = JobState::kQueued;
   /// A worker has said that a task of it started.
   bool begun = false;
--- a/packages/jobs/src/owner_context.h
+++ b/packages/jobs/src/owner_context.h
@@ -24,7 +24,6 @@
 class AdviceDesk;
 class Dispatcher;
 class EndedJobs;
-class GangClaims;
 class HoldLoop;
 class ProgressWriter;
 class RunControl;
@@ -51,7 +50,6 @@
   EndedJobs* ended = nullptr;
   AdviceDesk* advice = nullptr;
   RunControl* runs = nullptr;
-  GangClaims* claims = nullptr;
   HoldLoop* holds = nullptr;
   Dispatcher* dispatcher = nullptr;
 
--- a/packages/jobs/src/run_control.cc
+++ b/packages/jobs/src/run_control.cc
@@ -6,7 +6,6 @@
 #include "advice_desk.h"
 #include "dispatcher.h"
 #include "ended_jobs.h"
-#include "gang_claims.h"
 #include "hold_loop.h"
 #include "options.h"
 #include "placement.h"
@@ -53,23 +52,13 @@
   // task elsewhere. The run and its worker are stored first, so the successor
   // knows where to look before it starts the task again.
   std::vector<WorkerId> places(workers.begin(), workers.end());
-  std::function<void()> send;
-  if (step.gang && this->context->QueueOf(entry).advice) {
-    this->context->claims->Add(runs, std::move(places));
-    send = [this, first = runs.front()] {
-      this->context->claims->OnStored(first);
-    };
-  } else {
-    send = [this, runs, places = std::move(places)] {
-      for (std::size_t i = 0; i < runs.size(); ++i) {
-        this->SendStart(places[i], runs[i]);
-      }
-    };
-  }
   this->context->writer->Write(
-      entry.job.id,
-      this->guard.Wrap([this, job = entry.job.id, send = std::move(send)] {
-        this->StartOnceStored(job, send);
+      entry.job.id, this->guard.Wrap([this, runs, places = std::move(places)] {
+        this->StartOnceStored(runs.front().task.step.job, [this, runs, places] {
+          for (std::size_t i = 0; i < runs.size(); ++i) {
+            this->SendStart(places[i], runs[i]);
+          }
+        });
       }));
 }
 
@@ -346,7 +335,7 @@
     this->context->health.OnSuccess(now, session.info.id, service);
     const Step* step = this->context->jobs.FindStep(run.task.step);
     this->context->run_times.Learn(entry->job.queue.name, step->estimate,
-                                   now - record.started_at, step->tasks);
+                                   now - record.started_at);
   } else if (end == RunEnd::kFailed) {
     this->context->health.OnFailure(now, session.info.id, service,
                                     RequestId(run.task.step.job.Text()));
--- a/packages/jobs/src/unit.h
+++ b/packages/jobs/src/unit.h
@@ -4,7 +4,6 @@
 #include <cstdint>
 #include <vector>
 
-#include "hope.h"
 #include "job_table.h"
 
 namespace mustardproxy::jobs {
@@ -17,7 +16,8 @@
   StepEntry* progress = nullptr;
   StepRef ref;
   std::vector<std::int32_t> tasks;
-  Hope hope = Hope::kInTime;
+  /// What is left of the job's worth if it starts now.
+  enum class Hope { kInTime, kLate, kNone } hope = Hope::kInTime;
   /// When the step has to be begun for the job to be done in time: a gang's
   /// room has to be gathered before it can start.
   Instant begin_by;
--- a/packages/jobs/src/wait_report.cc
+++ b/packages/jobs/src/wait_report.cc
@@ -12,13 +12,13 @@
 /// Most lines a second: a fortieth of what the log takes.
 constexpr std::int32_t kMaxLines = 50;
 
-std::string_view Name(Hope hope) {
+std::string_view Name(Unit::Hope hope) {
   switch (hope) {
-    case Hope::kInTime:
+    case Unit::Hope::kInTime:
       return "in-time";
-    case Hope::kLate:
+    case Unit::Hope::kLate:
       return "late";
-    case Hope::kNone:
+    case Unit::Hope::kNone:
       break;
   }
   return "none";
