--- a/packages/jobs/tests/cell_gang_test.cc
+++ b/packages/jobs/tests/cell_gang_test.cc
@@ -76,6 +76,22 @@
   CheckKept(cell.get());
 }
 
+// A gang can't be done in time any more, its permissions have lapsed, and then
+// the cell is empty. Its caller still waits for the end: it has to start.
+BOOST_AUTO_TEST_CASE(a_gang_that_is_hopeless_starts_once_there_is_room) {
+  Queue queue = MakeSlowPolicyQueue();
+  queue.stretch = 1.0;
+  queue.target = milliseconds(100);
+  const auto cell = SimCell::Builder().Workers(4).Queue(queue, 1.0).Build();
+  cell->Submit(MakeSpec({MakeStep(4, 16'000, seconds(6))}));
+  cell->Time().RunFor(milliseconds(500));
+  SimJob* gang = cell->SubmitTo(QueueName("reviews"),
+                                MakeGang(14, 4000, milliseconds(800)), 0);
+  cell->Time().RunFor(seconds(6));
+  BOOST_TEST(cell->AwaitFinal(gang->job.id, seconds(4)));
+  CheckKept(cell.get());
+}
+
 // A gang is placed, and the store answers late, or not for some seconds, before
 // its start is written down. By then the permissions had lapsed: the workers
 // refused every start of 23 such gangs, and each began to gather its room anew.
