--- a/packages/jobs/src/wait_report.h
+++ b/packages/jobs/src/wait_report.h
@@ -2,13 +2,11 @@
 #define MUSTARDPROXY_JOBS_WAIT_REPORT_H_
 
 #include <cstdint>
-#include <span>
 #include <string_view>
 
 #include "mustardproxy/core/time.h"
 #include "mustardproxy/telemetry/event_log.h"
 #include "mustardproxy/telemetry/metrics.h"
-#include "placement.h"
 #include "unit.h"
 
 namespace mustardproxy::jobs {
