Logs: each run that a lost worker took with it, and counters of losses

worker-lost told how many runs were lost, not which, how old they were, or whether the worker had ever listed them; task-ended told lapsed for a crash and for a lease alike. So the log could not tell a task that takes its workers down from workers that go by themselves. No decision changes. jobs_tests green.

--- a/packages/jobs/src/hold_loop.cc
+++ b/packages/jobs/src/hold_loop.cc
@@ -157,6 +157,7 @@
       this->Adopt(session, listed);
       continue;
     }
+    record->seen_running = true;
     if (record->percent != listed.percent) {
       record->percent = listed.percent;
       record->moved_at = now;
--- a/packages/jobs/src/run_control.cc
+++ b/packages/jobs/src/run_control.cc
@@ -22,6 +22,22 @@
          end == OrderEnd::kRefused;
 }
 
+std::string_view Name(RunPhase phase) {
+  switch (phase) {
+    case RunPhase::kPlanned:
+      return "planned";
+    case RunPhase::kOrdered:
+      return "ordered";
+    case RunPhase::kStarted:
+      return "started";
+  }
+  return "unknown";
+}
+
+std::string_view Name(LossCause cause) {
+  return cause == LossCause::kOtherLife ? "other-life" : "lease-lapsed";
+}
+
 }  // namespace
 
 RunControl::RunControl(OwnerContext* context) : context(context) {}
@@ -148,6 +164,7 @@
                              : session->LeaseUntilMs(now, kWorkerLease);
   session->NoteLeaseSent(order.lease_until_ms);
   record->phase = RunPhase::kOrdered;
+  if (first) record->ordered_at = now;
   record->order_in_flight = true;
   record->listed_from.reset();
   this->context->driver->Start(session->Target(), std::move(order),
@@ -375,22 +392,44 @@
 }
 
 void RunControl::LoseAll(WorkerSession* session, LossCause cause) {
-  const bool other_life = cause == LossCause::kOtherLife;
-  std::vector<RunRef> lost;
-  for (const auto& [run, record] : session->runs) lost.push_back(run);
-  this->context->log->Write(
-      "workers", "worker-lost",
-      {{"worker", session->info.id.Text()},
-       {"runs", lost.size()},
-       {"reason", other_life ? "other-life" : "lease-lapsed"}});
+  this->context->log->Write("workers", "worker-lost",
+                            {{"worker", session->info.id.Text()},
+                             {"runs", session->runs.size()},
+                             {"reason", Name(cause)}});
+  if (!session->gone) {
+    this->context->metrics->Count("worker_losses",
+                                  "reason=" + std::string(Name(cause)));
+  }
   session->fenced = false;
   session->suspect = true;
-  session->gone = other_life;
+  session->gone = cause == LossCause::kOtherLife;
+  std::vector<RunRef> lost;
+  for (const auto& [run, record] : session->runs) {
+    this->LogLostRun(*session, run, record, cause);
+    lost.push_back(run);
+  }
   for (const RunRef& run : lost) {
     this->End(session, run, RunEnd::kLapsed, "", {});
   }
 }
 
+void RunControl::LogLostRun(const WorkerSession& session, const RunRef& run,
+                            const SessionRun& record, LossCause cause) {
+  const bool inherited =
+      !record.ordered_at && record.phase != RunPhase::kPlanned;
+  const Instant now = this->context->executor->Now();
+  const Duration age = now - record.ordered_at.value_or(now);
+  this->context->log->Write("jobs", "run-lost",
+                            {{"task", Text(run.task)},
+                             {"run", run.run},
+                             {"worker", session.info.id.Text()},
+                             {"reason", Name(cause)},
+                             {"phase", Name(record.phase)},
+                             {"inherited", inherited ? 1 : 0},
+                             {"seen_running", record.seen_running ? 1 : 0},
+                             {"ordered_ms_ago", WholeMilliseconds(age)}});
+}
+
 void RunControl::Later(Duration delay, std::function<void()> task) {
   this->context->executor->After(delay, this->guard.Wrap(std::move(task)));
 }
--- a/packages/jobs/src/run_control.h
+++ b/packages/jobs/src/run_control.h
@@ -72,6 +72,9 @@
               const OrderResult& result);
   void NoteOutcome(const WorkerSession& session, const SessionRun& record,
                    const RunRef& run, RunEnd end);
+  /// Tells what was known of a run whose worker is lost.
+  void LogLostRun(const WorkerSession& session, const RunRef& run,
+                  const SessionRun& record, LossCause cause);
   void Later(Duration delay, std::function<void()> task);
 
   OwnerContext* context;
--- a/packages/jobs/src/worker_session.h
+++ b/packages/jobs/src/worker_session.h
@@ -42,7 +42,12 @@
   /// From here on a hold's answer that does not list it proves that it is gone;
   /// not set while an order for it is on its way.
   std::optional<Instant> listed_from;
+  /// A hold's answer has listed it as running.
+  bool seen_running = false;
   Instant started_at;
+  /// When its first start was sent; nothing before, and for a run that a former
+  /// owner ordered.
+  std::optional<Instant> ordered_at;
   /// When it should end, by what its queue's runs took of their estimates.
   Instant expected_end;
   std::int32_t percent = 0;
