Failing: a task that crashes its workers is started again without end

Callers saw the room of a cell shrink by a worker every 0.4 s. The five tests of cell_crash fail and are listed.

--- /dev/null
+++ b/packages/jobs/tests/cell_crash_test.cc
@@ -0,0 +1,103 @@
+#include <boost/test/unit_test.hpp>
+#include <optional>
+#include <vector>
+
+#include "check_kept.h"
+#include "job_sim/sim_cell.h"
+
+namespace mustardproxy::jobs {
+namespace {
+
+using job_sim::CrashingTasks;
+using job_sim::MakeSpec;
+using job_sim::MakeStep;
+using job_sim::SimCell;
+using job_sim::SimJob;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// @return a job that is shown as failed, whose tasks crash their workers
+SimJob* SubmitCrashing(SimCell* cell, const Step& step,
+                       const CrashingTasks& crashing) {
+  SimJob* job = cell->Submit(MakeSpec({step}));
+  job->crashing = crashing;
+  return job;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(cell_crash)
+
+// Guards against a task that is started on one worker after the other, each of
+// which crashes.
+BOOST_AUTO_TEST_CASE(a_task_that_crashes_its_workers_is_given_up) {
+  const auto cell = SimCell::Builder().Workers(8).Build();
+  SimJob* job = SubmitCrashing(cell.get(), MakeStep(1, 2000, seconds(1)), {});
+  BOOST_TEST(cell->AwaitFinal(job->job.id, seconds(40)));
+  BOOST_TEST((cell->Ask(job->job.id) == JobState::kFailed));
+  CheckKept(cell.get());
+}
+
+// The same for a crash some time after the worker has answered.
+BOOST_AUTO_TEST_CASE(a_task_that_crashes_its_workers_later_is_given_up) {
+  const auto cell = SimCell::Builder().Workers(8).Build();
+  SimJob* job = SubmitCrashing(cell.get(), MakeStep(1, 2000, seconds(5)),
+                               {.after = milliseconds(1200)});
+  BOOST_TEST(cell->AwaitFinal(job->job.id, seconds(60)));
+  BOOST_TEST((cell->Ask(job->job.id) == JobState::kFailed));
+  CheckKept(cell.get());
+}
+
+// Guards against an owner that does not know what former owners have seen.
+BOOST_AUTO_TEST_CASE(crashes_under_a_task_are_counted_over_changes_of_owner) {
+  const auto cell = SimCell::Builder().Workers(8).Build();
+  SimJob* job = SubmitCrashing(cell.get(), MakeStep(1, 2000, seconds(1)), {});
+  constexpr int kChanges = 6;
+  for (int i = 0; i < kChanges; ++i) {
+    cell->Time().RunFor(seconds(4));
+    const auto owner = cell->OwnerIndex();
+    if (!owner) continue;
+    cell->KillProcess(*owner);
+    cell->Time().RunFor(seconds(1));
+    cell->StartProcess(*owner);
+  }
+  BOOST_TEST(cell->AwaitFinal(job->job.id, seconds(60)));
+  BOOST_TEST((cell->Ask(job->job.id) == JobState::kFailed));
+  CheckKept(cell.get());
+}
+
+// Guards against blaming tasks that merely run on a worker that crashes.
+BOOST_AUTO_TEST_CASE(tasks_beside_crashing_ones_are_done) {
+  const auto cell = SimCell::Builder().Workers(12).Build();
+  std::vector<SimJob*> sound;
+  constexpr int kRounds = 20;
+  constexpr int kCrashingEvery = 5;
+  for (int i = 0; i < kRounds; ++i) {
+    sound.push_back(cell->Submit(MakeSpec({MakeStep(3, 1500, seconds(2))})));
+    if (i % kCrashingEvery == 0) {
+      SubmitCrashing(cell.get(), MakeStep(2, 1500, seconds(2)), {});
+    }
+    cell->Time().RunFor(milliseconds(400));
+  }
+  cell->Settle(seconds(90));
+  for (const SimJob* job : sound) {
+    BOOST_TEST((cell->Ask(job->job.id) == JobState::kCompleted));
+  }
+  CheckKept(cell.get());
+}
+
+// Guards against a gang that is started anew whenever one member has taken its
+// worker down.
+BOOST_AUTO_TEST_CASE(a_gang_whose_member_crashes_its_worker_is_given_up) {
+  const auto cell = SimCell::Builder().Workers(8).Build();
+  Step step = MakeStep(6, 6000, seconds(2));
+  step.gang = true;
+  SimJob* job = SubmitCrashing(cell.get(), step, {.index = 2});
+  BOOST_TEST(cell->AwaitFinal(job->job.id, seconds(60)));
+  BOOST_TEST((cell->Ask(job->job.id) == JobState::kFailed));
+  CheckKept(cell.get());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace mustardproxy::jobs
--- a/packages/jobs/tests/schedules_test.cc
+++ b/packages/jobs/tests/schedules_test.cc
@@ -7,10 +7,8 @@
 namespace mustardproxy::jobs {
 namespace {
 
-void Play(std::uint64_t seed,
-          Duration store_latency = std::chrono::milliseconds(4)) {
-  const job_sim::ScheduleResult result =
-      job_sim::PlaySchedule(seed, store_latency);
+void Play(std::uint64_t seed, const job_sim::ScheduleOptions& options = {}) {
+  const job_sim::ScheduleResult result = job_sim::PlaySchedule(seed, options);
   for (const std::string& line : result.broken) {
     BOOST_TEST_ERROR("seed " + std::to_string(seed) + ": " + line);
   }
@@ -40,7 +38,8 @@
     1651,  // the same
     2348,  // the same
 };
-constexpr auto kSlowAnswer = std::chrono::milliseconds(250);
+constexpr job_sim::ScheduleOptions kSlowStore{
+    .store_latency = std::chrono::milliseconds(250)};
 
 }  // namespace
 
@@ -59,12 +58,12 @@
 BOOST_AUTO_TEST_CASE(a_fixed_set_over_a_slow_store) {
   constexpr std::uint64_t kSeeds = 200;
   for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
-    Play(seed, kSlowAnswer);
+    Play(seed, kSlowStore);
   }
 }
 
 BOOST_AUTO_TEST_CASE(seeds_that_failed_once_over_a_slow_store) {
-  for (const std::uint64_t seed : kSlowRegressions) Play(seed, kSlowAnswer);
+  for (const std::uint64_t seed : kSlowRegressions) Play(seed, kSlowStore);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/testing/job_sim/include/job_sim/promises.h
+++ b/testing/job_sim/include/job_sim/promises.h
@@ -17,6 +17,14 @@
 
 namespace jobs = mustardproxy::jobs;
 
+/// Tasks that take down each worker that starts them.
+struct CrashingTasks {
+  /// From the start of a run to the crash; with none the start gets no answer.
+  Duration after{0};
+  /// The one task of each step that does so; all of them if there is none.
+  std::optional<std::int32_t> index = std::nullopt;
+};
+
 /// A job as the simulated caller handed it in, and what its tasks are like.
 struct SimJob {
   jobs::Job job;
@@ -26,6 +34,7 @@
   Instant cancelled_at;
   /// Each run of it fails.
   bool hopeless = false;
+  std::optional<CrashingTasks> crashing;
   /// How long its runs take, as a multiple of what it declares.
   double length_factor = 1.0;
   /// When the first of its tasks began, and the last one ended well.
@@ -55,12 +64,16 @@
   void OnStart(const std::string& worker, const jobs::RunRef& run, bool late);
   void OnEnd(const std::string& worker, const jobs::RunRef& run,
              jobs::RunEnd end);
+  /// The run takes its worker down.
+  void OnTaskCrash(const std::string& worker, const jobs::RunRef& run);
   /// The worker was told that an end is noted, in one lease with it.
   void OnNoted(const jobs::RunRef& run, jobs::RunEnd end);
   /// A worker is given more than it has.
   void OnOvercommit(const std::string& worker, const jobs::RunRef& run);
   /// The scheduler tells a caller that the job is completed.
   void OnShownCompleted(const jobs::JobId& id);
+  /// The scheduler tells a caller that the job has failed.
+  void OnShownFailed(const jobs::JobId& id);
   /// At the end: all accepted jobs that could end have ended.
   void OnUnfinished(const jobs::JobId& id, jobs::JobState state);
 
@@ -68,6 +81,10 @@
     return this->broken;
   }
   [[nodiscard]] std::int64_t Runs() const { return this->runs; }
+  /// @return how many workers were taken down by tasks
+  [[nodiscard]] std::int64_t TaskCrashes() const { return this->task_crashes; }
+  /// @return true if each run of the task takes its worker down
+  [[nodiscard]] bool Crashes(const jobs::TaskRef& task) const;
   [[nodiscard]] bool Done(const jobs::TaskRef& task) const {
     return this->done.contains(task);
   }
@@ -75,6 +92,9 @@
  private:
   void Break(const std::string& promise, const std::string& detail);
   void CheckOrder(const jobs::RunRef& run);
+  void CheckCrashBudget(const jobs::RunRef& run);
+  /// @return true if a task, or gang, of the job has failed as often as allowed
+  [[nodiscard]] bool HasUsedUpAttempts(const SimJob& job) const;
 
   const VirtualTime* time;
   mustardproxy::EventLog* log;
@@ -85,6 +105,13 @@
   std::set<jobs::TaskRef> done;
   std::set<jobs::TaskRef> noted_done;
   std::map<jobs::TaskRef, std::set<jobs::RunNumber>> noted_failed;
+  /// Runs of each task that ended as failed.
+  std::map<jobs::TaskRef, std::set<jobs::RunNumber>> failed;
+  /// By task that takes its workers down: how many went, and how often it was
+  /// started after the most that may go.
+  std::map<jobs::TaskRef, std::int32_t> crashes;
+  std::map<jobs::TaskRef, std::int32_t> starts_after_crashes;
+  std::int64_t task_crashes = 0;
   std::vector<std::string> broken;
   std::int64_t runs = 0;
 };
--- a/testing/job_sim/include/job_sim/schedule.h
+++ b/testing/job_sim/include/job_sim/schedule.h
@@ -19,14 +19,21 @@
   std::int64_t jobs = 0;
 };
 
+/// What is played beside the usual.
+struct ScheduleOptions {
+  /// Time of an answer of the store.
+  Duration store_latency = std::chrono::milliseconds(4);
+  /// Some tasks take their workers down, and workers shrink and grow.
+  bool crashing_tasks = false;
+};
+
 /// Plays a cell with jobs and faults drawn from the seed: processes killed,
 /// paused, stopped and cut off; the store silent, refusing, forgetful, its
 /// answers lost and its writes late; workers crashed, cut off, drained, failing
 /// and answering late; jobs cancelled. In the end all faults are over and every
 /// accepted job has to end.
-/// @param store_latency time of an answer of the store
-[[nodiscard]] ScheduleResult PlaySchedule(
-    std::uint64_t seed, Duration store_latency = std::chrono::milliseconds(4));
+[[nodiscard]] ScheduleResult PlaySchedule(std::uint64_t seed,
+                                          const ScheduleOptions& options = {});
 
 }  // namespace job_sim
 
--- a/testing/job_sim/include/job_sim/sim_cell.h
+++ b/testing/job_sim/include/job_sim/sim_cell.h
@@ -69,6 +69,8 @@
   void UnlistWorker(SimWorker* worker);
   /// Its life ends; another begins at the same address after `down`.
   void CrashWorker(SimWorker* worker, std::optional<Duration> down);
+  /// Its room changes while it runs, and its entry says so.
+  void ResizeWorker(SimWorker* worker, const mustardproxy::Resources& capacity);
 
   /// The queue of the desired state, which may be changed before `Apply`.
   jobs::Queue queue;
--- a/testing/job_sim/include/job_sim/sim_worker.h
+++ b/testing/job_sim/include/job_sim/sim_worker.h
@@ -39,6 +39,9 @@
   }
   /// What the tasks that run take.
   [[nodiscard]] mustardproxy::Resources Used() const;
+  /// Its room changes while it runs. The scheduler may still go by the former
+  /// one for a while.
+  void Resize(const mustardproxy::Resources& capacity);
 
   /// Each run that it starts fails at once.
   bool fails_all = false;
@@ -64,7 +67,11 @@
   void CheckLease();
   void Begin(const jobs::RunRef& run, Running* record);
   [[nodiscard]] mustardproxy::Resources Each(const jobs::RunRef& run) const;
-  void CheckCapacity(const jobs::RunRef& run);
+  void CheckCapacity(const jobs::RunRef& run, bool late);
+  /// @return the most that the scheduler may take it to have
+  [[nodiscard]] mustardproxy::Resources CapacitySince(Instant moment) const;
+  /// Has the run take the worker down, if its job is of that kind.
+  void PlanCrash(const jobs::RunRef& run);
   /// @return false if its queue asks for a ticket and this one does not hold
   [[nodiscard]] bool Permitted(const jobs::StartOrder& order) const;
   jobs::HoldResult Lists() const;
@@ -88,6 +95,8 @@
   std::vector<Ended> ended;
   std::int64_t next_end = 1;
   std::vector<std::shared_ptr<Waiting>> waiting;
+  /// Former capacities, with the moment at which each ended.
+  std::vector<std::pair<Instant, mustardproxy::Resources>> former_capacities;
 };
 
 /// All workers, and the faults on the way to them.
@@ -105,6 +114,9 @@
   /// @return how many addresses there are
   [[nodiscard]] std::size_t Size() const { return this->at_address.size(); }
 
+  /// Ends the life of a worker that a task takes down, and begins another; the
+  /// life ends here if this is empty.
+  std::function<void(SimWorker*)> crash;
   /// Share of the orders that are carried out seconds later, without an
   /// answer, and of those whose answer is lost.
   double late_orders = 0;
--- a/testing/job_sim/program/main.cc
+++ b/testing/job_sim/program/main.cc
@@ -14,9 +14,11 @@
 constexpr int kSlowAnswerMs = 250;
 
 void PrintUsage() {
-  std::cerr << "usage: job_schedules FIRST_SEED COUNT [--log] [--slow-store]\n"
+  std::cerr << "usage: job_schedules FIRST_SEED COUNT [--log] [--slow-store] "
+               "[--crashing-tasks]\n"
             << "plays that many seeded cells and prints each broken promise;\n"
-            << "a slow store takes 0.25 s an answer\n";
+            << "a slow store takes 0.25 s an answer; crashing tasks take down\n"
+            << "the workers that start them, and workers change their room\n";
 }
 
 void Print(std::uint64_t seed, const job_sim::ScheduleResult& result,
@@ -42,14 +44,16 @@
   const std::uint64_t count = std::strtoull(argv[2], nullptr, 10);
   const std::set<std::string> options(argv + 3, argv + argc);
   const bool with_log = options.contains("--log");
-  const auto latency = std::chrono::milliseconds(
+  job_sim::ScheduleOptions played;
+  played.store_latency = std::chrono::milliseconds(
       options.contains("--slow-store") ? kSlowAnswerMs : kUsualAnswerMs);
+  played.crashing_tasks = options.contains("--crashing-tasks");
   std::uint64_t red = 0;
   std::int64_t runs = 0;
   std::int64_t jobs = 0;
   std::int64_t faults = 0;
   for (std::uint64_t seed = first; seed < first + count; ++seed) {
-    const job_sim::ScheduleResult result = job_sim::PlaySchedule(seed, latency);
+    const job_sim::ScheduleResult result = job_sim::PlaySchedule(seed, played);
     if (!result.broken.empty()) ++red;
     runs += result.runs;
     jobs += result.jobs;
--- a/testing/job_sim/src/promises.cc
+++ b/testing/job_sim/src/promises.cc
@@ -1,5 +1,6 @@
 #include "job_sim/promises.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace job_sim {
@@ -7,6 +8,10 @@
 
 /// After a cancellation is acknowledged nothing starts later than this.
 constexpr Duration kCancelBound = std::chrono::seconds(3);
+/// Once so many workers have crashed under a task …
+constexpr std::int32_t kMostCrashes = 3;
+/// … it may be started so often more.
+constexpr std::int32_t kStartsAfterCrashes = 2;
 
 std::string Describe(const jobs::RunRef& run) {
   return jobs::Text(run.task) + " run " + std::to_string(run.run);
@@ -88,6 +93,53 @@
                         this->time->Now() > job->cancelled_at + kCancelBound;
   if (too_late) this->Break("started after a cancellation", Describe(run));
   this->CheckOrder(run);
+  if (!late) this->CheckCrashBudget(run);
+}
+
+bool Promises::Crashes(const jobs::TaskRef& task) const {
+  const auto found = this->jobs.find(task.step.job);
+  if (found == this->jobs.end() || !found->second.crashing) return false;
+  return found->second.crashing->index.value_or(task.index) == task.index;
+}
+
+void Promises::CheckCrashBudget(const jobs::RunRef& run) {
+  const auto found = this->crashes.find(run.task);
+  if (found == this->crashes.end() || found->second < kMostCrashes) return;
+  if (++this->starts_after_crashes[run.task] <= kStartsAfterCrashes) return;
+  this->Break("started on and on though workers crash under it", Describe(run));
+}
+
+void Promises::OnTaskCrash(const std::string& worker, const jobs::RunRef& run) {
+  this->log->Write(
+      "sim", "task-crashes-worker",
+      {{"task", jobs::Text(run.task)}, {"run", run.run}, {"worker", worker}});
+  ++this->crashes[run.task];
+  ++this->task_crashes;
+}
+
+bool Promises::HasUsedUpAttempts(const SimJob& job) const {
+  std::map<jobs::StepRef, std::set<jobs::RunNumber>> gang_runs;
+  for (const auto& [task, runs] : this->failed) {
+    if (task.step.job != job.job.id) continue;
+    if (std::ssize(runs) >= job.job.queue.max_attempts) return true;
+    if (this->StepOf(task.step)->gang) {
+      gang_runs[task.step].insert(runs.begin(), runs.end());
+    }
+  }
+  return std::any_of(gang_runs.begin(), gang_runs.end(), [&](const auto& one) {
+    return std::ssize(one.second) >= job.job.queue.max_attempts;
+  });
+}
+
+void Promises::OnShownFailed(const jobs::JobId& id) {
+  const SimJob* job = this->Find(id);
+  if (job == nullptr) {
+    this->Break("shown though nobody handed it in", id.Text());
+    return;
+  }
+  const bool cause =
+      job->hopeless || job->crashing || this->HasUsedUpAttempts(*job);
+  if (!cause) this->Break("shown as failed without cause", id.Text());
 }
 
 void Promises::OnEnd(const std::string& worker, const jobs::RunRef& run,
@@ -98,6 +150,7 @@
                     {"worker", worker},
                     {"end", Name(end)}});
   this->running[run.task].erase(run.run);
+  if (end == jobs::RunEnd::kFailed) this->failed[run.task].insert(run.run);
   if (end != jobs::RunEnd::kDone) return;
   SimJob* job = this->Find(run.task.step.job);
   const bool first = this->done.insert(run.task).second;
--- a/testing/job_sim/src/schedule.cc
+++ b/testing/job_sim/src/schedule.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <optional>
 #include <utility>
 
 #include "job_sim/sim_cell.h"
@@ -25,9 +26,9 @@
 /// Plays one seed.
 class Player {
  public:
-  Player(std::uint64_t seed, Duration store_latency)
-      : cell(MakeCell(seed)), time(this->cell->Time()) {
-    this->cell->Store().latency = store_latency;
+  Player(std::uint64_t seed, const ScheduleOptions& options)
+      : cell(MakeCell(seed)), time(this->cell->Time()), options(options) {
+    this->cell->Store().latency = options.store_latency;
   }
 
   ScheduleResult Play();
@@ -41,6 +42,8 @@
   void StrikeProcess();
   void StrikeStore();
   void StrikeWorker();
+  void ResizeWorker();
+  std::optional<CrashingTasks> DrawCrashing();
   void Note(const std::string& fault);
   /// Undoes a fault after a while.
   void Undo(Duration least, Duration most, std::function<void()> undo);
@@ -49,6 +52,7 @@
 
   std::unique_ptr<SimCell> cell;
   VirtualTime& time;
+  ScheduleOptions options;
   ScheduleResult result;
 };
 
@@ -88,9 +92,11 @@
   const Duration at = this->time.DrawBetween(Duration::zero(), kBusy);
   const bool cancel = this->time.Chance(0.15);
   const bool hopeless = this->time.Chance(0.1);
-  this->time.After(at, [this, cancel, hopeless] {
+  const std::optional<CrashingTasks> crashing = this->DrawCrashing();
+  this->time.After(at, [this, cancel, hopeless, crashing] {
     SimJob* job = this->cell->Submit(this->DrawSpec(), this->DrawProcess());
     job->hopeless = hopeless;
+    job->crashing = crashing;
     if (!cancel) return;
     const Duration later =
         this->time.DrawBetween(milliseconds(50), milliseconds(4000));
@@ -100,6 +106,21 @@
   });
 }
 
+std::optional<CrashingTasks> Player::DrawCrashing() {
+  if (!this->options.crashing_tasks || !this->time.Chance(0.2)) {
+    return std::nullopt;
+  }
+  CrashingTasks crashing;
+  // Half of them before they have answered.
+  if (this->time.Chance(0.5)) {
+    crashing.after =
+        this->time.DrawBetween(milliseconds(5), milliseconds(1500));
+  }
+  // Not all of a wide job take their workers down.
+  if (this->time.Chance(0.5)) crashing.index = 0;
+  return crashing;
+}
+
 std::size_t Player::DrawProcess() { return this->time.DrawIndex(kProcesses); }
 
 void Player::Note(const std::string& fault) {
@@ -117,7 +138,27 @@
   this->time.After(at, [this] { this->Strike(); });
 }
 
+void Player::ResizeWorker() {
+  const std::vector<SimWorker*> alive = this->cell->Workers().Alive();
+  if (alive.empty()) return;
+  SimWorker* worker = alive[this->time.DrawIndex(alive.size())];
+  const mustardproxy::Resources whole = worker->Info().capacity;
+  mustardproxy::Resources left = whole;
+  left.cpu_milli = static_cast<std::int64_t>(
+      this->time.Draw() * static_cast<double>(whole.cpu_milli));
+  this->Note("shrink " + worker->Info().id.Text() + " to " +
+             std::to_string(left.cpu_milli));
+  this->cell->ResizeWorker(worker, left);
+  this->Undo(milliseconds(500), milliseconds(9000), [this, worker, whole] {
+    if (worker->Alive()) this->cell->ResizeWorker(worker, whole);
+  });
+}
+
 void Player::Strike() {
+  if (this->options.crashing_tasks && this->time.Chance(0.3)) {
+    this->ResizeWorker();
+    return;
+  }
   switch (this->time.DrawIndex(3)) {
     case 0:
       this->StrikeProcess();
@@ -302,8 +343,9 @@
 
 }  // namespace
 
-ScheduleResult PlaySchedule(std::uint64_t seed, Duration store_latency) {
-  return Player(seed, store_latency).Play();
+ScheduleResult PlaySchedule(std::uint64_t seed,
+                            const ScheduleOptions& options) {
+  return Player(seed, options).Play();
 }
 
 }  // namespace job_sim
--- a/testing/job_sim/src/sim_cell.cc
+++ b/testing/job_sim/src/sim_cell.cc
@@ -23,6 +23,9 @@
 constexpr Duration kPeerTimeout = milliseconds(400);
 constexpr Duration kCallerTimeout = seconds(3);
 constexpr int kMostTries = 60;
+/// How long a worker that a task took down is away.
+constexpr Duration kLeastRestart = seconds(1);
+constexpr Duration kMostRestart = seconds(5);
 constexpr Duration kLeastWait = milliseconds(200);
 constexpr std::string_view kDesiredKey = "desired";
 constexpr std::string_view kWorkerPrefix = "workers/";
@@ -271,7 +274,12 @@
       promises(&this->time, &this->log),
       store(&this->time),
       workers(&this->time, &this->promises),
-      schema(std::make_unique<Schema>(this)) {}
+      schema(std::make_unique<Schema>(this)) {
+  this->workers.crash = [this](SimWorker* worker) {
+    this->CrashWorker(worker,
+                      this->time.DrawBetween(kLeastRestart, kMostRestart));
+  };
+}
 
 SimCell::~SimCell() = default;
 
@@ -359,6 +367,13 @@
   });
 }
 
+void SimCell::ResizeWorker(SimWorker* worker,
+                           const mustardproxy::Resources& capacity) {
+  worker->Resize(capacity);
+  this->store.Put(std::string(kWorkerPrefix) + worker->Info().id.Text(),
+                  "ready");
+}
+
 void SimCell::Apply() {
   this->store.Put(std::string(kDesiredKey), std::to_string(++this->version));
 }
@@ -454,6 +469,7 @@
   if (!*answer || !**answer) return std::nullopt;
   const jobs::JobState state = (*answer)->value();
   if (state == jobs::JobState::kCompleted) this->promises.OnShownCompleted(id);
+  if (state == jobs::JobState::kFailed) this->promises.OnShownFailed(id);
   return state;
 }
 
--- a/testing/job_sim/src/sim_worker.cc
+++ b/testing/job_sim/src/sim_worker.cc
@@ -20,6 +20,11 @@
 constexpr std::int64_t kCheckpointMs = 500;
 /// What a stop takes.
 constexpr Duration kStopTime = milliseconds(100);
+/// How long after a worker has shrunk starts may still go by its former room:
+/// the time in which processes are in touch, and a heartbeat.
+constexpr Duration kShrinkNotice = milliseconds(4500);
+/// The latest that a late order is carried out.
+constexpr Duration kLatestOrder = std::chrono::seconds(12);
 
 std::int64_t Milliseconds(Duration duration) {
   return std::chrono::duration_cast<milliseconds>(duration).count();
@@ -82,10 +87,25 @@
   return used;
 }
 
-void SimWorker::CheckCapacity(const jobs::RunRef& run) {
+void SimWorker::Resize(const mustardproxy::Resources& capacity) {
+  this->former_capacities.emplace_back(this->all->time->Now(),
+                                       this->info.capacity);
+  this->info.capacity = capacity;
+}
+
+mustardproxy::Resources SimWorker::CapacitySince(Instant moment) const {
+  mustardproxy::Resources most = this->info.capacity;
+  for (const auto& [ended, capacity] : this->former_capacities) {
+    if (ended >= moment) most = mustardproxy::MaxParts(most, capacity);
+  }
+  return most;
+}
+
+void SimWorker::CheckCapacity(const jobs::RunRef& run, bool late) {
   mustardproxy::Resources used = this->Used();
   used += this->Each(run);
-  if (!used.FitsIn(this->info.capacity)) {
+  const Duration notice = late ? kShrinkNotice + kLatestOrder : kShrinkNotice;
+  if (!used.FitsIn(this->CapacitySince(this->all->time->Now() - notice))) {
     this->all->promises->OnOvercommit(this->info.id.Text(), run);
   }
 }
@@ -114,7 +134,7 @@
   }
   this->Extend(order.lease_until_ms);
   if (!this->Permitted(order)) return this->Refuse(OrderEnd::kNoTicket);
-  this->CheckCapacity(order.run);
+  this->CheckCapacity(order.run, late);
   this->all->promises->OnStart(this->info.id.Text(), order.run, late);
   Running record;
   record.started = this->all->time->Now();
@@ -122,9 +142,30 @@
   record.saved_ms = order.checkpoint.empty() ? 0 : std::stoll(order.checkpoint);
   this->running[order.run] = record;
   this->Begin(order.run, &this->running[order.run]);
+  this->PlanCrash(order.run);
   return this->Refuse(OrderEnd::kDone);
 }
 
+void SimWorker::PlanCrash(const jobs::RunRef& run) {
+  if (!this->all->promises->Crashes(run.task)) return;
+  const auto crash = [this, run] {
+    if (!this->alive || !this->running.contains(run)) return;
+    this->all->promises->OnTaskCrash(this->info.id.Text(), run);
+    if (this->all->crash) {
+      this->all->crash(this);
+    } else {
+      this->Crash();
+    }
+  };
+  const Duration after =
+      this->all->promises->Find(run.task.step.job)->crashing->after;
+  if (after == Duration::zero()) {
+    crash();
+  } else {
+    this->all->time->After(after, crash);
+  }
+}
+
 void SimWorker::Begin(const jobs::RunRef& run, Running* record) {
   const SimJob* job = this->all->promises->Find(run.task.step.job);
   if (this->fails_all || job == nullptr || job->hopeless) {
@@ -394,7 +435,10 @@
       SetEnd(&refused, OrderEnd::kOtherLife);
       back(refused);
     } else {
-      task(at, late, back);
+      // One that crashes as it carries the order out does not answer.
+      task(at, late, [at, back](const Outcome& result) {
+        if (at->Alive()) back(result);
+      });
     }
   }
 
