--- /dev/null
+++ b/packages/jobs/src/crash_history.cc
@@ -0,0 +1,84 @@
+#include "crash_history.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace mustardproxy::jobs {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Lost workers after which a task is given up, if it ran alone on the last …
+constexpr std::size_t kClearCase = 3;
+/// … and in any case.
+constexpr std::size_t kMostLosses = 4;
+/// Beyond the time that earlier runs survived.
+constexpr Duration kProvingMargin = milliseconds(200);
+/// Bounds how long a worker is kept for one task.
+constexpr Duration kLongestProvingTime = seconds(5);
+
+}  // namespace
+
+void CrashHistory::Note(const WorkerLoss& loss) {
+  const bool known = std::any_of(
+      this->losses.begin(), this->losses.end(),
+      [&](const WorkerLoss& one) { return one.worker == loss.worker; });
+  if (!known) this->losses.push_back(loss);
+}
+
+bool CrashHistory::Confirm(const WorkerId& worker) {
+  const auto found = std::find_if(
+      this->losses.begin(), this->losses.end(),
+      [&](const WorkerLoss& loss) { return loss.worker == worker; });
+  if (found == this->losses.end()) return false;
+  return !std::exchange(found->certain, true);
+}
+
+void CrashHistory::Clear(const WorkerId& worker) {
+  std::erase_if(this->losses,
+                [&](const WorkerLoss& loss) { return loss.worker == worker; });
+}
+
+std::string CrashHistory::Text() const {
+  std::string text;
+  for (const WorkerLoss& loss : this->losses) {
+    if (!text.empty()) text += ' ';
+    text += loss.worker.Text();
+  }
+  return text;
+}
+
+bool CrashHistory::Suspicious() const {
+  if (this->losses.empty()) return false;
+  // A worker that went before it listed the run may have gone by its start.
+  return this->losses.size() > 1 ||
+         this->losses.front().survived == Duration::zero();
+}
+
+Duration CrashHistory::ProvingTime() const {
+  // The next loss decides: nothing else may be to blame for it.
+  if (this->losses.size() > 1) return kLongestProvingTime;
+  Duration longest{0};
+  for (const WorkerLoss& loss : this->losses) {
+    longest = std::max(longest, loss.survived);
+  }
+  return std::min(longest + kProvingMargin, kLongestProvingTime);
+}
+
+bool CrashHistory::Convicting() const {
+  if (this->losses.size() >= kMostLosses) return true;
+  return this->AtLimit() && this->losses.back().alone;
+}
+
+bool CrashHistory::AtLimit() const {
+  return this->CountCertain() >= kClearCase;
+}
+
+std::size_t CrashHistory::CountCertain() const {
+  return static_cast<std::size_t>(
+      std::count_if(this->losses.begin(), this->losses.end(),
+                    [](const WorkerLoss& loss) { return loss.certain; }));
+}
+
+}  // namespace mustardproxy::jobs
--- /dev/null
+++ b/packages/jobs/src/crash_history.h
@@ -0,0 +1,64 @@
+#ifndef MUSTARDPROXY_JOBS_CRASH_HISTORY_H_
+#define MUSTARDPROXY_JOBS_CRASH_HISTORY_H_
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+#include "mustardproxy/core/ids.h"
+#include "mustardproxy/core/time.h"
+
+namespace mustardproxy::jobs {
+
+/// A worker that was lost under a run of a task.
+struct WorkerLoss {
+  /// Names the life that ended.
+  WorkerId worker;
+  /// Another life has answered at its address. A worker that is merely silent
+  /// may have been cut off.
+  bool certain = false;
+  /// How long the run is known to have been at work; zero if the worker never
+  /// listed it.
+  Duration survived{0};
+  /// Nothing else there could have been the cause.
+  bool alone = false;
+};
+
+/// Workers that were lost while they ran one task: evidence that the task takes
+/// its workers down.
+class CrashHistory {
+ public:
+  /// Takes note of a loss, once for each life.
+  void Note(const WorkerLoss& loss);
+  /// The worker is known to have ended its life.
+  /// @return true if it was not known before
+  bool Confirm(const WorkerId& worker);
+  /// The worker lives.
+  void Clear(const WorkerId& worker);
+
+  [[nodiscard]] bool Empty() const { return this->losses.empty(); }
+  [[nodiscard]] const std::vector<WorkerLoss>& Losses() const {
+    return this->losses;
+  }
+  /// @return the workers, separated by spaces, for logs
+  [[nodiscard]] std::string Text() const;
+  /// @return true if the next run is to be kept apart from other tasks
+  [[nodiscard]] bool Suspicious() const;
+  /// @return how long a run has to be at work to be no longer suspicious
+  [[nodiscard]] Duration ProvingTime() const;
+  /// @return true if no more worker is to be put at risk
+  [[nodiscard]] bool Convicting() const;
+  /// @return true if as many workers have gone as a task may take down, and one
+  ///   more start decides
+  [[nodiscard]] bool AtLimit() const;
+
+ private:
+  [[nodiscard]] std::size_t CountCertain() const;
+
+  /// The oldest first.
+  std::vector<WorkerLoss> losses;
+};
+
+}  // namespace mustardproxy::jobs
+
+#endif  // MUSTARDPROXY_JOBS_CRASH_HISTORY_H_
--- a/packages/jobs/src/dispatcher.cc
+++ b/packages/jobs/src/dispatcher.cc
@@ -27,6 +27,10 @@
 /// gang of three quarters of a cell at 2.5 times its load came 0.3 s too late
 /// (cell_basic/a_wide_gang_is_not_starved_by_small_tasks).
 constexpr std::int64_t kGatherMargin = 2;
+/// Once a run of a step was at work for so long, its other tasks may start.
+constexpr Duration kSoundStep = milliseconds(200);
+/// How long a suspicious task waits for a worker on which all runs are proven.
+constexpr Duration kQuietWorkerWait = milliseconds(2000);
 /// Least time between two looks at whether a question about a step would help.
 constexpr Duration kAskPause = milliseconds(50);
 
@@ -88,6 +92,9 @@
   this->kicked = false;
   const Instant now = this->context->executor->Now();
   this->last_pass = now;
+  this->some_silent =
+      std::any_of(this->context->workers.begin(), this->context->workers.end(),
+                  [](const auto& one) { return one.second->suspect; });
   std::vector<Unit> units = this->CollectUnits(now);
   this->NoteEjected(now);
   const PassRooms rooms(this->context->workers);
@@ -162,11 +169,115 @@
       unit.tasks = std::move(tasks);
       if (!objective) objective = this->Objective(unit);
       this->Rank(&unit, *objective, now);
-      units->push_back(std::move(unit));
+      std::optional<Unit> apart = this->SplitSuspicious(&unit);
+      if (apart) units->push_back(std::move(*apart));
+      if (!unit.tasks.empty()) units->push_back(std::move(unit));
     }
   }
 }
 
+std::optional<Unit> Dispatcher::SplitSuspicious(Unit* unit) const {
+  if (unit->step->gang) return std::nullopt;
+  const bool may_be_silent = this->some_silent && unit->progress->open > 0;
+  if (unit->entry->crashes.empty() && !may_be_silent) return std::nullopt;
+  const auto first = std::stable_partition(
+      unit->tasks.begin(), unit->tasks.end(), [&](std::int32_t index) {
+        const CrashHistory* crashes =
+            this->context->jobs.FindCrashes({unit->ref, index});
+        return crashes == nullptr || !crashes->Suspicious();
+      });
+  const std::vector<std::int32_t> suspicious(first, unit->tasks.end());
+  unit->tasks.erase(first, unit->tasks.end());
+  // Failure: all tasks of a step take their workers down, and each of them is
+  // tried at the same time as the others.
+  if (this->InDoubt(*unit)) unit->tasks.clear();
+  if (suspicious.empty() || this->HasQuarantined(*unit->entry)) {
+    return std::nullopt;
+  }
+  Unit apart = *unit;
+  apart.tasks = {suspicious.front()};
+  apart.quarantined = true;
+  return apart;
+}
+
+bool Dispatcher::InDoubt(const Unit& unit) const {
+  if (unit.progress->done > 0) return false;
+  const auto& crashes = unit.entry->crashes;
+  bool suspicious =
+      std::any_of(crashes.begin(), crashes.end(), [&](const auto& one) {
+        return one.first.step == unit.ref && one.second.Suspicious();
+      });
+  const std::vector<TaskEntry>& tasks = unit.progress->tasks;
+  for (std::size_t i = 0; i < tasks.size(); ++i) {
+    const SessionRun* run =
+        this->FindRun({unit.ref, static_cast<std::int32_t>(i)}, tasks[i]);
+    if (run == nullptr) continue;
+    if (!run->quarantined && run->Survived() >= kSoundStep) return false;
+    // It takes seconds until a silent worker is known to be lost.
+    const bool silent = this->context->workers.Find(tasks[i].worker)->suspect;
+    if (silent && run->ordered_at && !run->seen_running) suspicious = true;
+  }
+  return suspicious;
+}
+
+const SessionRun* Dispatcher::FindRun(const TaskRef& ref,
+                                      const TaskEntry& task) const {
+  if (!task.open) return nullptr;
+  WorkerSession* session = this->context->workers.Find(task.worker);
+  return session == nullptr ? nullptr : session->FindRun({ref, task.last_run});
+}
+
+bool Dispatcher::HasQuarantined(const JobEntry& entry) const {
+  return std::any_of(
+      entry.crashes.begin(), entry.crashes.end(), [&](const auto& one) {
+        const TaskEntry* task = this->context->jobs.FindTask(one.first);
+        if (task == nullptr) return false;
+        const SessionRun* run = this->FindRun(one.first, *task);
+        return run != nullptr && run->quarantined;
+      });
+}
+
+bool Dispatcher::MayQuarantine() const {
+  std::size_t kept = 0;
+  std::size_t all = 0;
+  for (const auto& [id, session] : this->context->workers) {
+    ++all;
+    if (session->Quarantined()) ++kept;
+  }
+  const auto most =
+      static_cast<std::size_t>(kMaxQuarantinedShare * static_cast<double>(all));
+  return kept < std::max<std::size_t>(most, 1);
+}
+
+void Dispatcher::PlaceQuarantined(Unit* unit, const PassRooms& rooms,
+                                  Instant now) {
+  if (!this->MayQuarantine()) return;
+  std::vector<Candidate> candidates =
+      unit->queue->advice
+          ? this->Permitted(*unit, rooms, now, PermitNeed::kHolds)
+          : this->Candidates(*unit, rooms, now);
+  std::erase_if(candidates, [&](const Candidate& one) {
+    return RoomFor(*unit->step, one) == 0;
+  });
+  if (candidates.empty()) return;
+  const auto company = [&](const Candidate& one) {
+    const WorkerSession& session = *one.room->session;
+    return std::pair(session.CountUnproven(), session.runs.size());
+  };
+  const auto chosen =
+      std::min_element(candidates.begin(), candidates.end(),
+                       [&](const Candidate& a, const Candidate& b) {
+                         return company(a) < company(b);
+                       });
+  const std::int32_t task = unit->tasks.front();
+  const Instant since =
+      unit->progress->tasks[static_cast<std::size_t>(task)].not_before;
+  const bool alone = company(*chosen).first == 0;
+  if (!alone && now < since + kQuietWorkerWait) return;
+  chosen->room->free = Resources{};
+  this->Start(unit, {chosen->room->session->info.id});
+}
+
 Duration Dispatcher::Objective(const Unit& unit) const {
   const JobEntry& entry = *unit.entry;
   const Duration chain =
@@ -258,6 +369,10 @@
 
 void Dispatcher::PlaceUnit(Unit* unit, const PassRooms& rooms, Instant now) {
   if (!rooms.MayFit(unit->queue->service, *unit->step)) return;
+  if (unit->quarantined) {
+    this->PlaceQuarantined(unit, rooms, now);
+    return;
+  }
   if (!unit->queue->advice) {
     this->PlaceIn(unit, this->Candidates(*unit, rooms, now));
     return;
@@ -293,6 +408,11 @@
   if (workers.empty()) workers = PlaceTasks(*unit->step, count, candidates);
   if (workers.empty()) return;
   this->Start(unit, workers);
+  if (unit->entry->crashes.empty()) return;
+  // Nothing else is placed beside a suspicious task in this pass either.
+  for (Candidate& one : candidates) {
+    if (one.room->session->Quarantined()) one.room->free = Resources{};
+  }
 }
 
 void Dispatcher::Start(Unit* unit, const std::vector<WorkerId>& workers) {
@@ -390,6 +510,7 @@
   const StepAdvice* advice = this->context->advice->Find(unit.ref);
   WaitFacts facts;
   facts.gang = unit.step->gang;
+  facts.quarantined = unit.quarantined;
   facts.needed = facts.gang ? tasks : 1;
   facts.has_policy = unit.queue->advice.has_value();
   if (advice != nullptr) {
--- a/packages/jobs/src/dispatcher.h
+++ b/packages/jobs/src/dispatcher.h
@@ -2,6 +2,7 @@
 #define MUSTARDPROXY_JOBS_DISPATCHER_H_
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "advice_desk.h"
@@ -40,6 +41,17 @@
   void NoteEjected(Instant now);
   std::vector<Unit> CollectUnits(Instant now);
   void CollectUnits(JobEntry* entry, Instant now, std::vector<Unit>* units);
+  /// Takes the suspicious tasks out of a unit, and all others while it is not
+  /// known whether these are sound.
+  /// @return a unit of the one that may start next, if any
+  std::optional<Unit> SplitSuspicious(Unit* unit) const;
+  /// @return true if a task of the step is suspicious and none is known to be
+  ///   sound
+  bool InDoubt(const Unit& unit) const;
+  /// @return the run of a task if it is open, else null
+  const SessionRun* FindRun(const TaskRef& ref, const TaskEntry& task) const;
+  /// @return true if a worker is kept for a task of the job
+  bool HasQuarantined(const JobEntry& entry) const;
   /// @return the time from a job's acceptance in which it should be done
   Duration Objective(const Unit& unit) const;
   void Rank(Unit* unit, Duration objective, Instant now) const;
@@ -50,6 +62,10 @@
   bool HasRoom(const Unit& unit, const PassRooms& rooms, Instant now) const;
   /// @return true if one more gang may take its room before it asks
   bool MayTakeRoom(const Unit& unit, const PassRooms& rooms) const;
+  /// Starts a suspicious task where the fewest others run.
+  void PlaceQuarantined(Unit* unit, const PassRooms& rooms, Instant now);
+  /// @return true if one more worker may be kept for a suspicious task
+  bool MayQuarantine() const;
   /// Starts what fits of the unit, a gang only whole.
   void PlaceIn(Unit* unit, std::vector<Candidate> candidates);
   /// Rooms that the step may use, permissions aside.
@@ -81,6 +97,8 @@
   OwnerContext* context;
   WaitReport waits;
   bool kicked = false;
+  /// In this pass: a worker has not answered.
+  bool some_silent = false;
   Instant last_pass;
   Guard guard;
 };
--- a/packages/jobs/src/hold_loop.cc
+++ b/packages/jobs/src/hold_loop.cc
@@ -62,6 +62,9 @@
                     !session.runs.empty() && !checking &&
                     session.unstored_ends.empty();
   order.wait = wait ? this->Wait() : Duration::zero();
+  if (session.Quarantined()) {
+    order.wait = std::min(order.wait, kQuarantineHoldWait);
+  }
   return order;
 }
 
@@ -135,6 +138,7 @@
   const bool back = std::exchange(session->suspect, false);
   const bool first = !std::exchange(session->fenced, true);
   session->silent_holds = 0;
+  if (first) this->context->jobs.ClearLoss(session->info.id);
   if (first || back) {
     this->context->log->Write("workers",
                               first ? "worker-fenced" : "worker-back",
@@ -157,7 +161,17 @@
       this->Adopt(session, listed);
       continue;
     }
-    record->seen_running = true;
+    record->seen_running = now;
+    if (record->quarantined && record->Survived() >= record->proving_time) {
+      session->EndQuarantine(listed.run);
+      this->context->log->Write(
+          "jobs", "quarantine-ended",
+          {{"task", Text(listed.run.task)},
+           {"run", listed.run.run},
+           {"worker", session->info.id.Text()},
+           {"survived_ms", WholeMilliseconds(record->Survived())}});
+      this->context->dispatcher->Kick();
+    }
     if (record->percent != listed.percent) {
       record->percent = listed.percent;
       record->moved_at = now;
--- a/packages/jobs/src/job_table.cc
+++ b/packages/jobs/src/job_table.cc
@@ -212,6 +212,39 @@
   return effect;
 }
 
+void JobTable::NoteLoss(const RunRef& run, const WorkerLoss& loss) {
+  JobEntry* entry = this->Find(run.task.step.job);
+  if (entry == nullptr || this->FindOpen(run) == nullptr) return;
+  CrashHistory& history = entry->crashes[run.task];
+  const bool sound = this->FindStep(run.task.step)->long_running &&
+                     loss.survived >= kSoundAfter;
+  if (sound) history = {};
+  history.Note(loss);
+}
+
+std::vector<TaskRef> JobTable::ConfirmLoss(const WorkerId& worker) {
+  std::vector<TaskRef> tasks;
+  for (JobEntry* entry : this->active) {
+    for (auto& [task, history] : entry->crashes) {
+      if (history.Confirm(worker)) tasks.push_back(task);
+    }
+  }
+  return tasks;
+}
+
+void JobTable::ClearLoss(const WorkerId& worker) {
+  for (JobEntry* entry : this->active) {
+    for (auto& [task, history] : entry->crashes) history.Clear(worker);
+  }
+}
+
+const CrashHistory* JobTable::FindCrashes(const TaskRef& task) const {
+  const JobEntry* entry = this->Find(task.step.job);
+  if (entry == nullptr) return nullptr;
+  const auto found = entry->crashes.find(task);
+  return found == entry->crashes.end() ? nullptr : &found->second;
+}
+
 EndEffect JobTable::EndDone(JobEntry* entry, const RunRef& run) {
   StepEntry* step = this->FindStepEntry(run.task.step);
   const Step* spec = this->FindStep(run.task.step);
@@ -250,6 +283,9 @@
   while (!entry->occurrences.empty()) {
     const auto first = entry->occurrences.begin();
     if (first->first != entry->first_open || !AllDone(first->second)) break;
+    std::erase_if(entry->crashes, [&](const auto& one) {
+      return one.first.step.occurrence == first->first;
+    });
     // Members of a gang whose end was told by another are still awaited.
     entry->occurrences.erase(first);
     ++entry->first_open;
@@ -273,6 +309,10 @@
   for (TaskEntry& member : step->tasks) member.checkpoint = checkpoint;
 }
 
+void JobTable::Fail(JobEntry* entry) {
+  if (!IsFinal(entry->state)) this->SetState(entry, JobState::kFailed);
+}
+
 bool JobTable::Cancel(JobEntry* entry) {
   if (IsFinal(entry->state)) return false;
   this->SetState(entry, JobState::kCancelled);
--- a/packages/jobs/src/job_table.h
+++ b/packages/jobs/src/job_table.h
@@ -11,6 +11,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "crash_history.h"
 #include "mustardproxy/core/ids.h"
 #include "mustardproxy/core/time.h"
 #include "mustardproxy/jobs/job.h"
@@ -79,6 +80,8 @@
   bool begun = false;
   /// Open occurrences by number.
   std::map<std::int32_t, OccurrenceEntry> occurrences;
+  /// Of the tasks under which workers were lost.
+  std::map<TaskRef, CrashHistory> crashes;
   /// Those before are done.
   std::int32_t first_open = 0;
   /// Those before are open or done.
@@ -147,8 +150,20 @@
   /// Takes in the end of a run.
   EndEffect End(const RunRef& run, RunEnd end, std::string_view checkpoint,
                 Instant now);
+  /// Records that a worker was lost under an open run, whose end is taken in
+  /// afterwards.
+  void NoteLoss(const RunRef& run, const WorkerLoss& loss);
+  /// Another life has answered in place of a worker that was silent.
+  /// @return the tasks under which it was lost
+  std::vector<TaskRef> ConfirmLoss(const WorkerId& worker);
+  /// A worker that was taken for lost has answered.
+  void ClearLoss(const WorkerId& worker);
+  /// @return null if no worker was lost under the task
+  [[nodiscard]] const CrashHistory* FindCrashes(const TaskRef& task) const;
   /// Notes progress of an open run.
   void NoteCheckpoint(const RunRef& run, std::string_view checkpoint);
+  /// Gives a job up that is not final.
+  void Fail(JobEntry* entry);
   /// @return true if it was not final before
   bool Cancel(JobEntry* entry);
 
--- a/packages/jobs/src/options.h
+++ b/packages/jobs/src/options.h
@@ -83,6 +83,17 @@
 /// Period of checks that no event triggers: lapses, due times, retention.
 inline constexpr Duration kTick = milliseconds(100);
 
+/// A long-running task that was at work for so long did not take its worker
+/// down by being started: earlier losses are forgotten. Without it a service
+/// would be given up on once enough hosts have failed in its life.
+inline constexpr Duration kSoundAfter = seconds(60);
+/// A run that was at work for so long is not likely to take its worker down.
+inline constexpr Duration kProvenRun = milliseconds(1000);
+/// Share of the workers that may be kept for suspicious tasks at the same time.
+inline constexpr double kMaxQuarantinedShare = 0.125;
+/// How long a hold waits at a worker that is kept for a suspicious task.
+inline constexpr Duration kQuarantineHoldWait = milliseconds(100);
+
 /// A permission is not used when less than this is left of it: the start has to
 /// be written down (a call to the store) and sent.
 inline constexpr Duration kTicketMargin = milliseconds(150);
--- a/packages/jobs/src/pass_rooms.cc
+++ b/packages/jobs/src/pass_rooms.cc
@@ -5,7 +5,8 @@
 
 bool TakesTasks(const WorkerSession& session) {
   return session.listed && !session.gone && session.fenced &&
-         !session.suspect && !session.ejected && !session.info.draining;
+         !session.suspect && !session.ejected && !session.info.draining &&
+         !session.Quarantined();
 }
 
 }  // namespace
--- a/packages/jobs/src/record_codec.cc
+++ b/packages/jobs/src/record_codec.cc
@@ -106,7 +106,7 @@
 }
 
 void Write(const TaskEntry& task, std::int32_t index,
-           stored::StepProgress* out) {
+           const CrashHistory* crashes, stored::StepProgress* out) {
   if (task.done || task.last_run == 0) return;
   stored::TaskProgress* stored = out->add_tasks();
   stored->set_index(index);
@@ -115,18 +115,31 @@
   stored->set_counted_run(task.counted_run);
   if (task.open) stored->set_worker(task.worker.Text());
   stored->set_checkpoint(task.checkpoint);
+  if (crashes == nullptr) return;
+  for (const WorkerLoss& loss : crashes->Losses()) {
+    stored::WorkerLoss* one = stored->add_losses();
+    one->set_worker(loss.worker.Text());
+    one->set_certain(loss.certain);
+    one->set_survived_us(loss.survived.count());
+    one->set_alone(loss.alone);
+  }
 }
 
-void Write(const StepEntry& step, stored::StepProgress* out) {
+void Write(const JobEntry& entry, const StepRef& ref, const StepEntry& step,
+           stored::StepProgress* out) {
   out->set_done(DoneBits(step));
   out->set_failed_gang_runs(step.failed_gang_runs);
   out->set_counted_gang_run(step.counted_gang_run);
   for (std::size_t i = 0; i < step.tasks.size(); ++i) {
-    Write(step.tasks[i], static_cast<std::int32_t>(i), out);
+    const auto index = static_cast<std::int32_t>(i);
+    const auto crashes = entry.crashes.find({ref, index});
+    Write(step.tasks[i], index,
+          crashes == entry.crashes.end() ? nullptr : &crashes->second, out);
   }
 }
 
-void Apply(const stored::TaskProgress& stored, StepEntry* step) {
+void Apply(const stored::TaskProgress& stored, const StepRef& ref,
+           JobEntry* entry, StepEntry* step) {
   const auto index = static_cast<std::size_t>(stored.index());
   if (index >= step->tasks.size()) return;
   TaskEntry& task = step->tasks[index];
@@ -134,13 +147,21 @@
   task.last_run = stored.last_run();
   task.counted_run = stored.counted_run();
   task.checkpoint = stored.checkpoint();
+  for (const stored::WorkerLoss& loss : stored.losses()) {
+    entry->crashes[{ref, stored.index()}].Note(
+        {.worker = WorkerId(loss.worker()),
+         .certain = loss.certain(),
+         .survived = Duration(loss.survived_us()),
+         .alone = loss.alone()});
+  }
   if (stored.worker().empty() || task.done) return;
   task.worker = WorkerId(stored.worker());
   task.open = true;
   ++step->open;
 }
 
-void Apply(const stored::StepProgress& stored, StepEntry* step) {
+void Apply(const stored::StepProgress& stored, const StepRef& ref,
+           JobEntry* entry, StepEntry* step) {
   step->failed_gang_runs = stored.failed_gang_runs();
   step->counted_gang_run = stored.counted_gang_run();
   for (std::size_t i = 0; i < step->tasks.size(); ++i) {
@@ -148,7 +169,9 @@
     step->tasks[i].done = true;
     ++step->done;
   }
-  for (const stored::TaskProgress& task : stored.tasks()) Apply(task, step);
+  for (const stored::TaskProgress& task : stored.tasks()) {
+    Apply(task, ref, entry, step);
+  }
 }
 
 bool ValidState(std::int32_t state) {
@@ -205,8 +228,10 @@
   for (const auto& [number, occurrence] : entry.occurrences) {
     stored::OccurrenceProgress* stored = out.add_occurrences();
     stored->set_number(number);
+    StepRef ref{entry.job.id, number, 0};
     for (const StepEntry& step : occurrence.steps) {
-      Write(step, stored->add_steps());
+      Write(entry, ref, step, stored->add_steps());
+      ++ref.step;
     }
   }
   return out.SerializeAsString();
@@ -232,7 +257,9 @@
     const auto steps = std::min(occurrence->steps.size(),
                                 static_cast<std::size_t>(one.steps_size()));
     for (std::size_t i = 0; i < steps; ++i) {
-      Apply(one.steps(static_cast<int>(i)), &occurrence->steps[i]);
+      const StepRef ref{entry->job.id, one.number(),
+                        static_cast<std::int32_t>(i)};
+      Apply(one.steps(static_cast<int>(i)), ref, entry, &occurrence->steps[i]);
     }
   }
   jobs->SetState(entry, static_cast<JobState>(stored->state()));
--- a/packages/jobs/src/run_control.cc
+++ b/packages/jobs/src/run_control.cc
@@ -53,8 +53,12 @@
   record.moved_at = now;
   record.expected_end = now + this->context->run_times.Expect(
                                   entry.job.queue.name, step.estimate);
+  const bool claims = step.gang && this->context->QueueOf(entry).advice;
   for (std::size_t i = 0; i < runs.size(); ++i) {
-    this->context->workers.Find(workers[i])->AddRun(runs[i], record);
+    WorkerSession* session = this->context->workers.Find(workers[i]);
+    session->AddRun(runs[i], record);
+    // The room of a claim may be taken for seconds before its starts are sent.
+    if (!claims) this->QuarantineIfSuspicious(session, runs[i]);
   }
   this->context->log->Write(
       "jobs", "step-placed",
@@ -70,7 +74,7 @@
   // knows where to look before it starts the task again.
   std::vector<WorkerId> places(workers.begin(), workers.end());
   std::function<void()> send;
-  if (step.gang && this->context->QueueOf(entry).advice) {
+  if (claims) {
     this->context->claims->Add(runs, std::move(places));
     send = [this, first = runs.front()] {
       this->context->claims->OnStored(first);
@@ -89,6 +93,20 @@
       }));
 }
 
+void RunControl::QuarantineIfSuspicious(WorkerSession* session,
+                                        const RunRef& run) {
+  const CrashHistory* crashes = this->context->jobs.FindCrashes(run.task);
+  if (crashes == nullptr || !crashes->Suspicious()) return;
+  session->Quarantine(run, crashes->ProvingTime());
+  this->context->log->Write(
+      "jobs", "quarantined",
+      {{"task", Text(run.task)},
+       {"run", run.run},
+       {"worker", session->info.id.Text()},
+       {"lost_workers", crashes->Losses().size()},
+       {"proving_ms", WholeMilliseconds(crashes->ProvingTime())}});
+}
+
 void RunControl::StartOnceStored(const JobId& job,
                                  std::function<void()> start) {
   JobEntry* entry = this->context->jobs.Find(job);
@@ -120,6 +138,7 @@
   record.moved_at = now;
   record.expected_end = now + step->estimate;
   session->AddRun(run, record);
+  this->QuarantineIfSuspicious(session, run);
 }
 
 bool RunControl::FillOrder(const WorkerSession& session, const RunRef& run,
@@ -164,7 +183,10 @@
                              : session->LeaseUntilMs(now, kWorkerLease);
   session->NoteLeaseSent(order.lease_until_ms);
   record->phase = RunPhase::kOrdered;
-  if (first) record->ordered_at = now;
+  if (first) {
+    record->ordered_at = now;
+    this->QuarantineIfSuspicious(session, run);
+  }
   record->order_in_flight = true;
   record->listed_from.reset();
   this->context->driver->Start(session->Target(), std::move(order),
@@ -324,6 +346,17 @@
 bool RunControl::End(WorkerSession* session, const RunRef& run, RunEnd end,
                      std::string_view checkpoint,
                      std::function<void()> durable) {
+  const bool waits =
+      this->TakeEnd(session, run, end, checkpoint, std::move(durable));
+  const CrashHistory* crashes = this->context->jobs.FindCrashes(run.task);
+  const bool last_start = crashes != nullptr && crashes->AtLimit();
+  if (last_start && end != RunEnd::kDone) this->GiveUp(run.task);
+  return waits;
+}
+
+bool RunControl::TakeEnd(WorkerSession* session, const RunRef& run, RunEnd end,
+                         std::string_view checkpoint,
+                         std::function<void()> durable) {
   const Instant now = this->context->executor->Now();
   const SessionRun* record = session->FindRun(run);
   if (record != nullptr) this->NoteOutcome(*session, *record, run, end);
@@ -406,28 +439,66 @@
   std::vector<RunRef> lost;
   for (const auto& [run, record] : session->runs) {
     this->LogLostRun(*session, run, record, cause);
+    this->NoteLoss(*session, run, record, cause);
     lost.push_back(run);
   }
   for (const RunRef& run : lost) {
-    this->End(session, run, RunEnd::kLapsed, "", {});
+    this->TakeEnd(session, run, RunEnd::kLapsed, "", {});
+  }
+  for (const RunRef& run : lost) this->GiveUpIfConvicted(run.task);
+  if (cause != LossCause::kOtherLife) return;
+  for (const TaskRef& task :
+       this->context->jobs.ConfirmLoss(session->info.id)) {
+    this->GiveUpIfConvicted(task);
   }
 }
 
+void RunControl::NoteLoss(const WorkerSession& session, const RunRef& run,
+                          const SessionRun& record, LossCause cause) {
+  // What was never sent took nothing down, and a worker that drains is about to
+  // end by itself.
+  if (record.phase == RunPhase::kPlanned || session.info.draining) return;
+  this->context->jobs.NoteLoss(run, {.worker = session.info.id,
+                                     .certain = cause == LossCause::kOtherLife,
+                                     .survived = record.Survived(),
+                                     .alone = record.alone});
+}
+
+void RunControl::GiveUpIfConvicted(const TaskRef& task) {
+  const CrashHistory* crashes = this->context->jobs.FindCrashes(task);
+  if (crashes != nullptr && crashes->Convicting()) this->GiveUp(task);
+}
+
+void RunControl::GiveUp(const TaskRef& task) {
+  JobEntry* entry = this->context->jobs.Find(task.step.job);
+  if (entry == nullptr || IsFinal(entry->state)) return;
+  this->context->log->Write("jobs", "task-given-up",
+                            {{"task", Text(task)},
+                             {"reason", "workers were lost under it"},
+                             {"lost_workers", entry->crashes.at(task).Text()}});
+  this->context->metrics->Count("tasks_given_up", "reason=lost-workers");
+  this->context->jobs.Fail(entry);
+  this->StoreFinal(entry);
+}
+
 void RunControl::LogLostRun(const WorkerSession& session, const RunRef& run,
                             const SessionRun& record, LossCause cause) {
   const bool inherited =
       !record.ordered_at && record.phase != RunPhase::kPlanned;
   const Instant now = this->context->executor->Now();
   const Duration age = now - record.ordered_at.value_or(now);
-  this->context->log->Write("jobs", "run-lost",
-                            {{"task", Text(run.task)},
-                             {"run", run.run},
-                             {"worker", session.info.id.Text()},
-                             {"reason", Name(cause)},
-                             {"phase", Name(record.phase)},
-                             {"inherited", inherited ? 1 : 0},
-                             {"seen_running", record.seen_running ? 1 : 0},
-                             {"ordered_ms_ago", WholeMilliseconds(age)}});
+  this->context->log->Write(
+      "jobs", "run-lost",
+      {{"task", Text(run.task)},
+       {"run", run.run},
+       {"worker", session.info.id.Text()},
+       {"reason", Name(cause)},
+       {"phase", Name(record.phase)},
+       {"inherited", inherited ? 1 : 0},
+       {"seen_running", record.seen_running ? 1 : 0},
+       {"quarantined", record.quarantined ? 1 : 0},
+       {"survived_ms", WholeMilliseconds(record.Survived())},
+       {"ordered_ms_ago", WholeMilliseconds(age)}});
 }
 
 void RunControl::Later(Duration delay, std::function<void()> task) {
--- a/packages/jobs/src/run_control.h
+++ b/packages/jobs/src/run_control.h
@@ -72,6 +72,17 @@
               const OrderResult& result);
   void NoteOutcome(const WorkerSession& session, const SessionRun& record,
                    const RunRef& run, RunEnd end);
+  /// Keeps other tasks away from a run that may take its worker down.
+  void QuarantineIfSuspicious(WorkerSession* session, const RunRef& run);
+  /// Counts a lost worker against the task of one of its runs.
+  void NoteLoss(const WorkerSession& session, const RunRef& run,
+                const SessionRun& record, LossCause cause);
+  void GiveUpIfConvicted(const TaskRef& task);
+  /// Fails the job of a task that takes its workers down.
+  void GiveUp(const TaskRef& task);
+  /// See End; gives nothing up.
+  bool TakeEnd(WorkerSession* session, const RunRef& run, RunEnd end,
+               std::string_view checkpoint, std::function<void()> durable);
   /// Tells what was known of a run whose worker is lost.
   void LogLostRun(const WorkerSession& session, const RunRef& run,
                   const SessionRun& record, LossCause cause);
--- a/packages/jobs/src/unit.h
+++ b/packages/jobs/src/unit.h
@@ -17,6 +17,8 @@
   StepEntry* progress = nullptr;
   StepRef ref;
   std::vector<std::int32_t> tasks;
+  /// Its task may take a worker down and starts apart from others.
+  bool quarantined = false;
   BeginLimits limits;
   Hope hope = Hope::kInTime;
   /// When the step has to be begun for the job to be done in time: a gang's
--- a/packages/jobs/src/wait_report.cc
+++ b/packages/jobs/src/wait_report.cc
@@ -36,6 +36,8 @@
       return "room";
     case WaitReason::kLapsed:
       return "lapsed";
+    case WaitReason::kQuarantine:
+      return "quarantine";
     case WaitReason::kNone:
       break;
   }
@@ -54,6 +56,8 @@
       return "claims";
     case WaitEnd::kRuns:
       return "runs";
+    case WaitEnd::kQuarantine:
+      return "quarantine";
     case WaitEnd::kHold:
       return "hold";
     case WaitEnd::kWorkers:
@@ -71,13 +75,16 @@
   }
   if (this->room < this->needed) return WaitReason::kRoom;
   if (this->fresh_room < this->needed) return WaitReason::kLapsed;
+  if (this->quarantined) return WaitReason::kQuarantine;
   return WaitReason::kNone;
 }
 
 WaitEnd WaitFacts::End() const {
   if (this->asking) return WaitEnd::kAnswer;
   if (this->helped_by_question) return WaitEnd::kQuestion;
-  if (!this->gang && this->fresh_room >= this->needed) return WaitEnd::kPass;
+  if (!this->gang && this->fresh_room >= this->needed) {
+    return this->quarantined ? WaitEnd::kQuarantine : WaitEnd::kPass;
+  }
   const bool has_room = this->room >= this->needed;
   if (has_room && this->room_taken_by_gangs) return WaitEnd::kClaims;
   // Other tasks ask only where there is room, and not if a worker whose
--- a/packages/jobs/src/wait_report.h
+++ b/packages/jobs/src/wait_report.h
@@ -23,11 +23,13 @@
   kRoom,
   /// They have room, but their permissions have lapsed.
   kLapsed,
+  /// Workers were lost under it, and enough workers are kept for such tasks.
+  kQuarantine,
   /// Nothing: it should start with the next pass.
   kNone,
 };
 
-/// @return `no-worker`, `permissions`, `room`, `lapsed` or `none`
+/// @return `no-worker`, `permissions`, `room`, `lapsed`, `quarantine` or `none`
 [[nodiscard]] std::string_view Name(WaitReason reason);
 
 /// What ends the wait of a step.
@@ -43,6 +45,8 @@
   kClaims,
   /// What runs on the workers ends.
   kRuns,
+  /// Another suspicious task is proved, or its worker lost.
+  kQuarantine,
   /// A gang that gathers room starts.
   kHold,
   /// All workers are known, and they would not do if they were empty: one that
@@ -52,14 +56,17 @@
   kNothing,
 };
 
-/// @return `answer`, `question`, `pass`, `claims`, `runs`, `hold`, `workers` or
-///   `nothing`
+/// @return `answer`, `question`, `pass`, `claims`, `runs`, `quarantine`,
+/// `hold`,
+///   `workers` or `nothing`
 [[nodiscard]] std::string_view Name(WaitEnd end);
 
 /// What a step that waits has, in tasks of its own.
 struct WaitFacts {
   /// All tasks start together or none.
   bool gang = false;
+  /// Workers were lost under it, and it starts apart from others.
+  bool quarantined = false;
   /// Fewest tasks that start together.
   std::int64_t needed = 1;
   /// Workers that could hold a task if they were empty, permissions aside.
--- a/packages/jobs/src/worker_session.cc
+++ b/packages/jobs/src/worker_session.cc
@@ -7,6 +7,11 @@
 
 namespace mustardproxy::jobs {
 
+Duration SessionRun::Survived() const {
+  if (!this->seen_running) return Duration::zero();
+  return *this->seen_running - this->ordered_at.value_or(this->started_at);
+}
+
 WorkerSession::WorkerSession(SessionNumber number, WorkerInfo info,
                              Instant inherited_until)
     : info(std::move(info)), number(number), lapses_at(inherited_until) {}
@@ -46,10 +51,33 @@
 void WorkerSession::RemoveRun(const RunRef& run) {
   const auto found = this->runs.find(run);
   if (found == this->runs.end()) return;
+  this->EndQuarantine(run);
   this->used -= found->second.takes;
   this->runs.erase(found);
 }
 
+void WorkerSession::Quarantine(const RunRef& run, Duration proving_time) {
+  SessionRun* record = this->FindRun(run);
+  if (record == nullptr) return;
+  record->proving_time = proving_time;
+  // The run itself is one.
+  record->alone = this->CountUnproven() == 1;
+  if (!std::exchange(record->quarantined, true)) ++this->quarantined;
+}
+
+void WorkerSession::EndQuarantine(const RunRef& run) {
+  SessionRun* record = this->FindRun(run);
+  if (record == nullptr) return;
+  record->alone = false;
+  if (std::exchange(record->quarantined, false)) --this->quarantined;
+}
+
+std::size_t WorkerSession::CountUnproven() const {
+  return static_cast<std::size_t>(std::count_if(
+      this->runs.begin(), this->runs.end(),
+      [](const auto& one) { return one.second.Survived() < kProvenRun; }));
+}
+
 SessionRun* WorkerSession::FindRun(const RunRef& run) {
   const auto found = this->runs.find(run);
   return found == this->runs.end() ? nullptr : &found->second;
--- a/packages/jobs/src/worker_session.h
+++ b/packages/jobs/src/worker_session.h
@@ -42,8 +42,14 @@
   /// From here on a hold's answer that does not list it proves that it is gone;
   /// not set while an order for it is on its way.
   std::optional<Instant> listed_from;
-  /// A hold's answer has listed it as running.
-  bool seen_running = false;
+  /// When an answer to a hold last listed it as running.
+  std::optional<Instant> seen_running;
+  /// Workers have gone down under its task, and nothing else starts beside it
+  /// until it has been at work for `proving_time`.
+  bool quarantined = false;
+  Duration proving_time{0};
+  /// All else on the worker was proven when it was quarantined.
+  bool alone = false;
   Instant started_at;
   /// When its first start was sent; nothing before, and for a run that a former
   /// owner ordered.
@@ -53,6 +59,9 @@
   std::int32_t percent = 0;
   /// When `percent` last changed.
   Instant moved_at;
+
+  /// @return how long it is known to have been at work
+  [[nodiscard]] Duration Survived() const;
 };
 
 /// Ends of one answer of a worker.
@@ -100,6 +109,15 @@
   [[nodiscard]] SessionRun* FindRun(const RunRef& run);
   /// @return true if a start was sent of any run whose end is not known
   [[nodiscard]] bool HasOrdered() const;
+  /// @return how many runs have not been at work for long, and may yet take the
+  ///   worker down
+  [[nodiscard]] std::size_t CountUnproven() const;
+  /// Keeps other tasks away until the run has been at work for this long.
+  void Quarantine(const RunRef& run, Duration proving_time);
+  /// Lets other tasks start beside it again.
+  void EndQuarantine(const RunRef& run);
+  /// @return true while the worker is kept for a suspicious task
+  [[nodiscard]] bool Quarantined() const { return this->quarantined > 0; }
   [[nodiscard]] Resources Free() const;
   /// @param free what is free now
   /// @return that, and what runs take that should end by `moment`
@@ -140,6 +158,8 @@
  private:
   SessionNumber number;
   Resources used;
+  /// Runs that are quarantined.
+  std::size_t quarantined = 0;
   std::optional<ClockReading> clock;
   /// Latest end of lease ever sent, on the worker's clock.
   std::int64_t lease_sent_ms = 0;
--- a/packages/jobs/tests/cell_crash_test.cc
+++ b/packages/jobs/tests/cell_crash_test.cc
@@ -98,6 +98,74 @@
   CheckKept(cell.get());
 }
 
+// Guards against trying all tasks of a wide step at once when each of them
+// takes a worker down.
+BOOST_AUTO_TEST_CASE(tasks_of_a_suspicious_step_are_tried_one_at_a_time) {
+  constexpr std::int64_t kWorkers = 8;
+  const auto cell = SimCell::Builder().Workers(kWorkers).Build();
+  SimJob* job = SubmitCrashing(cell.get(), MakeStep(24, 4000, seconds(1)), {});
+  BOOST_TEST(cell->AwaitFinal(job->job.id, seconds(40)));
+  // Each worker once, and two more under the task that is tried.
+  BOOST_TEST(cell->Judge().TaskCrashes() <= kWorkers + 2);
+  CheckKept(cell.get());
+}
+
+// Guards against other tasks that go down with a suspicious one.
+BOOST_AUTO_TEST_CASE(nothing_starts_beside_a_suspicious_task) {
+  const auto cell = SimCell::Builder().Workers(4).Build();
+  SimJob* crashing = SubmitCrashing(cell.get(), MakeStep(1, 1000, seconds(9)),
+                                    {.after = milliseconds(800)});
+  cell->Time().RunFor(milliseconds(700));
+  std::vector<SimJob*> sound;
+  constexpr int kJobs = 60;
+  for (int i = 0; i < kJobs; ++i) {
+    sound.push_back(cell->Submit(MakeSpec({MakeStep(2, 500, seconds(1))})));
+    cell->Time().RunFor(milliseconds(200));
+  }
+  BOOST_TEST(cell->AwaitFinal(crashing->job.id, seconds(40)));
+  cell->Settle(seconds(60));
+  BOOST_TEST(cell->Judge().GivenUpWrongly() == 0U);
+  BOOST_TEST(cell->Judge().TaskCrashes() == 3);
+  CheckKept(cell.get());
+}
+
+// Guards against taking a worker that was only cut off for one that crashed.
+BOOST_AUTO_TEST_CASE(a_worker_that_comes_back_clears_its_tasks) {
+  const auto cell = SimCell::Builder().Workers(4).Build();
+  SimJob* job = cell->Submit(MakeSpec({MakeStep(1, 2000, seconds(40))}));
+  constexpr int kCuts = 5;
+  for (int i = 0; i < kCuts; ++i) {
+    cell->Time().RunFor(seconds(1));
+    for (job_sim::SimWorker* worker : cell->Workers().Alive()) {
+      if (worker->RunningCount() == 0) continue;
+      cell->Workers().cut.insert(worker->Info().id.Text());
+    }
+    cell->Time().RunFor(seconds(9));
+    cell->Workers().cut.clear();
+  }
+  BOOST_TEST(cell->AwaitFinal(job->job.id, seconds(60)));
+  BOOST_TEST((cell->Ask(job->job.id) == JobState::kCompleted));
+  CheckKept(cell.get());
+}
+
+// Guards against a service that is given up because hosts fail in its life.
+BOOST_AUTO_TEST_CASE(a_service_outlives_the_failures_of_its_hosts) {
+  const auto cell = SimCell::Builder().Workers(4).Build();
+  Step step = MakeStep(1, 2000, seconds(1000));
+  step.long_running = true;
+  SimJob* job = cell->Submit(MakeSpec({step}));
+  constexpr int kFailures = 5;
+  for (int i = 0; i < kFailures; ++i) {
+    cell->Time().RunFor(seconds(90));
+    for (job_sim::SimWorker* worker : cell->Workers().Alive()) {
+      if (worker->RunningCount() > 0) cell->CrashWorker(worker, seconds(2));
+    }
+  }
+  cell->Time().RunFor(seconds(10));
+  BOOST_TEST((cell->Ask(job->job.id) == JobState::kRunning));
+  CheckKept(cell.get());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace mustardproxy::jobs
--- /dev/null
+++ b/packages/jobs/tests/crash_history_test.cc
@@ -0,0 +1,83 @@
+#include "crash_history.h"
+
+#include <boost/test/unit_test.hpp>
+#include <string>
+
+namespace mustardproxy::jobs {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+WorkerLoss Loss(const std::string& worker, Duration survived) {
+  return {.worker = WorkerId(worker), .certain = true, .survived = survived};
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(crash_history)
+
+BOOST_AUTO_TEST_CASE(a_life_counts_once) {
+  CrashHistory history;
+  history.Note(Loss("a", seconds(1)));
+  history.Note(Loss("a", seconds(1)));
+  BOOST_TEST(history.Losses().size() == 1U);
+  history.Clear(WorkerId("a"));
+  BOOST_TEST(history.Empty());
+}
+
+BOOST_AUTO_TEST_CASE(one_loss_is_suspicious_only_at_the_start) {
+  CrashHistory late;
+  late.Note(Loss("a", seconds(1)));
+  BOOST_TEST(!late.Suspicious());
+  CrashHistory at_start;
+  at_start.Note(Loss("a", Duration::zero()));
+  BOOST_TEST(at_start.Suspicious());
+  late.Note(Loss("b", seconds(1)));
+  BOOST_TEST(late.Suspicious());
+}
+
+BOOST_AUTO_TEST_CASE(a_run_is_proven_once_it_outlives_the_former) {
+  CrashHistory history;
+  history.Note(Loss("a", milliseconds(300)));
+  BOOST_TEST((history.ProvingTime() > milliseconds(300)));
+  BOOST_TEST((history.ProvingTime() < seconds(1)));
+  history.Note(Loss("b", milliseconds(300)));
+  BOOST_TEST((history.ProvingTime() >= seconds(5)));
+}
+
+BOOST_AUTO_TEST_CASE(the_third_loss_convicts_only_a_task_that_was_alone) {
+  CrashHistory history;
+  history.Note(Loss("a", seconds(1)));
+  history.Note(Loss("b", seconds(1)));
+  BOOST_TEST(!history.AtLimit());
+  CrashHistory beside = history;
+  beside.Note(Loss("c", seconds(1)));
+  BOOST_TEST(beside.AtLimit());
+  BOOST_TEST(!beside.Convicting());
+  beside.Note(Loss("d", seconds(1)));
+  BOOST_TEST(beside.Convicting());
+  WorkerLoss last = Loss("c", seconds(1));
+  last.alone = true;
+  history.Note(last);
+  BOOST_TEST(history.Convicting());
+}
+
+BOOST_AUTO_TEST_CASE(
+    a_silent_worker_does_not_convict_until_it_is_known_to_be_gone) {
+  CrashHistory history;
+  history.Note(Loss("a", seconds(1)));
+  history.Note(Loss("b", seconds(1)));
+  WorkerLoss silent = Loss("c", seconds(1));
+  silent.certain = false;
+  silent.alone = true;
+  history.Note(silent);
+  BOOST_TEST(!history.Convicting());
+  BOOST_TEST(history.Confirm(WorkerId("c")));
+  BOOST_TEST(!history.Confirm(WorkerId("c")));
+  BOOST_TEST(history.Convicting());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace mustardproxy::jobs
--- a/packages/jobs/tests/record_codec_test.cc
+++ b/packages/jobs/tests/record_codec_test.cc
@@ -117,6 +117,33 @@
   BOOST_TEST(!DecodeNode("").has_value());
 }
 
+BOOST_AUTO_TEST_CASE(losses_of_workers_survive_the_store) {
+  Job job = MakeJob();
+  job.spec.schedule = {};
+  JobTable table;
+  JobEntry* entry = table.Add(job, kNow);
+  const std::vector<std::int32_t> tasks{1};
+  const std::vector<WorkerId> workers{WorkerId("a")};
+  const StepRef step{job.id, 0, 0};
+  const RunRef run = table.Begin(entry, step, tasks, workers).front();
+  table.NoteLoss(run, {.worker = WorkerId("a"),
+                       .certain = true,
+                       .survived = milliseconds(40),
+                       .alone = true});
+  JobTable other;
+  JobEntry* read = other.Add(job, kNow);
+  BOOST_REQUIRE(ApplyProgress(&other, read, EncodeProgress(*entry)));
+  const CrashHistory* crashes = other.FindCrashes(run.task);
+  BOOST_REQUIRE(crashes != nullptr);
+  BOOST_REQUIRE(crashes->Losses().size() == 1U);
+  const WorkerLoss& loss = crashes->Losses().front();
+  BOOST_TEST(loss.worker == WorkerId("a"));
+  BOOST_TEST(loss.certain);
+  BOOST_TEST(loss.alone);
+  BOOST_TEST((loss.survived == milliseconds(40)));
+  BOOST_TEST(other.FindCrashes({step, 0}) == nullptr);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace mustardproxy::jobs
--- a/packages/jobs/tests/schedules_test.cc
+++ b/packages/jobs/tests/schedules_test.cc
@@ -62,6 +62,14 @@
   }
 }
 
+// Tasks take their workers down, and workers shrink and grow.
+BOOST_AUTO_TEST_CASE(a_fixed_set_with_crashing_tasks) {
+  constexpr std::uint64_t kSeeds = 300;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    Play(seed, {.crashing_tasks = true});
+  }
+}
+
 BOOST_AUTO_TEST_CASE(seeds_that_failed_once_over_a_slow_store) {
   for (const std::uint64_t seed : kSlowRegressions) Play(seed, kSlowStore);
 }
--- a/testing/job_sim/include/job_sim/promises.h
+++ b/testing/job_sim/include/job_sim/promises.h
@@ -66,13 +66,16 @@
              jobs::RunEnd end);
   /// The run takes its worker down.
   void OnTaskCrash(const std::string& worker, const jobs::RunRef& run);
+  /// The life of a worker ends while it runs this.
+  void OnWorkerCrash(const jobs::RunRef& run);
   /// The worker was told that an end is noted, in one lease with it.
   void OnNoted(const jobs::RunRef& run, jobs::RunEnd end);
   /// A worker is given more than it has.
   void OnOvercommit(const std::string& worker, const jobs::RunRef& run);
   /// The scheduler tells a caller that the job is completed.
   void OnShownCompleted(const jobs::JobId& id);
-  /// The scheduler tells a caller that the job has failed.
+  /// The scheduler tells a caller that the job has failed. It may give a task
+  /// up under which two workers have crashed, whatever they crashed by.
   void OnShownFailed(const jobs::JobId& id);
   /// At the end: all accepted jobs that could end have ended.
   void OnUnfinished(const jobs::JobId& id, jobs::JobState state);
@@ -83,6 +86,11 @@
   [[nodiscard]] std::int64_t Runs() const { return this->runs; }
   /// @return how many workers were taken down by tasks
   [[nodiscard]] std::int64_t TaskCrashes() const { return this->task_crashes; }
+  /// @return how many jobs were shown as failed whose tasks would have ended
+  ///   well, because workers crashed under them
+  [[nodiscard]] std::size_t GivenUpWrongly() const {
+    return this->given_up_wrongly.size();
+  }
   /// @return true if each run of the task takes its worker down
   [[nodiscard]] bool Crashes(const jobs::TaskRef& task) const;
   [[nodiscard]] bool Done(const jobs::TaskRef& task) const {
@@ -95,6 +103,10 @@
   void CheckCrashBudget(const jobs::RunRef& run);
   /// @return true if a task, or gang, of the job has failed as often as allowed
   [[nodiscard]] bool HasUsedUpAttempts(const SimJob& job) const;
+  /// @return true if so many workers crashed under a task of the job that it
+  /// may
+  ///   be given up
+  [[nodiscard]] bool MayBeGivenUp(const SimJob& job) const;
 
   const VirtualTime* time;
   mustardproxy::EventLog* log;
@@ -112,6 +124,9 @@
   std::map<jobs::TaskRef, std::int32_t> crashes;
   std::map<jobs::TaskRef, std::int32_t> starts_after_crashes;
   std::int64_t task_crashes = 0;
+  /// By task: how many workers crashed while they ran it.
+  std::map<jobs::TaskRef, std::int32_t> crashed_under;
+  std::set<jobs::JobId> given_up_wrongly;
   std::vector<std::string> broken;
   std::int64_t runs = 0;
 };
--- a/testing/job_sim/include/job_sim/schedule.h
+++ b/testing/job_sim/include/job_sim/schedule.h
@@ -17,6 +17,9 @@
   std::vector<std::string> faults;
   std::int64_t runs = 0;
   std::int64_t jobs = 0;
+  /// Jobs that were given up though they could have been done, as crashes under
+  /// their tasks allow.
+  std::size_t given_up_wrongly = 0;
 };
 
 /// What is played beside the usual.
--- a/testing/job_sim/include/job_sim/sim_cell.h
+++ b/testing/job_sim/include/job_sim/sim_cell.h
@@ -72,6 +72,10 @@
   /// Its room changes while it runs, and its entry says so.
   void ResizeWorker(SimWorker* worker, const mustardproxy::Resources& capacity);
 
+  /// Has the policy service know workers by their address, so that a life that
+  /// follows another is permitted what that was.
+  void PermitByAddress() { this->permits_by_address = true; }
+
   /// The queue of the desired state, which may be changed before `Apply`.
   jobs::Queue queue;
   void Apply();
@@ -124,6 +128,7 @@
   std::map<jobs::QueueName, double> permitted_shares;
   std::size_t workers_per_rack = 2;
   std::int64_t store_writes_per_second = 400;
+  bool permits_by_address = false;
 };
 
 class SimCell::Builder {
--- a/testing/job_sim/program/main.cc
+++ b/testing/job_sim/program/main.cc
@@ -52,16 +52,19 @@
   std::int64_t runs = 0;
   std::int64_t jobs = 0;
   std::int64_t faults = 0;
+  std::size_t given_up_wrongly = 0;
   for (std::uint64_t seed = first; seed < first + count; ++seed) {
     const job_sim::ScheduleResult result = job_sim::PlaySchedule(seed, played);
     if (!result.broken.empty()) ++red;
     runs += result.runs;
     jobs += result.jobs;
     faults += std::ssize(result.faults);
+    given_up_wrongly += result.given_up_wrongly;
     Print(seed, result, with_log);
   }
   std::cout << "job_schedules: " << count << " schedules, " << jobs << " jobs, "
-            << runs << " runs, " << faults << " faults, " << red
+            << runs << " runs, " << faults << " faults, " << given_up_wrongly
+            << " sound jobs given up, " << red
             << " schedules broke a promise\n";
   return red == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
 }
--- a/testing/job_sim/src/sim_worker.cc
+++ b/testing/job_sim/src/sim_worker.cc
@@ -278,6 +278,7 @@
   this->alive = false;
   this->running.clear();
   for (const jobs::RunRef& run : all_runs) {
+    this->all->promises->OnWorkerCrash(run);
     this->all->promises->OnEnd(this->info.id.Text(), run, RunEnd::kLapsed);
     this->all->LeaveGang(run, RunEnd::kLapsed);
   }
