A start that leaves late fits the room that its worker has now

A worker may shrink while it runs, and a start may wait: for the store, or for a gang's permissions. Cause: room is taken when a task is placed and not looked at again, and after an outage what is known of the workers is as old as the outage.

Placed runs that do not fit any more are taken back as soon as the entry says so, the room is checked again when the start leaves, and a start whose view of the workers is over 4 s old waits for a new list of them (one call, only after an outage).

--- a/packages/jobs/src/group_owner.cc
+++ b/packages/jobs/src/group_owner.cc
@@ -13,6 +13,9 @@
 /// How old the last look at the accepted jobs may be for their number to be
 /// told: the users allow 2 s, and a watch takes up to 1.5 s.
 constexpr Duration kFreshFor = milliseconds(2000);
+/// How old the last look at the workers' entries may be when a start leaves: a
+/// worker that has shrunk counts as such 4.5 s later.
+constexpr Duration kWorkerViewLife = milliseconds(4000);
 /// How long the room of a job that is being stored is kept: longer than the
 /// slowest answers on the users' pages (0.4 s) and a peer's delay together. One
 /// that is stored later is placed anew.
@@ -46,6 +49,7 @@
   shared.SetDesired(std::move(desired));
   shared.authorized = parts.authorized;
   shared.step_down = parts.step_down;
+  shared.worker_view_fresh = [this] { return this->HasFreshWorkerView(); };
 
   this->writer = std::make_unique<ProgressWriter>(
       ProgressWriter::Parts{
@@ -290,6 +294,7 @@
   }
   session->info = info;
   session->listed = true;
+  if (session->Overcommitted()) this->runs->WithdrawPlanned(session);
   if (this->loaded) this->holds->Pump(session);
   this->dispatcher->Kick();
 }
@@ -382,6 +387,13 @@
          this->context.executor->Now() < this->intake->FreshAt() + kFreshFor;
 }
 
+bool GroupOwner::HasFreshWorkerView() {
+  const Instant now = this->context.executor->Now();
+  if (now < this->workers->FreshAt() + kWorkerViewLife) return true;
+  this->workers->Refresh();
+  return false;
+}
+
 std::int64_t GroupOwner::PendingIn(const QueueName& queue) const {
   const auto& active = this->context.jobs.Active();
   return std::count_if(active.begin(), active.end(), [&](const JobEntry* job) {
--- a/packages/jobs/src/group_owner.h
+++ b/packages/jobs/src/group_owner.h
@@ -80,6 +80,8 @@
   void OnIntake(const StoreEvent& event);
   void OnWorker(const StoreEvent& event);
   void AddWorker(const WorkerInfo& info);
+  /// See OwnerContext.
+  bool HasFreshWorkerView();
   /// No entry names the worker any more: nothing is started there.
   void Unlist(WorkerSession* session, Revision revision);
   /// Applies what former owners have stored of a job's progress, if anything.
--- a/packages/jobs/src/owner_context.h
+++ b/packages/jobs/src/owner_context.h
@@ -58,6 +58,10 @@
   /// @return false once the store has been silent for longer than an owner may
   ///   act on
   std::function<bool()> authorized;
+  /// Asked before a start leaves for the first time.
+  /// @return false, and looks again, if what is known of the workers is too old
+  ///   to go by
+  std::function<bool()> worker_view_fresh;
   /// Ends this ownership soon.
   std::function<void(std::string_view reason)> step_down;
 
--- a/packages/jobs/src/prefix_mirror.cc
+++ b/packages/jobs/src/prefix_mirror.cc
@@ -18,11 +18,19 @@
       handlers(std::move(handlers)) {}
 
 void PrefixMirror::Start() {
+  this->listing = true;
   this->first_page = true;
   this->seen.clear();
   this->ListFrom("");
 }
 
+void PrefixMirror::Refresh() {
+  if (this->listing) return;
+  // Drops the watch that is under way.
+  this->guard = Guard();
+  this->Start();
+}
+
 void PrefixMirror::ListFrom(const std::string& after) {
   const Instant asked = this->executor->Now();
   this->store->List(
@@ -60,6 +68,7 @@
   }
   for (const std::string& key : gone) this->TellGone(key, this->next);
   this->seen.clear();
+  this->listing = false;
   const bool first = !std::exchange(this->listed, true);
   if (first && this->handlers.on_listed) this->handlers.on_listed();
   this->Watch();
--- a/packages/jobs/src/prefix_mirror.h
+++ b/packages/jobs/src/prefix_mirror.h
@@ -35,6 +35,8 @@
                Options options, Handlers handlers);
 
   void Start();
+  /// Lists all items anew, unless that is under way.
+  void Refresh();
   /// @return true once all items have been told
   [[nodiscard]] bool Listed() const { return this->listed; }
   /// @return when the last call was sent that the store answered
@@ -64,6 +66,7 @@
   Revision next = 0;
   bool first_page = true;
   bool listed = false;
+  bool listing = false;
   bool reachable = true;
   Instant fresh_at;
   Guard guard;
--- a/packages/jobs/src/run_control.cc
+++ b/packages/jobs/src/run_control.cc
@@ -166,13 +166,24 @@
   if (record->phase == RunPhase::kStarted) return;
   if (!this->context->MayAct()) return;
   const bool first = record->phase == RunPhase::kPlanned;
+  // Failure: the store is away while a run is written down, the worker shrinks
+  // or drains meanwhile, and the start leaves before that is known.
+  if (first && !this->context->worker_view_fresh()) {
+    this->Later(kOrderRetry,
+                [this, worker, run] { this->SendStart(worker, run); });
+    return;
+  }
   StartOrder order;
   const bool draining = session->info.draining || !session->listed;
-  if (!this->FillOrder(*session, run, &order) || (first && draining)) {
+  const bool overcommitted = session->Overcommitted();
+  const bool fits = !overcommitted && !(first && draining);
+  if (!this->FillOrder(*session, run, &order) || !fits) {
     if (first) {
-      this->NotStarted(session, run, OrderEnd::kRefused);
+      this->NotStarted(session, run,
+                       overcommitted ? OrderEnd::kNoRoom : OrderEnd::kRefused);
     } else {
       this->Stop(session, run);
+      this->StopGang(run);
     }
     return;
   }
@@ -299,6 +310,18 @@
   this->SendStop(session->info.id, run);
 }
 
+void RunControl::WithdrawPlanned(WorkerSession* session) {
+  std::vector<RunRef> planned;
+  for (const auto& [run, record] : session->runs) {
+    if (record.phase == RunPhase::kPlanned) planned.push_back(run);
+  }
+  for (const RunRef& run : planned) {
+    if (!session->Overcommitted()) return;
+    if (session->FindRun(run) == nullptr) continue;
+    this->NotStarted(session, run, OrderEnd::kNoRoom);
+  }
+}
+
 void RunControl::StopJob(const JobEntry& entry) {
   std::vector<std::pair<WorkerSession*, RunRef>> found;
   for (const auto& [id, session] : this->context->workers) {
--- a/packages/jobs/src/run_control.h
+++ b/packages/jobs/src/run_control.h
@@ -38,6 +38,9 @@
                Instant inherited_until);
   /// Has a run stopped that is not wanted any more.
   void Stop(WorkerSession* session, const RunRef& run);
+  /// Takes back runs that were not sent yet and do not fit into what the worker
+  /// has now.
+  void WithdrawPlanned(WorkerSession* session);
   /// Has all runs of a job stopped.
   void StopJob(const JobEntry& entry);
   /// Draws the consequences of a run's end.
--- a/packages/jobs/src/worker_session.cc
+++ b/packages/jobs/src/worker_session.cc
@@ -93,6 +93,10 @@
   return this->info.capacity - this->used;
 }
 
+bool WorkerSession::Overcommitted() const {
+  return !this->used.FitsIn(this->info.capacity);
+}
+
 Resources WorkerSession::FreeBy(Instant now, Instant moment,
                                 Resources free) const {
   for (const auto& [run, record] : this->runs) {
--- a/packages/jobs/src/worker_session.h
+++ b/packages/jobs/src/worker_session.h
@@ -119,6 +119,8 @@
   /// @return true while the worker is kept for a suspicious task
   [[nodiscard]] bool Quarantined() const { return this->quarantined > 0; }
   [[nodiscard]] Resources Free() const;
+  /// @return true if what was placed takes more than the worker has now
+  [[nodiscard]] bool Overcommitted() const;
   /// @param free what is free now
   /// @return that, and what runs take that should end by `moment`
   [[nodiscard]] Resources FreeBy(Instant now, Instant moment,
--- a/testing/job_sim/src/schedule.cc
+++ b/testing/job_sim/src/schedule.cc
@@ -22,6 +22,9 @@
 /// Time in which everything has to end once the faults are over: the longest
 /// wait for a worker that can't be reached, twice, and the work itself.
 constexpr Duration kCalm = seconds(90);
+/// The same where tasks take their workers down: up to 18 of a job are tried
+/// one after the other, each four times, and each time a lease lapses.
+constexpr Duration kCalmWithCrashes = seconds(18 * 4 * 6);
 
 /// Plays one seed.
 class Player {
@@ -341,7 +344,7 @@
   }
   // Faults undo themselves within this.
   this->time.RunFor(seconds(10));
-  this->cell->Settle(kCalm);
+  this->cell->Settle(this->options.crashing_tasks ? kCalmWithCrashes : kCalm);
   this->result.broken = this->cell->Judge().Broken();
   this->CheckWaits();
   this->result.log = this->cell->Log().Lines();
