A task alone whose start takes a second worker down is given up; job_load plays crashing tasks

A task that takes its worker down at once costs three workers and what runs there until it is given up. Its evidence is stronger than that of others: the worker goes before it lists the run, twice, the second time with nothing else there that could be the cause. So two losses convict such a task, as the users allow. A start that is sent after its worker has gone, and meets the next life, counts no more; a run of a former owner is not taken for one that was lost at its start.

The draws of former deployments of job_load stay as they were.

--- a/packages/jobs/src/crash_history.cc
+++ b/packages/jobs/src/crash_history.cc
@@ -9,9 +9,12 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-/// Lost workers after which a task is given up, if it ran alone on the last …
-constexpr std::size_t kClearCase = 3;
-/// … and in any case.
+/// Lost workers after which a task that ran alone on the last is given up, if
+/// all of them went at its start …
+constexpr std::size_t kClearCase = 2;
+/// … if they did not …
+constexpr std::size_t kUsualCase = 3;
+/// … and after which any task is.
 constexpr std::size_t kMostLosses = 4;
 /// Beyond the time that earlier runs survived.
 constexpr Duration kProvingMargin = milliseconds(200);
@@ -51,9 +54,7 @@
 
 bool CrashHistory::Suspicious() const {
   if (this->losses.empty()) return false;
-  // A worker that went before it listed the run may have gone by its start.
-  return this->losses.size() > 1 ||
-         this->losses.front().survived == Duration::zero();
+  return this->losses.size() > 1 || this->losses.front().at_start;
 }
 
 Duration CrashHistory::ProvingTime() const {
@@ -68,11 +69,18 @@
 
 bool CrashHistory::Convicting() const {
   if (this->losses.size() >= kMostLosses) return true;
-  return this->AtLimit() && this->losses.back().alone;
+  if (this->losses.empty() || !this->losses.back().alone) return false;
+  const std::size_t enough = this->AllAtStart() ? kClearCase : kUsualCase;
+  return this->CountCertain() >= enough;
 }
 
 bool CrashHistory::AtLimit() const {
-  return this->CountCertain() >= kClearCase;
+  return this->CountCertain() >= kUsualCase;
+}
+
+bool CrashHistory::AllAtStart() const {
+  return std::all_of(this->losses.begin(), this->losses.end(),
+                     [](const WorkerLoss& loss) { return loss.at_start; });
 }
 
 std::size_t CrashHistory::CountCertain() const {
--- a/packages/jobs/src/crash_history.h
+++ b/packages/jobs/src/crash_history.h
@@ -17,9 +17,11 @@
   /// Another life has answered at its address. A worker that is merely silent
   /// may have been cut off.
   bool certain = false;
-  /// How long the run is known to have been at work; zero if the worker never
-  /// listed it.
+  /// How long the run is known to have been at work.
   Duration survived{0};
+  /// The start was sent and the worker never listed the run: it may have gone
+  /// by that start.
+  bool at_start = false;
   /// Nothing else there could have been the cause.
   bool alone = false;
 };
@@ -48,12 +50,13 @@
   [[nodiscard]] Duration ProvingTime() const;
   /// @return true if no more worker is to be put at risk
   [[nodiscard]] bool Convicting() const;
-  /// @return true if as many workers have gone as a task may take down, and one
-  ///   more start decides
+  /// @return true if one more start decides, whatever its run ends by
   [[nodiscard]] bool AtLimit() const;
 
  private:
   [[nodiscard]] std::size_t CountCertain() const;
+  /// @return true if each of the workers may have gone by the start of its run
+  [[nodiscard]] bool AllAtStart() const;
 
   /// The oldest first.
   std::vector<WorkerLoss> losses;
--- a/packages/jobs/src/record_codec.cc
+++ b/packages/jobs/src/record_codec.cc
@@ -122,6 +122,7 @@
     one->set_certain(loss.certain);
     one->set_survived_us(loss.survived.count());
     one->set_alone(loss.alone);
+    one->set_at_start(loss.at_start);
   }
 }
 
@@ -152,6 +153,7 @@
         {.worker = WorkerId(loss.worker()),
          .certain = loss.certain(),
          .survived = Duration(loss.survived_us()),
+         .at_start = loss.at_start(),
          .alone = loss.alone()});
   }
   if (stored.worker().empty() || task.done) return;
--- a/packages/jobs/src/run_control.cc
+++ b/packages/jobs/src/run_control.cc
@@ -15,6 +15,10 @@
 namespace mustardproxy::jobs {
 namespace {
 
+/// The least time from a worker's crash to its next life: what was sent later
+/// never reached the life that crashed.
+constexpr Duration kLeastRestart = milliseconds(500);
+
 /// @return true if the answer proves that this order started nothing
 bool ProvesNotStarted(OrderEnd end) {
   return end == OrderEnd::kLate || end == OrderEnd::kNoRoom ||
@@ -481,10 +485,17 @@
   // What was never sent took nothing down, and a worker that drains is about to
   // end by itself.
   if (record.phase == RunPhase::kPlanned || session.info.draining) return;
-  this->context->jobs.NoteLoss(run, {.worker = session.info.id,
-                                     .certain = cause == LossCause::kOtherLife,
-                                     .survived = record.Survived(),
-                                     .alone = record.alone});
+  const Instant now = this->context->executor->Now();
+  const bool came_too_late = cause == LossCause::kOtherLife &&
+                             record.ordered_at &&
+                             now - *record.ordered_at < kLeastRestart;
+  if (came_too_late) return;
+  this->context->jobs.NoteLoss(
+      run, {.worker = session.info.id,
+            .certain = cause == LossCause::kOtherLife,
+            .survived = record.Survived(),
+            .at_start = record.ordered_at && !record.seen_running,
+            .alone = record.alone});
 }
 
 void RunControl::GiveUpIfConvicted(const TaskRef& task) {
--- a/packages/jobs/tests/crash_history_test.cc
+++ b/packages/jobs/tests/crash_history_test.cc
@@ -31,7 +31,9 @@
   late.Note(Loss("a", seconds(1)));
   BOOST_TEST(!late.Suspicious());
   CrashHistory at_start;
-  at_start.Note(Loss("a", Duration::zero()));
+  WorkerLoss loss = Loss("a", Duration::zero());
+  loss.at_start = true;
+  at_start.Note(loss);
   BOOST_TEST(at_start.Suspicious());
   late.Note(Loss("b", seconds(1)));
   BOOST_TEST(late.Suspicious());
--- a/packages/jobs/tests/record_codec_test.cc
+++ b/packages/jobs/tests/record_codec_test.cc
@@ -129,6 +129,7 @@
   table.NoteLoss(run, {.worker = WorkerId("a"),
                        .certain = true,
                        .survived = milliseconds(40),
+                       .at_start = true,
                        .alone = true});
   JobTable other;
   JobEntry* read = other.Add(job, kNow);
@@ -139,6 +140,7 @@
   const WorkerLoss& loss = crashes->Losses().front();
   BOOST_TEST(loss.worker == WorkerId("a"));
   BOOST_TEST(loss.certain);
+  BOOST_TEST(loss.at_start);
   BOOST_TEST(loss.alone);
   BOOST_TEST((loss.survived == milliseconds(40)));
   BOOST_TEST(other.FindCrashes({step, 0}) == nullptr);
--- a/testing/job_load/include/job_load/deployment.h
+++ b/testing/job_load/include/job_load/deployment.h
@@ -49,6 +49,10 @@
   double gang_share = 0.0;
   /// Share of the jobs that can never be done.
   double hopeless_share = 0.0;
+  /// Share of the jobs whose tasks take down each worker that starts them …
+  double crashing_share = 0.0;
+  /// … after this time.
+  Duration crash_after{0};
   /// Declared run times are off by up to this share, either way.
   double estimate_error = 0.0;
   /// Tasks are long-running services: the job never ends by itself.
--- a/testing/job_load/include/job_load/experiment.h
+++ b/testing/job_load/include/job_load/experiment.h
@@ -41,6 +41,11 @@
 struct ExperimentResult {
   std::vector<JobOutcome> jobs;
   std::vector<CellSample> samples;
+  /// Workers that tasks took down, tasks that were given up for it, and those
+  /// of them that did not take any down.
+  std::int64_t task_crashes = 0;
+  std::size_t given_up = 0;
+  std::size_t sound_given_up = 0;
   /// Promises that were broken.
   std::vector<std::string> broken;
   std::int64_t runs = 0;
--- a/testing/job_load/src/deployment.cc
+++ b/testing/job_load/src/deployment.cc
@@ -192,6 +192,8 @@
   ReadSpread(reader, "run_ms", &load.run_ms);
   load.gang_share = reader->Share("gang_share", 0.0);
   load.hopeless_share = reader->Share("hopeless_share", 0.0);
+  load.crashing_share = reader->Share("crashing_share", 0.0);
+  load.crash_after = ReadMilliseconds(reader, "crash_after_ms");
   load.estimate_error = reader->Share("estimate_error", 0.0);
   load.long_running = reader->Flag("long_running");
   reader->Each("bursts",
--- a/testing/job_load/src/experiment.cc
+++ b/testing/job_load/src/experiment.cc
@@ -5,6 +5,8 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <string>
+#include <string_view>
 #include <utility>
 
 #include "job_sim/sim_cell.h"
@@ -52,6 +54,7 @@
   void StrikeWorkers(const PlannedFault& fault);
   void Sample();
   void Collect();
+  void CountGivenUp();
 
   const Deployment& deployment;
   std::unique_ptr<SimCell> cell;
@@ -93,11 +96,14 @@
   SimJob* job = this->cell->SubmitTo(kind.queue.name, drawn.spec, process);
   job->length_factor = drawn.length_factor;
   job->hopeless = drawn.hopeless;
+  if (drawn.crashing) {
+    job->crashing = job_sim::CrashingTasks{.after = kind.crash_after};
+  }
   JobOutcome outcome;
   outcome.job = job->job.id.Text();
   outcome.queue = queue;
   outcome.handed_in = this->Elapsed();
-  outcome.hopeless = drawn.hopeless;
+  outcome.hopeless = drawn.hopeless || drawn.crashing;
   outcome.core_seconds = CoreSeconds(drawn);
   const auto chain = static_cast<double>(LongestChain(drawn).count());
   outcome.objective =
@@ -170,6 +176,21 @@
   this->result.samples.push_back(sample);
 }
 
+void Player::CountGivenUp() {
+  constexpr std::string_view kEvent = " task-given-up task=";
+  constexpr char kEndOfJob = '.';
+  for (const std::string& line : this->cell->Log().Lines()) {
+    const std::size_t found = line.find(kEvent);
+    if (found == std::string::npos) continue;
+    ++this->result.given_up;
+    const std::size_t begin = found + kEvent.size();
+    const jobs::JobId id(
+        line.substr(begin, line.find(kEndOfJob, begin) - begin));
+    const SimJob* job = this->cell->Judge().Find(id);
+    if (job != nullptr && !job->crashing) ++this->result.sound_given_up;
+  }
+}
+
 void Player::Collect() {
   for (JobOutcome& outcome : this->result.jobs) {
     const SimJob* job = this->cell->Judge().Find(jobs::JobId(outcome.job));
@@ -179,6 +200,8 @@
   }
   this->result.broken = this->cell->Judge().Broken();
   this->result.runs = this->cell->Judge().Runs();
+  this->result.task_crashes = this->cell->Judge().TaskCrashes();
+  this->CountGivenUp();
   this->result.played = this->Elapsed();
   for (const double taken : this->cell->ProcessorSeconds()) {
     this->result.control_cpu_seconds += taken;
--- a/testing/job_load/src/load.cc
+++ b/testing/job_load/src/load.cc
@@ -55,6 +55,10 @@
   const double declared_factor = 1.0 + error;
   job.length_factor = 1.0 / declared_factor;
   job.hopeless = random->Chance(load.hopeless_share);
+  // Drawn only where asked for: the jobs of other deployments stay as they
+  // were.
+  job.crashing =
+      load.crashing_share > 0.0 && random->Chance(load.crashing_share);
   job.spec.payload = "payload";
   const std::int32_t steps = DrawCount(random, load.steps);
   for (std::int32_t i = 0; i < steps; ++i) {
--- a/testing/job_load/src/load.h
+++ b/testing/job_load/src/load.h
@@ -12,6 +12,8 @@
   /// Actual run times, as a multiple of the declared ones.
   double length_factor = 1.0;
   bool hopeless = false;
+  /// Its tasks take their workers down.
+  bool crashing = false;
 };
 
 /// @return a value around the mean, at least 1 where `whole` values count
--- a/testing/job_load/src/report.cc
+++ b/testing/job_load/src/report.cc
@@ -169,6 +169,11 @@
       static_cast<long long>(result.runs), result.control_cpu_seconds,
       result.owner_cpu_seconds,
       kMicrosPerSecond * result.owner_cpu_seconds / runs);
+  if (result.task_crashes > 0) {
+    text += Line("tasks took %lld workers down; %zu were given up, %zu wrongly",
+                 static_cast<long long>(result.task_crashes), result.given_up,
+                 result.sound_given_up);
+  }
   for (const std::string& line : result.broken) {
     text += "BROKEN " + line + "\n";
   }
