Callers are told why a job failed; the bound on lost workers is a setting

GET /v1/jobs and mustardctl job state show the cause of a failed job: the task or gang that used up its attempts, or the task under which workers were lost, with their ids. It is stored with the end, told from process to process, and stands in job-final. Ends that an earlier version stored have none. max_lost_workers (2 to 4, 3) is checked with the other settings of mustardproxy cell.

--- a/apps/mustardproxy/src/cell_runtime.cc
+++ b/apps/mustardproxy/src/cell_runtime.cc
@@ -115,6 +115,7 @@
                    .Strength(static_cast<std::int64_t>(cpu * kMilliPerUnit),
                              this->settings.memory_mb)
                    .StoreWrites(this->settings.store_writes_per_s)
+                   .MaxLostWorkers(this->settings.max_lost_workers)
                    .On(&this->executor)
                    .Store(this->store.get())
                    .Workers(this->workers.get())
--- a/packages/gateway/src/job_surface.cc
+++ b/packages/gateway/src/job_surface.cc
@@ -45,6 +45,13 @@
                         .retry_after = retry_after});
 }
 
+http::HttpAnswer AnswerStatus(const jobs::JobId& id,
+                              const jobs::JobStatus& status) {
+  nlohmann::json body = {{"id", id.Text()}, {"state", Name(status.state)}};
+  if (!status.cause.empty()) body["cause"] = status.cause;
+  return JsonAnswer(body);
+}
+
 http::HttpAnswer AnswerSubmit(const jobs::JobId& id,
                               const jobs::SubmitResult& result) {
   switch (result.end) {
@@ -117,9 +124,9 @@
     return ProblemAnswer({.status = Status::HTTP_METHOD_NOT_ALLOWED,
                           .error = Error::kHeaderInvalid});
   }
-  const auto state = this->gate.State(id, headers.timeout);
-  if (!state) return AnswerError(state.error(), kDefaultRetryAfter);
-  return JsonAnswer({{"id", id.Text()}, {"state", Name(state.value())}});
+  const auto status = this->gate.State(id, headers.timeout);
+  if (!status) return AnswerError(status.error(), kDefaultRetryAfter);
+  return AnswerStatus(id, status.value());
 }
 
 http::HttpAnswer JobSurface::Submit(const http::HttpCall& call,
--- a/packages/gateway/tests/job_surface_test.cc
+++ b/packages/gateway/tests/job_surface_test.cc
@@ -74,6 +74,9 @@
   BOOST_TEST(jobs.spec.steps.at(0).gang);
   BOOST_TEST((jobs.timeout == std::chrono::seconds(2)));
   BOOST_TEST(Body(Call(http::Method::kGet, kJob))["state"] == "running");
+  BOOST_TEST(!Body(Call(http::Method::kGet, kJob)).contains("cause"));
+  jobs.state = jobs::JobStatus{jobs::JobState::kFailed, "it failed"};
+  BOOST_TEST(Body(Call(http::Method::kGet, kJob))["cause"] == "it failed");
   BOOST_TEST(Body(Call(http::Method::kGet, "/v1/jobs/reviews"))["pending"] ==
              job_sim::FakeJobs::kPending);
   BOOST_TEST(Call(http::Method::kDelete, kJob).status == 200);
--- a/packages/jobs/include/mustardproxy/jobs/job.h
+++ b/packages/jobs/include/mustardproxy/jobs/job.h
@@ -173,6 +173,16 @@
 /// @return `queued`, `running`, `completed`, `failed` or `cancelled`
 [[nodiscard]] std::string_view Name(JobState state);
 
+/// A job's state, and why it came to that.
+struct JobStatus {
+  JobState state = JobState::kQueued;
+  /// One sentence on why it failed; empty for other states, and if an earlier
+  /// version has stored the end.
+  std::string cause;
+
+  friend bool operator==(const JobStatus&, const JobStatus&) = default;
+};
+
 /// What is wrong with a job.
 struct SpecProblem {
   /// The field, for example `steps[2].after[0]`.
--- a/packages/jobs/include/mustardproxy/jobs/job_gate.h
+++ b/packages/jobs/include/mustardproxy/jobs/job_gate.h
@@ -28,7 +28,7 @@
   [[nodiscard]] SubmitResult Submit(const Queue& queue, const JobId& id,
                                     JobSpec spec, Duration timeout);
   [[nodiscard]] SubmitResult Cancel(const JobId& id, Duration timeout);
-  [[nodiscard]] Result<JobState> State(const JobId& id, Duration timeout);
+  [[nodiscard]] Result<JobStatus> State(const JobId& id, Duration timeout);
   [[nodiscard]] Result<std::int64_t> Pending(const QueueName& queue,
                                              Duration timeout);
 
--- a/packages/jobs/include/mustardproxy/jobs/job_node.h
+++ b/packages/jobs/include/mustardproxy/jobs/job_node.h
@@ -40,7 +40,7 @@
   void Cancel(const JobId& id, Duration timeout,
               std::function<void(SubmitResult)> done) override;
   void State(const JobId& id, Duration timeout,
-             std::function<void(Result<JobState>)> done) override;
+             std::function<void(Result<JobStatus>)> done) override;
   void Pending(const QueueName& queue, Duration timeout,
                std::function<void(Result<std::int64_t>)> done) override;
 
@@ -73,6 +73,8 @@
   /// Writes a second that the store takes from all processes together; the
   /// default suits a store of several hundred.
   Builder& StoreWrites(std::int64_t per_second);
+  /// Workers that may be lost under one task before it is given up.
+  Builder& MaxLostWorkers(std::int32_t count);
   Builder& On(Executor* executor);
   Builder& Store(KeyValueStore* store);
   Builder& Workers(WorkerDriver* driver);
@@ -92,6 +94,7 @@
   std::int64_t cpu_milli = 0;
   std::int64_t memory_mb = 0;
   std::int64_t store_writes_per_second = 400;
+  std::int32_t max_lost_workers = 3;
   Executor* executor = nullptr;
   KeyValueStore* store = nullptr;
   WorkerDriver* driver = nullptr;
--- a/packages/jobs/include/mustardproxy/jobs/job_peers.h
+++ b/packages/jobs/include/mustardproxy/jobs/job_peers.h
@@ -27,7 +27,7 @@
 /// What the scheduling process knows of a job.
 struct JobAnswer {
   /// Nothing: it does not know the job (yet).
-  std::optional<JobState> state;
+  std::optional<JobStatus> status;
 };
 
 /// A key that is to be created on behalf of a process that can't reach the
--- a/packages/jobs/include/mustardproxy/jobs/job_service.h
+++ b/packages/jobs/include/mustardproxy/jobs/job_service.h
@@ -54,7 +54,7 @@
   /// Ends with the state, or `kUnknownRequest` if there is no such job, or
   /// `kPlatformUnavailable` if that can't be found out.
   virtual void State(const JobId& id, Duration timeout,
-                     std::function<void(Result<JobState>)> done) = 0;
+                     std::function<void(Result<JobStatus>)> done) = 0;
   virtual void Pending(const QueueName& queue, Duration timeout,
                        std::function<void(Result<std::int64_t>)> done) = 0;
 };
--- a/packages/jobs/src/crash_history.cc
+++ b/packages/jobs/src/crash_history.cc
@@ -9,13 +9,8 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-/// Lost workers after which a task that ran alone on the last is given up, if
-/// all of them went at its start …
-constexpr std::size_t kClearCase = 2;
-/// … if they did not …
-constexpr std::size_t kUsualCase = 3;
-/// … and after which any task is.
-constexpr std::size_t kMostLosses = 4;
+/// No task is given up for fewer.
+constexpr std::size_t kLeastLosses = 2;
 /// Beyond the time that earlier runs survived.
 constexpr Duration kProvingMargin = milliseconds(200);
 /// Bounds how long a worker is kept for one task.
@@ -67,15 +62,16 @@
   return std::min(longest + kProvingMargin, kLongestProvingTime);
 }
 
-bool CrashHistory::Convicting() const {
-  if (this->losses.size() >= kMostLosses) return true;
+bool CrashHistory::Convicting(std::size_t max_losses) const {
+  if (this->losses.size() > max_losses) return true;
   if (this->losses.empty() || !this->losses.back().alone) return false;
-  const std::size_t enough = this->AllAtStart() ? kClearCase : kUsualCase;
+  const std::size_t enough =
+      this->AllAtStart() ? std::max(max_losses - 1, kLeastLosses) : max_losses;
   return this->CountCertain() >= enough;
 }
 
-bool CrashHistory::AtLimit() const {
-  return this->CountCertain() >= kUsualCase;
+bool CrashHistory::AtLimit(std::size_t max_losses) const {
+  return this->CountCertain() >= max_losses;
 }
 
 bool CrashHistory::AllAtStart() const {
--- a/packages/jobs/src/crash_history.h
+++ b/packages/jobs/src/crash_history.h
@@ -48,10 +48,13 @@
   [[nodiscard]] bool Suspicious() const;
   /// @return how long a run has to be at work to be no longer suspicious
   [[nodiscard]] Duration ProvingTime() const;
+  /// @param max_losses workers that may be lost under the task; one more if
+  ///   another task may have been the cause, one fewer if each went at its
+  ///   start
   /// @return true if no more worker is to be put at risk
-  [[nodiscard]] bool Convicting() const;
+  [[nodiscard]] bool Convicting(std::size_t max_losses) const;
   /// @return true if one more start decides, whatever its run ends by
-  [[nodiscard]] bool AtLimit() const;
+  [[nodiscard]] bool AtLimit(std::size_t max_losses) const;
 
  private:
   [[nodiscard]] std::size_t CountCertain() const;
--- a/packages/jobs/src/ended_jobs.cc
+++ b/packages/jobs/src/ended_jobs.cc
@@ -10,14 +10,14 @@
 
 EndedJobs::EndedJobs(const Parts& parts) : parts(parts) {}
 
-void EndedJobs::Note(const JobId& id, JobState state) {
-  if (!this->states.emplace(id, state).second) return;
+void EndedJobs::Note(const JobId& id, JobStatus status) {
+  if (!this->ends.emplace(id, std::move(status)).second) return;
   this->order.push_back({id, this->parts.executor->Now()});
 }
 
-std::optional<JobState> EndedJobs::Find(const JobId& id) const {
-  const auto found = this->states.find(id);
-  if (found == this->states.end()) return std::nullopt;
+std::optional<JobStatus> EndedJobs::Find(const JobId& id) const {
+  const auto found = this->ends.find(id);
+  if (found == this->ends.end()) return std::nullopt;
   return found->second;
 }
 
@@ -43,9 +43,9 @@
   }
   for (const StoreItem& item : page.value().items) {
     const JobId id(item.key.substr(keys::kEnded.size()));
-    const auto state = DecodeState(item.value);
-    if (state) {
-      this->Note(id, *state);
+    auto status = DecodeStatus(item.value);
+    if (status) {
+      this->Note(id, std::move(*status));
     } else {
       this->parts.log->Write("jobs", "ended-broken", {{"job", id.Text()}});
     }
@@ -87,7 +87,7 @@
   // Otherwise the next round tries again.
   if (result.end != CommitEnd::kCommitted) return;
   for (const JobId& id : removed) {
-    this->states.erase(id);
+    this->ends.erase(id);
     this->order.pop_front();
   }
   this->parts.log->Write("jobs", "jobs-forgotten", {{"jobs", removed.size()}});
--- a/packages/jobs/src/ended_jobs.h
+++ b/packages/jobs/src/ended_jobs.h
@@ -17,7 +17,7 @@
 
 namespace mustardproxy::jobs {
 
-/// Final jobs for as long as callers may ask for them. Only their states are
+/// Final jobs for as long as callers may ask for them. Only how they ended is
 /// kept: a job's tasks and payload are of no use any more.
 ///
 /// What former owners have stored is read beside the work, page by page, so
@@ -36,9 +36,9 @@
   explicit EndedJobs(const Parts& parts);
 
   /// A job's final state is stored.
-  void Note(const JobId& id, JobState state);
-  /// @return its state, or nothing if it is not known to have ended
-  [[nodiscard]] std::optional<JobState> Find(const JobId& id) const;
+  void Note(const JobId& id, JobStatus status);
+  /// @return how it ended, or nothing if it is not known to have ended
+  [[nodiscard]] std::optional<JobStatus> Find(const JobId& id) const;
   /// Reads what former owners have stored.
   void Read();
   /// Removes those from the store that nobody may ask for any more.
@@ -55,7 +55,7 @@
   void OnRemoved(const std::vector<JobId>& removed, const CommitResult& result);
 
   Parts parts;
-  std::unordered_map<JobId, JobState> states;
+  std::unordered_map<JobId, JobStatus> ends;
   /// In the order in which they were noted.
   std::deque<Ended> order;
   bool removing = false;
--- a/packages/jobs/src/group_owner.cc
+++ b/packages/jobs/src/group_owner.cc
@@ -46,6 +46,7 @@
   shared.log = parts.log;
   shared.metrics = parts.metrics;
   shared.token = token;
+  shared.max_lost_workers = parts.max_lost_workers;
   shared.SetDesired(std::move(desired));
   shared.authorized = parts.authorized;
   shared.step_down = parts.step_down;
@@ -375,11 +376,11 @@
   }
 }
 
-std::optional<JobState> GroupOwner::StateOf(const JobId& id) const {
+std::optional<JobStatus> GroupOwner::StatusOf(const JobId& id) const {
   const JobEntry* entry = this->context.jobs.Find(id);
   if (entry == nullptr) return this->ended->Find(id);
   if (!entry->stored) return std::nullopt;
-  return entry->shown;
+  return JobStatus{entry->shown, {}};
 }
 
 bool GroupOwner::Fresh() const {
--- a/packages/jobs/src/group_owner.h
+++ b/packages/jobs/src/group_owner.h
@@ -44,6 +44,8 @@
     /// See ProgressWriter.
     std::int64_t store_writes_per_second = 0;
     /// See OwnerContext.
+    std::int32_t max_lost_workers = 3;
+    /// See OwnerContext.
     std::function<bool()> authorized;
     std::function<void(std::string_view)> step_down;
   };
@@ -64,7 +66,7 @@
   void OnAnnounced(const AnnouncedJob& job);
   void OnCancel(const JobId& id);
   /// @return what callers are told; nothing for an unknown job
-  [[nodiscard]] std::optional<JobState> StateOf(const JobId& id) const;
+  [[nodiscard]] std::optional<JobStatus> StatusOf(const JobId& id) const;
   [[nodiscard]] std::int64_t PendingIn(const QueueName& queue) const;
 
  private:
--- a/packages/jobs/src/job_gate.cc
+++ b/packages/jobs/src/job_gate.cc
@@ -68,8 +68,8 @@
   return result.value_or(Unanswered());
 }
 
-Result<JobState> JobGate::State(const JobId& id, Duration timeout) {
-  const auto state = Await<Result<JobState>>(
+Result<JobStatus> JobGate::State(const JobId& id, Duration timeout) {
+  const auto state = Await<Result<JobStatus>>(
       this->executor, timeout, [this, id, timeout](auto done) {
         this->service->State(id, timeout, std::move(done));
       });
--- a/packages/jobs/src/job_lookup.cc
+++ b/packages/jobs/src/job_lookup.cc
@@ -51,29 +51,30 @@
       keys::OfProgress(search->id),
       this->guard.Wrap([this, search](const Result<StoreItem>& item) {
         if (this->HandleFailure(search, item)) return;
-        const auto state =
-            item ? DecodeState(item.value().value) : std::optional<JobState>();
-        if (state) {
-          this->ReadCancel(search, *state);
+        const auto status = item ? DecodeStatus(item.value().value)
+                                 : std::optional<JobStatus>();
+        if (status) {
+          this->ReadCancel(search, *status);
         } else if (item) {
           search->done(make_error_code(Error::kMalformedReply));
         } else {
           // Not begun, or ended since its job was read.
-          this->ReadEnd(search, JobState::kQueued);
+          this->ReadEnd(search, JobStatus{JobState::kQueued, {}});
         }
       }));
 }
 
 void JobLookup::ReadEnd(const SearchPtr& search,
-                        const Result<JobState>& otherwise) {
+                        const Result<JobStatus>& otherwise) {
   this->store->Read(keys::OfEnded(search->id),
                     this->guard.Wrap([this, search, otherwise](
                                          const Result<StoreItem>& item) {
                       if (this->HandleFailure(search, item)) return;
-                      const auto state = item ? DecodeState(item.value().value)
-                                              : std::optional<JobState>();
-                      if (state) {
-                        search->done(*state);
+                      const auto status = item
+                                              ? DecodeStatus(item.value().value)
+                                              : std::optional<JobStatus>();
+                      if (status) {
+                        search->done(*status);
                       } else if (item) {
                         search->done(make_error_code(Error::kMalformedReply));
                       } else if (otherwise) {
@@ -84,12 +85,12 @@
                     }));
 }
 
-void JobLookup::ReadCancel(const SearchPtr& search, JobState state) {
+void JobLookup::ReadCancel(const SearchPtr& search, const JobStatus& status) {
   this->store->Read(
       keys::OfCancel(search->id),
-      this->guard.Wrap([this, search, state](const Result<StoreItem>& item) {
+      this->guard.Wrap([this, search, status](const Result<StoreItem>& item) {
         if (this->HandleFailure(search, item)) return;
-        search->done(item ? JobState::kCancelled : state);
+        search->done(item ? JobStatus{JobState::kCancelled, {}} : status);
       }));
 }
 
--- a/packages/jobs/src/job_lookup.h
+++ b/packages/jobs/src/job_lookup.h
@@ -21,7 +21,7 @@
 /// may be that of a job that is still being stored.
 class JobLookup {
  public:
-  using Done = std::function<void(Result<JobState>)>;
+  using Done = std::function<void(Result<JobStatus>)>;
 
   JobLookup(Executor* executor, KeyValueStore* store);
 
@@ -38,10 +38,10 @@
   using SearchPtr = std::shared_ptr<Search>;
 
   void ReadProgress(const SearchPtr& search);
-  void ReadCancel(const SearchPtr& search, JobState state);
+  void ReadCancel(const SearchPtr& search, const JobStatus& status);
   void ReadJob(const SearchPtr& search);
   /// @param otherwise what its other keys say, if it has not ended
-  void ReadEnd(const SearchPtr& search, const Result<JobState>& otherwise);
+  void ReadEnd(const SearchPtr& search, const Result<JobStatus>& otherwise);
   /// @return true if the search was ended or will be tried again
   bool HandleFailure(const SearchPtr& search, const Result<StoreItem>& item);
 
--- a/packages/jobs/src/job_node.cc
+++ b/packages/jobs/src/job_node.cc
@@ -157,6 +157,7 @@
           .log = this->given.log,
           .metrics = this->given.metrics,
           .store_writes_per_second = this->given.store_writes_per_second,
+          .max_lost_workers = this->given.max_lost_workers,
           .authorized = [this] { return this->Authorized(); },
           .step_down = [this](std::string_view why) { this->StepDown(why); }},
       token, this->desired);
@@ -296,9 +297,9 @@
 }
 
 void JobNode::State(const JobId& id, Duration timeout,
-                    std::function<void(Result<JobState>)> done) {
+                    std::function<void(Result<JobStatus>)> done) {
   if (this->Owns()) {
-    if (const auto known = this->state->owner->StateOf(id)) {
+    if (const auto known = this->state->owner->StatusOf(id)) {
       done(*known);
       return;
     }
@@ -310,8 +311,8 @@
   }
   auto asked = [this, id, timeout,
                 done = std::move(done)](const Result<JobAnswer>& answer) {
-    if (answer && answer.value().state) {
-      done(*answer.value().state);
+    if (answer && answer.value().status) {
+      done(*answer.value().status);
       return;
     }
     this->state->lookup.Find(id, timeout, done);
@@ -348,7 +349,7 @@
     done(make_error_code(Error::kNotOwner));
     return;
   }
-  done(JobAnswer{this->state->owner->StateOf(job)});
+  done(JobAnswer{this->state->owner->StatusOf(job)});
 }
 
 void JobNode::OnQueryPending(const QueueName& queue,
@@ -401,6 +402,11 @@
   return *this;
 }
 
+JobNode::Builder& JobNode::Builder::MaxLostWorkers(std::int32_t count) {
+  this->max_lost_workers = count;
+  return *this;
+}
+
 JobNode::Builder& JobNode::Builder::On(Executor* thread) {
   this->executor = thread;
   return *this;
--- a/packages/jobs/src/job_table.cc
+++ b/packages/jobs/src/job_table.cc
@@ -274,7 +274,10 @@
   }
   const std::int32_t failed = gang ? step->failed_gang_runs : task->failed_runs;
   if (failed >= entry->job.queue.max_attempts) {
-    this->SetState(entry, JobState::kFailed);
+    const std::string which =
+        gang ? "gang " + Text(run.task.step) : "task " + Text(run.task);
+    this->Fail(entry, which + " failed " + std::to_string(failed) +
+                          (failed == 1 ? " time" : " times"));
   }
   return {.durable = true, .job_final = IsFinal(entry->state)};
 }
@@ -309,8 +312,10 @@
   for (TaskEntry& member : step->tasks) member.checkpoint = checkpoint;
 }
 
-void JobTable::Fail(JobEntry* entry) {
-  if (!IsFinal(entry->state)) this->SetState(entry, JobState::kFailed);
+void JobTable::Fail(JobEntry* entry, std::string cause) {
+  if (IsFinal(entry->state)) return;
+  entry->failure = std::move(cause);
+  this->SetState(entry, JobState::kFailed);
 }
 
 bool JobTable::Cancel(JobEntry* entry) {
--- a/packages/jobs/src/job_table.h
+++ b/packages/jobs/src/job_table.h
@@ -76,6 +76,8 @@
   /// The longest of them, from the start of the job.
   Duration whole_chain{0};
   JobState state = JobState::kQueued;
+  /// Why it failed, for callers.
+  std::string failure;
   /// A worker has said that a task of it started.
   bool begun = false;
   /// Open occurrences by number.
@@ -163,7 +165,8 @@
   /// Notes progress of an open run.
   void NoteCheckpoint(const RunRef& run, std::string_view checkpoint);
   /// Gives a job up that is not final.
-  void Fail(JobEntry* entry);
+  /// @param cause one sentence for callers
+  void Fail(JobEntry* entry, std::string cause);
   /// @return true if it was not final before
   bool Cancel(JobEntry* entry);
 
--- a/packages/jobs/src/owner_context.h
+++ b/packages/jobs/src/owner_context.h
@@ -38,6 +38,8 @@
   Metrics* metrics = nullptr;
   /// Revision of the owner's key: what workers and the store compare.
   FencingToken token = 0;
+  /// Workers that may be lost under one task before it is given up.
+  std::int32_t max_lost_workers = 3;
   std::shared_ptr<const DesiredState> desired;
   /// The queues of `desired`, by name: there may be thousands.
   std::unordered_map<QueueName, const Queue*> queues;
--- a/packages/jobs/src/progress_writer.cc
+++ b/packages/jobs/src/progress_writer.cc
@@ -35,7 +35,8 @@
     transaction->puts.push_back({key, EncodeProgress(entry), 0});
     return;
   }
-  transaction->puts.push_back({keys::OfEnded(id), EncodeEnd(entry.state), 0});
+  transaction->puts.push_back(
+      {keys::OfEnded(id), EncodeEnd({entry.state, entry.failure}), 0});
   transaction->removals.push_back(keys::OfJob(id));
   if (entry.progress_revision != 0) transaction->removals.push_back(key);
 }
--- a/packages/jobs/src/record_codec.cc
+++ b/packages/jobs/src/record_codec.cc
@@ -239,9 +239,10 @@
   return out.SerializeAsString();
 }
 
-std::string EncodeEnd(JobState state) {
+std::string EncodeEnd(const JobStatus& status) {
   stored::Progress out;
-  out.set_state(static_cast<std::int32_t>(state));
+  out.set_state(static_cast<std::int32_t>(status.state));
+  out.set_cause(status.cause);
   return out.SerializeAsString();
 }
 
@@ -265,13 +266,14 @@
     }
   }
   jobs->SetState(entry, static_cast<JobState>(stored->state()));
+  entry->failure = stored->cause();
   return true;
 }
 
-std::optional<JobState> DecodeState(std::string_view bytes) {
+std::optional<JobStatus> DecodeStatus(std::string_view bytes) {
   const auto stored = Parse<stored::Progress>(bytes);
   if (!stored || !ValidState(stored->state())) return std::nullopt;
-  return static_cast<JobState>(stored->state());
+  return JobStatus{static_cast<JobState>(stored->state()), stored->cause()};
 }
 
 std::string EncodeNode(const NodeRecord& node) {
--- a/packages/jobs/src/record_codec.h
+++ b/packages/jobs/src/record_codec.h
@@ -36,9 +36,9 @@
 [[nodiscard]] bool ApplyProgress(JobTable* jobs, JobEntry* entry,
                                  std::string_view bytes);
 /// How a job ended.
-[[nodiscard]] std::string EncodeEnd(JobState state);
-/// @return the state alone, of a job's progress or end
-[[nodiscard]] std::optional<JobState> DecodeState(std::string_view bytes);
+[[nodiscard]] std::string EncodeEnd(const JobStatus& status);
+/// @return what callers are told, of a job's progress or end
+[[nodiscard]] std::optional<JobStatus> DecodeStatus(std::string_view bytes);
 
 [[nodiscard]] std::string EncodeNode(const NodeRecord& node);
 [[nodiscard]] std::optional<NodeRecord> DecodeNode(std::string_view bytes);
--- a/packages/jobs/src/run_control.cc
+++ b/packages/jobs/src/run_control.cc
@@ -376,7 +376,8 @@
   const bool waits =
       this->TakeEnd(session, run, end, checkpoint, std::move(durable));
   const CrashHistory* crashes = this->context->jobs.FindCrashes(run.task);
-  const bool last_start = crashes != nullptr && crashes->AtLimit();
+  const bool last_start =
+      crashes != nullptr && crashes->AtLimit(this->MaxLostWorkers());
   if (last_start && end != RunEnd::kDone) this->GiveUp(run.task);
   return waits;
 }
@@ -444,9 +445,10 @@
     this->context->log->Write("jobs", "job-final",
                               {{"job", id.Text()},
                                {"state", Name(stored->state)},
+                               {"cause", stored->failure},
                                {"token", this->context->token}});
     // From here on only its state is of use.
-    this->context->ended->Note(id, stored->state);
+    this->context->ended->Note(id, {stored->state, stored->failure});
     this->context->jobs.Remove(id);
   }));
 }
@@ -500,18 +502,21 @@
 
 void RunControl::GiveUpIfConvicted(const TaskRef& task) {
   const CrashHistory* crashes = this->context->jobs.FindCrashes(task);
-  if (crashes != nullptr && crashes->Convicting()) this->GiveUp(task);
+  if (crashes != nullptr && crashes->Convicting(this->MaxLostWorkers()))
+    this->GiveUp(task);
 }
 
 void RunControl::GiveUp(const TaskRef& task) {
   JobEntry* entry = this->context->jobs.Find(task.step.job);
   if (entry == nullptr || IsFinal(entry->state)) return;
+  const std::string lost = entry->crashes.at(task).Text();
   this->context->log->Write("jobs", "task-given-up",
                             {{"task", Text(task)},
                              {"reason", "workers were lost under it"},
-                             {"lost_workers", entry->crashes.at(task).Text()}});
+                             {"lost_workers", lost}});
   this->context->metrics->Count("tasks_given_up", "reason=lost-workers");
-  this->context->jobs.Fail(entry);
+  this->context->jobs.Fail(
+      entry, "workers were lost under task " + Text(task) + ": " + lost);
   this->StoreFinal(entry);
 }
 
--- a/packages/jobs/src/run_control.h
+++ b/packages/jobs/src/run_control.h
@@ -1,6 +1,7 @@
 #ifndef MUSTARDPROXY_JOBS_RUN_CONTROL_H_
 #define MUSTARDPROXY_JOBS_RUN_CONTROL_H_
 
+#include <cstddef>
 #include <functional>
 #include <span>
 #include <string_view>
@@ -81,6 +82,9 @@
   void NoteLoss(const WorkerSession& session, const RunRef& run,
                 const SessionRun& record, LossCause cause);
   void GiveUpIfConvicted(const TaskRef& task);
+  [[nodiscard]] std::size_t MaxLostWorkers() const {
+    return static_cast<std::size_t>(this->context->max_lost_workers);
+  }
   /// Fails the job of a task that takes its workers down.
   void GiveUp(const TaskRef& task);
   /// See End; gives nothing up.
--- a/packages/jobs/tests/cell_crash_test.cc
+++ b/packages/jobs/tests/cell_crash_test.cc
@@ -1,5 +1,6 @@
 #include <boost/test/unit_test.hpp>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "check_kept.h"
@@ -34,7 +35,11 @@
   const auto cell = SimCell::Builder().Workers(8).Build();
   SimJob* job = SubmitCrashing(cell.get(), MakeStep(1, 2000, seconds(1)), {});
   BOOST_TEST(cell->AwaitFinal(job->job.id, seconds(40)));
-  BOOST_TEST((cell->Ask(job->job.id) == JobState::kFailed));
+  const auto status = cell->AskStatus(job->job.id);
+  BOOST_REQUIRE(status.has_value());
+  BOOST_TEST((status->state == JobState::kFailed));
+  BOOST_TEST(status->cause.find("workers were lost under task job0.0.0.0") !=
+             std::string::npos);
   CheckKept(cell.get());
 }
 
--- a/packages/jobs/tests/cell_ended_test.cc
+++ b/packages/jobs/tests/cell_ended_test.cc
@@ -127,7 +127,8 @@
   job.spec = MakeSpec({MakeStep(1, 100, seconds(1))});
   for (std::size_t i = 0; i < 3; ++i) cell->KillProcess(i);
   cell->Store().Put(keys::OfJob(job.id), EncodeJob(job));
-  cell->Store().Put(keys::OfProgress(job.id), EncodeEnd(JobState::kCompleted));
+  cell->Store().Put(keys::OfProgress(job.id),
+                    EncodeEnd({JobState::kCompleted, {}}));
   for (std::size_t i = 0; i < 3; ++i) cell->StartProcess(i);
   cell->Time().RunFor(seconds(5));
   BOOST_TEST((cell->Ask(job.id) == JobState::kCompleted));
--- a/packages/jobs/tests/crash_history_test.cc
+++ b/packages/jobs/tests/crash_history_test.cc
@@ -9,6 +9,8 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+constexpr std::size_t kMaxLosses = 3;
+
 WorkerLoss Loss(const std::string& worker, Duration survived) {
   return {.worker = WorkerId(worker), .certain = true, .survived = survived};
 }
@@ -52,17 +54,17 @@
   CrashHistory history;
   history.Note(Loss("a", seconds(1)));
   history.Note(Loss("b", seconds(1)));
-  BOOST_TEST(!history.AtLimit());
+  BOOST_TEST(!history.AtLimit(kMaxLosses));
   CrashHistory beside = history;
   beside.Note(Loss("c", seconds(1)));
-  BOOST_TEST(beside.AtLimit());
-  BOOST_TEST(!beside.Convicting());
+  BOOST_TEST(beside.AtLimit(kMaxLosses));
+  BOOST_TEST(!beside.Convicting(kMaxLosses));
   beside.Note(Loss("d", seconds(1)));
-  BOOST_TEST(beside.Convicting());
+  BOOST_TEST(beside.Convicting(kMaxLosses));
   WorkerLoss last = Loss("c", seconds(1));
   last.alone = true;
   history.Note(last);
-  BOOST_TEST(history.Convicting());
+  BOOST_TEST(history.Convicting(kMaxLosses));
 }
 
 BOOST_AUTO_TEST_CASE(
@@ -74,10 +76,10 @@
   silent.certain = false;
   silent.alone = true;
   history.Note(silent);
-  BOOST_TEST(!history.Convicting());
+  BOOST_TEST(!history.Convicting(kMaxLosses));
   BOOST_TEST(history.Confirm(WorkerId("c")));
   BOOST_TEST(!history.Confirm(WorkerId("c")));
-  BOOST_TEST(history.Convicting());
+  BOOST_TEST(history.Convicting(kMaxLosses));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/jobs/tests/progress_writer_test.cc
+++ b/packages/jobs/tests/progress_writer_test.cc
@@ -64,7 +64,9 @@
   std::optional<JobState> Stored(const std::string& name) {
     const std::string* value = this->store.Get(keys::OfProgress(JobId(name)));
     if (value == nullptr) value = this->store.Get(keys::OfEnded(JobId(name)));
-    return value == nullptr ? std::nullopt : DecodeState(*value);
+    if (value == nullptr) return std::nullopt;
+    const auto status = DecodeStatus(*value);
+    return status ? std::optional(status->state) : std::nullopt;
   }
 
   job_sim::VirtualTime time{1};
--- a/packages/jobs/tests/record_codec_test.cc
+++ b/packages/jobs/tests/record_codec_test.cc
@@ -67,7 +67,7 @@
   BOOST_TEST(!DecodeJob("\xff\xff\xff").has_value());
   const std::string whole = EncodeJob(MakeJob());
   BOOST_TEST(!DecodeJob(whole.substr(0, whole.size() / 2)).has_value());
-  BOOST_TEST(!DecodeState("\x08\x63").has_value());
+  BOOST_TEST(!DecodeStatus("\x08\x63").has_value());
 }
 
 BOOST_AUTO_TEST_CASE(progress_survives_the_store) {
@@ -107,7 +107,7 @@
   table.Cancel(entry);
   const std::string bytes = EncodeProgress(*entry);
   BOOST_TEST(bytes.size() < 8U);
-  BOOST_TEST((DecodeState(bytes) == JobState::kCancelled));
+  BOOST_TEST((DecodeStatus(bytes)->state == JobState::kCancelled));
 }
 
 BOOST_AUTO_TEST_CASE(a_process_survives_the_store) {
@@ -117,6 +117,11 @@
   BOOST_TEST(!DecodeNode("").has_value());
 }
 
+BOOST_AUTO_TEST_CASE(how_a_job_ended_survives_the_store) {
+  const JobStatus failed{JobState::kFailed, "task a.0.0.1 failed 3 times"};
+  BOOST_TEST((DecodeStatus(EncodeEnd(failed)) == failed));
+}
+
 BOOST_AUTO_TEST_CASE(losses_of_workers_survive_the_store) {
   Job job = MakeJob();
   job.spec.schedule = {};
--- a/packages/peer/src/job_link.cc
+++ b/packages/peer/src/job_link.cc
@@ -204,7 +204,9 @@
         }
         jobs::JobAnswer answer;
         if (reply.value().known()) {
-          answer.state = static_cast<jobs::JobState>(reply.value().state());
+          answer.status = jobs::JobStatus{
+              static_cast<jobs::JobState>(reply.value().state()),
+              reply.value().cause()};
         }
         done(answer);
       });
--- a/packages/peer/src/job_service.cc
+++ b/packages/peer/src/job_service.cc
@@ -64,9 +64,11 @@
             return;
           }
           call->Answer([&](peer::jobs::JobAnswer* out) {
-            const auto& state = answer.value().state;
-            out->set_known(state.has_value());
-            if (state) out->set_state(static_cast<std::int32_t>(*state));
+            const auto& status = answer.value().status;
+            out->set_known(status.has_value());
+            if (!status) return;
+            out->set_state(static_cast<std::int32_t>(status->state));
+            out->set_cause(status->cause);
           });
         });
       });
--- a/packages/peer/tests/job_link_test.cc
+++ b/packages/peer/tests/job_link_test.cc
@@ -25,7 +25,7 @@
     if (!this->owns) {
       done(make_error_code(Error::kNotOwner));
     } else if (job == jobs::JobId("known")) {
-      done(jobs::JobAnswer{jobs::JobState::kCompleted});
+      done(jobs::JobAnswer{jobs::JobStatus{jobs::JobState::kFailed, "cause"}});
     } else {
       done(jobs::JobAnswer{});
     }
@@ -98,8 +98,11 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_state_is_told_from_an_unknown_job_and_from_no_owner) {
-  BOOST_TEST((Query("known").value().state == jobs::JobState::kCompleted));
-  BOOST_TEST(!Query("other").value().state.has_value());
+  const auto known = Query("known").value().status;
+  BOOST_REQUIRE(known.has_value());
+  BOOST_TEST((known->state == jobs::JobState::kFailed));
+  BOOST_TEST(known->cause == "cause");
+  BOOST_TEST(!Query("other").value().status.has_value());
   handler.owns = false;
   BOOST_TEST((Query("known").error() == Error::kNotOwner));
 }
--- a/packages/settings/include/mustardproxy/settings/cell_settings.h
+++ b/packages/settings/include/mustardproxy/settings/cell_settings.h
@@ -31,6 +31,8 @@
   std::int64_t memory_mb = 256;
   /// Writes a second that the store takes from all processes together.
   std::int64_t store_writes_per_s = 400;
+  /// Workers that may be lost under one task before it is given up.
+  std::int32_t max_lost_workers = 3;
   /// Time between SIGTERM and SIGKILL.
   double grace_s = 6.0;
   std::int32_t max_connections = 1000;
--- a/packages/settings/src/cell_schema.cc
+++ b/packages/settings/src/cell_schema.cc
@@ -43,6 +43,9 @@
                {1, 1'000'000},
                "writes a second that the store takes from all processes "
                "together")
+      .Integer("max_lost_workers", &CellSettings::max_lost_workers, {2, 4},
+               "workers that may be lost under one task before it is given up; "
+               "one more if another task may have been the cause")
       .Number("grace_s", &CellSettings::grace_s, {0, 3600},
               "time between SIGTERM and SIGKILL")
       .Integer("max_connections", &CellSettings::max_connections, {1, 100'000},
--- a/testing/job_sim/include/job_sim/fake_jobs.h
+++ b/testing/job_sim/include/job_sim/fake_jobs.h
@@ -14,6 +14,7 @@
   using Duration = mustardproxy::Duration;
   using JobId = mustardproxy::jobs::JobId;
   using JobState = mustardproxy::jobs::JobState;
+  using JobStatus = mustardproxy::jobs::JobStatus;
   using Queue = mustardproxy::jobs::Queue;
   using SubmitResult = mustardproxy::jobs::SubmitResult;
 
@@ -36,7 +37,7 @@
   }
   void State(
       const JobId& id, Duration /*timeout*/,
-      std::function<void(mustardproxy::Result<JobState>)> done) override {
+      std::function<void(mustardproxy::Result<JobStatus>)> done) override {
     this->last = id;
     done(this->state);
   }
@@ -50,7 +51,7 @@
   std::shared_ptr<mustardproxy::jobs::DesiredState> desired;
   SubmitResult submit{
       mustardproxy::jobs::SubmitEnd::kAccepted, {}, {}, Duration(0)};
-  mustardproxy::Result<JobState> state = JobState::kRunning;
+  mustardproxy::Result<JobStatus> state = JobStatus{JobState::kRunning, {}};
   JobId last;
   mustardproxy::jobs::JobSpec spec;
   Duration timeout{0};
--- a/testing/job_sim/include/job_sim/sim_cell.h
+++ b/testing/job_sim/include/job_sim/sim_cell.h
@@ -89,6 +89,9 @@
   /// @return what a caller is told; nothing if there was no answer
   std::optional<jobs::JobState> Ask(const jobs::JobId& id,
                                     std::size_t process = 0);
+  /// The same, and why.
+  std::optional<jobs::JobStatus> AskStatus(const jobs::JobId& id,
+                                           std::size_t process = 0);
   /// Runs until the job is final for callers.
   bool AwaitFinal(const jobs::JobId& id, Duration limit);
   /// @return processor time that the control thread of each process took, all
--- a/testing/job_sim/src/sim_cell.cc
+++ b/testing/job_sim/src/sim_cell.cc
@@ -458,22 +458,32 @@
 
 std::optional<jobs::JobState> SimCell::Ask(const jobs::JobId& id,
                                            std::size_t process) {
+  const auto status = this->AskStatus(id, process);
+  if (!status) return std::nullopt;
+  return status->state;
+}
+
+std::optional<jobs::JobStatus> SimCell::AskStatus(const jobs::JobId& id,
+                                                  std::size_t process) {
   const std::size_t index = this->RunningFrom(process);
   Slot* slot = this->slots[index].get();
   if (slot == nullptr) return std::nullopt;
-  auto answer = std::make_shared<std::optional<Result<jobs::JobState>>>();
+  auto answer = std::make_shared<std::optional<Result<jobs::JobStatus>>>();
   slot->process.Post([slot, id, answer] {
     slot->node->State(
         id, kCallerTimeout,
-        [answer](const Result<jobs::JobState>& state) { *answer = state; });
+        [answer](const Result<jobs::JobStatus>& status) { *answer = status; });
   });
   this->time.RunUntil([answer] { return answer->has_value(); },
                       kCallerTimeout + seconds(1));
   if (!*answer || !**answer) return std::nullopt;
-  const jobs::JobState state = (*answer)->value();
-  if (state == jobs::JobState::kCompleted) this->promises.OnShownCompleted(id);
-  if (state == jobs::JobState::kFailed) this->promises.OnShownFailed(id);
-  return state;
+  const jobs::JobStatus status = (*answer)->value();
+  if (status.state == jobs::JobState::kCompleted) {
+    this->promises.OnShownCompleted(id);
+  } else if (status.state == jobs::JobState::kFailed) {
+    this->promises.OnShownFailed(id);
+  }
+  return status;
 }
 
 bool SimCell::AwaitFinal(const jobs::JobId& id, Duration limit) {
