Deferred work under which five workers are lost is given up

The same fault as a task that crashes its workers, in the request core: attempts of deferred work are counted if they fail, not if their worker is lost, so work that takes its workers down is started for ever. Each process counts the losses that it has seen, and five end the work as failed with the reason. Requests of callers who wait were bounded already: each run counts there, however it ended. The test saw 6 starts of 6 before, 5 of 8 now. The count does not outlast the process; after an adoption it begins anew.

--- a/packages/core/src/lifecycle/deferred_ends.cc
+++ b/packages/core/src/lifecycle/deferred_ends.cc
@@ -16,6 +16,8 @@
 constexpr std::int32_t kQuickRetries = 2;
 constexpr Duration kLongestRetryPause = std::chrono::seconds(5);
 constexpr std::int32_t kBadGatewayStatus = 502;
+/// Workers that may be lost under one piece of work.
+constexpr std::int32_t kMostLosses = 5;
 
 Answer UnknownEnd(std::string text) {
   Answer answer;
@@ -91,6 +93,11 @@
     this->Park(work, kRetryPause);
     return;
   }
+  if (verdict == Verdict::kLost && ++work->losses >= kMostLosses) {
+    this->End(work, DeferredState::kFailed,
+              UnknownEnd("each worker that ran it was lost"));
+    return;
+  }
   this->Requeue(work);
 }
 
--- a/packages/core/src/lifecycle/deferred_flow.h
+++ b/packages/core/src/lifecycle/deferred_flow.h
@@ -45,6 +45,8 @@
   std::int32_t last_attempt = 0;
   /// Attempts that ran and failed by themselves.
   std::int32_t failures = 0;
+  /// Attempts whose worker was lost, as far as this process has seen.
+  std::int32_t losses = 0;
   /// Attempts in a row that no worker started.
   std::int32_t refusals = 0;
   Attempt attempt;
--- a/packages/core/tests/core_deferred_test.cc
+++ b/packages/core/tests/core_deferred_test.cc
@@ -294,4 +294,25 @@
   BOOST_TEST(!answers.front().status->ran);
 }
 
+// Guards against work that goes on taking down each worker that starts it.
+BOOST_AUTO_TEST_CASE(work_under_which_workers_are_lost_is_given_up) {
+  CoreHarness harness(1);
+  const RequestId id = harness.Arrive("review");
+  constexpr int kMostStarts = 8;
+  int starts = 0;
+  for (int i = 0; i < kMostStarts; ++i) {
+    for (const StartTask& start : harness.Take<StartTask>()) {
+      ++starts;
+      harness.Send(TaskStarted{start.worker, start.order.task});
+    }
+    harness.silent.insert(WorkerId("w1"));
+    harness.Advance(std::chrono::seconds(30));
+    harness.silent.clear();
+    ++harness.worker_incarnation;
+    harness.Advance(std::chrono::seconds(30));
+  }
+  BOOST_TEST(starts == 5);
+  BOOST_TEST((Ask(&harness, id).state == DeferredState::kFailed));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
