A start that workers turn down is sent ever more rarely

The pause doubles up to 0.64 s and begins anew once a worker has taken the start. A start that is withdrawn because its worker drains is no failure of the worker any more.

--- a/packages/jobs/src/job_table.h
+++ b/packages/jobs/src/job_table.h
@@ -36,6 +36,8 @@
   WorkerId failed_at;
   /// Where the next run resumes.
   std::string checkpoint;
+  /// Starts in a row that workers turned down.
+  std::int32_t refusals = 0;
   /// No new run before.
   Instant not_before;
 };
--- a/packages/jobs/src/run_control.cc
+++ b/packages/jobs/src/run_control.cc
@@ -15,6 +15,8 @@
 namespace mustardproxy::jobs {
 namespace {
 
+/// Bounds the pause after starts that were turned down.
+constexpr std::int32_t kMostDoublings = 5;
 /// The least time from a worker's crash to its next life: what was sent later
 /// never reached the life that crashed.
 constexpr Duration kLeastRestart = milliseconds(500);
@@ -190,8 +192,7 @@
   const bool fits = !overcommitted && !(first && draining);
   if (!this->FillOrder(*session, run, &order) || !fits) {
     if (first) {
-      this->NotStarted(session, run,
-                       overcommitted ? OrderEnd::kNoRoom : OrderEnd::kRefused);
+      this->NotStarted(session, run);
     } else {
       this->Stop(session, run);
       this->StopGang(run);
@@ -264,9 +265,11 @@
     record->listed_from = this->context->executor->Now();
     JobEntry* entry = this->context->jobs.Find(run.task.step.job);
     if (entry != nullptr) entry->begun = true;
+    TaskEntry* task = this->context->jobs.FindOpen(run);
+    if (task != nullptr) task->refusals = 0;
     this->context->holds->Pump(session);
   } else if (first && ProvesNotStarted(result.end)) {
-    this->NotStarted(session, run, result.end);
+    this->OnRefused(session, run, result.end);
   } else if (ProvesNotStarted(result.end)) {
     // Failure: an earlier copy of this start got no answer and may still be
     // carried out. Stopped by name, it is refused then.
@@ -278,19 +281,31 @@
   }
 }
 
-void RunControl::NotStarted(WorkerSession* session, const RunRef& run,
-                            OrderEnd why) {
-  session->RemoveRun(run);
+void RunControl::OnRefused(WorkerSession* session, const RunRef& run,
+                           OrderEnd why) {
   TaskEntry* task = this->context->jobs.FindOpen(run);
+  this->NotStarted(session, run);
+  const Instant now = this->context->executor->Now();
   if (task != nullptr) {
-    task->not_before = this->context->executor->Now() + kRetryPause;
+    // Failure: every worker turns the start down, and it is sent again as fast
+    // as they answer.
+    const std::int32_t doublings = std::min(task->refusals++, kMostDoublings);
+    task->not_before = now + kRetryPause * (1 << doublings);
   }
-  this->context->jobs.Withdraw(run);
   if (why == OrderEnd::kRefused) {
-    this->context->health.OnFailure(this->context->executor->Now(),
-                                    session->info.id, session->info.service,
+    this->context->health.OnFailure(now, session->info.id,
+                                    session->info.service,
                                     RequestId(run.task.step.job.Text()));
   }
+}
+
+void RunControl::NotStarted(WorkerSession* session, const RunRef& run) {
+  session->RemoveRun(run);
+  TaskEntry* task = this->context->jobs.FindOpen(run);
+  if (task != nullptr) {
+    task->not_before = this->context->executor->Now() + kRetryPause;
+  }
+  this->context->jobs.Withdraw(run);
   this->StopGang(run);
   this->context->dispatcher->Kick();
 }
@@ -329,7 +344,7 @@
   for (const RunRef& run : planned) {
     if (!session->Overcommitted()) return;
     if (session->FindRun(run) == nullptr) continue;
-    this->NotStarted(session, run, OrderEnd::kNoRoom);
+    this->NotStarted(session, run);
   }
 }
 
--- a/packages/jobs/src/run_control.h
+++ b/packages/jobs/src/run_control.h
@@ -70,7 +70,10 @@
                  StartOrder* order);
   void OnStart(const WorkerId& worker, const RunRef& run, bool first,
                Instant asked, const OrderResult& result);
-  void NotStarted(WorkerSession* session, const RunRef& run, OrderEnd why);
+  /// A worker has turned the start down.
+  void OnRefused(WorkerSession* session, const RunRef& run, OrderEnd why);
+  /// Takes a run back that was not started anywhere.
+  void NotStarted(WorkerSession* session, const RunRef& run);
   void SendStop(const WorkerId& worker, const RunRef& run);
   void OnStop(const WorkerId& worker, const RunRef& run, Instant asked,
               const OrderResult& result);
--- a/packages/jobs/tests/cell_worker_test.cc
+++ b/packages/jobs/tests/cell_worker_test.cc
@@ -149,6 +149,20 @@
   CheckKept(cell.get());
 }
 
+// Guards against sending a start again as fast as it is turned down.
+BOOST_AUTO_TEST_CASE(a_start_that_is_turned_down_is_sent_ever_more_rarely) {
+  const auto cell = SimCell::Builder().Workers(1).Build();
+  SimWorker* worker = cell->Workers().Find("w0");
+  worker->refuses_all = true;
+  SimJob* job = cell->Submit(MakeSpec({MakeStep(1, 1000, seconds(1))}));
+  cell->Time().RunFor(seconds(10));
+  constexpr std::size_t kMostTries = 30;
+  BOOST_TEST(cell->Log().Count("start-not-done") < kMostTries);
+  worker->refuses_all = false;
+  BOOST_TEST(cell->AwaitFinal(job->job.id, seconds(5)));
+  CheckKept(cell.get());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace mustardproxy::jobs
--- a/testing/job_sim/include/job_sim/sim_worker.h
+++ b/testing/job_sim/include/job_sim/sim_worker.h
@@ -45,6 +45,8 @@
 
   /// Each run that it starts fails at once.
   bool fails_all = false;
+  /// It turns each start down.
+  bool refuses_all = false;
   /// Its runs take this times as long.
   double slowness = 1.0;
 
--- a/testing/job_sim/src/sim_worker.cc
+++ b/testing/job_sim/src/sim_worker.cc
@@ -119,6 +119,7 @@
 }
 
 OrderResult SimWorker::Start(const jobs::StartOrder& order, bool late) {
+  if (this->refuses_all) return this->Refuse(OrderEnd::kRefused);
   if (this->Fenced(order.token)) return this->Refuse(OrderEnd::kFenced);
   if (this->running.contains(order.run)) {
     this->Extend(order.lease_until_ms);
