--- a/testing/soak/include/soak/soak.h
+++ b/testing/soak/include/soak/soak.h
@@ -20,6 +20,8 @@
   /// Pause between two jobs, in the mean.
   std::chrono::milliseconds job_pause{120};
   std::int32_t faults = 5;
+  /// Some tasks take their workers down, and workers shrink and grow.
+  bool crashing_tasks = false;
   /// Folder for settings and logs; one that is made if it is empty.
   std::string folder;
 };
--- a/testing/soak/program/main.cc
+++ b/testing/soak/program/main.cc
@@ -42,6 +42,8 @@
   add("job-pause", "milliseconds between two jobs",
       cxxopts::value<std::int64_t>()->default_value("120"));
   add("faults", "faults", cxxopts::value<std::int32_t>()->default_value("5"));
+  add("crashing-tasks",
+      "some tasks take their workers down; workers shrink and grow");
   add("keep", "keep the logs of runs in which nothing broke");
   add("help", "print this");
   const auto arguments = parser.parse(argc, argv);
@@ -57,6 +59,7 @@
   options.job_pause =
       std::chrono::milliseconds(arguments["job-pause"].as<std::int64_t>());
   options.faults = arguments["faults"].as<std::int32_t>();
+  options.crashing_tasks = arguments.count("crashing-tasks") > 0;
   const auto first = arguments["seed"].as<std::uint64_t>();
   const auto count = arguments["count"].as<std::uint64_t>();
   std::uint64_t red = 0;
--- a/testing/soak/src/callers.cc
+++ b/testing/soak/src/callers.cc
@@ -22,6 +22,9 @@
 constexpr milliseconds kRetryPause(100);
 constexpr double kCancelShare = 0.1;
 constexpr double kHopelessShare = 0.05;
+/// Of the jobs whose tasks take their workers down, where there are any.
+constexpr double kCrashingShare = 0.05;
+constexpr std::int64_t kLatestCrashMs = 400;
 constexpr double kReviewShare = 0.4;
 constexpr double kTwiceShare = 0.15;
 constexpr int kOk = 200;
@@ -167,6 +170,18 @@
   }
 }
 
+std::optional<job_sim::CrashingTasks> Callers::DrawCrashing(
+    std::mt19937_64* random) const {
+  if (!this->options.crashing_tasks || !Chance(random, kCrashingShare)) {
+    return std::nullopt;
+  }
+  job_sim::CrashingTasks crashing;
+  if (Chance(random, 0.5)) {
+    crashing.after = milliseconds(DrawBetween(random, 1, kLatestCrashMs));
+  }
+  return crashing;
+}
+
 void Callers::HandIn(std::mt19937_64* random,
                      std::vector<Connection>* connections) {
   const std::string id = this->NextId();
@@ -179,8 +194,12 @@
   entry.spec = DrawSpec(random);
   const HttpRequest request{"POST", job.path, Format(entry.spec), {}};
   const bool hopeless = Chance(random, kHopelessShare);
-  this->cell->Machines().Do(
-      [&] { this->cell->Machines().Judge().Add(entry)->hopeless = hopeless; });
+  const auto crashing = this->DrawCrashing(random);
+  this->cell->Machines().Do([&] {
+    job_sim::SimJob* known = this->cell->Machines().Judge().Add(entry);
+    known->hopeless = hopeless;
+    known->crashing = crashing;
+  });
   bool silent = false;
   job.fate = CallerJob::Fate::kRefused;
   for (int i = 0; i < kTries; ++i) {
@@ -259,10 +278,10 @@
         const auto reply = connection.Send({"GET", job.path, "", {}});
         if (!reply || reply->status != kOk) return false;
         const std::string state = StateIn(*reply);
-        const bool completed = state == "completed";
         this->cell->Machines().Do([&] {
-          if (!completed) return;
-          this->cell->Machines().Judge().OnShownCompleted(jobs::JobId(id));
+          job_sim::Promises& judge = this->cell->Machines().Judge();
+          if (state == "completed") judge.OnShownCompleted(jobs::JobId(id));
+          if (state == "failed") judge.OnShownFailed(jobs::JobId(id));
         });
         return IsFinal(state);
       });
--- a/testing/soak/src/callers.h
+++ b/testing/soak/src/callers.h
@@ -52,6 +52,8 @@
  private:
   class Connection;
   void Run(std::uint64_t seed);
+  std::optional<job_sim::CrashingTasks> DrawCrashing(
+      std::mt19937_64* random) const;
   void HandIn(std::mt19937_64* random, std::vector<Connection>* connections);
   void Cancel(const std::string& id, std::mt19937_64* random,
               std::vector<Connection>* connections);
--- a/testing/soak/src/faults.cc
+++ b/testing/soak/src/faults.cc
@@ -1,5 +1,6 @@
 #include "faults.h"
 
+#include <memory>
 #include <thread>
 
 namespace soak {
@@ -18,6 +19,8 @@
 /// The grace time of a process, and what a busy machine takes.
 constexpr milliseconds kEndLimit(10'000);
 constexpr double kFaultyShare = 0.2;
+/// A worker that shrinks has this part of its processors left.
+constexpr std::int64_t kShrinkFactor = 8;
 constexpr std::size_t kKinds = 5;
 
 }  // namespace
@@ -246,6 +249,30 @@
   }
 }
 
+void Faults::PlanResize(Millis at) {
+  Platform* platform = &this->cell->Machines();
+  const auto address = std::make_shared<std::string>();
+  const auto whole = std::make_shared<mustardproxy::Resources>();
+  this->PlanSpan(
+      at, "a worker shrinks",
+      [this, platform, address, whole] {
+        platform->Do([&] {
+          job_sim::SimWorker* worker = this->DrawWorker();
+          *address = worker->Info().address;
+          *whole = worker->Info().capacity;
+          mustardproxy::Resources left = *whole;
+          left.cpu_milli /= kShrinkFactor;
+          platform->ResizeWorker(worker, left);
+        });
+      },
+      [platform, address, whole] {
+        platform->Do([&] {
+          job_sim::SimWorker* now = platform->Workers().At(*address);
+          if (now->Alive()) platform->ResizeWorker(now, *whole);
+        });
+      });
+}
+
 void Faults::RestartEnded() {
   for (const auto& process : this->cell->Processes()) {
     if (!process->Ended()) continue;
@@ -257,10 +284,14 @@
 
 void Faults::Play() {
   this->begun = steady_clock::now();
+  const auto draw_moment = [this] {
+    return milliseconds(std::uniform_int_distribution<std::int64_t>(
+        kFirstFault.count(), this->options.length.count())(this->random));
+  };
   for (std::int32_t i = 0; i < this->options.faults; ++i) {
-    this->Plan(milliseconds(std::uniform_int_distribution<std::int64_t>(
-        kFirstFault.count(), this->options.length.count())(this->random)));
+    this->Plan(draw_moment());
   }
+  if (this->options.crashing_tasks) this->PlanResize(draw_moment());
   while (!this->plan.empty() ||
          steady_clock::now() < this->begun + this->options.length) {
     this->RestartEnded();
--- a/testing/soak/src/faults.h
+++ b/testing/soak/src/faults.h
@@ -33,6 +33,7 @@
   void PlanStoreLink(Millis at);
   void PlanRackLink(Millis at);
   void PlanStore(Millis at);
+  void PlanResize(Millis at);
   void PlanWorkers(Millis at);
   /// Plans a change and its end.
   void PlanSpan(Millis at, const std::string& name,
--- a/testing/soak/tests/seeds_test.cc
+++ b/testing/soak/tests/seeds_test.cc
@@ -37,6 +37,14 @@
   for (const std::uint64_t seed : {1, 2, 3}) Play(seed, options);
 }
 
+BOOST_AUTO_TEST_CASE(a_short_set_with_crashing_tasks) {
+  SoakOptions options;
+  options.length = std::chrono::seconds(8);
+  options.faults = 2;
+  options.crashing_tasks = true;
+  for (const std::uint64_t seed : {1, 2}) Play(seed, options);
+}
+
 BOOST_AUTO_TEST_CASE(seeds_that_failed_once) {
   for (const std::uint64_t seed : kRegressions) Play(seed, SoakOptions());
 }
