--- a/packages/jobs/tests/cell_crash_test.cc
+++ b/packages/jobs/tests/cell_crash_test.cc
@@ -71,6 +71,23 @@
   CheckKept(cell.get());
 }
 
+// Guards against a moment at which a change of owner forgets what was seen.
+BOOST_AUTO_TEST_CASE(an_owner_may_be_lost_at_any_moment_of_it) {
+  constexpr milliseconds kStep(150);
+  constexpr milliseconds kLast(15'000);
+  for (milliseconds moment{0}; moment < kLast; moment += kStep) {
+    const auto cell = SimCell::Builder().Workers(6).Build();
+    SimJob* job = SubmitCrashing(cell.get(), MakeStep(2, 2000, seconds(1)), {});
+    cell->Time().RunFor(moment);
+    if (const auto owner = cell->OwnerIndex()) cell->KillProcess(*owner);
+    BOOST_TEST_CONTEXT("after " << moment.count() << " ms") {
+      BOOST_TEST(cell->AwaitFinal(job->job.id, seconds(60)));
+      BOOST_TEST((cell->Ask(job->job.id) == JobState::kFailed));
+      CheckKept(cell.get());
+    }
+  }
+}
+
 // Guards against blaming tasks that merely run on a worker that crashes.
 BOOST_AUTO_TEST_CASE(tasks_beside_crashing_ones_are_done) {
   const auto cell = SimCell::Builder().Workers(12).Build();
