Jobs whose starts never arrived are counted as waiting by the next owner

An owner writes progress before it sends a start; a job whose progress stood in the store was taken for begun by the next owner, whether the start had arrived or not, and was left out of the number of waiting jobs until its run had lapsed, 16 s later. Whether a job has begun is stored now, and an owner goes by that, by results, and by what workers list. The test: 4 jobs wait, 0 were told before.

--- a/packages/jobs/src/hold_loop.cc
+++ b/packages/jobs/src/hold_loop.cc
@@ -156,6 +156,7 @@
 void HoldLoop::ReadRunning(WorkerSession* session, const HoldResult& result) {
   const Instant now = this->context->executor->Now();
   for (const RunningRun& listed : result.running) {
+    this->context->jobs.NoteBegun(listed.run.task.step.job);
     SessionRun* record = session->FindRun(listed.run);
     if (record == nullptr) {
       this->Adopt(session, listed);
@@ -231,6 +232,7 @@
   for (const EndedRun& ended : result.ended) {
     if (ended.number <= session->read_end) continue;
     session->read_end = ended.number;
+    this->context->jobs.NoteBegun(ended.run.task.step.job);
     batch->last_number = ended.number;
     ++batch->open_writes;
     const bool waits = this->context->runs->End(session, ended.run, ended.end,
--- a/packages/jobs/src/job_table.cc
+++ b/packages/jobs/src/job_table.cc
@@ -299,6 +299,11 @@
   }
 }
 
+void JobTable::NoteBegun(const JobId& id) {
+  JobEntry* entry = this->Find(id);
+  if (entry != nullptr) entry->begun = true;
+}
+
 void JobTable::NoteCheckpoint(const RunRef& run, std::string_view checkpoint) {
   StepEntry* step = this->FindStepEntry(run.task.step);
   if (step == nullptr || checkpoint.empty()) return;
--- a/packages/jobs/src/job_table.h
+++ b/packages/jobs/src/job_table.h
@@ -80,7 +80,7 @@
   JobState state = JobState::kQueued;
   /// Why it failed, for callers.
   std::string failure;
-  /// A worker has said that a task of it started.
+  /// A worker has listed a run of it, or said that it started one.
   bool begun = false;
   /// Open occurrences by number.
   std::map<std::int32_t, OccurrenceEntry> occurrences;
@@ -164,6 +164,8 @@
   void ClearLoss(const WorkerId& worker);
   /// @return null if no worker was lost under the task
   [[nodiscard]] const CrashHistory* FindCrashes(const TaskRef& task) const;
+  /// A worker tells of a run of the job.
+  void NoteBegun(const JobId& id);
   /// Notes progress of an open run.
   void NoteCheckpoint(const RunRef& run, std::string_view checkpoint);
   /// Gives a job up that is not final.
--- a/packages/jobs/src/record_codec.cc
+++ b/packages/jobs/src/record_codec.cc
@@ -176,6 +176,23 @@
   }
 }
 
+/// @return true if a run of the job has ended, or saved something
+bool HasResults(const JobEntry& entry) {
+  if (entry.first_open > 0) return true;
+  const auto any = [](const StepEntry& step) {
+    return step.done > 0 || step.failed_gang_runs > 0 ||
+           std::any_of(
+               step.tasks.begin(), step.tasks.end(), [](const TaskEntry& task) {
+                 return task.failed_runs > 0 || !task.checkpoint.empty();
+               });
+  };
+  return std::any_of(entry.occurrences.begin(), entry.occurrences.end(),
+                     [&](const auto& one) {
+                       return std::any_of(one.second.steps.begin(),
+                                          one.second.steps.end(), any);
+                     });
+}
+
 bool ValidState(std::int32_t state) {
   return state >= static_cast<std::int32_t>(JobState::kQueued) &&
          state <= static_cast<std::int32_t>(JobState::kCancelled);
@@ -227,6 +244,7 @@
   stored::Progress out;
   out.set_state(static_cast<std::int32_t>(entry.state));
   out.set_first_open_occurrence(entry.first_open);
+  out.set_begun(entry.begun);
   for (const auto& [number, occurrence] : entry.occurrences) {
     stored::OccurrenceProgress* stored = out.add_occurrences();
     stored->set_number(number);
@@ -249,9 +267,6 @@
 bool ApplyProgress(JobTable* jobs, JobEntry* entry, std::string_view bytes) {
   const auto stored = Parse<stored::Progress>(bytes);
   if (!stored || !ValidState(stored->state())) return false;
-  // Written down before the first start; it is not known whether that came.
-  entry->begun =
-      stored->state() != static_cast<std::int32_t>(JobState::kQueued);
   entry->first_open = stored->first_open_occurrence();
   entry->next_to_open = std::max(entry->next_to_open, entry->first_open);
   for (const stored::OccurrenceProgress& one : stored->occurrences()) {
@@ -265,6 +280,9 @@
       Apply(one.steps(static_cast<int>(i)), ref, entry, &occurrence->steps[i]);
     }
   }
+  // Progress is written before the first start leaves, so the state alone does
+  // not tell that anything has started.
+  entry->begun = stored->begun() || HasResults(*entry);
   jobs->SetState(entry, static_cast<JobState>(stored->state()));
   entry->failure = stored->cause();
   return true;
--- a/packages/jobs/src/run_control.cc
+++ b/packages/jobs/src/run_control.cc
@@ -263,8 +263,7 @@
     // "Old" after a lost answer: the run is, or was, there. The lists tell.
     record->phase = RunPhase::kStarted;
     record->listed_from = this->context->executor->Now();
-    JobEntry* entry = this->context->jobs.Find(run.task.step.job);
-    if (entry != nullptr) entry->begun = true;
+    this->context->jobs.NoteBegun(run.task.step.job);
     TaskEntry* task = this->context->jobs.FindOpen(run);
     if (task != nullptr) task->refusals = 0;
     this->context->holds->Pump(session);
--- a/packages/jobs/tests/cell_takeover_test.cc
+++ b/packages/jobs/tests/cell_takeover_test.cc
@@ -246,6 +246,38 @@
   BOOST_TEST(!count->has_value());
 }
 
+// Guards against counting jobs as begun whose starts a former owner wrote down
+// and could not deliver.
+BOOST_AUTO_TEST_CASE(jobs_whose_starts_never_arrived_are_counted_as_waiting) {
+  const std::size_t owner = Owner();
+  cell->ProcessAt(owner)->workers_cut = true;
+  constexpr std::int64_t kJobs = 4;
+  for (std::int64_t i = 0; i < kJobs; ++i) {
+    cell->Submit(MakeSpec({MakeStep(1, 1000, seconds(1))}), owner);
+  }
+  cell->Time().RunFor(milliseconds(300));
+  for (job_sim::SimWorker* worker : cell->Workers().Alive()) {
+    cell->Workers().cut.insert(worker->Info().id.Text());
+  }
+  cell->KillProcess(owner);
+  cell->Time().RunFor(seconds(4));
+  const auto next = cell->OwnerIndex();
+  BOOST_REQUIRE(next.has_value());
+  std::optional<Result<std::int64_t>> count;
+  cell->ProcessAt(*next)->Post([&] {
+    cell->NodeAt(*next)->Pending(
+        cell->queue.name, seconds(1),
+        [&count](const Result<std::int64_t>& n) { count = n; });
+  });
+  cell->Time().RunFor(milliseconds(100));
+  BOOST_REQUIRE(count.has_value());
+  BOOST_REQUIRE(count->has_value());
+  BOOST_TEST(count->value() == kJobs);
+  cell->Workers().cut.clear();
+  cell->Settle(seconds(60));
+  CheckKept(cell.get());
+}
+
 // The store turns one process away and serves the others. What callers hand in
 // there is stored by another process, at once.
 BOOST_AUTO_TEST_CASE(a_process_that_the_store_turns_away_still_takes_jobs_in) {
