--- a/packages/jobs/src/ask_choice.h
+++ b/packages/jobs/src/ask_choice.h
@@ -5,8 +5,8 @@
 #include <span>
 #include <vector>
 
-#include "advice_desk.h"
 #include "mustardproxy/jobs/job.h"
+#include "permission_broker.h"
 #include "placement.h"
 
 namespace mustardproxy::jobs {
--- a/packages/jobs/src/dispatcher.cc
+++ b/packages/jobs/src/dispatcher.cc
@@ -5,11 +5,11 @@
 #include <tuple>
 #include <utility>
 
-#include "advice_desk.h"
 #include "ask_choice.h"
 #include "gang_claims.h"
 #include "gang_hold.h"
 #include "options.h"
+#include "permission_broker.h"
 #include "run_control.h"
 
 namespace mustardproxy::jobs {
@@ -99,11 +99,11 @@
   this->NoteEjected(now);
   const PassRooms rooms(this->context->workers);
   this->AllowForGathering(&units, rooms, now);
-  std::stable_sort(units.begin(), units.end(),
-                   [](const Unit& a, const Unit& b) {
-                     return std::tie(a.hope, a.queue->priority, a.begin_by) <
-                            std::tie(b.hope, b.queue->priority, b.begin_by);
-                   });
+  std::stable_sort(
+      units.begin(), units.end(), [](const Unit& a, const Unit& b) {
+        return std::tie(a.lateness, a.queue->priority, a.begin_by) <
+               std::tie(b.lateness, b.queue->priority, b.begin_by);
+      });
   std::int32_t holds = 0;
   for (Unit& unit : units) {
     this->PlaceUnit(&unit, rooms, now);
@@ -112,7 +112,8 @@
       this->waits.Write(unit, this->LookAtWait(unit, rooms, now), now);
     }
     if (unit.queue->advice) this->ConsiderAdvice(unit, rooms, now);
-    const bool holds_room = unit.step->gang && unit.hope != Hope::kNone;
+    const bool holds_room =
+        unit.step->gang && unit.lateness != Lateness::kWorthless;
     if (holds_room && holds < kMaxHolds) {
       this->HoldForGang(unit, rooms, now);
       ++holds;
@@ -295,13 +296,13 @@
   unit->begin_by = due - chain;
   const Instant worthless = unit->entry->learnt + kWorthlessAfter * objective;
   unit->limits = {.in_time = due - chain, .any_worth = worthless - chain};
-  unit->hope = unit->limits.At(now);
+  unit->lateness = unit->limits.At(now);
 }
 
 void Dispatcher::AllowForGathering(std::vector<Unit>* units,
                                    const PassRooms& rooms, Instant now) const {
   for (Unit& unit : *units) {
-    if (!unit.step->gang || unit.hope == Hope::kNone) continue;
+    if (!unit.step->gang || unit.lateness == Lateness::kWorthless) continue;
     std::vector<Candidate> candidates = this->GangCandidates(unit, rooms, now);
     const auto fit =
         FindGangFit(*unit.step, static_cast<std::int64_t>(unit.tasks.size()),
--- a/packages/jobs/src/dispatcher.h
+++ b/packages/jobs/src/dispatcher.h
@@ -5,10 +5,10 @@
 #include <optional>
 #include <vector>
 
-#include "advice_desk.h"
 #include "guard.h"
 #include "owner_context.h"
 #include "pass_rooms.h"
+#include "permission_broker.h"
 #include "placement.h"
 #include "unit.h"
 #include "wait_report.h"
--- a/packages/jobs/src/gang_claims.h
+++ b/packages/jobs/src/gang_claims.h
@@ -5,10 +5,10 @@
 #include <string_view>
 #include <vector>
 
-#include "advice_desk.h"
 #include "mustardproxy/core/time.h"
 #include "mustardproxy/jobs/worker_driver.h"
 #include "owner_context.h"
+#include "permission_broker.h"
 
 namespace mustardproxy::jobs {
 
--- a/packages/jobs/src/group_owner.cc
+++ b/packages/jobs/src/group_owner.cc
@@ -65,9 +65,9 @@
   this->runs = std::make_unique<RunControl>(&shared);
   this->claims = std::make_unique<GangClaims>(&shared);
   this->holds = std::make_unique<HoldLoop>(&shared);
-  this->advice = std::make_unique<AdviceDesk>(
-      AdviceDesk::Parts{shared.executor, parts.adviser, parts.peers, shared.log,
-                        shared.metrics},
+  this->advice = std::make_unique<PermissionBroker>(
+      PermissionBroker::Parts{shared.executor, parts.adviser, parts.peers,
+                              shared.log, shared.metrics},
       [this](const StepRef& step) {
         return this->dispatcher->ChooseForAdvice(step);
       },
--- a/packages/jobs/src/group_owner.h
+++ b/packages/jobs/src/group_owner.h
@@ -11,7 +11,6 @@
 #include <utility>
 #include <vector>
 
-#include "advice_desk.h"
 #include "dispatcher.h"
 #include "ended_jobs.h"
 #include "gang_claims.h"
@@ -20,6 +19,7 @@
 #include "mustardproxy/jobs/job_peers.h"
 #include "mustardproxy/jobs/platform_schema.h"
 #include "owner_context.h"
+#include "permission_broker.h"
 #include "prefix_mirror.h"
 #include "progress_writer.h"
 #include "run_control.h"
@@ -110,7 +110,7 @@
   std::unique_ptr<ProgressWriter> writer;
   std::unique_ptr<EndedJobs> ended;
   std::unique_ptr<StoredProgress> stored;
-  std::unique_ptr<AdviceDesk> advice;
+  std::unique_ptr<PermissionBroker> advice;
   std::unique_ptr<RunControl> runs;
   std::unique_ptr<GangClaims> claims;
   std::unique_ptr<HoldLoop> holds;
--- a/packages/jobs/src/hope.h
+++ b/packages/jobs/src/lateness.h
@@ -1,5 +1,5 @@
-#ifndef MUSTARDPROXY_JOBS_HOPE_H_
-#define MUSTARDPROXY_JOBS_HOPE_H_
+#ifndef MUSTARDPROXY_JOBS_LATENESS_H_
+#define MUSTARDPROXY_JOBS_LATENESS_H_
 
 #include "mustardproxy/core/time.h"
 
@@ -7,7 +7,7 @@
 
 /// What is left of a job's worth if its next step starts now. What is in time
 /// goes before what is late, and that before what is worth nothing any more.
-enum class Hope { kInTime, kLate, kNone };
+enum class Lateness { kInTime, kLate, kWorthless };
 
 /// Until when a step has to be begun.
 struct BeginLimits {
@@ -16,12 +16,12 @@
   /// For its job to be worth anything.
   Instant any_worth = Instant::max();
 
-  [[nodiscard]] Hope At(Instant now) const {
-    if (now <= this->in_time) return Hope::kInTime;
-    return now <= this->any_worth ? Hope::kLate : Hope::kNone;
+  [[nodiscard]] Lateness At(Instant now) const {
+    if (now <= this->in_time) return Lateness::kInTime;
+    return now <= this->any_worth ? Lateness::kLate : Lateness::kWorthless;
   }
 };
 
 }  // namespace mustardproxy::jobs
 
-#endif  // MUSTARDPROXY_JOBS_HOPE_H_
+#endif  // MUSTARDPROXY_JOBS_LATENESS_H_
--- a/packages/jobs/src/owner_context.h
+++ b/packages/jobs/src/owner_context.h
@@ -21,7 +21,7 @@
 
 namespace mustardproxy::jobs {
 
-class AdviceDesk;
+class PermissionBroker;
 class Dispatcher;
 class EndedJobs;
 class GangClaims;
@@ -51,7 +51,7 @@
 
   ProgressWriter* writer = nullptr;
   EndedJobs* ended = nullptr;
-  AdviceDesk* advice = nullptr;
+  PermissionBroker* advice = nullptr;
   RunControl* runs = nullptr;
   GangClaims* claims = nullptr;
   HoldLoop* holds = nullptr;
--- a/packages/jobs/src/advice_desk.cc
+++ b/packages/jobs/src/permission_broker.cc
@@ -1,4 +1,4 @@
-#include "advice_desk.h"
+#include "permission_broker.h"
 
 #include <algorithm>
 #include <cmath>
@@ -94,12 +94,13 @@
                             session);
 }
 
-AdviceDesk::AdviceDesk(Parts parts, Chooser chooser, AnswerHandler on_answer)
+PermissionBroker::PermissionBroker(Parts parts, Chooser chooser,
+                                   AnswerHandler on_answer)
     : parts(parts),
       chooser(std::move(chooser)),
       on_answer(std::move(on_answer)) {}
 
-void AdviceDesk::SetLanes(const std::vector<AdviceLane>& present) {
+void PermissionBroker::SetLanes(const std::vector<AdviceLane>& present) {
   std::map<ProcessId, Lane> kept;
   for (const AdviceLane& lane : present) {
     Lane& entry = kept[lane.process];
@@ -113,18 +114,18 @@
   this->Pump();
 }
 
-void AdviceDesk::Want(const AdviceNeed& need) {
+void PermissionBroker::Want(const AdviceNeed& need) {
   StepAdvice& known = this->steps[need.step.job][NumberOf(need.step)];
   if (std::exchange(known.asking, true)) return;
   this->queue.Push(need, this->parts.executor->Now());
   this->Pump();
 }
 
-const StepAdvice* AdviceDesk::Find(const StepRef& step) const {
+const StepAdvice* PermissionBroker::Find(const StepRef& step) const {
   return FindIn(this->steps, step);
 }
 
-void AdviceDesk::DropTicket(const StepRef& step, SessionNumber session) {
+void PermissionBroker::DropTicket(const StepRef& step, SessionNumber session) {
   StepAdvice* known = FindIn(this->steps, step);
   if (known == nullptr) return;
   for (PermittedWorker& one : known->permitted) {
@@ -132,12 +133,13 @@
   }
 }
 
-void AdviceDesk::ForgetJob(const JobId& job) {
+void PermissionBroker::ForgetJob(const JobId& job) {
   this->steps.erase(job);
   this->queue.Forget(job);
 }
 
-AdviceDesk::Lane* AdviceDesk::FreeLane(bool long_question, ProcessId* process) {
+PermissionBroker::Lane* PermissionBroker::FreeLane(bool long_question,
+                                                   ProcessId* process) {
   const Instant now = this->parts.executor->Now();
   std::size_t longs = 0;
   std::size_t usable = 0;
@@ -159,7 +161,7 @@
   return nullptr;
 }
 
-void AdviceDesk::Pump() {
+void PermissionBroker::Pump() {
   this->queue.Sort(this->parts.executor->Now());
   for (std::size_t i = 0; i < this->queue.Size();) {
     ProcessId process;
@@ -184,9 +186,10 @@
   }
 }
 
-void AdviceDesk::Send(const WaitingQuestion& waiting,
-                      std::vector<AskedWorker> workers,
-                      const ProcessId& process, Lane* lane, Duration cost) {
+void PermissionBroker::Send(const WaitingQuestion& waiting,
+                            std::vector<AskedWorker> workers,
+                            const ProcessId& process, Lane* lane,
+                            Duration cost) {
   lane->busy = true;
   AdviceQuestion question{waiting.need.step, {}, cost + kAdviceSlack};
   for (const AskedWorker& worker : workers) {
@@ -206,7 +209,8 @@
   }
 }
 
-void AdviceDesk::OnAnswer(const Sent& sent, const Result<Advice>& answer) {
+void PermissionBroker::OnAnswer(const Sent& sent,
+                                const Result<Advice>& answer) {
   const Instant now = this->parts.executor->Now();
   if (!sent.is_long) {
     this->short_load.Note(now,
@@ -232,12 +236,12 @@
   this->Pump();
 }
 
-double AdviceDesk::PermittedShare(const QueueName& queue) const {
+double PermissionBroker::PermittedShare(const QueueName& queue) const {
   const auto found = this->permitted_shares.find(queue);
   return found == this->permitted_shares.end() ? kFirstShare : found->second;
 }
 
-void AdviceDesk::NoteShare(const Sent& sent, const Advice& advice) {
+void PermissionBroker::NoteShare(const Sent& sent, const Advice& advice) {
   const double share = static_cast<double>(advice.permitted.size()) /
                        static_cast<double>(sent.workers.size());
   const auto known =
@@ -245,8 +249,8 @@
   known->second += kShareWeight * (share - known->second);
 }
 
-void AdviceDesk::Record(const Sent& sent, const Advice& advice,
-                        StepAdvice* known) {
+void PermissionBroker::Record(const Sent& sent, const Advice& advice,
+                              StepAdvice* known) {
   const Instant now = this->parts.executor->Now();
   std::unordered_map<WorkerId, const Permission*> permitted;
   for (const Permission& permission : advice.permitted) {
--- a/packages/jobs/src/advice_desk.h
+++ b/packages/jobs/src/permission_broker.h
@@ -1,5 +1,5 @@
-#ifndef MUSTARDPROXY_JOBS_ADVICE_DESK_H_
-#define MUSTARDPROXY_JOBS_ADVICE_DESK_H_
+#ifndef MUSTARDPROXY_JOBS_PERMISSION_BROKER_H_
+#define MUSTARDPROXY_JOBS_PERMISSION_BROKER_H_
 
 #include <cstdint>
 #include <functional>
@@ -82,7 +82,7 @@
 /// cell, one on each, in the order of `QuestionQueue`, and some processes are
 /// kept for short ones. Priorities do not count here, or the gangs of one queue
 /// would keep all processes busy; they decide who gets the room.
-class AdviceDesk {
+class PermissionBroker {
  public:
   /// Chooses the workers to ask about at the moment when the question is sent;
   /// none: the question is dropped.
@@ -99,7 +99,7 @@
   /// Told of each question that was answered, or failed.
   using AnswerHandler = std::function<void(const StepRef&)>;
 
-  AdviceDesk(Parts parts, Chooser chooser, AnswerHandler on_answer);
+  PermissionBroker(Parts parts, Chooser chooser, AnswerHandler on_answer);
 
   void SetLanes(const std::vector<AdviceLane>& lanes);
   /// Queues a question unless one about the step is under way.
@@ -154,4 +154,4 @@
 
 }  // namespace mustardproxy::jobs
 
-#endif  // MUSTARDPROXY_JOBS_ADVICE_DESK_H_
+#endif  // MUSTARDPROXY_JOBS_PERMISSION_BROKER_H_
--- a/packages/jobs/src/question_queue.cc
+++ b/packages/jobs/src/question_queue.cc
@@ -23,13 +23,13 @@
 constexpr Duration kLeastRunTime = milliseconds(100);
 constexpr Duration kServiceRunTime = seconds(60);
 
-double ShareOfWorth(Hope hope) {
-  switch (hope) {
-    case Hope::kInTime:
+double ShareOfWorth(Lateness lateness) {
+  switch (lateness) {
+    case Lateness::kInTime:
       return 1.0;
-    case Hope::kLate:
+    case Lateness::kLate:
       return kLateShare;
-    case Hope::kNone:
+    case Lateness::kWorthless:
       break;
   }
   return 0.0;
@@ -100,7 +100,7 @@
   auto oldest = this->waiting.end();
   for (auto one = first; one != this->waiting.end(); ++one) {
     const bool counts =
-        also_hopeless || one->need.limits.At(now) != Hope::kNone;
+        also_hopeless || one->need.limits.At(now) != Lateness::kWorthless;
     const bool older =
         oldest == this->waiting.end() || one->number < oldest->number;
     if (counts && older) oldest = one;
--- a/packages/jobs/src/question_queue.h
+++ b/packages/jobs/src/question_queue.h
@@ -5,7 +5,7 @@
 #include <cstdint>
 #include <vector>
 
-#include "hope.h"
+#include "lateness.h"
 #include "mustardproxy/core/ids.h"
 #include "mustardproxy/core/time.h"
 #include "mustardproxy/jobs/job.h"
--- a/packages/jobs/src/run_control.cc
+++ b/packages/jobs/src/run_control.cc
@@ -3,12 +3,12 @@
 #include <algorithm>
 #include <utility>
 
-#include "advice_desk.h"
 #include "dispatcher.h"
 #include "ended_jobs.h"
 #include "gang_claims.h"
 #include "hold_loop.h"
 #include "options.h"
+#include "permission_broker.h"
 #include "placement.h"
 #include "progress_writer.h"
 
--- a/packages/jobs/src/unit.h
+++ b/packages/jobs/src/unit.h
@@ -4,8 +4,8 @@
 #include <cstdint>
 #include <vector>
 
-#include "hope.h"
 #include "job_table.h"
+#include "lateness.h"
 
 namespace mustardproxy::jobs {
 
@@ -20,7 +20,7 @@
   /// Its task may take a worker down and starts apart from others.
   bool quarantined = false;
   BeginLimits limits;
-  Hope hope = Hope::kInTime;
+  Lateness lateness = Lateness::kInTime;
   /// When the step has to be begun for the job to be done in time: a gang's
   /// room has to be gathered before it can start.
   Instant begin_by;
--- a/packages/jobs/src/wait_report.cc
+++ b/packages/jobs/src/wait_report.cc
@@ -12,16 +12,16 @@
 /// Most lines a second: a fortieth of what the log takes.
 constexpr std::int32_t kMaxLines = 50;
 
-std::string_view Name(Hope hope) {
-  switch (hope) {
-    case Hope::kInTime:
+std::string_view Name(Lateness lateness) {
+  switch (lateness) {
+    case Lateness::kInTime:
       return "in-time";
-    case Hope::kLate:
+    case Lateness::kLate:
       return "late";
-    case Hope::kNone:
+    case Lateness::kWorthless:
       break;
   }
-  return "none";
+  return "worthless";
 }
 
 }  // namespace
@@ -125,7 +125,7 @@
        {"until", Name(facts.End())},
        {"tasks", unit.tasks.size()},
        {"needed", facts.needed},
-       {"hope", Name(unit.hope)},
+       {"lateness", Name(unit.lateness)},
        {"eligible", facts.eligible},
        {"permitted", facts.permitted},
        {"refused", facts.refused},
