--- a/packages/jobs/src/ask_choice.cc
+++ b/packages/jobs/src/ask_choice.cc
@@ -15,10 +15,7 @@
 /// Fewest workers in a question that is to learn something.
 constexpr std::size_t kMinAsked = 6;
 /// The same as a part of those that cost as much as the question itself: few
-/// questions about many workers use the service less than many about few. On a
-/// third too few processes (job_load booking-350-busy, eight seeds): worth of
-/// report and rota 0.62 and 0.43 with six workers, 0.83 and 0.64 with this for
-/// gangs, 0.93 and 0.73 with both.
+/// questions about many workers use the service less than many about few.
 constexpr std::size_t kCheapPartOfGangs = 1;
 constexpr std::size_t kCheapPartOfOthers = 2;
 
--- a/packages/jobs/src/ask_choice.h
+++ b/packages/jobs/src/ask_choice.h
@@ -33,10 +33,8 @@
 ///   permissions renewed; else others are asked about, to learn more;
 /// - other tasks take room wherever there is some.
 ///
-/// Load answered: gangs of 20 tasks whose questions cost 0.6 s and more, on
-/// hosts that can ask one at a time each. Asked about with all known workers
-/// each time their permissions lapsed, a gang took 3 to 8 questions of 0.85 s,
-/// and steps of other queues waited 32 s for their first.
+/// Asking about all known workers each time permissions lapse would keep the
+/// policy service busy with gangs, and the steps of other queues would wait.
 ///
 /// @param candidates rooms that the step may use, permissions aside
 /// @return none if a question would not help now
--- a/packages/jobs/src/cell_member.cc
+++ b/packages/jobs/src/cell_member.cc
@@ -347,9 +347,9 @@
 }
 
 void CellMember::HandOver(const Registration& successor) {
-  // Gain: the group has an owner at every moment. With the lease ended and an
-  // election after it nothing was placed for three answers of the store and
-  // the pauses of the election more, 1.0 s at 0.25 s an answer.
+  // The group has an owner at every moment. With the lease ended and an
+  // election after it nothing would be placed for three answers of the store
+  // and the pauses of the election.
   this->log->Write(
       "cell", "handing-over",
       {{"token", this->token}, {"successor", successor.node.name.Text()}});
--- a/packages/jobs/src/dispatcher.cc
+++ b/packages/jobs/src/dispatcher.cc
@@ -18,14 +18,10 @@
 /// A job that takes more than this times its objective is worth nothing.
 constexpr std::int64_t kWorthlessAfter = 3;
 /// Gangs that may hold room at the same time. With more, a burst of gangs would
-/// hold the whole cell empty for each other; as many as a quarter of 350
-/// workers take served 0.90 of their work in time, two 0.94 (job_load
-/// booking-350).
+/// hold the whole cell empty for each other.
 constexpr std::int32_t kMaxHolds = 2;
 /// Time allowed for a gang to gather its room, as a multiple of what it takes
-/// if nothing else starts: steps of higher rank do start meanwhile. With 1 a
-/// gang of three quarters of a cell at 2.5 times its load came 0.3 s too late
-/// (cell_basic/a_wide_gang_is_not_starved_by_small_tasks).
+/// if nothing else starts: steps of higher rank do start meanwhile.
 constexpr std::int64_t kGatherMargin = 2;
 /// Once a run of a step was at work for so long, its other tasks may start.
 constexpr Duration kSoundStep = milliseconds(200);
--- a/packages/jobs/src/ended_jobs.h
+++ b/packages/jobs/src/ended_jobs.h
@@ -21,8 +21,7 @@
 /// kept: a job's tasks and payload are of no use any more.
 ///
 /// What former owners have stored is read beside the work, page by page, so
-/// that a takeover takes no longer the more jobs have ended: 1,783 of them took
-/// 1.3 s of a host with a quarter of a core.
+/// that a takeover takes no longer the more jobs have ended.
 class EndedJobs {
  public:
   /// What it works with; all outlive it.
--- a/packages/jobs/src/gang_claims.cc
+++ b/packages/jobs/src/gang_claims.cc
@@ -10,13 +10,11 @@
 namespace {
 
 /// How long the room of a gang stays empty for it once its start is stored: two
-/// questions about the most workers at the dearest policy on the users' pages
-/// (0.57 s and 8 ms a worker). Longer only if the policy service fails.
+/// questions about the most workers. Longer only if the policy service fails.
 constexpr Duration kLongestClaim = milliseconds(3000);
 /// Share of the cell's processors that may stand empty for gangs whose question
-/// is being answered before one more may take its room. Without it urgent tasks
-/// found less room: 0.80 of the worth of the shortest work in place of 0.84, on
-/// 350 workers.
+/// is being answered before one more may take its room: urgent tasks find room
+/// in the rest.
 constexpr double kMaxClaimedShare = 0.05;
 /// How long a gang that was given up on leaves the room to others.
 constexpr Duration kClaimPause = seconds(1);
--- a/packages/jobs/src/group_owner.cc
+++ b/packages/jobs/src/group_owner.cc
@@ -112,10 +112,9 @@
 void GroupOwner::Start() {
   this->context.log->Write("owner", "taking-over",
                            {{"token", this->context.token}});
-  // Side by side: with answers of 0.25 s each reading in a row adds as much to
-  // the time without placements. Only an owner changes progress, or takes a job
-  // away, and the former one's writes fail by now; so what is read at different
-  // moments fits together.
+  // Side by side: nothing is placed until all three are read. Only an owner
+  // changes progress, or takes a job away, and the former one's writes fail by
+  // now; so what is read at different moments fits together.
   this->intake->Start();
   this->stored->Read();
   this->workers->Start();
@@ -162,9 +161,8 @@
   const bool known =
       this->context.jobs.Find(id) != nullptr || this->ended->Find(id);
   if (!this->loaded || known) return;
-  // Gain: the job's start is written down while the job itself is being stored.
-  // With answers of 0.25 s a task of 1 s took 1.76 s until it was shown as
-  // completed, and takes 1.51 s.
+  // The job's start is written down while the job itself is being stored, which
+  // spares a slow store's answer.
   JobEntry* entry = this->Learn(id, record);
   // One that was cancelled is in the store for certain.
   if (entry == nullptr || IsFinal(entry->state)) return;
--- a/packages/jobs/src/options.h
+++ b/packages/jobs/src/options.h
@@ -3,7 +3,7 @@
 
 #include "mustardproxy/core/time.h"
 
-/// Times and bounds of the scheduler, with where each figure comes from.
+/// Times and bounds of the scheduler.
 namespace mustardproxy::jobs {
 
 using std::chrono::milliseconds;
@@ -23,8 +23,7 @@
 /// Lease that each order gives all that runs on a worker. Long enough that a
 /// dead owner's work lives until the next one renews (store lease 1 s, a hold's
 /// wait 0.6 s, taking over under a second), short enough that the work of
-/// a dead worker starts again soon. Measured on days with crashing workers:
-/// see docs/MACHINES.md.
+/// a dead worker starts again soon.
 inline constexpr Duration kWorkerLease = milliseconds(4500);
 /// How slow a worker's clock may be.
 inline constexpr double kSlowestWorkerClock = 0.98;
@@ -41,10 +40,10 @@
 /// or whose connection has fallen silent, hides ends for this long and the
 /// driver's slack.
 inline constexpr Duration kHoldWait = milliseconds(600);
-/// Holds that may be sent for the sake of their waiting alone. An owner with
-/// half a core spends about 0.13 ms on each; with more workers the holds wait
-/// for longer, up to `kLongestHoldWait`. What a worker's lease leaves beside
-/// that must do for a takeover: the store's lease and a second.
+/// Holds that may be sent for the sake of their waiting alone; with more
+/// workers they wait for longer, up to `kLongestHoldWait`. What a worker's
+/// lease leaves beside that must do for a takeover: the store's lease and a
+/// second.
 inline constexpr std::int64_t kIdleHoldsPerSecond = 200;
 inline constexpr Duration kLongestHoldWait = milliseconds(1500);
 /// First pause after a hold without an answer; later ones are up to four times
@@ -66,17 +65,13 @@
 /// Share of the writes that the store takes from all processes together which
 /// writes of progress may use up. Many tasks share one call; the time between
 /// two delays each start by half of it in the mean, and the sight of ends.
-/// On 350 workers with a store of 1,200 writes a second (17 ms between two, in
-/// place of 40 ms): 1.00 in place of 0.95 of the shortest work in time, 0.94 in
-/// place of 0.91 of the gangs (job_load booking-350, eight seeds).
 inline constexpr double kProgressShareOfWrites = 0.05;
-/// Bounds on that time. In 44 s of Dlonie's quiet load: 1,417 calls at 40 ms,
-/// 2,980 at 15 ms; calls are priced.
+/// Bounds on that time; calls to the store are priced.
 inline constexpr Duration kShortestProgressInterval = milliseconds(10);
 inline constexpr Duration kLongestProgressInterval = milliseconds(40);
 /// Pause between two looks at the workers' entries, which change with each
 /// heartbeat of each worker. A worker that begins to drain must be left alone
-/// after 2 s. At 48 workers: 2 calls a second instead of 43.
+/// after 2 s.
 inline constexpr Duration kWorkerWatchPause = milliseconds(450);
 /// Least time between two passes over the queue.
 inline constexpr Duration kPassInterval = milliseconds(5);
--- a/packages/jobs/src/progress_writer.cc
+++ b/packages/jobs/src/progress_writer.cc
@@ -14,8 +14,8 @@
 /// Entries of the longest row: a condition and a put, and for a final job two
 /// removals.
 constexpr std::size_t kLongestRow = 4;
-/// Transactions under way at once. With the pause between two, a store that
-/// takes 0.4 s an answer is kept busy.
+/// Transactions under way at once: with the pause between two, enough to keep a
+/// slow store busy.
 constexpr std::size_t kMaxInFlight = 10;
 
 StoreCondition OwnerCondition(FencingToken token) {
--- a/packages/jobs/src/question_queue.h
+++ b/packages/jobs/src/question_queue.h
@@ -49,13 +49,10 @@
 /// work that can start in time for each second that the policy service spends.
 /// Every fourth of the long ones is the one that has waited longest.
 ///
-/// Load answered: more questions wait than the hosts can ask, and the widest
-/// gangs need several answers one after the other. By the time left alone they
-/// waited behind all that was late, and were late before their second answer.
-/// job_load bookings-370-faults, 8 seeds, by time left and like this: worth of
-/// the gangs by work 0.43 and 0.45, of their largest tenth 0.29 and 0.39, of
-/// the reports 0.74 and 0.85. What it costs: of the gangs 0.90 and 0.70 are
-/// done before they are worth nothing, the narrow ones fewer.
+/// Failure guarded against: more questions wait than the hosts can ask, and the
+/// widest gangs need several answers one after the other. By the time left
+/// alone they would wait behind all that is late, and be late before their
+/// second.
 ///
 /// Failure guarded against: what pays least waits for as long as the load is
 /// too high, also behind what came much later. A quarter of the hosts' time
