A step is looked at for doubt only where a worker with runs is silent

Read again before the landing: one silent worker, also one long lost, had each pass look up each open run of each step. Only workers that run something and do not answer count, and the runs of a step are looked up only if one of its tasks is at such a worker.

--- a/packages/jobs/src/dispatcher.cc
+++ b/packages/jobs/src/dispatcher.cc
@@ -88,9 +88,7 @@
   this->kicked = false;
   const Instant now = this->context->executor->Now();
   this->last_pass = now;
-  this->some_silent =
-      std::any_of(this->context->workers.begin(), this->context->workers.end(),
-                  [](const auto& one) { return one.second->suspect; });
+  this->NoteSilent();
   std::vector<Unit> units = this->CollectUnits(now);
   this->NoteEjected(now);
   const PassRooms rooms(this->context->workers);
@@ -117,6 +115,13 @@
   }
 }
 
+void Dispatcher::NoteSilent() {
+  this->silent.clear();
+  for (const auto& [id, session] : this->context->workers) {
+    if (session->suspect && !session->runs.empty()) this->silent.insert(id);
+  }
+}
+
 void Dispatcher::NoteEjected(Instant now) {
   WorkerHealth& health = this->context->health;
   for (const WorkerId& worker : health.TakeChanged(now)) {
@@ -175,7 +180,7 @@
 
 std::optional<Unit> Dispatcher::SplitSuspicious(Unit* unit) const {
   if (unit->step->gang) return std::nullopt;
-  const bool may_be_silent = this->some_silent && unit->progress->open > 0;
+  const bool may_be_silent = !this->silent.empty() && unit->progress->open > 0;
   if (unit->entry->crashes.empty() && !may_be_silent) return std::nullopt;
   const auto first = std::stable_partition(
       unit->tasks.begin(), unit->tasks.end(), [&](std::int32_t index) {
@@ -200,21 +205,36 @@
 bool Dispatcher::InDoubt(const Unit& unit) const {
   if (unit.progress->done > 0) return false;
   const auto& crashes = unit.entry->crashes;
-  bool suspicious =
+  const bool suspicious =
       std::any_of(crashes.begin(), crashes.end(), [&](const auto& one) {
         return one.first.step == unit.ref && one.second.Suspicious();
       });
+  if (!suspicious && !this->MayHaveSilenced(unit)) return false;
   const std::vector<TaskEntry>& tasks = unit.progress->tasks;
   for (std::size_t i = 0; i < tasks.size(); ++i) {
-    const SessionRun* run =
-        this->FindRun({unit.ref, static_cast<std::int32_t>(i)}, tasks[i]);
-    if (run == nullptr) continue;
-    if (!run->quarantined && run->Survived() >= kSoundStep) return false;
-    // It takes seconds until a silent worker is known to be lost.
-    const bool silent = this->context->workers.Find(tasks[i].worker)->suspect;
-    if (silent && run->ordered_at && !run->seen_running) suspicious = true;
+    const SessionRun* run = this->FindRun(unit, i);
+    const bool sound =
+        run != nullptr && !run->quarantined && run->Survived() >= kSoundStep;
+    if (sound) return false;
   }
-  return suspicious;
+  return true;
+}
+
+bool Dispatcher::MayHaveSilenced(const Unit& unit) const {
+  // It takes seconds until a silent worker is known to be lost.
+  const std::vector<TaskEntry>& tasks = unit.progress->tasks;
+  for (std::size_t i = 0; i < tasks.size(); ++i) {
+    if (!tasks[i].open || !this->silent.contains(tasks[i].worker)) continue;
+    const SessionRun* run = this->FindRun(unit, i);
+    if (run != nullptr && run->ordered_at && !run->seen_running) return true;
+  }
+  return false;
+}
+
+const SessionRun* Dispatcher::FindRun(const Unit& unit,
+                                      std::size_t index) const {
+  const TaskRef task{unit.ref, static_cast<std::int32_t>(index)};
+  return this->FindRun(task, unit.progress->tasks[index]);
 }
 
 const SessionRun* Dispatcher::FindRun(const TaskRef& ref,
--- a/packages/jobs/src/dispatcher.h
+++ b/packages/jobs/src/dispatcher.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "guard.h"
@@ -37,6 +38,8 @@
 
  private:
   void Pass();
+  /// Takes note of the workers that do not answer.
+  void NoteSilent();
   /// Takes note of the workers whose health has changed.
   void NoteEjected(Instant now);
   std::vector<Unit> CollectUnits(Instant now);
@@ -48,8 +51,12 @@
   /// @return true if a task of the step is suspicious and none is known to be
   ///   sound
   bool InDoubt(const Unit& unit) const;
+  /// @return true if a worker fell silent that was told to start a run of the
+  ///   step, and was not seen running it
+  bool MayHaveSilenced(const Unit& unit) const;
   /// @return the run of a task if it is open, else null
   const SessionRun* FindRun(const TaskRef& ref, const TaskEntry& task) const;
+  const SessionRun* FindRun(const Unit& unit, std::size_t index) const;
   /// @return true if a worker is kept for a task of the job
   bool HasQuarantined(const JobEntry& entry) const;
   /// @return the time from a job's acceptance in which it should be done
@@ -97,8 +104,8 @@
   OwnerContext* context;
   WaitReport waits;
   bool kicked = false;
-  /// In this pass: a worker has not answered.
-  bool some_silent = false;
+  /// In this pass: workers that run something and do not answer.
+  std::set<WorkerId> silent;
   Instant last_pass;
   Guard guard;
 };
--- a/packages/jobs/src/run_control.cc
+++ b/packages/jobs/src/run_control.cc
@@ -533,8 +533,8 @@
 
 void RunControl::GiveUpIfConvicted(const TaskRef& task) {
   const CrashHistory* crashes = this->context->jobs.FindCrashes(task);
-  if (crashes != nullptr && crashes->Convicting(this->MaxLostWorkers()))
-    this->GiveUp(task);
+  if (crashes == nullptr) return;
+  if (crashes->Convicting(this->MaxLostWorkers())) this->GiveUp(task);
 }
 
 void RunControl::GiveUp(const TaskRef& task) {
