Read which life of a worker answers, and log it

A platform whose workers start again under their ids tells their lives apart by the time of their start, in entries and in answers to holds. No decision goes by it yet.

--- a/packages/jobs/include/mustardproxy/jobs/worker_driver.h
+++ b/packages/jobs/include/mustardproxy/jobs/worker_driver.h
@@ -19,6 +19,8 @@
 /// A worker as it describes itself. The id names one life of it.
 struct WorkerInfo {
   WorkerId id;
+  /// Start of this life in Unix milliseconds; 0 if the entry does not tell.
+  std::int64_t born_ms = 0;
   /// `ip:port` for orders.
   std::string address;
   ServiceId service;
@@ -104,6 +106,9 @@
   OrderEnd end = OrderEnd::kUncertain;
   /// The worker's clock, if it answered; else 0.
   std::int64_t clock_ms = 0;
+  /// Start of the life that answered, in Unix milliseconds; 0 if the answer
+  /// does not tell.
+  std::int64_t born_ms = 0;
 };
 
 struct RunningRun {
--- a/packages/jobs/src/group_owner.cc
+++ b/packages/jobs/src/group_owner.cc
@@ -282,6 +282,7 @@
     if (this->workers->Listed()) {
       this->context.log->Write("workers", "worker-listed",
                                {{"worker", info.id.Text()},
+                                {"born", info.born_ms},
                                 {"address", info.address},
                                 {"rack", info.rack}});
     }
--- a/packages/jobs/src/hold_loop.cc
+++ b/packages/jobs/src/hold_loop.cc
@@ -143,6 +143,7 @@
     this->context->log->Write("workers",
                               first ? "worker-fenced" : "worker-back",
                               {{"worker", session->info.id.Text()},
+                               {"born", result.order.born_ms},
                                {"token", this->context->token},
                                {"running", result.running.size()},
                                {"ended", result.ended.size()}});
