Failing: workers that start again under their ids

The model of the workers plays lives that follow each other under one id: ends and clock start anew, the entry is written with the next heartbeat, orders of the former life are obeyed, another capacity.

--- /dev/null
+++ b/packages/jobs/tests/cell_restart_test.cc
@@ -0,0 +1,212 @@
+#include <boost/test/unit_test.hpp>
+#include <optional>
+#include <string>
+
+#include "check_kept.h"
+#include "job_sim/sim_cell.h"
+
+namespace mustardproxy::jobs {
+namespace {
+
+using job_sim::MakeSpec;
+using job_sim::MakeStep;
+using job_sim::SimCell;
+using job_sim::SimJob;
+using job_sim::SimWorker;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// @return a cell whose workers start again under their ids
+std::unique_ptr<SimCell> MakeCell(std::size_t workers) {
+  auto cell = SimCell::Builder().Workers(workers).Build();
+  cell->ReuseWorkerIds();
+  return cell;
+}
+
+/// Ends some jobs, so that ends of each worker have been noted.
+void RunSomeJobs(SimCell* cell) {
+  constexpr int kJobs = 6;
+  for (int i = 0; i < kJobs; ++i) {
+    const SimJob* job =
+        cell->Submit(MakeSpec({MakeStep(4, 4000, milliseconds(100))}));
+    BOOST_TEST(cell->AwaitFinal(job->job.id, seconds(10)));
+  }
+}
+
+void RestartAll(SimCell* cell, Duration down) {
+  for (SimWorker* worker : cell->Workers().Alive()) {
+    cell->CrashWorker(worker, down);
+  }
+}
+
+bool Completes(SimCell* cell, const SimJob& job, Duration limit) {
+  return cell->AwaitFinal(job.job.id, limit) &&
+         cell->Ask(job.job.id) == JobState::kCompleted;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(cell_restart)
+
+// Guards against ends of a worker's new life that are taken for known ones.
+BOOST_AUTO_TEST_CASE(ends_after_a_restart_under_the_same_id_are_read) {
+  const auto cell = MakeCell(2);
+  RunSomeJobs(cell.get());
+  RestartAll(cell.get(), milliseconds(700));
+  const SimJob* job =
+      cell->Submit(MakeSpec({MakeStep(4, 4000, milliseconds(1500))}));
+  BOOST_TEST(Completes(cell.get(), *job, seconds(10)));
+  cell->Time().RunFor(seconds(10));
+  CheckKept(cell.get());
+  BOOST_TEST(cell->Judge().Runs() == 28);
+}
+
+// Guards against a worker that answers and is given up by the lease of its
+// former life.
+BOOST_AUTO_TEST_CASE(a_restarted_worker_that_answers_is_not_lost_by_its_lease) {
+  const auto cell = MakeCell(2);
+  RunSomeJobs(cell.get());
+  cell->Time().RunFor(seconds(20));
+  const SimJob* before =
+      cell->Submit(MakeSpec({MakeStep(4, 4000, milliseconds(2000))}));
+  cell->Time().RunFor(milliseconds(500));
+  RestartAll(cell.get(), milliseconds(400));
+  const SimJob* after = cell->Submit(MakeSpec({MakeStep(2, 4000, seconds(8))}));
+  BOOST_TEST(Completes(cell.get(), *before, seconds(15)));
+  BOOST_TEST(Completes(cell.get(), *after, seconds(15)));
+  CheckKept(cell.get());
+  for (const std::string& line : cell->Log().Lines()) {
+    BOOST_TEST(line.find("reason=lease-lapsed") == std::string::npos, line);
+  }
+}
+
+// Guards against sound jobs that are given up because their workers restart.
+BOOST_AUTO_TEST_CASE(jobs_survive_restarts_again_and_again) {
+  const auto cell = MakeCell(6);
+  std::vector<const SimJob*> jobs;
+  constexpr int kRounds = 6;
+  for (int i = 0; i < kRounds; ++i) {
+    jobs.push_back(cell->Submit(MakeSpec({MakeStep(6, 3000, seconds(1))})));
+    Step gang = MakeStep(4, 8000, seconds(2));
+    gang.gang = true;
+    jobs.push_back(cell->Submit(MakeSpec({gang})));
+    cell->Time().RunFor(milliseconds(1300));
+    const std::vector<SimWorker*> alive = cell->Workers().Alive();
+    for (std::size_t w = 0; w < alive.size(); w += 2) {
+      cell->CrashWorker(alive[w], milliseconds(600));
+    }
+    cell->Time().RunFor(seconds(4));
+  }
+  for (const SimJob* job : jobs) {
+    BOOST_TEST(Completes(cell.get(), *job, seconds(30)));
+  }
+  CheckKept(cell.get());
+}
+
+// Guards against a bound on crashes that counts each id once.
+BOOST_AUTO_TEST_CASE(crashes_are_counted_over_restarts_under_one_id) {
+  const auto cell = MakeCell(1);
+  SimJob* job = cell->Submit(MakeSpec({MakeStep(1, 2000, seconds(1))}));
+  job->crashing = job_sim::CrashingTasks{};
+  BOOST_TEST(cell->AwaitFinal(job->job.id, seconds(60)));
+  BOOST_TEST((cell->Ask(job->job.id) == JobState::kFailed));
+  CheckKept(cell.get());
+}
+
+// Guards against a start that the former life left unanswered and the new one
+// carries out while the task runs elsewhere.
+BOOST_AUTO_TEST_CASE(a_late_start_does_not_run_beside_a_newer_one) {
+  constexpr milliseconds kStep(100);
+  constexpr milliseconds kLast(2000);
+  for (milliseconds moment{0}; moment <= kLast; moment += kStep) {
+    const auto cell = MakeCell(2);
+    RunSomeJobs(cell.get());
+    cell->Workers().late_orders = 0.5;
+    const SimJob* job = cell->Submit(MakeSpec({MakeStep(6, 2000, seconds(6))}));
+    cell->Time().RunFor(moment);
+    RestartAll(cell.get(), milliseconds(300));
+    cell->Time().RunFor(milliseconds(600));
+    cell->Workers().late_orders = 0;
+    BOOST_TEST(Completes(cell.get(), *job, seconds(60)));
+    CheckKept(cell.get());
+  }
+}
+
+// Guards against a new owner that asks the new life about runs of the former.
+BOOST_AUTO_TEST_CASE(a_restart_during_a_change_of_owner_loses_no_run) {
+  constexpr milliseconds kStep(200);
+  constexpr milliseconds kLast(3000);
+  for (milliseconds moment{0}; moment <= kLast; moment += kStep) {
+    const auto cell = MakeCell(3);
+    RunSomeJobs(cell.get());
+    const SimJob* job = cell->Submit(MakeSpec({MakeStep(6, 4000, seconds(3))}));
+    cell->Time().RunFor(milliseconds(500));
+    const auto owner = cell->OwnerIndex();
+    BOOST_REQUIRE(owner.has_value());
+    cell->KillProcess(*owner);
+    cell->Time().RunFor(moment);
+    RestartAll(cell.get(), milliseconds(200));
+    cell->Time().RunFor(seconds(1));
+    cell->StartProcess(*owner);
+    BOOST_TEST(Completes(cell.get(), *job, seconds(40)));
+    cell->Time().RunFor(seconds(5));
+    CheckKept(cell.get());
+  }
+}
+
+// Guards against permissions, and refusals, of a former life that count for the
+// new one.
+BOOST_AUTO_TEST_CASE(a_new_life_is_asked_about_anew) {
+  auto cell =
+      SimCell::Builder().Workers(8).Advice(0.5, milliseconds(60)).Build();
+  cell->ReuseWorkerIds();
+  for (int i = 0; i < 4; ++i) {
+    Step gang = MakeStep(3, 9000, seconds(1));
+    gang.gang = true;
+    const SimJob* wide = cell->Submit(MakeSpec({gang}));
+    const SimJob* narrow =
+        cell->Submit(MakeSpec({MakeStep(4, 2000, seconds(1))}));
+    cell->Time().RunFor(milliseconds(700));
+    RestartAll(cell.get(), milliseconds(300));
+    BOOST_TEST(Completes(cell.get(), *wide, seconds(40)));
+    BOOST_TEST(Completes(cell.get(), *narrow, seconds(40)));
+  }
+  CheckKept(cell.get());
+}
+
+// Guards against a worker of another size that is given what fitted its former
+// life.
+BOOST_AUTO_TEST_CASE(a_smaller_life_is_not_overcommitted) {
+  const auto cell = MakeCell(3);
+  cell->VaryCapacity(0.3);
+  std::vector<const SimJob*> jobs;
+  for (int i = 0; i < 12; ++i) {
+    jobs.push_back(cell->Submit(MakeSpec({MakeStep(8, 4000, seconds(1))})));
+    cell->Time().RunFor(milliseconds(900));
+    if (i % 3 == 0) RestartAll(cell.get(), milliseconds(200));
+  }
+  for (const SimJob* job : jobs) {
+    BOOST_TEST(Completes(cell.get(), *job, seconds(60)));
+  }
+  CheckKept(cell.get());
+}
+
+// Guards against an entry that tells no birth and is not served any more.
+BOOST_AUTO_TEST_CASE(workers_that_tell_no_birth_are_served) {
+  const auto cell = SimCell::Builder().Workers(4).Build();
+  cell->HideBirths();
+  std::vector<const SimJob*> jobs;
+  for (int i = 0; i < 4; ++i) {
+    jobs.push_back(cell->Submit(MakeSpec({MakeStep(6, 3000, seconds(1))})));
+    cell->Time().RunFor(milliseconds(500));
+    cell->CrashWorker(cell->Workers().Alive().front(), milliseconds(600));
+  }
+  for (const SimJob* job : jobs) {
+    BOOST_TEST(Completes(cell.get(), *job, seconds(40)));
+  }
+  CheckKept(cell.get());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace mustardproxy::jobs
--- a/testing/job_sim/include/job_sim/schedule.h
+++ b/testing/job_sim/include/job_sim/schedule.h
@@ -28,6 +28,9 @@
   Duration store_latency = std::chrono::milliseconds(4);
   /// Some tasks take their workers down, and workers shrink and grow.
   bool crashing_tasks = false;
+  /// Workers start again under the ids that they had, alone and many at once,
+  /// with other capacity, and behind cuts.
+  bool reused_worker_ids = false;
 };
 
 /// Plays a cell with jobs and faults drawn from the seed: processes killed,
--- a/testing/job_sim/include/job_sim/sim_cell.h
+++ b/testing/job_sim/include/job_sim/sim_cell.h
@@ -67,11 +67,20 @@
   /// The entry says that it drains, or goes.
   void DrainWorker(SimWorker* worker);
   void UnlistWorker(SimWorker* worker);
-  /// Its life ends; another begins at the same address after `down`.
+  /// Its life ends; another begins at the same address after `down`, under a
+  /// new id or, see ReuseWorkerIds, the same.
   void CrashWorker(SimWorker* worker, std::optional<Duration> down);
   /// Its room changes while it runs, and its entry says so.
   void ResizeWorker(SimWorker* worker, const mustardproxy::Resources& capacity);
 
+  /// Has workers start again under the id that they had.
+  void ReuseWorkerIds() { this->reuses_ids = true; }
+  /// Has neither entries nor answers tell when a worker's life began.
+  void HideBirths() { this->hides_births = true; }
+  /// Least and most capacity of a life that follows another, as a share of what
+  /// the first life had.
+  void VaryCapacity(double least);
+
   /// Has the policy service know workers by their address, so that a life that
   /// follows another is permitted what that was.
   void PermitByAddress() { this->permits_by_address = true; }
@@ -111,6 +120,12 @@
   std::size_t RunningFrom(std::size_t process);
   [[nodiscard]] const jobs::Queue& QueueOf(const jobs::QueueName& name) const;
   SimWorker* ListWorker(const mustardproxy::Resources& capacity);
+  void WriteEntry(const SimWorker& worker, std::string_view state);
+  /// Begins the life that follows a crashed worker's.
+  void BeginNextLife(const SimWorker& former);
+  /// The worker writes its entry as soon as the store takes it.
+  void Register(const SimWorker* worker);
+  [[nodiscard]] std::int64_t NewBirth();
 
   VirtualTime time;
   KeptLog log;
@@ -132,6 +147,11 @@
   std::size_t workers_per_rack = 2;
   std::int64_t store_writes_per_second = 400;
   bool permits_by_address = false;
+  bool reuses_ids = false;
+  bool hides_births = false;
+  double least_capacity = 1.0;
+  /// Capacity of the first life at each address.
+  std::map<std::string, mustardproxy::Resources> whole_capacity;
 };
 
 class SimCell::Builder {
--- a/testing/job_sim/include/job_sim/sim_ticket.h
+++ b/testing/job_sim/include/job_sim/sim_ticket.h
@@ -1,6 +1,7 @@
 #ifndef JOB_SIM_SIM_TICKET_H_
 #define JOB_SIM_SIM_TICKET_H_
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -15,6 +16,8 @@
 struct SimTicket {
   mustardproxy::jobs::StepRef step;
   mustardproxy::WorkerId worker;
+  /// Names the life of the worker.
+  std::int64_t born_ms = 0;
   mustardproxy::Instant expires;
 
   [[nodiscard]] std::string Text() const;
--- a/testing/job_sim/include/job_sim/sim_worker.h
+++ b/testing/job_sim/include/job_sim/sim_worker.h
@@ -30,6 +30,8 @@
             std::function<void(jobs::HoldResult)> done);
   /// All that runs ends; the life is over.
   void Crash();
+  /// A life that follows a larger one may be given what still fitted there.
+  void FollowLife(const SimWorker& former);
   void EndRun(const jobs::RunRef& run, jobs::RunEnd end);
 
   [[nodiscard]] const jobs::WorkerInfo& Info() const { return this->info; }
@@ -84,6 +86,8 @@
   SimWorkers* all;
   jobs::WorkerInfo info;
   double clock_rate;
+  /// Its clock counts from here.
+  Instant started;
   bool alive = true;
   jobs::FencingToken token = 0;
   std::int64_t lease_until_ms = 0;
@@ -108,10 +112,15 @@
       : time(time), promises(promises) {}
 
   std::unique_ptr<jobs::WorkerDriver> Connect(Process* process);
+  /// Begins a life; one under the same id is over.
   SimWorker* Add(jobs::WorkerInfo info);
   /// @return the life at an address, or null
   [[nodiscard]] SimWorker* At(const std::string& address);
+  /// @return the latest life under an id, or null
   [[nodiscard]] SimWorker* Find(const std::string& id);
+  /// @return the life under an id that was born then, or null
+  [[nodiscard]] SimWorker* FindLife(const std::string& id,
+                                    std::int64_t born_ms);
   [[nodiscard]] std::vector<SimWorker*> Alive();
   /// @return how many addresses there are
   [[nodiscard]] std::size_t Size() const { return this->at_address.size(); }
@@ -125,6 +134,9 @@
   double lost_answers = 0;
   /// Workers that nobody reaches.
   std::set<std::string> cut;
+  /// Waiting holds of a worker that crashes end at once, as connections do that
+  /// are reset, and not by their time-outs.
+  bool resets_connections = false;
   /// Time of one way.
   Duration latency = std::chrono::milliseconds(1);
   Duration gang_wait = std::chrono::seconds(3);
@@ -143,6 +155,8 @@
   void LeaveGang(const jobs::RunRef& run, jobs::RunEnd end);
 
   std::map<std::string, std::unique_ptr<SimWorker>> workers;
+  /// Lives that others under the same id have followed.
+  std::vector<std::unique_ptr<SimWorker>> former;
   std::map<std::string, std::string> at_address;
   std::map<std::pair<jobs::StepRef, jobs::RunNumber>, Gang> gangs;
 };
--- a/testing/job_sim/src/schedule.cc
+++ b/testing/job_sim/src/schedule.cc
@@ -17,6 +17,8 @@
 constexpr std::size_t kWorkers = 6;
 constexpr std::int32_t kJobs = 14;
 constexpr std::int32_t kMostFaults = 7;
+/// Share of its capacity that a worker has at least after a restart.
+constexpr double kLeastCapacity = 0.7;
 /// Time in which jobs come and faults strike.
 constexpr Duration kBusy = seconds(18);
 /// Time in which everything has to end once the faults are over: the longest
@@ -34,6 +36,12 @@
     this->cell->Store().latency = options.store_latency;
     // With each life drawn anew, so many crashes would leave none permitted.
     if (options.crashing_tasks) this->cell->PermitByAddress();
+    if (options.reused_worker_ids) {
+      this->cell->ReuseWorkerIds();
+      this->cell->Workers().resets_connections = this->time.Chance(0.5);
+      // Less, and a gang may not fit any more.
+      if (this->time.Chance(0.5)) this->cell->VaryCapacity(kLeastCapacity);
+    }
   }
 
   ScheduleResult Play();
@@ -48,6 +56,8 @@
   void StrikeStore();
   void StrikeWorker();
   void ResizeWorker();
+  /// Restarts many workers at about the same moment.
+  void RestartWorkers();
   std::optional<CrashingTasks> DrawCrashing();
   void Note(const std::string& fault);
   /// Undoes a fault after a while.
@@ -166,7 +176,35 @@
              });
 }
 
+void Player::RestartWorkers() {
+  SimWorkers& workers = this->cell->Workers();
+  const bool behind_cut = this->time.Chance(0.3);
+  const bool again = this->time.Chance(0.3);
+  const double share = 0.3 + 0.7 * this->time.Draw();
+  for (SimWorker* worker : workers.Alive()) {
+    if (!this->time.Chance(share)) continue;
+    const std::string name = worker->Info().id.Text();
+    const Duration down =
+        this->time.Chance(0.3)
+            ? Duration::zero()
+            : this->time.DrawBetween(milliseconds(1), milliseconds(1500));
+    this->Note("restart " + name);
+    if (behind_cut && workers.cut.insert(name).second) {
+      this->Undo(milliseconds(500), milliseconds(6000),
+                 [&workers, name] { workers.cut.erase(name); });
+    }
+    this->cell->CrashWorker(worker, down);
+  }
+  if (!again) return;
+  this->Undo(milliseconds(200), milliseconds(4000),
+             [this] { this->RestartWorkers(); });
+}
+
 void Player::Strike() {
+  if (this->options.reused_worker_ids && this->time.Chance(0.4)) {
+    this->RestartWorkers();
+    return;
+  }
   if (this->options.crashing_tasks && this->time.Chance(0.3)) {
     this->ResizeWorker();
     return;
--- a/testing/job_sim/src/sim_cell.cc
+++ b/testing/job_sim/src/sim_cell.cc
@@ -29,6 +29,8 @@
 constexpr Duration kLeastRestart = seconds(1);
 constexpr Duration kMostRestart = seconds(5);
 constexpr Duration kLeastWait = milliseconds(200);
+constexpr Duration kHeartbeat = milliseconds(1500);
+constexpr Duration kRegisterRetry = milliseconds(250);
 constexpr std::string_view kDesiredKey = "desired";
 constexpr std::string_view kWorkerPrefix = "workers/";
 
@@ -86,16 +88,27 @@
   }
   [[nodiscard]] Result<jobs::WorkerInfo> ParseWorker(
       std::string_view id, std::string_view value) const override {
-    SimWorker* worker = this->cell->workers.Find(std::string(id));
-    const bool read = value == "ready" || value == "draining";
-    if (worker == nullptr || !read) return make_error_code(Error::kSyntax);
+    const std::string_view state = value.substr(0, value.find(' '));
+    const bool read = state == "ready" || state == "draining";
+    if (!read) return make_error_code(Error::kSyntax);
+    const SimWorker* worker = this->LifeOf(std::string(id), value);
+    if (worker == nullptr) return make_error_code(Error::kSyntax);
     jobs::WorkerInfo info = worker->Info();
-    info.draining = value == "draining";
+    info.draining = state == "draining";
     if (info.draining) info.remaining = kDrainTime;
     return info;
   }
 
  private:
+  /// @return the life that wrote the entry; the latest if it tells none
+  [[nodiscard]] const SimWorker* LifeOf(const std::string& id,
+                                        std::string_view value) const {
+    const std::size_t space = value.find(' ');
+    if (space == std::string_view::npos) return this->cell->workers.Find(id);
+    return this->cell->workers.FindLife(
+        id, std::stoll(std::string(value.substr(space))));
+  }
+
   SimCell* cell;
 };
 
@@ -185,7 +198,9 @@
     const Instant expires = this->free_at + policy.validity;
     for (const WorkerId& worker : question.workers) {
       if (!this->Permits(queue, question.step, worker)) continue;
-      const SimTicket ticket{question.step, worker, expires};
+      const SimWorker* known = this->cell->workers.Find(worker.Text());
+      const std::int64_t born_ms = known == nullptr ? 0 : known->Info().born_ms;
+      const SimTicket ticket{question.step, worker, born_ms, expires};
       advice.permitted.push_back({worker, ticket.Text()});
     }
     const Duration delay =
@@ -209,8 +224,13 @@
         by_address ? known->Info().address : worker.Text();
     const bool chosen = name.ends_with('0') || name.ends_with('3');
     if (chosen && this->cell->workers.Size() <= kFew) return true;
+    std::string life = name;
+    // Another life may be of another kind.
+    if (!by_address && known != nullptr && this->cell->reuses_ids) {
+      life += "@" + std::to_string(known->Info().born_ms);
+    }
     const std::size_t drawn =
-        std::hash<std::string>{}(jobs::Text(step) + name) % kSteps;
+        std::hash<std::string>{}(jobs::Text(step) + life) % kSteps;
     return static_cast<double>(drawn) <
            this->cell->permitted_shares.at(queue.name) *
                static_cast<double>(kSteps);
@@ -345,14 +365,31 @@
   info.rack = "rack-" + std::to_string(number / this->workers_per_rack);
   info.labels = {"a", info.rack};
   info.capacity = capacity;
+  info.born_ms = this->NewBirth();
+  this->whole_capacity[info.address] = capacity;
   SimWorker* worker = this->workers.Add(info);
-  this->store.Put(std::string(kWorkerPrefix) + info.id.Text(), "ready");
+  this->WriteEntry(*worker, "ready");
   return worker;
 }
 
+std::int64_t SimCell::NewBirth() {
+  constexpr std::int64_t kEpochMs = 1'700'000'000'000;
+  if (this->hides_births) return 0;
+  return kEpochMs + std::chrono::duration_cast<milliseconds>(
+                        this->time.Now().time_since_epoch())
+                        .count();
+}
+
+void SimCell::WriteEntry(const SimWorker& worker, std::string_view state) {
+  const jobs::WorkerInfo& info = worker.Info();
+  this->store.Put(std::string(kWorkerPrefix) + info.id.Text(),
+                  std::string(state) + " " + std::to_string(info.born_ms));
+}
+
+void SimCell::VaryCapacity(double least) { this->least_capacity = least; }
+
 void SimCell::DrainWorker(SimWorker* worker) {
-  this->store.Put(std::string(kWorkerPrefix) + worker->Info().id.Text(),
-                  "draining");
+  this->WriteEntry(*worker, "draining");
 }
 
 void SimCell::UnlistWorker(SimWorker* worker) {
@@ -363,21 +400,50 @@
   // Entries of lives that ended go after three intervals of silence.
   constexpr Duration kEntryLapse = milliseconds(4500);
   worker->Crash();
-  this->time.After(kEntryLapse, [this, worker] { this->UnlistWorker(worker); });
+  this->time.After(kEntryLapse, [this, worker] {
+    const SimWorker* latest = this->workers.Find(worker->Info().id.Text());
+    if (latest == worker) this->UnlistWorker(worker);
+  });
   if (!down) return;
-  this->time.After(*down, [this, worker] {
-    jobs::WorkerInfo info = worker->Info();
+  this->time.After(*down, [this, worker] { this->BeginNextLife(*worker); });
+}
+
+void SimCell::BeginNextLife(const SimWorker& former) {
+  jobs::WorkerInfo info = former.Info();
+  info.born_ms = this->NewBirth();
+  if (!this->reuses_ids) {
     info.id = WorkerId("w" + std::to_string(this->next_worker++));
-    this->workers.Add(info);
-    this->store.Put(std::string(kWorkerPrefix) + info.id.Text(), "ready");
-  });
+    this->WriteEntry(*this->workers.Add(info), "ready");
+    return;
+  }
+  if (this->least_capacity < 1.0) {
+    const double share =
+        this->least_capacity + (1.0 - this->least_capacity) * this->time.Draw();
+    info.capacity.cpu_milli = static_cast<std::int64_t>(
+        share *
+        static_cast<double>(this->whole_capacity.at(info.address).cpu_milli));
+  }
+  SimWorker* next = this->workers.Add(info);
+  next->FollowLife(former);
+  // Its first heartbeat may come at any moment of an interval.
+  this->time.After(this->time.DrawBetween(Duration::zero(), kHeartbeat),
+                   [this, next] { this->Register(next); });
+}
+
+void SimCell::Register(const SimWorker* worker) {
+  if (!worker->Alive()) return;
+  if (this->store.silent || this->store.refusing) {
+    this->time.After(kRegisterRetry,
+                     [this, worker] { this->Register(worker); });
+    return;
+  }
+  this->WriteEntry(*worker, "ready");
 }
 
 void SimCell::ResizeWorker(SimWorker* worker,
                            const mustardproxy::Resources& capacity) {
   worker->Resize(capacity);
-  this->store.Put(std::string(kWorkerPrefix) + worker->Info().id.Text(),
-                  "ready");
+  this->WriteEntry(*worker, "ready");
 }
 
 void SimCell::Apply() {
--- a/testing/job_sim/src/sim_worker.cc
+++ b/testing/job_sim/src/sim_worker.cc
@@ -33,12 +33,16 @@
 }  // namespace
 
 SimWorker::SimWorker(SimWorkers* all, jobs::WorkerInfo info, double clock_rate)
-    : all(all), info(std::move(info)), clock_rate(clock_rate) {}
+    : all(all),
+      info(std::move(info)),
+      clock_rate(clock_rate),
+      started(all->time->Now()) {}
 
 std::int64_t SimWorker::ClockMs() const {
-  const auto now = this->all->time->Now().time_since_epoch();
-  return static_cast<std::int64_t>(this->clock_rate *
-                                   static_cast<double>(Milliseconds(now)));
+  const Duration age = this->all->time->Now() - this->started;
+  // Zero would stand for no reading.
+  return 1 + static_cast<std::int64_t>(this->clock_rate *
+                                       static_cast<double>(Milliseconds(age)));
 }
 
 OrderResult SimWorker::Refuse(OrderEnd end) const {
@@ -113,7 +117,7 @@
 bool SimWorker::Permitted(const jobs::StartOrder& order) const {
   const SimJob* job = this->all->promises->Find(order.run.task.step.job);
   if (job == nullptr || !job->job.queue.advice) return true;
-  const SimTicket now{order.run.task.step, this->info.id,
+  const SimTicket now{order.run.task.step, this->info.id, this->info.born_ms,
                       this->all->time->Now()};
   return now.Admits(order.ticket);
 }
@@ -259,6 +263,7 @@
 jobs::HoldResult SimWorker::Lists() const {
   jobs::HoldResult lists;
   lists.order = this->Refuse(OrderEnd::kDone);
+  lists.order.born_ms = this->info.born_ms;
   for (const auto& [run, record] : this->running) {
     lists.running.push_back({run, this->Checkpoint(record), 0, 0});
   }
@@ -275,7 +280,7 @@
 void SimWorker::Crash() {
   std::vector<jobs::RunRef> all_runs;
   for (const auto& [run, record] : this->running) all_runs.push_back(run);
-  this->waiting.clear();
+  const auto cut_off = std::exchange(this->waiting, {});
   this->alive = false;
   this->running.clear();
   for (const jobs::RunRef& run : all_runs) {
@@ -283,6 +288,15 @@
     this->all->promises->OnEnd(this->info.id.Text(), run, RunEnd::kLapsed);
     this->all->LeaveGang(run, RunEnd::kLapsed);
   }
+  if (!this->all->resets_connections) return;
+  for (const auto& entry : cut_off) {
+    if (entry->done) std::exchange(entry->done, {})({});
+  }
+}
+
+void SimWorker::FollowLife(const SimWorker& former) {
+  this->former_capacities = former.former_capacities;
+  this->former_capacities.emplace_back(this->started, former.info.capacity);
 }
 
 void SimWorkers::JoinGang(SimWorker* worker, const jobs::RunRef& run) {
@@ -332,6 +346,7 @@
   // A worker's clock may be two in a hundred slow.
   const double rate = 0.98 + 0.02 * this->time->Draw();
   auto& slot = this->workers[id];
+  if (slot) this->former.push_back(std::move(slot));
   slot = std::make_unique<SimWorker>(this, std::move(info), rate);
   return slot.get();
 }
@@ -346,6 +361,16 @@
   return found == this->workers.end() ? nullptr : found->second.get();
 }
 
+SimWorker* SimWorkers::FindLife(const std::string& id, std::int64_t born_ms) {
+  SimWorker* latest = this->Find(id);
+  if (latest == nullptr || latest->Info().born_ms == born_ms) return latest;
+  for (const auto& life : this->former) {
+    const jobs::WorkerInfo& info = life->Info();
+    if (info.id.Text() == id && info.born_ms == born_ms) return life.get();
+  }
+  return nullptr;
+}
+
 std::vector<SimWorker*> SimWorkers::Alive() {
   std::vector<SimWorker*> alive;
   for (const auto& [id, worker] : this->workers) {
