--- a/packages/jobs/include/mustardproxy/jobs/worker_driver.h
+++ b/packages/jobs/include/mustardproxy/jobs/worker_driver.h
@@ -10,17 +10,16 @@
 #include "mustardproxy/core/resources.h"
 #include "mustardproxy/core/time.h"
 #include "mustardproxy/jobs/job.h"
+#include "mustardproxy/jobs/worker_incarnation.h"
 
 namespace mustardproxy::jobs {
 
 /// Fencing token of the scheduler that orders; a worker obeys its highest only.
 using FencingToken = std::int64_t;
 
-/// A worker as it describes itself. The id names one life of it.
+/// One life of a worker as it describes itself.
 struct WorkerInfo {
-  WorkerId id;
-  /// Start of this life in Unix milliseconds; 0 if the entry does not tell.
-  std::int64_t born_ms = 0;
+  WorkerIncarnation incarnation;
   /// `ip:port` for orders.
   std::string address;
   ServiceId service;
@@ -39,7 +38,7 @@
 
 /// Which life of which worker an order is for.
 struct WorkerTarget {
-  WorkerId id;
+  WorkerIncarnation incarnation;
   std::string address;
 };
 
--- a/packages/jobs/src/ask_choice.cc
+++ b/packages/jobs/src/ask_choice.cc
@@ -99,7 +99,8 @@
   for (const Choice& choice : choices) {
     const bool enough = wanted <= 0 && taken >= fewest;
     if (enough || workers->size() == kMaxAdviceWorkers) break;
-    workers->push_back({choice.session->info.id, choice.session->Number()});
+    workers->push_back(
+        {choice.session->Incarnation().id, choice.session->Number()});
     wanted -= share * static_cast<double>(choice.fitting);
     ++taken;
   }
--- a/packages/jobs/src/crash_history.cc
+++ b/packages/jobs/src/crash_history.cc
@@ -25,24 +25,28 @@
   if (!known) this->losses.push_back(loss);
 }
 
-bool CrashHistory::Confirm(const WorkerId& worker) {
+bool CrashHistory::Confirm(const WorkerIncarnation& worker) {
   const auto found = std::find_if(
       this->losses.begin(), this->losses.end(),
-      [&](const WorkerLoss& loss) { return loss.worker == worker; });
+      [&](const WorkerLoss& loss) { return MayBeSame(loss.worker, worker); });
   if (found == this->losses.end()) return false;
   return !std::exchange(found->certain, true);
 }
 
-void CrashHistory::Clear(const WorkerId& worker) {
-  std::erase_if(this->losses,
-                [&](const WorkerLoss& loss) { return loss.worker == worker; });
+void CrashHistory::NoteAlive(const WorkerIncarnation& worker) {
+  std::erase_if(this->losses, [&](const WorkerLoss& loss) {
+    return MayBeSame(loss.worker, worker);
+  });
+  for (WorkerLoss& loss : this->losses) {
+    if (loss.worker.id == worker.id) loss.certain = true;
+  }
 }
 
 std::string CrashHistory::Text() const {
   std::string text;
   for (const WorkerLoss& loss : this->losses) {
     if (!text.empty()) text += ' ';
-    text += loss.worker.Text();
+    text += jobs::Text(loss.worker);
   }
   return text;
 }
--- a/packages/jobs/src/crash_history.h
+++ b/packages/jobs/src/crash_history.h
@@ -7,13 +7,14 @@
 
 #include "mustardproxy/core/ids.h"
 #include "mustardproxy/core/time.h"
+#include "mustardproxy/jobs/worker_incarnation.h"
 
 namespace mustardproxy::jobs {
 
 /// A worker that was lost under a run of a task.
 struct WorkerLoss {
-  /// Names the life that ended.
-  WorkerId worker;
+  /// The life that ended.
+  WorkerIncarnation worker;
   /// Another life has answered at its address. A worker that is merely silent
   /// may have been cut off.
   bool certain = false;
@@ -34,9 +35,10 @@
   void Note(const WorkerLoss& loss);
   /// The worker is known to have ended its life.
   /// @return true if it was not known before
-  bool Confirm(const WorkerId& worker);
-  /// The worker lives.
-  void Clear(const WorkerId& worker);
+  bool Confirm(const WorkerIncarnation& worker);
+  /// The worker lives: this life was not lost, and those before under its id
+  /// are over.
+  void NoteAlive(const WorkerIncarnation& worker);
 
   [[nodiscard]] bool Empty() const { return this->losses.empty(); }
   [[nodiscard]] const std::vector<WorkerLoss>& Losses() const {
--- a/packages/jobs/src/dispatcher.cc
+++ b/packages/jobs/src/dispatcher.cc
@@ -40,7 +40,7 @@
 std::size_t PutFailedLast(const Unit& unit,
                           std::vector<Candidate>* candidates) {
   const auto failed_there = [&](const Candidate& candidate) {
-    const WorkerId& worker = candidate.room->session->info.id;
+    const WorkerId& worker = candidate.room->session->Incarnation().id;
     return std::any_of(
         unit.tasks.begin(), unit.tasks.end(), [&](std::int32_t index) {
           return unit.progress->tasks[static_cast<std::size_t>(index)]
@@ -53,10 +53,11 @@
   return static_cast<std::size_t>(first_failed - candidates->begin());
 }
 
-std::int32_t CountSiblings(const StepEntry& progress, const WorkerId& worker) {
+std::int32_t CountSiblings(const StepEntry& progress,
+                           const WorkerIncarnation& worker) {
   return static_cast<std::int32_t>(std::count_if(
       progress.tasks.begin(), progress.tasks.end(), [&](const TaskEntry& task) {
-        return task.open && task.worker == worker;
+        return task.open && MayBeSame(task.worker, worker);
       }));
 }
 
@@ -116,22 +117,24 @@
 }
 
 void Dispatcher::NoteSilent() {
-  this->silent.clear();
-  for (const auto& [id, session] : this->context->workers) {
-    if (session->suspect && !session->runs.empty()) this->silent.insert(id);
-  }
+  this->any_silent =
+      std::any_of(this->context->workers.begin(), this->context->workers.end(),
+                  [](const auto& one) {
+                    return one.second->suspect && !one.second->runs.empty();
+                  });
 }
 
 void Dispatcher::NoteEjected(Instant now) {
   WorkerHealth& health = this->context->health;
   for (const WorkerId& worker : health.TakeChanged(now)) {
-    WorkerSession* session = this->context->workers.Find(worker);
+    WorkerSession* session = this->context->workers.At(worker);
     if (session == nullptr) continue;
     const bool ejected = !health.Standing(now, worker).placeable;
     if (std::exchange(session->ejected, ejected) == ejected) continue;
-    this->context->log->Write(
-        "workers", ejected ? "worker-ejected" : "worker-readmitted",
-        {{"worker", worker.Text()}, {"runs", session->runs.size()}});
+    this->context->log->Write("workers",
+                              ejected ? "worker-ejected" : "worker-readmitted",
+                              {{"worker", Text(session->Incarnation())},
+                               {"runs", session->runs.size()}});
   }
 }
 
@@ -180,7 +183,7 @@
 
 std::optional<Unit> Dispatcher::SplitSuspicious(Unit* unit) const {
   if (unit->step->gang) return std::nullopt;
-  const bool may_be_silent = !this->silent.empty() && unit->progress->open > 0;
+  const bool may_be_silent = this->any_silent && unit->progress->open > 0;
   if (unit->entry->crashes.empty() && !may_be_silent) return std::nullopt;
   const auto first = std::stable_partition(
       unit->tasks.begin(), unit->tasks.end(), [&](std::int32_t index) {
@@ -224,7 +227,9 @@
   // It takes seconds until a silent worker is known to be lost.
   const std::vector<TaskEntry>& tasks = unit.progress->tasks;
   for (std::size_t i = 0; i < tasks.size(); ++i) {
-    if (!tasks[i].open || !this->silent.contains(tasks[i].worker)) continue;
+    if (!tasks[i].open) continue;
+    const WorkerSession* session = this->context->workers.Find(tasks[i].worker);
+    if (session == nullptr || !session->suspect) continue;
     const SessionRun* run = this->FindRun(unit, i);
     if (run != nullptr && run->ordered_at && !run->seen_running) return true;
   }
@@ -292,7 +297,7 @@
   const bool alone = company(*chosen).first == 0;
   if (!alone && now < since + kQuietWorkerWait) return;
   chosen->room->free = Resources{};
-  this->Start(unit, {chosen->room->session->info.id});
+  this->Start(unit, {chosen->room->session->Incarnation()});
 }
 
 Duration Dispatcher::Objective(const Unit& unit) const {
@@ -347,7 +352,8 @@
   if (!Takes(*unit.step).FitsIn(room->free) && !unit.step->gang) return;
   Candidate candidate{.room = room};
   if (unit.step->max_per_worker > 0) {
-    candidate.siblings = CountSiblings(*unit.progress, room->session->info.id);
+    candidate.siblings =
+        CountSiblings(*unit.progress, room->session->Incarnation());
   }
   candidates->push_back(candidate);
 }
@@ -420,7 +426,7 @@
   // there goes back to it until its attempts are used up.
   const std::size_t others = PutFailedLast(*unit, &candidates);
   const auto count = static_cast<std::int32_t>(unit->tasks.size());
-  std::vector<WorkerId> workers =
+  std::vector<WorkerIncarnation> workers =
       PlaceTasks(*unit->step, count, std::span(candidates).first(others));
   if (workers.empty()) workers = PlaceTasks(*unit->step, count, candidates);
   if (workers.empty()) return;
@@ -432,7 +438,8 @@
   }
 }
 
-void Dispatcher::Start(Unit* unit, const std::vector<WorkerId>& workers) {
+void Dispatcher::Start(Unit* unit,
+                       const std::vector<WorkerIncarnation>& workers) {
   const std::span<const std::int32_t> tasks(unit->tasks.data(), workers.size());
   const std::vector<RunRef> runs =
       this->context->jobs.Begin(unit->entry, unit->ref, tasks, workers);
--- a/packages/jobs/src/dispatcher.h
+++ b/packages/jobs/src/dispatcher.h
@@ -3,7 +3,6 @@
 
 #include <cstdint>
 #include <optional>
-#include <set>
 #include <vector>
 
 #include "guard.h"
@@ -38,7 +37,7 @@
 
  private:
   void Pass();
-  /// Takes note of the workers that do not answer.
+  /// Takes note of whether a worker does not answer.
   void NoteSilent();
   /// Takes note of the workers whose health has changed.
   void NoteEjected(Instant now);
@@ -93,7 +92,7 @@
                                         const PassRooms& rooms,
                                         Instant now) const;
   Instant ExpectedEnd(const Unit& unit, Instant now) const;
-  void Start(Unit* unit, const std::vector<WorkerId>& workers);
+  void Start(Unit* unit, const std::vector<WorkerIncarnation>& workers);
   void ConsiderAdvice(const Unit& unit, const PassRooms& rooms, Instant now);
   void HoldForGang(const Unit& unit, const PassRooms& rooms, Instant now);
   /// @return what a step that waits has
@@ -104,8 +103,8 @@
   OwnerContext* context;
   WaitReport waits;
   bool kicked = false;
-  /// In this pass: workers that run something and do not answer.
-  std::set<WorkerId> silent;
+  /// In this pass: a worker that runs something does not answer.
+  bool any_silent = false;
   Instant last_pass;
   Guard guard;
 };
--- a/packages/jobs/src/gang_claims.cc
+++ b/packages/jobs/src/gang_claims.cc
@@ -28,7 +28,8 @@
 
 GangClaims::GangClaims(OwnerContext* context) : context(context) {}
 
-void GangClaims::Add(std::vector<RunRef> runs, std::vector<WorkerId> workers) {
+void GangClaims::Add(std::vector<RunRef> runs,
+                     std::vector<WorkerIncarnation> workers) {
   const StepRef step = runs.front().task.step;
   Claim& claim = this->claims[step];
   const Step& spec = *this->context->jobs.FindStep(step);
@@ -106,7 +107,8 @@
   const StepAdvice* advice = this->context->advice->Find(step);
   if (advice == nullptr) return true;
   return std::any_of(
-      claim.workers.begin(), claim.workers.end(), [&](const WorkerId& worker) {
+      claim.workers.begin(), claim.workers.end(),
+      [&](const WorkerIncarnation& worker) {
         const WorkerSession* session = this->context->workers.Find(worker);
         return session == nullptr || advice->Refuses(session->Number());
       });
@@ -117,13 +119,13 @@
                                                  Instant moment) {
   const StepAdvice* advice = this->context->advice->Find(step);
   std::map<WorkerId, SessionNumber> lacking;
-  for (const WorkerId& worker : claim.workers) {
+  for (const WorkerIncarnation& worker : claim.workers) {
     const WorkerSession* session = this->context->workers.Find(worker);
     if (session == nullptr) continue;
     const Ticket* ticket =
         advice == nullptr ? nullptr : advice->TicketFor(session->Number());
     const bool holds = ticket != nullptr && ticket->expires > moment;
-    if (!holds) lacking.emplace(worker, session->Number());
+    if (!holds) lacking.emplace(worker.id, session->Number());
   }
   std::vector<AskedWorker> asked;
   asked.reserve(lacking.size());
--- a/packages/jobs/src/gang_claims.h
+++ b/packages/jobs/src/gang_claims.h
@@ -36,7 +36,7 @@
   /// The runs of a gang have taken their room; they are sent once they are
   /// stored and all permissions hold.
   /// @param workers one for each run
-  void Add(std::vector<RunRef> runs, std::vector<WorkerId> workers);
+  void Add(std::vector<RunRef> runs, std::vector<WorkerIncarnation> workers);
   /// The runs of a claim have been written down.
   void OnStored(const RunRef& first);
   /// A question about the step was answered, or failed.
@@ -55,7 +55,7 @@
  private:
   struct Claim {
     std::vector<RunRef> runs;
-    std::vector<WorkerId> workers;
+    std::vector<WorkerIncarnation> workers;
     bool stored = false;
     /// When its room was taken, or its runs were stored.
     Instant since;
--- a/packages/jobs/src/group_owner.cc
+++ b/packages/jobs/src/group_owner.cc
@@ -63,6 +63,7 @@
       [this] { this->context.step_down("the store knows a newer owner"); });
   this->dispatcher = std::make_unique<Dispatcher>(&shared);
   this->runs = std::make_unique<RunControl>(&shared);
+  this->incarnations = std::make_unique<IncarnationTracker>(&shared);
   this->claims = std::make_unique<GangClaims>(&shared);
   this->holds = std::make_unique<HoldLoop>(&shared);
   this->advice = std::make_unique<PermissionBroker>(
@@ -90,6 +91,7 @@
   shared.ended = this->ended.get();
   shared.advice = this->advice.get();
   shared.runs = this->runs.get();
+  shared.incarnations = this->incarnations.get();
   shared.claims = this->claims.get();
   shared.holds = this->holds.get();
   shared.dispatcher = this->dispatcher.get();
@@ -245,7 +247,7 @@
 void GroupOwner::OnWorker(const StoreEvent& event) {
   const std::string_view prefix = this->schema->WorkerPrefix();
   const std::string id = event.item.key.substr(prefix.size());
-  WorkerSession* session = this->context.workers.Find(WorkerId(id));
+  WorkerSession* session = this->context.workers.At(WorkerId(id));
   if (event.deleted) {
     this->Unlist(session, event.item.revision);
     return;
@@ -267,33 +269,32 @@
 void GroupOwner::Unlist(WorkerSession* session, Revision revision) {
   if (session == nullptr || !std::exchange(session->listed, false)) return;
   this->context.log->Write("workers", "worker-unlisted",
-                           {{"worker", session->info.id.Text()},
+                           {{"worker", Text(session->Incarnation())},
                             {"runs", session->runs.size()},
                             {"revision", revision}});
 }
 
 void GroupOwner::AddWorker(const WorkerInfo& info) {
-  WorkerSession* session = this->context.workers.Find(info.id);
-  if (session == nullptr) {
-    session =
-        this->context.workers.Add(info, this->elected_at + InheritedFor());
-    this->context.health.Add(info.id);
-    // Those found at a takeover are told of by their number.
-    if (this->workers->Listed()) {
-      this->context.log->Write("workers", "worker-listed",
-                               {{"worker", info.id.Text()},
-                                {"born", info.born_ms},
-                                {"address", info.address},
-                                {"rack", info.rack}});
-    }
+  const SessionNumber first_new = this->context.workers.NumberLimit();
+  WorkerSession* session =
+      this->incarnations->NoteEntry(info, this->elected_at + InheritedFor());
+  if (session == nullptr) return;
+  // Those found at a takeover are told of by their number.
+  if (session->Number() >= first_new && this->workers->Listed()) {
+    this->context.log->Write("workers", "worker-listed",
+                             {{"worker", Text(info.incarnation)},
+                              {"address", info.address},
+                              {"rack", info.rack}});
   }
   if (info.draining && !session->info.draining) {
     session->leaves_at = this->context.executor->Now() + info.remaining;
-    this->context.log->Write(
-        "workers", "worker-draining",
-        {{"worker", info.id.Text()}, {"runs", session->runs.size()}});
+    this->context.log->Write("workers", "worker-draining",
+                             {{"worker", Text(session->Incarnation())},
+                              {"runs", session->runs.size()}});
   }
+  const WorkerIncarnation incarnation = session->Incarnation();
   session->info = info;
+  session->info.incarnation = incarnation;
   session->listed = true;
   if (session->Overcommitted()) this->runs->WithdrawPlanned(session);
   if (this->loaded) this->holds->Pump(session);
--- a/packages/jobs/src/group_owner.h
+++ b/packages/jobs/src/group_owner.h
@@ -16,6 +16,7 @@
 #include "gang_claims.h"
 #include "guard.h"
 #include "hold_loop.h"
+#include "incarnation_tracker.h"
 #include "mustardproxy/jobs/job_peers.h"
 #include "mustardproxy/jobs/platform_schema.h"
 #include "owner_context.h"
@@ -112,6 +113,7 @@
   std::unique_ptr<StoredProgress> stored;
   std::unique_ptr<PermissionBroker> advice;
   std::unique_ptr<RunControl> runs;
+  std::unique_ptr<IncarnationTracker> incarnations;
   std::unique_ptr<GangClaims> claims;
   std::unique_ptr<HoldLoop> holds;
   std::unique_ptr<Dispatcher> dispatcher;
--- a/packages/jobs/src/hold_loop.cc
+++ b/packages/jobs/src/hold_loop.cc
@@ -48,7 +48,12 @@
 HoldOrder HoldLoop::MakeOrder(const WorkerSession& session, Instant now) const {
   HoldOrder order;
   order.token = this->context->token;
-  order.last_noted_end = session.noted_end;
+  // Failure: a worker has started again unnoticed, and forgets its first ends,
+  // which nobody has read, by the number that its former life had reached. What
+  // was told is not repeated, and a silent worker is told nothing.
+  if (session.noted_end > session.told_end && !session.suspect) {
+    order.last_noted_end = session.noted_end;
+  }
   // Failure: a worker is gone for good and each try to reach it puts the moment
   // off at which its lease has lapsed for certain, so that its tasks never
   // start elsewhere. A silent worker is only asked, and its lease runs out.
@@ -79,7 +84,7 @@
   const std::int64_t told_end = order.last_noted_end;
   this->context->driver->Hold(
       session->Target(), order,
-      this->guard.Wrap([this, worker = session->info.id, now,
+      this->guard.Wrap([this, worker = session->Incarnation(), now,
                         told_end](const HoldResult& result) {
         this->OnHold(worker, now, told_end, result);
       }));
@@ -98,7 +103,7 @@
     if (over && session->runs.empty()) finished.push_back(id);
   }
   for (const WorkerId& id : finished) {
-    WorkerSession* session = this->context->workers.Find(id);
+    WorkerSession* session = this->context->workers.At(id);
     // An entry of a life that is over stays until the platform removes it.
     if (session->listed) continue;
     this->context->health.Remove(id);
@@ -106,7 +111,7 @@
   }
 }
 
-void HoldLoop::OnHold(const WorkerId& worker, Instant asked,
+void HoldLoop::OnHold(const WorkerIncarnation& worker, Instant asked,
                       std::int64_t told_end, const HoldResult& result) {
   WorkerSession* known = this->context->workers.Find(worker);
   if (known != nullptr) known->hold_in_flight = false;
@@ -117,14 +122,16 @@
     this->OnSilence(session, result.order.end);
     return;
   }
-  session->told_end = std::max(session->told_end, told_end);
+  if (MayBeSame(session->Incarnation(), worker)) {
+    session->told_end = std::max(session->told_end, told_end);
+  }
   this->OnAnswer(session, asked, result);
 }
 
 void HoldLoop::OnSilence(WorkerSession* session, OrderEnd end) {
   if (session->MarkSilent(this->context->executor->Now())) {
     this->context->log->Write("workers", "worker-silent",
-                              {{"worker", session->info.id.Text()},
+                              {{"worker", Text(session->Incarnation())},
                                {"end", Name(end)},
                                {"runs", session->runs.size()}});
   }
@@ -138,12 +145,11 @@
   const bool back = std::exchange(session->suspect, false);
   const bool first = !std::exchange(session->fenced, true);
   session->silent_holds = 0;
-  if (first) this->context->jobs.ClearLoss(session->info.id);
+  if (first) this->context->jobs.NoteAlive(session->Incarnation());
   if (first || back) {
     this->context->log->Write("workers",
                               first ? "worker-fenced" : "worker-back",
-                              {{"worker", session->info.id.Text()},
-                               {"born", result.order.born_ms},
+                              {{"worker", Text(session->Incarnation())},
                                {"token", this->context->token},
                                {"running", result.running.size()},
                                {"ended", result.ended.size()}});
@@ -170,7 +176,7 @@
           "jobs", "quarantine-ended",
           {{"task", Text(listed.run.task)},
            {"run", listed.run.run},
-           {"worker", session->info.id.Text()},
+           {"worker", Text(session->Incarnation())},
            {"survived_ms", WholeMilliseconds(record->Survived())}});
       this->context->dispatcher->Kick();
     }
@@ -199,7 +205,7 @@
   this->context->log->Write("jobs", "run-unwanted",
                             {{"task", Text(listed.run.task)},
                              {"run", listed.run.run},
-                             {"worker", session->info.id.Text()}});
+                             {"worker", Text(session->Incarnation())}});
   this->context->runs->Stop(session, listed.run);
 }
 
@@ -221,7 +227,7 @@
 }
 
 void HoldLoop::ReadEnded(WorkerSession* session, const HoldResult& result) {
-  const WorkerId worker = session->info.id;
+  const WorkerIncarnation worker = session->Incarnation();
   auto batch = std::make_shared<EndBatch>();
   batch->last_number = session->read_end;
   // One for this loop itself, so that it ends only once.
@@ -244,7 +250,7 @@
   finish();
 }
 
-void HoldLoop::OnStored(const WorkerId& worker) {
+void HoldLoop::OnStored(const WorkerIncarnation& worker) {
   WorkerSession* session = this->context->workers.Find(worker);
   if (session == nullptr) return;
   auto& batches = session->unstored_ends;
--- a/packages/jobs/src/hold_loop.h
+++ b/packages/jobs/src/hold_loop.h
@@ -28,8 +28,8 @@
   ///   are
   [[nodiscard]] Duration Wait() const;
   HoldOrder MakeOrder(const WorkerSession& session, Instant now) const;
-  void OnHold(const WorkerId& worker, Instant asked, std::int64_t told_end,
-              const HoldResult& result);
+  void OnHold(const WorkerIncarnation& worker, Instant asked,
+              std::int64_t told_end, const HoldResult& result);
   void OnAnswer(WorkerSession* session, Instant asked,
                 const HoldResult& result);
   void OnSilence(WorkerSession* session, OrderEnd end);
@@ -38,7 +38,7 @@
   void DropUnlisted(WorkerSession* session, Instant asked,
                     const HoldResult& result);
   void Adopt(WorkerSession* session, const RunningRun& listed);
-  void OnStored(const WorkerId& worker);
+  void OnStored(const WorkerIncarnation& worker);
 
   OwnerContext* context;
   Guard guard;
--- a/packages/jobs/src/job_table.cc
+++ b/packages/jobs/src/job_table.cc
@@ -15,7 +15,7 @@
 
 void CloseRun(StepEntry* step, TaskEntry* task) {
   task->open = false;
-  task->worker = WorkerId();
+  task->worker = {};
   --step->open;
 }
 
@@ -144,9 +144,9 @@
   return indices;
 }
 
-std::vector<RunRef> JobTable::Begin(JobEntry* entry, const StepRef& step,
-                                    std::span<const std::int32_t> tasks,
-                                    std::span<const WorkerId> workers) {
+std::vector<RunRef> JobTable::Begin(
+    JobEntry* entry, const StepRef& step, std::span<const std::int32_t> tasks,
+    std::span<const WorkerIncarnation> workers) {
   StepEntry* steps = this->FindStepEntry(step);
   const bool gang =
       entry->job.spec.steps[static_cast<std::size_t>(step.step)].gang;
@@ -192,7 +192,7 @@
   }
   StepEntry* step = this->FindStepEntry(run.task.step);
   const Step* spec = this->FindStep(run.task.step);
-  if (end == RunEnd::kFailed) task->failed_at = task->worker;
+  if (end == RunEnd::kFailed) task->failed_at = task->worker.id;
   CloseRun(step, task);
   if (!checkpoint.empty()) this->NoteCheckpoint(run, checkpoint);
   EndEffect effect;
@@ -222,7 +222,7 @@
   history.Note(loss);
 }
 
-std::vector<TaskRef> JobTable::ConfirmLoss(const WorkerId& worker) {
+std::vector<TaskRef> JobTable::ConfirmLoss(const WorkerIncarnation& worker) {
   std::vector<TaskRef> tasks;
   for (JobEntry* entry : this->active) {
     for (auto& [task, history] : entry->crashes) {
@@ -232,12 +232,17 @@
   return tasks;
 }
 
-void JobTable::ClearLoss(const WorkerId& worker) {
+void JobTable::NoteAlive(const WorkerIncarnation& worker) {
   for (JobEntry* entry : this->active) {
-    for (auto& [task, history] : entry->crashes) history.Clear(worker);
+    for (auto& [task, history] : entry->crashes) history.NoteAlive(worker);
   }
 }
 
+void JobTable::Relocate(const RunRef& run, const WorkerIncarnation& worker) {
+  TaskEntry* task = this->FindOpen(run);
+  if (task != nullptr) task->worker = worker;
+}
+
 const CrashHistory* JobTable::FindCrashes(const TaskRef& task) const {
   const JobEntry* entry = this->Find(task.step.job);
   if (entry == nullptr) return nullptr;
--- a/packages/jobs/src/job_table.h
+++ b/packages/jobs/src/job_table.h
@@ -31,7 +31,7 @@
   /// Highest run whose failure is counted.
   RunNumber counted_run = 0;
   /// Where the open run is.
-  WorkerId worker;
+  WorkerIncarnation worker;
   /// Where it failed last; another worker is tried first.
   WorkerId failed_at;
   /// Where the next run resumes.
@@ -148,7 +148,7 @@
   /// @return the runs, in that order
   std::vector<RunRef> Begin(JobEntry* entry, const StepRef& step,
                             std::span<const std::int32_t> tasks,
-                            std::span<const WorkerId> workers);
+                            std::span<const WorkerIncarnation> workers);
   /// Takes back a run that was never started anywhere.
   void Withdraw(const RunRef& run);
   /// Takes in the end of a run.
@@ -159,9 +159,11 @@
   void NoteLoss(const RunRef& run, const WorkerLoss& loss);
   /// Another life has answered in place of a worker that was silent.
   /// @return the tasks under which it was lost
-  std::vector<TaskRef> ConfirmLoss(const WorkerId& worker);
-  /// A worker that was taken for lost has answered.
-  void ClearLoss(const WorkerId& worker);
+  std::vector<TaskRef> ConfirmLoss(const WorkerIncarnation& worker);
+  /// A worker has answered: it is not lost, whatever it was taken for.
+  void NoteAlive(const WorkerIncarnation& worker);
+  /// An open run has to be looked for at the worker's next life.
+  void Relocate(const RunRef& run, const WorkerIncarnation& worker);
   /// @return null if no worker was lost under the task
   [[nodiscard]] const CrashHistory* FindCrashes(const TaskRef& task) const;
   /// A worker tells of a run of the job.
--- a/packages/jobs/src/options.h
+++ b/packages/jobs/src/options.h
@@ -25,6 +25,10 @@
 /// wait 0.6 s, taking over under a second), short enough that the work of
 /// a dead worker starts again soon.
 inline constexpr Duration kWorkerLease = milliseconds(4500);
+/// The longest lease that a worker gives, whatever an order says.
+inline constexpr Duration kLongestWorkerLease = milliseconds(10'000);
+/// How long after its sending an order without an answer may be carried out.
+inline constexpr Duration kLateOrderLife = milliseconds(15'000);
 /// How slow a worker's clock may be.
 inline constexpr double kSlowestWorkerClock = 0.98;
 /// Added to the moment at which a worker's lease must have lapsed: the worker
--- a/packages/jobs/src/owner_context.h
+++ b/packages/jobs/src/owner_context.h
@@ -26,6 +26,7 @@
 class EndedJobs;
 class GangClaims;
 class HoldLoop;
+class IncarnationTracker;
 class ProgressWriter;
 class RunControl;
 
@@ -53,6 +54,7 @@
   EndedJobs* ended = nullptr;
   PermissionBroker* advice = nullptr;
   RunControl* runs = nullptr;
+  IncarnationTracker* incarnations = nullptr;
   GangClaims* claims = nullptr;
   HoldLoop* holds = nullptr;
   Dispatcher* dispatcher = nullptr;
--- a/packages/jobs/src/pass_rooms.cc
+++ b/packages/jobs/src/pass_rooms.cc
@@ -4,9 +4,9 @@
 namespace {
 
 bool TakesTasks(const WorkerSession& session) {
-  return session.listed && !session.gone && session.fenced &&
-         !session.suspect && !session.ejected && !session.info.draining &&
-         !session.Quarantined();
+  return session.listed && session.described && !session.gone &&
+         session.fenced && !session.suspect && !session.ejected &&
+         !session.info.draining && !session.Quarantined();
 }
 
 }  // namespace
--- a/packages/jobs/src/placement.cc
+++ b/packages/jobs/src/placement.cc
@@ -30,20 +30,20 @@
   return grouped;
 }
 
-std::vector<WorkerId> Place(const Step& step, std::int32_t tasks,
-                            std::span<Candidate> candidates) {
+std::vector<WorkerIncarnation> Place(const Step& step, std::int32_t tasks,
+                                     std::span<Candidate> candidates) {
   const std::vector<GangCandidate> grouped = Group(step, candidates);
   std::int64_t room = 0;
   for (const GangCandidate& one : grouped) room += one.room;
   const std::int64_t count = std::min<std::int64_t>(room, tasks);
   if (count == 0 || (step.gang && count < tasks)) return {};
-  std::vector<WorkerId> workers;
+  std::vector<WorkerIncarnation> workers;
   for (const std::uint32_t index :
        PlaceGang(grouped, count, Packing::kBestFit)) {
     Candidate& chosen = candidates[index];
     chosen.room->free -= Takes(step);
     ++chosen.siblings;
-    workers.push_back(chosen.room->session->info.id);
+    workers.push_back(chosen.room->session->info.incarnation);
   }
   return workers;
 }
@@ -72,19 +72,19 @@
   return CountFitting(step, candidate.room->free, limit);
 }
 
-std::vector<WorkerId> PlaceTasks(const Step& step, std::int32_t tasks,
-                                 std::span<Candidate> candidates) {
+std::vector<WorkerIncarnation> PlaceTasks(const Step& step, std::int32_t tasks,
+                                          std::span<Candidate> candidates) {
   if (step.near_rack.empty()) return Place(step, tasks, candidates);
   const auto near_end = std::stable_partition(
       candidates.begin(), candidates.end(), [&](const Candidate& candidate) {
         return candidate.room->session->info.rack == step.near_rack;
       });
   const std::span<Candidate> near(candidates.begin(), near_end);
-  std::vector<WorkerId> workers = Place(step, tasks, near);
+  std::vector<WorkerIncarnation> workers = Place(step, tasks, near);
   const auto left = tasks - static_cast<std::int32_t>(workers.size());
   if (left == 0) return workers;
   if (step.gang) return Place(step, tasks, candidates);
-  const std::vector<WorkerId> far =
+  const std::vector<WorkerIncarnation> far =
       Place(step, left, std::span<Candidate>(near_end, candidates.end()));
   workers.insert(workers.end(), far.begin(), far.end());
   return workers;
--- a/packages/jobs/src/placement.h
+++ b/packages/jobs/src/placement.h
@@ -44,9 +44,8 @@
 /// Chooses workers for `tasks` tasks of a step: the data's rack first, else one
 /// rack if it holds all, best fit within. Takes the room in `candidates`.
 /// @return one worker a task; fewer if room is short, and none of a gang then
-[[nodiscard]] std::vector<WorkerId> PlaceTasks(const Step& step,
-                                               std::int32_t tasks,
-                                               std::span<Candidate> candidates);
+[[nodiscard]] std::vector<WorkerIncarnation> PlaceTasks(
+    const Step& step, std::int32_t tasks, std::span<Candidate> candidates);
 
 }  // namespace mustardproxy::jobs
 
--- a/packages/jobs/src/record_codec.cc
+++ b/packages/jobs/src/record_codec.cc
@@ -113,12 +113,16 @@
   stored->set_failed_runs(task.failed_runs);
   stored->set_last_run(task.last_run);
   stored->set_counted_run(task.counted_run);
-  if (task.open) stored->set_worker(task.worker.Text());
+  if (task.open) {
+    stored->set_worker(task.worker.id.Text());
+    stored->set_worker_born_ms(task.worker.born_ms);
+  }
   stored->set_checkpoint(task.checkpoint);
   if (crashes == nullptr) return;
   for (const WorkerLoss& loss : crashes->Losses()) {
     stored::WorkerLoss* one = stored->add_losses();
-    one->set_worker(loss.worker.Text());
+    one->set_worker(loss.worker.id.Text());
+    one->set_worker_born_ms(loss.worker.born_ms);
     one->set_certain(loss.certain);
     one->set_survived_us(loss.survived.count());
     one->set_alone(loss.alone);
@@ -150,14 +154,14 @@
   task.checkpoint = stored.checkpoint();
   for (const stored::WorkerLoss& loss : stored.losses()) {
     entry->crashes[{ref, stored.index()}].Note(
-        {.worker = WorkerId(loss.worker()),
+        {.worker = {WorkerId(loss.worker()), loss.worker_born_ms()},
          .certain = loss.certain(),
          .survived = Duration(loss.survived_us()),
          .at_start = loss.at_start(),
          .alone = loss.alone()});
   }
   if (stored.worker().empty() || task.done) return;
-  task.worker = WorkerId(stored.worker());
+  task.worker = {WorkerId(stored.worker()), stored.worker_born_ms()};
   task.open = true;
   ++step->open;
 }
--- a/packages/jobs/src/run_control.cc
+++ b/packages/jobs/src/run_control.cc
@@ -7,6 +7,7 @@
 #include "ended_jobs.h"
 #include "gang_claims.h"
 #include "hold_loop.h"
+#include "incarnation_tracker.h"
 #include "options.h"
 #include "permission_broker.h"
 #include "placement.h"
@@ -48,7 +49,15 @@
 }
 
 std::string_view Name(LossCause cause) {
-  return cause == LossCause::kOtherLife ? "other-life" : "lease-lapsed";
+  switch (cause) {
+    case LossCause::kOtherLife:
+      return "other-life";
+    case LossCause::kLeaseLapsed:
+      return "lease-lapsed";
+    case LossCause::kRestarted:
+      return "restarted";
+  }
+  return "unknown";
 }
 
 }  // namespace
@@ -56,7 +65,7 @@
 RunControl::RunControl(OwnerContext* context) : context(context) {}
 
 void RunControl::Begin(const JobEntry& entry, const std::vector<RunRef>& runs,
-                       std::span<const WorkerId> workers) {
+                       std::span<const WorkerIncarnation> workers) {
   const Instant now = this->context->executor->Now();
   const StepRef& ref = runs.front().task.step;
   const Step& step = *this->context->jobs.FindStep(ref);
@@ -82,13 +91,13 @@
        {"queue", entry.job.queue.name.Text()},
        {"tasks", runs.size()},
        {"run", runs.front().run},
-       {"worker", workers.front().Text()},
+       {"worker", Text(workers.front())},
        {"version", this->context->desired->version},
        {"waited_ms", WholeMilliseconds(now - entry.learnt)}});
   // Failure: the owner dies right after a start, and its successor starts the
   // task elsewhere. The run and its worker are stored first, so the successor
   // knows where to look before it starts the task again.
-  std::vector<WorkerId> places(workers.begin(), workers.end());
+  std::vector<WorkerIncarnation> places(workers.begin(), workers.end());
   std::function<void()> send;
   if (claims) {
     this->context->claims->Add(runs, std::move(places));
@@ -118,7 +127,7 @@
       "jobs", "quarantined",
       {{"task", Text(run.task)},
        {"run", run.run},
-       {"worker", session->info.id.Text()},
+       {"worker", Text(session->Incarnation())},
        {"lost_workers", crashes->Losses().size()},
        {"proving_ms", WholeMilliseconds(crashes->ProvingTime())}});
 }
@@ -134,16 +143,15 @@
   }
 }
 
-void RunControl::Inherit(const RunRef& run, const WorkerId& worker,
+void RunControl::Inherit(const RunRef& run, const WorkerIncarnation& worker,
                          Instant inherited_until) {
   const Step* step = this->context->jobs.FindStep(run.task.step);
-  WorkerSession* session = this->context->workers.Find(worker);
-  if (session == nullptr) {
-    // Its entry is gone from the store; the worker may live on all the same.
-    WorkerInfo unknown;
-    unknown.id = worker;
-    session = this->context->workers.Add(unknown, inherited_until);
-    session->listed = false;
+  WorkerSession* session =
+      this->context->incarnations->NoteStored(worker, inherited_until);
+  if (!MayBeSame(session->Incarnation(), worker)) {
+    this->context->jobs.NoteLoss(run, {.worker = worker, .certain = true});
+    this->ShutOut(session, {run, Takes(*step), {}});
+    return;
   }
   const Instant now = this->context->executor->Now();
   SessionRun record;
@@ -175,7 +183,7 @@
   return true;
 }
 
-void RunControl::SendStart(const WorkerId& worker, const RunRef& run) {
+void RunControl::SendStart(const WorkerIncarnation& worker, const RunRef& run) {
   WorkerSession* session = this->context->workers.Find(worker);
   SessionRun* record = session == nullptr ? nullptr : session->FindRun(run);
   if (record == nullptr || record->stopping) return;
@@ -190,7 +198,8 @@
     return;
   }
   StartOrder order;
-  const bool draining = session->info.draining || !session->listed;
+  const bool draining =
+      session->info.draining || !session->listed || !session->described;
   const bool overcommitted = session->Overcommitted();
   const bool fits = !overcommitted && !(first && draining);
   if (!this->FillOrder(*session, run, &order) || !fits) {
@@ -213,6 +222,7 @@
     record->ordered_at = now;
     this->QuarantineIfSuspicious(session, run);
   }
+  record->start_sent = now;
   record->order_in_flight = true;
   record->listed_from.reset();
   this->context->driver->Start(session->Target(), std::move(order),
@@ -222,9 +232,11 @@
                                }));
 }
 
-WorkerSession* RunControl::NoteAnswer(const WorkerId& worker, Instant asked,
+WorkerSession* RunControl::NoteAnswer(const WorkerIncarnation& worker,
+                                      Instant asked,
                                       const OrderResult& result) {
-  WorkerSession* session = this->context->workers.Find(worker);
+  WorkerSession* session =
+      this->context->incarnations->NoteAnswer(worker, asked, result);
   if (session == nullptr) return nullptr;
   if (result.end == OrderEnd::kOtherLife) {
     this->LoseAll(session, LossCause::kOtherLife);
@@ -240,13 +252,14 @@
   return session;
 }
 
-void RunControl::OnStart(const WorkerId& worker, const RunRef& run, bool first,
-                         Instant asked, const OrderResult& result) {
+void RunControl::OnStart(const WorkerIncarnation& worker, const RunRef& run,
+                         bool first, Instant asked, const OrderResult& result) {
   WorkerSession* session = this->NoteAnswer(worker, asked, result);
   if (session == nullptr) return;
   SessionRun* record = session->FindRun(run);
   if (record == nullptr) return;
   record->order_in_flight = false;
+  if (result.end == OrderEnd::kUncertain) record->start_unanswered = true;
   const bool broke = result.end == OrderEnd::kUncertain &&
                      this->context->executor->Now() - asked < kQuickBreak;
   if (broke || result.end == OrderEnd::kDone) record->reached = true;
@@ -254,7 +267,7 @@
     this->context->log->Write("jobs", "start-not-done",
                               {{"task", Text(run.task)},
                                {"run", run.run},
-                               {"worker", worker.Text()},
+                               {"worker", Text(worker)},
                                {"end", Name(result.end)},
                                {"first_try", first ? 1 : 0}});
   }
@@ -298,7 +311,7 @@
     task->not_before = now + kRetryPause * (1 << doublings);
   }
   if (why == OrderEnd::kRefused) {
-    this->context->health.OnFailure(now, session->info.id,
+    this->context->health.OnFailure(now, session->Incarnation().id,
                                     session->info.service,
                                     RequestId(run.task.step.job.Text()));
   }
@@ -338,7 +351,7 @@
     this->context->dispatcher->Kick();
     return;
   }
-  this->SendStop(session->info.id, run);
+  this->SendStop(session->Incarnation(), run);
 }
 
 void RunControl::WithdrawPlanned(WorkerSession* session) {
@@ -366,7 +379,7 @@
   this->context->advice->ForgetJob(entry.job.id);
 }
 
-void RunControl::SendStop(const WorkerId& worker, const RunRef& run) {
+void RunControl::SendStop(const WorkerIncarnation& worker, const RunRef& run) {
   WorkerSession* session = this->context->workers.Find(worker);
   SessionRun* record = session == nullptr ? nullptr : session->FindRun(run);
   if (record == nullptr || record->stop_noted) return;
@@ -379,7 +392,7 @@
       }));
 }
 
-void RunControl::OnStop(const WorkerId& worker, const RunRef& run,
+void RunControl::OnStop(const WorkerIncarnation& worker, const RunRef& run,
                         Instant asked, const OrderResult& result) {
   WorkerSession* session = this->NoteAnswer(worker, asked, result);
   if (session == nullptr) return;
@@ -421,7 +434,7 @@
   this->context->log->Write("jobs", "task-ended",
                             {{"task", Text(run.task)},
                              {"run", run.run},
-                             {"worker", session->info.id.Text()},
+                             {"worker", Text(session->Incarnation())},
                              {"end", Name(end)},
                              {"counted", effect.matched ? 1 : 0}});
   if (effect.gang_over) this->StopGang(run);
@@ -448,12 +461,12 @@
   if (entry == nullptr) return;
   const ServiceId service(entry->job.queue.name.Text());
   if (end == RunEnd::kDone) {
-    this->context->health.OnSuccess(now, session.info.id, service);
+    this->context->health.OnSuccess(now, session.Incarnation().id, service);
     const Step* step = this->context->jobs.FindStep(run.task.step);
     this->context->run_times.Learn(entry->job.queue.name, step->estimate,
                                    now - record.started_at);
   } else if (end == RunEnd::kFailed) {
-    this->context->health.OnFailure(now, session.info.id, service,
+    this->context->health.OnFailure(now, session.Incarnation().id, service,
                                     RequestId(run.task.step.job.Text()));
   }
 }
@@ -482,7 +495,7 @@
 
 void RunControl::LoseAll(WorkerSession* session, LossCause cause) {
   this->context->log->Write("workers", "worker-lost",
-                            {{"worker", session->info.id.Text()},
+                            {{"worker", Text(session->Incarnation())},
                              {"runs", session->runs.size()},
                              {"reason", Name(cause)}});
   if (!session->gone) {
@@ -499,23 +512,40 @@
     lost.push_back(run);
   }
   for (const RunRef& run : lost) {
-    this->TakeEnd(session, run, RunEnd::kLapsed, "", {});
+    const SessionRun* record = session->FindRun(run);
+    const bool left = cause == LossCause::kRestarted && record != nullptr &&
+                      record->MayStartLate();
+    if (!left) this->TakeEnd(session, run, RunEnd::kLapsed, "", {});
   }
   for (const RunRef& run : lost) this->GiveUpIfConvicted(run.task);
-  if (cause != LossCause::kOtherLife) return;
+  if (cause == LossCause::kLeaseLapsed) return;
   for (const TaskRef& task :
-       this->context->jobs.ConfirmLoss(session->info.id)) {
+       this->context->jobs.ConfirmLoss(session->Incarnation())) {
     this->GiveUpIfConvicted(task);
   }
 }
 
+void RunControl::ShutOut(WorkerSession* session, const UnansweredStart& start) {
+  const Instant now = this->context->executor->Now();
+  SessionRun record;
+  record.takes = start.takes;
+  record.phase = RunPhase::kOrdered;
+  record.stopping = true;
+  record.started_at = now;
+  record.moved_at = now;
+  record.expected_end = now;
+  session->AddRun(start.run, record);
+  this->context->jobs.Relocate(start.run, session->Incarnation());
+  this->SendStop(session->Incarnation(), start.run);
+}
+
 void RunControl::NoteLoss(const WorkerSession& session, const RunRef& run,
                           const SessionRun& record, LossCause cause) {
   // What was never sent took nothing down, and a worker that drains ends by
   // itself.
   if (record.phase == RunPhase::kPlanned || session.HasLeft()) return;
   const Instant now = this->context->executor->Now();
-  const bool came_too_late = cause == LossCause::kOtherLife &&
+  const bool came_too_late = cause != LossCause::kLeaseLapsed &&
                              record.ordered_at &&
                              now - *record.ordered_at < kLeastRestart;
   if (came_too_late) return;
@@ -524,8 +554,8 @@
       record.ordered_at &&
       session.LastAnswer() + kRecentAnswer >= *record.ordered_at;
   this->context->jobs.NoteLoss(
-      run, {.worker = session.info.id,
-            .certain = cause == LossCause::kOtherLife,
+      run, {.worker = session.Incarnation(),
+            .certain = cause != LossCause::kLeaseLapsed,
             .survived = record.Survived(),
             .at_start = record.reached && !record.seen_running,
             .alone = record.alone && was_there});
@@ -561,7 +591,7 @@
       "jobs", "run-lost",
       {{"task", Text(run.task)},
        {"run", run.run},
-       {"worker", session.info.id.Text()},
+       {"worker", Text(session.Incarnation())},
        {"reason", Name(cause)},
        {"phase", Name(record.phase)},
        {"inherited", inherited ? 1 : 0},
--- a/packages/jobs/src/run_control.h
+++ b/packages/jobs/src/run_control.h
@@ -18,6 +18,8 @@
   kOtherLife,
   /// Its lease has lapsed by any clock.
   kLeaseLapsed,
+  /// It has started again under its id.
+  kRestarted,
 };
 
 /// Orders runs and stops them, and draws the consequences of their ends.
@@ -33,9 +35,9 @@
   /// Enters runs that were just placed, and starts them once they are stored.
   /// @param runs of one step; they have been begun in the job table
   void Begin(const JobEntry& entry, const std::vector<RunRef>& runs,
-             std::span<const WorkerId> workers);
+             std::span<const WorkerIncarnation> workers);
   /// Enters a run that a former owner ordered.
-  void Inherit(const RunRef& run, const WorkerId& worker,
+  void Inherit(const RunRef& run, const WorkerIncarnation& worker,
                Instant inherited_until);
   /// Has a run stopped that is not wanted any more.
   void Stop(WorkerSession* session, const RunRef& run);
@@ -49,17 +51,22 @@
   ///   returned, if there is nothing to store
   bool End(WorkerSession* session, const RunRef& run, RunEnd end,
            std::string_view checkpoint, std::function<void()> durable);
-  /// All that ran there has ended for certain.
+  /// All that ran there has ended for certain. Of a worker that has started
+  /// again, runs whose starts may yet arrive at its next life are left; see
+  /// ShutOut.
   void LoseAll(WorkerSession* session, LossCause cause);
+  /// Keeps a start that the former life left unanswered from being carried out.
+  /// Its task starts elsewhere only once the worker has acknowledged that.
+  void ShutOut(WorkerSession* session, const UnansweredStart& start);
   /// Takes note of what any answer of a worker tells.
   /// @param asked when the order was sent
   /// @return its session, or null if it tells that the order was for nothing
-  WorkerSession* NoteAnswer(const WorkerId& worker, Instant asked,
+  WorkerSession* NoteAnswer(const WorkerIncarnation& worker, Instant asked,
                             const OrderResult& result);
   /// The job became final or was changed otherwise; stores that.
   void StoreFinal(JobEntry* entry);
   /// Sends a start that is written down.
-  void SendStart(const WorkerId& worker, const RunRef& run);
+  void SendStart(const WorkerIncarnation& worker, const RunRef& run);
   /// Has all members of a gang's run stopped.
   void StopGang(const RunRef& member);
 
@@ -68,14 +75,14 @@
   void StartOnceStored(const JobId& job, std::function<void()> start);
   bool FillOrder(const WorkerSession& session, const RunRef& run,
                  StartOrder* order);
-  void OnStart(const WorkerId& worker, const RunRef& run, bool first,
+  void OnStart(const WorkerIncarnation& worker, const RunRef& run, bool first,
                Instant asked, const OrderResult& result);
   /// A worker has turned the start down.
   void OnRefused(WorkerSession* session, const RunRef& run, OrderEnd why);
   /// Takes a run back that was not started anywhere.
   void NotStarted(WorkerSession* session, const RunRef& run);
-  void SendStop(const WorkerId& worker, const RunRef& run);
-  void OnStop(const WorkerId& worker, const RunRef& run, Instant asked,
+  void SendStop(const WorkerIncarnation& worker, const RunRef& run);
+  void OnStop(const WorkerIncarnation& worker, const RunRef& run, Instant asked,
               const OrderResult& result);
   void NoteOutcome(const WorkerSession& session, const SessionRun& record,
                    const RunRef& run, RunEnd end);
--- a/packages/jobs/src/worker_session.cc
+++ b/packages/jobs/src/worker_session.cc
@@ -12,9 +12,26 @@
   return *this->seen_running - this->ordered_at.value_or(this->started_at);
 }
 
+bool SessionRun::MayStartLate() const {
+  if (this->phase == RunPhase::kPlanned) return false;
+  // A former owner's starts are not known, and an answer to a start does not
+  // tell which life gave it.
+  return !this->ordered_at || this->order_in_flight || this->start_unanswered ||
+         !this->seen_running;
+}
+
 WorkerSession::WorkerSession(SessionNumber number, WorkerInfo info,
-                             Instant inherited_until)
-    : info(std::move(info)), number(number), lapses_at(inherited_until) {}
+                             Instant known_since, Instant inherited_until)
+    : info(std::move(info)),
+      number(number),
+      known_since(known_since),
+      lapses_at(inherited_until) {}
+
+void WorkerSession::LearnBirth(std::int64_t born_ms) {
+  if (this->info.incarnation.born_ms == 0) {
+    this->info.incarnation.born_ms = born_ms;
+  }
+}
 
 std::int64_t WorkerSession::LeaseUntilMs(Instant now, Duration lease) const {
   if (!this->clock) return 0;
@@ -67,10 +84,33 @@
   const auto found = this->runs.find(run);
   if (found == this->runs.end()) return;
   this->EndQuarantine(run);
-  this->used -= found->second.takes;
+  const SessionRun& record = found->second;
+  if (record.order_in_flight || record.start_unanswered) {
+    const Instant old = record.start_sent - kLateOrderLife;
+    while (!this->ended_unanswered.empty() &&
+           this->ended_unanswered.front().sent < old) {
+      this->ended_unanswered.pop_front();
+    }
+    this->ended_unanswered.push_back({run, record.takes, record.start_sent});
+  }
+  this->used -= record.takes;
   this->runs.erase(found);
 }
 
+std::vector<UnansweredStart> WorkerSession::UnansweredStarts(
+    Instant now) const {
+  std::vector<UnansweredStart> starts;
+  for (const UnansweredStart& start : this->ended_unanswered) {
+    if (start.sent + kLateOrderLife >= now) starts.push_back(start);
+  }
+  for (const auto& [run, record] : this->runs) {
+    if (record.MayStartLate()) {
+      starts.push_back({run, record.takes, record.start_sent});
+    }
+  }
+  return starts;
+}
+
 void WorkerSession::Quarantine(const RunRef& run, Duration proving_time) {
   SessionRun* record = this->FindRun(run);
   if (record == nullptr) return;
@@ -130,7 +170,7 @@
 }
 
 WorkerTarget WorkerSession::Target() const {
-  return {this->info.id, this->info.address};
+  return {this->info.incarnation, this->info.address};
 }
 
 }  // namespace mustardproxy::jobs
--- a/packages/jobs/src/worker_session.h
+++ b/packages/jobs/src/worker_session.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "mustardproxy/core/resources.h"
 #include "mustardproxy/core/time.h"
@@ -56,6 +57,10 @@
   /// When its first start was sent; nothing before, and for a run that a former
   /// owner ordered.
   std::optional<Instant> ordered_at;
+  /// When its start was last sent.
+  Instant start_sent;
+  /// One of the starts got no answer, and may still be carried out.
+  bool start_unanswered = false;
   /// When it should end, by what its queue's runs took of their estimates.
   Instant expected_end;
   std::int32_t percent = 0;
@@ -64,6 +69,17 @@
 
   /// @return how long it is known to have been at work
   [[nodiscard]] Duration Survived() const;
+  /// @return true unless all starts of it were taken in by the life that they
+  ///   were meant for
+  [[nodiscard]] bool MayStartLate() const;
+};
+
+/// A run whose start got no answer: the worker, or its next life, may still
+/// carry it out.
+struct UnansweredStart {
+  RunRef run;
+  Resources takes;
+  Instant sent;
 };
 
 /// Ends of one answer of a worker.
@@ -88,9 +104,17 @@
  public:
   /// @param inherited_until runs that a former owner ordered may last until
   ///   then, however unreachable the worker is
-  WorkerSession(SessionNumber number, WorkerInfo info, Instant inherited_until);
+  WorkerSession(SessionNumber number, WorkerInfo info, Instant known_since,
+                Instant inherited_until);
 
   [[nodiscard]] SessionNumber Number() const { return this->number; }
+  [[nodiscard]] const WorkerIncarnation& Incarnation() const {
+    return this->info.incarnation;
+  }
+  /// @return since when this life is known
+  [[nodiscard]] Instant KnownSince() const { return this->known_since; }
+  /// Takes note of when the life began, if that was not known.
+  void LearnBirth(std::int64_t born_ms);
 
   /// @return a worker's time, on its clock, at which a lease given now ends
   /// @param now sending time of the order
@@ -115,6 +139,10 @@
 
   void AddRun(const RunRef& run, SessionRun record);
   void RemoveRun(const RunRef& run);
+  /// @return starts that may still be carried out, those of runs included that
+  ///   have ended
+  [[nodiscard]] std::vector<UnansweredStart> UnansweredStarts(
+      Instant now) const;
   [[nodiscard]] SessionRun* FindRun(const RunRef& run);
   /// @return true if a start was sent of any run whose end is not known
   [[nodiscard]] bool HasOrdered() const;
@@ -140,6 +168,8 @@
   WorkerInfo info;
   /// Its entry is in the store.
   bool listed = true;
+  /// `info` is what this life says of itself. Until then nothing starts there.
+  bool described = true;
   /// It has obeyed our token, so that no order of a former owner is obeyed any
   /// more, and what runs there is known.
   bool fenced = false;
@@ -172,7 +202,10 @@
 
  private:
   SessionNumber number;
+  Instant known_since;
   Resources used;
+  /// Of runs that have ended, in that order.
+  std::deque<UnansweredStart> ended_unanswered;
   /// Runs that are quarantined.
   std::size_t quarantined = 0;
   std::optional<ClockReading> clock;
--- a/packages/jobs/src/worker_table.cc
+++ b/packages/jobs/src/worker_table.cc
@@ -2,15 +2,22 @@
 
 namespace mustardproxy::jobs {
 
-WorkerSession* WorkerTable::Add(const WorkerInfo& info,
+WorkerSession* WorkerTable::Add(const WorkerInfo& info, Instant known_since,
                                 Instant inherited_until) {
-  auto& session = this->sessions[info.id];
-  session =
-      std::make_unique<WorkerSession>(this->next++, info, inherited_until);
+  auto& session = this->sessions[info.incarnation.id];
+  session = std::make_unique<WorkerSession>(this->next++, info, known_since,
+                                            inherited_until);
   return session.get();
 }
 
-WorkerSession* WorkerTable::Find(const WorkerId& id) const {
+WorkerSession* WorkerTable::Find(const WorkerIncarnation& worker) const {
+  WorkerSession* latest = this->At(worker.id);
+  const bool lives =
+      latest != nullptr && MayBeSame(latest->Incarnation(), worker);
+  return lives ? latest : nullptr;
+}
+
+WorkerSession* WorkerTable::At(const WorkerId& id) const {
   const auto found = this->sessions.find(id);
   return found == this->sessions.end() ? nullptr : found->second.get();
 }
--- a/packages/jobs/src/worker_table.h
+++ b/packages/jobs/src/worker_table.h
@@ -9,17 +9,21 @@
 
 namespace mustardproxy::jobs {
 
-/// All workers that an owner knows, by id; in a fixed order, so that decisions
-/// repeat.
+/// All workers that an owner knows, the latest life of each; in a fixed order,
+/// so that decisions repeat.
 class WorkerTable {
  public:
   using Map = std::map<WorkerId, std::unique_ptr<WorkerSession>>;
 
-  /// Enters a worker that is not known yet; see WorkerSession.
-  WorkerSession* Add(const WorkerInfo& info, Instant inherited_until);
+  /// Enters a life that is not known yet, in place of the one before under its
+  /// id; see WorkerSession.
+  WorkerSession* Add(const WorkerInfo& info, Instant known_since,
+                     Instant inherited_until);
   void Remove(const WorkerId& id) { this->sessions.erase(id); }
-  /// @return the session, or null
-  [[nodiscard]] WorkerSession* Find(const WorkerId& id) const;
+  /// @return the session, or null if that life is not known or over
+  [[nodiscard]] WorkerSession* Find(const WorkerIncarnation& worker) const;
+  /// @return the session of the latest life under an id, or null
+  [[nodiscard]] WorkerSession* At(const WorkerId& id) const;
   /// @return above the number of each session
   [[nodiscard]] SessionNumber NumberLimit() const { return this->next; }
 
--- a/packages/jobs/tests/ask_choice_test.cc
+++ b/packages/jobs/tests/ask_choice_test.cc
@@ -22,10 +22,10 @@
   SessionNumber Add(std::int64_t tasks) {
     WorkerInfo info;
     const auto number = static_cast<SessionNumber>(this->sessions.size());
-    info.id = WorkerId(std::to_string(number));
+    info.incarnation.id = WorkerId(std::to_string(number));
     info.capacity = {16'000, 64'000, 0, 0};
-    this->sessions.push_back(
-        std::make_unique<WorkerSession>(number, info, Instant::min()));
+    this->sessions.push_back(std::make_unique<WorkerSession>(
+        number, info, Instant(), Instant::min()));
     auto room = std::make_unique<Room>();
     room->session = this->sessions.back().get();
     room->free = {tasks * 1000, 64'000, 0, 0};
--- a/packages/jobs/tests/cell_crash_test.cc
+++ b/packages/jobs/tests/cell_crash_test.cc
@@ -160,7 +160,7 @@
     cell->Time().RunFor(seconds(1));
     for (job_sim::SimWorker* worker : cell->Workers().Alive()) {
       if (worker->RunningCount() == 0) continue;
-      cell->Workers().cut.insert(worker->Info().id.Text());
+      cell->Workers().cut.insert(worker->Info().incarnation.id.Text());
     }
     cell->Time().RunFor(seconds(9));
     cell->Workers().cut.clear();
--- a/packages/jobs/tests/cell_ended_test.cc
+++ b/packages/jobs/tests/cell_ended_test.cc
@@ -163,7 +163,7 @@
   SimJob* job = cell->Submit(MakeSpec({MakeStep(4, 4000, seconds(30))}));
   cell->Time().RunFor(seconds(1));
   SimWorker* worker = cell->Workers().Alive().front();
-  cell->Workers().cut.insert(worker->Info().id.Text());
+  cell->Workers().cut.insert(worker->Info().incarnation.id.Text());
   cell->Cancel(job->job.id);
   cell->Time().RunFor(milliseconds(500));
   ChangeOwner();
--- a/packages/jobs/tests/cell_takeover_test.cc
+++ b/packages/jobs/tests/cell_takeover_test.cc
@@ -257,7 +257,7 @@
   }
   cell->Time().RunFor(milliseconds(300));
   for (job_sim::SimWorker* worker : cell->Workers().Alive()) {
-    cell->Workers().cut.insert(worker->Info().id.Text());
+    cell->Workers().cut.insert(worker->Info().incarnation.id.Text());
   }
   cell->KillProcess(owner);
   cell->Time().RunFor(seconds(4));
--- a/packages/jobs/tests/cell_worker_test.cc
+++ b/packages/jobs/tests/cell_worker_test.cc
@@ -134,7 +134,7 @@
 BOOST_AUTO_TEST_CASE(an_entry_that_is_broken_names_no_worker) {
   const auto cell = SimCell::Builder().Workers(2).Build();
   SimWorker* broken = cell->Workers().Alive().front();
-  const std::string key = "workers/" + broken->Info().id.Text();
+  const std::string key = "workers/" + broken->Info().incarnation.id.Text();
   cell->Store().Put(key, "{\"state\":");
   cell->Time().RunFor(seconds(1));
   SimJob* first = cell->Submit(MakeSpec({MakeStep(8, 4000, seconds(1))}));
--- a/packages/jobs/tests/crash_history_test.cc
+++ b/packages/jobs/tests/crash_history_test.cc
@@ -12,7 +12,7 @@
 constexpr std::size_t kMaxLosses = 3;
 
 WorkerLoss Loss(const std::string& worker, Duration survived) {
-  return {.worker = WorkerId(worker), .certain = true, .survived = survived};
+  return {.worker = {WorkerId(worker)}, .certain = true, .survived = survived};
 }
 
 }  // namespace
@@ -24,7 +24,7 @@
   history.Note(Loss("a", seconds(1)));
   history.Note(Loss("a", seconds(1)));
   BOOST_TEST(history.Losses().size() == 1U);
-  history.Clear(WorkerId("a"));
+  history.NoteAlive({WorkerId("a")});
   BOOST_TEST(history.Empty());
 }
 
@@ -78,8 +78,8 @@
   history.Note(silent);
   BOOST_TEST(!history.Convicting(kMaxLosses));
   BOOST_TEST(history.AtLimit(kMaxLosses));
-  BOOST_TEST(history.Confirm(WorkerId("c")));
-  BOOST_TEST(!history.Confirm(WorkerId("c")));
+  BOOST_TEST(history.Confirm({WorkerId("c")}));
+  BOOST_TEST(!history.Confirm({WorkerId("c")}));
   BOOST_TEST(history.Convicting(kMaxLosses));
 }
 
--- a/packages/jobs/tests/job_table_test.cc
+++ b/packages/jobs/tests/job_table_test.cc
@@ -29,7 +29,7 @@
     const StepEntry& progress =
         entry->occurrences.at(0).steps[static_cast<std::size_t>(step)];
     const auto tasks = JobTable::Startable(*entry, progress, step, kLater);
-    const std::vector<WorkerId> workers(tasks.size(), WorkerId("w"));
+    const std::vector<WorkerIncarnation> workers(tasks.size(), {WorkerId("w")});
     return this->table.Begin(entry, ref, tasks, workers);
   }
 
@@ -143,7 +143,7 @@
   BOOST_TEST(JobTable::OpenDue(entry, 1600));
   BOOST_TEST(entry->occurrences.size() == 2U);
   const std::vector<std::int32_t> task{0};
-  const std::vector<WorkerId> worker{WorkerId("w")};
+  const std::vector<WorkerIncarnation> worker{{WorkerId("w")}};
   const auto second = table.Begin(entry, {entry->job.id, 1, 0}, task, worker);
   End(second[0], RunEnd::kDone);
   // The first one is still open, so the second one's end is kept.
--- a/packages/jobs/tests/placement_test.cc
+++ b/packages/jobs/tests/placement_test.cc
@@ -22,11 +22,11 @@
   void Add(std::int64_t free_cpu) {
     WorkerInfo info;
     const std::size_t number = this->sessions.size();
-    info.id = WorkerId("w" + std::to_string(number));
+    info.incarnation.id = WorkerId("w" + std::to_string(number));
     info.rack = "r" + std::to_string(number / 2);
     info.capacity = {16'000, 64'000, 0, 0};
     this->sessions.push_back(std::make_unique<WorkerSession>(
-        static_cast<SessionNumber>(number), info, Instant::min()));
+        static_cast<SessionNumber>(number), info, Instant(), Instant::min()));
     Room room;
     room.session = this->sessions.back().get();
     room.free = {free_cpu, 64'000, 0, 0};
@@ -42,8 +42,9 @@
   std::map<std::string, int> Place(const Step& step) {
     std::vector<Candidate> candidates = this->Candidates();
     std::map<std::string, int> counts;
-    for (const WorkerId& worker : PlaceTasks(step, step.tasks, candidates)) {
-      ++counts[worker.Text()];
+    for (const WorkerIncarnation& worker :
+         PlaceTasks(step, step.tasks, candidates)) {
+      ++counts[worker.id.Text()];
     }
     return counts;
   }
--- a/packages/jobs/tests/record_codec_test.cc
+++ b/packages/jobs/tests/record_codec_test.cc
@@ -76,8 +76,8 @@
   JobTable table;
   JobEntry* entry = table.Add(job, kNow);
   const std::vector<std::int32_t> tasks{0, 1, 2};
-  const std::vector<WorkerId> workers{WorkerId("a"), WorkerId("b"),
-                                      WorkerId("c")};
+  const std::vector<WorkerIncarnation> workers{
+      {WorkerId("a"), 1}, {WorkerId("b"), 2}, {WorkerId("c"), 3}};
   const auto runs = table.Begin(entry, {job.id, 0, 0}, tasks, workers);
   table.End(runs[0], RunEnd::kDone, "", kNow);
   table.End(runs[1], RunEnd::kFailed, "1500", kNow);
@@ -95,7 +95,7 @@
   BOOST_TEST(step.tasks[1].counted_run == 1);
   BOOST_TEST(step.tasks[1].checkpoint == "1500");
   BOOST_TEST(step.tasks[2].open);
-  BOOST_TEST(step.tasks[2].worker == WorkerId("c"));
+  BOOST_TEST((step.tasks[2].worker == workers[2]));
   BOOST_TEST(step.tasks[2].last_run == 1);
   BOOST_TEST((read->state == JobState::kRunning));
 }
@@ -128,10 +128,11 @@
   JobTable table;
   JobEntry* entry = table.Add(job, kNow);
   const std::vector<std::int32_t> tasks{1};
-  const std::vector<WorkerId> workers{WorkerId("a")};
+  const WorkerIncarnation worker{WorkerId("a"), 1'768'177'255'714};
+  const std::vector<WorkerIncarnation> workers{worker};
   const StepRef step{job.id, 0, 0};
   const RunRef run = table.Begin(entry, step, tasks, workers).front();
-  table.NoteLoss(run, {.worker = WorkerId("a"),
+  table.NoteLoss(run, {.worker = worker,
                        .certain = true,
                        .survived = milliseconds(40),
                        .at_start = true,
@@ -143,7 +144,7 @@
   BOOST_REQUIRE(crashes != nullptr);
   BOOST_REQUIRE(crashes->Losses().size() == 1U);
   const WorkerLoss& loss = crashes->Losses().front();
-  BOOST_TEST(loss.worker == WorkerId("a"));
+  BOOST_TEST((loss.worker == worker));
   BOOST_TEST(loss.certain);
   BOOST_TEST(loss.at_start);
   BOOST_TEST(loss.alone);
--- a/packages/jobs/tests/worker_session_test.cc
+++ b/packages/jobs/tests/worker_session_test.cc
@@ -11,7 +11,7 @@
 
 WorkerInfo MakeInfo() {
   WorkerInfo info;
-  info.id = WorkerId("w");
+  info.incarnation.id = WorkerId("w");
   info.capacity = {16'000, 64'000, 0, 0};
   return info;
 }
@@ -24,7 +24,7 @@
 // that waited for a second. Its lease lasts longer by our clock; a task that is
 // started elsewhere before would run twice.
 BOOST_AUTO_TEST_CASE(a_lease_lapses_by_the_slowest_clock_read_last) {
-  WorkerSession session(0, MakeInfo(), Instant::min());
+  WorkerSession session(0, MakeInfo(), kStart, Instant::min());
   const Instant answered = kStart + seconds(1);
   session.NoteClock(
       {.clock_ms = 50'000, .asked = kStart, .answered = answered});
@@ -38,7 +38,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(an_order_that_repeats_a_lease_puts_nothing_off) {
-  WorkerSession session(0, MakeInfo(), Instant::min());
+  WorkerSession session(0, MakeInfo(), kStart, Instant::min());
   session.NoteClock({.clock_ms = 1000, .asked = kStart, .answered = kStart});
   session.NoteLeaseSent(session.LeaseUntilMs(kStart, milliseconds(4500)));
   const Instant lapse = session.LapsesAt();
@@ -48,7 +48,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(an_older_reading_does_not_set_the_clock_back) {
-  WorkerSession session(0, MakeInfo(), Instant::min());
+  WorkerSession session(0, MakeInfo(), kStart, Instant::min());
   session.NoteClock({.clock_ms = 2000,
                      .asked = kStart + seconds(1),
                      .answered = kStart + seconds(1)});
@@ -59,7 +59,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(room_is_taken_until_the_run_is_removed) {
-  WorkerSession session(0, MakeInfo(), Instant::min());
+  WorkerSession session(0, MakeInfo(), kStart, Instant::min());
   const RunRef run{{{JobId("j"), 0, 0}, 0}, 1};
   SessionRun record;
   record.takes = {6000, 1000, 0, 0};
--- a/testing/job_load/src/experiment.cc
+++ b/testing/job_load/src/experiment.cc
@@ -153,7 +153,7 @@
       this->cell->CrashWorker(alive[i], fault.length);
       continue;
     }
-    const std::string name = alive[i]->Info().id.Text();
+    const std::string name = alive[i]->Info().incarnation.id.Text();
     this->cell->Workers().cut.insert(name);
     this->time.After(fault.length,
                      [this, name] { this->cell->Workers().cut.erase(name); });
--- a/testing/job_sim/src/schedule.cc
+++ b/testing/job_sim/src/schedule.cc
@@ -161,7 +161,7 @@
   mustardproxy::Resources left = whole;
   left.cpu_milli = static_cast<std::int64_t>(
       this->time.Draw() * static_cast<double>(whole.cpu_milli));
-  this->Note("shrink " + worker->Info().id.Text() + " to " +
+  this->Note("shrink " + worker->Info().incarnation.id.Text() + " to " +
              std::to_string(left.cpu_milli));
   this->cell->ResizeWorker(worker, left);
   // It may have crashed meanwhile; its next life has the same room.
@@ -183,7 +183,7 @@
   const double share = 0.3 + 0.7 * this->time.Draw();
   for (SimWorker* worker : workers.Alive()) {
     if (!this->time.Chance(share)) continue;
-    const std::string name = worker->Info().id.Text();
+    const std::string name = worker->Info().incarnation.id.Text();
     const Duration down =
         this->time.Chance(0.3)
             ? Duration::zero()
@@ -312,7 +312,7 @@
   const std::vector<SimWorker*> alive = workers.Alive();
   if (alive.size() < 2) return;
   SimWorker* worker = alive[this->time.DrawIndex(alive.size())];
-  const std::string name = worker->Info().id.Text();
+  const std::string name = worker->Info().incarnation.id.Text();
   switch (this->time.DrawIndex(6)) {
     case 0:
       this->Note("crash " + name);
--- a/testing/job_sim/src/sim_cell.cc
+++ b/testing/job_sim/src/sim_cell.cc
@@ -199,7 +199,8 @@
     for (const WorkerId& worker : question.workers) {
       if (!this->Permits(queue, question.step, worker)) continue;
       const SimWorker* known = this->cell->workers.Find(worker.Text());
-      const std::int64_t born_ms = known == nullptr ? 0 : known->Info().born_ms;
+      const std::int64_t born_ms =
+          known == nullptr ? 0 : known->Info().incarnation.born_ms;
       const SimTicket ticket{question.step, worker, born_ms, expires};
       advice.permitted.push_back({worker, ticket.Text()});
     }
@@ -227,7 +228,7 @@
     std::string life = name;
     // Another life may be of another kind.
     if (!by_address && known != nullptr && this->cell->reuses_ids) {
-      life += "@" + std::to_string(known->Info().born_ms);
+      life += "@" + std::to_string(known->Info().incarnation.born_ms);
     }
     const std::size_t drawn =
         std::hash<std::string>{}(jobs::Text(step) + life) % kSteps;
@@ -358,14 +359,14 @@
 SimWorker* SimCell::ListWorker(const mustardproxy::Resources& capacity) {
   const auto number = static_cast<std::size_t>(this->next_worker++);
   jobs::WorkerInfo info;
-  info.id = WorkerId("w" + std::to_string(number));
+  info.incarnation.id = WorkerId("w" + std::to_string(number));
   info.address = "worker-" + std::to_string(number);
   info.service = this->queue.service;
   info.data_center = DataCenterId("dc");
   info.rack = "rack-" + std::to_string(number / this->workers_per_rack);
   info.labels = {"a", info.rack};
   info.capacity = capacity;
-  info.born_ms = this->NewBirth();
+  info.incarnation.born_ms = this->NewBirth();
   this->whole_capacity[info.address] = capacity;
   SimWorker* worker = this->workers.Add(info);
   this->WriteEntry(*worker, "ready");
@@ -382,8 +383,9 @@
 
 void SimCell::WriteEntry(const SimWorker& worker, std::string_view state) {
   const jobs::WorkerInfo& info = worker.Info();
-  this->store.Put(std::string(kWorkerPrefix) + info.id.Text(),
-                  std::string(state) + " " + std::to_string(info.born_ms));
+  this->store.Put(
+      std::string(kWorkerPrefix) + info.incarnation.id.Text(),
+      std::string(state) + " " + std::to_string(info.incarnation.born_ms));
 }
 
 void SimCell::VaryCapacity(double least) { this->least_capacity = least; }
@@ -393,7 +395,8 @@
 }
 
 void SimCell::UnlistWorker(SimWorker* worker) {
-  this->store.Remove(std::string(kWorkerPrefix) + worker->Info().id.Text());
+  this->store.Remove(std::string(kWorkerPrefix) +
+                     worker->Info().incarnation.id.Text());
 }
 
 void SimCell::CrashWorker(SimWorker* worker, std::optional<Duration> down) {
@@ -401,7 +404,8 @@
   constexpr Duration kEntryLapse = milliseconds(4500);
   worker->Crash();
   this->time.After(kEntryLapse, [this, worker] {
-    const SimWorker* latest = this->workers.Find(worker->Info().id.Text());
+    const SimWorker* latest =
+        this->workers.Find(worker->Info().incarnation.id.Text());
     if (latest == worker) this->UnlistWorker(worker);
   });
   if (!down) return;
@@ -410,9 +414,9 @@
 
 void SimCell::BeginNextLife(const SimWorker& former) {
   jobs::WorkerInfo info = former.Info();
-  info.born_ms = this->NewBirth();
+  info.incarnation.born_ms = this->NewBirth();
   if (!this->reuses_ids) {
-    info.id = WorkerId("w" + std::to_string(this->next_worker++));
+    info.incarnation.id = WorkerId("w" + std::to_string(this->next_worker++));
     this->WriteEntry(*this->workers.Add(info), "ready");
     return;
   }
--- a/testing/job_sim/src/sim_worker.cc
+++ b/testing/job_sim/src/sim_worker.cc
@@ -110,15 +110,15 @@
   used += this->Each(run);
   const Duration notice = late ? kShrinkNotice + kLatestOrder : kShrinkNotice;
   if (!used.FitsIn(this->CapacitySince(this->all->time->Now() - notice))) {
-    this->all->promises->OnOvercommit(this->info.id.Text(), run);
+    this->all->promises->OnOvercommit(this->info.incarnation.id.Text(), run);
   }
 }
 
 bool SimWorker::Permitted(const jobs::StartOrder& order) const {
   const SimJob* job = this->all->promises->Find(order.run.task.step.job);
   if (job == nullptr || !job->job.queue.advice) return true;
-  const SimTicket now{order.run.task.step, this->info.id, this->info.born_ms,
-                      this->all->time->Now()};
+  const SimTicket now{order.run.task.step, this->info.incarnation.id,
+                      this->info.incarnation.born_ms, this->all->time->Now()};
   return now.Admits(order.ticket);
 }
 
@@ -140,7 +140,8 @@
   this->Extend(order.lease_until_ms);
   if (!this->Permitted(order)) return this->Refuse(OrderEnd::kNoTicket);
   this->CheckCapacity(order.run, late);
-  this->all->promises->OnStart(this->info.id.Text(), order.run, late);
+  this->all->promises->OnStart(this->info.incarnation.id.Text(), order.run,
+                               late);
   Running record;
   record.started = this->all->time->Now();
   record.work = this->all->promises->LengthOf(order.run.task.step);
@@ -155,7 +156,7 @@
   if (!this->all->promises->Crashes(run.task)) return;
   const auto crash = [this, run] {
     if (!this->alive || !this->running.contains(run)) return;
-    this->all->promises->OnTaskCrash(this->info.id.Text(), run);
+    this->all->promises->OnTaskCrash(this->info.incarnation.id.Text(), run);
     if (this->all->crash) {
       this->all->crash(this);
     } else {
@@ -225,7 +226,7 @@
   jobs::RunNumber& closed_run = this->closed[run.task];
   closed_run = std::max(closed_run, run.run);
   this->ended.push_back(entry);
-  this->all->promises->OnEnd(this->info.id.Text(), run, end);
+  this->all->promises->OnEnd(this->info.incarnation.id.Text(), run, end);
   this->all->LeaveGang(run, end);
   this->Answer();
 }
@@ -263,7 +264,7 @@
 jobs::HoldResult SimWorker::Lists() const {
   jobs::HoldResult lists;
   lists.order = this->Refuse(OrderEnd::kDone);
-  lists.order.born_ms = this->info.born_ms;
+  lists.order.born_ms = this->info.incarnation.born_ms;
   for (const auto& [run, record] : this->running) {
     lists.running.push_back({run, this->Checkpoint(record), 0, 0});
   }
@@ -285,7 +286,8 @@
   this->running.clear();
   for (const jobs::RunRef& run : all_runs) {
     this->all->promises->OnWorkerCrash(run);
-    this->all->promises->OnEnd(this->info.id.Text(), run, RunEnd::kLapsed);
+    this->all->promises->OnEnd(this->info.incarnation.id.Text(), run,
+                               RunEnd::kLapsed);
     this->all->LeaveGang(run, RunEnd::kLapsed);
   }
   if (!this->all->resets_connections) return;
@@ -341,7 +343,7 @@
 }
 
 SimWorker* SimWorkers::Add(jobs::WorkerInfo info) {
-  const std::string id = info.id.Text();
+  const std::string id = info.incarnation.id.Text();
   this->at_address[info.address] = id;
   // A worker's clock may be two in a hundred slow.
   const double rate = 0.98 + 0.02 * this->time->Draw();
@@ -363,10 +365,12 @@
 
 SimWorker* SimWorkers::FindLife(const std::string& id, std::int64_t born_ms) {
   SimWorker* latest = this->Find(id);
-  if (latest == nullptr || latest->Info().born_ms == born_ms) return latest;
+  if (latest == nullptr || latest->Info().incarnation.born_ms == born_ms)
+    return latest;
   for (const auto& life : this->former) {
     const jobs::WorkerInfo& info = life->Info();
-    if (info.id.Text() == id && info.born_ms == born_ms) return life.get();
+    if (info.incarnation.id.Text() == id && info.incarnation.born_ms == born_ms)
+      return life.get();
   }
   return nullptr;
 }
@@ -458,7 +462,7 @@
     if (at == nullptr || !at->Alive()) {
       SetEnd(&refused, OrderEnd::kRefused);
       back(refused);
-    } else if (at->Info().id != target.id) {
+    } else if (at->Info().incarnation.id != target.incarnation.id) {
       SetEnd(&refused, OrderEnd::kOtherLife);
       back(refused);
     } else {
@@ -471,7 +475,7 @@
 
   [[nodiscard]] bool Cut(const jobs::WorkerTarget& target) const {
     return this->process->workers_cut ||
-           this->workers->cut.contains(target.id.Text());
+           this->workers->cut.contains(target.incarnation.id.Text());
   }
 
   SimWorkers* workers;
--- a/testing/soak/src/faults.cc
+++ b/testing/soak/src/faults.cc
@@ -214,7 +214,7 @@
       this->At(at, [this, platform] {
         platform->Do([&] {
           job_sim::SimWorker* worker = this->DrawWorker();
-          this->Note("crash " + worker->Info().id.Text());
+          this->Note("crash " + worker->Info().incarnation.id.Text());
           platform->CrashWorker(worker, this->DrawLength());
         });
       });
