Orders of a former life carry a lower token; losses in an outage count little

Callers saw sound jobs fail, and tasks run twice, where many workers restarted.

- Orders that a former life left unanswered were obeyed by the next one.
Each life of a worker is now ordered with a token of its own: the revision of our last conditioned write, above what orders for the former life carry and below each later owner's.
A run that the new life lists goes on there; a start that may still arrive is stopped there by name before its task starts elsewhere.
A worker that can't be reached may have restarted too: a start it left unanswered keeps its task for 9 s.
- A run that was only kept from starting late was counted as lost once more with each further restart.
It is counted with the life it was meant for.
- Many workers that go at one moment are weak evidence against any one task: OutageDetector.
A sixth of the workers and eight at least have to go within half a second, workers of the task's own job and those kept for a suspicious task aside.
- A suspicious task that has waited for a second goes first, and half of the idle workers may be kept beside the eighth of all.

--- a/packages/jobs/include/mustardproxy/jobs/worker_driver.h
+++ b/packages/jobs/include/mustardproxy/jobs/worker_driver.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -149,6 +150,9 @@
   std::vector<EndedRun> ended;
   /// The list of ends was cut at the most that one answer holds.
   bool more_ended = false;
+
+  /// @return all runs that either list names
+  [[nodiscard]] std::set<RunRef> Listed() const;
 };
 
 /// Sends orders to workers. Each ends by one call of `done` on the control
--- a/packages/jobs/src/crash_history.h
+++ b/packages/jobs/src/crash_history.h
@@ -2,6 +2,8 @@
 #define MUSTARDPROXY_JOBS_CRASH_HISTORY_H_
 
 #include <cstddef>
+#include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -25,6 +27,8 @@
   bool at_start = false;
   /// Nothing else there could have been the cause.
   bool alone = false;
+  /// Many workers went down at the same moment: hardly by this task.
+  bool in_outage = false;
 };
 
 /// Workers that were lost while they ran one task: evidence that the task takes
@@ -40,6 +44,10 @@
   /// are over.
   void NoteAlive(const WorkerIncarnation& worker);
 
+  /// The loss of any of these workers says little about the task.
+  /// @return true if one of them counted before
+  bool Excuse(const std::set<WorkerIncarnation>& workers);
+
   [[nodiscard]] bool Empty() const { return this->losses.empty(); }
   [[nodiscard]] const std::vector<WorkerLoss>& Losses() const {
     return this->losses;
@@ -59,9 +67,10 @@
   [[nodiscard]] bool AtLimit(std::size_t max_losses) const;
 
  private:
-  [[nodiscard]] std::size_t CountCertain() const;
+  /// @return losses that count against the task
+  [[nodiscard]] std::vector<WorkerLoss> Evidence() const;
   /// @return true if each of the workers may have gone by the start of its run
-  [[nodiscard]] bool AllAtStart() const;
+  [[nodiscard]] static bool AllAtStart(std::span<const WorkerLoss> losses);
 
   /// The oldest first.
   std::vector<WorkerLoss> losses;
--- a/packages/jobs/src/dispatcher.cc
+++ b/packages/jobs/src/dispatcher.cc
@@ -27,6 +27,8 @@
 constexpr Duration kSoundStep = milliseconds(200);
 /// How long a suspicious task waits for a worker on which all runs are proven.
 constexpr Duration kQuietWorkerWait = milliseconds(2000);
+/// A suspicious task that has waited for so long goes before all others.
+constexpr Duration kLongestTrialWait = milliseconds(1000);
 /// Least time between two looks at whether a question about a step would help.
 constexpr Duration kAskPause = milliseconds(50);
 
@@ -99,6 +101,15 @@
         return std::tie(a.lateness, a.queue->priority, a.begin_by) <
                std::tie(b.lateness, b.queue->priority, b.begin_by);
       });
+  // Failure: suspicious tasks that come later, and are not late yet, take each
+  // worker that may be kept, and one that has waited long never starts.
+  const auto usual =
+      std::stable_partition(units.begin(), units.end(), [&](const Unit& unit) {
+        return unit.quarantined && now >= unit.waits_since + kLongestTrialWait;
+      });
+  std::stable_sort(units.begin(), usual, [](const Unit& a, const Unit& b) {
+    return a.waits_since < b.waits_since;
+  });
   std::int32_t holds = 0;
   for (Unit& unit : units) {
     this->PlaceUnit(&unit, rooms, now);
@@ -200,8 +211,11 @@
     return std::nullopt;
   }
   Unit apart = *unit;
-  apart.tasks = {suspicious.front()};
+  const std::int32_t task = suspicious.front();
+  apart.tasks = {task};
   apart.quarantined = true;
+  apart.waits_since =
+      unit->progress->tasks[static_cast<std::size_t>(task)].not_before;
   return apart;
 }
 
@@ -261,14 +275,16 @@
 
 bool Dispatcher::MayQuarantine() const {
   std::size_t kept = 0;
-  std::size_t all = 0;
+  std::size_t idle = 0;
   for (const auto& [id, session] : this->context->workers) {
-    ++all;
     if (session->Quarantined()) ++kept;
+    if (session->fenced && session->runs.empty()) ++idle;
   }
-  const auto most =
-      static_cast<std::size_t>(kMaxQuarantinedShare * static_cast<double>(all));
-  return kept < std::max<std::size_t>(most, 1);
+  const auto share = static_cast<std::size_t>(
+      kMaxQuarantinedShare *
+      static_cast<double>(this->context->workers.Size()));
+  // Half of what stands empty: the rest is for what comes meanwhile.
+  return kept < std::max({share, idle / 2, std::size_t{1}});
 }
 
 void Dispatcher::PlaceQuarantined(Unit* unit, const PassRooms& rooms,
@@ -291,11 +307,8 @@
                        [&](const Candidate& a, const Candidate& b) {
                          return company(a) < company(b);
                        });
-  const std::int32_t task = unit->tasks.front();
-  const Instant since =
-      unit->progress->tasks[static_cast<std::size_t>(task)].not_before;
   const bool alone = company(*chosen).first == 0;
-  if (!alone && now < since + kQuietWorkerWait) return;
+  if (!alone && now < unit->waits_since + kQuietWorkerWait) return;
   chosen->room->free = Resources{};
   this->Start(unit, {chosen->room->session->Incarnation()});
 }
--- a/packages/jobs/src/hold_loop.cc
+++ b/packages/jobs/src/hold_loop.cc
@@ -47,7 +47,7 @@
 
 HoldOrder HoldLoop::MakeOrder(const WorkerSession& session, Instant now) const {
   HoldOrder order;
-  order.token = this->context->token;
+  order.token = session.token;
   // Failure: a worker has started again unnoticed, and forgets its first ends,
   // which nobody has read, by the number that its former life had reached. What
   // was told is not repeated, and a silent worker is told nothing.
@@ -95,8 +95,11 @@
   std::vector<WorkerId> finished;
   for (const auto& [id, session] : this->context->workers) {
     // A run whose start was never sent has no lease that could lapse.
-    if (session->HasOrdered() && now >= session->LapsesAt()) {
-      this->context->runs->LoseAll(session.get(), LossCause::kLeaseLapsed);
+    if (now >= session->LapsesAt()) {
+      if (session->HasOrdered()) {
+        this->context->runs->LoseAll(session.get(), LossCause::kLeaseLapsed);
+      }
+      if (session->suspect) this->context->runs->EndShutOut(session.get());
     }
     this->Pump(session.get());
     const bool over = !session->listed || session->gone;
@@ -116,15 +119,18 @@
   WorkerSession* known = this->context->workers.Find(worker);
   if (known != nullptr) known->hold_in_flight = false;
   WorkerSession* session =
-      this->context->runs->NoteAnswer(worker, asked, result.order);
+      this->context->runs->NoteAnswer(worker, asked, result.order, &result);
   if (session == nullptr) return;
+  if (!MayBeSame(session->Incarnation(), worker)) {
+    // The hold carried the token of the former life.
+    this->Pump(session);
+    return;
+  }
   if (result.order.end != OrderEnd::kDone) {
     this->OnSilence(session, result.order.end);
     return;
   }
-  if (MayBeSame(session->Incarnation(), worker)) {
-    session->told_end = std::max(session->told_end, told_end);
-  }
+  session->told_end = std::max(session->told_end, told_end);
   this->OnAnswer(session, asked, result);
 }
 
@@ -150,7 +156,7 @@
     this->context->log->Write("workers",
                               first ? "worker-fenced" : "worker-back",
                               {{"worker", Text(session->Incarnation())},
-                               {"token", this->context->token},
+                               {"token", session->token},
                                {"running", result.running.size()},
                                {"ended", result.ended.size()}});
     this->context->dispatcher->Kick();
@@ -212,9 +218,7 @@
 void HoldLoop::DropUnlisted(WorkerSession* session, Instant asked,
                             const HoldResult& result) {
   if (result.more_ended) return;
-  std::set<RunRef> listed;
-  for (const RunningRun& run : result.running) listed.insert(run.run);
-  for (const EndedRun& run : result.ended) listed.insert(run.run);
+  const std::set<RunRef> listed = result.Listed();
   std::vector<RunRef> gone;
   for (const auto& [run, record] : session->runs) {
     const bool must_show = record.listed_from && *record.listed_from <= asked &&
--- a/packages/jobs/src/incarnation_tracker.cc
+++ b/packages/jobs/src/incarnation_tracker.cc
@@ -1,9 +1,13 @@
 #include "incarnation_tracker.h"
 
+#include <map>
+#include <set>
+#include <utility>
 #include <vector>
 
 #include "dispatcher.h"
 #include "options.h"
+#include "progress_writer.h"
 #include "run_control.h"
 
 namespace mustardproxy::jobs {
@@ -28,13 +32,12 @@
   WorkerSession* known = this->context->workers.At(info.incarnation.id);
   if (known == nullptr) {
     this->context->health.Add(info.incarnation.id);
-    return this->context->workers.Add(info, this->context->executor->Now(),
-                                      inherited_until);
+    return this->Enter(info, inherited_until);
   }
   if (!MayBeSame(known->Incarnation(), info.incarnation)) {
     // A life that was met by its answer has yet to write its first entry.
     if (info.incarnation.born_ms < known->Incarnation().born_ms) return nullptr;
-    return this->BeginLife(known, info, "entry");
+    return this->BeginLife(known, info, "entry", nullptr);
   }
   known->LearnBirth(info.incarnation.born_ms);
   known->described = true;
@@ -43,7 +46,8 @@
 
 WorkerSession* IncarnationTracker::NoteAnswer(const WorkerIncarnation& meant,
                                               Instant asked,
-                                              const OrderResult& result) {
+                                              const OrderResult& result,
+                                              const HoldResult* lists) {
   WorkerSession* known = this->context->workers.Find(meant);
   if (known == nullptr) return nullptr;
   // Another worker at its address says nothing about lives under this id.
@@ -61,7 +65,7 @@
   if (!later) return nullptr;
   WorkerInfo info = known->info;
   info.incarnation = answered;
-  WorkerSession* next = this->BeginLife(known, info, "answer");
+  WorkerSession* next = this->BeginLife(known, info, "answer", lists);
   // It may be of another kind, and have other room.
   next->described = false;
   return next;
@@ -74,8 +78,7 @@
     // Its entry is gone from the store; the worker may live on all the same.
     WorkerInfo unknown;
     unknown.incarnation = worker;
-    WorkerSession* added = this->context->workers.Add(
-        unknown, this->context->executor->Now(), inherited_until);
+    WorkerSession* added = this->Enter(unknown, inherited_until);
     added->listed = false;
     return added;
   }
@@ -84,30 +87,54 @@
   if (!entry_is_older) return known;
   WorkerInfo info = known->info;
   info.incarnation = worker;
-  WorkerSession* next = this->BeginLife(known, info, "progress");
+  WorkerSession* next = this->BeginLife(known, info, "progress", nullptr);
   next->described = false;
   return next;
 }
 
+WorkerSession* IncarnationTracker::Enter(const WorkerInfo& info,
+                                         Instant inherited_until) {
+  WorkerSession* added = this->context->workers.Add(
+      info, this->context->executor->Now(), inherited_until);
+  added->token = this->context->token;
+  return added;
+}
+
 WorkerSession* IncarnationTracker::BeginLife(WorkerSession* former,
                                              const WorkerInfo& info,
-                                             std::string_view seen_in) {
-  const Instant now = this->context->executor->Now();
+                                             std::string_view seen_in,
+                                             const HoldResult* lists) {
   this->context->log->Write("workers", "worker-restarted",
                             {{"worker", Text(info.incarnation)},
                              {"former", Text(former->Incarnation())},
                              {"seen_in", seen_in},
                              {"runs", former->runs.size()}});
+  // Started without a sign that another life had taken the start.
+  std::vector<std::pair<RunRef, SessionRun>> moved;
+  const std::set<RunRef> taken =
+      lists == nullptr ? std::set<RunRef>() : lists->Listed();
+  for (const RunRef& run : taken) {
+    const SessionRun* record = former->FindRun(run);
+    if (record == nullptr) continue;
+    moved.emplace_back(run, *record);
+    former->RemoveRun(run);
+  }
   this->context->runs->LoseAll(former, LossCause::kRestarted);
-  const std::vector<UnansweredStart> starts = former->UnansweredStarts(now);
+  const std::map<RunRef, SessionRun> left = former->runs;
   const bool listed = former->listed;
   this->context->health.Remove(info.incarnation.id);
   this->context->health.Add(info.incarnation.id);
   WorkerSession* next =
-      this->context->workers.Add(info, now, now + LongestLease());
+      this->Enter(info, this->context->executor->Now() + LongestLease());
   next->listed = listed;
-  for (const UnansweredStart& start : starts) {
-    this->context->runs->ShutOut(next, start);
+  // Orders for the former life may still arrive. Each start and each end that
+  // was told went after a write, so this is above what they carry.
+  next->token = this->context->writer->LatestRevision();
+  for (const auto& [run, record] : moved) {
+    this->context->runs->Move(next, run, record);
+  }
+  for (const auto& [run, record] : left) {
+    this->context->runs->ShutOut(next, run, record);
   }
   this->context->dispatcher->Kick();
   return next;
--- a/packages/jobs/src/incarnation_tracker.h
+++ b/packages/jobs/src/incarnation_tracker.h
@@ -23,10 +23,11 @@
   /// Takes note of which life answered an order.
   /// @param meant which life the order was sent to
   /// @param asked when it was sent
+  /// @param lists of that answer, if it has any
   /// @return the session of the life that answered, or null if that life is
   ///   over
   WorkerSession* NoteAnswer(const WorkerIncarnation& meant, Instant asked,
-                            const OrderResult& result);
+                            const OrderResult& result, const HoldResult* lists);
   /// Takes note that a former owner ordered a run from this life.
   /// @param inherited_until see WorkerSession; for a worker not known before
   /// @return the session of the latest life under that id
@@ -34,8 +35,10 @@
                             Instant inherited_until);
 
  private:
+  WorkerSession* Enter(const WorkerInfo& info, Instant inherited_until);
+  /// @param lists of the new life, if known
   WorkerSession* BeginLife(WorkerSession* former, const WorkerInfo& info,
-                           std::string_view seen_in);
+                           std::string_view seen_in, const HoldResult* lists);
 
   OwnerContext* context;
 };
--- a/packages/jobs/src/job.cc
+++ b/packages/jobs/src/job.cc
@@ -102,6 +102,13 @@
   return "unknown";
 }
 
+std::set<RunRef> HoldResult::Listed() const {
+  std::set<RunRef> listed;
+  for (const RunningRun& one : this->running) listed.insert(one.run);
+  for (const EndedRun& one : this->ended) listed.insert(one.run);
+  return listed;
+}
+
 std::string_view Name(OrderEnd end) {
   switch (end) {
     case OrderEnd::kDone:
--- a/packages/jobs/src/job_table.cc
+++ b/packages/jobs/src/job_table.cc
@@ -238,6 +238,18 @@
   }
 }
 
+std::size_t JobTable::Excuse(const Outage& outage) {
+  std::size_t excused = 0;
+  if (outage.unexplained < outage.least) return excused;
+  for (JobEntry* entry : this->active) {
+    if (entry->crashes.empty() || !outage.Excuses(entry->job.id)) continue;
+    for (auto& [task, history] : entry->crashes) {
+      if (history.Excuse(outage.workers)) ++excused;
+    }
+  }
+  return excused;
+}
+
 void JobTable::Relocate(const RunRef& run, const WorkerIncarnation& worker) {
   TaskEntry* task = this->FindOpen(run);
   if (task != nullptr) task->worker = worker;
--- a/packages/jobs/src/job_table.h
+++ b/packages/jobs/src/job_table.h
@@ -17,6 +17,7 @@
 #include "mustardproxy/jobs/job.h"
 #include "mustardproxy/jobs/key_value_store.h"
 #include "mustardproxy/jobs/worker_driver.h"
+#include "outage_detector.h"
 
 namespace mustardproxy::jobs {
 
@@ -162,7 +163,11 @@
   std::vector<TaskRef> ConfirmLoss(const WorkerIncarnation& worker);
   /// A worker has answered: it is not lost, whatever it was taken for.
   void NoteAlive(const WorkerIncarnation& worker);
-  /// An open run has to be looked for at the worker's next life.
+  /// Workers went down together: of jobs that can't have caused it, their loss
+  /// counts little.
+  /// @return of how many tasks one did not count little before
+  std::size_t Excuse(const Outage& outage);
+  /// An open run has turned out to be at a later life of its worker.
   void Relocate(const RunRef& run, const WorkerIncarnation& worker);
   /// @return null if no worker was lost under the task
   [[nodiscard]] const CrashHistory* FindCrashes(const TaskRef& task) const;
--- a/packages/jobs/src/options.h
+++ b/packages/jobs/src/options.h
@@ -27,8 +27,10 @@
 inline constexpr Duration kWorkerLease = milliseconds(4500);
 /// The longest lease that a worker gives, whatever an order says.
 inline constexpr Duration kLongestWorkerLease = milliseconds(10'000);
-/// How long after its sending an order without an answer may be carried out.
-inline constexpr Duration kLateOrderLife = milliseconds(15'000);
+/// How long after a start without an answer its task is kept from starting
+/// elsewhere if the worker can't be reached: its next life may carry it out,
+/// whatever lease the start gave.
+inline constexpr Duration kLateStartWait = milliseconds(9000);
 /// How slow a worker's clock may be.
 inline constexpr double kSlowestWorkerClock = 0.98;
 /// Added to the moment at which a worker's lease must have lapsed: the worker
--- /dev/null
+++ b/packages/jobs/src/outage_detector.cc
@@ -0,0 +1,58 @@
+#include "outage_detector.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace mustardproxy::jobs {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// How far apart workers may fall silent that go down together: a hold that is
+/// not answered ends by its time-out.
+constexpr Duration kSpread = milliseconds(500);
+/// Longer than the time from a worker's silence to its loss, and that of the
+/// others that went with it.
+constexpr Duration kMemory = seconds(30);
+/// One of so many workers, and so many at least, go down in an outage: more
+/// than tasks that are each started once take down at a moment.
+constexpr std::size_t kWorkersPerOutage = 6;
+constexpr std::size_t kLeastWorkers = 8;
+
+void Add(const DownWorker& down, Instant moment, Outage* outage) {
+  const bool together =
+      down.since >= moment - kSpread && down.since <= moment + kSpread;
+  if (!together || !outage->workers.insert(down.worker).second) return;
+  if (down.quarantined) return;
+  ++outage->unexplained;
+  for (const JobId& job : down.jobs) ++outage->hosts_of[job];
+}
+
+}  // namespace
+
+bool Outage::Excuses(const JobId& job) const {
+  const auto found = this->hosts_of.find(job);
+  const std::size_t own = found == this->hosts_of.end() ? 0 : found->second;
+  return this->unexplained - own >= this->least;
+}
+
+void OutageDetector::Note(DownWorker down) {
+  const Instant old = down.since - kMemory;
+  while (!this->lost.empty() && this->lost.front().since < old) {
+    this->lost.pop_front();
+  }
+  this->lost.push_back(std::move(down));
+}
+
+Outage OutageDetector::Around(Instant moment,
+                              std::span<const DownWorker> silent,
+                              std::size_t workers) const {
+  Outage outage;
+  outage.least = std::max(workers / kWorkersPerOutage, kLeastWorkers);
+  for (const DownWorker& one : this->lost) Add(one, moment, &outage);
+  for (const DownWorker& one : silent) Add(one, moment, &outage);
+  return outage;
+}
+
+}  // namespace mustardproxy::jobs
--- a/packages/jobs/src/owner_context.h
+++ b/packages/jobs/src/owner_context.h
@@ -48,6 +48,7 @@
   JobTable jobs;
   WorkerTable workers;
   WorkerHealth health{WorkerHealthOptions{}};
+  OutageDetector outages;
   RunTimes run_times;
 
   ProgressWriter* writer = nullptr;
--- a/packages/jobs/src/progress_writer.cc
+++ b/packages/jobs/src/progress_writer.cc
@@ -60,6 +60,7 @@
       log(parts.log),
       jobs(parts.jobs),
       token(parts.token),
+      latest(parts.token),
       interval(IntervalFor(parts.store_writes_per_second)),
       on_fenced(std::move(on_fenced)) {}
 
@@ -153,6 +154,7 @@
     this->Flush();
     return;
   }
+  this->latest = std::max(this->latest, result.revision);
   for (const SentRow& row : batch) {
     JobEntry* entry = this->jobs->Find(row.job);
     if (entry == nullptr) continue;
--- a/packages/jobs/src/progress_writer.h
+++ b/packages/jobs/src/progress_writer.h
@@ -50,6 +50,9 @@
   void Write(const JobId& job, std::function<void()> durable);
   /// @return true if the job's progress is not all stored
   [[nodiscard]] bool Pending(const JobId& job) const;
+  /// @return the store's revision after the last write that was answered; above
+  ///   the token, and below that of each later owner
+  [[nodiscard]] Revision LatestRevision() const { return this->latest; }
   /// @return writes that wait or are on their way
   [[nodiscard]] std::size_t Backlog() const {
     return this->rows.size() + this->busy.size();
@@ -78,6 +81,7 @@
   EventLog* log;
   JobTable* jobs;
   FencingToken token;
+  Revision latest;
   Duration interval;
   std::function<void()> on_fenced;
   /// Jobs to be written, in order, and who waits for each.
--- a/packages/jobs/src/record_codec.cc
+++ b/packages/jobs/src/record_codec.cc
@@ -127,6 +127,7 @@
     one->set_survived_us(loss.survived.count());
     one->set_alone(loss.alone);
     one->set_at_start(loss.at_start);
+    one->set_in_outage(loss.in_outage);
   }
 }
 
@@ -158,7 +159,8 @@
          .certain = loss.certain(),
          .survived = Duration(loss.survived_us()),
          .at_start = loss.at_start(),
-         .alone = loss.alone()});
+         .alone = loss.alone(),
+         .in_outage = loss.in_outage()});
   }
   if (stored.worker().empty() || task.done) return;
   task.worker = {WorkerId(stored.worker()), stored.worker_born_ms()};
--- a/packages/jobs/src/run_control.cc
+++ b/packages/jobs/src/run_control.cc
@@ -150,7 +150,10 @@
       this->context->incarnations->NoteStored(worker, inherited_until);
   if (!MayBeSame(session->Incarnation(), worker)) {
     this->context->jobs.NoteLoss(run, {.worker = worker, .certain = true});
-    this->ShutOut(session, {run, Takes(*step), {}});
+    SessionRun former;
+    former.takes = Takes(*step);
+    former.start_sent = this->context->executor->Now();
+    this->ShutOut(session, run, former);
     return;
   }
   const Instant now = this->context->executor->Now();
@@ -175,7 +178,7 @@
   order->run = run;
   order->payload = entry->job.spec.payload;
   order->checkpoint = task->checkpoint;
-  order->token = this->context->token;
+  order->token = session.token;
   const StepAdvice* advice = this->context->advice->Find(run.task.step);
   const Ticket* ticket =
       advice == nullptr ? nullptr : advice->TicketFor(session.Number());
@@ -233,10 +236,10 @@
 }
 
 WorkerSession* RunControl::NoteAnswer(const WorkerIncarnation& worker,
-                                      Instant asked,
-                                      const OrderResult& result) {
+                                      Instant asked, const OrderResult& result,
+                                      const HoldResult* lists) {
   WorkerSession* session =
-      this->context->incarnations->NoteAnswer(worker, asked, result);
+      this->context->incarnations->NoteAnswer(worker, asked, result, lists);
   if (session == nullptr) return nullptr;
   if (result.end == OrderEnd::kOtherLife) {
     this->LoseAll(session, LossCause::kOtherLife);
@@ -386,7 +389,7 @@
   if (!this->context->MayAct()) return;
   const Instant now = this->context->executor->Now();
   this->context->driver->Stop(
-      session->Target(), StopOrder{run, this->context->token},
+      session->Target(), StopOrder{run, session->token},
       this->guard.Wrap([this, worker, run, now](const OrderResult& result) {
         this->OnStop(worker, run, now, result);
       }));
@@ -505,17 +508,17 @@
   session->MarkSilent(this->context->executor->Now());
   session->fenced = false;
   session->gone = cause == LossCause::kOtherLife;
+  const Outage outage = this->NoteOutage(*session);
   std::vector<RunRef> lost;
   for (const auto& [run, record] : session->runs) {
     this->LogLostRun(*session, run, record, cause);
     this->NoteLoss(*session, run, record, cause);
     lost.push_back(run);
   }
+  this->Excuse(outage);
   for (const RunRef& run : lost) {
-    const SessionRun* record = session->FindRun(run);
-    const bool left = cause == LossCause::kRestarted && record != nullptr &&
-                      record->MayStartLate();
-    if (!left) this->TakeEnd(session, run, RunEnd::kLapsed, "", {});
+    if (this->KeepOut(session, run, cause)) continue;
+    this->TakeEnd(session, run, RunEnd::kLapsed, "", {});
   }
   for (const RunRef& run : lost) this->GiveUpIfConvicted(run.task);
   if (cause == LossCause::kLeaseLapsed) return;
@@ -525,18 +528,70 @@
   }
 }
 
-void RunControl::ShutOut(WorkerSession* session, const UnansweredStart& start) {
+void RunControl::ShutOut(WorkerSession* session, const RunRef& run,
+                         const SessionRun& former) {
   const Instant now = this->context->executor->Now();
   SessionRun record;
-  record.takes = start.takes;
+  record.takes = former.takes;
   record.phase = RunPhase::kOrdered;
+  record.shut_out = true;
   record.stopping = true;
+  record.start_sent = former.start_sent;
   record.started_at = now;
   record.moved_at = now;
   record.expected_end = now;
-  session->AddRun(start.run, record);
-  this->context->jobs.Relocate(start.run, session->Incarnation());
-  this->SendStop(session->Incarnation(), start.run);
+  session->AddRun(run, record);
+  this->SendStop(session->Incarnation(), run);
+}
+
+void RunControl::Move(WorkerSession* session, const RunRef& run,
+                      SessionRun record) {
+  record.phase = RunPhase::kStarted;
+  record.quarantined = false;
+  record.alone = false;
+  record.order_in_flight = false;
+  record.listed_from = this->context->executor->Now();
+  record.seen_running.reset();
+  session->AddRun(run, record);
+  this->context->jobs.Relocate(run, session->Incarnation());
+  if (record.stopping) {
+    this->SendStop(session->Incarnation(), run);
+  } else {
+    this->QuarantineIfSuspicious(session, run);
+  }
+}
+
+void RunControl::EndShutOut(WorkerSession* session) {
+  const Instant now = this->context->executor->Now();
+  std::vector<RunRef> over;
+  for (const auto& [run, record] : session->runs) {
+    const bool may_start = record.start_sent + kLateStartWait > now;
+    if (record.shut_out && !may_start) over.push_back(run);
+  }
+  for (const RunRef& run : over) {
+    (void)this->End(session, run, RunEnd::kLapsed, "", {});
+  }
+}
+
+bool RunControl::KeepOut(WorkerSession* session, const RunRef& run,
+                         LossCause cause) {
+  SessionRun* record = session->FindRun(run);
+  if (record == nullptr || cause == LossCause::kOtherLife) return false;
+  if (cause == LossCause::kRestarted) return record->MayStartLate();
+  if (record->shut_out) return true;
+  // Failure: a worker that can't be reached has started again, and carries out
+  // a start that its former life left unanswered.
+  const Instant now = this->context->executor->Now();
+  const bool restarts = session->Incarnation().born_ms != 0;
+  const bool unanswered = record->order_in_flight || record->start_unanswered;
+  const bool may_start = record->start_sent + kLateStartWait > now;
+  if (!restarts || !unanswered || !may_start) return false;
+  session->EndQuarantine(run);
+  record->shut_out = true;
+  if (!std::exchange(record->stopping, true)) {
+    this->SendStop(session->Incarnation(), run);
+  }
+  return true;
 }
 
 void RunControl::NoteLoss(const WorkerSession& session, const RunRef& run,
@@ -544,10 +599,12 @@
   // What was never sent took nothing down, and a worker that drains ends by
   // itself.
   if (record.phase == RunPhase::kPlanned || session.HasLeft()) return;
+  // Its loss was counted with the life that it was meant for.
+  if (record.shut_out) return;
   const Instant now = this->context->executor->Now();
-  const bool came_too_late = cause != LossCause::kLeaseLapsed &&
-                             record.ordered_at &&
-                             now - *record.ordered_at < kLeastRestart;
+  const bool certain = cause != LossCause::kLeaseLapsed;
+  const bool came_too_late =
+      certain && record.ordered_at && now - *record.ordered_at < kLeastRestart;
   if (came_too_late) return;
   // Of a worker that was silent before it is not known that the start arrived.
   const bool was_there =
@@ -555,12 +612,47 @@
       session.LastAnswer() + kRecentAnswer >= *record.ordered_at;
   this->context->jobs.NoteLoss(
       run, {.worker = session.Incarnation(),
-            .certain = cause != LossCause::kLeaseLapsed,
+            .certain = certain,
             .survived = record.Survived(),
             .at_start = record.reached && !record.seen_running,
             .alone = record.alone && was_there});
 }
 
+Outage RunControl::NoteOutage(const WorkerSession& lost) {
+  const auto describe = [](const WorkerSession& session) {
+    DownWorker down;
+    down.worker = session.Incarnation();
+    down.since = session.silent_since;
+    down.quarantined = session.Quarantined();
+    for (const auto& [run, record] : session.runs) {
+      down.jobs.insert(run.task.step.job);
+    }
+    return down;
+  };
+  // Of one that never answered it is not known when it went.
+  const auto went_down = [](const WorkerSession& session) {
+    return session.LastAnswer() != Instant() && !session.HasLeft();
+  };
+  std::vector<DownWorker> silent;
+  for (const auto& [id, session] : this->context->workers) {
+    const bool waits = session->suspect && !session->gone;
+    if (waits && went_down(*session)) silent.push_back(describe(*session));
+  }
+  if (went_down(lost)) this->context->outages.Note(describe(lost));
+  return this->context->outages.Around(lost.silent_since, silent,
+                                       this->context->workers.Size());
+}
+
+void RunControl::Excuse(const Outage& outage) {
+  const std::size_t excused = this->context->jobs.Excuse(outage);
+  if (excused == 0) return;
+  this->context->log->Write("jobs", "losses-excused",
+                            {{"tasks", excused},
+                             {"workers", outage.workers.size()},
+                             {"unexplained", outage.unexplained},
+                             {"least", outage.least}});
+}
+
 void RunControl::GiveUpIfConvicted(const TaskRef& task) {
   const CrashHistory* crashes = this->context->jobs.FindCrashes(task);
   if (crashes == nullptr) return;
--- a/packages/jobs/src/run_control.h
+++ b/packages/jobs/src/run_control.h
@@ -55,14 +55,21 @@
   /// again, runs whose starts may yet arrive at its next life are left; see
   /// ShutOut.
   void LoseAll(WorkerSession* session, LossCause cause);
-  /// Keeps a start that the former life left unanswered from being carried out.
-  /// Its task starts elsewhere only once the worker has acknowledged that.
-  void ShutOut(WorkerSession* session, const UnansweredStart& start);
+  /// Keeps a start that was meant for a former life from being carried out. Its
+  /// task starts elsewhere only once the worker has acknowledged that.
+  void ShutOut(WorkerSession* session, const RunRef& run,
+               const SessionRun& former);
+  /// Enters a run that the worker has taken in after a restart.
+  void Move(WorkerSession* session, const RunRef& run, SessionRun record);
+  /// Gives up on a silent worker's acknowledgements of that.
+  void EndShutOut(WorkerSession* session);
   /// Takes note of what any answer of a worker tells.
   /// @param asked when the order was sent
   /// @return its session, or null if it tells that the order was for nothing
+  /// @param lists of that answer, if it has any
   WorkerSession* NoteAnswer(const WorkerIncarnation& worker, Instant asked,
-                            const OrderResult& result);
+                            const OrderResult& result,
+                            const HoldResult* lists = nullptr);
   /// The job became final or was changed otherwise; stores that.
   void StoreFinal(JobEntry* entry);
   /// Sends a start that is written down.
@@ -88,9 +95,16 @@
                    const RunRef& run, RunEnd end);
   /// Keeps other tasks away from a run that may take its worker down.
   void QuarantineIfSuspicious(WorkerSession* session, const RunRef& run);
+  /// @return true if a lost run may still start there, and is kept from it
+  bool KeepOut(WorkerSession* session, const RunRef& run, LossCause cause);
   /// Counts a lost worker against the task of one of its runs.
   void NoteLoss(const WorkerSession& session, const RunRef& run,
                 const SessionRun& record, LossCause cause);
+  /// Takes note of a lost worker.
+  /// @return what went down at about the same moment
+  Outage NoteOutage(const WorkerSession& lost);
+  /// Has losses count little that came with many others.
+  void Excuse(const Outage& outage);
   void GiveUpIfConvicted(const TaskRef& task);
   [[nodiscard]] std::size_t MaxLostWorkers() const {
     return static_cast<std::size_t>(this->context->max_lost_workers);
--- a/packages/jobs/src/unit.h
+++ b/packages/jobs/src/unit.h
@@ -19,6 +19,8 @@
   std::vector<std::int32_t> tasks;
   /// Its task may take a worker down and starts apart from others.
   bool quarantined = false;
+  /// Since when that task has waited.
+  Instant waits_since;
   BeginLimits limits;
   Lateness lateness = Lateness::kInTime;
   /// When the step has to be begun for the job to be done in time: a gang's
--- a/packages/jobs/src/worker_session.cc
+++ b/packages/jobs/src/worker_session.cc
@@ -84,33 +84,10 @@
   const auto found = this->runs.find(run);
   if (found == this->runs.end()) return;
   this->EndQuarantine(run);
-  const SessionRun& record = found->second;
-  if (record.order_in_flight || record.start_unanswered) {
-    const Instant old = record.start_sent - kLateOrderLife;
-    while (!this->ended_unanswered.empty() &&
-           this->ended_unanswered.front().sent < old) {
-      this->ended_unanswered.pop_front();
-    }
-    this->ended_unanswered.push_back({run, record.takes, record.start_sent});
-  }
-  this->used -= record.takes;
+  this->used -= found->second.takes;
   this->runs.erase(found);
 }
 
-std::vector<UnansweredStart> WorkerSession::UnansweredStarts(
-    Instant now) const {
-  std::vector<UnansweredStart> starts;
-  for (const UnansweredStart& start : this->ended_unanswered) {
-    if (start.sent + kLateOrderLife >= now) starts.push_back(start);
-  }
-  for (const auto& [run, record] : this->runs) {
-    if (record.MayStartLate()) {
-      starts.push_back({run, record.takes, record.start_sent});
-    }
-  }
-  return starts;
-}
-
 void WorkerSession::Quarantine(const RunRef& run, Duration proving_time) {
   SessionRun* record = this->FindRun(run);
   if (record == nullptr) return;
@@ -140,7 +117,7 @@
 
 bool WorkerSession::HasOrdered() const {
   return std::any_of(this->runs.begin(), this->runs.end(), [](const auto& run) {
-    return run.second.phase != RunPhase::kPlanned;
+    return run.second.phase != RunPhase::kPlanned && !run.second.shut_out;
   });
 }
 
--- a/packages/jobs/src/worker_session.h
+++ b/packages/jobs/src/worker_session.h
@@ -36,6 +36,8 @@
   RunPhase phase = RunPhase::kPlanned;
   /// It is to be stopped.
   bool stopping = false;
+  /// It has been counted as lost, and is only kept from starting late.
+  bool shut_out = false;
   /// The worker has acknowledged the stop.
   bool stop_noted = false;
   /// An order about it is on its way.
@@ -74,14 +76,6 @@
   [[nodiscard]] bool MayStartLate() const;
 };
 
-/// A run whose start got no answer: the worker, or its next life, may still
-/// carry it out.
-struct UnansweredStart {
-  RunRef run;
-  Resources takes;
-  Instant sent;
-};
-
 /// Ends of one answer of a worker.
 struct EndBatch {
   std::int64_t last_number = 0;
@@ -139,12 +133,10 @@
 
   void AddRun(const RunRef& run, SessionRun record);
   void RemoveRun(const RunRef& run);
-  /// @return starts that may still be carried out, those of runs included that
-  ///   have ended
-  [[nodiscard]] std::vector<UnansweredStart> UnansweredStarts(
-      Instant now) const;
   [[nodiscard]] SessionRun* FindRun(const RunRef& run);
-  /// @return true if a start was sent of any run whose end is not known
+  /// @return true if a start was sent of any run that is wanted and whose end
+  /// is
+  ///   not known
   [[nodiscard]] bool HasOrdered() const;
   /// @return how many runs have not been at work for long, and may yet take the
   ///   worker down
@@ -166,6 +158,8 @@
   [[nodiscard]] WorkerTarget Target() const;
 
   WorkerInfo info;
+  /// What orders to it carry. Orders for its former life carry a lower one.
+  FencingToken token = 0;
   /// Its entry is in the store.
   bool listed = true;
   /// `info` is what this life says of itself. Until then nothing starts there.
@@ -204,8 +198,6 @@
   SessionNumber number;
   Instant known_since;
   Resources used;
-  /// Of runs that have ended, in that order.
-  std::deque<UnansweredStart> ended_unanswered;
   /// Runs that are quarantined.
   std::size_t quarantined = 0;
   std::optional<ClockReading> clock;
