Ends are told to a life that has just answered; a gang that a restart broke is stopped

Ends are told within 250 ms of an answer of the same life; a slow store costs one short hold more. A gang's member that goes on at the new life while others of its run are lost is stopped at once and does not wait for them.

--- a/packages/jobs/src/hold_loop.cc
+++ b/packages/jobs/src/hold_loop.cc
@@ -16,6 +16,9 @@
 
 /// Most pauses of `kHoldRetry` between two holds of a worker that is silent.
 constexpr std::int32_t kMaxRetryFactor = 4;
+/// How long after a life has answered it is told of ends: less than a worker
+/// takes to start again.
+constexpr Duration kTellWithin = milliseconds(250);
 
 }  // namespace
 
@@ -50,10 +53,12 @@
   order.token = session.token;
   // Failure: a worker has started again unnoticed, and forgets its first ends,
   // which nobody has read, by the number that its former life had reached. What
-  // was told is not repeated, and a silent worker is told nothing.
-  if (session.noted_end > session.told_end && !session.suspect) {
-    order.last_noted_end = session.noted_end;
-  }
+  // was told is not repeated, and only a worker is told whose life has just
+  // answered.
+  const bool untold = session.noted_end > session.told_end;
+  const bool verified =
+      !session.suspect && now < session.verified + kTellWithin;
+  if (untold && verified) order.last_noted_end = session.noted_end;
   // Failure: a worker is gone for good and each try to reach it puts the moment
   // off at which its lease has lapsed for certain, so that its tasks never
   // start elsewhere. A silent worker is only asked, and its lease runs out.
@@ -65,7 +70,7 @@
                   [](const auto& run) { return run.second.stop_noted; });
   const bool wait = session.fenced && !session.suspect &&
                     !session.runs.empty() && !checking &&
-                    session.unstored_ends.empty();
+                    (verified || !untold) && session.unstored_ends.empty();
   order.wait = wait ? this->Wait() : Duration::zero();
   if (session.Quarantined()) {
     order.wait = std::min(order.wait, kQuarantineHoldWait);
@@ -151,6 +156,7 @@
   const bool back = std::exchange(session->suspect, false);
   const bool first = !std::exchange(session->fenced, true);
   session->silent_holds = 0;
+  session->verified = this->context->executor->Now();
   if (first) this->context->jobs.NoteAlive(session->Incarnation());
   if (first || back) {
     this->context->log->Write("workers",
--- a/packages/jobs/src/run_control.cc
+++ b/packages/jobs/src/run_control.cc
@@ -556,11 +556,23 @@
   this->context->jobs.Relocate(run, session->Incarnation());
   if (record.stopping) {
     this->SendStop(session->Incarnation(), run);
+  } else if (!this->IsWhole(run)) {
+    this->StopGang(run);
   } else {
     this->QuarantineIfSuspicious(session, run);
   }
 }
 
+bool RunControl::IsWhole(const RunRef& member) {
+  const Step* step = this->context->jobs.FindStep(member.task.step);
+  if (step == nullptr || !step->gang) return true;
+  for (std::int32_t i = 0; i < step->tasks; ++i) {
+    const RunRef other{{member.task.step, i}, member.run};
+    if (this->context->jobs.FindOpen(other) == nullptr) return false;
+  }
+  return true;
+}
+
 void RunControl::EndShutOut(WorkerSession* session) {
   const Instant now = this->context->executor->Now();
   std::vector<RunRef> over;
--- a/packages/jobs/src/run_control.h
+++ b/packages/jobs/src/run_control.h
@@ -117,6 +117,8 @@
   /// Tells what was known of a run whose worker is lost.
   void LogLostRun(const WorkerSession& session, const RunRef& run,
                   const SessionRun& record, LossCause cause);
+  /// @return false if another member of the gang's run has ended
+  [[nodiscard]] bool IsWhole(const RunRef& member);
   void Later(Duration delay, std::function<void()> task);
 
   OwnerContext* context;
--- a/packages/jobs/src/worker_session.h
+++ b/packages/jobs/src/worker_session.h
@@ -189,6 +189,8 @@
   std::int64_t read_end = 0;
   /// Ends that were taken in and wait for writes, oldest first.
   std::deque<std::shared_ptr<EndBatch>> unstored_ends;
+  /// When this life last answered a hold.
+  Instant verified;
   bool hold_in_flight = false;
   Instant hold_sent;
   Instant next_hold;
--- a/testing/job_sim/include/job_sim/sim_worker.h
+++ b/testing/job_sim/include/job_sim/sim_worker.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -149,6 +150,8 @@
   friend class SimDriver;
   struct Gang {
     std::map<jobs::RunRef, SimWorker*> members;
+    /// When all of them were present.
+    std::optional<Instant> begun;
   };
 
   void JoinGang(SimWorker* worker, const jobs::RunRef& run);
--- a/testing/job_sim/src/sim_worker.cc
+++ b/testing/job_sim/src/sim_worker.cc
@@ -315,13 +315,15 @@
     }
   });
   if (std::ssize(gang.members) < step->tasks) return;
+  gang.begun = this->time->Now();
   for (auto& [member, at] : gang.members) {
     at->running[member].working = true;
     at->running[member].started = this->time->Now();
   }
-  this->time->After(this->promises->LengthOf(run.task.step), [this, key] {
+  const Duration length = this->promises->LengthOf(run.task.step);
+  this->time->After(length, [this, key, begun = gang.begun] {
     const auto found = this->gangs.find(key);
-    if (found == this->gangs.end()) return;
+    if (found == this->gangs.end() || found->second.begun != begun) return;
     const Gang whole = found->second;
     this->gangs.erase(found);
     for (const auto& [member, at] : whole.members) {
