--- a/testing/soak/include/soak/soak.h
+++ b/testing/soak/include/soak/soak.h
@@ -22,6 +22,8 @@
   std::int32_t faults = 5;
   /// Some tasks take their workers down, and workers shrink and grow.
   bool crashing_tasks = false;
+  /// Workers start again under the ids that they had, many at once.
+  bool reused_ids = false;
   /// Folder for settings and logs; one that is made if it is empty.
   std::string folder;
 };
--- a/testing/soak/program/main.cc
+++ b/testing/soak/program/main.cc
@@ -44,6 +44,7 @@
   add("faults", "faults", cxxopts::value<std::int32_t>()->default_value("5"));
   add("crashing-tasks",
       "some tasks take their workers down; workers shrink and grow");
+  add("reused-ids", "workers start again under their ids, many at once");
   add("keep", "keep the logs of runs in which nothing broke");
   add("help", "print this");
   const auto arguments = parser.parse(argc, argv);
@@ -60,6 +61,7 @@
       std::chrono::milliseconds(arguments["job-pause"].as<std::int64_t>());
   options.faults = arguments["faults"].as<std::int32_t>();
   options.crashing_tasks = arguments.count("crashing-tasks") > 0;
+  options.reused_ids = arguments.count("reused-ids") > 0;
   const auto first = arguments["seed"].as<std::uint64_t>();
   const auto count = arguments["count"].as<std::uint64_t>();
   std::uint64_t red = 0;
--- a/testing/soak/src/cell.cc
+++ b/testing/soak/src/cell.cc
@@ -36,6 +36,7 @@
   platform.seed = options.seed;
   platform.workers = options.workers;
   platform.workers_per_rack = options.workers_per_rack;
+  platform.reuse_ids = options.reused_ids;
   platform.worker_capacity = {8000, 65'536, 0, 0};
   mustardproxy::jobs::Queue screens;
   screens.name = mustardproxy::jobs::QueueName("screens");
--- a/testing/soak/src/faults.cc
+++ b/testing/soak/src/faults.cc
@@ -21,6 +21,8 @@
 constexpr double kFaultyShare = 0.2;
 /// A worker that shrinks has this part of its processors left.
 constexpr std::int64_t kShrinkFactor = 8;
+/// Workers that start again are away for none to four times this.
+constexpr milliseconds kQuickestRestart(300);
 constexpr std::size_t kKinds = 5;
 
 }  // namespace
@@ -249,6 +251,22 @@
   }
 }
 
+void Faults::PlanRestarts(Millis at) {
+  Platform* platform = &this->cell->Machines();
+  const auto restart = [this, platform] {
+    platform->Do([&] {
+      for (job_sim::SimWorker* worker : platform->Workers().Alive()) {
+        if (this->DrawIndex(2) == 0) continue;
+        this->Note("restart " + worker->Info().incarnation.id.Text());
+        platform->CrashWorker(
+            worker, kQuickestRestart * static_cast<int>(this->DrawIndex(5)));
+      }
+    });
+  };
+  this->At(at, restart);
+  this->At(at + this->DrawLength(), restart);
+}
+
 void Faults::PlanResize(Millis at) {
   Platform* platform = &this->cell->Machines();
   const auto address = std::make_shared<std::string>();
@@ -292,6 +310,7 @@
     this->Plan(draw_moment());
   }
   if (this->options.crashing_tasks) this->PlanResize(draw_moment());
+  if (this->options.reused_ids) this->PlanRestarts(draw_moment());
   while (!this->plan.empty() ||
          steady_clock::now() < this->begun + this->options.length) {
     this->RestartEnded();
--- a/testing/soak/src/faults.h
+++ b/testing/soak/src/faults.h
@@ -35,6 +35,8 @@
   void PlanStore(Millis at);
   void PlanResize(Millis at);
   void PlanWorkers(Millis at);
+  /// Plans restarts of many workers, and of some of them once more.
+  void PlanRestarts(Millis at);
   /// Plans a change and its end.
   void PlanSpan(Millis at, const std::string& name,
                 const std::function<void()>& begin,
--- a/testing/soak/tests/seeds_test.cc
+++ b/testing/soak/tests/seeds_test.cc
@@ -45,6 +45,14 @@
   for (const std::uint64_t seed : {1, 2}) Play(seed, options);
 }
 
+BOOST_AUTO_TEST_CASE(a_short_set_with_workers_that_reuse_their_ids) {
+  SoakOptions options;
+  options.length = std::chrono::seconds(8);
+  options.faults = 2;
+  options.reused_ids = true;
+  for (const std::uint64_t seed : {1, 2}) Play(seed, options);
+}
+
 BOOST_AUTO_TEST_CASE(seeds_that_failed_once) {
   for (const std::uint64_t seed : kRegressions) Play(seed, SoakOptions());
 }
