An outage excuses a task once, by the moment at which connections broke

Where connections broke the moment is known, and 60 ms tell what went together; half a second stays for time-outs. One loss is excused, but for runs that had been at work for a second: such a task does not go down by its start. sound_jobs_survive_outages_of_many_workers fails without the excuse (a job is given up) and passes with it.

--- a/packages/jobs/src/crash_history.cc
+++ b/packages/jobs/src/crash_history.cc
@@ -1,19 +1,15 @@
 #include "crash_history.h"
 
 #include <algorithm>
-#include <iterator>
 #include <utility>
 
+#include "options.h"
+
 namespace mustardproxy::jobs {
 namespace {
 
-using std::chrono::milliseconds;
-using std::chrono::seconds;
-
 /// No task is given up for fewer.
 constexpr std::size_t kLeastLosses = 2;
-/// A task that has gone down in so many outages is kept apart.
-constexpr std::size_t kOutagesToSuspect = 3;
 /// Beyond the time that earlier runs survived.
 constexpr Duration kProvingMargin = milliseconds(200);
 /// Bounds how long a worker is kept for one task.
@@ -65,17 +61,20 @@
 
 std::vector<WorkerLoss> CrashHistory::Evidence() const {
   std::vector<WorkerLoss> evidence;
-  std::copy_if(this->losses.begin(), this->losses.end(),
-               std::back_inserter(evidence),
-               [](const WorkerLoss& loss) { return !loss.in_outage; });
+  bool excused = false;
+  for (const WorkerLoss& loss : this->losses) {
+    // Once at most, but for runs that were long at work: a task that takes its
+    // workers down may do so in the same moments as others.
+    const bool proven = loss.survived >= kProvenRun;
+    const bool excuse =
+        loss.in_outage && (proven || !std::exchange(excused, true));
+    if (!excuse) evidence.push_back(loss);
+  }
   return evidence;
 }
 
 bool CrashHistory::Suspicious() const {
   const std::vector<WorkerLoss> evidence = this->Evidence();
-  // A task that goes down with many workers again and again may be one of
-  // several that take theirs down at the same moment.
-  if (this->losses.size() - evidence.size() >= kOutagesToSuspect) return true;
   if (evidence.empty()) return false;
   return evidence.size() > 1 || evidence.front().at_start;
 }
--- a/packages/jobs/src/hold_loop.cc
+++ b/packages/jobs/src/hold_loop.cc
@@ -86,12 +86,11 @@
   session->NoteLeaseSent(order.lease_until_ms);
   session->hold_in_flight = true;
   session->hold_sent = now;
-  const std::int64_t told_end = order.last_noted_end;
   this->context->driver->Hold(
       session->Target(), order,
       this->guard.Wrap([this, worker = session->Incarnation(), now,
-                        told_end](const HoldResult& result) {
-        this->OnHold(worker, now, told_end, result);
+                        order](const HoldResult& result) {
+        this->OnHold(worker, now, order, result);
       }));
 }
 
@@ -120,7 +119,7 @@
 }
 
 void HoldLoop::OnHold(const WorkerIncarnation& worker, Instant asked,
-                      std::int64_t told_end, const HoldResult& result) {
+                      const HoldOrder& sent, const HoldResult& result) {
   WorkerSession* known = this->context->workers.Find(worker);
   if (known != nullptr) known->hold_in_flight = false;
   WorkerSession* session =
@@ -132,23 +131,26 @@
     return;
   }
   if (result.order.end != OrderEnd::kDone) {
-    this->OnSilence(session, result.order.end);
+    this->OnSilence(session, result.order.end,
+                    asked + std::max(sent.wait, kQuickBreak));
     return;
   }
-  session->told_end = std::max(session->told_end, told_end);
+  session->told_end = std::max(session->told_end, sent.last_noted_end);
   this->OnAnswer(session, asked, result);
 }
 
-void HoldLoop::OnSilence(WorkerSession* session, OrderEnd end) {
-  if (session->MarkSilent(this->context->executor->Now())) {
+void HoldLoop::OnSilence(WorkerSession* session, OrderEnd end,
+                         Instant broken_before) {
+  const Instant now = this->context->executor->Now();
+  const bool exact = end == OrderEnd::kUncertain && now < broken_before;
+  if (session->MarkSilent(now, exact)) {
     this->context->log->Write("workers", "worker-silent",
                               {{"worker", Text(session->Incarnation())},
                                {"end", Name(end)},
                                {"runs", session->runs.size()}});
   }
   session->silent_holds = std::min(session->silent_holds + 1, kMaxRetryFactor);
-  session->next_hold =
-      this->context->executor->Now() + kHoldRetry * session->silent_holds;
+  session->next_hold = now + kHoldRetry * session->silent_holds;
 }
 
 void HoldLoop::OnAnswer(WorkerSession* session, Instant asked,
--- a/packages/jobs/src/hold_loop.h
+++ b/packages/jobs/src/hold_loop.h
@@ -29,10 +29,11 @@
   [[nodiscard]] Duration Wait() const;
   HoldOrder MakeOrder(const WorkerSession& session, Instant now) const;
   void OnHold(const WorkerIncarnation& worker, Instant asked,
-              std::int64_t told_end, const HoldResult& result);
+              const HoldOrder& sent, const HoldResult& result);
   void OnAnswer(WorkerSession* session, Instant asked,
                 const HoldResult& result);
-  void OnSilence(WorkerSession* session, OrderEnd end);
+  /// @param broken_before a call that ended earlier was not timed out
+  void OnSilence(WorkerSession* session, OrderEnd end, Instant broken_before);
   void ReadRunning(WorkerSession* session, const HoldResult& result);
   void ReadEnded(WorkerSession* session, const HoldResult& result);
   void DropUnlisted(WorkerSession* session, Instant asked,
--- a/packages/jobs/src/job_table.cc
+++ b/packages/jobs/src/job_table.cc
@@ -240,7 +240,7 @@
 
 std::size_t JobTable::Excuse(const Outage& outage) {
   std::size_t excused = 0;
-  if (outage.unexplained < outage.least) return excused;
+  if (outage.workers.empty()) return excused;
   for (JobEntry* entry : this->active) {
     if (entry->crashes.empty() || !outage.Excuses(entry->job.id)) continue;
     for (auto& [task, history] : entry->crashes) {
--- a/packages/jobs/src/options.h
+++ b/packages/jobs/src/options.h
@@ -52,6 +52,9 @@
 /// second.
 inline constexpr std::int64_t kIdleHoldsPerSecond = 200;
 inline constexpr Duration kLongestHoldWait = milliseconds(1500);
+/// A call without an answer that ends so soon did not run into its time-out:
+/// the worker has closed the connection.
+inline constexpr Duration kQuickBreak = milliseconds(150);
 /// First pause after a hold without an answer; later ones are up to four times
 /// as long.
 inline constexpr Duration kHoldRetry = milliseconds(50);
--- a/packages/jobs/src/outage_detector.cc
+++ b/packages/jobs/src/outage_detector.cc
@@ -12,6 +12,8 @@
 /// How far apart workers may fall silent that go down together: a hold that is
 /// not answered ends by its time-out.
 constexpr Duration kSpread = milliseconds(500);
+/// The same where the moments are known.
+constexpr Duration kExactSpread = milliseconds(60);
 /// Longer than the time from a worker's silence to its loss, and that of the
 /// others that went with it.
 constexpr Duration kMemory = seconds(30);
@@ -20,11 +22,13 @@
 constexpr std::size_t kWorkersPerOutage = 6;
 constexpr std::size_t kLeastWorkers = 8;
 
-void Add(const DownWorker& down, Instant moment, Outage* outage) {
-  const bool together =
-      down.since >= moment - kSpread && down.since <= moment + kSpread;
-  if (!together || !outage->workers.insert(down.worker).second) return;
-  if (down.quarantined) return;
+bool Together(const DownWorker& a, const DownWorker& b) {
+  const Duration spread = a.exact && b.exact ? kExactSpread : kSpread;
+  return a.since >= b.since - spread && a.since <= b.since + spread;
+}
+
+void Add(const DownWorker& down, Outage* outage) {
+  if (!outage->workers.insert(down.worker).second || down.quarantined) return;
   ++outage->unexplained;
   for (const JobId& job : down.jobs) ++outage->hosts_of[job];
 }
@@ -45,13 +49,18 @@
   this->lost.push_back(std::move(down));
 }
 
-Outage OutageDetector::Around(Instant moment,
-                              std::span<const DownWorker> silent,
-                              std::size_t workers) const {
+Outage OutageDetector::With(const DownWorker& down,
+                            std::span<const DownWorker> silent,
+                            std::size_t workers) const {
   Outage outage;
   outage.least = std::max(workers / kWorkersPerOutage, kLeastWorkers);
-  for (const DownWorker& one : this->lost) Add(one, moment, &outage);
-  for (const DownWorker& one : silent) Add(one, moment, &outage);
+  Add(down, &outage);
+  for (const DownWorker& one : this->lost) {
+    if (Together(one, down)) Add(one, &outage);
+  }
+  for (const DownWorker& one : silent) {
+    if (Together(one, down)) Add(one, &outage);
+  }
   return outage;
 }
 
--- a/packages/jobs/src/outage_detector.h
+++ b/packages/jobs/src/outage_detector.h
@@ -18,6 +18,8 @@
 struct DownWorker {
   WorkerIncarnation worker;
   Instant since;
+  /// A call to it broke at that moment; else it went some time before.
+  bool exact = false;
   /// Jobs of which it had runs.
   std::set<JobId> jobs;
   /// It was kept for a suspicious task, which explains why it went.
@@ -47,10 +49,10 @@
   void Note(DownWorker lost);
   /// @param silent workers that do not answer and are not lost yet
   /// @param workers how many there are
-  /// @return all that went down around a moment
-  [[nodiscard]] Outage Around(Instant moment,
-                              std::span<const DownWorker> silent,
-                              std::size_t workers) const;
+  /// @return all that went down with a worker, and itself
+  [[nodiscard]] Outage With(const DownWorker& down,
+                            std::span<const DownWorker> silent,
+                            std::size_t workers) const;
 
  private:
   /// In the order in which they were lost.
--- a/packages/jobs/src/run_control.cc
+++ b/packages/jobs/src/run_control.cc
@@ -22,9 +22,6 @@
 /// never reached the life that crashed.
 constexpr Duration kLeastRestart = milliseconds(500);
 
-/// A start without an answer that ends so soon did not run into its timeout:
-/// the worker has closed the connection.
-constexpr Duration kQuickBreak = milliseconds(150);
 /// A worker that has answered so shortly before was there: longer than a hold
 /// waits.
 constexpr Duration kRecentAnswer = milliseconds(2000);
@@ -278,7 +275,7 @@
     this->context->advice->DropTicket(run.task.step, session->Number());
   }
   if (result.end == OrderEnd::kRefused || result.end == OrderEnd::kUncertain) {
-    session->MarkSilent(this->context->executor->Now());
+    session->MarkSilent(this->context->executor->Now(), broke);
     this->context->holds->Pump(session);
   }
   if (result.end == OrderEnd::kDone || result.end == OrderEnd::kOldRun) {
@@ -407,7 +404,7 @@
     this->context->holds->Pump(session);
     return;
   }
-  session->MarkSilent(this->context->executor->Now());
+  session->MarkSilent(this->context->executor->Now(), false);
   this->context->holds->Pump(session);
   this->Later(kOrderRetry,
               [this, worker, run] { this->SendStop(worker, run); });
@@ -505,7 +502,7 @@
     this->context->metrics->Count("worker_losses",
                                   "reason=" + std::string(Name(cause)));
   }
-  session->MarkSilent(this->context->executor->Now());
+  session->MarkSilent(this->context->executor->Now(), false);
   session->fenced = false;
   session->gone = cause == LossCause::kOtherLife;
   const Outage outage = this->NoteOutage(*session);
@@ -635,6 +632,7 @@
     DownWorker down;
     down.worker = session.Incarnation();
     down.since = session.silent_since;
+    down.exact = session.silence_exact;
     down.quarantined = session.Quarantined();
     for (const auto& [run, record] : session.runs) {
       down.jobs.insert(run.task.step.job);
@@ -650,9 +648,11 @@
     const bool waits = session->suspect && !session->gone;
     if (waits && went_down(*session)) silent.push_back(describe(*session));
   }
-  if (went_down(lost)) this->context->outages.Note(describe(lost));
-  return this->context->outages.Around(lost.silent_since, silent,
-                                       this->context->workers.Size());
+  if (!went_down(lost)) return {};
+  const DownWorker down = describe(lost);
+  this->context->outages.Note(down);
+  return this->context->outages.With(down, silent,
+                                     this->context->workers.Size());
 }
 
 void RunControl::Excuse(const Outage& outage) {
--- a/packages/jobs/src/worker_session.cc
+++ b/packages/jobs/src/worker_session.cc
@@ -60,9 +60,10 @@
   if (!older) this->clock = reading;
 }
 
-bool WorkerSession::MarkSilent(Instant now) {
+bool WorkerSession::MarkSilent(Instant now, bool exact) {
   if (std::exchange(this->suspect, true)) return false;
   this->silent_since = now;
+  this->silence_exact = exact;
   return true;
 }
 
--- a/packages/jobs/src/worker_session.h
+++ b/packages/jobs/src/worker_session.h
@@ -121,8 +121,9 @@
   void NoteLeaseSent(std::int64_t until_ms);
   void NoteClock(ClockReading reading);
   /// Takes note that an order was not answered.
+  /// @param exact its connection broke just now
   /// @return true if it was not silent before
-  bool MarkSilent(Instant now);
+  bool MarkSilent(Instant now, bool exact);
   /// @return true if it drained and has most likely left, rather than crashed
   [[nodiscard]] bool HasLeft() const;
   /// @return when it last answered an order
@@ -173,6 +174,8 @@
   bool suspect = false;
   /// Since when; only while `suspect`.
   Instant silent_since;
+  /// A call to it broke at that moment; only while `suspect`.
+  bool silence_exact = false;
   /// When it may be gone if all goes as it says; only while it drains.
   Instant leaves_at;
   /// It fails what it runs, and is left alone for a while.
--- a/packages/jobs/tests/cell_restart_test.cc
+++ b/packages/jobs/tests/cell_restart_test.cc
@@ -113,6 +113,28 @@
   CheckKept(cell.get());
 }
 
+// Guards against sound jobs that are given up, or kept waiting as suspicious,
+// after outages of many workers.
+BOOST_AUTO_TEST_CASE(sound_jobs_survive_outages_of_many_workers) {
+  const auto cell = MakeCell(40);
+  std::vector<const SimJob*> jobs;
+  for (int i = 0; i < 4; ++i) {
+    jobs.push_back(cell->Submit(MakeSpec({MakeStep(15, 8000, seconds(8))})));
+  }
+  constexpr int kOutages = 8;
+  for (int i = 0; i < kOutages; ++i) {
+    cell->Time().RunFor(seconds(4));
+    for (SimWorker* worker : cell->Workers().Alive()) {
+      if (!cell->Time().Chance(0.5)) continue;
+      cell->CrashWorker(worker, milliseconds(600));
+    }
+  }
+  for (const SimJob* job : jobs) {
+    BOOST_TEST(Completes(cell.get(), *job, seconds(30)));
+  }
+  CheckKept(cell.get());
+}
+
 // Guards against a start that the former life left unanswered and the new one
 // carries out while the task runs elsewhere.
 BOOST_AUTO_TEST_CASE(a_late_start_does_not_run_beside_a_newer_one) {
--- a/packages/jobs/tests/crash_history_test.cc
+++ b/packages/jobs/tests/crash_history_test.cc
@@ -83,6 +83,50 @@
   BOOST_TEST(history.Convicting(kMaxLosses));
 }
 
+// Guards against sound tasks that are given up after outages of many workers.
+BOOST_AUTO_TEST_CASE(runs_long_at_work_that_end_in_outages_are_no_evidence) {
+  CrashHistory history;
+  std::set<WorkerIncarnation> workers;
+  for (const char* worker : {"a", "b", "c", "d", "e"}) {
+    history.Note(Loss(worker, seconds(2)));
+    workers.insert({WorkerId(worker)});
+  }
+  BOOST_TEST(history.AtLimit(3));
+  BOOST_TEST(history.Excuse(workers));
+  BOOST_TEST(!history.Excuse(workers));
+  BOOST_TEST(!history.Suspicious());
+  BOOST_TEST(!history.Convicting(3));
+  BOOST_TEST(!history.AtLimit(3));
+}
+
+// Guards against a task that goes on because others crash at the same moments.
+BOOST_AUTO_TEST_CASE(a_loss_at_the_start_is_excused_once) {
+  CrashHistory history;
+  std::set<WorkerIncarnation> workers;
+  for (const char* worker : {"a", "b", "c"}) {
+    history.Note(Loss(worker, milliseconds(10)));
+    workers.insert({WorkerId(worker)});
+  }
+  history.Excuse(workers);
+  BOOST_TEST(history.Suspicious());
+  BOOST_TEST(!history.AtLimit(3));
+  BOOST_TEST(history.AtLimit(2));
+}
+
+// Guards against a life that is counted for the one before under its id.
+BOOST_AUTO_TEST_CASE(each_life_under_one_id_counts) {
+  CrashHistory history;
+  for (std::int64_t born = 1; born <= 3; ++born) {
+    WorkerLoss loss;
+    loss.worker = {WorkerId("a"), born};
+    history.Note(loss);
+  }
+  BOOST_TEST(history.Losses().size() == 3U);
+  history.NoteAlive({WorkerId("a"), 3});
+  BOOST_TEST(history.Losses().size() == 2U);
+  BOOST_TEST(history.Losses().front().certain);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace mustardproxy::jobs
