Names that the field uses: reservations, counted losses, blocked starts

GangClaims are GangReservations; a task is unsafe where it was convicted; losses are discounted where they were excused. In logs: claim-given-up is reservation-given-up, until=claims is until=reservations.

--- a/packages/jobs/src/crash_history.cc
+++ b/packages/jobs/src/crash_history.cc
@@ -50,7 +50,7 @@
   return text;
 }
 
-bool CrashHistory::Excuse(const std::set<WorkerIncarnation>& workers) {
+bool CrashHistory::Discount(const std::set<WorkerIncarnation>& workers) {
   bool changed = false;
   for (WorkerLoss& loss : this->losses) {
     if (!workers.contains(loss.worker)) continue;
@@ -59,24 +59,24 @@
   return changed;
 }
 
-std::vector<WorkerLoss> CrashHistory::Evidence() const {
-  std::vector<WorkerLoss> evidence;
-  bool excused = false;
+std::vector<WorkerLoss> CrashHistory::Counted() const {
+  std::vector<WorkerLoss> counted;
+  bool discounted = false;
   for (const WorkerLoss& loss : this->losses) {
     // Once at most, but for runs that were long at work: a task that takes its
     // workers down may do so in the same moments as others.
     const bool proven = loss.survived >= kProvenRun;
-    const bool excuse =
-        loss.in_outage && (proven || !std::exchange(excused, true));
-    if (!excuse) evidence.push_back(loss);
+    const bool discount =
+        loss.in_outage && (proven || !std::exchange(discounted, true));
+    if (!discount) counted.push_back(loss);
   }
-  return evidence;
+  return counted;
 }
 
 bool CrashHistory::Suspicious() const {
-  const std::vector<WorkerLoss> evidence = this->Evidence();
-  if (evidence.empty()) return false;
-  return evidence.size() > 1 || evidence.front().at_start;
+  const std::vector<WorkerLoss> counted = this->Counted();
+  if (counted.empty()) return false;
+  return counted.size() > 1 || counted.front().at_start;
 }
 
 Duration CrashHistory::ProvingTime() const {
@@ -89,21 +89,20 @@
   return std::min(longest + kProvingMargin, kLongestProvingTime);
 }
 
-bool CrashHistory::Convicting(std::size_t max_losses) const {
-  const std::vector<WorkerLoss> evidence = this->Evidence();
-  if (evidence.size() > max_losses) return true;
-  if (evidence.empty() || !evidence.back().alone) return false;
-  const std::size_t enough = AllAtStart(evidence)
-                                 ? std::max(max_losses - 1, kLeastLosses)
-                                 : max_losses;
+bool CrashHistory::Unsafe(std::size_t max_losses) const {
+  const std::vector<WorkerLoss> counted = this->Counted();
+  if (counted.size() > max_losses) return true;
+  if (counted.empty() || !counted.back().alone) return false;
+  const std::size_t enough =
+      AllAtStart(counted) ? std::max(max_losses - 1, kLeastLosses) : max_losses;
   const auto certain =
-      std::count_if(evidence.begin(), evidence.end(),
+      std::count_if(counted.begin(), counted.end(),
                     [](const WorkerLoss& loss) { return loss.certain; });
   return static_cast<std::size_t>(certain) >= enough;
 }
 
 bool CrashHistory::AtLimit(std::size_t max_losses) const {
-  return this->Evidence().size() >= max_losses;
+  return this->Counted().size() >= max_losses;
 }
 
 bool CrashHistory::AllAtStart(std::span<const WorkerLoss> losses) {
--- a/packages/jobs/src/crash_history.h
+++ b/packages/jobs/src/crash_history.h
@@ -31,7 +31,7 @@
   bool in_outage = false;
 };
 
-/// Workers that were lost while they ran one task: evidence that the task takes
+/// Workers that were lost while they ran one task: signs that the task takes
 /// its workers down.
 class CrashHistory {
  public:
@@ -46,7 +46,7 @@
 
   /// The loss of any of these workers says little about the task.
   /// @return true if one of them counted before
-  bool Excuse(const std::set<WorkerIncarnation>& workers);
+  bool Discount(const std::set<WorkerIncarnation>& workers);
 
   [[nodiscard]] bool Empty() const { return this->losses.empty(); }
   [[nodiscard]] const std::vector<WorkerLoss>& Losses() const {
@@ -62,13 +62,13 @@
   ///   another task may have been the cause, one fewer if each went at its
   ///   start
   /// @return true if no more worker is to be put at risk
-  [[nodiscard]] bool Convicting(std::size_t max_losses) const;
+  [[nodiscard]] bool Unsafe(std::size_t max_losses) const;
   /// @return true if one more start decides, whatever its run ends by
   [[nodiscard]] bool AtLimit(std::size_t max_losses) const;
 
  private:
   /// @return losses that count against the task
-  [[nodiscard]] std::vector<WorkerLoss> Evidence() const;
+  [[nodiscard]] std::vector<WorkerLoss> Counted() const;
   /// @return true if each of the workers may have gone by the start of its run
   [[nodiscard]] static bool AllAtStart(std::span<const WorkerLoss> losses);
 
--- a/packages/jobs/src/dispatcher.cc
+++ b/packages/jobs/src/dispatcher.cc
@@ -6,8 +6,8 @@
 #include <utility>
 
 #include "ask_choice.h"
-#include "gang_claims.h"
 #include "gang_hold.h"
+#include "gang_reservations.h"
 #include "options.h"
 #include "permission_broker.h"
 #include "run_control.h"
@@ -431,7 +431,7 @@
 }
 
 bool Dispatcher::MayTakeRoom(const Unit& unit, const PassRooms& rooms) const {
-  return this->context->claims->MayAdd(
+  return this->context->reservations->MayAdd(
       rooms.Capacity(unit.queue->service).cpu_milli);
 }
 
@@ -514,8 +514,8 @@
 }
 
 std::vector<AskedWorker> Dispatcher::ChooseForAdvice(const StepRef& ref) {
-  if (this->context->claims->Holds(ref)) {
-    return this->context->claims->WorkersToAsk(ref);
+  if (this->context->reservations->Holds(ref)) {
+    return this->context->reservations->WorkersToAsk(ref);
   }
   JobEntry* entry = this->context->jobs.Find(ref.job);
   if (entry == nullptr || IsFinal(entry->state)) return {};
--- /dev/null
+++ b/packages/jobs/src/gang_reservations.cc
@@ -0,0 +1,203 @@
+#include "gang_reservations.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "options.h"
+#include "run_control.h"
+
+namespace mustardproxy::jobs {
+namespace {
+
+/// How long the room of a gang stays empty for it once its start is stored: two
+/// questions about the most workers. Longer only if the policy service fails.
+constexpr Duration kLongestReservation = milliseconds(3000);
+/// Share of the cell's processors that may stand empty for gangs whose question
+/// is being answered before one more may take its room: urgent tasks find room
+/// in the rest.
+constexpr double kMaxReservedShare = 0.05;
+/// How long a gang that was given up on leaves the room to others.
+constexpr Duration kReservationPause = seconds(1);
+
+}  // namespace
+
+bool MayReserve(std::int64_t reserved_cpu_milli, std::int64_t cell_cpu_milli) {
+  return static_cast<double>(reserved_cpu_milli) <
+         kMaxReservedShare * static_cast<double>(cell_cpu_milli);
+}
+
+GangReservations::GangReservations(OwnerContext* context) : context(context) {}
+
+void GangReservations::Add(std::vector<RunRef> runs,
+                           std::vector<WorkerIncarnation> workers) {
+  const StepRef step = runs.front().task.step;
+  Reservation& reservation = this->reservations[step];
+  const Step& spec = *this->context->jobs.FindStep(step);
+  reservation = Reservation{std::move(runs),
+                            std::move(workers),
+                            false,
+                            this->context->executor->Now(),
+                            spec.each.cpu_milli * spec.tasks,
+                            false};
+  this->Check(step);
+}
+
+void GangReservations::OnStored(const RunRef& first) {
+  const StepRef& step = first.task.step;
+  const auto found = this->reservations.find(step);
+  // It may be that an earlier run of the same gang was stored late.
+  if (found == this->reservations.end()) return;
+  if (found->second.runs.front() != first) return;
+  found->second.stored = true;
+  found->second.since = this->context->executor->Now();
+  this->Check(step);
+}
+
+void GangReservations::OnAnswer(const StepRef& step) { this->Check(step); }
+
+void GangReservations::CheckAll() {
+  std::vector<StepRef> steps;
+  for (const auto& [step, reservation] : this->reservations)
+    steps.push_back(step);
+  for (const StepRef& step : steps) this->Check(step);
+}
+
+bool GangReservations::MayAdd(std::int64_t cell_cpu_milli) const {
+  std::int64_t reserved = 0;
+  for (const auto& [step, reservation] : this->reservations) {
+    if (reservation.asks) reserved += reservation.cpu_milli;
+  }
+  return MayReserve(reserved, cell_cpu_milli);
+}
+
+bool GangReservations::Holds(const StepRef& step) const {
+  return this->reservations.contains(step);
+}
+
+std::vector<AskedWorker> GangReservations::WorkersToAsk(const StepRef& step) {
+  const auto found = this->reservations.find(step);
+  if (found == this->reservations.end()) return {};
+  const JobEntry* entry = this->context->jobs.Find(step.job);
+  if (entry == nullptr) return {};
+  const auto& policy = this->context->QueueOf(*entry).advice;
+  if (!policy) return {};
+  const Reservation& reservation = found->second;
+  const Duration cost =
+      policy->decision + policy->per_worker * static_cast<std::int64_t>(
+                                                  reservation.workers.size());
+  const Instant answered = this->context->executor->Now() + cost;
+  std::vector<AskedWorker> asked =
+      this->Unpermitted(step, reservation, answered + kTicketMargin);
+  if (asked.size() > kMaxAdviceWorkers) asked.resize(kMaxAdviceWorkers);
+  return asked;
+}
+
+bool GangReservations::IsWhole(const Reservation& reservation) {
+  for (std::size_t i = 0; i < reservation.runs.size(); ++i) {
+    WorkerSession* session =
+        this->context->workers.Find(reservation.workers[i]);
+    const SessionRun* record =
+        session == nullptr ? nullptr : session->FindRun(reservation.runs[i]);
+    const bool waits = record != nullptr && !record->stopping &&
+                       record->phase == RunPhase::kPlanned;
+    if (!waits) return false;
+  }
+  return true;
+}
+
+bool GangReservations::IsRefused(const StepRef& step,
+                                 const Reservation& reservation) {
+  const StepAdvice* advice = this->context->advice->Find(step);
+  if (advice == nullptr) return true;
+  return std::any_of(
+      reservation.workers.begin(), reservation.workers.end(),
+      [&](const WorkerIncarnation& worker) {
+        const WorkerSession* session = this->context->workers.Find(worker);
+        return session == nullptr || advice->Refuses(session->Number());
+      });
+}
+
+std::vector<AskedWorker> GangReservations::Unpermitted(
+    const StepRef& step, const Reservation& reservation, Instant moment) {
+  const StepAdvice* advice = this->context->advice->Find(step);
+  std::map<WorkerId, SessionNumber> lacking;
+  for (const WorkerIncarnation& worker : reservation.workers) {
+    const WorkerSession* session = this->context->workers.Find(worker);
+    if (session == nullptr) continue;
+    const Ticket* ticket =
+        advice == nullptr ? nullptr : advice->TicketFor(session->Number());
+    const bool holds = ticket != nullptr && ticket->expires > moment;
+    if (!holds) lacking.emplace(worker.id, session->Number());
+  }
+  std::vector<AskedWorker> asked;
+  asked.reserve(lacking.size());
+  for (const auto& [worker, number] : lacking) {
+    asked.push_back({worker, number});
+  }
+  return asked;
+}
+
+void GangReservations::Check(const StepRef& step) {
+  const auto found = this->reservations.find(step);
+  if (found == this->reservations.end()) return;
+  Reservation& reservation = found->second;
+  const Instant now = this->context->executor->Now();
+  reservation.asks =
+      !this->Unpermitted(step, reservation, now + kTicketMargin).empty();
+  if (!this->IsWhole(reservation)) {
+    this->GiveUp(step, "a member was stopped or lost");
+  } else if (this->IsRefused(step, reservation)) {
+    this->GiveUp(step, "a worker is not permitted");
+  } else if (reservation.asks) {
+    // Nothing else could start either while the store does not answer.
+    const bool too_long =
+        reservation.stored && now - reservation.since > kLongestReservation;
+    if (too_long) {
+      this->GiveUp(step, "no permissions in time");
+    } else {
+      this->Ask(step);
+    }
+  } else if (reservation.stored) {
+    this->Send(step);
+  }
+}
+
+void GangReservations::Send(const StepRef& step) {
+  const Reservation reservation = std::move(this->reservations.at(step));
+  this->reservations.erase(step);
+  for (std::size_t i = 0; i < reservation.runs.size(); ++i) {
+    this->context->runs->SendStart(reservation.workers[i], reservation.runs[i]);
+  }
+}
+
+void GangReservations::Ask(const StepRef& step) {
+  const JobEntry* entry = this->context->jobs.Find(step.job);
+  if (entry == nullptr) return;
+  const Queue& queue = this->context->QueueOf(*entry);
+  if (!queue.advice) return;
+  this->context->advice->Want({.step = step,
+                               .queue = queue.name,
+                               .policy = *queue.advice,
+                               .limits = {},
+                               .begin_by = this->reservations.at(step).since,
+                               .room_taken = true});
+}
+
+void GangReservations::GiveUp(const StepRef& step, std::string_view reason) {
+  const Reservation reservation = std::move(this->reservations.at(step));
+  this->reservations.erase(step);
+  this->context->log->Write("jobs", "reservation-given-up",
+                            {{"step", Text(step)},
+                             {"run", reservation.runs.front().run},
+                             {"tasks", reservation.runs.size()},
+                             {"stored", reservation.stored ? 1 : 0},
+                             {"reason", reason}});
+  this->context->runs->StopGang(reservation.runs.front());
+  const Instant later = this->context->executor->Now() + kReservationPause;
+  for (const RunRef& run : reservation.runs) {
+    TaskEntry* task = this->context->jobs.FindTask(run.task);
+    if (task != nullptr && !task->open) task->not_before = later;
+  }
+}
+
+}  // namespace mustardproxy::jobs
--- a/packages/jobs/src/gang_claims.h
+++ b/packages/jobs/src/gang_reservations.h
@@ -1,5 +1,5 @@
-#ifndef MUSTARDPROXY_JOBS_GANG_CLAIMS_H_
-#define MUSTARDPROXY_JOBS_GANG_CLAIMS_H_
+#ifndef MUSTARDPROXY_JOBS_GANG_RESERVATIONS_H_
+#define MUSTARDPROXY_JOBS_GANG_RESERVATIONS_H_
 
 #include <map>
 #include <string_view>
@@ -18,8 +18,8 @@
 /// Failure guarded against: the size of the one that asks counts too, and while
 /// narrow gangs come all the time a wide one never finds enough left; it stayed
 /// behind in a cell that was nearly empty.
-[[nodiscard]] bool MayClaim(std::int64_t claimed_cpu_milli,
-                            std::int64_t cell_cpu_milli);
+[[nodiscard]] bool MayReserve(std::int64_t reserved_cpu_milli,
+                              std::int64_t cell_cpu_milli);
 
 /// Gangs whose room is taken while the policy service is asked for permission
 /// to start exactly there.
@@ -29,31 +29,33 @@
 /// partly gone by then, and the permissions lapse before it is back: a wide
 /// gang asked up to 36 times and never started, and the questions of such gangs
 /// kept the policy service busy for all. With its room taken it asks once.
-class GangClaims {
+class GangReservations {
  public:
-  explicit GangClaims(OwnerContext* context);
+  explicit GangReservations(OwnerContext* context);
 
   /// The runs of a gang have taken their room; they are sent once they are
   /// stored and all permissions hold.
   /// @param workers one for each run
   void Add(std::vector<RunRef> runs, std::vector<WorkerIncarnation> workers);
-  /// The runs of a claim have been written down.
+  /// The runs of a reservation have been written down.
   void OnStored(const RunRef& first);
   /// A question about the step was answered, or failed.
   void OnAnswer(const StepRef& step);
-  /// Looks at all claims: some were given up on elsewhere, or last too long.
+  /// Looks at all reservations: some were given up on elsewhere, or last too
+  /// long.
   void CheckAll();
 
   [[nodiscard]] bool Holds(const StepRef& step) const;
   /// @param cell_cpu_milli processors of the service's workers
   /// @return true if one more gang may take its room before it asks
   [[nodiscard]] bool MayAdd(std::int64_t cell_cpu_milli) const;
-  /// @return the workers of a claim whose permissions would not hold when the
+  /// @return the workers of a reservation whose permissions would not hold when
+  /// the
   ///   answer comes
   [[nodiscard]] std::vector<AskedWorker> WorkersToAsk(const StepRef& step);
 
  private:
-  struct Claim {
+  struct Reservation {
     std::vector<RunRef> runs;
     std::vector<WorkerIncarnation> workers;
     bool stored = false;
@@ -66,20 +68,20 @@
 
   void Check(const StepRef& step);
   /// @return true if each of its runs still waits to be sent
-  [[nodiscard]] bool IsWhole(const Claim& claim);
-  [[nodiscard]] bool IsRefused(const StepRef& step, const Claim& claim);
+  [[nodiscard]] bool IsWhole(const Reservation& reservation);
+  [[nodiscard]] bool IsRefused(const StepRef& step,
+                               const Reservation& reservation);
   /// @return the workers whose permission does not hold at `moment`
-  [[nodiscard]] std::vector<AskedWorker> Unpermitted(const StepRef& step,
-                                                     const Claim& claim,
-                                                     Instant moment);
+  [[nodiscard]] std::vector<AskedWorker> Unpermitted(
+      const StepRef& step, const Reservation& reservation, Instant moment);
   void Send(const StepRef& step);
   void Ask(const StepRef& step);
   void GiveUp(const StepRef& step, std::string_view reason);
 
   OwnerContext* context;
-  std::map<StepRef, Claim> claims;
+  std::map<StepRef, Reservation> reservations;
 };
 
 }  // namespace mustardproxy::jobs
 
-#endif  // MUSTARDPROXY_JOBS_GANG_CLAIMS_H_
+#endif  // MUSTARDPROXY_JOBS_GANG_RESERVATIONS_H_
--- a/packages/jobs/src/group_owner.cc
+++ b/packages/jobs/src/group_owner.cc
@@ -64,7 +64,7 @@
   this->dispatcher = std::make_unique<Dispatcher>(&shared);
   this->runs = std::make_unique<RunControl>(&shared);
   this->incarnations = std::make_unique<IncarnationTracker>(&shared);
-  this->claims = std::make_unique<GangClaims>(&shared);
+  this->reservations = std::make_unique<GangReservations>(&shared);
   this->holds = std::make_unique<HoldLoop>(&shared);
   this->advice = std::make_unique<PermissionBroker>(
       PermissionBroker::Parts{shared.executor, parts.adviser, parts.peers,
@@ -73,7 +73,7 @@
         return this->dispatcher->ChooseForAdvice(step);
       },
       [this](const StepRef& step) {
-        this->claims->OnAnswer(step);
+        this->reservations->OnAnswer(step);
         this->dispatcher->Kick();
       });
   this->ended =
@@ -92,7 +92,7 @@
   shared.advice = this->advice.get();
   shared.runs = this->runs.get();
   shared.incarnations = this->incarnations.get();
-  shared.claims = this->claims.get();
+  shared.reservations = this->reservations.get();
   shared.holds = this->holds.get();
   shared.dispatcher = this->dispatcher.get();
 
@@ -407,7 +407,7 @@
   if (this->loaded) {
     this->OpenDue();
     this->holds->PumpAll();
-    this->claims->CheckAll();
+    this->reservations->CheckAll();
     this->ended->ForgetOld();
     this->stored->ForgetUnclaimed();
     this->ForgetParked();
--- a/packages/jobs/src/group_owner.h
+++ b/packages/jobs/src/group_owner.h
@@ -13,7 +13,7 @@
 
 #include "dispatcher.h"
 #include "ended_jobs.h"
-#include "gang_claims.h"
+#include "gang_reservations.h"
 #include "guard.h"
 #include "hold_loop.h"
 #include "incarnation_tracker.h"
@@ -114,7 +114,7 @@
   std::unique_ptr<PermissionBroker> advice;
   std::unique_ptr<RunControl> runs;
   std::unique_ptr<IncarnationTracker> incarnations;
-  std::unique_ptr<GangClaims> claims;
+  std::unique_ptr<GangReservations> reservations;
   std::unique_ptr<HoldLoop> holds;
   std::unique_ptr<Dispatcher> dispatcher;
   std::unique_ptr<PrefixMirror> intake;
--- a/packages/jobs/src/hold_loop.cc
+++ b/packages/jobs/src/hold_loop.cc
@@ -103,7 +103,7 @@
       if (session->HasOrdered()) {
         this->context->runs->LoseAll(session.get(), LossCause::kLeaseLapsed);
       }
-      if (session->suspect) this->context->runs->EndShutOut(session.get());
+      if (session->suspect) this->context->runs->ReleaseBlocked(session.get());
     }
     this->Pump(session.get());
     const bool over = !session->listed || session->gone;
--- a/packages/jobs/src/incarnation_tracker.cc
+++ b/packages/jobs/src/incarnation_tracker.cc
@@ -63,12 +63,7 @@
   const bool later = asked >= known->KnownSince() ||
                      result.born_ms > known->Incarnation().born_ms;
   if (!later) return nullptr;
-  WorkerInfo info = known->info;
-  info.incarnation = answered;
-  WorkerSession* next = this->BeginLife(known, info, "answer", lists);
-  // It may be of another kind, and have other room.
-  next->described = false;
-  return next;
+  return this->MeetLife(known, answered, "answer", lists);
 }
 
 WorkerSession* IncarnationTracker::NoteStored(const WorkerIncarnation& worker,
@@ -85,9 +80,17 @@
   const bool entry_is_older = !MayBeSame(known->Incarnation(), worker) &&
                               known->Incarnation().born_ms < worker.born_ms;
   if (!entry_is_older) return known;
+  return this->MeetLife(known, worker, "progress", nullptr);
+}
+
+WorkerSession* IncarnationTracker::MeetLife(WorkerSession* known,
+                                            const WorkerIncarnation& met,
+                                            std::string_view seen_in,
+                                            const HoldResult* lists) {
   WorkerInfo info = known->info;
-  info.incarnation = worker;
-  WorkerSession* next = this->BeginLife(known, info, "progress", nullptr);
+  info.incarnation = met;
+  WorkerSession* next = this->BeginLife(known, info, seen_in, lists);
+  // It may be of another kind, and have other room.
   next->described = false;
   return next;
 }
@@ -134,7 +137,7 @@
     this->context->runs->Move(next, run, record);
   }
   for (const auto& [run, record] : left) {
-    this->context->runs->ShutOut(next, run, record);
+    this->context->runs->BlockStart(next, run, record);
   }
   this->context->dispatcher->Kick();
   return next;
--- a/packages/jobs/src/incarnation_tracker.h
+++ b/packages/jobs/src/incarnation_tracker.h
@@ -36,6 +36,9 @@
 
  private:
   WorkerSession* Enter(const WorkerInfo& info, Instant inherited_until);
+  /// Begins a life whose own entry has not been read.
+  WorkerSession* MeetLife(WorkerSession* known, const WorkerIncarnation& met,
+                          std::string_view seen_in, const HoldResult* lists);
   /// @param lists of the new life, if known
   WorkerSession* BeginLife(WorkerSession* former, const WorkerInfo& info,
                            std::string_view seen_in, const HoldResult* lists);
--- a/packages/jobs/src/job_table.cc
+++ b/packages/jobs/src/job_table.cc
@@ -238,16 +238,16 @@
   }
 }
 
-std::size_t JobTable::Excuse(const Outage& outage) {
-  std::size_t excused = 0;
-  if (outage.workers.empty()) return excused;
+std::size_t JobTable::Discount(const Outage& outage) {
+  std::size_t discounted = 0;
+  if (outage.workers.empty()) return discounted;
   for (JobEntry* entry : this->active) {
-    if (entry->crashes.empty() || !outage.Excuses(entry->job.id)) continue;
+    if (entry->crashes.empty() || !outage.Exceeds(entry->job.id)) continue;
     for (auto& [task, history] : entry->crashes) {
-      if (history.Excuse(outage.workers)) ++excused;
+      if (history.Discount(outage.workers)) ++discounted;
     }
   }
-  return excused;
+  return discounted;
 }
 
 void JobTable::Relocate(const RunRef& run, const WorkerIncarnation& worker) {
--- a/packages/jobs/src/job_table.h
+++ b/packages/jobs/src/job_table.h
@@ -166,7 +166,7 @@
   /// Workers went down together: of jobs that can't have caused it, their loss
   /// counts little.
   /// @return of how many tasks one did not count little before
-  std::size_t Excuse(const Outage& outage);
+  std::size_t Discount(const Outage& outage);
   /// An open run has turned out to be at a later life of its worker.
   void Relocate(const RunRef& run, const WorkerIncarnation& worker);
   /// @return null if no worker was lost under the task
--- a/packages/jobs/src/outage_detector.cc
+++ b/packages/jobs/src/outage_detector.cc
@@ -35,7 +35,7 @@
 
 }  // namespace
 
-bool Outage::Excuses(const JobId& job) const {
+bool Outage::Exceeds(const JobId& job) const {
   const auto found = this->hosts_of.find(job);
   const std::size_t own = found == this->hosts_of.end() ? 0 : found->second;
   return this->unexplained - own >= this->least;
--- a/packages/jobs/src/outage_detector.h
+++ b/packages/jobs/src/outage_detector.h
@@ -37,7 +37,7 @@
   std::size_t least = 0;
 
   /// @return true if more workers went down than the job can have taken down
-  [[nodiscard]] bool Excuses(const JobId& job) const;
+  [[nodiscard]] bool Exceeds(const JobId& job) const;
 };
 
 /// Tells workers that went down together from those that went one by one. A
--- a/packages/jobs/src/owner_context.h
+++ b/packages/jobs/src/owner_context.h
@@ -24,7 +24,7 @@
 class PermissionBroker;
 class Dispatcher;
 class EndedJobs;
-class GangClaims;
+class GangReservations;
 class HoldLoop;
 class IncarnationTracker;
 class ProgressWriter;
@@ -56,7 +56,7 @@
   PermissionBroker* advice = nullptr;
   RunControl* runs = nullptr;
   IncarnationTracker* incarnations = nullptr;
-  GangClaims* claims = nullptr;
+  GangReservations* reservations = nullptr;
   HoldLoop* holds = nullptr;
   Dispatcher* dispatcher = nullptr;
 
--- a/packages/jobs/src/run_control.cc
+++ b/packages/jobs/src/run_control.cc
@@ -5,7 +5,7 @@
 
 #include "dispatcher.h"
 #include "ended_jobs.h"
-#include "gang_claims.h"
+#include "gang_reservations.h"
 #include "hold_loop.h"
 #include "incarnation_tracker.h"
 #include "options.h"
@@ -72,12 +72,12 @@
   record.moved_at = now;
   record.expected_end = now + this->context->run_times.Expect(
                                   entry.job.queue.name, step.estimate);
-  const bool claims = step.gang && this->context->QueueOf(entry).advice;
+  const bool reserves = step.gang && this->context->QueueOf(entry).advice;
   for (std::size_t i = 0; i < runs.size(); ++i) {
     WorkerSession* session = this->context->workers.Find(workers[i]);
     session->AddRun(runs[i], record);
-    // The room of a claim may be taken for seconds before its starts are sent.
-    if (claims) continue;
+    // Reserved room may be taken for seconds before its starts are sent.
+    if (reserves) continue;
     this->QuarantineIfSuspicious(session, runs[i]);
     // An idle worker is not asked otherwise, and may be gone already.
     if (session->Quarantined()) this->context->holds->Pump(session);
@@ -96,10 +96,10 @@
   // knows where to look before it starts the task again.
   std::vector<WorkerIncarnation> places(workers.begin(), workers.end());
   std::function<void()> send;
-  if (claims) {
-    this->context->claims->Add(runs, std::move(places));
+  if (reserves) {
+    this->context->reservations->Add(runs, std::move(places));
     send = [this, first = runs.front()] {
-      this->context->claims->OnStored(first);
+      this->context->reservations->OnStored(first);
     };
   } else {
     send = [this, runs, places = std::move(places)] {
@@ -150,7 +150,7 @@
     SessionRun former;
     former.takes = Takes(*step);
     former.start_sent = this->context->executor->Now();
-    this->ShutOut(session, run, former);
+    this->BlockStart(session, run, former);
     return;
   }
   const Instant now = this->context->executor->Now();
@@ -512,26 +512,26 @@
     this->NoteLoss(*session, run, record, cause);
     lost.push_back(run);
   }
-  this->Excuse(outage);
+  this->Discount(outage);
   for (const RunRef& run : lost) {
-    if (this->KeepOut(session, run, cause)) continue;
+    if (this->BlockIfMayStart(session, run, cause)) continue;
     this->TakeEnd(session, run, RunEnd::kLapsed, "", {});
   }
-  for (const RunRef& run : lost) this->GiveUpIfConvicted(run.task);
+  for (const RunRef& run : lost) this->GiveUpIfUnsafe(run.task);
   if (cause == LossCause::kLeaseLapsed) return;
   for (const TaskRef& task :
        this->context->jobs.ConfirmLoss(session->Incarnation())) {
-    this->GiveUpIfConvicted(task);
+    this->GiveUpIfUnsafe(task);
   }
 }
 
-void RunControl::ShutOut(WorkerSession* session, const RunRef& run,
-                         const SessionRun& former) {
+void RunControl::BlockStart(WorkerSession* session, const RunRef& run,
+                            const SessionRun& former) {
   const Instant now = this->context->executor->Now();
   SessionRun record;
   record.takes = former.takes;
   record.phase = RunPhase::kOrdered;
-  record.shut_out = true;
+  record.blocked = true;
   record.stopping = true;
   record.start_sent = former.start_sent;
   record.started_at = now;
@@ -570,24 +570,24 @@
   return true;
 }
 
-void RunControl::EndShutOut(WorkerSession* session) {
+void RunControl::ReleaseBlocked(WorkerSession* session) {
   const Instant now = this->context->executor->Now();
   std::vector<RunRef> over;
   for (const auto& [run, record] : session->runs) {
     const bool may_start = record.start_sent + kLateStartWait > now;
-    if (record.shut_out && !may_start) over.push_back(run);
+    if (record.blocked && !may_start) over.push_back(run);
   }
   for (const RunRef& run : over) {
     (void)this->End(session, run, RunEnd::kLapsed, "", {});
   }
 }
 
-bool RunControl::KeepOut(WorkerSession* session, const RunRef& run,
-                         LossCause cause) {
+bool RunControl::BlockIfMayStart(WorkerSession* session, const RunRef& run,
+                                 LossCause cause) {
   SessionRun* record = session->FindRun(run);
   if (record == nullptr || cause == LossCause::kOtherLife) return false;
   if (cause == LossCause::kRestarted) return record->MayStartLate();
-  if (record->shut_out) return true;
+  if (record->blocked) return true;
   // Failure: a worker that can't be reached has started again, and carries out
   // a start that its former life left unanswered.
   const Instant now = this->context->executor->Now();
@@ -596,7 +596,7 @@
   const bool may_start = record->start_sent + kLateStartWait > now;
   if (!restarts || !unanswered || !may_start) return false;
   session->EndQuarantine(run);
-  record->shut_out = true;
+  record->blocked = true;
   if (!std::exchange(record->stopping, true)) {
     this->SendStop(session->Incarnation(), run);
   }
@@ -609,7 +609,7 @@
   // itself.
   if (record.phase == RunPhase::kPlanned || session.HasLeft()) return;
   // Its loss was counted with the life that it was meant for.
-  if (record.shut_out) return;
+  if (record.blocked) return;
   const Instant now = this->context->executor->Now();
   const bool certain = cause != LossCause::kLeaseLapsed;
   const bool came_too_late =
@@ -655,20 +655,20 @@
                                      this->context->workers.Size());
 }
 
-void RunControl::Excuse(const Outage& outage) {
-  const std::size_t excused = this->context->jobs.Excuse(outage);
-  if (excused == 0) return;
-  this->context->log->Write("jobs", "losses-excused",
-                            {{"tasks", excused},
+void RunControl::Discount(const Outage& outage) {
+  const std::size_t discounted = this->context->jobs.Discount(outage);
+  if (discounted == 0) return;
+  this->context->log->Write("jobs", "losses-discounted",
+                            {{"tasks", discounted},
                              {"workers", outage.workers.size()},
                              {"unexplained", outage.unexplained},
                              {"least", outage.least}});
 }
 
-void RunControl::GiveUpIfConvicted(const TaskRef& task) {
+void RunControl::GiveUpIfUnsafe(const TaskRef& task) {
   const CrashHistory* crashes = this->context->jobs.FindCrashes(task);
   if (crashes == nullptr) return;
-  if (crashes->Convicting(this->MaxLostWorkers())) this->GiveUp(task);
+  if (crashes->Unsafe(this->MaxLostWorkers())) this->GiveUp(task);
 }
 
 void RunControl::GiveUp(const TaskRef& task) {
--- a/packages/jobs/src/run_control.h
+++ b/packages/jobs/src/run_control.h
@@ -53,16 +53,16 @@
            std::string_view checkpoint, std::function<void()> durable);
   /// All that ran there has ended for certain. Of a worker that has started
   /// again, runs whose starts may yet arrive at its next life are left; see
-  /// ShutOut.
+  /// BlockStart.
   void LoseAll(WorkerSession* session, LossCause cause);
   /// Keeps a start that was meant for a former life from being carried out. Its
   /// task starts elsewhere only once the worker has acknowledged that.
-  void ShutOut(WorkerSession* session, const RunRef& run,
-               const SessionRun& former);
+  void BlockStart(WorkerSession* session, const RunRef& run,
+                  const SessionRun& former);
   /// Enters a run that the worker has taken in after a restart.
   void Move(WorkerSession* session, const RunRef& run, SessionRun record);
   /// Gives up on a silent worker's acknowledgements of that.
-  void EndShutOut(WorkerSession* session);
+  void ReleaseBlocked(WorkerSession* session);
   /// Takes note of what any answer of a worker tells.
   /// @param asked when the order was sent
   /// @return its session, or null if it tells that the order was for nothing
@@ -96,7 +96,8 @@
   /// Keeps other tasks away from a run that may take its worker down.
   void QuarantineIfSuspicious(WorkerSession* session, const RunRef& run);
   /// @return true if a lost run may still start there, and is kept from it
-  bool KeepOut(WorkerSession* session, const RunRef& run, LossCause cause);
+  bool BlockIfMayStart(WorkerSession* session, const RunRef& run,
+                       LossCause cause);
   /// Counts a lost worker against the task of one of its runs.
   void NoteLoss(const WorkerSession& session, const RunRef& run,
                 const SessionRun& record, LossCause cause);
@@ -104,8 +105,8 @@
   /// @return what went down at about the same moment
   Outage NoteOutage(const WorkerSession& lost);
   /// Has losses count little that came with many others.
-  void Excuse(const Outage& outage);
-  void GiveUpIfConvicted(const TaskRef& task);
+  void Discount(const Outage& outage);
+  void GiveUpIfUnsafe(const TaskRef& task);
   [[nodiscard]] std::size_t MaxLostWorkers() const {
     return static_cast<std::size_t>(this->context->max_lost_workers);
   }
--- a/packages/jobs/src/wait_report.cc
+++ b/packages/jobs/src/wait_report.cc
@@ -52,8 +52,8 @@
       return "question";
     case WaitEnd::kPass:
       return "pass";
-    case WaitEnd::kClaims:
-      return "claims";
+    case WaitEnd::kReservations:
+      return "reservations";
     case WaitEnd::kRuns:
       return "runs";
     case WaitEnd::kQuarantine:
@@ -86,7 +86,7 @@
     return this->quarantined ? WaitEnd::kQuarantine : WaitEnd::kPass;
   }
   const bool has_room = this->room >= this->needed;
-  if (has_room && this->room_taken_by_gangs) return WaitEnd::kClaims;
+  if (has_room && this->room_taken_by_gangs) return WaitEnd::kReservations;
   // Other tasks ask only where there is room, and not if a worker whose
   // permission holds has room soon.
   const bool waits_for_runs = !this->gang || !has_room;
--- a/packages/jobs/src/wait_report.h
+++ b/packages/jobs/src/wait_report.h
@@ -42,7 +42,7 @@
   /// only go where one of them has failed.
   kPass,
   /// Gangs that have taken room start or give it back.
-  kClaims,
+  kReservations,
   /// What runs on the workers ends.
   kRuns,
   /// Another suspicious task is proved, or its worker lost.
@@ -56,7 +56,7 @@
   kNothing,
 };
 
-/// @return `answer`, `question`, `pass`, `claims`, `runs`, `quarantine`,
+/// @return `answer`, `question`, `pass`, `reservations`, `runs`, `quarantine`,
 /// `hold`,
 ///   `workers` or `nothing`
 [[nodiscard]] std::string_view Name(WaitEnd end);
--- a/packages/jobs/src/worker_session.cc
+++ b/packages/jobs/src/worker_session.cc
@@ -118,7 +118,7 @@
 
 bool WorkerSession::HasOrdered() const {
   return std::any_of(this->runs.begin(), this->runs.end(), [](const auto& run) {
-    return run.second.phase != RunPhase::kPlanned && !run.second.shut_out;
+    return run.second.phase != RunPhase::kPlanned && !run.second.blocked;
   });
 }
 
--- a/packages/jobs/src/worker_session.h
+++ b/packages/jobs/src/worker_session.h
@@ -37,7 +37,7 @@
   /// It is to be stopped.
   bool stopping = false;
   /// It has been counted as lost, and is only kept from starting late.
-  bool shut_out = false;
+  bool blocked = false;
   /// The worker has acknowledged the stop.
   bool stop_noted = false;
   /// An order about it is on its way.
--- a/packages/jobs/tests/cell_gang_test.cc
+++ b/packages/jobs/tests/cell_gang_test.cc
@@ -60,7 +60,7 @@
 // wide gang waited for room, and its permissions lapsed. Whenever there was
 // room it asked for them anew; while the question was answered urgent work took
 // some of the room, and when that had ended the permissions had lapsed again.
-// Evidence: the log of such a step, 24 renewals in 13 s, each granted whole.
+// Counted: the log of such a step, 24 renewals in 13 s, each granted whole.
 BOOST_AUTO_TEST_CASE(room_of_a_gang_is_not_lost_while_its_question_is_asked) {
   const auto cell =
       SimCell::Builder().Workers(4).Queue(MakeSlowPolicyQueue(), 1.0).Build();
--- a/packages/jobs/tests/crash_history_test.cc
+++ b/packages/jobs/tests/crash_history_test.cc
@@ -50,7 +50,7 @@
   BOOST_TEST((history.ProvingTime() >= seconds(5)));
 }
 
-BOOST_AUTO_TEST_CASE(the_third_loss_convicts_only_a_task_that_was_alone) {
+BOOST_AUTO_TEST_CASE(the_third_loss_gives_up_only_a_task_that_was_alone) {
   CrashHistory history;
   history.Note(Loss("a", seconds(1)));
   history.Note(Loss("b", seconds(1)));
@@ -58,17 +58,16 @@
   CrashHistory beside = history;
   beside.Note(Loss("c", seconds(1)));
   BOOST_TEST(beside.AtLimit(kMaxLosses));
-  BOOST_TEST(!beside.Convicting(kMaxLosses));
+  BOOST_TEST(!beside.Unsafe(kMaxLosses));
   beside.Note(Loss("d", seconds(1)));
-  BOOST_TEST(beside.Convicting(kMaxLosses));
+  BOOST_TEST(beside.Unsafe(kMaxLosses));
   WorkerLoss last = Loss("c", seconds(1));
   last.alone = true;
   history.Note(last);
-  BOOST_TEST(history.Convicting(kMaxLosses));
+  BOOST_TEST(history.Unsafe(kMaxLosses));
 }
 
-BOOST_AUTO_TEST_CASE(
-    a_silent_worker_does_not_convict_until_it_is_known_to_be_gone) {
+BOOST_AUTO_TEST_CASE(a_silent_worker_counts_only_once_it_is_known_to_be_gone) {
   CrashHistory history;
   history.Note(Loss("a", seconds(1)));
   history.Note(Loss("b", seconds(1)));
@@ -76,15 +75,15 @@
   silent.certain = false;
   silent.alone = true;
   history.Note(silent);
-  BOOST_TEST(!history.Convicting(kMaxLosses));
+  BOOST_TEST(!history.Unsafe(kMaxLosses));
   BOOST_TEST(history.AtLimit(kMaxLosses));
   BOOST_TEST(history.Confirm({WorkerId("c")}));
   BOOST_TEST(!history.Confirm({WorkerId("c")}));
-  BOOST_TEST(history.Convicting(kMaxLosses));
+  BOOST_TEST(history.Unsafe(kMaxLosses));
 }
 
 // Guards against sound tasks that are given up after outages of many workers.
-BOOST_AUTO_TEST_CASE(runs_long_at_work_that_end_in_outages_are_no_evidence) {
+BOOST_AUTO_TEST_CASE(runs_long_at_work_that_end_in_outages_do_not_count) {
   CrashHistory history;
   std::set<WorkerIncarnation> workers;
   for (const char* worker : {"a", "b", "c", "d", "e"}) {
@@ -92,22 +91,22 @@
     workers.insert({WorkerId(worker)});
   }
   BOOST_TEST(history.AtLimit(3));
-  BOOST_TEST(history.Excuse(workers));
-  BOOST_TEST(!history.Excuse(workers));
+  BOOST_TEST(history.Discount(workers));
+  BOOST_TEST(!history.Discount(workers));
   BOOST_TEST(!history.Suspicious());
-  BOOST_TEST(!history.Convicting(3));
+  BOOST_TEST(!history.Unsafe(3));
   BOOST_TEST(!history.AtLimit(3));
 }
 
 // Guards against a task that goes on because others crash at the same moments.
-BOOST_AUTO_TEST_CASE(a_loss_at_the_start_is_excused_once) {
+BOOST_AUTO_TEST_CASE(a_loss_at_the_start_is_discounted_once) {
   CrashHistory history;
   std::set<WorkerIncarnation> workers;
   for (const char* worker : {"a", "b", "c"}) {
     history.Note(Loss(worker, milliseconds(10)));
     workers.insert({WorkerId(worker)});
   }
-  history.Excuse(workers);
+  history.Discount(workers);
   BOOST_TEST(history.Suspicious());
   BOOST_TEST(!history.AtLimit(3));
   BOOST_TEST(history.AtLimit(2));
--- a/packages/jobs/tests/outage_detector_test.cc
+++ b/packages/jobs/tests/outage_detector_test.cc
@@ -47,41 +47,41 @@
 BOOST_AUTO_TEST_CASE(workers_that_go_one_by_one_are_no_outage) {
   for (int i = 0; i < 20; ++i) Note(i, i, kNow + milliseconds(400) * i);
   const Outage outage = With(Down(30, kNow + seconds(2), JobId("j")));
-  BOOST_TEST(!outage.Excuses(JobId("j")));
+  BOOST_TEST(!outage.Exceeds(JobId("j")));
 }
 
-BOOST_AUTO_TEST_CASE(many_workers_at_one_moment_excuse_a_job) {
+BOOST_AUTO_TEST_CASE(many_workers_at_one_moment_exceed_a_job) {
   Note(0, 7, kNow);
   const Outage outage = With(Down(30, kNow + milliseconds(20), JobId("j")));
   BOOST_TEST(outage.unexplained == 9U);
-  BOOST_TEST(outage.Excuses(JobId("j")));
+  BOOST_TEST(outage.Exceeds(JobId("j")));
 }
 
 // Guards against a wide job whose tasks take all their workers down at once.
-BOOST_AUTO_TEST_CASE(a_job_is_not_excused_by_its_own_workers) {
+BOOST_AUTO_TEST_CASE(workers_of_a_job_do_not_exceed_it) {
   const JobId wide("wide");
   for (int i = 0; i < 20; ++i) detector.Note(Down(i, kNow, wide));
   const Outage outage = With(Down(30, kNow, wide));
-  BOOST_TEST(!outage.Excuses(wide));
-  BOOST_TEST(outage.Excuses(JobId("beside")));
+  BOOST_TEST(!outage.Exceeds(wide));
+  BOOST_TEST(outage.Exceeds(JobId("beside")));
 }
 
-// Guards against trials that excuse each other.
-BOOST_AUTO_TEST_CASE(workers_kept_for_suspicious_tasks_excuse_nothing) {
+// Guards against trials that discount each other.
+BOOST_AUTO_TEST_CASE(workers_kept_for_suspicious_tasks_do_not_count) {
   for (int i = 0; i < 20; ++i) {
     DownWorker down = Down(i, kNow, JobId(Numbered("job", i)));
     down.quarantined = true;
     detector.Note(down);
   }
-  BOOST_TEST(!With(Down(30, kNow, JobId("j"))).Excuses(JobId("j")));
+  BOOST_TEST(!With(Down(30, kNow, JobId("j"))).Exceeds(JobId("j")));
 }
 
 BOOST_AUTO_TEST_CASE(a_moment_that_is_not_known_is_taken_widely) {
   Note(0, 7, kNow);
   DownWorker late = Down(30, kNow + milliseconds(400), JobId("j"));
-  BOOST_TEST(!With(late).Excuses(JobId("j")));
+  BOOST_TEST(!With(late).Exceeds(JobId("j")));
   late.exact = false;
-  BOOST_TEST(With(late).Excuses(JobId("j")));
+  BOOST_TEST(With(late).Exceeds(JobId("j")));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/jobs/tests/wait_report_test.cc
+++ b/packages/jobs/tests/wait_report_test.cc
@@ -72,7 +72,7 @@
   facts.gang = true;
   BOOST_TEST((facts.End() == WaitEnd::kNothing));
   facts.room_taken_by_gangs = true;
-  BOOST_TEST((facts.End() == WaitEnd::kClaims));
+  BOOST_TEST((facts.End() == WaitEnd::kReservations));
 }
 
 // A caller asks for a label that no worker has. Its job waits, and the log says
