--- a/packages/jobs/src/ask_choice.cc
+++ b/packages/jobs/src/ask_choice.cc
@@ -47,7 +47,7 @@
 /// @return tasks that should fit there when the answer comes. For a gang only
 ///   the room that is free now counts: of what should become free in time some
 ///   part always does not, and the permissions lapse meanwhile. With it a gang
-///   renewed its permissions up to 17 times.
+///   renewed its permissions again and again.
 std::int64_t Fitting(const AskWish& wish, const Candidate& candidate) {
   Room room = *candidate.room;
   if (!wish.step->gang) {
--- a/packages/jobs/src/gang_reservations.h
+++ b/packages/jobs/src/gang_reservations.h
@@ -27,8 +27,8 @@
 /// Failure guarded against: a gang asks for permissions first and takes its
 /// room when they are there. The question takes up to a second, the room is
 /// partly gone by then, and the permissions lapse before it is back: a wide
-/// gang asked up to 36 times and never started, and the questions of such gangs
-/// kept the policy service busy for all. With its room taken it asks once.
+/// gang asks again and again and never starts, and the questions of such gangs
+/// keep the policy service busy for all. With its room taken it asks once.
 class GangReservations {
  public:
   explicit GangReservations(OwnerContext* context);
@@ -50,8 +50,7 @@
   /// @return true if one more gang may take its room before it asks
   [[nodiscard]] bool MayAdd(std::int64_t cell_cpu_milli) const;
   /// @return the workers of a reservation whose permissions would not hold when
-  /// the
-  ///   answer comes
+  ///   the answer comes
   [[nodiscard]] std::vector<AskedWorker> WorkersToAsk(const StepRef& step);
 
  private:
