--- a/packages/jobs/src/progress_writer.h
+++ b/packages/jobs/src/progress_writer.h
@@ -23,8 +23,8 @@
 /// a third of a second must still take more than forty jobs a second.
 ///
 /// Failures guarded against:
-/// - A former owner's write arrives late. Each transaction names the revision of
-///   the owner's key, so it fails once there is a new owner.
+/// - A former owner's write arrives late. Each transaction names the revision
+///   of the owner's key, so it fails once there is a new owner.
 /// - The answer to a write is lost and the write is done seconds later, over a
 ///   newer one. Each row names the revision that it replaces, so it fails.
 class ProgressWriter {
