Poll workers that a late start order may still reach

Cause: a start order without a response stays under way for up to 12 s. It is sent again and the task completes. The worker is idle then, gets no hold, and restarts under its id. Nobody contacts the new incarnation until its entry is read, so it knows no token and carries the old order out.

Fix: such a worker is polled until the order can no longer arrive, at most every 25 ms and 100 times a second in all; a poll that hangs is followed by another one; the deadline passes on to the next incarnation; a session is kept that long after its entry has lapsed; a new owner polls all workers of a cell of up to 50. A poll that reaches the new incarnation shows the restart, and the next hold brings the higher token. Also, a session added later takes the latest revision as its token: an incarnation met after the session of its former one was dropped got the same token as that one.

What is left is the gap between a restart and the next poll, and takeovers.

--- a/packages/jobs/src/group_owner.cc
+++ b/packages/jobs/src/group_owner.cc
@@ -338,6 +338,11 @@
 }
 
 void GroupOwner::TakeOver() {
+  if (this->context.workers.Size() <= kMaxWorkersPolledAfterTakeover) {
+    for (const auto& [id, session] : this->context.workers) {
+      session->ExpectLateStart(this->elected_at);
+    }
+  }
   const std::vector<JobEntry*> active = this->context.jobs.Active();
   for (JobEntry* entry : active) this->ClaimProgress(entry);
   for (const JobId& id : std::set<JobId>(this->early_cancellations)) {
--- a/packages/jobs/src/hold_loop.cc
+++ b/packages/jobs/src/hold_loop.cc
@@ -31,8 +31,46 @@
   return std::clamp(wait, kHoldWait, kMaxHoldWait);
 }
 
+bool HoldLoop::Polls(const WorkerSession& session) const {
+  return this->context->executor->Now() < session.LateStartsUntil();
+}
+
+Duration HoldLoop::PollInterval() const {
+  return std::max(kMinPollInterval,
+                  Duration(seconds(this->polled)) / kMaxPollsPerSecond);
+}
+
+// Failure: a start order without a response stays under way while its task is
+// repeated and completes. The worker, which is idle, restarts unnoticed and
+// carries the order out before it has learned a token.
+void HoldLoop::ScheduleNextPoll(WorkerSession* session) {
+  if (!this->Polls(*session)) return;
+  const Instant now = this->context->executor->Now();
+  session->next_poll = now + this->PollInterval();
+  this->CheckAt(std::max(session->next_poll, session->next_hold),
+                session->Incarnation());
+}
+
+void HoldLoop::CheckAt(Instant moment, const WorkerIncarnation& worker) {
+  this->context->executor->After(
+      moment - this->context->executor->Now(), this->guard.Wrap([this, worker] {
+        WorkerSession* session = this->context->workers.Find(worker);
+        if (session != nullptr) this->SendIfDue(session);
+      }));
+}
+
+bool HoldLoop::IsOverdue(const WorkerSession& session) const {
+  const Duration patience =
+      std::max(session.hold_wait + kPollTimeout, this->PollInterval());
+  return this->context->executor->Now() >= session.hold_sent + patience;
+}
+
 bool HoldLoop::IsDue(const WorkerSession& session) const {
-  if (session.hold_in_flight || session.gone) return false;
+  if (session.gone) return false;
+  // Failure: a worker restarts while a hold waits there, and the connection
+  // stays silent until the call times out.
+  const bool overdue = this->Polls(session) && this->IsOverdue(session);
+  if (session.hold_in_flight && !overdue) return false;
   if (session.info.address.empty()) return false;
   // Workers of services that are not in the desired state are not managed.
   const bool managed =
@@ -42,12 +80,15 @@
   if (now < session.next_hold) return false;
   // The worker would only list again the ends that are not stored yet. The
   // lease of its runs must still be renewed while the store is unavailable.
-  const bool renewal_due = now >= session.hold_sent + this->Wait();
+  const Duration renewal =
+      this->Polls(session) ? this->PollInterval() : this->Wait();
+  const bool renewal_due = now >= session.hold_sent + renewal;
   if (!session.unstored_ends.empty() && !renewal_due) return false;
   const bool unacknowledged =
       session.durable_end > session.sent_acknowledged_end;
   return !session.runs.empty() || !session.fenced || unacknowledged ||
-         (session.unresponsive && session.listed);
+         (session.unresponsive && session.listed) ||
+         (this->Polls(session) && now >= session.next_poll);
 }
 
 HoldOrder HoldLoop::MakeOrder(const WorkerSession& session, Instant now) const {
@@ -80,6 +121,9 @@
   if (session.Quarantined()) {
     order.wait = std::min(order.wait, kQuarantineHoldWait);
   }
+  if (this->Polls(session)) {
+    order.wait = std::min(order.wait, this->PollInterval());
+  }
   return order;
 }
 
@@ -91,6 +135,12 @@
   session->NoteLeaseSent(order.lease_until_ms);
   session->hold_in_flight = true;
   session->hold_sent = now;
+  session->hold_wait = order.wait;
+  if (this->Polls(*session)) {
+    this->CheckAt(
+        now + std::max(order.wait + kPollTimeout, this->PollInterval()),
+        session->Incarnation());
+  }
   this->context->driver->Hold(
       session->Target(), order,
       this->guard.Wrap([this, worker = session->Incarnation(), now,
@@ -102,6 +152,9 @@
 void HoldLoop::SendAllDue() {
   const Instant now = this->context->executor->Now();
   std::vector<WorkerId> finished;
+  this->polled = std::count_if(
+      this->context->workers.begin(), this->context->workers.end(),
+      [this](const auto& one) { return this->Polls(*one.second); });
   for (const auto& [id, session] : this->context->workers) {
     // A run whose start order was never sent has no lease that could expire.
     if (now >= session->LeaseExpiresAt()) {
@@ -113,7 +166,8 @@
         this->context->runs->ReleaseBlocked(session.get());
     }
     this->SendIfDue(session.get());
-    const bool over = !session->listed || session->gone;
+    const bool over =
+        (!session->listed || session->gone) && !this->Polls(*session);
     if (over && session->runs.empty()) finished.push_back(id);
   }
   for (const WorkerId& id : finished) {
@@ -129,7 +183,9 @@
 void HoldLoop::OnHold(const WorkerIncarnation& worker, Instant asked,
                       const HoldOrder& sent, const HoldResult& result) {
   WorkerSession* known = this->context->workers.Find(worker);
-  if (known != nullptr) known->hold_in_flight = false;
+  if (known != nullptr && asked == known->hold_sent) {
+    known->hold_in_flight = false;
+  }
   WorkerSession* session =
       this->context->runs->NoteAnswer(worker, asked, result.order, &result);
   if (session == nullptr) return;
@@ -139,6 +195,8 @@
     return;
   }
   if (result.order.end != OrderOutcome::kDone) {
+    // The worker has already answered a later poll.
+    if (asked < session->hold_sent && asked <= session->verified) return;
     this->OnHoldFailed(session, result.order.end,
                        asked + std::max(sent.wait, kConnectionClosedThreshold));
     return;
@@ -161,6 +219,8 @@
   session->unanswered_holds =
       std::min(session->unanswered_holds + 1, kMaxRetryFactor);
   session->next_hold = now + kHoldRetryDelay * session->unanswered_holds;
+  if (this->Polls(*session)) session->next_hold = now + kHoldRetryDelay;
+  this->ScheduleNextPoll(session);
 }
 
 void HoldLoop::OnAnswer(WorkerSession* session, Instant asked,
@@ -169,6 +229,7 @@
   const bool first = !std::exchange(session->fenced, true);
   session->unanswered_holds = 0;
   session->verified = this->context->executor->Now();
+  this->ScheduleNextPoll(session);
   if (first) this->context->jobs.NoteAlive(session->Incarnation());
   if (first || back) {
     this->context->log->Write("workers",
--- a/packages/jobs/src/hold_loop.h
+++ b/packages/jobs/src/hold_loop.h
@@ -1,6 +1,8 @@
 #ifndef MUSTARDPROXY_JOBS_HOLD_LOOP_H_
 #define MUSTARDPROXY_JOBS_HOLD_LOOP_H_
 
+#include <cstdint>
+
 #include "callback_guard.h"
 #include "mustardproxy/core/ids.h"
 #include "owner_context.h"
@@ -29,6 +31,17 @@
   /// @return how long a hold waits at its worker, depending on the number of
   ///   workers
   [[nodiscard]] Duration Wait() const;
+  /// @return true while a start order that nobody waits for may reach the
+  ///   worker
+  [[nodiscard]] bool Polls(const WorkerSession& session) const;
+  /// @return the interval between two polls of one worker
+  [[nodiscard]] Duration PollInterval() const;
+  /// Sends the next hold to a worker that is polled after the poll interval.
+  void ScheduleNextPoll(WorkerSession* session);
+  /// Sends a hold to the worker at that time if one is due then.
+  void CheckAt(Instant moment, const WorkerIncarnation& worker);
+  /// @return true if the hold in flight should have been answered by now
+  [[nodiscard]] bool IsOverdue(const WorkerSession& session) const;
   HoldOrder MakeOrder(const WorkerSession& session, Instant now) const;
   void OnHold(const WorkerIncarnation& worker, Instant asked,
               const HoldOrder& sent, const HoldResult& result);
@@ -46,6 +59,8 @@
   void OnStored(const WorkerIncarnation& worker);
 
   OwnerContext* context;
+  /// Number of workers that are polled.
+  std::int64_t polled = 0;
   CallbackGuard guard;
 };
 
--- a/packages/jobs/src/incarnation_tracker.cc
+++ b/packages/jobs/src/incarnation_tracker.cc
@@ -103,7 +103,11 @@
                                               Instant inherited_until) {
   WorkerSession* added = this->context->workers.Add(
       info, this->context->executor->Now(), inherited_until);
-  added->token = this->context->token;
+  // An incarnation that is met for the first time may have followed one whose
+  // entry was removed. Orders for that one may still arrive. Every start order
+  // and every acknowledgement was preceded by a write, so this token is higher
+  // than theirs.
+  added->token = this->context->writer->LatestRevision();
   return added;
 }
 
@@ -130,19 +134,18 @@
   this->context->runs->HandleWorkerLoss(former, LossCause::kRestarted);
   const std::map<RunRef, SessionRun> left = former->runs;
   const bool listed = former->listed;
+  const Instant late_starts_until = former->LateStartsUntil();
   this->context->health.Remove(info.incarnation.id);
   this->context->health.Add(info.incarnation.id);
   WorkerSession* next = this->AddSession(
       info, this->context->executor->Now() + MaxLeaseDuration());
   next->listed = listed;
-  // Orders for the former incarnation may still arrive. Every start order and
-  // every acknowledgement was preceded by a write, so this token is higher than
-  // theirs.
-  next->token = this->context->writer->LatestRevision();
+  next->ExpectLateStartsUntil(late_starts_until);
   for (const auto& [run, record] : moved) {
     this->context->runs->Move(next, run, record);
   }
   for (const auto& [run, record] : left) {
+    if (record.Unanswered()) next->ExpectLateStart(record.start_sent);
     this->context->runs->BlockStart(next, run, record);
   }
   this->context->dispatcher->SchedulePass();
--- a/packages/jobs/src/options.h
+++ b/packages/jobs/src/options.h
@@ -32,6 +32,21 @@
 /// started elsewhere for this long: a later incarnation of the worker may still
 /// execute the start, regardless of the lease that the start granted.
 inline constexpr Duration kLateStartWindow = milliseconds(9000);
+/// How long after it was sent an unanswered start may still reach a worker. A
+/// worker that restarts within this time must learn the token of the owner
+/// before that start arrives, so it is polled even if it is idle.
+inline constexpr Duration kLateStartPolling = milliseconds(12'000);
+/// Minimum interval between two polls of such a worker.
+inline constexpr Duration kMinPollInterval = milliseconds(25);
+/// Maximum rate of these polls. With more such workers, each is polled less
+/// often.
+inline constexpr std::int64_t kMaxPollsPerSecond = 100;
+/// Another poll is sent if a worker has not answered the last one for this long
+/// after it was expected to.
+inline constexpr Duration kPollTimeout = milliseconds(100);
+/// A new owner does not know which starts of the former one are unanswered. It
+/// polls all workers if there are at most this many.
+inline constexpr std::size_t kMaxWorkersPolledAfterTakeover = 50;
 /// Slowest rate of a worker's clock relative to the owner's clock.
 inline constexpr double kSlowestWorkerClock = 0.98;
 /// Added to the computed expiry of a worker's lease, because the worker needs
--- a/packages/jobs/src/run_control.cc
+++ b/packages/jobs/src/run_control.cc
@@ -160,10 +160,12 @@
   record.resources = TaskDemand(*step);
   record.phase = RunPhase::kStarted;
   record.expected_listed_from = now;
+  record.start_sent = now;
   record.started_at = now;
   record.last_progress_at = now;
   record.expected_end = now + step->estimate;
   session->AddRun(run, record);
+  session->ExpectLateStart(now);
   this->QuarantineIfSuspicious(session, run);
 }
 
@@ -257,6 +259,11 @@
 
 void RunControl::OnStart(const WorkerIncarnation& worker, const RunRef& run,
                          bool first, Instant asked, const OrderResult& result) {
+  if (result.end == OrderOutcome::kUncertain) {
+    // The start order may reach any later incarnation of the worker.
+    WorkerSession* latest = this->context->workers.FindLatest(worker.id);
+    if (latest != nullptr) latest->ExpectLateStart(asked);
+  }
   WorkerSession* session = this->NoteAnswer(worker, asked, result);
   if (session == nullptr) return;
   SessionRun* record = session->FindRun(run);
@@ -602,9 +609,8 @@
   // start order that its former incarnation left unanswered.
   const Instant now = this->context->executor->Now();
   const bool restarts = session->Incarnation().start_unix_ms != 0;
-  const bool unanswered = record->order_in_flight || record->start_unanswered;
   const bool may_start = record->start_sent + kLateStartWindow > now;
-  if (!restarts || !unanswered || !may_start) return false;
+  if (!restarts || !record->Unanswered() || !may_start) return false;
   session->EndQuarantine(run);
   record->blocked = true;
   if (!std::exchange(record->stopping, true)) {
--- a/packages/jobs/src/worker_session.cc
+++ b/packages/jobs/src/worker_session.cc
@@ -149,6 +149,14 @@
              this->info.labels.end();
 }
 
+void WorkerSession::ExpectLateStart(Instant sent) {
+  this->ExpectLateStartsUntil(sent + kLateStartPolling);
+}
+
+void WorkerSession::ExpectLateStartsUntil(Instant until) {
+  this->late_starts_until = std::max(this->late_starts_until, until);
+}
+
 WorkerTarget WorkerSession::Target() const {
   return {this->info.incarnation, this->info.address};
 }
--- a/packages/jobs/src/worker_session.h
+++ b/packages/jobs/src/worker_session.h
@@ -78,6 +78,10 @@
   /// @return true unless all start orders are known to have been processed by
   ///   the incarnation that they were sent to
   [[nodiscard]] bool MayStartLate() const;
+  /// @return true if a start order of this owner got no response so far
+  [[nodiscard]] bool Unanswered() const {
+    return this->order_in_flight || this->start_unanswered;
+  }
 };
 
 /// Ended runs from one response of a worker.
@@ -166,6 +170,15 @@
                                          Resources free) const;
   [[nodiscard]] bool HasLabel(const std::string& label) const;
   [[nodiscard]] WorkerTarget Target() const;
+  /// Records that a start order that was sent at this time, to this or a former
+  /// incarnation, may still be carried out without a response.
+  void ExpectLateStart(Instant sent);
+  /// Like ExpectLateStart, for all start orders to a former incarnation.
+  void ExpectLateStartsUntil(Instant until);
+  /// @return the time until which such a start order may be carried out
+  [[nodiscard]] Instant LateStartsUntil() const {
+    return this->late_starts_until;
+  }
 
   WorkerInfo info;
   /// Token of the orders to this incarnation. Orders to its former incarnation
@@ -208,7 +221,11 @@
   Instant verified;
   bool hold_in_flight = false;
   Instant hold_sent;
+  /// How long the hold in flight waits at the worker.
+  Duration hold_wait{0};
   Instant next_hold;
+  /// Earliest hold that is sent only because a late start may arrive.
+  Instant next_poll;
   std::int32_t unanswered_holds = 0;
 
  private:
@@ -221,6 +238,7 @@
   /// Latest lease end that was sent, in milliseconds on the worker's clock.
   std::int64_t lease_sent_ms = 0;
   Instant lease_expires_at;
+  Instant late_starts_until;
 };
 
 }  // namespace mustardproxy::jobs
--- a/packages/jobs/tests/cell_restart_test.cc
+++ b/packages/jobs/tests/cell_restart_test.cc
@@ -158,6 +158,34 @@
   }
 }
 
+// Failure: a start order stays under way after its task has completed, and is
+// carried out by a new incarnation of the worker, which nobody has contacted.
+BOOST_AUTO_TEST_CASE(delayed_start_does_not_repeat_a_completed_task) {
+  constexpr milliseconds kStep(250);
+  constexpr milliseconds kLast(10'000);
+  // Longer than the entry of the former incarnation stays in the store.
+  constexpr milliseconds kLongDown(6000);
+  for (milliseconds moment{1500}; moment <= kLast; moment += kStep) {
+    for (const milliseconds down : {milliseconds(0), kLongDown}) {
+      const auto cell = MakeCell(2);
+      RunSomeJobs(cell.get());
+      cell->Workers().late_orders = 0.4;
+      const SimJob* job =
+          cell->Submit(MakeSpec({MakeStep(6, 2000, milliseconds(200))}));
+      cell->Time().RunFor(milliseconds(200));
+      cell->Workers().late_orders = 0;
+      cell->Time().RunFor(moment);
+      RestartAll(cell.get(), down);
+      BOOST_TEST_CONTEXT("after " << moment.count() << " ms, for "
+                                  << down.count() << " ms") {
+        BOOST_TEST(Completes(cell.get(), *job, seconds(60)));
+        cell->Time().RunFor(seconds(15));
+        CheckInvariants(cell.get());
+      }
+    }
+  }
+}
+
 // Failure: a new owner asks the new incarnation about runs of the former one.
 BOOST_AUTO_TEST_CASE(worker_restart_during_takeover_loses_no_run) {
   constexpr milliseconds kStep(200);
