Blame no run for a restart that came before it

Cause: a run was blamed for the loss of a worker if it was ordered more than 0.5 s before the restart was noticed. A restart is noticed up to seconds late, by the entry or after a hold has timed out. What was ordered in between had reached the new incarnation, or none, and was blamed for the end of the former one. Two or three such losses fail a job.

Fix: the time of the restart is estimated from the start time that the new incarnation tells, and from its own clock where known, and is never before the last answer of the former one. Runs ordered less than 0.5 s before that time, or later, are not blamed.

Tried and taken back: one more lost worker allowed while losses are frequent; tasks that crash their workers were then started on and on.

--- a/packages/jobs/src/hold_loop.cc
+++ b/packages/jobs/src/hold_loop.cc
@@ -160,7 +160,7 @@
     if (now >= session->LeaseExpiresAt()) {
       if (session->HasOrdered()) {
         this->context->runs->HandleWorkerLoss(session.get(),
-                                              LossCause::kLeaseLapsed);
+                                              LossCause::kLeaseLapsed, now);
       }
       if (session->unresponsive)
         this->context->runs->ReleaseBlocked(session.get());
--- a/packages/jobs/src/incarnation_tracker.cc
+++ b/packages/jobs/src/incarnation_tracker.cc
@@ -1,5 +1,6 @@
 #include "incarnation_tracker.h"
 
+#include <algorithm>
 #include <map>
 #include <set>
 #include <utility>
@@ -111,6 +112,19 @@
   return added;
 }
 
+// Failure: a restart is noticed seconds late, and tasks that were ordered to
+// the new incarnation are blamed for the end of the former one.
+Instant IncarnationTracker::EstimateRestart(const WorkerSession& former,
+                                            const WorkerIncarnation& next,
+                                            const HoldResult* lists) const {
+  const Instant now = this->context->executor->Now();
+  if (next.start_unix_ms == 0) return now;
+  std::int64_t age_ms = this->context->executor->UnixMs() - next.start_unix_ms;
+  // The time of day may have jumped; the worker's own clock starts with it.
+  if (lists != nullptr) age_ms = std::min(age_ms, lists->order.clock_ms);
+  return std::clamp(now - milliseconds(age_ms), former.LastAnswer(), now);
+}
+
 WorkerSession* IncarnationTracker::BeginIncarnation(WorkerSession* former,
                                                     const WorkerInfo& info,
                                                     std::string_view seen_in,
@@ -131,7 +145,9 @@
     moved.emplace_back(run, *record);
     former->RemoveRun(run);
   }
-  this->context->runs->HandleWorkerLoss(former, LossCause::kRestarted);
+  this->context->runs->HandleWorkerLoss(
+      former, LossCause::kRestarted,
+      this->EstimateRestart(*former, info.incarnation, lists));
   const std::map<RunRef, SessionRun> left = former->runs;
   const bool listed = former->listed;
   const Instant late_starts_until = former->LateStartsUntil();
--- a/packages/jobs/src/incarnation_tracker.h
+++ b/packages/jobs/src/incarnation_tracker.h
@@ -44,6 +44,10 @@
                                              const WorkerIncarnation& met,
                                              std::string_view seen_in,
                                              const HoldResult* lists);
+  /// @return the latest time at which the new incarnation may have started
+  [[nodiscard]] Instant EstimateRestart(const WorkerSession& former,
+                                        const WorkerIncarnation& next,
+                                        const HoldResult* lists) const;
   /// @param lists running and ended runs of the new incarnation, if known
   WorkerSession* BeginIncarnation(WorkerSession* former, const WorkerInfo& info,
                                   std::string_view seen_in,
--- a/packages/jobs/src/run_control.cc
+++ b/packages/jobs/src/run_control.cc
@@ -244,7 +244,8 @@
       this->context->incarnations->NoteAnswer(worker, asked, result, lists);
   if (session == nullptr) return nullptr;
   if (result.end == OrderOutcome::kOtherIncarnation) {
-    this->HandleWorkerLoss(session, LossCause::kOtherIncarnation);
+    this->HandleWorkerLoss(session, LossCause::kOtherIncarnation,
+                           this->context->executor->Now());
     return nullptr;
   }
   session->NoteClock({.clock_ms = result.clock_ms,
@@ -510,7 +511,8 @@
   }));
 }
 
-void RunControl::HandleWorkerLoss(WorkerSession* session, LossCause cause) {
+void RunControl::HandleWorkerLoss(WorkerSession* session, LossCause cause,
+                                  Instant down_by) {
   this->context->log->Write("workers", "worker-lost",
                             {{"worker", Text(session->Incarnation())},
                              {"runs", session->runs.size()},
@@ -526,7 +528,7 @@
   std::vector<RunRef> lost;
   for (const auto& [run, record] : session->runs) {
     this->LogLostRun(*session, run, record, cause);
-    this->NoteLoss(*session, run, record, cause);
+    this->NoteLoss(*session, run, record, cause, down_by);
     lost.push_back(run);
   }
   this->Discount(outage);
@@ -620,16 +622,17 @@
 }
 
 void RunControl::NoteLoss(const WorkerSession& session, const RunRef& run,
-                          const SessionRun& record, LossCause cause) {
+                          const SessionRun& record, LossCause cause,
+                          Instant down_by) {
   // A run whose start order was never sent cannot have caused the loss, and a
   // draining worker stops on its own.
   if (record.phase == RunPhase::kPlanned || session.HasLeft()) return;
   // The loss was recorded for the incarnation that the start order was sent to.
   if (record.blocked) return;
-  const Instant now = this->context->executor->Now();
   const bool certain = cause != LossCause::kLeaseLapsed;
-  const bool ordered_after_crash = certain && record.ordered_at &&
-                                   now - *record.ordered_at < kMinRestartTime;
+  const bool ordered_after_crash =
+      certain && record.ordered_at &&
+      down_by - *record.ordered_at < kMinRestartTime;
   if (ordered_after_crash) return;
   // If the worker had already stopped responding, it is unknown whether the
   // start order arrived.
--- a/packages/jobs/src/run_control.h
+++ b/packages/jobs/src/run_control.h
@@ -57,7 +57,9 @@
   /// Ends all runs of a worker that is certain to have stopped them. If the
   /// worker has restarted, runs whose start orders may still reach the new
   /// incarnation are kept; see BlockStart.
-  void HandleWorkerLoss(WorkerSession* session, LossCause cause);
+  /// @param down_by the worker had gone down by this time
+  void HandleWorkerLoss(WorkerSession* session, LossCause cause,
+                        Instant down_by);
   /// Prevents a start order for a former incarnation from being carried out.
   /// The task is started elsewhere only after the worker has acknowledged this.
   void BlockStart(WorkerSession* session, const RunRef& run,
@@ -106,7 +108,7 @@
                        LossCause cause);
   /// Records the loss of a worker for the task of one of its runs.
   void NoteLoss(const WorkerSession& session, const RunRef& run,
-                const SessionRun& record, LossCause cause);
+                const SessionRun& record, LossCause cause, Instant down_by);
   /// Records the loss of a worker.
   /// @return the workers that went down at about the same time
   Outage NoteOutage(const WorkerSession& lost);
--- a/packages/jobs/tests/schedules_test.cc
+++ b/packages/jobs/tests/schedules_test.cc
@@ -50,18 +50,31 @@
     7,     // the record against a late start was lost on a restart
     241,   // a late hold of a former incarnation dropped ends
     1523,  // a new incarnation counted as fenced by an unseen token
+    1729,  // a start order outlived its task and reached a new incarnation
+    126,   // a restart was noticed late, and newer runs were blamed for it
+    210,   // the same
+    311,   // the same
 };
 
 /// Seeds with both.
 constexpr std::uint64_t kCrashReusedIdRegressions[] = {
-    19,   // a start for the incarnation before last was executed
-    407,  // an unreachable new incarnation executed a start
+    19,    // a start for the incarnation before last was executed
+    407,   // an unreachable new incarnation executed a start
+    1111,  // as 1729
+    52,    // as 126
+    660,   // the same
 };
 
 /// Seeds with restarting workers and a slow store.
 constexpr std::uint64_t kSlowReusedIdRegressions[] = {
     343,  // ends dropped by the former incarnation's sequence number
     559,  // the same, for an incarnation without an answer yet
+    160,  // as 1729
+    619,  // the same
+    336,  // as 126
+    430,  // the same
+    552,  // the same
+    598,  // the same
 };
 
 /// Seeds with a store that takes 0.25 s per answer.
