Ask an idle worker before the first start is sent to it

Cause: nothing is asked of an idle worker. One that had restarted under its id with less capacity, while the store was away, was given tasks by its former capacity until its new entry was read (schedule 111965 with reused ids: "more than the worker has"). One that was cut off or dead was sent starts, and their tasks were started elsewhere only once a lease had lapsed that the worker never granted.

Change: a first start goes to a worker only while it is in contact: orders of ours run there, or it has answered within 250 ms. Otherwise a hold is sent when the run is placed, so that its answer usually arrives while the run is being stored; the start follows the answer, and without one the run is withdrawn and placed elsewhere. Workers with nothing but planned runs get no waiting holds any more.

Ruled out: a shorter maximum age of the view of the workers (the entry of a restarted worker comes up to a heartbeat late even if the store answers).

Measured: 111965 passes and stands in schedules_test. A task on an unreachable idle worker is done within 2 s; a lease of 4.5 s passed before (the new test fails on the code before).

--- a/packages/jobs/src/hold_loop.cc
+++ b/packages/jobs/src/hold_loop.cc
@@ -17,9 +17,6 @@
 /// Maximum delay between two holds of an unresponsive worker, in multiples of
 /// `kHoldRetryDelay`.
 constexpr std::int32_t kMaxRetryFactor = 4;
-/// Ends are acknowledged to an incarnation only within this time after its last
-/// response; shorter than a worker takes to restart.
-constexpr Duration kAcknowledgeWindow = milliseconds(250);
 
 }  // namespace
 
@@ -86,7 +83,9 @@
   if (!session.unstored_ends.empty() && !renewal_due) return false;
   const bool unacknowledged =
       session.durable_end > session.sent_acknowledged_end;
-  return !session.runs.empty() || !session.fenced || unacknowledged ||
+  // Nothing that is only planned has a lease or an end.
+  return session.HasContactedRuns() || session.contact_wanted ||
+         !session.fenced || unacknowledged ||
          (session.unresponsive && session.listed) ||
          (this->Polls(session) && now >= session.next_poll);
 }
@@ -101,7 +100,7 @@
   const bool unacknowledged =
       session.durable_end > session.sent_acknowledged_end;
   const bool verified =
-      !session.unresponsive && now < session.verified + kAcknowledgeWindow;
+      !session.unresponsive && now < session.verified + kContactWindow;
   if (unacknowledged && verified) order.acknowledged_end = session.durable_end;
   // Failure: a worker is permanently lost, and each attempt to reach it
   // postpones the time at which its lease is certain to have expired, so that
@@ -114,7 +113,7 @@
       std::any_of(session.runs.begin(), session.runs.end(),
                   [](const auto& run) { return run.second.stop_acknowledged; });
   const bool wait = session.fenced && !session.unresponsive &&
-                    !session.runs.empty() && !checking &&
+                    session.HasContactedRuns() && !checking &&
                     (verified || !unacknowledged) &&
                     session.unstored_ends.empty();
   order.wait = wait ? this->Wait() : Duration::zero();
@@ -149,6 +148,12 @@
       }));
 }
 
+void HoldLoop::Contact(WorkerSession* session) {
+  if (session->InContact(this->context->executor->Now())) return;
+  session->contact_wanted = true;
+  this->SendIfDue(session);
+}
+
 void HoldLoop::SendAllDue() {
   const Instant now = this->context->executor->Now();
   std::vector<WorkerId> finished;
@@ -220,6 +225,8 @@
       std::min(session->unanswered_holds + 1, kMaxRetryFactor);
   session->next_hold = now + kHoldRetryDelay * session->unanswered_holds;
   if (this->Polls(*session)) session->next_hold = now + kHoldRetryDelay;
+  session->contact_wanted = false;
+  this->context->runs->WithdrawUncontacted(session);
   this->ScheduleNextPoll(session);
 }
 
@@ -240,9 +247,11 @@
                                {"ended", result.ended.size()}});
     this->context->dispatcher->SchedulePass();
   }
+  session->contact_wanted = false;
   this->ReadRunning(session, result);
   this->EndUnlistedRuns(session, asked, result);
   this->ReadEnded(session, result);
+  this->context->runs->SendContacted(session);
 }
 
 void HoldLoop::ReadRunning(WorkerSession* session, const HoldResult& result) {
--- a/packages/jobs/src/hold_loop.h
+++ b/packages/jobs/src/hold_loop.h
@@ -22,6 +22,9 @@
 
   /// Sends a hold to the worker if one is due.
   void SendIfDue(WorkerSession* session);
+  /// Asks an idle worker for an answer before a start is sent to it. Does
+  /// nothing if one has just arrived.
+  void Contact(WorkerSession* session);
   /// Sends all holds that are due, and handles the loss of workers whose lease
   /// has expired.
   void SendAllDue();
--- a/packages/jobs/src/options.h
+++ b/packages/jobs/src/options.h
@@ -68,6 +68,9 @@
 /// one second.
 inline constexpr std::int64_t kMaxIdleHoldsPerSecond = 200;
 inline constexpr Duration kMaxHoldWait = milliseconds(1500);
+/// How long an answer of an idle worker counts before a start is sent to it;
+/// shorter than a worker takes to restart.
+inline constexpr Duration kContactWindow = milliseconds(250);
 /// A call that fails without an answer within this time did not time out: the
 /// worker closed the connection.
 inline constexpr Duration kConnectionClosedThreshold = milliseconds(150);
--- a/packages/jobs/src/run_control.cc
+++ b/packages/jobs/src/run_control.cc
@@ -80,9 +80,8 @@
     // orders are sent.
     if (reserves) continue;
     this->QuarantineIfSuspicious(session, runs[i]);
-    // An idle worker receives no holds otherwise and may have stopped
-    // unnoticed.
-    if (session->Quarantined()) this->context->holds->SendIfDue(session);
+    // The answer usually arrives before the run is stored.
+    this->context->holds->Contact(session);
   }
   this->context->log->Write(
       "jobs", "step-placed",
@@ -202,6 +201,15 @@
                    [this, worker, run] { this->SendStart(worker, run); });
     return;
   }
+  // Failure: an idle worker has restarted with less capacity, or is gone, and
+  // nobody has noticed. It is given more than it has, or its tasks wait for a
+  // lease to expire that was never granted.
+  if (first && !session->InContact(this->context->executor->Now())) {
+    record->awaits_contact = true;
+    this->context->holds->Contact(session);
+    return;
+  }
+  record->awaits_contact = false;
   StartOrder order;
   const bool draining =
       session->info.draining || !session->listed || !session->described;
@@ -237,6 +245,30 @@
                                }));
 }
 
+std::vector<RunRef> RunControl::FindAwaitingContact(
+    const WorkerSession& session) {
+  std::vector<RunRef> waiting;
+  for (const auto& [run, record] : session.runs) {
+    if (record.awaits_contact) waiting.push_back(run);
+  }
+  return waiting;
+}
+
+void RunControl::SendContacted(WorkerSession* session) {
+  const WorkerIncarnation worker = session->Incarnation();
+  for (const RunRef& run : FindAwaitingContact(*session)) {
+    this->SendStart(worker, run);
+  }
+}
+
+void RunControl::WithdrawUncontacted(WorkerSession* session) {
+  for (const RunRef& run : FindAwaitingContact(*session)) {
+    // A withdrawn member of a gang takes the others with it.
+    if (session->FindRun(run) == nullptr) continue;
+    this->WithdrawUnstarted(session, run);
+  }
+}
+
 WorkerSession* RunControl::NoteAnswer(const WorkerIncarnation& worker,
                                       Instant asked, const OrderResult& result,
                                       const HoldResult* lists) {
--- a/packages/jobs/src/run_control.h
+++ b/packages/jobs/src/run_control.h
@@ -81,6 +81,11 @@
   void StoreFinal(JobEntry* entry);
   /// Sends the start order of a run that is stored.
   void SendStart(const WorkerIncarnation& worker, const RunRef& run);
+  /// Sends the start orders that waited for an answer of the worker.
+  void SendContacted(WorkerSession* session);
+  /// Withdraws the runs whose start orders wait for an answer of a worker that
+  /// does not respond.
+  void WithdrawUncontacted(WorkerSession* session);
   /// Stops all members of a gang run.
   void StopGang(const RunRef& member);
 
@@ -93,6 +98,8 @@
                Instant asked, const OrderResult& result);
   /// Handles a start order that a worker rejected.
   void OnRefused(WorkerSession* session, const RunRef& run, OrderOutcome why);
+  /// @return the runs whose start orders wait for an answer of the worker
+  static std::vector<RunRef> FindAwaitingContact(const WorkerSession& session);
   /// Withdraws a run that was not started anywhere.
   void WithdrawUnstarted(WorkerSession* session, const RunRef& run);
   void SendStop(const WorkerIncarnation& worker, const RunRef& run);
--- a/packages/jobs/src/worker_session.cc
+++ b/packages/jobs/src/worker_session.cc
@@ -107,6 +107,17 @@
   if (std::exchange(record->quarantined, false)) --this->quarantined;
 }
 
+bool WorkerSession::HasContactedRuns() const {
+  return std::any_of(this->runs.begin(), this->runs.end(), [](const auto& run) {
+    return run.second.phase != RunPhase::kPlanned;
+  });
+}
+
+bool WorkerSession::InContact(Instant now) const {
+  if (this->unresponsive) return false;
+  return this->HasContactedRuns() || now < this->verified + kContactWindow;
+}
+
 std::size_t WorkerSession::CountUnproven() const {
   return static_cast<std::size_t>(std::count_if(
       this->runs.begin(), this->runs.end(),
--- a/packages/jobs/src/worker_session.h
+++ b/packages/jobs/src/worker_session.h
@@ -41,6 +41,8 @@
   bool blocked = false;
   /// The worker has acknowledged the stop.
   bool stop_acknowledged = false;
+  /// The run is stored, and its start order waits for an answer of the worker.
+  bool awaits_contact = false;
   /// An order for the run is in flight.
   bool order_in_flight = false;
   /// If a hold sent at or after this time does not list the run, the run has
@@ -150,6 +152,11 @@
   /// @return true if there is a run that was ordered, is not blocked and has no
   ///   known end
   [[nodiscard]] bool HasOrdered() const;
+  /// @return true if an order for any run was sent
+  [[nodiscard]] bool HasContactedRuns() const;
+  /// @return true if an answer shows that this incarnation is still there: a
+  ///   recent one, or the answers that keep its runs alive
+  [[nodiscard]] bool InContact(Instant now) const;
   /// @return the number of runs that have not been running long enough to be
   ///   trusted not to crash the worker
   [[nodiscard]] std::size_t CountUnproven() const;
@@ -219,6 +226,8 @@
   std::deque<std::shared_ptr<EndBatch>> unstored_ends;
   /// When this incarnation last responded to a hold.
   Instant verified;
+  /// A start waits for an answer of the worker.
+  bool contact_wanted = false;
   bool hold_in_flight = false;
   Instant hold_sent;
   /// How long the hold in flight waits at the worker.
--- a/packages/jobs/tests/cell_restart_test.cc
+++ b/packages/jobs/tests/cell_restart_test.cc
@@ -245,6 +245,24 @@
   CheckInvariants(cell.get());
 }
 
+// Failure: a task is sent to an idle worker that is gone, and is started
+// elsewhere only after a lease that the worker never granted.
+BOOST_AUTO_TEST_CASE(unreachable_idle_worker_delays_no_task_by_a_lease) {
+  const auto cell = MakeCell(4);
+  RunSomeJobs(cell.get());
+  cell->Time().RunFor(seconds(20));
+  cell->Workers().cut.insert("w1");
+  cell->Workers().cut.insert("w2");
+  const Instant submitted = cell->Time().Now();
+  const SimJob* job =
+      cell->Submit(MakeSpec({MakeStep(4, 8000, milliseconds(300))}));
+  BOOST_TEST(Completes(cell.get(), *job, seconds(20)));
+  BOOST_REQUIRE(job->done_at.has_value());
+  BOOST_TEST((*job->done_at - submitted < seconds(2)));
+  cell->Time().RunFor(seconds(15));
+  CheckInvariants(cell.get());
+}
+
 // Failure: workers whose entry has no start time are not used any more.
 BOOST_AUTO_TEST_CASE(workers_without_a_start_time_are_used) {
   const auto cell = SimCell::Builder().Workers(4).Build();
--- a/packages/jobs/tests/schedules_test.cc
+++ b/packages/jobs/tests/schedules_test.cc
@@ -54,6 +54,8 @@
     126,   // a restart was noticed late, and newer runs were blamed for it
     210,   // the same
     311,   // the same
+    // An idle worker restarted smaller while the store was unavailable.
+    111965,
 };
 
 /// Seeds with both.
