--- a/packages/core/include/mustardproxy/core/error.h
+++ b/packages/core/include/mustardproxy/core/error.h
@@ -22,6 +22,9 @@
   kUnknownQueue = 109,
   kUnknownJob = 110,
   kJobInvalid = 111,
+  kUnknownKey = 112,
+  kJobOfOtherTeam = 113,
+  kExceedsTeamCap = 114,
   // 2xx: refused without running; the caller may retry later.
   kWaitTooLong = 201,
   kQueueFull = 202,
@@ -34,6 +37,7 @@
   kGangImpossible = 209,
   kStoreUnavailable = 210,
   kOverloaded = 211,
+  kConfigurationStale = 212,
   // 3xx: the request was started or may have been started.
   kDeadlineExceeded = 301,
   kWorkerLost = 302,
--- a/packages/core/src/error.cc
+++ b/packages/core/src/error.cc
@@ -39,6 +39,12 @@
       return "the job is not known";
     case Error::kJobInvalid:
       return "the job is malformed or exceeds a limit";
+    case Error::kUnknownKey:
+      return "the call carries no API key that is in force";
+    case Error::kJobOfOtherTeam:
+      return "the job belongs to another team";
+    case Error::kExceedsTeamCap:
+      return "a step of the job needs more than its team may run";
     case Error::kWaitTooLong:
       return "the predicted wait is longer than allowed";
     case Error::kQueueFull:
@@ -61,6 +67,8 @@
       return "the platform's store does not accept the job";
     case Error::kOverloaded:
       return "the queued work would take too long";
+    case Error::kConfigurationStale:
+      return "the configuration could not be confirmed lately";
     case Error::kDeadlineExceeded:
       return "the request took longer than its timeout";
     case Error::kWorkerLost:
--- a/packages/gateway/include/mustardproxy/gateway/job_surface.h
+++ b/packages/gateway/include/mustardproxy/gateway/job_surface.h
@@ -25,7 +25,8 @@
  private:
   http::HttpAnswer Serve(const http::HttpCall& call, std::string_view queue,
                          std::string_view id);
-  http::HttpAnswer Submit(const http::HttpCall& call, const jobs::Queue& queue,
+  http::HttpAnswer Submit(const http::HttpCall& call,
+                          const jobs::Admission& admission,
                           const jobs::JobId& id, Duration timeout);
 
   jobs::JobGate gate;
--- a/packages/gateway/src/job_surface.cc
+++ b/packages/gateway/src/job_surface.cc
@@ -97,12 +97,12 @@
                           .detail = fault});
   }
   const jobs::QueueName name(queue_name);
-  const Result<jobs::Queue> queue = this->gate.Find(
+  const Result<jobs::Admission> admission = this->gate.AdmitCall(
       [name](const jobs::DesiredState& desired) {
         return desired.FindQueue(name);
       },
-      headers.timeout);
-  if (!queue) return AnswerError(queue.error(), kDefaultRetryAfter);
+      {.key = {}, .from_operator = true}, headers.timeout);
+  if (!admission) return AnswerError(admission.error(), kDefaultRetryAfter);
   if (id_text.empty() && call.method == http::Method::kGet) {
     const auto pending = this->gate.Pending(name, headers.timeout);
     if (!pending) return AnswerError(pending.error(), kDefaultRetryAfter);
@@ -115,22 +115,23 @@
   }
   const jobs::JobId id(id_text);
   if (call.method == http::Method::kPost) {
-    return this->Submit(call, queue.value(), id, headers.timeout);
+    return this->Submit(call, admission.value(), id, headers.timeout);
   }
   if (call.method == http::Method::kDelete) {
-    return AnswerSubmit(id, this->gate.Cancel(id, headers.timeout));
+    return AnswerSubmit(
+        id, this->gate.Cancel(admission.value(), id, headers.timeout));
   }
   if (call.method != http::Method::kGet) {
     return ProblemAnswer({.status = Status::HTTP_METHOD_NOT_ALLOWED,
                           .error = Error::kHeaderInvalid});
   }
-  const auto status = this->gate.State(id, headers.timeout);
+  const auto status = this->gate.State(admission.value(), id, headers.timeout);
   if (!status) return AnswerError(status.error(), kDefaultRetryAfter);
   return AnswerStatus(id, status.value());
 }
 
 http::HttpAnswer JobSurface::Submit(const http::HttpCall& call,
-                                    const jobs::Queue& queue,
+                                    const jobs::Admission& admission,
                                     const jobs::JobId& id, Duration timeout) {
   auto parsed = jobs::ParseJobJson(View(call.body), {});
   if (const auto* problem = std::get_if<jobs::SpecProblem>(&parsed)) {
@@ -140,8 +141,9 @@
                           .outcome = Outcome::kNotRun});
   }
   return AnswerSubmit(
-      id, this->gate.Submit(
-              queue, id, std::move(std::get<jobs::JobSpec>(parsed)), timeout));
+      id,
+      this->gate.Submit(admission, id,
+                        std::move(std::get<jobs::JobSpec>(parsed)), timeout));
 }
 
 http::HttpAnswer JobSurface::Refuse(std::int32_t status, std::error_code error,
--- a/packages/jobs/include/mustardproxy/jobs/desired_state.h
+++ b/packages/jobs/include/mustardproxy/jobs/desired_state.h
@@ -2,11 +2,13 @@
 #define MUSTARDPROXY_JOBS_DESIRED_STATE_H_
 
 #include <cstdint>
+#include <optional>
 #include <string_view>
 #include <vector>
 
 #include "mustardproxy/core/ids.h"
 #include "mustardproxy/jobs/job.h"
+#include "mustardproxy/jobs/team.h"
 
 namespace mustardproxy::jobs {
 
@@ -39,6 +41,10 @@
   ConfigurationVersion version = 0;
   std::vector<Queue> queues;
   std::vector<Service> services;
+  std::vector<Team> teams;
+  /// Calls need the key of a team, except to queues that are open to all. False
+  /// if the configuration does not mention teams.
+  bool keys_required = false;
   RequestBounds bounds;
 
   /// @return the queue with the longest matching path prefix for this host
@@ -47,6 +53,11 @@
                                    std::string_view path) const;
   [[nodiscard]] const Queue* FindQueue(const QueueName& name) const;
   [[nodiscard]] const Service* FindService(const ServiceId& id) const;
+  /// @return the team that a key belongs to, or null
+  [[nodiscard]] const Team* FindTeam(const KeyDigest& key) const;
+  /// Validates the teams.
+  /// @return the first problem, or `std::nullopt` if there is none
+  [[nodiscard]] std::optional<SpecProblem> Check() const;
 };
 
 }  // namespace mustardproxy::jobs
--- a/packages/jobs/include/mustardproxy/jobs/job.h
+++ b/packages/jobs/include/mustardproxy/jobs/job.h
@@ -10,6 +10,7 @@
 #include "mustardproxy/core/ids.h"
 #include "mustardproxy/core/resources.h"
 #include "mustardproxy/core/time.h"
+#include "mustardproxy/jobs/team.h"
 
 /// Jobs consist of steps of tasks that run on workers; each task runs to
 /// completion once.
@@ -88,6 +89,8 @@
   /// Constant part of the target duration; see `stretch`.
   Duration target{0};
   std::optional<AdvicePolicy> advice;
+  /// Calls need no API key.
+  bool open_to_all = false;
 
   friend bool operator==(const Queue&, const Queue&) = default;
 };
@@ -161,6 +164,11 @@
   /// Unix time of acceptance, in milliseconds, by the clock of the accepting
   /// host.
   std::int64_t accepted_unix_ms = 0;
+  /// Who submitted the job.
+  JobAccess access = {};
+  /// The team's cap when the job was accepted; stays in effect if the team is
+  /// removed.
+  Resources team_cap = {};
 };
 
 /// State of a job as reported to callers.
@@ -183,12 +191,13 @@
 /// @return `queued`, `running`, `completed`, `failed` or `cancelled`
 [[nodiscard]] std::string_view Name(JobState state);
 
-/// State of a job and the cause of a failure.
+/// State of a job, the cause of a failure, and who may know of it.
 struct JobStatus {
   JobState state = JobState::kQueued;
   /// One sentence that explains a failure. Empty in other states and if the
   /// final state was stored by an earlier version.
   std::string cause;
+  JobAccess access = {};
 
   friend bool operator==(const JobStatus&, const JobStatus&) = default;
 };
--- a/packages/jobs/include/mustardproxy/jobs/job_gate.h
+++ b/packages/jobs/include/mustardproxy/jobs/job_gate.h
@@ -15,21 +15,19 @@
 /// to the control thread and waits for the result. Thread-safe.
 class JobGate {
  public:
-  /// Selects a queue from the desired state; null if none matches. Runs on the
-  /// control thread, possibly after the caller has timed out, so it must own
-  /// everything it uses.
-  using Chooser = std::function<const Queue*(const DesiredState&)>;
-
   JobGate(Executor* executor, JobService* service)
       : executor(executor), service(service) {}
 
-  /// @return the selected queue, or `kStarting` without a desired state,
-  ///   `kUnknownQueue` if the chooser returned null, or `kDeadlineExceeded`
-  [[nodiscard]] Result<Queue> Find(const Chooser& chooser, Duration timeout);
-  [[nodiscard]] SubmitResult Submit(const Queue& queue, const JobId& id,
+  /// @return the admission of a call; see `Admit`, or `kDeadlineExceeded`
+  [[nodiscard]] Result<Admission> AdmitCall(const QueueChooser& choose,
+                                            const Credentials& credentials,
+                                            Duration timeout);
+  [[nodiscard]] SubmitResult Submit(const Admission& admission, const JobId& id,
                                     JobSpec spec, Duration timeout);
-  [[nodiscard]] SubmitResult Cancel(const JobId& id, Duration timeout);
-  [[nodiscard]] Result<JobStatus> State(const JobId& id, Duration timeout);
+  [[nodiscard]] SubmitResult Cancel(const Admission& admission, const JobId& id,
+                                    Duration timeout);
+  [[nodiscard]] Result<JobStatus> State(const Admission& admission,
+                                        const JobId& id, Duration timeout);
   [[nodiscard]] Result<std::int64_t> Pending(const QueueName& queue,
                                              Duration timeout);
 
--- a/packages/jobs/include/mustardproxy/jobs/job_node.h
+++ b/packages/jobs/include/mustardproxy/jobs/job_node.h
@@ -36,11 +36,14 @@
   [[nodiscard]] bool Owns() const;
 
   [[nodiscard]] std::shared_ptr<const DesiredState> Desired() const override;
-  void Submit(const Queue& queue, JobId id, JobSpec spec, Duration timeout,
+  [[nodiscard]] Result<Admission> AdmitCall(
+      const QueueChooser& choose, const Credentials& credentials) override;
+  void Submit(const Admission& admission, JobId id, JobSpec spec,
+              Duration timeout,
               std::function<void(SubmitResult)> done) override;
-  void Cancel(const JobId& id, Duration timeout,
+  void Cancel(const Admission& admission, const JobId& id, Duration timeout,
               std::function<void(SubmitResult)> done) override;
-  void State(const JobId& id, Duration timeout,
+  void State(const Admission& admission, const JobId& id, Duration timeout,
              std::function<void(Result<JobStatus>)> done) override;
   void Pending(const QueueName& queue, Duration timeout,
                std::function<void(Result<std::int64_t>)> done) override;
--- a/packages/jobs/include/mustardproxy/jobs/job_service.h
+++ b/packages/jobs/include/mustardproxy/jobs/job_service.h
@@ -10,6 +10,7 @@
 
 #include "mustardproxy/core/result.h"
 #include "mustardproxy/core/time.h"
+#include "mustardproxy/jobs/admission.h"
 #include "mustardproxy/jobs/desired_state.h"
 #include "mustardproxy/jobs/job.h"
 
@@ -47,14 +48,22 @@
   /// @return the desired state set by operators, or null before the first one
   ///   is read
   [[nodiscard]] virtual std::shared_ptr<const DesiredState> Desired() const = 0;
-  virtual void Submit(const Queue& queue, JobId id, JobSpec spec,
+  /// Decides whether a call is allowed; see `Admit`.
+  [[nodiscard]] virtual Result<Admission> AdmitCall(
+      const QueueChooser& choose, const Credentials& credentials) = 0;
+  /// Not accepted with `kJobOfOtherTeam` if the id is that of a job that the
+  /// call may not access, and with `kExceedsTeamCap` if a step could never run.
+  virtual void Submit(const Admission& admission, JobId id, JobSpec spec,
                       Duration timeout,
                       std::function<void(SubmitResult)> done) = 0;
-  virtual void Cancel(const JobId& id, Duration timeout,
+  virtual void Cancel(const Admission& admission, const JobId& id,
+                      Duration timeout,
                       std::function<void(SubmitResult)> done) = 0;
   /// Passes the state to `done`, or `kUnknownRequest` if there is no such job,
-  /// or `kPlatformUnavailable` if the state can't be determined.
-  virtual void State(const JobId& id, Duration timeout,
+  /// `kJobOfOtherTeam` if the call may not access it, or
+  /// `kPlatformUnavailable` if the state can't be determined.
+  virtual void State(const Admission& admission, const JobId& id,
+                     Duration timeout,
                      std::function<void(Result<JobStatus>)> done) = 0;
   virtual void Pending(const QueueName& queue, Duration timeout,
                        std::function<void(Result<std::int64_t>)> done) = 0;
--- a/packages/jobs/src/dispatcher.cc
+++ b/packages/jobs/src/dispatcher.cc
@@ -96,6 +96,7 @@
   this->UpdateAnySilent();
   std::vector<SchedulingUnit> units = this->CollectUnits(now);
   this->UpdateEjected(now);
+  this->RemoveCapped(&units, now);
   const PassCapacity capacities(this->context->workers);
   this->AdvanceGangStartTimes(&units, capacities, now);
   std::stable_sort(
@@ -116,6 +117,10 @@
                    });
   std::int32_t holds = 0;
   for (SchedulingUnit& unit : units) {
+    if (!this->LimitToCap(&unit)) {
+      this->ReportCapped(unit, now);
+      continue;
+    }
     this->PlaceUnit(&unit, capacities, now);
     if (unit.tasks.empty()) continue;
     if (this->waits.Due(unit, now)) {
@@ -132,6 +137,43 @@
   }
 }
 
+bool Dispatcher::LimitToCap(SchedulingUnit* unit) const {
+  const JobEntry& entry = *unit->entry;
+  const TeamId& team = entry.job.access.team;
+  if (team.Empty()) return true;
+  const std::int64_t allowed = CountUnderCap(
+      this->context->CapOf(entry), this->context->workers.Usage().Of(team),
+      unit->step->each, std::ssize(unit->tasks));
+  if (allowed == std::ssize(unit->tasks)) return true;
+  // A gang that is stopped by the cap keeps its tasks for the report.
+  if (unit->step->gang || allowed == 0) return false;
+  unit->tasks.resize(static_cast<std::size_t>(allowed));
+  return true;
+}
+
+void Dispatcher::RemoveCapped(std::vector<SchedulingUnit>* units, Instant now) {
+  std::erase_if(*units, [&](SchedulingUnit& unit) {
+    if (this->LimitToCap(&unit)) return false;
+    this->ReportCapped(unit, now);
+    return true;
+  });
+}
+
+void Dispatcher::ReportCapped(const SchedulingUnit& unit, Instant now) {
+  if (!this->waits.Due(unit, now)) return;
+  const auto tasks = static_cast<std::int64_t>(unit.tasks.size());
+  WaitFacts facts;
+  facts.gang = unit.step->gang;
+  facts.needed = facts.gang ? tasks : 1;
+  facts.capped = true;
+  facts.cap = this->context->CapOf(*unit.entry);
+  facts.team_used =
+      this->context->workers.Usage().Of(unit.entry->job.access.team);
+  facts.exceeds_cap = CountUnderCap(facts.cap, {}, unit.step->each,
+                                    facts.needed) < facts.needed;
+  this->waits.Write(unit, facts, now);
+}
+
 void Dispatcher::UpdateAnySilent() {
   this->any_silent = std::any_of(
       this->context->workers.begin(), this->context->workers.end(),
@@ -548,6 +590,7 @@
   unit.tasks = JobTable::Startable(*entry, *unit.progress, ref.step, now);
   const bool known = this->context->advice->Find(ref) != nullptr;
   if (unit.tasks.empty() || !unit.queue->advice || !known) return {};
+  if (!this->LimitToCap(&unit)) return {};
   return this->WorkersToAsk(unit, PassCapacity(this->context->workers), now);
 }
 
--- a/packages/jobs/src/dispatcher.h
+++ b/packages/jobs/src/dispatcher.h
@@ -66,6 +66,13 @@
   void Rank(SchedulingUnit* unit, Duration objective, Instant now) const;
   void AdvanceGangStartTimes(std::vector<SchedulingUnit>* units,
                              const PassCapacity& capacities, Instant now) const;
+  /// Removes the tasks that may not start now because their team would exceed
+  /// its cap.
+  /// @return false if none is left
+  bool LimitToCap(SchedulingUnit* unit) const;
+  /// Removes the units that their teams' caps keep from starting.
+  void RemoveCapped(std::vector<SchedulingUnit>* units, Instant now);
+  void ReportCapped(const SchedulingUnit& unit, Instant now);
   void PlaceUnit(SchedulingUnit* unit, const PassCapacity& capacities,
                  Instant now);
   /// @return true if capacity for the whole gang is free, including on workers
--- a/packages/jobs/src/group_owner.cc
+++ b/packages/jobs/src/group_owner.cc
@@ -386,7 +386,7 @@
   const JobEntry* entry = this->context.jobs.Find(id);
   if (entry == nullptr) return this->ended->Find(id);
   if (!entry->stored) return std::nullopt;
-  return JobStatus{entry->published_state, {}};
+  return JobStatus{entry->published_state, {}, entry->job.access};
 }
 
 bool GroupOwner::HasFreshJobView() const {
--- a/packages/jobs/src/hold_loop.cc
+++ b/packages/jobs/src/hold_loop.cc
@@ -260,7 +260,7 @@
     this->context->jobs.NoteBegun(listed.run.task.step.job);
     SessionRun* record = session->FindRun(listed.run);
     if (record == nullptr) {
-      this->StopUnwantedRun(session, listed);
+      this->context->runs->StopUnwanted(session, listed.run);
       continue;
     }
     record->seen_running = now;
@@ -282,29 +282,6 @@
   }
 }
 
-void HoldLoop::StopUnwantedRun(WorkerSession* session,
-                               const RunningRun& listed) {
-  const Step* step = this->context->jobs.FindStep(listed.run.task.step);
-  // The run is not wanted: its job is final or the run was already considered
-  // ended. It occupies resources until it ends.
-  SessionRun record;
-  // Failure: the job is not known any more, so the resources of the run are
-  // unknown and the worker is overcommitted. Until the run has ended, which
-  // takes a fraction of a second, nothing else is started on the worker.
-  record.resources =
-      step == nullptr ? session->info.capacity : TaskDemand(*step);
-  record.phase = RunPhase::kStarted;
-  record.started_at = this->context->executor->Now();
-  record.last_progress_at = record.started_at;
-  record.expected_end = record.started_at;
-  session->AddRun(listed.run, record);
-  this->context->log->Write("jobs", "run-unwanted",
-                            {{"task", Text(listed.run.task)},
-                             {"run", listed.run.run},
-                             {"worker", Text(session->Incarnation())}});
-  this->context->runs->Stop(session, listed.run);
-}
-
 void HoldLoop::EndUnlistedRuns(WorkerSession* session, Instant asked,
                                const HoldResult& result) {
   if (result.ended_truncated) return;
--- a/packages/jobs/src/hold_loop.h
+++ b/packages/jobs/src/hold_loop.h
@@ -58,7 +58,6 @@
   void ReadEnded(WorkerSession* session, const HoldResult& result);
   void EndUnlistedRuns(WorkerSession* session, Instant asked,
                        const HoldResult& result);
-  void StopUnwantedRun(WorkerSession* session, const RunningRun& listed);
   void OnStored(const WorkerIncarnation& worker);
 
   OwnerContext* context;
--- a/packages/jobs/src/intake.cc
+++ b/packages/jobs/src/intake.cc
@@ -6,6 +6,7 @@
 #include "keys.h"
 #include "mustardproxy/core/error.h"
 #include "options.h"
+#include "record_codec.h"
 
 namespace mustardproxy::jobs {
 namespace {
@@ -41,6 +42,13 @@
   return found == result.found.end() ? nullptr : &*found;
 }
 
+/// @return true if the job that is stored under the id of a request is that of
+///   another team
+bool IsOfOtherTeam(const CreateRequest& request, const JobAccess& stored) {
+  return request.key == keys::OfJob(request.job) &&
+         !MayAccess(DecodeAccess(request.value), stored);
+}
+
 }  // namespace
 
 Intake::Intake(Parts parts) : parts(std::move(parts)) {}
@@ -193,10 +201,20 @@
                         const CommitResult& result) {
   for (const EntryPtr& entry : batch) {
     const StoreItem* item = FindItem(result, entry->request.key);
+    const StoreItem* end = FindItem(result, keys::OfEnded(entry->request.job));
     if (item != nullptr) {
-      this->Accept(entry, "existed", item->revision);
-    } else if (FindItem(result, keys::OfEnded(entry->request.job)) != nullptr) {
-      this->Accept(entry, "ended", std::nullopt);
+      if (IsOfOtherTeam(entry->request, DecodeAccess(item->value))) {
+        this->Deny(entry);
+      } else {
+        this->Accept(entry, "existed", item->revision);
+      }
+    } else if (end != nullptr) {
+      const JobStatus ended = DecodeStatus(end->value).value_or(JobStatus{});
+      if (IsOfOtherTeam(entry->request, ended.access)) {
+        this->Deny(entry);
+      } else {
+        this->Accept(entry, "ended", std::nullopt);
+      }
     } else {
       // Nothing was written because of another entry of the batch.
       this->waiting.push_back(entry);
@@ -308,6 +326,19 @@
                          .retry_after = Duration::zero()});
 }
 
+void Intake::Deny(const EntryPtr& entry) {
+  if (!entry->done) return;
+  const std::error_code reason = Error::kJobOfOtherTeam;
+  this->parts.log->Write("intake", "denied",
+                         {{"kind", entry->request.kind},
+                          {"job", entry->request.job.Text()},
+                          {"reason", reason.message()}});
+  this->Complete(entry, {.end = SubmitOutcome::kNotAccepted,
+                         .reason = reason,
+                         .detail = {},
+                         .retry_after = Duration::zero()});
+}
+
 void Intake::GiveUp(const EntryPtr& entry, std::error_code reason) {
   if (!entry->done) return;
   // A write in flight may still be applied.
--- a/packages/jobs/src/intake.h
+++ b/packages/jobs/src/intake.h
@@ -103,6 +103,8 @@
   /// @param revision of the key, if it is known
   void Accept(const EntryPtr& entry, std::string_view how,
               std::optional<Revision> revision);
+  /// Refuses an entry whose key exists and is that of another team's job.
+  void Deny(const EntryPtr& entry);
   void GiveUp(const EntryPtr& entry, std::error_code reason);
   void Complete(const EntryPtr& entry, const SubmitResult& result);
 
--- a/packages/jobs/src/job_gate.cc
+++ b/packages/jobs/src/job_gate.cc
@@ -32,46 +32,40 @@
 
 }  // namespace
 
-Result<Queue> JobGate::Find(const Chooser& chooser, Duration timeout) {
-  const auto found =
-      Await<Result<Queue>>(this->executor, timeout, [this, chooser](auto done) {
-        const auto desired = this->service->Desired();
-        if (!desired) {
-          done(make_error_code(Error::kStarting));
-          return;
-        }
-        const Queue* queue = chooser(*desired);
-        if (queue == nullptr) {
-          done(make_error_code(Error::kUnknownQueue));
-        } else {
-          done(*queue);
-        }
+Result<Admission> JobGate::AdmitCall(const QueueChooser& choose,
+                                     const Credentials& credentials,
+                                     Duration timeout) {
+  const auto admitted = Await<Result<Admission>>(
+      this->executor, timeout, [this, choose, credentials](auto done) {
+        done(this->service->AdmitCall(choose, credentials));
       });
-  return found ? *found : make_error_code(Error::kDeadlineExceeded);
+  return admitted ? *admitted : make_error_code(Error::kDeadlineExceeded);
 }
 
-SubmitResult JobGate::Submit(const Queue& queue, const JobId& id, JobSpec spec,
-                             Duration timeout) {
+SubmitResult JobGate::Submit(const Admission& admission, const JobId& id,
+                             JobSpec spec, Duration timeout) {
   const auto result = Await<SubmitResult>(
       this->executor, timeout,
-      [this, queue, id, spec = std::move(spec), timeout](auto done) {
-        this->service->Submit(queue, id, spec, timeout, std::move(done));
+      [this, admission, id, spec = std::move(spec), timeout](auto done) {
+        this->service->Submit(admission, id, spec, timeout, std::move(done));
       });
   return result.value_or(Unanswered());
 }
 
-SubmitResult JobGate::Cancel(const JobId& id, Duration timeout) {
+SubmitResult JobGate::Cancel(const Admission& admission, const JobId& id,
+                             Duration timeout) {
   const auto result = Await<SubmitResult>(
-      this->executor, timeout, [this, id, timeout](auto done) {
-        this->service->Cancel(id, timeout, std::move(done));
+      this->executor, timeout, [this, admission, id, timeout](auto done) {
+        this->service->Cancel(admission, id, timeout, std::move(done));
       });
   return result.value_or(Unanswered());
 }
 
-Result<JobStatus> JobGate::State(const JobId& id, Duration timeout) {
+Result<JobStatus> JobGate::State(const Admission& admission, const JobId& id,
+                                 Duration timeout) {
   const auto state = Await<Result<JobStatus>>(
-      this->executor, timeout, [this, id, timeout](auto done) {
-        this->service->State(id, timeout, std::move(done));
+      this->executor, timeout, [this, admission, id, timeout](auto done) {
+        this->service->State(admission, id, timeout, std::move(done));
       });
   return state ? *state : make_error_code(Error::kDeadlineExceeded);
 }
--- a/packages/jobs/src/job_lookup.cc
+++ b/packages/jobs/src/job_lookup.cc
@@ -40,6 +40,7 @@
       this->guard.Wrap([this, search](const Result<StoreItem>& item) {
         if (this->HandleFailure(search, item)) return;
         if (item) {
+          search->access = DecodeAccess(item.value().value);
           this->ReadProgress(search);
         } else {
           this->ReadEnd(search, Error::kUnknownRequest);
@@ -55,12 +56,14 @@
         const auto status = item ? DecodeStatus(item.value().value)
                                  : std::optional<JobStatus>();
         if (status) {
-          this->ReadCancel(search, *status);
+          this->ReadCancel(search,
+                           {status->state, status->cause, search->access});
         } else if (item) {
           search->done(make_error_code(Error::kMalformedReply));
         } else {
           // Not started, or ended since its job was read.
-          this->ReadEnd(search, JobStatus{JobState::kQueued, {}});
+          this->ReadEnd(search,
+                        JobStatus{JobState::kQueued, {}, search->access});
         }
       }));
 }
@@ -91,7 +94,8 @@
       keys::OfCancel(search->id),
       this->guard.Wrap([this, search, status](const Result<StoreItem>& item) {
         if (this->HandleFailure(search, item)) return;
-        search->done(item ? JobStatus{JobState::kCancelled, {}} : status);
+        search->done(item ? JobStatus{JobState::kCancelled, {}, status.access}
+                          : status);
       }));
 }
 
--- a/packages/jobs/src/job_lookup.h
+++ b/packages/jobs/src/job_lookup.h
@@ -35,6 +35,8 @@
     JobId id;
     Instant deadline;
     Done done;
+    /// From the record of the job.
+    JobAccess access;
   };
   using SearchPtr = std::shared_ptr<Search>;
 
--- a/packages/jobs/src/job_node.cc
+++ b/packages/jobs/src/job_node.cc
@@ -33,6 +33,30 @@
           .retry_after = Duration::zero()};
 }
 
+SubmitResult NotAccepted(std::error_code reason, std::string detail) {
+  return {.end = SubmitOutcome::kNotAccepted,
+          .reason = reason,
+          .detail = std::move(detail),
+          .retry_after = Duration::zero()};
+}
+
+/// @return why a step of the job can never run within the cap; empty if each
+///   can
+std::string DescribeExcess(const JobSpec& spec, const Resources& cap) {
+  for (std::size_t i = 0; i < spec.steps.size(); ++i) {
+    const Step& step = spec.steps[i];
+    const std::int64_t needed = step.gang ? step.tasks : 1;
+    if (CountUnderCap(cap, {}, step.each, needed) >= needed) continue;
+    return "steps[" + std::to_string(i) + "] starts " + std::to_string(needed) +
+           " tasks of " + std::to_string(step.each.cpu_milli) + " cpu and " +
+           std::to_string(step.each.memory_mb) +
+           " MB together; the cap of the team is " +
+           std::to_string(cap.cpu_milli) + " cpu and " +
+           std::to_string(cap.memory_mb) + " MB";
+  }
+  return {};
+}
+
 SubmitResult CancelAccepted() {
   return {.end = SubmitOutcome::kAccepted,
           .reason = {},
@@ -59,7 +83,15 @@
   /// @param revision 0 for a job that is being stored
   void Announce(const CreateRequest& created, Revision revision);
   /// Answers a cancellation for a job that has ended or never existed.
-  void CancelEnded(const JobId& id, std::function<void(SubmitResult)> done);
+  void CancelEnded(const Admission& admission, const JobId& id,
+                   std::function<void(SubmitResult)> done);
+  /// Answers a submission that could never run. It may be the repetition of one
+  /// that was accepted under a higher cap.
+  void SubmitExcessive(const Admission& admission, const JobId& id,
+                       std::string excess, Duration timeout,
+                       std::function<void(SubmitResult)> done);
+  /// @return the time since the store last confirmed the desired state
+  Duration ConfigurationAge() const;
   /// @return the address of the owner; nothing if there is none or if it is
   ///   this process
   std::optional<std::string> OwnerAddress() const;
@@ -124,12 +156,21 @@
   // The version never decreases: a listing may arrive after a newer event.
   const ConfigurationVersion version = parsed.value().version;
   if (this->desired && version <= this->desired->version) return;
+  if (const auto problem = parsed.value().Check()) {
+    this->config.log->Write("desired", "rejected",
+                            {{"version", version},
+                             {"revision", event.item.revision},
+                             {"field", problem->field},
+                             {"reason", problem->reason}});
+    return;
+  }
   this->desired =
       std::make_shared<const DesiredState>(std::move(parsed.value()));
   this->config.log->Write("desired", "in-force",
                           {{"version", version},
                            {"revision", event.item.revision},
-                           {"queues", this->desired->queues.size()}});
+                           {"queues", this->desired->queues.size()},
+                           {"teams", this->desired->teams.size()}});
   if (this->owner) this->owner->SetDesired(this->desired);
 }
 
@@ -229,10 +270,16 @@
   return owner->owner.peer_address;
 }
 
-void JobNode::Internals::CancelEnded(const JobId& id,
+void JobNode::Internals::CancelEnded(const Admission& admission,
+                                     const JobId& id,
                                      std::function<void(SubmitResult)> done) {
-  auto read = [done = std::move(done)](const Result<StoreItem>& end) {
-    if (end) {
+  auto read = [access = admission.access,
+               done = std::move(done)](const Result<StoreItem>& end) {
+    const auto ended =
+        end ? DecodeStatus(end.value().value) : std::optional<JobStatus>();
+    if (ended && !MayAccess(access, ended->access)) {
+      done(NotAccepted(Error::kJobOfOtherTeam, {}));
+    } else if (end) {
       // Nothing of the job runs, so there is nothing to store.
       done(CancelAccepted());
     } else if (end.error() == Error::kUnknownRequest) {
@@ -245,6 +292,33 @@
                            this->guard.Wrap(std::move(read)));
 }
 
+void JobNode::Internals::SubmitExcessive(
+    const Admission& admission, const JobId& id, std::string excess,
+    Duration timeout, std::function<void(SubmitResult)> done) {
+  auto found = [access = admission.access, excess = std::move(excess),
+                done =
+                    std::move(done)](const Result<JobStatus>& known) mutable {
+    if (!known && known.error() == Error::kUnknownRequest) {
+      done(NotAccepted(Error::kExceedsTeamCap, std::move(excess)));
+    } else if (!known) {
+      done({.end = SubmitOutcome::kUnknown,
+            .reason = known.error(),
+            .detail = {},
+            .retry_after = Duration::zero()});
+    } else if (!MayAccess(access, known.value().access)) {
+      done(NotAccepted(Error::kJobOfOtherTeam, {}));
+    } else {
+      done(CancelAccepted());
+    }
+  };
+  this->lookup.Find(id, timeout, std::move(found));
+}
+
+Duration JobNode::Internals::ConfigurationAge() const {
+  return std::max(Duration::zero(), this->config.executor->Now() -
+                                        this->desired_mirror.ConfirmedAt());
+}
+
 JobNode::JobNode(std::unique_ptr<Internals> state) : state(std::move(state)) {}
 
 JobNode::~JobNode() = default;
@@ -272,26 +346,65 @@
   return this->state->desired;
 }
 
-void JobNode::Submit(const Queue& queue, JobId id, JobSpec spec,
+Result<Admission> JobNode::AdmitCall(const QueueChooser& choose,
+                                     const Credentials& credentials) {
+  const Duration age = this->state->ConfigurationAge();
+  const DesiredState* desired = this->state->desired.get();
+  const Result<Admission> admitted =
+      jobs::Admit(desired, age, choose, credentials);
+  if (admitted) return admitted;
+  const std::string key = credentials.key.empty()
+                              ? "none"
+                              : KeyDigest::Of(credentials.key).Fingerprint();
+  this->state->config.log->Write(
+      "jobs", "call-denied",
+      {{"reason", admitted.error().message()},
+       {"key", key},
+       {"version", desired == nullptr ? 0 : desired->version},
+       {"age_ms", WholeMilliseconds(age)}});
+  this->state->config.metrics->Count(
+      "calls_denied", "code=" + std::to_string(admitted.error().value()));
+  return admitted;
+}
+
+void JobNode::Submit(const Admission& admission, JobId id, JobSpec spec,
                      Duration timeout, std::function<void(SubmitResult)> done) {
+  std::string excess = DescribeExcess(spec, admission.cap);
+  this->state->config.log->Write("jobs", "job-submitted",
+                                 {{"job", id.Text()},
+                                  {"queue", admission.queue.name.Text()},
+                                  {"team", admission.access.team.Text()},
+                                  {"key", admission.access.key_fingerprint},
+                                  {"version", admission.version},
+                                  {"age_ms", WholeMilliseconds(admission.age)},
+                                  {"excess", excess}});
+  if (!excess.empty()) {
+    this->state->SubmitExcessive(admission, id, std::move(excess), timeout,
+                                 std::move(done));
+    return;
+  }
   Job job;
   job.id = id;
-  job.queue = queue;
+  job.queue = admission.queue;
   job.spec = std::move(spec);
   job.accepted_unix_ms = this->state->config.executor->UnixMs();
+  job.access = admission.access;
+  job.team_cap = admission.cap;
   this->state->intake.Create(
       {"job", id, keys::OfJob(id), EncodeJob(job), timeout}, std::move(done));
 }
 
-void JobNode::Cancel(const JobId& id, Duration timeout,
-                     std::function<void(SubmitResult)> done) {
-  auto known = [this, id, timeout,
+void JobNode::Cancel(const Admission& admission, const JobId& id,
+                     Duration timeout, std::function<void(SubmitResult)> done) {
+  auto known = [this, admission, id, timeout,
                 done = std::move(done)](const Result<StoreItem>& job) {
-    if (job) {
+    if (job && !MayAccess(admission.access, DecodeAccess(job.value().value))) {
+      done(NotAccepted(Error::kJobOfOtherTeam, {}));
+    } else if (job) {
       this->state->intake.Create(
           {"cancel", id, keys::OfCancel(id), "1", timeout}, done);
     } else if (job.error() == Error::kUnknownRequest) {
-      this->state->CancelEnded(id, done);
+      this->state->CancelEnded(admission, id, done);
     } else {
       done(CancelRefused());
     }
@@ -300,26 +413,32 @@
                                   this->state->guard.Wrap(std::move(known)));
 }
 
-void JobNode::State(const JobId& id, Duration timeout,
+void JobNode::State(const Admission& admission, const JobId& id,
+                    Duration timeout,
                     std::function<void(Result<JobStatus>)> done) {
+  auto answer = [access = admission.access,
+                 done = std::move(done)](const Result<JobStatus>& status) {
+    const bool denied = status && !MayAccess(access, status.value().access);
+    done(denied ? make_error_code(Error::kJobOfOtherTeam) : status);
+  };
   if (this->Owns()) {
     if (const auto known = this->state->owner->StatusOf(id)) {
-      done(*known);
+      answer(*known);
       return;
     }
   }
   const auto address = this->state->OwnerAddress();
   if (!address) {
-    this->state->lookup.Find(id, timeout, std::move(done));
+    this->state->lookup.Find(id, timeout, std::move(answer));
     return;
   }
   auto asked = [this, id, timeout,
-                done = std::move(done)](const Result<JobAnswer>& answer) {
-    if (answer && answer.value().status) {
-      done(*answer.value().status);
+                answer = std::move(answer)](const Result<JobAnswer>& reply) {
+    if (reply && reply.value().status) {
+      answer(*reply.value().status);
       return;
     }
-    this->state->lookup.Find(id, timeout, done);
+    this->state->lookup.Find(id, timeout, answer);
   };
   this->state->config.peers->QueryJob(
       *address, id, this->state->guard.Wrap(std::move(asked)));
--- a/packages/jobs/src/owner_context.h
+++ b/packages/jobs/src/owner_context.h
@@ -45,6 +45,8 @@
   std::shared_ptr<const DesiredState> desired;
   /// The queues of `desired` by name; there may be thousands.
   std::unordered_map<QueueName, const Queue*> queues;
+  /// The teams of `desired` by name.
+  std::unordered_map<TeamId, const Team*> teams;
 
   JobTable jobs;
   WorkerTable workers;
@@ -81,7 +83,11 @@
   void SetDesired(std::shared_ptr<const DesiredState> changed) {
     this->desired = std::move(changed);
     this->queues.clear();
+    this->teams.clear();
     if (!this->desired) return;
+    for (const Team& team : this->desired->teams) {
+      this->teams.emplace(team.id, &team);
+    }
     for (const Queue& queue : this->desired->queues) {
       this->queues.emplace(queue.name, &queue);
     }
@@ -93,6 +99,12 @@
     return std::any_of(services.begin(), services.end(),
                        [&](const Service& one) { return one.id == service; });
   }
+  /// @return the current cap of the job's team, or that at the acceptance of
+  ///   the job if the team no longer exists
+  [[nodiscard]] const Resources& CapOf(const JobEntry& entry) const {
+    const auto found = this->teams.find(entry.job.access.team);
+    return found == this->teams.end() ? entry.job.team_cap : found->second->cap;
+  }
   /// @return the current settings of the job's queue, or those at its
   ///   acceptance if the queue no longer exists
   [[nodiscard]] const Queue& QueueOf(const JobEntry& entry) const {
--- a/packages/jobs/src/prefix_mirror.cc
+++ b/packages/jobs/src/prefix_mirror.cc
@@ -47,6 +47,7 @@
   }
   this->reachable = true;
   this->last_answered_call_at = sent_at;
+  this->confirmed_at = sent_at;
   // Pages are not a snapshot. The watch starts at the revision of the first
   // page, so changes between pages are not lost.
   if (std::exchange(this->first_page, false)) this->next = page.value().current;
@@ -97,6 +98,9 @@
   }
   this->reachable = true;
   this->last_answered_call_at = sent_at;
+  // A watch without events was answered at its end.
+  this->confirmed_at =
+      events.value().events.empty() ? sent_at + kMaxWatchWait : sent_at;
   this->next = std::max(this->next, events.value().current);
   for (const StoreEvent& event : events.value().events) {
     if (event.deleted) {
--- a/packages/jobs/src/prefix_mirror.h
+++ b/packages/jobs/src/prefix_mirror.h
@@ -43,6 +43,9 @@
   [[nodiscard]] Instant LastAnsweredCallAt() const {
     return this->last_answered_call_at;
   }
+  /// @return the latest time at which the store is known to have had no newer
+  ///   changes than those reported
+  [[nodiscard]] Instant ConfirmedAt() const { return this->confirmed_at; }
 
  private:
   void ListFrom(const std::string& after);
@@ -71,6 +74,7 @@
   bool listing = false;
   bool reachable = true;
   Instant last_answered_call_at;
+  Instant confirmed_at;
   CallbackGuard guard;
 };
 
--- a/packages/jobs/src/progress_writer.cc
+++ b/packages/jobs/src/progress_writer.cc
@@ -36,7 +36,8 @@
     return;
   }
   transaction->puts.push_back(
-      {keys::OfEnded(id), EncodeEnd({entry.state, entry.failure}), 0});
+      {keys::OfEnded(id),
+       EncodeEnd({entry.state, entry.failure, entry.job.access}), 0});
   transaction->removals.push_back(keys::OfJob(id));
   if (entry.progress_revision != 0) transaction->removals.push_back(key);
 }
--- a/packages/jobs/src/record_codec.cc
+++ b/packages/jobs/src/record_codec.cc
@@ -17,6 +17,7 @@
   out->set_max_attempts(queue.max_attempts);
   out->set_stretch(queue.stretch);
   out->set_target_us(queue.target.count());
+  out->set_open_to_all(queue.open_to_all);
   if (!queue.advice) return;
   stored::AdvicePolicy* advice = out->mutable_advice();
   advice->set_decision_us(queue.advice->decision.count());
@@ -34,6 +35,7 @@
   queue.max_attempts = stored.max_attempts();
   queue.stretch = stored.stretch();
   queue.target = Duration(stored.target_us());
+  queue.open_to_all = stored.open_to_all();
   if (stored.has_advice()) {
     const stored::AdvicePolicy& advice = stored.advice();
     queue.advice = AdvicePolicy{Duration(advice.decision_us()),
@@ -43,6 +45,25 @@
   return queue;
 }
 
+void Write(const JobAccess& access, stored::JobAccess* out) {
+  out->set_team(access.team.Text());
+  out->set_key_fingerprint(access.key_fingerprint);
+}
+
+JobAccess Read(const stored::JobAccess& stored) {
+  return {TeamId(stored.team()), stored.key_fingerprint()};
+}
+
+void Write(const Resources& cap, stored::Cap* out) {
+  out->set_cpu_milli(cap.cpu_milli);
+  out->set_memory_mb(cap.memory_mb);
+  out->set_accelerators(cap.accelerators);
+}
+
+Resources Read(const stored::Cap& stored) {
+  return {stored.cpu_milli(), stored.memory_mb(), stored.accelerators(), 0};
+}
+
 void Write(const Step& step, stored::Step* out) {
   out->set_tasks(step.tasks);
   out->set_cpu_milli(step.each.cpu_milli);
@@ -225,6 +246,10 @@
   out.set_interval_ms(job.spec.schedule.interval_ms);
   out.set_occurrences(job.spec.schedule.occurrences);
   out.set_accepted_unix_ms(job.accepted_unix_ms);
+  if (!job.access.team.Empty()) {
+    Write(job.access, out.mutable_access());
+    Write(job.team_cap, out.mutable_team_cap());
+  }
   return out.SerializeAsString();
 }
 
@@ -242,10 +267,17 @@
   job.spec.schedule.interval_ms = stored->interval_ms();
   job.spec.schedule.occurrences = stored->occurrences();
   job.accepted_unix_ms = stored->accepted_unix_ms();
+  job.access = Read(stored->access());
+  job.team_cap = Read(stored->team_cap());
   if (CheckSpec(job.spec, SpecLimits{})) return std::nullopt;
   return job;
 }
 
+JobAccess DecodeAccess(std::string_view bytes) {
+  const auto stored = Parse<stored::Job>(bytes);
+  return stored ? Read(stored->access()) : JobAccess{};
+}
+
 std::string EncodeProgress(const JobEntry& entry) {
   stored::Progress out;
   out.set_state(static_cast<std::int32_t>(entry.state));
@@ -267,6 +299,7 @@
   stored::Progress out;
   out.set_state(static_cast<std::int32_t>(status.state));
   out.set_cause(status.cause);
+  if (!status.access.team.Empty()) Write(status.access, out.mutable_access());
   return out.SerializeAsString();
 }
 
@@ -297,7 +330,8 @@
 std::optional<JobStatus> DecodeStatus(std::string_view bytes) {
   const auto stored = Parse<stored::Progress>(bytes);
   if (!stored || !ValidState(stored->state())) return std::nullopt;
-  return JobStatus{static_cast<JobState>(stored->state()), stored->cause()};
+  return JobStatus{static_cast<JobState>(stored->state()), stored->cause(),
+                   Read(stored->access())};
 }
 
 std::string EncodeNode(const NodeRecord& node) {
--- a/packages/jobs/src/record_codec.h
+++ b/packages/jobs/src/record_codec.h
@@ -29,6 +29,9 @@
 /// @return the job, or `std::nullopt` if the bytes are not a valid record
 [[nodiscard]] std::optional<Job> DecodeJob(std::string_view bytes);
 
+/// @return who submitted the job, from its record
+[[nodiscard]] JobAccess DecodeAccess(std::string_view bytes);
+
 /// Encodes the progress of a job that is not final, as needed by the next
 /// owner.
 [[nodiscard]] std::string EncodeProgress(const JobEntry& entry);
@@ -40,7 +43,7 @@
 /// Encodes the final state of a job.
 [[nodiscard]] std::string EncodeEnd(const JobStatus& status);
 /// @return the state of the job reported to callers, from a record of its
-///   progress or final state
+///   progress, which does not tell who submitted it, or of its final state
 [[nodiscard]] std::optional<JobStatus> DecodeStatus(std::string_view bytes);
 
 [[nodiscard]] std::string EncodeNode(const NodeRecord& node);
--- a/packages/jobs/src/run_control.cc
+++ b/packages/jobs/src/run_control.cc
@@ -33,6 +33,12 @@
          end == OrderOutcome::kRefused;
 }
 
+TeamShare ShareOf(const Job& job, const Step& step) {
+  TeamShare share{job.access.team, step.each};
+  share.resources.slots = 0;
+  return share;
+}
+
 std::string_view Name(RunPhase phase) {
   switch (phase) {
     case RunPhase::kPlanned:
@@ -68,6 +74,7 @@
   const Step& step = *this->context->jobs.FindStep(ref);
   SessionRun record;
   record.resources = TaskDemand(step);
+  record.share = ShareOf(entry.job, step);
   record.started_at = now;
   record.last_progress_at = now;
   record.expected_end = now + this->context->run_times.PredictRunTime(
@@ -144,12 +151,15 @@
 void RunControl::Inherit(const RunRef& run, const WorkerIncarnation& worker,
                          Instant inherited_until) {
   const Step* step = this->context->jobs.FindStep(run.task.step);
+  const TeamShare share =
+      ShareOf(this->context->jobs.Find(run.task.step.job)->job, *step);
   WorkerSession* session =
       this->context->incarnations->NoteStored(worker, inherited_until);
   if (!MayBeSameIncarnation(session->Incarnation(), worker)) {
     this->context->jobs.NoteLoss(run, {.worker = worker, .certain = true});
     SessionRun former;
     former.resources = TaskDemand(*step);
+    former.share = share;
     former.start_sent = this->context->executor->Now();
     this->BlockStart(session, run, former);
     return;
@@ -157,6 +167,7 @@
   const Instant now = this->context->executor->Now();
   SessionRun record;
   record.resources = TaskDemand(*step);
+  record.share = share;
   record.phase = RunPhase::kStarted;
   record.expected_listed_from = now;
   record.start_sent = now;
@@ -402,6 +413,31 @@
   this->SendStop(session->Incarnation(), run);
 }
 
+void RunControl::StopUnwanted(WorkerSession* session, const RunRef& run) {
+  const JobEntry* entry = this->context->jobs.Find(run.task.step.job);
+  const Step* step = this->context->jobs.FindStep(run.task.step);
+  const Instant now = this->context->executor->Now();
+  // The run is not wanted: its job is final or the run was already considered
+  // ended. It occupies resources until it ends.
+  SessionRun record;
+  // Failure: the job is not known any more, so the resources of the run are
+  // unknown and the worker is overcommitted. Until the run has ended, which
+  // takes a fraction of a second, nothing else is started on the worker.
+  record.resources =
+      step == nullptr ? session->info.capacity : TaskDemand(*step);
+  if (step != nullptr) record.share = ShareOf(entry->job, *step);
+  record.phase = RunPhase::kStarted;
+  record.started_at = now;
+  record.last_progress_at = now;
+  record.expected_end = now;
+  session->AddRun(run, record);
+  this->context->log->Write("jobs", "run-unwanted",
+                            {{"task", Text(run.task)},
+                             {"run", run.run},
+                             {"worker", Text(session->Incarnation())}});
+  this->Stop(session, run);
+}
+
 void RunControl::WithdrawPlanned(WorkerSession* session) {
   std::vector<RunRef> planned;
   for (const auto& [run, record] : session->runs) {
@@ -538,7 +574,8 @@
                                {"cause", stored->failure},
                                {"token", this->context->token}});
     // Only the final state is needed from now on.
-    this->context->ended->Note(id, {stored->state, stored->failure});
+    this->context->ended->Note(
+        id, {stored->state, stored->failure, stored->job.access});
     this->context->jobs.Remove(id);
   }));
 }
@@ -581,6 +618,7 @@
   const Instant now = this->context->executor->Now();
   SessionRun record;
   record.resources = former.resources;
+  record.share = former.share;
   record.phase = RunPhase::kOrdered;
   record.blocked = true;
   record.stopping = true;
--- a/packages/jobs/src/run_control.h
+++ b/packages/jobs/src/run_control.h
@@ -41,6 +41,8 @@
   /// Registers a run that was ordered by a previous owner.
   void Inherit(const RunRef& run, const WorkerIncarnation& worker,
                Instant inherited_until);
+  /// Registers and stops a run that a worker lists and that is not wanted.
+  void StopUnwanted(WorkerSession* session, const RunRef& run);
   /// Stops a run that is no longer wanted.
   void Stop(WorkerSession* session, const RunRef& run);
   /// Withdraws runs that were not sent yet and exceed the current capacity of
--- a/packages/jobs/src/wait_report.cc
+++ b/packages/jobs/src/wait_report.cc
@@ -28,6 +28,8 @@
 
 std::string_view Name(WaitReason reason) {
   switch (reason) {
+    case WaitReason::kTeamCap:
+      return "team-cap";
     case WaitReason::kNoWorker:
       return "no-worker";
     case WaitReason::kPermissions:
@@ -56,6 +58,10 @@
       return "reservations";
     case UnblockEvent::kRuns:
       return "runs";
+    case UnblockEvent::kTeamRuns:
+      return "team-runs";
+    case UnblockEvent::kCapRaised:
+      return "cap-raised";
     case UnblockEvent::kQuarantine:
       return "quarantine";
     case UnblockEvent::kHold:
@@ -69,6 +75,7 @@
 }
 
 WaitReason WaitFacts::Reason() const {
+  if (this->capped) return WaitReason::kTeamCap;
   if (this->eligible == 0) return WaitReason::kNoWorker;
   if (this->could_fit < this->needed) {
     return this->has_policy ? WaitReason::kPermissions : WaitReason::kNoWorker;
@@ -80,6 +87,10 @@
 }
 
 UnblockEvent WaitFacts::NextUnblockEvent() const {
+  if (this->capped) {
+    return this->exceeds_cap ? UnblockEvent::kCapRaised
+                             : UnblockEvent::kTeamRuns;
+  }
   if (this->asking) return UnblockEvent::kAnswer;
   if (this->helped_by_question) return UnblockEvent::kQuestion;
   if (!this->gang && this->fresh_room >= this->needed) {
@@ -133,6 +144,11 @@
        {"could_fit", facts.could_fit},
        {"room", facts.room},
        {"fresh_room", facts.fresh_room},
+       {"team", unit.entry->job.access.team.Text()},
+       {"cap_cpu", facts.cap.cpu_milli},
+       {"cap_memory_mb", facts.cap.memory_mb},
+       {"team_cpu", facts.team_used.cpu_milli},
+       {"team_memory_mb", facts.team_used.memory_mb},
        {"waited_ms", WholeMilliseconds(now - unit.entry->learned_at)}});
   const std::string label =
       "queue=" + unit.queue->name.Text() + ",reason=" + std::string(reason);
--- a/packages/jobs/src/wait_report.h
+++ b/packages/jobs/src/wait_report.h
@@ -15,6 +15,8 @@
 
 /// What prevents a step from starting.
 enum class WaitReason {
+  /// Its team would exceed its cap.
+  kTeamCap,
   /// No worker has the required label and could hold one of its tasks.
   kNoWorker,
   /// Too few workers are known to be permitted.
@@ -30,7 +32,8 @@
   kNone,
 };
 
-/// @return `no-worker`, `permissions`, `room`, `lapsed`, `quarantine` or `none`
+/// @return `team-cap`, `no-worker`, `permissions`, `room`, `lapsed`,
+///   `quarantine` or `none`
 [[nodiscard]] std::string_view Name(WaitReason reason);
 
 /// The event that ends the wait of a step.
@@ -46,6 +49,10 @@
   kReservations,
   /// Runs on the workers end.
   kRuns,
+  /// Runs of its team end.
+  kTeamRuns,
+  /// Operators raise the cap of its team: alone it exceeds the cap.
+  kCapRaised,
   /// Another suspicious task is proven harmless, or its worker is lost.
   kQuarantine,
   /// A gang that holds capacity starts.
@@ -57,8 +64,8 @@
   kNothing,
 };
 
-/// @return `answer`, `question`, `pass`, `reservations`, `runs`, `quarantine`,
-///   `hold`, `workers` or `nothing`
+/// @return `answer`, `question`, `pass`, `reservations`, `runs`, `team-runs`,
+///   `cap-raised`, `quarantine`, `hold`, `workers` or `nothing`
 [[nodiscard]] std::string_view Name(UnblockEvent end);
 
 /// State of a waiting step, counted in its own tasks.
@@ -92,6 +99,13 @@
   /// It fits after enough runs have ended: a gang on workers known to be
   /// permitted, another task on workers that are not refused.
   bool fits_later = false;
+  /// The cap of its team keeps it from starting.
+  bool capped = false;
+  /// Even alone it would exceed that cap.
+  bool exceeds_cap = false;
+  /// The cap, and what runs of the team take; set if `capped`.
+  Resources cap;
+  Resources team_used;
 
   [[nodiscard]] WaitReason Reason() const;
   [[nodiscard]] UnblockEvent NextUnblockEvent() const;
--- a/packages/jobs/src/worker_session.cc
+++ b/packages/jobs/src/worker_session.cc
@@ -21,12 +21,21 @@
 }
 
 WorkerSession::WorkerSession(SessionNumber number, WorkerInfo info,
-                             Instant known_since, Instant inherited_until)
+                             Instant known_since, Instant inherited_until,
+                             TeamUsage* usage)
     : info(std::move(info)),
       number(number),
       known_since(known_since),
+      usage(usage),
       lease_expires_at(inherited_until) {}
 
+WorkerSession::~WorkerSession() {
+  if (this->usage == nullptr) return;
+  for (const auto& [run, record] : this->runs) {
+    this->usage->Subtract(record.share);
+  }
+}
+
 void WorkerSession::SetStartTimeIfUnknown(std::int64_t start_unix_ms) {
   if (this->info.incarnation.start_unix_ms == 0) {
     this->info.incarnation.start_unix_ms = start_unix_ms;
@@ -80,7 +89,9 @@
 
 void WorkerSession::AddRun(const RunRef& run, SessionRun record) {
   const auto [found, added] = this->runs.emplace(run, record);
-  if (added) this->used += record.resources;
+  if (!added) return;
+  this->used += record.resources;
+  if (this->usage != nullptr) this->usage->Add(record.share);
 }
 
 void WorkerSession::RemoveRun(const RunRef& run) {
@@ -88,6 +99,7 @@
   if (found == this->runs.end()) return;
   this->EndQuarantine(run);
   this->used -= found->second.resources;
+  if (this->usage != nullptr) this->usage->Subtract(found->second.share);
   this->runs.erase(found);
 }
 
--- a/packages/jobs/src/worker_session.h
+++ b/packages/jobs/src/worker_session.h
@@ -12,6 +12,7 @@
 #include "mustardproxy/core/resources.h"
 #include "mustardproxy/core/time.h"
 #include "mustardproxy/jobs/worker_driver.h"
+#include "team_usage.h"
 
 namespace mustardproxy::jobs {
 
@@ -34,6 +35,8 @@
 /// known to have ended.
 struct SessionRun {
   Resources resources;
+  /// Part of the cap of its team that the run takes.
+  TeamShare share;
   RunPhase phase = RunPhase::kPlanned;
   /// The run is to be stopped.
   bool stopping = false;
@@ -108,8 +111,12 @@
  public:
   /// @param inherited_until runs ordered by a previous owner may continue until
   ///   this time if the worker is unreachable
+  /// @param usage updated with the runs of the session; may be null
   WorkerSession(SessionNumber number, WorkerInfo info, Instant known_since,
-                Instant inherited_until);
+                Instant inherited_until, TeamUsage* usage = nullptr);
+  WorkerSession(const WorkerSession&) = delete;
+  WorkerSession& operator=(const WorkerSession&) = delete;
+  ~WorkerSession();
 
   [[nodiscard]] SessionNumber Number() const { return this->number; }
   [[nodiscard]] const WorkerIncarnation& Incarnation() const {
@@ -240,6 +247,7 @@
  private:
   SessionNumber number;
   Instant known_since;
+  TeamUsage* usage;
   Resources used;
   /// Number of quarantined runs.
   std::size_t quarantined = 0;
--- a/packages/jobs/src/worker_table.cc
+++ b/packages/jobs/src/worker_table.cc
@@ -6,7 +6,7 @@
                                 Instant inherited_until) {
   auto& session = this->sessions[info.incarnation.id];
   session = std::make_unique<WorkerSession>(this->next++, info, known_since,
-                                            inherited_until);
+                                            inherited_until, &this->usage);
   return session.get();
 }
 
--- a/packages/jobs/src/worker_table.h
+++ b/packages/jobs/src/worker_table.h
@@ -25,6 +25,8 @@
   [[nodiscard]] WorkerSession* Find(const WorkerIncarnation& worker) const;
   /// @return the session of the latest incarnation with this id, or null
   [[nodiscard]] WorkerSession* FindLatest(const WorkerId& id) const;
+  /// @return the resources that runs of each team take on all workers
+  [[nodiscard]] const TeamUsage& Usage() const { return this->usage; }
   /// @return a number greater than that of any session
   [[nodiscard]] SessionNumber NumberLimit() const { return this->next; }
 
@@ -35,6 +37,8 @@
   [[nodiscard]] std::size_t Size() const { return this->sessions.size(); }
 
  private:
+  /// The sessions refer to it when they are destroyed.
+  TeamUsage usage;
   Map sessions;
   SessionNumber next = 0;
 };
--- a/packages/jobs/tests/cell_basic_test.cc
+++ b/packages/jobs/tests/cell_basic_test.cc
@@ -52,8 +52,8 @@
   const auto again = [&](std::size_t process) {
     cell->ProcessAt(process)->Post([&cell, &accepted, job, process] {
       cell->NodeAt(process)->Submit(
-          job->job.queue, job->job.id, job->job.spec, seconds(3),
-          [&accepted](const SubmitResult& result) {
+          Admission{.queue = job->job.queue}, job->job.id, job->job.spec,
+          seconds(3), [&accepted](const SubmitResult& result) {
             if (result.end == SubmitOutcome::kAccepted) ++accepted;
           });
     });
--- a/packages/jobs/tests/cell_ended_test.cc
+++ b/packages/jobs/tests/cell_ended_test.cc
@@ -89,7 +89,7 @@
   std::optional<SubmitResult> result;
   cell->ProcessAt(owner)->Post([&] {
     cell->NodeAt(owner)->Submit(
-        cell->queue, job->job.id, job->job.spec, seconds(3),
+        Admission{.queue = cell->queue}, job->job.id, job->job.spec, seconds(3),
         [&result](const SubmitResult& r) { result = r; });
   });
   cell->Time().RunFor(seconds(5));
--- a/packages/jobs/tests/cell_takeover_test.cc
+++ b/packages/jobs/tests/cell_takeover_test.cc
@@ -312,7 +312,7 @@
   std::optional<SubmitResult> result;
   const Instant begun = cell->Time().Now();
   cell->ProcessAt(0)->Post([&] {
-    cell->NodeAt(0)->Submit(cell->queue, JobId("refused"),
+    cell->NodeAt(0)->Submit(Admission{.queue = cell->queue}, JobId("refused"),
                             MakeSpec({MakeStep(1, 1000, seconds(1))}),
                             seconds(3),
                             [&result](const SubmitResult& r) { result = r; });
@@ -339,7 +339,7 @@
     const std::size_t at = static_cast<std::size_t>(i) % 3;
     cell->ProcessAt(at)->Post([&, at, i] {
       cell->NodeAt(at)->Submit(
-          cell->queue, JobId("caller" + std::to_string(i)),
+          Admission{.queue = cell->queue}, JobId("caller" + std::to_string(i)),
           MakeSpec({MakeStep(1, 1000, seconds(1))}), seconds(3),
           [&](const SubmitResult& result) {
             refused += result.end == SubmitOutcome::kNotAccepted ? 1 : 0;
@@ -370,7 +370,7 @@
   for (int i = 0; i < kCallers; ++i) {
     cell->ProcessAt(cut)->Post([&, i] {
       cell->NodeAt(cut)->Submit(
-          cell->queue, JobId("caller" + std::to_string(i)),
+          Admission{.queue = cell->queue}, JobId("caller" + std::to_string(i)),
           MakeSpec({MakeStep(1, 1000, seconds(1))}), seconds(3),
           [&](const SubmitResult& result) {
             refused += result.end == SubmitOutcome::kNotAccepted ? 1 : 0;
--- a/packages/peer/src/job_link.cc
+++ b/packages/peer/src/job_link.cc
@@ -206,7 +206,8 @@
         if (reply.value().known()) {
           answer.status = jobs::JobStatus{
               static_cast<jobs::JobState>(reply.value().state()),
-              reply.value().cause()};
+              reply.value().cause(),
+              {TeamId(reply.value().team()), reply.value().key_fingerprint()}};
         }
         done(answer);
       });
--- a/packages/peer/src/job_service.cc
+++ b/packages/peer/src/job_service.cc
@@ -69,6 +69,8 @@
             if (!status) return;
             out->set_state(static_cast<std::int32_t>(status->state));
             out->set_cause(status->cause);
+            out->set_team(status->access.team.Text());
+            out->set_key_fingerprint(status->access.key_fingerprint);
           });
         });
       });
--- a/testing/job_sim/include/job_sim/fake_jobs.h
+++ b/testing/job_sim/include/job_sim/fake_jobs.h
@@ -11,33 +11,42 @@
 /// A job service that answers as it is told, and keeps what it was asked.
 class FakeJobs final : public mustardproxy::jobs::JobService {
  public:
+  using Admission = mustardproxy::jobs::Admission;
   using Duration = mustardproxy::Duration;
   using JobId = mustardproxy::jobs::JobId;
   using JobState = mustardproxy::jobs::JobState;
   using JobStatus = mustardproxy::jobs::JobStatus;
-  using Queue = mustardproxy::jobs::Queue;
   using SubmitResult = mustardproxy::jobs::SubmitResult;
 
   [[nodiscard]] std::shared_ptr<const mustardproxy::jobs::DesiredState>
   Desired() const override {
     return this->desired;
   }
-  void Submit(const Queue& /*queue*/, JobId id,
+  [[nodiscard]] mustardproxy::Result<Admission> AdmitCall(
+      const mustardproxy::jobs::QueueChooser& choose,
+      const mustardproxy::jobs::Credentials& credentials) override {
+    return mustardproxy::jobs::Admit(this->desired.get(), this->age, choose,
+                                     credentials);
+  }
+  void Submit(const Admission& admission, JobId id,
               mustardproxy::jobs::JobSpec given, Duration given_timeout,
               std::function<void(SubmitResult)> done) override {
+    this->access = admission.access;
     this->last = std::move(id);
     this->spec = std::move(given);
     this->timeout = given_timeout;
     done(this->submit);
   }
-  void Cancel(const JobId& id, Duration /*timeout*/,
+  void Cancel(const Admission& admission, const JobId& id, Duration /*timeout*/,
               std::function<void(SubmitResult)> done) override {
+    this->access = admission.access;
     this->last = id;
     done(this->submit);
   }
   void State(
-      const JobId& id, Duration /*timeout*/,
+      const Admission& admission, const JobId& id, Duration /*timeout*/,
       std::function<void(mustardproxy::Result<JobStatus>)> done) override {
+    this->access = admission.access;
     this->last = id;
     done(this->state);
   }
@@ -49,6 +58,9 @@
 
   static constexpr std::int64_t kPending = 12;
   std::shared_ptr<mustardproxy::jobs::DesiredState> desired;
+  Duration age{0};
+  /// Of the last call.
+  mustardproxy::jobs::JobAccess access;
   SubmitResult submit{
       mustardproxy::jobs::SubmitOutcome::kAccepted, {}, {}, Duration(0)};
   mustardproxy::Result<JobStatus> state = JobStatus{JobState::kRunning, {}};
--- a/testing/job_sim/include/job_sim/promises.h
+++ b/testing/job_sim/include/job_sim/promises.h
@@ -28,7 +28,11 @@
 /// A job as the simulated caller handed it in, and what its tasks are like.
 struct SimJob {
   jobs::Job job;
+  /// The key that its calls carry.
+  std::string key;
   bool accepted = false;
+  /// Its key was turned down.
+  bool denied = false;
   bool cancelled = false;
   /// When the cancellation was acknowledged.
   Instant cancelled_at;
@@ -59,6 +63,11 @@
   /// @return how long a run of the step works
   [[nodiscard]] Duration LengthOf(const jobs::StepRef& ref) const;
 
+  /// Operators put these teams in force.
+  void OnTeams(std::vector<jobs::Team> teams);
+  /// A call with this key was answered with success.
+  /// @param in_touch nothing has disturbed the processes or the store lately
+  void OnServed(const std::string& key, Instant sent, bool in_touch);
   /// A worker begins a run.
   /// @param late the order was carried out seconds after it was sent
   void OnStart(const std::string& worker, const jobs::RunRef& run, bool late);
@@ -98,8 +107,19 @@
   }
 
  private:
+  /// Teams that operators have put in force, from that moment on.
+  struct TeamsInForce {
+    Instant since;
+    std::vector<jobs::Team> teams;
+  };
+
   void Break(const std::string& promise, const std::string& detail);
   void CheckOrder(const jobs::RunRef& run);
+  void CheckCap(const jobs::RunRef& run);
+  /// @return true if the teams of a state that was in force at `moment` or
+  ///   later, until now, hold the key
+  [[nodiscard]] bool WasInForce(const jobs::KeyDigest& key,
+                                Instant moment) const;
   void CheckCrashBudget(const jobs::RunRef& run);
   /// @return true if a task, or gang, of the job has failed as often as allowed
   [[nodiscard]] bool HasUsedUpAttempts(const SimJob& job) const;
@@ -110,6 +130,7 @@
 
   const VirtualTime* time;
   mustardproxy::EventLog* log;
+  std::vector<TeamsInForce> team_history;
   std::map<jobs::JobId, SimJob> jobs;
   /// Runs of each task that go on.
   std::map<jobs::TaskRef, std::set<jobs::RunNumber>> running;
--- a/testing/job_sim/include/job_sim/schedule.h
+++ b/testing/job_sim/include/job_sim/schedule.h
@@ -31,12 +31,15 @@
   /// Workers start again under the ids that they had, alone and many at once,
   /// with other capacity, and behind cuts.
   bool reused_worker_ids = false;
+  /// Teams with keys and caps, which operators change.
+  bool teams = false;
 };
 
 /// Plays a cell with jobs and faults drawn from the seed: processes killed,
 /// paused, stopped and cut off; the store silent, refusing, forgetful, its
 /// answers lost and its writes late; workers crashed, cut off, drained, failing
-/// and answering late; jobs cancelled. In the end all faults are over and every
+/// and answering late; jobs cancelled; with teams, keys revoked and added and
+/// caps changed. In the end all faults are over and every
 /// accepted job has to end.
 [[nodiscard]] ScheduleResult PlaySchedule(std::uint64_t seed,
                                           const ScheduleOptions& options = {});
--- a/testing/job_sim/include/job_sim/sim_cell.h
+++ b/testing/job_sim/include/job_sim/sim_cell.h
@@ -87,13 +87,31 @@
 
   /// The queue of the desired state, which may be changed before `Apply`.
   jobs::Queue queue;
+  /// The teams of the desired state, likewise. With none, calls need no keys.
+  std::vector<jobs::Team> teams;
+  /// Tells whether nothing has disturbed processes and store lately.
+  std::function<bool()> in_touch = [] { return true; };
   void Apply();
 
-  /// Hands a job in at a process, and again elsewhere until it is accepted.
-  SimJob* Submit(jobs::JobSpec spec, std::size_t process = 0);
+  /// Hands a job in at a process, and again elsewhere until it is accepted or
+  /// its key is turned down.
+  SimJob* Submit(jobs::JobSpec spec, std::size_t process = 0,
+                 const std::string& key = "");
   /// The same for another queue than `queue`.
   SimJob* SubmitTo(const jobs::QueueName& name, jobs::JobSpec spec,
-                   std::size_t process);
+                   std::size_t process, const std::string& key = "");
+  /// Hands the same id in once, at one process.
+  /// @return the result; nothing if there was no answer
+  std::optional<jobs::SubmitResult> SubmitOnce(const SimJob& job,
+                                               std::size_t process,
+                                               const std::string& key);
+  /// Cancels with a key, once, at one process.
+  std::optional<jobs::SubmitResult> CancelOnce(const jobs::JobId& id,
+                                               std::size_t process,
+                                               const std::string& key);
+  /// Asks with a key at one process.
+  std::optional<mustardproxy::Result<jobs::JobStatus>> AskOnce(
+      const jobs::JobId& id, std::size_t process, const std::string& key);
   void Cancel(const jobs::JobId& id, std::size_t process = 0);
   /// @return what a caller is told; nothing if there was no answer
   std::optional<jobs::JobState> Ask(const jobs::JobId& id,
@@ -119,6 +137,12 @@
   void CancelAt(const jobs::JobId& id, std::size_t process, int tries);
   std::size_t RunningFrom(std::size_t process);
   [[nodiscard]] const jobs::Queue& QueueOf(const jobs::QueueName& name) const;
+  /// Has the node judge a call.
+  mustardproxy::Result<jobs::Admission> Admit(jobs::JobNode* node,
+                                              const jobs::QueueName& queue,
+                                              const std::string& key) const;
+  [[nodiscard]] std::optional<jobs::SubmitResult> AwaitResult(
+      const std::shared_ptr<std::optional<jobs::SubmitResult>>& result);
   SimWorker* ListWorker(const mustardproxy::Resources& capacity);
   void WriteEntry(const SimWorker& worker, std::string_view state);
   /// Begins the life that follows a crashed worker's.
@@ -138,6 +162,9 @@
   /// Runs of processes that have ended; callbacks may still name them.
   std::vector<std::unique_ptr<Slot>> ended;
   mustardproxy::ConfigurationVersion version = 0;
+  /// The teams of each version.
+  std::map<mustardproxy::ConfigurationVersion, std::vector<jobs::Team>>
+      applied_teams;
   std::int32_t next_worker = 0;
   std::int32_t next_job = 0;
   mustardproxy::Incarnation next_incarnation = 1;
--- a/testing/job_sim/src/promises.cc
+++ b/testing/job_sim/src/promises.cc
@@ -3,11 +3,20 @@
 #include <algorithm>
 #include <utility>
 
+#include "mustardproxy/jobs/key_digest.h"
+#include "mustardproxy/jobs/team.h"
+
 namespace job_sim {
 namespace {
 
 /// After a cancellation is acknowledged nothing starts later than this.
 constexpr Duration kCancelBound = std::chrono::seconds(3);
+/// A change of the desired state has to be in force after this.
+constexpr Duration kApplyBound = std::chrono::seconds(3);
+/// A state that was replaced may be in force for this long.
+constexpr Duration kLongestInForce = std::chrono::seconds(9);
+/// What a team may have running above its cap, beside one task.
+constexpr double kCapOverage = 1.1;
 /// A task under which so many workers have crashed may be given up.
 constexpr std::int32_t kCrashesToGiveUp = 2;
 /// Once so many workers have crashed under a task …
@@ -66,6 +75,67 @@
   }
 }
 
+void Promises::OnTeams(std::vector<jobs::Team> teams) {
+  this->team_history.push_back({this->time->Now(), std::move(teams)});
+}
+
+bool Promises::WasInForce(const jobs::KeyDigest& key, Instant moment) const {
+  for (std::size_t i = 0; i < this->team_history.size(); ++i) {
+    const bool replaced = i + 1 < this->team_history.size() &&
+                          this->team_history[i + 1].since < moment;
+    if (replaced) continue;
+    for (const jobs::Team& team : this->team_history[i].teams) {
+      if (std::find(team.keys.begin(), team.keys.end(), key) !=
+          team.keys.end()) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+void Promises::OnServed(const std::string& key, Instant sent, bool in_touch) {
+  if (this->team_history.empty()) return;
+  const jobs::KeyDigest digest = jobs::KeyDigest::Of(key);
+  if (!this->WasInForce(digest, Instant())) {
+    this->Break("served a key that was never in force", digest.Fingerprint());
+  } else if (in_touch && !this->WasInForce(digest, sent - kApplyBound)) {
+    this->Break("served a key that is no longer in force",
+                digest.Fingerprint());
+  }
+}
+
+void Promises::CheckCap(const jobs::RunRef& run) {
+  const jobs::JobAccess& access = this->Find(run.task.step.job)->job.access;
+  if (access.team.Empty()) return;
+  std::int64_t used = 0;
+  for (const auto& [task, runs] : this->running) {
+    if (this->Find(task.step.job)->job.access.team != access.team) continue;
+    used += this->StepOf(task.step)->each.cpu_milli * std::ssize(runs);
+  }
+  std::int64_t most = 0;
+  for (std::size_t i = 0; i < this->team_history.size(); ++i) {
+    const bool over =
+        i + 1 < this->team_history.size() &&
+        this->team_history[i + 1].since + kLongestInForce < this->time->Now();
+    if (over) continue;
+    for (const jobs::Team& team : this->team_history[i].teams) {
+      if (team.id != access.team) continue;
+      if (team.cap.cpu_milli == 0) return;
+      most = std::max(most, team.cap.cpu_milli);
+    }
+  }
+  // A team that is gone keeps the cap with which its jobs were accepted.
+  if (most == 0) return;
+  const std::int64_t bound =
+      static_cast<std::int64_t>(kCapOverage * static_cast<double>(most)) +
+      this->StepOf(run.task.step)->each.cpu_milli;
+  if (used <= bound) return;
+  this->Break("above the cap of " + access.team.Text(),
+              Describe(run) + " brings it to " + std::to_string(used) + " of " +
+                  std::to_string(most));
+}
+
 void Promises::OnStart(const std::string& worker, const jobs::RunRef& run,
                        bool late) {
   this->log->Write("sim", "run-begins",
@@ -95,6 +165,7 @@
                         this->time->Now() > job->cancelled_at + kCancelBound;
   if (too_late) this->Break("started after a cancellation", Describe(run));
   this->CheckOrder(run);
+  this->CheckCap(run);
   if (!late) this->CheckCrashBudget(run);
 }
 
--- a/testing/job_sim/src/schedule.cc
+++ b/testing/job_sim/src/schedule.cc
@@ -28,6 +28,14 @@
 /// one after the other, each four times, and each time a lease lapses.
 constexpr Duration kCalmWithCrashes = seconds(18 * 4 * 6);
 
+/// Least and most processors that a team may have running.
+constexpr std::int64_t kLeastCap = 10'500;
+constexpr std::int64_t kMostCap = 21'000;
+/// The widest gang with teams: it fits under the least cap.
+constexpr std::int32_t kMostGangTasks = 3;
+/// Processes are in touch once nothing has disturbed them for so long.
+constexpr Duration kContact = seconds(4);
+
 /// Plays one seed.
 class Player {
  public:
@@ -45,12 +53,20 @@
         this->cell->VaryCapacity(kLeastCapacity);
       }
     }
+    if (options.teams) this->AddTeams();
   }
 
   ScheduleResult Play();
 
  private:
   static std::unique_ptr<SimCell> MakeCell(std::uint64_t seed);
+  void AddTeams();
+  void PlanTeamChange();
+  void ChangeTeam();
+  /// @return a key that some team holds or held, or that none ever had
+  std::string DrawKey();
+  std::string NewKey();
+  std::int64_t DrawCap();
   jobs::JobSpec DrawSpec();
   void PlanJob();
   void PlanFault();
@@ -72,6 +88,12 @@
   VirtualTime& time;
   ScheduleOptions options;
   ScheduleResult result;
+  /// All keys that teams ever had.
+  std::vector<std::string> keys;
+  std::int32_t next_key = 0;
+  /// Faults that are not undone, and when something was last disturbed.
+  std::int32_t lasting_faults = 0;
+  Instant disturbed_at;
 };
 
 std::unique_ptr<SimCell> Player::MakeCell(std::uint64_t seed) {
@@ -97,6 +119,9 @@
     // What is permitted on one worker alone must still fit.
     const bool advised = this->cell->queue.advice.has_value();
     if (advised && step.gang) step.tasks = std::min(step.tasks, 2);
+    if (this->options.teams && step.gang) {
+      step.tasks = std::min(step.tasks, kMostGangTasks);
+    }
     step.checkpointing = this->time.Chance(0.5);
     if (i > 0 && this->time.Chance(0.7)) {
       step.after.push_back(static_cast<std::int32_t>(i - 1));
@@ -106,13 +131,83 @@
   return MakeSpec(std::move(steps));
 }
 
+std::int64_t Player::DrawCap() {
+  const auto range = static_cast<std::size_t>(kMostCap - kLeastCap);
+  return kLeastCap + static_cast<std::int64_t>(this->time.DrawIndex(range));
+}
+
+std::string Player::NewKey() {
+  this->keys.push_back("key" + std::to_string(this->next_key++));
+  return this->keys.back();
+}
+
+void Player::AddTeams() {
+  constexpr std::size_t kTeams = 3;
+  constexpr int kKeys = 2;
+  for (std::size_t i = 0; i < kTeams; ++i) {
+    jobs::Team team;
+    team.id = mustardproxy::TeamId("team" + std::to_string(i));
+    team.cap.cpu_milli = this->DrawCap();
+    for (int k = 0; k < kKeys; ++k) {
+      team.keys.push_back(jobs::KeyDigest::Of(this->NewKey()));
+    }
+    this->cell->teams.push_back(team);
+  }
+  this->cell->Apply();
+  this->time.RunFor(kContact);
+  this->cell->in_touch = [this] {
+    return this->lasting_faults == 0 &&
+           this->time.Now() >= this->disturbed_at + kContact;
+  };
+  constexpr int kChanges = 5;
+  for (int i = 0; i < kChanges; ++i) this->PlanTeamChange();
+}
+
+std::string Player::DrawKey() {
+  if (!this->options.teams) return "";
+  if (this->time.Chance(0.1)) return "unknown";
+  return this->keys[this->time.DrawIndex(this->keys.size())];
+}
+
+void Player::PlanTeamChange() {
+  const Duration at = this->time.DrawBetween(Duration::zero(), kBusy);
+  this->time.After(at, [this] { this->ChangeTeam(); });
+}
+
+void Player::ChangeTeam() {
+  jobs::Team& team =
+      this->cell->teams[this->time.DrawIndex(this->cell->teams.size())];
+  switch (this->time.DrawIndex(4)) {
+    case 0:
+      this->Note("cap of " + team.id.Text());
+      team.cap.cpu_milli = this->DrawCap();
+      break;
+    case 1:
+      this->Note("new key of " + team.id.Text());
+      team.keys.push_back(jobs::KeyDigest::Of(this->NewKey()));
+      break;
+    case 2:
+      if (team.keys.empty()) return;
+      this->Note("key of " + team.id.Text() + " revoked");
+      team.keys.erase(
+          team.keys.begin() +
+          static_cast<std::ptrdiff_t>(this->time.DrawIndex(team.keys.size())));
+      break;
+    default:
+      this->Note("all keys of " + team.id.Text() + " revoked");
+      team.keys.clear();
+  }
+  this->cell->Apply();
+}
+
 void Player::PlanJob() {
   const Duration at = this->time.DrawBetween(Duration::zero(), kBusy);
   const bool cancel = this->time.Chance(0.15);
   const bool hopeless = this->time.Chance(0.1);
   const std::optional<CrashingTasks> crashing = this->DrawCrashing();
   this->time.After(at, [this, cancel, hopeless, crashing] {
-    SimJob* job = this->cell->Submit(this->DrawSpec(), this->DrawProcess());
+    SimJob* job = this->cell->Submit(this->DrawSpec(), this->DrawProcess(),
+                                     this->DrawKey());
     job->hopeless = hopeless;
     job->crashing = crashing;
     if (!cancel) return;
@@ -148,7 +243,13 @@
 }
 
 void Player::Undo(Duration least, Duration most, std::function<void()> undo) {
-  this->time.After(this->time.DrawBetween(least, most), std::move(undo));
+  ++this->lasting_faults;
+  this->time.After(this->time.DrawBetween(least, most),
+                   [this, undo = std::move(undo)] {
+                     --this->lasting_faults;
+                     this->disturbed_at = this->time.Now();
+                     undo();
+                   });
 }
 
 void Player::PlanFault() {
@@ -204,6 +305,7 @@
 }
 
 void Player::Strike() {
+  this->disturbed_at = this->time.Now();
   if (this->options.reused_worker_ids && this->time.Chance(0.4)) {
     this->RestartWorkers();
     return;
--- a/testing/job_sim/src/sim_cell.cc
+++ b/testing/job_sim/src/sim_cell.cc
@@ -81,6 +81,8 @@
     desired.queues = this->cell->other_queues;
     desired.queues.push_back(this->cell->queue);
     desired.services.push_back({this->cell->queue.service, false, false});
+    desired.teams = this->cell->applied_teams.at(desired.version);
+    desired.keys_required = !desired.teams.empty();
     return desired;
   }
   [[nodiscard]] std::string_view WorkerPrefix() const override {
@@ -451,6 +453,8 @@
 }
 
 void SimCell::Apply() {
+  this->applied_teams[this->version + 1] = this->teams;
+  if (!this->teams.empty()) this->promises.OnTeams(this->teams);
   this->store.Put(std::string(kDesiredKey), std::to_string(++this->version));
 }
 
@@ -471,24 +475,42 @@
   return found == this->other_queues.end() ? this->queue : *found;
 }
 
-SimJob* SimCell::Submit(jobs::JobSpec spec, std::size_t process) {
-  return this->SubmitTo(this->queue.name, std::move(spec), process);
+SimJob* SimCell::Submit(jobs::JobSpec spec, std::size_t process,
+                        const std::string& key) {
+  return this->SubmitTo(this->queue.name, std::move(spec), process, key);
 }
 
 SimJob* SimCell::SubmitTo(const jobs::QueueName& name, jobs::JobSpec spec,
-                          std::size_t process) {
+                          std::size_t process, const std::string& key) {
   jobs::Job job;
   job.id = jobs::JobId("job" + std::to_string(this->next_job++));
   job.queue = this->QueueOf(name);
   job.spec = std::move(spec);
+  for (const jobs::Team& team : this->teams) {
+    const auto digest = jobs::KeyDigest::Of(key);
+    const bool holds = std::find(team.keys.begin(), team.keys.end(), digest) !=
+                       team.keys.end();
+    if (holds) job.access = {team.id, digest.Fingerprint()};
+  }
   SimJob* entry = this->promises.Add(std::move(job));
+  entry->key = key;
   this->SubmitAt(entry->job.id, process, kMostTries);
   return entry;
 }
 
+Result<jobs::Admission> SimCell::Admit(jobs::JobNode* node,
+                                       const jobs::QueueName& queue,
+                                       const std::string& key) const {
+  return node->AdmitCall(
+      [queue](const jobs::DesiredState& desired) {
+        return desired.FindQueue(queue);
+      },
+      {.key = key});
+}
+
 void SimCell::SubmitAt(const jobs::JobId& id, std::size_t process, int tries) {
   SimJob* entry = this->promises.Find(id);
-  if (entry->accepted || tries == 0) return;
+  if (entry->accepted || entry->denied || tries == 0) return;
   const std::size_t index = this->RunningFrom(process);
   // A caller that hears nothing tries another process.
   this->time.After(kCallerTimeout, [this, id, index, tries] {
@@ -496,14 +518,87 @@
   });
   Slot* slot = this->slots[index].get();
   if (slot == nullptr) return;
-  slot->process.Post([slot, entry, id] {
-    slot->node->Submit(entry->job.queue, id, entry->job.spec, kCallerTimeout,
-                       [entry](const jobs::SubmitResult& result) {
-                         if (result.end == jobs::SubmitOutcome::kAccepted) {
-                           entry->accepted = true;
-                         }
-                       });
+  const Instant sent = this->time.Now();
+  const bool calm = this->in_touch();
+  slot->process.Post([this, slot, entry, id, sent, calm] {
+    const auto admission =
+        this->Admit(slot->node.get(), entry->job.queue.name, entry->key);
+    if (!admission) {
+      if (admission.error() == Error::kUnknownKey) entry->denied = true;
+      return;
+    }
+    slot->node->Submit(
+        admission.value(), id, entry->job.spec, kCallerTimeout,
+        [this, entry, sent, calm](const jobs::SubmitResult& result) {
+          if (result.end != jobs::SubmitOutcome::kAccepted) return;
+          this->promises.OnServed(entry->key, sent, calm && this->in_touch());
+          entry->accepted = true;
+        });
+  });
+}
+
+std::optional<jobs::SubmitResult> SimCell::AwaitResult(
+    const std::shared_ptr<std::optional<jobs::SubmitResult>>& result) {
+  this->time.RunUntil([result] { return result->has_value(); },
+                      kCallerTimeout + seconds(1));
+  return *result;
+}
+
+std::optional<jobs::SubmitResult> SimCell::SubmitOnce(const SimJob& job,
+                                                      std::size_t process,
+                                                      const std::string& key) {
+  auto result = std::make_shared<std::optional<jobs::SubmitResult>>();
+  Slot* slot = this->slots[process].get();
+  slot->process.Post([this, slot, &job, key, result] {
+    const auto admission =
+        this->Admit(slot->node.get(), job.job.queue.name, key);
+    if (!admission) {
+      *result = jobs::SubmitResult{jobs::SubmitOutcome::kNotAccepted,
+                                   admission.error(),
+                                   {},
+                                   Duration::zero()};
+      return;
+    }
+    slot->node->Submit(
+        admission.value(), job.job.id, job.job.spec, kCallerTimeout,
+        [result](const jobs::SubmitResult& given) { *result = given; });
   });
+  return this->AwaitResult(result);
+}
+
+std::optional<jobs::SubmitResult> SimCell::CancelOnce(const jobs::JobId& id,
+                                                      std::size_t process,
+                                                      const std::string& key) {
+  auto result = std::make_shared<std::optional<jobs::SubmitResult>>();
+  Slot* slot = this->slots[process].get();
+  slot->process.Post([this, slot, id, key, result] {
+    const auto admission = this->Admit(slot->node.get(), this->queue.name, key);
+    if (!admission) return;
+    slot->node->Cancel(
+        admission.value(), id, kCallerTimeout,
+        [result](const jobs::SubmitResult& given) { *result = given; });
+  });
+  return this->AwaitResult(result);
+}
+
+std::optional<Result<jobs::JobStatus>> SimCell::AskOnce(
+    const jobs::JobId& id, std::size_t process, const std::string& key) {
+  auto answer = std::make_shared<std::optional<Result<jobs::JobStatus>>>();
+  Slot* slot = this->slots[process].get();
+  slot->process.Post([this, slot, id, key, answer] {
+    const auto admission = this->Admit(slot->node.get(), this->queue.name, key);
+    if (!admission) {
+      const Result<jobs::JobStatus> denied = admission.error();
+      *answer = denied;
+      return;
+    }
+    slot->node->State(
+        admission.value(), id, kCallerTimeout,
+        [answer](const Result<jobs::JobStatus>& status) { *answer = status; });
+  });
+  this->time.RunUntil([answer] { return answer->has_value(); },
+                      kCallerTimeout + seconds(1));
+  return *answer;
 }
 
 void SimCell::Cancel(const jobs::JobId& id, std::size_t process) {
@@ -520,7 +615,8 @@
   Slot* slot = this->slots[index].get();
   if (slot == nullptr) return;
   slot->process.Post([this, slot, entry, id] {
-    slot->node->Cancel(id, kCallerTimeout,
+    // An operator's call: keys are judged where jobs are handed in.
+    slot->node->Cancel(jobs::Admission{}, id, kCallerTimeout,
                        [this, entry](const jobs::SubmitResult& result) {
                          if (result.end != jobs::SubmitOutcome::kAccepted)
                            return;
@@ -545,7 +641,7 @@
   auto answer = std::make_shared<std::optional<Result<jobs::JobStatus>>>();
   slot->process.Post([slot, id, answer] {
     slot->node->State(
-        id, kCallerTimeout,
+        jobs::Admission{}, id, kCallerTimeout,
         [answer](const Result<jobs::JobStatus>& status) { *answer = status; });
   });
   this->time.RunUntil([answer] { return answer->has_value(); },
