Lease renewals precede the backlog of the control thread; timers keep their turn

Cause: ThreadExecutor ran a timer only when nothing was posted. While answers of workers arrive faster than they are run, no timer fires: not the renewal of the store lease (every 300 ms, lease 1 s), not the next pass. An overloaded owner lost its key, and so did each that followed it.

Change: posted tasks and timers run in the order in which they became due. Evidence for the next time: `control_work_us` by kind (pass, load, answer), and a log line `renewal-late` with what occupied the thread.

Tests: timers run between tasks that keep arriving; urgent tasks precede a backlog (thread_executor).

--- a/apps/mustardproxy/src/thread_executor.cc
+++ b/apps/mustardproxy/src/thread_executor.cc
@@ -34,52 +34,90 @@
 }
 
 void ThreadExecutor::Post(std::function<void()> task) {
+  this->PostTo(&this->usual, std::move(task));
+}
+
+void ThreadExecutor::PostUrgent(std::function<void()> task) {
+  this->PostTo(&this->urgent, std::move(task));
+}
+
+jobs::TimerId ThreadExecutor::After(Duration delay,
+                                    std::function<void()> task) {
+  return this->StartTimer(&this->usual, delay, std::move(task));
+}
+
+jobs::TimerId ThreadExecutor::AfterUrgent(Duration delay,
+                                          std::function<void()> task) {
+  return this->StartTimer(&this->urgent, delay, std::move(task));
+}
+
+void ThreadExecutor::PostTo(Lane* lane, std::function<void()> task) {
+  const Instant now = this->Now();
   const std::lock_guard lock(this->mutex);
   if (this->stopping) return;
-  this->posted.push_back(std::move(task));
+  lane->posted.push_back({now, std::move(task)});
   this->changed.notify_one();
 }
 
-jobs::TimerId ThreadExecutor::After(Duration delay,
-                                    std::function<void()> task) {
+jobs::TimerId ThreadExecutor::StartTimer(Lane* lane, Duration delay,
+                                         std::function<void()> task) {
   const Instant due = this->Now() + delay;
   const std::lock_guard lock(this->mutex);
   const jobs::TimerId timer = this->next_timer++;
-  this->timers.emplace(Due{due, timer}, std::move(task));
-  this->due_of[timer] = due;
+  lane->timers.emplace(Due{due, timer}, std::move(task));
+  this->due_of[timer] = {lane, due};
   this->changed.notify_one();
   return timer;
 }
 
 void ThreadExecutor::Cancel(jobs::TimerId timer) {
   const std::lock_guard lock(this->mutex);
-  const auto due = this->due_of.find(timer);
-  if (due == this->due_of.end()) return;
-  this->timers.erase({due->second, timer});
-  this->due_of.erase(due);
+  const auto found = this->due_of.find(timer);
+  if (found == this->due_of.end()) return;
+  const auto [lane, due] = found->second;
+  lane->timers.erase({due, timer});
+  this->due_of.erase(found);
+}
+
+std::function<void()> ThreadExecutor::TakeDue(Lane* lane, Instant now) {
+  const auto timer = lane->timers.begin();
+  const bool timer_due =
+      timer != lane->timers.end() && timer->first.first <= now;
+  const bool timer_first =
+      timer_due &&
+      (lane->posted.empty() || timer->first.first <= lane->posted.front().at);
+  std::function<void()> task;
+  if (timer_first) {
+    task = std::move(timer->second);
+    this->due_of.erase(timer->first.second);
+    lane->timers.erase(timer);
+  } else if (!lane->posted.empty()) {
+    task = std::move(lane->posted.front().task);
+    lane->posted.pop_front();
+  }
+  return task;
+}
+
+Duration ThreadExecutor::UntilNextTimer(Instant now) const {
+  Duration left = kMaxWait;
+  for (const Lane* lane : {&this->urgent, &this->usual}) {
+    if (lane->timers.empty()) continue;
+    const Duration until = lane->timers.begin()->first.first - now;
+    left = std::min(left, until);
+  }
+  return left;
 }
 
 std::function<void()> ThreadExecutor::Next() {
   std::unique_lock lock(this->mutex);
   while (!this->stopping) {
-    if (!this->posted.empty()) {
-      auto task = std::move(this->posted.front());
-      this->posted.pop_front();
-      return task;
-    }
     const Instant now = this->Now();
-    if (!this->timers.empty() && this->timers.begin()->first.first <= now) {
-      const auto first = this->timers.begin();
-      auto task = std::move(first->second);
-      this->due_of.erase(first->first.second);
-      this->timers.erase(first);
-      return task;
-    }
-    if (this->timers.empty()) {
+    if (auto task = this->TakeDue(&this->urgent, now)) return task;
+    if (auto task = this->TakeDue(&this->usual, now)) return task;
+    if (this->due_of.empty()) {
       this->changed.wait(lock);
     } else {
-      const Duration left = this->timers.begin()->first.first - now;
-      this->changed.wait_for(lock, std::min(left, kMaxWait));
+      this->changed.wait_for(lock, this->UntilNextTimer(now));
     }
   }
   return {};
--- a/apps/mustardproxy/tests/thread_executor_test.cc
+++ b/apps/mustardproxy/tests/thread_executor_test.cc
@@ -2,7 +2,9 @@
 
 #include <boost/test/unit_test.hpp>
 #include <chrono>
+#include <functional>
 #include <string>
+#include <thread>
 
 #include "mustardproxy/jobs/waitable_value.h"
 
@@ -42,6 +44,46 @@
   BOOST_TEST(whole.Wait(kLimit).value() == "early late ");
 }
 
+// Guards against timers that never fire while tasks arrive faster than they are
+// run.
+BOOST_AUTO_TEST_CASE(timers_run_between_tasks_that_keep_arriving) {
+  ThreadExecutor executor;
+  jobs::WaitableValue<bool> fired;
+  std::function<void()> again;
+  bool stop = false;
+  again = [&] {
+    // Two for each that ran, so that one is always due.
+    if (stop) return;
+    executor.Post([] { std::this_thread::sleep_for(milliseconds(1)); });
+    executor.Post(again);
+  };
+  executor.Post([&] {
+    executor.After(milliseconds(20), [&] {
+      stop = true;
+      fired.Set(true);
+    });
+    again();
+  });
+  BOOST_TEST(fired.Wait(kLimit).value_or(false));
+}
+
+// Guards against a backlog that delays the renewal of a lease.
+BOOST_AUTO_TEST_CASE(urgent_tasks_precede_a_backlog) {
+  ThreadExecutor executor;
+  jobs::WaitableValue<std::string> whole;
+  std::string order;
+  executor.Post([&] {
+    executor.AfterUrgent(milliseconds(5), [&order] { order += "timer "; });
+    executor.After(milliseconds(1), [&order] { order += "usual "; });
+    executor.Post([&order] { order += "posted "; });
+    executor.PostUrgent([&order] { order += "urgent "; });
+    std::this_thread::sleep_for(milliseconds(30));
+  });
+  executor.Post(
+      [&] { executor.After(milliseconds(40), [&] { whole.Set(order); }); });
+  BOOST_TEST(whole.Wait(kLimit).value() == "urgent timer posted usual ");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace mustardproxy::testing
--- a/packages/jobs/include/mustardproxy/jobs/executor.h
+++ b/packages/jobs/include/mustardproxy/jobs/executor.h
@@ -30,6 +30,10 @@
   /// Runs `task` on the control thread after `delay`. Must be called on that
   /// thread.
   virtual TimerId After(Duration delay, std::function<void()> task) = 0;
+  /// Like Post and After, but the task precedes all other tasks that are due.
+  /// For the few that a backlog must not delay, such as the renewal of a lease.
+  virtual void PostUrgent(std::function<void()> task) = 0;
+  virtual TimerId AfterUrgent(Duration delay, std::function<void()> task) = 0;
   /// Does nothing if the timer has already fired.
   virtual void Cancel(TimerId timer) = 0;
 };
--- a/packages/jobs/src/cell_member.cc
+++ b/packages/jobs/src/cell_member.cc
@@ -19,6 +19,9 @@
 constexpr Duration kElectionStagger = milliseconds(60);
 constexpr std::size_t kMaxStaggers = 5;
 
+/// A renewal that is sent this late is logged.
+constexpr Duration kLateRenewal = milliseconds(100);
+
 /// Larger hosts are preferred as owners; ties are broken by name.
 bool IsPreferredOwner(const NodeRecord& a, const NodeRecord& b) {
   return std::make_tuple(-a.cpu_milli, -a.memory_mb, a.name) <
@@ -115,12 +118,24 @@
 
 void CellMember::ScheduleRenewal() {
   if (std::exchange(this->renewing, true)) return;
-  this->executor->After(kStoreLeaseRenewal, this->guard.Wrap([this] {
+  const Instant due = this->executor->Now() + kStoreLeaseRenewal;
+  this->executor->AfterUrgent(kStoreLeaseRenewal, this->guard.Wrap([this, due] {
     this->renewing = false;
+    this->LogIfLate(due);
     this->Renew();
   }));
 }
 
+void CellMember::LogIfLate(Instant due) {
+  const std::string load = this->handlers.take_load();
+  const Duration late = this->executor->Now() - due;
+  if (late < kLateRenewal) return;
+  this->log->Write("cell", "renewal-late",
+                   {{"late_ms", WholeMilliseconds(late)},
+                    {"owner", this->token != 0 ? 1 : 0},
+                    {"load_ms", load}});
+}
+
 void CellMember::Renew() {
   if (this->lease == 0) return;
   const Instant sent_at = this->executor->Now();
--- a/packages/jobs/src/cell_member.h
+++ b/packages/jobs/src/cell_member.h
@@ -49,6 +49,9 @@
     std::function<void(std::string_view reason)> on_deposed;
     /// The owner or the set of processes has changed.
     std::function<void()> on_change;
+    /// @return what occupied the control thread since the last call, for the
+    ///   log
+    std::function<std::string()> take_load;
   };
 
   CellMember(Executor* executor, KeyValueStore* store, EventLog* log,
@@ -82,6 +85,7 @@
   void OnLease(Instant sent_at, const Result<StoreLease>& lease);
   void Register();
   void ScheduleRenewal();
+  void LogIfLate(Instant due);
   void Renew();
   void OnRenewed(StoreLeaseId renewed, Instant sent_at,
                  const Result<StoreLease>& lease);
--- a/packages/jobs/src/dispatcher.cc
+++ b/packages/jobs/src/dispatcher.cc
@@ -90,6 +90,7 @@
 }
 
 void Dispatcher::Pass() {
+  const ControlLoad::Scope scope(this->context->load, ControlWork::kPass);
   this->pass_scheduled = false;
   const Instant now = this->context->executor->Now();
   this->last_pass = now;
--- a/packages/jobs/src/group_owner.cc
+++ b/packages/jobs/src/group_owner.cc
@@ -45,6 +45,7 @@
   shared.driver = parts.driver;
   shared.log = parts.log;
   shared.metrics = parts.metrics;
+  shared.load = parts.load;
   shared.token = token;
   shared.max_lost_workers = parts.max_lost_workers;
   shared.SetDesired(std::move(desired));
@@ -323,6 +324,7 @@
   const bool complete = this->intake->Listed() && this->workers->Listed() &&
                         this->stored->Complete();
   if (!complete || std::exchange(this->loaded, true)) return;
+  const ControlLoad::Scope scope(this->context.load, ControlWork::kLoad);
   this->TakeOver();
   const Duration took = this->context.executor->Now() - this->elected_at;
   this->context.log->Write("owner", "loaded",
--- a/packages/jobs/src/group_owner.h
+++ b/packages/jobs/src/group_owner.h
@@ -42,6 +42,7 @@
     const PlatformSchema* schema = nullptr;
     EventLog* log = nullptr;
     Metrics* metrics = nullptr;
+    ControlLoad* load = nullptr;
     /// See ProgressWriter.
     std::int64_t store_writes_per_second = 0;
     /// See OwnerContext.
--- a/packages/jobs/src/hold_loop.cc
+++ b/packages/jobs/src/hold_loop.cc
@@ -187,6 +187,7 @@
 
 void HoldLoop::OnHold(const WorkerIncarnation& worker, Instant asked,
                       const HoldOrder& sent, const HoldResult& result) {
+  const ControlLoad::Scope scope(this->context->load, ControlWork::kAnswer);
   WorkerSession* known = this->context->workers.Find(worker);
   if (known != nullptr && asked == known->hold_sent) {
     known->hold_in_flight = false;
--- a/packages/jobs/src/job_node.cc
+++ b/packages/jobs/src/job_node.cc
@@ -7,6 +7,7 @@
 
 #include "callback_guard.h"
 #include "cell_member.h"
+#include "control_load.h"
 #include "group_owner.h"
 #include "intake.h"
 #include "job_lookup.h"
@@ -97,6 +98,7 @@
   std::optional<std::string> OwnerAddress() const;
 
   Builder config;
+  ControlLoad load;
   CellMember member;
   PrefixMirror desired_mirror;
   Intake intake;
@@ -111,12 +113,14 @@
 
 JobNode::Internals::Internals(const Builder& parts)
     : config(parts),
+      load(parts.executor, parts.metrics),
       member(parts.executor, parts.store, parts.log,
              NodeRecord{parts.process, parts.data_center, parts.peer_address,
                         parts.incarnation, parts.cpu_milli, parts.memory_mb},
              {.on_elected = [this](FencingToken t) { this->OnElected(t); },
               .on_deposed = [this](std::string_view) { this->OnDeposed(); },
-              .on_change = [this] { this->OnCellChange(); }}),
+              .on_change = [this] { this->OnCellChange(); },
+              .take_load = [this] { return this->load.TakeSummary(); }}),
       desired_mirror(
           parts.executor, parts.store, parts.log,
           {.prefix = std::string(parts.schema->DesiredStateKey()),
@@ -200,6 +204,7 @@
           .schema = this->config.schema,
           .log = this->config.log,
           .metrics = this->config.metrics,
+          .load = &this->load,
           .store_writes_per_second = this->config.store_writes_per_second,
           .max_lost_workers = this->config.max_lost_workers,
           .authorized = [this] { return this->Authorized(); },
--- a/packages/jobs/src/owner_context.h
+++ b/packages/jobs/src/owner_context.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "control_load.h"
 #include "job_table.h"
 #include "mustardproxy/core/worker_health.h"
 #include "mustardproxy/jobs/desired_state.h"
@@ -37,6 +38,7 @@
   WorkerDriver* driver = nullptr;
   EventLog* log = nullptr;
   Metrics* metrics = nullptr;
+  ControlLoad* load = nullptr;
   /// Revision of the owner's key, compared by workers and the store.
   FencingToken token = 0;
   /// Number of workers that may be lost while running one task before the task
--- a/packages/jobs/src/run_control.cc
+++ b/packages/jobs/src/run_control.cc
@@ -303,6 +303,7 @@
 
 void RunControl::OnStart(const WorkerIncarnation& worker, const RunRef& run,
                          bool first, Instant asked, const OrderResult& result) {
+  const ControlLoad::Scope scope(this->context->load, ControlWork::kAnswer);
   if (result.end == OrderOutcome::kUncertain) {
     // The start order may reach any later incarnation of the worker.
     WorkerSession* latest = this->context->workers.FindLatest(worker.id);
--- a/testing/job_sim/include/job_sim/immediate_executor.h
+++ b/testing/job_sim/include/job_sim/immediate_executor.h
@@ -18,6 +18,12 @@
                                     std::function<void()> /*task*/) override {
     return 0;
   }
+  void PostUrgent(std::function<void()> task) override { task(); }
+  mustardproxy::jobs::TimerId AfterUrgent(
+      mustardproxy::Duration /*delay*/,
+      std::function<void()> /*task*/) override {
+    return 0;
+  }
   void Cancel(mustardproxy::jobs::TimerId /*timer*/) override {}
 };
 
--- a/testing/job_sim/include/job_sim/process.h
+++ b/testing/job_sim/include/job_sim/process.h
@@ -25,6 +25,14 @@
   void Post(std::function<void()> task) override;
   mustardproxy::jobs::TimerId After(Duration delay,
                                     std::function<void()> task) override;
+  /// Nothing waits here, so there is nothing to precede.
+  void PostUrgent(std::function<void()> task) override {
+    this->Post(std::move(task));
+  }
+  mustardproxy::jobs::TimerId AfterUrgent(Duration delay,
+                                          std::function<void()> task) override {
+    return this->After(delay, std::move(task));
+  }
   void Cancel(mustardproxy::jobs::TimerId timer) override;
 
   void Pause() { this->paused = true; }
@@ -35,6 +43,11 @@
   [[nodiscard]] const std::string& Name() const { return this->name; }
   /// @return processor time that its tasks took so far
   [[nodiscard]] double ProcessorSeconds() const { return this->cpu_seconds; }
+  /// @return processor time of its longest task, of those since the last reset
+  [[nodiscard]] double LongestTaskSeconds() const {
+    return this->longest_seconds;
+  }
+  void ResetLongestTask() { this->longest_seconds = 0.0; }
   /// Cut off from the store, from workers, from other processes.
   bool store_cut = false;
   bool workers_cut = false;
@@ -48,6 +61,7 @@
   bool paused = false;
   bool killed = false;
   double cpu_seconds = 0.0;
+  double longest_seconds = 0.0;
   std::deque<std::function<void()>> held;
   mustardproxy::jobs::TimerId next_timer = 1;
   std::unordered_set<mustardproxy::jobs::TimerId> cancelled;
--- a/testing/job_sim/src/process.cc
+++ b/testing/job_sim/src/process.cc
@@ -1,5 +1,6 @@
 #include "job_sim/process.h"
 
+#include <algorithm>
 #include <chrono>
 #include <ctime>
 #include <utility>
@@ -37,7 +38,9 @@
   }
   const double begun = ThreadSeconds();
   task();
-  this->cpu_seconds += ThreadSeconds() - begun;
+  const double took = ThreadSeconds() - begun;
+  this->cpu_seconds += took;
+  this->longest_seconds = std::max(this->longest_seconds, took);
 }
 
 void Process::Post(std::function<void()> task) {
