Questions to the policy service cost no more than what can be asked

Cause: each request for permissions, and each answer, sorted all waiting questions and searched all processes for each of them, so a pass over N waiting steps cost N x N; and each step was checked every 50 ms against every worker, though the policy service answers a few dozen questions in the time between two passes. After an election all steps ask at once: the first pass of a new owner held the control thread for longer than its lease at the store.

Change: nothing is looked at while no process is idle; the next question is found by one scan; no more than 16 pointless questions are dropped in one task; a pass checks at most 32 steps, in order of rank, and a step whose question was pointless not again for 250 ms.

The tests of the question queue take questions one by one in place of sorting the queue; their checks are the same.

--- a/packages/jobs/src/dispatcher.cc
+++ b/packages/jobs/src/dispatcher.cc
@@ -33,6 +33,12 @@
 /// Minimum time between two checks of whether a question about a step would
 /// help.
 constexpr Duration kAskInterval = milliseconds(50);
+/// The same after a question about the step turned out to be pointless.
+constexpr Duration kPointlessAskInterval = milliseconds(250);
+/// Maximum number of such checks in one pass, in order of rank: the policy
+/// service answers a few dozen questions in the time between two passes, and a
+/// check looks at every worker.
+constexpr std::size_t kMaxAskChecks = 32;
 
 Duration Scale(Duration duration, double factor) {
   return Duration(static_cast<std::int64_t>(
@@ -117,6 +123,7 @@
                      return a.waiting_since < b.waiting_since;
                    });
   std::int32_t holds = 0;
+  this->ask_checks_left = kMaxAskChecks;
   for (SchedulingUnit& unit : units) {
     if (!this->LimitToCap(&unit)) {
       this->ReportCapped(unit, now);
@@ -535,6 +542,8 @@
   const StepAdvice* advice = this->context->advice->Find(unit.ref);
   if (advice != nullptr) {
     if (advice->asking || now < unit.progress->next_advice_check) return;
+    if (this->ask_checks_left == 0) return;
+    --this->ask_checks_left;
     unit.progress->next_advice_check = now + kAskInterval;
     if (this->WorkersToAsk(unit, capacities, now).empty()) return;
   }
@@ -592,7 +601,12 @@
   const bool known = this->context->advice->Find(ref) != nullptr;
   if (unit.tasks.empty() || !unit.queue->advice || !known) return {};
   if (!this->LimitToCap(&unit)) return {};
-  return this->WorkersToAsk(unit, PassCapacity(this->context->workers), now);
+  std::vector<AskedWorker> workers =
+      this->WorkersToAsk(unit, PassCapacity(this->context->workers), now);
+  if (workers.empty()) {
+    unit.progress->next_advice_check = now + kPointlessAskInterval;
+  }
+  return workers;
 }
 
 std::vector<Candidate> Dispatcher::GangCandidates(
--- a/packages/jobs/src/dispatcher.h
+++ b/packages/jobs/src/dispatcher.h
@@ -128,6 +128,8 @@
   /// Whether, in this pass, a worker with runs does not answer.
   bool any_silent = false;
   Instant last_pass;
+  /// Checks whether to ask the policy service that this pass may still make.
+  std::size_t ask_checks_left = 0;
   CallbackGuard guard;
 };
 
--- a/packages/jobs/src/permission_broker.cc
+++ b/packages/jobs/src/permission_broker.cc
@@ -23,6 +23,9 @@
 /// Time constant of the average of recent load.
 constexpr Duration kLoadDecayTime = milliseconds(1500);
 
+/// Maximum number of questions that are dropped in one go.
+constexpr std::size_t kMaxDroppedQuestions = 16;
+
 std::pair<std::int32_t, std::int32_t> StepNumberOf(const StepRef& step) {
   return {step.occurrence, step.step};
 }
@@ -138,53 +141,55 @@
   this->queue.Forget(job);
 }
 
-PermissionBroker::Client* PermissionBroker::FindIdleClient(bool long_question,
-                                                           ProcessId* process) {
+PermissionBroker::IdleClient PermissionBroker::FindIdleClient() {
   const Instant now = this->parts.executor->Now();
   std::size_t longs = 0;
   std::size_t usable = 0;
-  for (const auto& [name, client] : this->clients) {
+  IdleClient idle;
+  for (auto& [name, client] : this->clients) {
     if (client.unavailable_until > now) continue;
     ++usable;
     if (client.busy_with_long) ++longs;
+    if (client.busy || idle.client != nullptr) continue;
+    idle.process = name;
+    idle.client = &client;
   }
   const std::size_t kept =
       std::min(usable / kClientsPerShortClient,
                this->short_question_load.ClientsToReserve(now));
-  if (long_question && longs >= std::max<std::size_t>(1, usable - kept)) {
-    return nullptr;
-  }
-  for (auto& [name, client] : this->clients) {
-    if (client.busy || client.unavailable_until > now) continue;
-    *process = name;
-    return &client;
-  }
-  return nullptr;
+  idle.takes_long = longs < std::max<std::size_t>(1, usable - kept);
+  return idle;
 }
 
 void PermissionBroker::SendWaiting() {
-  this->queue.Sort(this->parts.executor->Now());
-  for (std::size_t i = 0; i < this->queue.Size();) {
-    ProcessId process;
-    const bool is_long = IsLong(this->queue.At(i).request.policy);
-    Client* client = this->FindIdleClient(is_long, &process);
-    if (client == nullptr) {
-      if (!is_long) return;
-      ++i;
-      continue;
-    }
-    const WaitingQuestion waiting = this->queue.Take(i);
-    std::vector<AskedWorker> workers = this->chooser(waiting.request.step);
+  for (std::size_t dropped = 0; dropped < kMaxDroppedQuestions;) {
+    // Usually no process is idle while many questions wait, and nothing else
+    // is looked at then.
+    const IdleClient idle = this->FindIdleClient();
+    if (idle.client == nullptr || this->queue.Size() == 0) return;
+    const auto waiting =
+        this->queue.TakeNext(this->parts.executor->Now(), idle.takes_long);
+    if (!waiting) return;
+    std::vector<AskedWorker> workers = this->chooser(waiting->request.step);
     if (workers.empty()) {
-      StepAdvice* known = FindAdvice(this->steps, waiting.request.step);
+      StepAdvice* known = FindAdvice(this->steps, waiting->request.step);
       if (known != nullptr) known->asking = false;
+      ++dropped;
       continue;
     }
-    const Duration cost = Cost(waiting.request.policy, workers.size());
-    client->busy_with_long = is_long;
+    const Duration cost = Cost(waiting->request.policy, workers.size());
+    const bool is_long = IsLong(waiting->request.policy);
+    idle.client->busy_with_long = is_long;
     if (is_long) this->queue.CountLongSent();
-    this->Send(waiting, std::move(workers), process, client, cost);
+    this->Send(*waiting, std::move(workers), idle.process, idle.client, cost);
   }
+  // Failure: a change makes all waiting questions pointless, and dropping
+  // thousands of them at once occupies the control thread.
+  if (std::exchange(this->continues, true)) return;
+  this->parts.executor->Post(this->guard.Wrap([this] {
+    this->continues = false;
+    this->SendWaiting();
+  }));
 }
 
 void PermissionBroker::Send(const WaitingQuestion& waiting,
--- a/packages/jobs/src/permission_broker.h
+++ b/packages/jobs/src/permission_broker.h
@@ -120,6 +120,13 @@
     bool busy_with_long = false;
     Instant unavailable_until;
   };
+  struct IdleClient {
+    ProcessId process;
+    /// Null if all processes are busy.
+    Client* client = nullptr;
+    /// A long question may be sent now.
+    bool takes_long = false;
+  };
   struct Sent {
     StepRef step;
     std::vector<AskedWorker> workers;
@@ -133,7 +140,7 @@
   using StepNumber = std::pair<std::int32_t, std::int32_t>;
 
   void SendWaiting();
-  Client* FindIdleClient(bool long_question, ProcessId* process);
+  IdleClient FindIdleClient();
   void Send(const WaitingQuestion& waiting, std::vector<AskedWorker> workers,
             const ProcessId& process, Client* client, Duration cost);
   void OnAnswer(const Sent& sent, const Result<Advice>& answer);
@@ -149,6 +156,8 @@
   std::unordered_map<JobId, std::map<StepNumber, StepAdvice>> steps;
   std::map<QueueName, double> permitted_shares;
   ShortQuestionLoad short_question_load;
+  /// The rest of the waiting questions is looked at in a task of its own.
+  bool continues = false;
   CallbackGuard guard;
 };
 
--- a/packages/jobs/src/question_queue.cc
+++ b/packages/jobs/src/question_queue.cc
@@ -85,34 +85,39 @@
   });
 }
 
-void QuestionQueue::Sort(Instant now) {
-  std::sort(this->waiting.begin(), this->waiting.end(),
-            [&](const WaitingQuestion& a, const WaitingQuestion& b) {
-              return PrecedesInQueue(a, b, now);
-            });
-  if (this->long_sent % kOldestPeriod == 0) this->PromoteOldest(now);
-}
-
-void QuestionQueue::PromoteOldest(Instant now) {
+QuestionQueue::Iterator QuestionQueue::FindOldest(Instant now) {
   // Expired questions are sent too, but not at the expense of late ones.
   const bool include_expired = this->long_sent % kOldestOfAllPeriod == 0;
-  const auto first = std::find_if(this->waiting.begin(), this->waiting.end(),
-                                  IsLongWithoutCapacity);
   auto oldest = this->waiting.end();
-  for (auto one = first; one != this->waiting.end(); ++one) {
+  for (auto one = this->waiting.begin(); one != this->waiting.end(); ++one) {
+    if (!IsLongWithoutCapacity(*one)) continue;
     const bool counts = include_expired || one->request.deadlines.At(now) !=
                                                DeadlineStatus::kExpired;
     const bool older =
         oldest == this->waiting.end() || one->number < oldest->number;
     if (counts && older) oldest = one;
   }
-  if (oldest != this->waiting.end()) std::rotate(first, oldest, oldest + 1);
+  return oldest;
 }
 
-WaitingQuestion QuestionQueue::Take(std::size_t index) {
-  const auto place = this->waiting.begin() + static_cast<std::ptrdiff_t>(index);
-  WaitingQuestion taken = std::move(*place);
-  this->waiting.erase(place);
+std::optional<WaitingQuestion> QuestionQueue::TakeNext(Instant now,
+                                                       bool with_long) {
+  auto next = this->waiting.end();
+  for (auto one = this->waiting.begin(); one != this->waiting.end(); ++one) {
+    if (!with_long && IsLong(one->request.policy)) continue;
+    const bool first =
+        next == this->waiting.end() || PrecedesInQueue(*one, *next, now);
+    if (first) next = one;
+  }
+  if (next == this->waiting.end()) return std::nullopt;
+  if (IsLongWithoutCapacity(*next) && this->long_sent % kOldestPeriod == 0) {
+    const auto oldest = this->FindOldest(now);
+    if (oldest != this->waiting.end()) next = oldest;
+  }
+  WaitingQuestion taken = std::move(*next);
+  // The order in the vector has no meaning.
+  if (next != this->waiting.end() - 1) *next = std::move(this->waiting.back());
+  this->waiting.pop_back();
   return taken;
 }
 
--- a/packages/jobs/src/question_queue.h
+++ b/packages/jobs/src/question_queue.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "mustardproxy/core/ids.h"
@@ -63,20 +64,20 @@
   void Push(const PermissionRequest& request, Instant now);
   /// Drops the questions about a job.
   void Forget(const JobId& job);
-  /// Sorts the questions by their order at `now`.
-  void Sort(Instant now);
   [[nodiscard]] std::size_t Size() const { return this->waiting.size(); }
-  [[nodiscard]] const WaitingQuestion& At(std::size_t index) const {
-    return this->waiting[index];
-  }
-  /// Removes a question that is to be sent or is no longer needed.
-  WaitingQuestion Take(std::size_t index);
+  /// Removes and returns the question that is to be sent next.
+  /// @param with_long whether a long question may be sent
+  /// @return nothing if no question of that kind waits
+  std::optional<WaitingQuestion> TakeNext(Instant now, bool with_long);
   /// Called when a long question has been sent.
   void CountLongSent() { ++this->long_sent; }
 
  private:
-  /// Moves the oldest of the long questions before the others.
-  void PromoteOldest(Instant now);
+  using Iterator = std::vector<WaitingQuestion>::iterator;
+
+  /// @return the long question without reserved capacity that has waited
+  ///   longest; the end if there is none to be preferred
+  Iterator FindOldest(Instant now);
 
   std::vector<WaitingQuestion> waiting;
   std::uint64_t next_number = 1;
--- a/packages/jobs/tests/question_queue_test.cc
+++ b/packages/jobs/tests/question_queue_test.cc
@@ -31,13 +31,16 @@
     request.capacity_reserved = this->capacity_reserved;
     this->queue.Push(request, kNow);
   }
+  /// @return the job of the next question, which does not count as sent
+  std::string TakeNext() {
+    return this->queue.TakeNext(kNow, true).value().request.step.job.Text();
+  }
   /// @return the jobs in the order in which their questions are sent; each
   ///   counts as sent
   std::vector<std::string> SendAll() {
     std::vector<std::string> order;
     while (this->queue.Size() > 0) {
-      this->queue.Sort(kNow);
-      const WaitingQuestion sent = this->queue.Take(0);
+      const WaitingQuestion sent = this->queue.TakeNext(kNow, true).value();
       if (IsLong(sent.request.policy)) this->queue.CountLongSent();
       order.push_back(sent.request.step.job.Text());
     }
@@ -74,24 +77,21 @@
   Push("late", seconds(100), DeadlineStatus::kLate);
   Push("narrow", seconds(30));
   Push("wide", seconds(90));
-  queue.Sort(kNow);
-  queue.Take(0);
+  BOOST_TEST(TakeNext() == "oldest");
   queue.CountLongSent();
-  queue.Sort(kNow);
-  BOOST_TEST(queue.At(0).request.step.job.Text() == "wide");
-  BOOST_TEST(queue.At(1).request.step.job.Text() == "narrow");
-  BOOST_TEST(queue.At(2).request.step.job.Text() == "late");
-  BOOST_TEST(queue.At(3).request.step.job.Text() == "expired");
+  BOOST_TEST(TakeNext() == "wide");
+  BOOST_TEST(TakeNext() == "narrow");
+  BOOST_TEST(TakeNext() == "late");
+  BOOST_TEST(TakeNext() == "expired");
 }
 
 BOOST_AUTO_TEST_CASE(a_cheap_answer_goes_before_an_expensive_one) {
   Push("oldest", seconds(1));
   Push("expensive", seconds(100), DeadlineStatus::kOnTime, milliseconds(600));
   Push("cheap", seconds(60), DeadlineStatus::kOnTime, milliseconds(200));
-  queue.Take(0);
+  BOOST_TEST(TakeNext() == "oldest");
   queue.CountLongSent();
-  queue.Sort(kNow);
-  BOOST_TEST(queue.At(0).request.step.job.Text() == "cheap");
+  BOOST_TEST(TakeNext() == "cheap");
 }
 
 // Wide gangs arrive faster than the hosts can ask, and a narrow one is ranked
@@ -102,8 +102,7 @@
   std::vector<std::string> sent;
   for (int i = 0; i < 8; ++i) {
     Push("wide", seconds(100));
-    queue.Sort(kNow);
-    sent.push_back(queue.Take(0).request.step.job.Text());
+    sent.push_back(TakeNext());
     queue.CountLongSent();
   }
   BOOST_TEST((std::find(sent.begin(), sent.end(), "narrow") - sent.begin()) ==
@@ -118,8 +117,7 @@
   std::vector<std::string> sent;
   for (int i = 0; i < 20; ++i) {
     Push("wide", seconds(100));
-    queue.Sort(kNow);
-    sent.push_back(queue.Take(0).request.step.job.Text());
+    sent.push_back(TakeNext());
     queue.CountLongSent();
   }
   BOOST_TEST((std::find(sent.begin(), sent.end(), "expired") - sent.begin()) ==
@@ -134,6 +132,17 @@
   BOOST_TEST((deadlines.At(kNow + seconds(6)) == DeadlineStatus::kExpired));
 }
 
+BOOST_AUTO_TEST_CASE(
+    only_short_questions_are_taken_if_no_long_one_may_be_sent) {
+  Push("long", seconds(100));
+  Push("short", seconds(1), DeadlineStatus::kLate, milliseconds(10));
+  const auto sent = queue.TakeNext(kNow, false);
+  BOOST_REQUIRE(sent.has_value());
+  BOOST_TEST(sent->request.step.job.Text() == "short");
+  BOOST_TEST(!queue.TakeNext(kNow, false).has_value());
+  BOOST_TEST(queue.Size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(questions_of_a_job_that_is_gone_are_dropped) {
   Push("gone", seconds(1));
   Push("stays", seconds(1));
