Passes take a bounded share of the control thread; a takeover is read in slices

Cause: a pass costs more the more steps wait, and passes followed each other after 5 ms, so with thousands of waiting steps an owner did little else: answers of workers were read late, room was known late, and the backlog grew. A new owner read the progress of all jobs in one task.

Change: the next pass begins once the last one has taken no more than 0.3 of the time since it began, at the latest after 250 ms (PassPacer). A new owner reads progress 100 jobs at a time. A pass lets at most 64 steps ask the policy service for the first time.

--- a/packages/jobs/src/dispatcher.cc
+++ b/packages/jobs/src/dispatcher.cc
@@ -39,6 +39,8 @@
 /// service answers a few dozen questions in the time between two passes, and a
 /// check looks at every worker.
 constexpr std::size_t kMaxAskChecks = 32;
+/// Maximum number of steps that ask for the first time in one pass.
+constexpr std::size_t kMaxFirstAsks = 64;
 
 Duration Scale(Duration duration, double factor) {
   return Duration(static_cast<std::int64_t>(
@@ -90,7 +92,7 @@
   if (std::exchange(this->pass_scheduled, true)) return;
   const Instant now = this->context->executor->Now();
   const Duration delay =
-      std::max(Duration::zero(), this->last_pass + kPassInterval - now);
+      std::max<Duration>(Duration::zero(), this->pacer.NextAt() - now);
   this->context->executor->After(delay,
                                  this->guard.Wrap([this] { this->Pass(); }));
 }
@@ -99,7 +101,11 @@
   const ControlLoad::Scope scope(this->context->load, ControlWork::kPass);
   this->pass_scheduled = false;
   const Instant now = this->context->executor->Now();
-  this->last_pass = now;
+  this->PlaceAll(now);
+  this->pacer.Note(now, scope.Elapsed());
+}
+
+void Dispatcher::PlaceAll(Instant now) {
   this->UpdateAnySilent();
   std::vector<SchedulingUnit> units = this->CollectUnits(now);
   this->UpdateEjected(now);
@@ -124,6 +130,7 @@
                    });
   std::int32_t holds = 0;
   this->ask_checks_left = kMaxAskChecks;
+  this->first_asks_left = kMaxFirstAsks;
   for (SchedulingUnit& unit : units) {
     if (!this->LimitToCap(&unit)) {
       this->ReportCapped(unit, now);
@@ -546,6 +553,9 @@
     --this->ask_checks_left;
     unit.progress->next_advice_check = now + kAskInterval;
     if (this->WorkersToAsk(unit, capacities, now).empty()) return;
+  } else {
+    if (this->first_asks_left == 0) return;
+    --this->first_asks_left;
   }
   this->context->advice->RequestPermissions(
       {.step = unit.ref,
--- a/packages/jobs/src/dispatcher.h
+++ b/packages/jobs/src/dispatcher.h
@@ -8,6 +8,7 @@
 #include "callback_guard.h"
 #include "owner_context.h"
 #include "pass_capacity.h"
+#include "pass_pacer.h"
 #include "permission_broker.h"
 #include "placement.h"
 #include "scheduling_unit.h"
@@ -38,6 +39,8 @@
 
  private:
   void Pass();
+  /// Starts what can start now, in order of rank.
+  void PlaceAll(Instant now);
   /// Records whether any worker with runs does not answer.
   void UpdateAnySilent();
   /// Records the workers whose health has changed.
@@ -127,9 +130,11 @@
   bool pass_scheduled = false;
   /// Whether, in this pass, a worker with runs does not answer.
   bool any_silent = false;
-  Instant last_pass;
+  PassPacer pacer;
   /// Checks whether to ask the policy service that this pass may still make.
   std::size_t ask_checks_left = 0;
+  /// Steps that may still ask for the first time in this pass.
+  std::size_t first_asks_left = 0;
   CallbackGuard guard;
 };
 
--- a/packages/jobs/src/group_owner.cc
+++ b/packages/jobs/src/group_owner.cc
@@ -20,6 +20,8 @@
 /// slowest answers of a working store (0.4 s) and the delay of a peer together.
 /// A job that is stored later is placed again.
 constexpr Duration kProposalTimeout = milliseconds(1500);
+/// Jobs whose progress is read in one task of a takeover.
+constexpr std::size_t kTakeoverSlice = 100;
 /// Maximum age that a job's acceptance time may indicate; beyond it, a clock
 /// must have jumped.
 constexpr Duration kMaxPlausibleAge = seconds(600);
@@ -323,9 +325,44 @@
 void GroupOwner::FinishLoading() {
   const bool complete = this->intake->Listed() && this->workers->Listed() &&
                         this->stored->Complete();
-  if (!complete || std::exchange(this->loaded, true)) return;
-  const ControlLoad::Scope scope(this->context.load, ControlWork::kLoad);
+  if (!complete || std::exchange(this->taking_over, true)) return;
+  if (this->context.workers.Size() <= kMaxWorkersPolledAfterTakeover) {
+    for (const auto& [id, session] : this->context.workers) {
+      session->ExpectLateStart(this->elected_at);
+    }
+  }
   this->TakeOver();
+}
+
+void GroupOwner::TakeOver() {
+  const ControlLoad::Scope scope(this->context.load, ControlWork::kLoad);
+  // Failure: thousands of jobs are read in one go, and meanwhile the lease at
+  // the store and those of the workers are not renewed.
+  const std::vector<JobEntry*>& active = this->context.jobs.Active();
+  std::vector<JobEntry*> slice;
+  while (this->taken_over < active.size() && slice.size() < kTakeoverSlice) {
+    slice.push_back(active[this->taken_over++]);
+  }
+  for (JobEntry* entry : slice) {
+    this->ClaimProgress(entry);
+    // A job that was stored as final is not active any more.
+    if (IsFinal(entry->state)) --this->taken_over;
+  }
+  if (this->taken_over < active.size()) {
+    this->context.executor->Post(
+        this->guard.Wrap([this] { this->TakeOver(); }));
+    return;
+  }
+  this->FinishTakeover();
+}
+
+void GroupOwner::FinishTakeover() {
+  this->loaded = true;
+  for (const JobId& id : std::set<JobId>(this->early_cancellations)) {
+    if (this->context.jobs.Find(id) == nullptr) continue;
+    this->early_cancellations.erase(id);
+    this->OnCancel(id);
+  }
   const Duration took = this->context.executor->Now() - this->elected_at;
   this->context.log->Write("owner", "loaded",
                            {{"token", this->context.token},
@@ -339,21 +376,6 @@
   this->ended->Read();
 }
 
-void GroupOwner::TakeOver() {
-  if (this->context.workers.Size() <= kMaxWorkersPolledAfterTakeover) {
-    for (const auto& [id, session] : this->context.workers) {
-      session->ExpectLateStart(this->elected_at);
-    }
-  }
-  const std::vector<JobEntry*> active = this->context.jobs.Active();
-  for (JobEntry* entry : active) this->ClaimProgress(entry);
-  for (const JobId& id : std::set<JobId>(this->early_cancellations)) {
-    if (this->context.jobs.Find(id) == nullptr) continue;
-    this->early_cancellations.erase(id);
-    this->OnCancel(id);
-  }
-}
-
 void GroupOwner::RemoveExpiredProposals() {
   const Instant old = this->context.executor->Now() - kFinalStateRetention;
   while (!this->parked.empty() && this->parked.front().first < old) {
--- a/packages/jobs/src/group_owner.h
+++ b/packages/jobs/src/group_owner.h
@@ -93,9 +93,12 @@
   void ClaimProgress(JobEntry* entry);
   /// Removes jobs that were proposed and never stored.
   void RemoveExpiredProposals();
-  /// Starts scheduling once jobs, progress and workers have all been read.
+  /// Takes over once jobs, progress and workers have all been read.
   void FinishLoading();
+  /// Reads the progress of some jobs, and continues in another task.
   void TakeOver();
+  /// Starts scheduling.
+  void FinishTakeover();
   void InheritRuns(JobEntry* entry);
   void Tick();
   void OpenDueOccurrences();
@@ -108,6 +111,9 @@
   /// Jobs that were proposed and not stored in time, oldest first.
   std::deque<std::pair<Instant, JobId>> parked;
   bool loaded = false;
+  bool taking_over = false;
+  /// Number of active jobs whose progress has been read.
+  std::size_t taken_over = 0;
   /// Cancellations that were read before their jobs.
   std::set<JobId> early_cancellations;
   std::unique_ptr<ProgressWriter> writer;
