What a team sends beyond its share goes after the jobs of the others

Load: one team sends many times its usual. Jobs were ranked by time left and queue alone, so its excess made all teams late.

Change: an owner counts the jobs of each team by the second of their acceptance (SubmissionRates); those beyond the team's weight rank after all others of the same lateness, and their questions to the policy service count for a fifth. Nothing is refused, and spare capacity is used as before.

Test: two teams with a weight of 5, one of them sending 45 jobs a second to a cell that does 16: at least 0.95 of the other's jobs are done within 3 s, and the hot team gets at least 0.9 of what is left (cell_team).

--- a/packages/jobs/src/dispatcher.cc
+++ b/packages/jobs/src/dispatcher.cc
@@ -112,12 +112,13 @@
   this->RemoveCapped(&units, now);
   const PassCapacity capacities(this->context->workers);
   this->AdvanceGangStartTimes(&units, capacities, now);
-  std::stable_sort(
-      units.begin(), units.end(),
-      [](const SchedulingUnit& a, const SchedulingUnit& b) {
-        return std::tie(a.deadline_status, a.queue->priority, a.start_by) <
-               std::tie(b.deadline_status, b.queue->priority, b.start_by);
-      });
+  std::stable_sort(units.begin(), units.end(),
+                   [](const SchedulingUnit& a, const SchedulingUnit& b) {
+                     return std::tie(a.deadline_status, a.entry->exceeds_share,
+                                     a.queue->priority, a.start_by) <
+                            std::tie(b.deadline_status, b.entry->exceeds_share,
+                                     b.queue->priority, b.start_by);
+                   });
   // Failure: later suspicious tasks that are not late yet take every worker
   // that may be quarantined, and one that has waited for long never starts.
   const auto usual = std::stable_partition(
@@ -563,7 +564,8 @@
        .policy = *unit.queue->advice,
        .deadlines = unit.deadlines,
        .start_by = unit.start_by,
-       .work = DeclaredWork(*unit.step, std::ssize(unit.tasks))});
+       .work = DeclaredWork(*unit.step, std::ssize(unit.tasks)),
+       .exceeds_share = unit.entry->exceeds_share});
 }
 
 std::vector<AskedWorker> Dispatcher::WorkersToAsk(
--- a/packages/jobs/src/group_owner.cc
+++ b/packages/jobs/src/group_owner.cc
@@ -198,7 +198,9 @@
   const Duration age =
       milliseconds(this->context.executor->UnixMs() - job->accepted_unix_ms);
   const bool plausible = age > Duration::zero() && age < kMaxPlausibleAge;
+  const bool known = this->context.jobs.Find(id) != nullptr;
   JobEntry* entry = this->context.jobs.Add(std::move(*job), now);
+  if (!known) entry->exceeds_share = this->ExceedsShare(*entry);
   if (plausible) entry->learned_at = now - age;
   if (!this->loaded) return entry;
   this->ClaimProgress(entry);
@@ -211,6 +213,14 @@
   return entry;
 }
 
+bool GroupOwner::ExceedsShare(const JobEntry& entry) {
+  const TeamId& team = entry.job.access.team;
+  const auto found = this->context.teams.find(team);
+  if (team.Empty() || found == this->context.teams.end()) return false;
+  return this->rates.NoteAndCheckExcess(team, entry.job.accepted_unix_ms,
+                                        found->second->weight);
+}
+
 void GroupOwner::ConfirmStored(JobEntry* entry) {
   entry->stored = true;
   this->context.log->Write(
--- a/packages/jobs/src/group_owner.h
+++ b/packages/jobs/src/group_owner.h
@@ -25,6 +25,7 @@
 #include "progress_writer.h"
 #include "run_control.h"
 #include "stored_progress.h"
+#include "submission_rates.h"
 
 namespace mustardproxy::jobs {
 
@@ -79,6 +80,8 @@
   void OnProposed(const JobId& id, std::string_view record);
   /// @return null if the record can't be decoded
   JobEntry* AddJob(const JobId& id, std::string_view record);
+  /// Counts a new job.
+  bool ExceedsShare(const JobEntry& entry);
   void ConfirmStored(JobEntry* entry);
   /// Releases the capacity of a job that was not stored in time.
   void ParkIfNotStored(const JobId& id);
@@ -106,6 +109,7 @@
 
   const PlatformSchema* schema;
   OwnerContext context;
+  SubmissionRates rates;
   /// When the fencing token was acquired.
   Instant elected_at;
   /// Jobs that were proposed and not stored in time, oldest first.
--- a/packages/jobs/src/job_table.h
+++ b/packages/jobs/src/job_table.h
@@ -95,6 +95,8 @@
   std::int32_t next_to_open = 0;
   /// When this owner first read the job.
   Instant learned_at;
+  /// Its team had submitted as many jobs in that second as it is entitled to.
+  bool exceeds_share = false;
   /// State reported to callers; a final state is reported only after it is
   /// stored.
   JobState published_state = JobState::kQueued;
--- a/packages/jobs/src/question_queue.cc
+++ b/packages/jobs/src/question_queue.cc
@@ -11,6 +11,9 @@
 
 /// Value of work that is done late, as a fraction of its value in time.
 constexpr double kLateValueFraction = 0.2;
+/// Value of work beyond the share of its team, as a fraction of the same work
+/// within it.
+constexpr double kExcessValueFraction = 0.2;
 /// One of this many long questions is the one that has waited longest.
 constexpr std::uint64_t kOldestPeriod = 4;
 /// One of this many is the oldest of all, including questions for jobs without
@@ -40,7 +43,8 @@
 double ValuePerCost(const PermissionRequest& request, Instant now) {
   const auto cost = static_cast<double>(
       std::max<std::int64_t>(1, request.policy.decision.count()));
-  return RemainingValue(request.deadlines.At(now)) *
+  const double share = request.exceeds_share ? kExcessValueFraction : 1.0;
+  return share * RemainingValue(request.deadlines.At(now)) *
          static_cast<double>(request.work.count()) / cost;
 }
 
--- a/packages/jobs/src/question_queue.h
+++ b/packages/jobs/src/question_queue.h
@@ -33,6 +33,8 @@
   Duration work{0};
   /// Its capacity is reserved and idle until the answer.
   bool capacity_reserved = false;
+  /// See JobEntry.
+  bool exceeds_share = false;
 };
 
 /// @return declared processor time of `tasks` tasks of a step
--- a/packages/jobs/tests/cell_team_test.cc
+++ b/packages/jobs/tests/cell_team_test.cc
@@ -1,5 +1,7 @@
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "check_invariants.h"
@@ -180,6 +182,44 @@
   BOOST_TEST((cell->Ask(running->job.id) == std::optional(JobState::kRunning)));
 }
 
+// Guards against one team that sends many times its share and makes the jobs of
+// others late, and against leaving capacity unused meanwhile.
+BOOST_AUTO_TEST_CASE(excess_of_one_team_does_not_delay_the_others) {
+  cell->teams = {MakeTeam("hot", "key-hot", 0),
+                 MakeTeam("calm", "key-calm", 0)};
+  for (Team& team : cell->teams) team.weight = 5;
+  ApplyTeams();
+  // 16 tasks a second fit; 5 and 45 jobs of one task arrive.
+  constexpr milliseconds kInterval(200);
+  constexpr Duration kObjective = seconds(3);
+  constexpr int kIntervals = 75;
+  constexpr int kHotPerInterval = 9;
+  std::vector<std::pair<Instant, const SimJob*>> calm;
+  std::vector<const SimJob*> hot;
+  for (int i = 0; i < kIntervals; ++i) {
+    for (int k = 0; k < kHotPerInterval; ++k) {
+      hot.push_back(Submit(MakeStep(1, 4000, seconds(1)), "key-hot"));
+    }
+    calm.emplace_back(cell->Time().Now(),
+                      Submit(MakeStep(1, 4000, seconds(1)), "key-calm"));
+    cell->Time().RunFor(kInterval);
+  }
+  const auto done_hot =
+      std::count_if(hot.begin(), hot.end(),
+                    [](const SimJob* job) { return job->done_at.has_value(); });
+  cell->Time().RunFor(seconds(5));
+  const auto in_time =
+      std::count_if(calm.begin(), calm.end(), [&](const auto& one) {
+        return one.second->done_at &&
+               *one.second->done_at <= one.first + kObjective;
+      });
+  BOOST_TEST(static_cast<double>(in_time) >= 0.95 * kIntervals);
+  // The rest of the capacity is used: 15 s of 16 tasks, less the calm team's,
+  // less a tenth.
+  BOOST_TEST(static_cast<double>(done_hot) >=
+             0.9 * (15 * 16 - static_cast<double>(kIntervals)));
+}
+
 // Guards against a team that takes more than its cap with several jobs.
 BOOST_AUTO_TEST_CASE(team_stays_within_its_cap) {
   std::vector<SimJob*> jobs;
