--- a/packages/jobs/include/mustardproxy/jobs/key_digest.h
+++ b/packages/jobs/include/mustardproxy/jobs/key_digest.h
@@ -2,6 +2,8 @@
 #define MUSTARDPROXY_JOBS_KEY_DIGEST_H_
 
 #include <array>
+#include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -20,7 +22,9 @@
   [[nodiscard]] std::string Fingerprint() const;
 
   friend bool operator==(const KeyDigest&, const KeyDigest&) = default;
-  friend auto operator<=>(const KeyDigest&, const KeyDigest&) = default;
+  // clang-tidy reports the 0 in the rewritten comparison as a null pointer.
+  friend std::strong_ordering operator<=>(const KeyDigest&, const KeyDigest&) =
+      default;  // NOLINT
 
  private:
   static constexpr std::size_t kBytes = 32;
--- a/packages/jobs/src/job_node.cc
+++ b/packages/jobs/src/job_node.cc
@@ -355,8 +355,7 @@
                                      const Credentials& credentials) {
   const Duration age = this->state->ConfigurationAge();
   const DesiredState* desired = this->state->desired.get();
-  const Result<Admission> admitted =
-      jobs::Admit(desired, age, choose, credentials);
+  Result<Admission> admitted = jobs::Admit(desired, age, choose, credentials);
   if (admitted) return admitted;
   const std::string key = credentials.key.empty()
                               ? "none"
--- a/packages/jobs/tests/cell_team_test.cc
+++ b/packages/jobs/tests/cell_team_test.cc
@@ -223,7 +223,9 @@
 // Guards against a team that takes more than its cap with several jobs.
 BOOST_AUTO_TEST_CASE(team_stays_within_its_cap) {
   std::vector<SimJob*> jobs;
-  for (int i = 0; i < 4; ++i) {
+  constexpr std::size_t kJobs = 4;
+  jobs.reserve(kJobs);
+  for (std::size_t i = 0; i < kJobs; ++i) {
     jobs.push_back(Submit(MakeStep(5, 1500, seconds(1))));
   }
   BOOST_TEST(MaxUsed(seconds(6)) == 7500);
