--- a/packages/jobs/src/control_load.cc
+++ b/packages/jobs/src/control_load.cc
@@ -18,11 +18,9 @@
     case ControlWork::kLoad:
       return "load";
     case ControlWork::kAnswer:
-      return "answer";
-    case ControlWork::kPermission:
       break;
   }
-  return "permission";
+  return "answer";
 }
 
 void ControlLoad::Note(ControlWork work, Duration took) {
--- a/packages/jobs/src/control_load.h
+++ b/packages/jobs/src/control_load.h
@@ -20,11 +20,9 @@
   kLoad,
   /// An answer of a worker.
   kAnswer,
-  /// An answer of the policy service.
-  kPermission,
 };
 
-/// @return `pass`, `load`, `answer` or `permission`
+/// @return `pass`, `load` or `answer`
 [[nodiscard]] std::string_view Name(ControlWork work);
 
 /// Measures how long each kind of work occupies the control thread.
@@ -54,11 +52,11 @@
   };
 
   /// @return milliseconds of each kind since the last call, such as
-  ///   `pass=12 load=0 answer=40 permission=3`
+  ///   `pass=12 load=0 answer=40`
   std::string TakeSummary();
 
  private:
-  static constexpr std::size_t kKinds = 4;
+  static constexpr std::size_t kKinds = 3;
 
   void Note(ControlWork work, Duration took);
 
