Starts go by a view of the workers that is young enough to know of a drain

Cause: a start was sent if a read of the workers' entries had been sent within 4 s, which fits a reduction of capacity.

Change: 1.8 s in place of 4 s, counted from when the store last confirmed the view: an answer of a watch without events confirms it at its end, so the longest wait and the pause after it fit. An older view is read anew, and the start waits.

The simulated store gains a prefix that gets no answer.

--- a/packages/jobs/src/group_owner.cc
+++ b/packages/jobs/src/group_owner.cc
@@ -14,8 +14,10 @@
 /// The number may be 2 s old, and a watch takes up to 1.5 s.
 constexpr Duration kMaxJobViewAge = milliseconds(2000);
 /// Maximum age of the view of the workers' entries when a start is sent. A
-/// reduction of a worker's capacity must be respected after 4.5 s.
-constexpr Duration kMaxWorkerViewAge = milliseconds(4000);
+/// worker that starts to drain must receive no new tasks after 2 s, and a
+/// reduction of its capacity must be respected after 4.5 s. Exceeds the longest
+/// wait of a watch and the pause after it together.
+constexpr Duration kMaxWorkerViewAge = milliseconds(1800);
 /// How long the capacity of a job that is being stored is kept: longer than the
 /// slowest answers of a working store (0.4 s) and the delay of a peer together.
 /// A job that is stored later is placed again.
@@ -431,8 +433,7 @@
 
 bool GroupOwner::HasFreshWorkerView() {
   const Instant now = this->context.executor->Now();
-  if (now < this->workers->LastAnsweredCallAt() + kMaxWorkerViewAge)
-    return true;
+  if (now < this->workers->ConfirmedAt() + kMaxWorkerViewAge) return true;
   this->workers->Refresh();
   return false;
 }
--- a/packages/jobs/tests/cell_worker_test.cc
+++ b/packages/jobs/tests/cell_worker_test.cc
@@ -166,6 +166,33 @@
   CheckInvariants(cell.get());
 }
 
+// Failure: the owner is seconds behind with the workers' entries, because there
+// are thousands of them or their watch has fallen silent, and starts tasks on a
+// worker that has been draining all the while.
+BOOST_AUTO_TEST_CASE(no_start_goes_by_an_old_view_of_the_workers) {
+  constexpr Duration kDrainBound = seconds(2);
+  // Longer than a watch that waits already.
+  constexpr Duration kSilence = milliseconds(1300);
+  constexpr milliseconds kStep(200);
+  constexpr milliseconds kLast(1600);
+  for (milliseconds moment{0}; moment <= kLast; moment += kStep) {
+    const auto cell = SimCell::Builder().Workers(1).Build();
+    cell->Time().RunFor(seconds(15) + moment);
+    cell->Store().silent_prefix = "workers/";
+    cell->Time().RunFor(kSilence);
+    cell->DrainWorker(cell->Workers().Find("w0"));
+    cell->Time().RunFor(kDrainBound);
+    cell->Submit(MakeSpec({MakeStep(2, 1000, seconds(1))}));
+    cell->Time().RunFor(seconds(5));
+    BOOST_TEST(cell->Judge().Runs() == 0);
+    cell->Store().silent_prefix.clear();
+    cell->AddWorker();
+    cell->Time().RunFor(seconds(8));
+    BOOST_TEST(cell->Judge().Runs() == 2);
+    CheckInvariants(cell.get());
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace mustardproxy::jobs
--- a/testing/job_sim/include/job_sim/sim_store.h
+++ b/testing/job_sim/include/job_sim/sim_store.h
@@ -37,6 +37,9 @@
   /// Answers nobody, or refuses everybody at once.
   bool silent = false;
   bool refusing = false;
+  /// Reads of a list below this prefix, and waits for its changes, get no
+  /// answer, as over a connection that has fallen silent; none if it is empty.
+  std::string silent_prefix;
   /// Share of the writes that are done and not answered …
   double lost_answers = 0;
   /// … and of those that are done late instead, seconds after.
@@ -58,6 +61,10 @@
   };
 
   [[nodiscard]] bool Reaches(const Process& process) const;
+  [[nodiscard]] bool Silences(std::string_view prefix) const {
+    return !this->silent_prefix.empty() &&
+           prefix.starts_with(this->silent_prefix);
+  }
   jobs::CommitResult Commit(const jobs::Transaction& transaction);
   jobs::StorePage List(const std::string& prefix, const std::string& after);
   mustardproxy::Result<jobs::StoreEvents> EventsAfter(
--- a/testing/job_sim/src/sim_store.cc
+++ b/testing/job_sim/src/sim_store.cc
@@ -46,6 +46,10 @@
 
   void List(std::string_view prefix, std::string_view after,
             Done<StorePage> done) override {
+    if (this->store->Silences(prefix)) {
+      (void)this->Once<StorePage>(std::move(done), kTimeout);
+      return;
+    }
     this->Ask<StorePage>(std::move(done), [this, prefix = std::string(prefix),
                                            after = std::string(after)] {
       return Result<StorePage>(this->store->List(prefix, after));
@@ -59,6 +63,7 @@
     watch->prefix = prefix;
     watch->after = revision;
     watch->done = once;
+    if (this->store->Silences(watch->prefix)) return;
     this->Reach([this, watch, wait] {
       this->store->watches.push_back(watch);
       this->store->WakeWatches();
