Send an unanswered start once, and wait until it can no longer arrive

Cause: a start order without a response is sent again for the same run 20 ms later, although the first copy may be carried out up to 12 s after it was sent. The second copy completes the task; the worker restarts under its id, and the first copy reaches the new incarnation before any token or stop does. Polls narrow that gap to 25 ms at best and can not close it. The same holds where the task is started elsewhere once a worker, or its next incarnation, has acknowledged a stop: the incarnation after that knows nothing of the stop.

Fix: such an order is sent once. Whether it was carried out is learned from the lists of the worker only; until then, or until 12.5 s have passed, the run keeps its task and its room, also when it has been stopped, when its worker restarts and when its lease lapses. So no further copy exists once a task has begun. Orders that no other incarnation carries out are repeated as before: those with a permission, which is valid for one incarnation, and those to workers that do not tell their start time, whose next incarnation has another id.

What it costs: a task whose start is late by seconds starts when that order arrives, not 0.5 s later; one whose order was lost starts again after 12.5 s. At an unreachable worker it was 9 s. `start-not-done` tells with `awaited` that the task waits.

The model gets `delay_start` for such tests, and its log tells which ends a hold has acknowledged.

--- a/packages/jobs/src/hold_loop.cc
+++ b/packages/jobs/src/hold_loop.cc
@@ -109,9 +109,12 @@
   if (!session.unresponsive) {
     order.lease_until_ms = session.LeaseUntilMs(now, kWorkerLease);
   }
-  const bool checking =
-      std::any_of(session.runs.begin(), session.runs.end(),
-                  [](const auto& run) { return run.second.stop_acknowledged; });
+  const bool checking = std::any_of(
+      session.runs.begin(), session.runs.end(), [&](const auto& run) {
+        return run.second.stop_acknowledged &&
+               !this->context->runs->AwaitsLateStart(run.first, run.second,
+                                                     now);
+      });
   const bool wait = session.fenced && !session.unresponsive &&
                     session.HasContactedRuns() && !checking &&
                     (verified || !unacknowledged) &&
@@ -264,7 +267,7 @@
       this->context->runs->StopUnwanted(session, listed.run);
       continue;
     }
-    record->seen_running = now;
+    record->NoteRunning(now);
     if (record->quarantined && record->Survived() >= record->probation_period) {
       session->EndQuarantine(listed.run);
       this->context->log->Write(
@@ -289,9 +292,9 @@
   const std::set<RunRef> listed = result.ListedRuns();
   std::vector<RunRef> gone;
   for (const auto& [run, record] : session->runs) {
-    const bool must_show = record.expected_listed_from &&
-                           *record.expected_listed_from <= asked &&
-                           !record.order_in_flight;
+    const bool must_show =
+        record.MustBeListed(asked) &&
+        !this->context->runs->AwaitsLateStart(run, record, asked);
     if (must_show && !listed.contains(run)) gone.push_back(run);
   }
   for (const RunRef& run : gone) {
--- a/packages/jobs/src/options.h
+++ b/packages/jobs/src/options.h
@@ -28,14 +28,12 @@
 /// Upper bound of the lease that a worker grants, regardless of what an order
 /// requests.
 inline constexpr Duration kMaxWorkerLease = milliseconds(10'000);
-/// If a start is unanswered and the worker is unreachable, its task is not
-/// started elsewhere for this long: a later incarnation of the worker may still
-/// execute the start, regardless of the lease that the start granted.
-inline constexpr Duration kLateStartWindow = milliseconds(9000);
-/// How long after it was sent an unanswered start may still reach a worker. A
-/// worker that restarts within this time must learn the token of the owner
-/// before that start arrives, so it is polled even if it is idle.
-inline constexpr Duration kLateStartPolling = milliseconds(12'000);
+/// How long after it was sent an unanswered start may still be executed, by
+/// whichever incarnation of the worker it reaches, regardless of the lease that
+/// it granted: the platform's limit of 12 s and the time of the delivery. Its
+/// task is not started again before, and the worker is polled even if it is
+/// idle, so that a new incarnation learns the token of the owner.
+inline constexpr Duration kLateStartWindow = milliseconds(12'500);
 /// Minimum interval between two polls of such a worker.
 inline constexpr Duration kMinPollInterval = milliseconds(25);
 /// Maximum rate of these polls. With more such workers, each is polled less
--- a/packages/jobs/src/run_control.cc
+++ b/packages/jobs/src/run_control.cc
@@ -247,6 +247,8 @@
     this->QuarantineIfSuspicious(session, run);
   }
   record->start_sent = now;
+  record->bound_to_incarnation =
+      !order.ticket.empty() || worker.start_unix_ms == 0;
   record->order_in_flight = true;
   record->expected_listed_from.reset();
   this->context->driver->Start(session->Target(), std::move(order),
@@ -304,28 +306,25 @@
 void RunControl::OnStart(const WorkerIncarnation& worker, const RunRef& run,
                          bool first, Instant asked, const OrderResult& result) {
   const ControlLoad::Scope scope(this->context->load, ControlWork::kAnswer);
-  if (result.end == OrderOutcome::kUncertain) {
-    // The start order may reach any later incarnation of the worker.
-    WorkerSession* latest = this->context->workers.FindLatest(worker.id);
-    if (latest != nullptr) latest->ExpectLateStart(asked);
-  }
+  WorkerSession* latest = this->context->workers.FindLatest(worker.id);
+  if (latest != nullptr) NoteStartResponse(latest, run, asked, result.end);
   WorkerSession* session = this->NoteAnswer(worker, asked, result);
   if (session == nullptr) return;
   SessionRun* record = session->FindRun(run);
   if (record == nullptr) return;
-  record->order_in_flight = false;
-  if (result.end == OrderOutcome::kUncertain) record->start_unanswered = true;
   const bool broke =
       result.end == OrderOutcome::kUncertain &&
       this->context->executor->Now() - asked < kConnectionClosedThreshold;
   if (broke || result.end == OrderOutcome::kDone) record->start_received = true;
   if (result.end != OrderOutcome::kDone) {
+    const bool awaited = this->AwaitsLateStart(run, *record, asked);
     this->context->log->Write("jobs", "start-not-done",
                               {{"task", Text(run.task)},
                                {"run", run.run},
                                {"worker", Text(worker)},
                                {"end", Name(result.end)},
-                               {"first_try", first ? 1 : 0}});
+                               {"first_try", first ? 1 : 0},
+                               {"awaited", awaited ? 1 : 0}});
   }
   if (result.end == OrderOutcome::kNoTicket) {
     this->context->advice->DropTicket(run.task.step, session->Number());
@@ -352,12 +351,30 @@
     // still be carried out. After the stop order the worker rejects it.
     this->Stop(session, run);
     this->StopGang(run);
-  } else if (!record->stopping) {
+  } else if (record->bound_to_incarnation && !record->stopping) {
     this->RunAfter(kOrderRetryDelay,
                    [this, worker, run] { this->SendStart(worker, run); });
   }
 }
 
+// Failure: a start order is repeated while the first copy is under way. The
+// task completes, its worker restarts, and the new incarnation carries the
+// first copy out. Only a list of the worker shows what became of the order.
+void RunControl::NoteStartResponse(WorkerSession* latest, const RunRef& run,
+                                   Instant asked, OrderOutcome end) {
+  const bool unanswered = end == OrderOutcome::kUncertain;
+  // The start order may reach any later incarnation of the worker.
+  if (unanswered) latest->ExpectLateStart(asked);
+  SessionRun* record = latest->FindRun(run);
+  if (record == nullptr) return;
+  record->order_in_flight = false;
+  if (record->bound_to_incarnation) {
+    record->start_unanswered = record->start_unanswered || unanswered;
+  } else {
+    record->start_unanswered = unanswered && !record->seen_running;
+  }
+}
+
 void RunControl::OnRefused(WorkerSession* session, const RunRef& run,
                            OrderOutcome why) {
   TaskEntry* task = this->context->jobs.FindOpen(run);
@@ -624,6 +641,8 @@
   record.blocked = true;
   record.stopping = true;
   record.start_sent = former.start_sent;
+  record.start_unanswered = former.Unanswered();
+  record.bound_to_incarnation = former.bound_to_incarnation;
   record.started_at = now;
   record.last_progress_at = now;
   record.expected_end = now;
@@ -650,6 +669,14 @@
   }
 }
 
+bool RunControl::AwaitsLateStart(const RunRef& run, const SessionRun& record,
+                                 Instant now) const {
+  if (!record.MayArrive(now)) return false;
+  const JobEntry* entry = this->context->jobs.Find(run.task.step.job);
+  const TaskEntry* task = this->context->jobs.FindOpen(run);
+  return task != nullptr && !task->done && !IsFinal(entry->state);
+}
+
 bool RunControl::IsGangRunIntact(const RunRef& member) {
   const Step* step = this->context->jobs.FindStep(member.task.step);
   if (step == nullptr || !step->gang) return true;
--- a/packages/jobs/src/run_control.h
+++ b/packages/jobs/src/run_control.h
@@ -68,6 +68,11 @@
                   const SessionRun& former);
   /// Registers a run that the new incarnation of a worker has started.
   void Move(WorkerSession* session, const RunRef& run, SessionRun record);
+  /// @return true if the task of the run must not be started again yet, because
+  ///   the start order of the run may still be carried out
+  [[nodiscard]] bool AwaitsLateStart(const RunRef& run,
+                                     const SessionRun& record,
+                                     Instant now) const;
   /// Ends the blocked runs of a worker that does not respond, once their start
   /// orders can no longer arrive.
   void ReleaseBlocked(WorkerSession* session);
@@ -98,6 +103,11 @@
                  StartOrder* order);
   void OnStart(const WorkerIncarnation& worker, const RunRef& run, bool first,
                Instant asked, const OrderResult& result);
+  /// Records whether a start order may still be carried out after its call has
+  /// ended.
+  /// @param latest latest incarnation of the worker that the order was sent to
+  static void NoteStartResponse(WorkerSession* latest, const RunRef& run,
+                                Instant asked, OrderOutcome end);
   /// Handles a start order that a worker rejected.
   void OnRefused(WorkerSession* session, const RunRef& run, OrderOutcome why);
   /// @return the runs whose start orders wait for an answer of the worker
--- a/packages/jobs/src/worker_session.cc
+++ b/packages/jobs/src/worker_session.cc
@@ -20,6 +20,30 @@
          !this->seen_running;
 }
 
+bool SessionRun::MayArrive(Instant now) const {
+  return this->Unanswered() && !this->bound_to_incarnation &&
+         now < this->start_sent + kLateStartWindow;
+}
+
+void SessionRun::NoteRunning(Instant now) {
+  this->seen_running = now;
+  // An order that is not repeated has been carried out once its run is listed.
+  const bool only_copy = !this->bound_to_incarnation;
+  if (!only_copy || this->phase != RunPhase::kOrdered) return;
+  this->phase = RunPhase::kStarted;
+  this->start_unanswered = false;
+  this->expected_listed_from = now;
+}
+
+bool SessionRun::MustBeListed(Instant asked) const {
+  if (this->order_in_flight) return false;
+  const bool order_lost = this->start_unanswered &&
+                          !this->bound_to_incarnation &&
+                          !this->MayArrive(asked);
+  return order_lost ||
+         (this->expected_listed_from && *this->expected_listed_from <= asked);
+}
+
 WorkerSession::WorkerSession(SessionNumber number, WorkerInfo info,
                              Instant known_since, Instant inherited_until,
                              TeamUsage* usage)
@@ -173,7 +197,7 @@
 }
 
 void WorkerSession::ExpectLateStart(Instant sent) {
-  this->ExpectLateStartsUntil(sent + kLateStartPolling);
+  this->ExpectLateStartsUntil(sent + kLateStartWindow);
 }
 
 void WorkerSession::ExpectLateStartsUntil(Instant until) {
--- a/packages/jobs/src/worker_session.h
+++ b/packages/jobs/src/worker_session.h
@@ -72,6 +72,10 @@
   /// At least one of the start orders got no response and may still be carried
   /// out.
   bool start_unanswered = false;
+  /// No other incarnation of the worker carries the start order out: the order
+  /// has a permission, or the id of the worker identifies the incarnation. Only
+  /// such an order is sent again while it is unanswered.
+  bool bound_to_incarnation = false;
   /// Predicted end, based on the run times observed in its queue.
   Instant expected_end;
   std::int32_t percent = 0;
@@ -87,6 +91,13 @@
   [[nodiscard]] bool Unanswered() const {
     return this->order_in_flight || this->start_unanswered;
   }
+  /// @return true if the start order may still be carried out by any
+  ///   incarnation of the worker, so that the task must not be started again
+  [[nodiscard]] bool MayArrive(Instant now) const;
+  /// Records that a worker has listed the run as running.
+  void NoteRunning(Instant now);
+  /// @return true if the run has ended unless a hold sent at `asked` lists it
+  [[nodiscard]] bool MustBeListed(Instant asked) const;
 };
 
 /// Ended runs from one response of a worker.
--- a/testing/job_sim/include/job_sim/sim_worker.h
+++ b/testing/job_sim/include/job_sim/sim_worker.h
@@ -133,6 +133,11 @@
   /// answer, and of those whose answer is lost.
   double late_orders = 0;
   double lost_answers = 0;
+  /// How much later a start order is carried out, without an answer; nothing if
+  /// it goes the usual way. A test that sets it controls the order of events.
+  std::function<std::optional<Duration>(const jobs::WorkerTarget&,
+                                        const jobs::StartOrder&)>
+      delay_start;
   /// Workers that nobody reaches.
   std::set<std::string> cut;
   /// Waiting holds of a worker that crashes end at once, as connections do that
--- a/testing/job_sim/src/promises.cc
+++ b/testing/job_sim/src/promises.cc
@@ -251,6 +251,9 @@
 }
 
 void Promises::OnNoted(const jobs::RunRef& run, jobs::RunEnd end) {
+  this->log->Write(
+      "sim", "end-noted",
+      {{"task", jobs::Text(run.task)}, {"run", run.run}, {"end", Name(end)}});
   if (end == jobs::RunEnd::kDone) {
     this->noted_done.insert(run.task);
     // A newer run that goes on was started after that end.
--- a/testing/job_sim/src/sim_worker.cc
+++ b/testing/job_sim/src/sim_worker.cc
@@ -397,12 +397,17 @@
 
   void Start(const jobs::WorkerTarget& worker, jobs::StartOrder order,
              std::function<void(OrderResult)> done) override {
+    std::optional<Duration> delayed;
+    if (this->workers->delay_start) {
+      delayed = this->workers->delay_start(worker, order);
+    }
     this->Send<OrderResult>(
         worker, milliseconds(500), std::move(done),
         [order](SimWorker* at, bool late,
                 const std::function<void(OrderResult)>& answer) {
           answer(at->Start(order, late));
-        });
+        },
+        delayed);
   }
 
   void Stop(const jobs::WorkerTarget& worker, jobs::StopOrder order,
@@ -435,7 +440,8 @@
 
   template <typename Outcome, typename Task>
   void Send(const jobs::WorkerTarget& target, Duration timeout,
-            std::function<void(Outcome)> done, Task task) {
+            std::function<void(Outcome)> done, Task task,
+            std::optional<Duration> delayed = std::nullopt) {
     VirtualTime* time = this->workers->time;
     auto shared =
         std::make_shared<std::function<void(Outcome)>>(std::move(done));
@@ -446,11 +452,15 @@
       });
     };
     time->After(timeout, [answer] { answer(Outcome{}); });
-    const bool late = time->Chance(this->workers->late_orders);
+    const bool drawn_late = time->Chance(this->workers->late_orders);
+    const bool late = drawn_late || delayed.has_value();
     const bool lost = late || time->Chance(this->workers->lost_answers);
-    const Duration delay = late ? time->DrawBetween(std::chrono::seconds(2),
-                                                    std::chrono::seconds(12))
-                                : this->workers->latency;
+    Duration delay = this->workers->latency;
+    if (drawn_late) {
+      delay =
+          time->DrawBetween(std::chrono::seconds(2), std::chrono::seconds(12));
+    }
+    delay = delayed.value_or(delay);
     time->After(delay, [this, target, late, lost, answer, task] {
       const auto back = [this, answer, lost, target](const Outcome& result) {
         if (lost || this->Cut(target)) return;
