Let a new owner wait for starts of the former one that may still arrive

Cause: a new owner takes a run that the store names, and that its fenced worker does not list, for one that never began, and starts the task elsewhere at once. The start order of the former owner may still be under way, and a later incarnation of the worker, which has seen no token, carries it out.

The new test scripts the same with one restart; it is red on and on the commit before.

Excepted are runs whose order no other incarnation carries out, and jobs that were not stored when the former owner decided, since none of their starts was sent.

--- a/packages/jobs/src/group_owner.cc
+++ b/packages/jobs/src/group_owner.cc
@@ -404,6 +404,9 @@
 
 void GroupOwner::InheritRuns(JobEntry* entry) {
   const Instant until = this->elected_at + MaxInheritedRunTime();
+  // A job that appears after the takeover was not stored when the previous
+  // owner decided, so none of its starts was sent.
+  const bool may_be_ordered = !this->loaded;
   for (const auto& [number, occurrence] : entry->occurrences) {
     for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
       const std::vector<TaskEntry>& tasks = occurrence.steps[s].tasks;
@@ -412,7 +415,8 @@
         const TaskRef task{
             {entry->job.id, number, static_cast<std::int32_t>(s)},
             static_cast<std::int32_t>(i)};
-        this->runs->Inherit({task, tasks[i].last_run}, tasks[i].worker, until);
+        this->runs->Inherit({task, tasks[i].last_run}, tasks[i].worker, until,
+                            may_be_ordered);
       }
     }
   }
--- a/packages/jobs/src/run_control.cc
+++ b/packages/jobs/src/run_control.cc
@@ -149,28 +149,27 @@
 }
 
 void RunControl::Inherit(const RunRef& run, const WorkerIncarnation& worker,
-                         Instant inherited_until) {
+                         Instant inherited_until, bool may_be_ordered) {
+  const Instant now = this->context->executor->Now();
+  const JobEntry& entry = *this->context->jobs.Find(run.task.step.job);
   const Step* step = this->context->jobs.FindStep(run.task.step);
-  const TeamShare share =
-      ShareOf(this->context->jobs.Find(run.task.step.job)->job, *step);
+  SessionRun record;
+  record.resources = TaskDemand(*step);
+  record.share = ShareOf(entry.job, *step);
+  // Failure: the start order of the previous owner is under way when the task
+  // is started elsewhere, and reaches a later incarnation of the worker.
+  record.start_sent = now;
+  record.start_unanswered = may_be_ordered;
+  record.bound_to_incarnation = this->IsBoundToIncarnation(entry, worker);
   WorkerSession* session =
       this->context->incarnations->NoteStored(worker, inherited_until);
   if (!MayBeSameIncarnation(session->Incarnation(), worker)) {
     this->context->jobs.NoteLoss(run, {.worker = worker, .certain = true});
-    SessionRun former;
-    former.resources = TaskDemand(*step);
-    former.share = share;
-    former.start_sent = this->context->executor->Now();
-    this->BlockStart(session, run, former);
+    this->BlockStart(session, run, record);
     return;
   }
-  const Instant now = this->context->executor->Now();
-  SessionRun record;
-  record.resources = TaskDemand(*step);
-  record.share = share;
   record.phase = RunPhase::kStarted;
   record.expected_listed_from = now;
-  record.start_sent = now;
   record.started_at = now;
   record.last_progress_at = now;
   record.expected_end = now + step->estimate;
@@ -179,6 +178,14 @@
   this->QuarantineIfSuspicious(session, run);
 }
 
+bool RunControl::IsBoundToIncarnation(const JobEntry& entry,
+                                      const WorkerIncarnation& worker) const {
+  // The queue may have got or lost its policy since the order was sent.
+  const bool permitted = entry.job.queue.advice.has_value() &&
+                         this->context->QueueOf(entry).advice.has_value();
+  return permitted || worker.start_unix_ms == 0;
+}
+
 bool RunControl::FillOrder(const WorkerSession& session, const RunRef& run,
                            StartOrder* order) {
   JobEntry* entry = this->context->jobs.Find(run.task.step.job);
--- a/packages/jobs/src/run_control.h
+++ b/packages/jobs/src/run_control.h
@@ -38,9 +38,10 @@
   /// @param runs runs of one step that were begun in the job table
   void Begin(const JobEntry& entry, const std::vector<RunRef>& runs,
              std::span<const WorkerIncarnation> workers);
-  /// Registers a run that was ordered by a previous owner.
+  /// Registers a run that was placed by a previous owner.
+  /// @param may_be_ordered the previous owner may have sent the start order
   void Inherit(const RunRef& run, const WorkerIncarnation& worker,
-               Instant inherited_until);
+               Instant inherited_until, bool may_be_ordered);
   /// Registers and stops a run that a worker lists and that is not wanted.
   void StopUnwanted(WorkerSession* session, const RunRef& run);
   /// Stops a run that is no longer wanted.
@@ -99,6 +100,10 @@
  private:
   /// Calls `start` as soon as the job itself is stored.
   void StartOnceStored(const JobId& job, std::function<void()> start);
+  /// @return true if a start order of a previous owner is certain to be bound
+  ///   to that incarnation; see SessionRun::bound_to_incarnation
+  [[nodiscard]] bool IsBoundToIncarnation(
+      const JobEntry& entry, const WorkerIncarnation& worker) const;
   bool FillOrder(const WorkerSession& session, const RunRef& run,
                  StartOrder* order);
   void OnStart(const WorkerIncarnation& worker, const RunRef& run, bool first,
--- a/packages/jobs/src/worker_session.cc
+++ b/packages/jobs/src/worker_session.cc
@@ -27,11 +27,11 @@
 
 void SessionRun::NoteRunning(Instant now) {
   this->seen_running = now;
-  // An order that is not repeated has been carried out once its run is listed.
-  const bool only_copy = !this->bound_to_incarnation;
-  if (!only_copy || this->phase != RunPhase::kOrdered) return;
-  this->phase = RunPhase::kStarted;
+  // An order that may be repeated may still be under way.
+  if (this->bound_to_incarnation) return;
   this->start_unanswered = false;
+  if (this->phase != RunPhase::kOrdered) return;
+  this->phase = RunPhase::kStarted;
   this->expected_listed_from = now;
 }
 
--- a/packages/jobs/tests/cell_late_start_test.cc
+++ b/packages/jobs/tests/cell_late_start_test.cc
@@ -136,6 +136,18 @@
   this->CheckCompletes();
 }
 
+// Failure: the owner dies with a start order under way, and the next owner
+// starts the task elsewhere.
+BOOST_AUTO_TEST_CASE(delayed_start_outlives_its_owner) {
+  this->Submit(MakeStep(1, 2000, kTaskLength), seconds(6));
+  const auto owner = this->cell->OwnerIndex();
+  BOOST_REQUIRE(owner.has_value());
+  this->cell->KillProcess(*owner);
+  this->RunUntilJustBeforeArrival();
+  this->RestartWorker();
+  this->CheckCompletes();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace mustardproxy::jobs
