Forget the acknowledged stop of a run that a later incarnation carries out

A cancelled task could run to its end.

Cause: a run that waits for a late start has been stopped at the incarnation that its worker has then. When a further incarnation lists it, the run moves there with `stop_acknowledged` set, so that no stop is ever sent to it, and with `blocked` set, so that its lease and its loss are not looked at.

Fix: the acknowledgement and the block end with the incarnation. A blocked run that starts after all is the only one of its task and goes on; what is not wanted any more is stopped by name.

--- a/packages/jobs/src/run_control.cc
+++ b/packages/jobs/src/run_control.cc
@@ -491,8 +491,8 @@
 void RunControl::SendStop(const WorkerIncarnation& worker, const RunRef& run) {
   WorkerSession* session = this->context->workers.Find(worker);
   SessionRun* record = session == nullptr ? nullptr : session->FindRun(run);
-  if (record == nullptr || record->stop_acknowledged) return;
-  if (!this->context->MayAct()) return;
+  if (record == nullptr || !record->stopping) return;
+  if (record->stop_acknowledged || !this->context->MayAct()) return;
   const Instant now = this->context->executor->Now();
   this->context->driver->Stop(
       session->Target(), StopOrder{run, session->token},
@@ -665,6 +665,12 @@
   record.order_in_flight = false;
   record.expected_listed_from = this->context->executor->Now();
   record.seen_running.reset();
+  // Failure: a stop that the former incarnation acknowledged counts for the new
+  // one, which runs on.
+  record.stop_acknowledged = false;
+  // A blocked run is the only one of its task.
+  const bool was_blocked = std::exchange(record.blocked, false);
+  if (was_blocked && this->IsWanted(run)) record.stopping = false;
   session->AddRun(run, record);
   this->context->jobs.Relocate(run, session->Incarnation());
   if (record.stopping) {
@@ -678,7 +684,10 @@
 
 bool RunControl::AwaitsLateStart(const RunRef& run, const SessionRun& record,
                                  Instant now) const {
-  if (!record.MayArrive(now)) return false;
+  return record.MayArrive(now) && this->IsWanted(run);
+}
+
+bool RunControl::IsWanted(const RunRef& run) const {
   const JobEntry* entry = this->context->jobs.Find(run.task.step.job);
   const TaskEntry* task = this->context->jobs.FindOpen(run);
   return task != nullptr && !task->done && !IsFinal(entry->state);
--- a/packages/jobs/src/run_control.h
+++ b/packages/jobs/src/run_control.h
@@ -108,6 +108,9 @@
                  StartOrder* order);
   void OnStart(const WorkerIncarnation& worker, const RunRef& run, bool first,
                Instant asked, const OrderResult& result);
+  /// @return true if the run is the open one of its task, and the task is still
+  ///   to be done
+  [[nodiscard]] bool IsWanted(const RunRef& run) const;
   /// Records whether a start order may still be carried out after its call has
   /// ended.
   /// @param latest latest incarnation of the worker that the order was sent to
--- a/packages/jobs/tests/cell_late_start_test.cc
+++ b/packages/jobs/tests/cell_late_start_test.cc
@@ -148,6 +148,23 @@
   this->CheckCompletes();
 }
 
+// Failure: a run that a stop had been acknowledged for starts late at a further
+// incarnation, and cancelling its job does not stop it.
+BOOST_AUTO_TEST_CASE(late_run_is_stopped_when_its_job_is_cancelled) {
+  this->Submit(MakeStep(1, 2000, seconds(20)), seconds(5));
+  this->cell->Time().RunFor(seconds(1));
+  this->RestartWorker();
+  this->RunUntilJustBeforeArrival();
+  this->RestartWorker();
+  this->cell->Time().RunFor(seconds(1));
+  this->CheckRuns(1);
+  this->cell->Cancel(this->job->job.id);
+  this->cell->Time().RunFor(seconds(3));
+  BOOST_TEST(this->cell->Workers().At(this->worker.address)->RunningCount() ==
+             0U);
+  CheckInvariants(this->cell.get());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace mustardproxy::jobs
