Acknowledge no end that the next incarnation may have, unread

Cause: an acknowledgement names a number of ends, and each incarnation counts its ends from 1. It was sent up to 250 ms after an answer. A worker that restarts at once carries out the next start within that time, before anybody has noticed; the run ends as number 1, and the acknowledgement of the former incarnation's number 1 makes the worker forget it. The owner then takes the run for one that was lost.

Fix: another incarnation can only have ends if a start may have reached it: one that this incarnation has not listed, or one that is late. In that case an acknowledgement goes out in reply to an answer (5 ms) and not later; the hold before it carries none and does not wait. Elsewhere the 250 ms stay, so the extra hold is sent only where a start went out between an end and its write. Workers that tell no start time are served as before.

--- a/packages/jobs/src/hold_loop.cc
+++ b/packages/jobs/src/hold_loop.cc
@@ -96,11 +96,14 @@
   // Failure: a worker has restarted unnoticed, and the sequence number reached
   // by its former incarnation makes it forget its first ends before they were
   // read. An acknowledgement is therefore sent only once, and only to an
-  // incarnation that has just responded.
+  // incarnation that has just responded: in reply to it, if the next one may
+  // have started a run.
   const bool unacknowledged =
       session.durable_end > session.sent_acknowledged_end;
+  const Duration window =
+      session.MayHaveStartedElsewhere(now) ? kReplyWindow : kContactWindow;
   const bool verified =
-      !session.unresponsive && now < session.verified + kContactWindow;
+      !session.unresponsive && now < session.verified + window;
   if (unacknowledged && verified) order.acknowledged_end = session.durable_end;
   // Failure: a worker is permanently lost, and each attempt to reach it
   // postpones the time at which its lease is certain to have expired, so that
--- a/packages/jobs/src/options.h
+++ b/packages/jobs/src/options.h
@@ -69,6 +69,10 @@
 /// How long an answer of an idle worker counts before a start is sent to it;
 /// shorter than a worker takes to restart.
 inline constexpr Duration kContactWindow = milliseconds(250);
+/// How long an answer counts before ends are acknowledged to a worker whose
+/// next incarnation may have started runs; shorter than a restart and a run
+/// together.
+inline constexpr Duration kReplyWindow = milliseconds(5);
 /// A call that fails without an answer within this time did not time out: the
 /// worker closed the connection.
 inline constexpr Duration kConnectionClosedThreshold = milliseconds(150);
--- a/packages/jobs/src/run_control.cc
+++ b/packages/jobs/src/run_control.cc
@@ -452,6 +452,7 @@
       step == nullptr ? session->info.capacity : TaskDemand(*step);
   if (step != nullptr) record.share = ShareOf(entry->job, *step);
   record.phase = RunPhase::kStarted;
+  record.seen_running = now;
   record.started_at = now;
   record.last_progress_at = now;
   record.expected_end = now;
--- a/packages/jobs/src/worker_session.cc
+++ b/packages/jobs/src/worker_session.cc
@@ -154,6 +154,17 @@
   return this->HasContactedRuns() || now < this->verified + kContactWindow;
 }
 
+bool WorkerSession::MayHaveStartedElsewhere(Instant now) const {
+  // Without a start time, the next incarnation has another id.
+  if (this->info.incarnation.start_unix_ms == 0) return false;
+  if (now < this->late_starts_until) return true;
+  return std::any_of(this->runs.begin(), this->runs.end(), [](const auto& run) {
+    const SessionRun& record = run.second;
+    return record.phase != RunPhase::kPlanned && !record.bound_to_incarnation &&
+           !record.seen_running;
+  });
+}
+
 std::size_t WorkerSession::CountUnproven() const {
   return static_cast<std::size_t>(std::count_if(
       this->runs.begin(), this->runs.end(),
--- a/packages/jobs/src/worker_session.h
+++ b/packages/jobs/src/worker_session.h
@@ -195,6 +195,10 @@
                                          Resources free) const;
   [[nodiscard]] bool HasLabel(const std::string& label) const;
   [[nodiscard]] WorkerTarget Target() const;
+  /// @return true if the next incarnation of the worker may have carried out
+  ///   start orders unnoticed: not all of them are known to have reached this
+  ///   one
+  [[nodiscard]] bool MayHaveStartedElsewhere(Instant now) const;
   /// Records that a start order that was sent at this time, to this or a former
   /// incarnation, may still be carried out without a response.
   void ExpectLateStart(Instant sent);
--- a/packages/jobs/tests/cell_restart_test.cc
+++ b/packages/jobs/tests/cell_restart_test.cc
@@ -45,6 +45,23 @@
          cell->Ask(job.job.id) == JobState::kCompleted;
 }
 
+/// @return a cell of one worker, at which holds wait since it runs a task
+std::unique_ptr<SimCell> MakeCellWithWaitingHolds() {
+  auto cell = SimCell::Builder().Workers(1).MaxAttempts(2).Build();
+  cell->ReuseWorkerIds();
+  (void)cell->Submit(MakeSpec({MakeStep(1, 2000, seconds(10))}));
+  cell->Time().RunFor(milliseconds(300));
+  return cell;
+}
+
+/// Restarts all workers at once, some time after the first run has ended.
+void RestartAfterEnd(SimCell* cell, Duration moment) {
+  BOOST_TEST(cell->Time().RunUntil(
+      [&] { return cell->Log().Count("run-ends") == 1; }, seconds(5)));
+  cell->Time().RunFor(moment);
+  RestartAll(cell, Duration::zero());
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(cell_restart)
@@ -186,6 +203,41 @@
   }
 }
 
+// Failure: a worker restarts unnoticed after a run has failed, and the next run
+// fails at its new incarnation. The number of the first end acknowledges the
+// second one, which is not counted as an attempt.
+BOOST_AUTO_TEST_CASE(unread_failure_of_a_new_incarnation_is_not_acknowledged) {
+  constexpr milliseconds kLast(120);
+  for (milliseconds moment{0}; moment <= kLast; moment += milliseconds(1)) {
+    const auto cell = MakeCellWithWaitingHolds();
+    SimJob* job = cell->Submit(MakeSpec({MakeStep(1, 2000, milliseconds(20))}));
+    job->hopeless = true;
+    RestartAfterEnd(cell.get(), moment);
+    BOOST_TEST_CONTEXT("after " << moment.count() << " ms") {
+      BOOST_TEST(cell->AwaitFinal(job->job.id, seconds(60)));
+      CheckInvariants(cell.get());
+    }
+  }
+}
+
+// Failure: as above, with runs that complete: the second task runs again.
+BOOST_AUTO_TEST_CASE(unread_success_of_a_new_incarnation_is_not_acknowledged) {
+  constexpr milliseconds kLast(120);
+  for (milliseconds moment{0}; moment <= kLast; moment += milliseconds(1)) {
+    const auto cell = MakeCellWithWaitingHolds();
+    const JobSpec spec = MakeSpec({MakeStep(1, 2000, milliseconds(20))});
+    const SimJob* first = cell->Submit(spec);
+    RestartAfterEnd(cell.get(), moment);
+    const SimJob* second = cell->Submit(spec);
+    BOOST_TEST_CONTEXT("after " << moment.count() << " ms") {
+      BOOST_TEST(Completes(cell.get(), *first, seconds(60)));
+      BOOST_TEST(Completes(cell.get(), *second, seconds(60)));
+      cell->Time().RunFor(seconds(5));
+      CheckInvariants(cell.get());
+    }
+  }
+}
+
 // Failure: a new owner asks the new incarnation about runs of the former one.
 BOOST_AUTO_TEST_CASE(worker_restart_during_takeover_loses_no_run) {
   constexpr milliseconds kStep(200);
