Blame no task for a restart that its start order had not reached

What callers saw: nothing yet; sound jobs could be shown as failed since starts are sent once.

Cause: a run whose start is under way for seconds keeps its task. When its worker restarts meanwhile, the loss of the worker is recorded for the task, as if it had run there. Three such starts fail the job.

Fix: a start that the worker has not listed 100 ms after the order was sent, although it answers, is delayed; its task has not run there and is not blamed.

Tried and taken back: no loss counts if the start got no response at all.

--- a/packages/jobs/src/hold_loop.cc
+++ b/packages/jobs/src/hold_loop.cc
@@ -294,11 +294,12 @@
   if (result.ended_truncated) return;
   const std::set<RunRef> listed = result.ListedRuns();
   std::vector<RunRef> gone;
-  for (const auto& [run, record] : session->runs) {
-    const bool must_show =
-        record.MustBeListed(asked) &&
-        !this->context->runs->AwaitsLateStart(run, record, asked);
-    if (must_show && !listed.contains(run)) gone.push_back(run);
+  for (auto& [run, record] : session->runs) {
+    if (listed.contains(run)) continue;
+    record.NoteUnlisted(asked);
+    const bool over = record.MustBeListed(asked) &&
+                      !this->context->runs->AwaitsLateStart(run, record, asked);
+    if (over) gone.push_back(run);
   }
   for (const RunRef& run : gone) {
     this->context->runs->End(session, run, RunEnd::kLapsed, "", {});
--- a/packages/jobs/src/options.h
+++ b/packages/jobs/src/options.h
@@ -34,6 +34,9 @@
 /// task is not started again before, and the worker is polled even if it is
 /// idle, so that a new incarnation learns the token of the owner.
 inline constexpr Duration kLateStartWindow = milliseconds(12'500);
+/// A start that a worker has not executed this long after it was sent, although
+/// the worker responds, is late: much longer than the delivery takes.
+inline constexpr Duration kDelayedStartThreshold = milliseconds(100);
 /// Minimum interval between two polls of such a worker.
 inline constexpr Duration kMinPollInterval = milliseconds(25);
 /// Maximum rate of these polls. With more such workers, each is polled less
--- a/packages/jobs/src/run_control.cc
+++ b/packages/jobs/src/run_control.cc
@@ -254,6 +254,7 @@
     this->QuarantineIfSuspicious(session, run);
   }
   record->start_sent = now;
+  record->delayed = false;
   record->bound_to_incarnation =
       !order.ticket.empty() || worker.start_unix_ms == 0;
   record->order_in_flight = true;
@@ -744,6 +745,9 @@
   if (record.phase == RunPhase::kPlanned || session.HasLeft()) return;
   // The loss was recorded for the incarnation that the start order was sent to.
   if (record.blocked) return;
+  // Failure: a worker restarts while a start order is still on its way to it,
+  // and the task, which has not run there, is blamed.
+  if (record.delayed) return;
   const bool certain = cause != LossCause::kLeaseLapsed;
   const bool ordered_after_crash =
       certain && record.ordered_at &&
--- a/packages/jobs/src/worker_session.cc
+++ b/packages/jobs/src/worker_session.cc
@@ -27,6 +27,7 @@
 
 void SessionRun::NoteRunning(Instant now) {
   this->seen_running = now;
+  this->delayed = false;
   // An order that may be repeated may still be under way.
   if (this->bound_to_incarnation) return;
   this->start_unanswered = false;
@@ -35,6 +36,11 @@
   this->expected_listed_from = now;
 }
 
+void SessionRun::NoteUnlisted(Instant asked) {
+  const bool expected = asked >= this->start_sent + kDelayedStartThreshold;
+  if (expected && this->phase == RunPhase::kOrdered) this->delayed = true;
+}
+
 bool SessionRun::MustBeListed(Instant asked) const {
   if (this->order_in_flight) return false;
   const bool order_lost = this->start_unanswered &&
--- a/packages/jobs/src/worker_session.h
+++ b/packages/jobs/src/worker_session.h
@@ -72,6 +72,9 @@
   /// At least one of the start orders got no response and may still be carried
   /// out.
   bool start_unanswered = false;
+  /// The worker has sent a list without the run when the unanswered start order
+  /// should have arrived long before.
+  bool delayed = false;
   /// No other incarnation of the worker carries the start order out: the order
   /// has a permission, or the id of the worker identifies the incarnation. Only
   /// such an order is sent again while it is unanswered.
@@ -96,6 +99,8 @@
   [[nodiscard]] bool MayArrive(Instant now) const;
   /// Records that a worker has listed the run as running.
   void NoteRunning(Instant now);
+  /// Records that the response to a hold sent at `asked` did not list the run.
+  void NoteUnlisted(Instant asked);
   /// @return true if the run has ended unless a hold sent at `asked` lists it
   [[nodiscard]] bool MustBeListed(Instant asked) const;
 };
