Count one loss less where the start order was never answered

Cause: a worker goes down unnoticed, and a start is sent to it. Its restart comes more than 0.5 s after the order, so the task is blamed, although the order never reached the worker. Together with one real loss two such orders fail a job.

The new test has one worker crash under a task and cuts two off as its next starts are sent; it is red on the commit before.

Fix: a loss whose start order got no response, neither an answer nor a broken connection, is recorded as unanswered, also in the store, and one of them does not count. All of them can not be spared: the answer of a task that crashes its worker may be lost as well.

--- a/packages/jobs/src/crash_history.cc
+++ b/packages/jobs/src/crash_history.cc
@@ -63,7 +63,13 @@
 std::vector<WorkerLoss> CrashHistory::Counted() const {
   std::vector<WorkerLoss> counted;
   bool discounted = false;
+  bool discounted_unanswered = false;
   for (const WorkerLoss& loss : this->losses) {
+    // At most one of these is discounted as well: the response of a worker that
+    // the start crashes may be lost.
+    if (loss.unanswered && !std::exchange(discounted_unanswered, true)) {
+      continue;
+    }
     // At most one loss after a short run is discounted: a task that crashes its
     // workers may do so at the same time as others. All losses after long runs
     // are discounted.
--- a/packages/jobs/src/crash_history.h
+++ b/packages/jobs/src/crash_history.h
@@ -30,6 +30,9 @@
   /// Many workers were lost at the same time, so that this task is unlikely to
   /// be the cause.
   bool in_outage = false;
+  /// Nothing shows that the start order reached the worker, which may have gone
+  /// down before.
+  bool unanswered = false;
 };
 
 /// Records the workers that were lost while they ran a task, to detect tasks
--- a/packages/jobs/src/record_codec.cc
+++ b/packages/jobs/src/record_codec.cc
@@ -149,6 +149,7 @@
     one->set_alone(loss.alone);
     one->set_at_start(loss.at_start);
     one->set_in_outage(loss.in_outage);
+    one->set_unanswered(loss.unanswered);
   }
 }
 
@@ -181,7 +182,8 @@
          .survived = Duration(loss.survived_us()),
          .at_start = loss.at_start(),
          .alone = loss.alone(),
-         .in_outage = loss.in_outage()});
+         .in_outage = loss.in_outage(),
+         .unanswered = loss.unanswered()});
   }
   if (stored.worker().empty() || task.done) return;
   task.worker = {WorkerId(stored.worker()), stored.worker_born_ms()};
--- a/packages/jobs/src/run_control.cc
+++ b/packages/jobs/src/run_control.cc
@@ -758,12 +758,15 @@
   const bool was_there =
       record.ordered_at &&
       session.LastAnswer() + kRecentAnswerWindow >= *record.ordered_at;
+  const bool arrived = record.phase == RunPhase::kStarted ||
+                       record.start_received || record.seen_running;
   this->context->jobs.NoteLoss(
       run, {.worker = session.Incarnation(),
             .certain = certain,
             .survived = record.Survived(),
             .at_start = record.start_received && !record.seen_running,
-            .alone = record.alone && was_there});
+            .alone = record.alone && was_there,
+            .unanswered = !arrived});
 }
 
 Outage RunControl::NoteOutage(const WorkerSession& lost) {
--- a/packages/jobs/tests/cell_restart_test.cc
+++ b/packages/jobs/tests/cell_restart_test.cc
@@ -13,6 +13,7 @@
 using job_sim::SimCell;
 using job_sim::SimJob;
 using job_sim::SimWorker;
+using job_sim::SimWorkers;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -315,6 +316,35 @@
   CheckInvariants(cell.get());
 }
 
+// Failure: a sound job is failed because some of its starts were sent to
+// workers that had just gone down.
+BOOST_AUTO_TEST_CASE(job_survives_starts_to_workers_that_had_gone_down) {
+  const auto cell = MakeCell(4);
+  SimWorkers& workers = cell->Workers();
+  const SimJob* job = cell->Submit(MakeSpec({MakeStep(1, 2000, seconds(2))}));
+  cell->Time().RunFor(seconds(1));
+  // One worker is lost while it runs the task …
+  for (SimWorker* worker : workers.Alive()) {
+    if (worker->RunningCount() > 0) cell->CrashWorker(worker, seconds(1));
+  }
+  // … and two are unreachable when the next start orders are sent.
+  int starts = 0;
+  workers.delay_start = [&](const WorkerTarget& target, const StartOrder&) {
+    constexpr int kUnreachable = 2;
+    if (starts++ < kUnreachable) {
+      const std::string name = target.incarnation.id.Text();
+      workers.cut.insert(name);
+      cell->CrashWorker(workers.At(target.address), seconds(1));
+      cell->Time().After(seconds(2),
+                         [&workers, name] { workers.cut.erase(name); });
+    }
+    return std::optional<Duration>();
+  };
+  BOOST_TEST(Completes(cell.get(), *job, seconds(90)));
+  BOOST_TEST(starts > 2);
+  CheckInvariants(cell.get());
+}
+
 // Failure: workers whose entry has no start time are not used any more.
 BOOST_AUTO_TEST_CASE(workers_without_a_start_time_are_used) {
   const auto cell = SimCell::Builder().Workers(4).Build();
--- a/packages/jobs/tests/crash_history_test.cc
+++ b/packages/jobs/tests/crash_history_test.cc
@@ -83,6 +83,22 @@
 }
 
 // Failure: healthy tasks are failed after outages of many workers.
+// Failure: losses of workers that had gone down before the start order was sent
+// fail a sound job.
+BOOST_AUTO_TEST_CASE(one_loss_without_a_response_to_the_start_does_not_count) {
+  WorkerLoss unanswered = Loss("a", Duration::zero());
+  unanswered.unanswered = true;
+  CrashHistory history;
+  history.Note(unanswered);
+  BOOST_TEST(!history.Suspicious());
+  history.Note(Loss("b", seconds(1)));
+  history.Note(Loss("c", seconds(1)));
+  BOOST_TEST(!history.AtLimit(kMaxLosses));
+  unanswered.worker = {WorkerId("d")};
+  history.Note(unanswered);
+  BOOST_TEST(history.AtLimit(kMaxLosses));
+}
+
 BOOST_AUTO_TEST_CASE(long_runs_lost_in_outages_do_not_count) {
   CrashHistory history;
   std::set<WorkerIncarnation> workers;
