Jobs: an order may arrive; the start time that counts is the session's

Renames SessionRun::MayArrive to OrderMayArrive, beside MayStartLate. A start time that a worker tells only in its answers is known to the session, and not to the order that was placed before.

--- a/packages/jobs/src/run_control.cc
+++ b/packages/jobs/src/run_control.cc
@@ -256,7 +256,7 @@
   record->start_sent = now;
   record->delayed = false;
   record->bound_to_incarnation =
-      !order.ticket.empty() || worker.start_unix_ms == 0;
+      !order.ticket.empty() || session->Incarnation().start_unix_ms == 0;
   record->order_in_flight = true;
   record->expected_listed_from.reset();
   this->context->driver->Start(session->Target(), std::move(order),
@@ -686,7 +686,7 @@
 
 bool RunControl::AwaitsLateStart(const RunRef& run, const SessionRun& record,
                                  Instant now) const {
-  return record.MayArrive(now) && this->IsWanted(run);
+  return record.OrderMayArrive(now) && this->IsWanted(run);
 }
 
 bool RunControl::IsWanted(const RunRef& run) const {
--- a/packages/jobs/src/worker_session.cc
+++ b/packages/jobs/src/worker_session.cc
@@ -20,7 +20,7 @@
          !this->seen_running;
 }
 
-bool SessionRun::MayArrive(Instant now) const {
+bool SessionRun::OrderMayArrive(Instant now) const {
   return this->Unanswered() && !this->bound_to_incarnation &&
          now < this->start_sent + kLateStartWindow;
 }
@@ -45,7 +45,7 @@
   if (this->order_in_flight) return false;
   const bool order_lost = this->start_unanswered &&
                           !this->bound_to_incarnation &&
-                          !this->MayArrive(asked);
+                          !this->OrderMayArrive(asked);
   return order_lost ||
          (this->expected_listed_from && *this->expected_listed_from <= asked);
 }
--- a/packages/jobs/src/worker_session.h
+++ b/packages/jobs/src/worker_session.h
@@ -77,7 +77,7 @@
   bool delayed = false;
   /// No other incarnation of the worker carries the start order out: the order
   /// has a permission, or the id of the worker identifies the incarnation. Only
-  /// such an order is sent again while it is unanswered.
+  /// such an order is repeated while it is unanswered.
   bool bound_to_incarnation = false;
   /// Predicted end, based on the run times observed in its queue.
   Instant expected_end;
@@ -96,7 +96,7 @@
   }
   /// @return true if the start order may still be carried out by any
   ///   incarnation of the worker, so that the task must not be started again
-  [[nodiscard]] bool MayArrive(Instant now) const;
+  [[nodiscard]] bool OrderMayArrive(Instant now) const;
   /// Records that a worker has listed the run as running.
   void NoteRunning(Instant now);
   /// Records that the response to a hold sent at `asked` did not list the run.
--- a/packages/jobs/tests/cell_late_start_test.cc
+++ b/packages/jobs/tests/cell_late_start_test.cc
@@ -12,7 +12,6 @@
 using job_sim::MakeStep;
 using job_sim::SimCell;
 using job_sim::SimJob;
-using job_sim::SimWorker;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
