--- a/packages/jobs/tests/schedules_test.cc
+++ b/packages/jobs/tests/schedules_test.cc
@@ -56,27 +56,45 @@
     311,   // the same
     // An idle worker restarted smaller while the store was unavailable.
     111965,
+    463,     // a late start order reached a new incarnation
+    101063,  // the same
+    110917,  // the same
+    300658,  // the same
+    300812,  // the same
+    301186,  // the same
+    404212,  // a former owner's start order reached a new incarnation
+    2828,    // the first end of a new incarnation was acknowledged unread
+    300758,  // the same
+    549,     // tasks were blamed for restarts of workers
+    301240,  // a task was blamed for a worker that its start had not reached
 };
 
 /// Seeds with both.
 constexpr std::uint64_t kCrashReusedIdRegressions[] = {
-    19,    // a start for the incarnation before last was executed
-    407,   // an unreachable new incarnation executed a start
-    1111,  // as 1729
-    52,    // as 126
-    660,   // the same
+    19,      // a start for the incarnation before last was executed
+    407,     // an unreachable new incarnation executed a start
+    1111,    // as 1729
+    52,      // as 126
+    660,     // the same
+    2809,    // as 463
+    400007,  // as 2828
+    400604,  // as 301240
 };
 
 /// Seeds with restarting workers and a slow store.
 constexpr std::uint64_t kSlowReusedIdRegressions[] = {
-    343,  // ends dropped by the former incarnation's sequence number
-    559,  // the same, for an incarnation without an answer yet
-    160,  // as 1729
-    619,  // the same
-    336,  // as 126
-    430,  // the same
-    552,  // the same
-    598,  // the same
+    343,     // ends dropped by the former incarnation's sequence number
+    559,     // the same, for an incarnation without an answer yet
+    160,     // as 1729
+    619,     // the same
+    336,     // as 126
+    430,     // the same
+    552,     // the same
+    598,     // the same
+    21650,   // as 463
+    404038,  // as 2828
+    96,      // as 549
+    914,     // the same
 };
 
 /// Seeds with a store that takes 0.25 s per answer.
