Evacuations: nothing starts in a data centre that operators have evacuated

Workers of an evacuated data centre leave the capacity of a pass, so placement, questions, gangs and preemption do not count them; planned runs there are withdrawn; a start order is checked again when it is sent, and withheld while the view of the evacuations is older than 1.8 s; an unanswered start order is not repeated there, which would be what starts the task, but stopped, unless the run was seen running. What runs goes on. Work that only fits there waits with the reason 'evacuated'.

Ruled out: a flag kept in each session, which a new incarnation would lose.

--- a/packages/jobs/include/mustardproxy/jobs/platform_schema.h
+++ b/packages/jobs/include/mustardproxy/jobs/platform_schema.h
@@ -21,6 +21,9 @@
   [[nodiscard]] virtual std::string_view DesiredStateKey() const = 0;
   [[nodiscard]] virtual Result<DesiredState> ParseDesiredState(
       std::string_view value) const = 0;
+  /// Prefix of the keys by which operators evacuate data centres, each with the
+  /// data centre as suffix.
+  [[nodiscard]] virtual std::string_view EvacuationPrefix() const = 0;
   /// Prefix of the entries under which workers register, each with its id as
   /// suffix.
   [[nodiscard]] virtual std::string_view WorkerPrefix() const = 0;
--- a/packages/jobs/src/dispatcher.cc
+++ b/packages/jobs/src/dispatcher.cc
@@ -117,7 +117,8 @@
   std::vector<SchedulingUnit> units = this->CollectUnits(now);
   this->UpdateEjected(now);
   this->RemoveCapped(&units, now);
-  const PassCapacity capacities(this->context->workers);
+  const PassCapacity capacities(this->context->workers,
+                                *this->context->evacuations);
   this->AdvanceGangStartTimes(&units, capacities, now);
   std::stable_sort(units.begin(), units.end(),
                    [](const SchedulingUnit& a, const SchedulingUnit& b) {
@@ -740,8 +741,9 @@
   const bool known = this->context->advice->Find(ref) != nullptr;
   if (unit.tasks.empty() || !unit.queue->advice || !known) return {};
   if (!this->LimitToCap(&unit)) return {};
-  std::vector<AskedWorker> workers =
-      this->WorkersToAsk(unit, PassCapacity(this->context->workers), now);
+  std::vector<AskedWorker> workers = this->WorkersToAsk(
+      unit, PassCapacity(this->context->workers, *this->context->evacuations),
+      now);
   if (workers.empty()) {
     unit.progress->next_advice_check = now + kPointlessAskInterval;
   }
@@ -779,22 +781,34 @@
     facts.permitted = std::ssize(advice->permitted);
     facts.refused = std::ssize(advice->refused);
   }
+  const auto count_fitting = [&](const WorkerSession& session) {
+    if (!session.HasLabel(unit.step->required_label)) return std::int64_t{0};
+    return CountFitting(*unit.step, session.info.capacity, tasks);
+  };
+  const auto is_permitted = [&](const WorkerSession& session) {
+    return !facts.has_policy ||
+           (advice != nullptr && advice->TicketFor(session.Number()));
+  };
   for (const WorkerCapacity* capacity :
        capacities.OfService(unit.queue->service)) {
     const WorkerSession& session = *capacity->session;
-    if (!session.HasLabel(unit.step->required_label)) continue;
-    const std::int64_t fits =
-        CountFitting(*unit.step, session.info.capacity, tasks);
+    const std::int64_t fits = count_fitting(session);
     if (fits == 0) continue;
     ++facts.eligible;
     if (capacity->held) ++facts.held;
-    const bool permitted =
-        !facts.has_policy ||
-        (advice != nullptr && advice->TicketFor(session.Number()) != nullptr);
-    if (permitted) facts.could_fit += fits;
+    if (is_permitted(session)) facts.could_fit += fits;
     const bool refused = advice != nullptr && advice->Refuses(session.Number());
     if (!facts.gang && !refused) facts.fits_later = true;
   }
+  if (!this->context->evacuations->Empty()) {
+    for (const auto& [id, session] : this->context->workers) {
+      const bool evacuated =
+          session->info.service == unit.queue->service &&
+          this->context->evacuations->Contains(session->info.data_center);
+      if (!evacuated || !is_permitted(*session)) continue;
+      facts.evacuated_fit += count_fitting(*session);
+    }
+  }
   facts.room =
       CountPlaceableTasks(unit, this->GangCandidates(unit, capacities, now));
   facts.fresh_room =
--- a/packages/jobs/src/group_owner.cc
+++ b/packages/jobs/src/group_owner.cc
@@ -18,6 +18,9 @@
 /// reduction of its capacity must be respected after 4.5 s. Exceeds the longest
 /// wait of a watch and the pause after it together.
 constexpr Duration kMaxWorkerViewAge = milliseconds(1800);
+/// The same for the evacuations of data centres, which must be respected after
+/// 5 s. Exceeds the longest wait of a watch.
+constexpr Duration kMaxEvacuationViewAge = milliseconds(1800);
 /// How long the capacity of a job that is being stored is kept: longer than the
 /// slowest answers of a working store (0.4 s) and the delay of a peer together.
 /// A job that is stored later is placed again.
@@ -120,17 +123,25 @@
       PrefixMirror::Handlers{
           [this](const StoreEvent& event) { this->OnWorker(event); },
           [this] { this->FinishLoading(); }});
+  this->evacuations = std::make_unique<Evacuations>(
+      shared.executor, shared.store, shared.log,
+      std::string(this->schema->EvacuationPrefix()),
+      Evacuations::Handlers{
+          [this](const DataCenterId& center) { this->OnEvacuation(center); },
+          [this] { this->FinishLoading(); }});
+  shared.evacuations = this->evacuations.get();
 }
 
 void GroupOwner::Start() {
   this->context.log->Write("owner", "taking-over",
                            {{"token", this->context.token}});
-  // Read concurrently: nothing is placed until all three are complete. Only an
+  // Read concurrently: nothing is placed until all are complete. Only an
   // owner changes progress or removes a job, and writes of the former owner
   // already fail, so data read at different times is consistent.
   this->intake->Start();
   this->stored->Read();
   this->workers->Start();
+  this->evacuations->Start();
   this->Tick();
 }
 
@@ -317,7 +328,9 @@
   session->info = info;
   session->info.incarnation = incarnation;
   session->listed = true;
-  if (session->Overcommitted()) this->runs->WithdrawPlanned(session);
+  if (session->Overcommitted()) {
+    this->runs->WithdrawPlanned(session, PlannedRuns::kExcess);
+  }
   if (this->loaded) this->holds->SendIfDue(session);
   this->dispatcher->SchedulePass();
 }
@@ -342,7 +355,7 @@
 
 void GroupOwner::FinishLoading() {
   const bool complete = this->intake->Listed() && this->workers->Listed() &&
-                        this->stored->Complete();
+                        this->evacuations->Listed() && this->stored->Complete();
   if (!complete || std::exchange(this->taking_over, true)) return;
   if (this->context.workers.Size() <= kMaxWorkersPolledAfterTakeover) {
     for (const auto& [id, session] : this->context.workers) {
@@ -455,11 +468,34 @@
 
 bool GroupOwner::HasFreshWorkerView() {
   const Instant now = this->context.executor->Now();
+  if (now >= this->evacuations->ConfirmedAt() + kMaxEvacuationViewAge) {
+    return false;
+  }
   if (now < this->workers->ConfirmedAt() + kMaxWorkerViewAge) return true;
   this->workers->Refresh();
   return false;
 }
 
+void GroupOwner::OnEvacuation(const DataCenterId& data_center) {
+  std::size_t affected = 0;
+  std::size_t running = 0;
+  const bool evacuated = this->evacuations->Contains(data_center);
+  for (const auto& [id, session] : this->context.workers) {
+    if (session->info.data_center != data_center) continue;
+    ++affected;
+    if (evacuated) {
+      this->runs->WithdrawPlanned(session.get(), PlannedRuns::kAll);
+    }
+    running += session->runs.size();
+  }
+  this->context.log->Write("workers", "evacuation-applied",
+                           {{"data_center", data_center.Text()},
+                            {"evacuated", evacuated ? 1 : 0},
+                            {"workers", affected},
+                            {"runs", running}});
+  this->dispatcher->SchedulePass();
+}
+
 std::int64_t GroupOwner::PendingIn(const QueueName& queue) const {
   const auto& active = this->context.jobs.Active();
   return std::count_if(active.begin(), active.end(), [&](const JobEntry* job) {
--- a/packages/jobs/src/group_owner.h
+++ b/packages/jobs/src/group_owner.h
@@ -14,6 +14,7 @@
 #include "callback_guard.h"
 #include "dispatcher.h"
 #include "ended_jobs.h"
+#include "evacuations.h"
 #include "gang_reservations.h"
 #include "hold_loop.h"
 #include "incarnation_tracker.h"
@@ -97,6 +98,8 @@
   void AddWorker(const WorkerInfo& info);
   /// See OwnerContext.
   bool HasFreshWorkerView();
+  /// Applies an evacuation, or the end of one.
+  void OnEvacuation(const DataCenterId& data_center);
   /// Stops starts on a worker that no entry names any more.
   void MarkUnlisted(WorkerSession* session, Revision revision);
   /// Applies the progress of a job that former owners have stored, if any.
@@ -139,6 +142,7 @@
   std::unique_ptr<LoadForecast> forecast;
   std::unique_ptr<PrefixMirror> intake;
   std::unique_ptr<PrefixMirror> workers;
+  std::unique_ptr<Evacuations> evacuations;
   CallbackGuard guard;
 };
 
--- a/packages/jobs/src/owner_context.h
+++ b/packages/jobs/src/owner_context.h
@@ -27,6 +27,7 @@
 class PermissionBroker;
 class Dispatcher;
 class EndedJobs;
+class Evacuations;
 class GangReservations;
 class HoldLoop;
 class IncarnationTracker;
@@ -62,6 +63,7 @@
 
   ProgressWriter* writer = nullptr;
   EndedJobs* ended = nullptr;
+  Evacuations* evacuations = nullptr;
   PermissionBroker* advice = nullptr;
   RunControl* runs = nullptr;
   IncarnationTracker* incarnations = nullptr;
--- a/packages/jobs/src/pass_capacity.cc
+++ b/packages/jobs/src/pass_capacity.cc
@@ -11,12 +11,14 @@
 
 }  // namespace
 
-PassCapacity::PassCapacity(const WorkerTable& workers)
+PassCapacity::PassCapacity(const WorkerTable& workers,
+                           const Evacuations& evacuations)
     : by_session(workers.NumberLimit(), nullptr) {
   // The entries are pointed to, so the vector must not reallocate.
   this->capacities.reserve(workers.Size());
   for (const auto& [id, session] : workers) {
     if (!TakesTasks(*session)) continue;
+    if (evacuations.Contains(session->info.data_center)) continue;
     WorkerCapacity& capacity = this->capacities.emplace_back();
     capacity.session = session.get();
     capacity.free = session->Free();
--- a/packages/jobs/src/pass_capacity.h
+++ b/packages/jobs/src/pass_capacity.h
@@ -5,6 +5,7 @@
 #include <span>
 #include <vector>
 
+#include "evacuations.h"
 #include "mustardproxy/core/ids.h"
 #include "mustardproxy/core/resource_math.h"
 #include "placement.h"
@@ -17,7 +18,8 @@
 /// except by service.
 class PassCapacity {
  public:
-  explicit PassCapacity(const WorkerTable& workers);
+  /// Leaves out the workers in evacuated data centres.
+  PassCapacity(const WorkerTable& workers, const Evacuations& evacuations);
   PassCapacity(const PassCapacity&) = delete;
   PassCapacity& operator=(const PassCapacity&) = delete;
 
--- a/packages/jobs/src/run_control.cc
+++ b/packages/jobs/src/run_control.cc
@@ -5,6 +5,7 @@
 
 #include "dispatcher.h"
 #include "ended_jobs.h"
+#include "evacuations.h"
 #include "gang_reservations.h"
 #include "hold_loop.h"
 #include "incarnation_tracker.h"
@@ -262,8 +263,17 @@
   StartOrder order;
   const bool draining =
       session->info.draining || !session->listed || !session->described;
+  const bool evacuated =
+      this->context->evacuations->Contains(session->info.data_center);
+  if (!first && evacuated && record->seen_running) {
+    record->phase = RunPhase::kStarted;
+    record->expected_listed_from = this->context->executor->Now();
+    return;
+  }
   const bool overcommitted = session->Overcommitted();
-  const bool fits = !overcommitted && !(first && draining);
+  // Failure: an unanswered start order is repeated, and the repetition starts
+  // the task in a data centre that was evacuated meanwhile.
+  const bool fits = !overcommitted && !evacuated && !(first && draining);
   if (!this->FillOrder(*session, run, &order) || !fits) {
     if (first) {
       this->WithdrawUnstarted(session, run);
@@ -526,13 +536,15 @@
   this->Stop(session, run);
 }
 
-void RunControl::WithdrawPlanned(WorkerSession* session) {
+void RunControl::WithdrawPlanned(WorkerSession* session, PlannedRuns which) {
   std::vector<RunRef> planned;
   for (const auto& [run, record] : session->runs) {
     if (record.phase == RunPhase::kPlanned) planned.push_back(run);
   }
   for (const RunRef& run : planned) {
-    if (!session->Overcommitted()) return;
+    const bool fits = !session->Overcommitted();
+    if (which == PlannedRuns::kExcess && fits) return;
+    // A withdrawn member of a gang takes the others with it.
     if (session->FindRun(run) == nullptr) continue;
     this->WithdrawUnstarted(session, run);
   }
--- a/packages/jobs/src/run_control.h
+++ b/packages/jobs/src/run_control.h
@@ -22,6 +22,13 @@
   kRestarted,
 };
 
+/// Which of a worker's runs that were not sent yet are withdrawn.
+enum class PlannedRuns {
+  /// As many as exceed the current capacity of the worker.
+  kExcess,
+  kAll,
+};
+
 /// Orders workers to start and stop runs, and processes the ends of runs.
 ///
 /// An order without a response is repeated for the same run number, which a
@@ -50,9 +57,8 @@
   /// @param lost run time that the task has to repeat
   void Preempt(WorkerSession* session, const RunRef& run, const StepRef& by,
                Duration lost);
-  /// Withdraws runs that were not sent yet and exceed the current capacity of
-  /// the worker.
-  void WithdrawPlanned(WorkerSession* session);
+  /// Withdraws runs on a worker whose start orders were not sent yet.
+  void WithdrawPlanned(WorkerSession* session, PlannedRuns which);
   /// Stops all runs of a job.
   void StopJob(const JobEntry& entry);
   /// Processes the end of a run.
--- a/packages/jobs/src/wait_report.cc
+++ b/packages/jobs/src/wait_report.cc
@@ -32,6 +32,8 @@
       return "team-cap";
     case WaitReason::kNoWorker:
       return "no-worker";
+    case WaitReason::kEvacuated:
+      return "evacuated";
     case WaitReason::kPermissions:
       return "permissions";
     case WaitReason::kRoom:
@@ -68,6 +70,8 @@
       return "quarantine";
     case UnblockEvent::kHold:
       return "hold";
+    case UnblockEvent::kEvacuationCancelled:
+      return "evacuation-cancelled";
     case UnblockEvent::kWorkers:
       return "workers";
     case UnblockEvent::kNothing:
@@ -76,8 +80,14 @@
   return "nothing";
 }
 
+bool WaitFacts::NeedsEvacuated() const {
+  return this->could_fit < this->needed &&
+         this->could_fit + this->evacuated_fit >= this->needed;
+}
+
 WaitReason WaitFacts::Reason() const {
   if (this->capped) return WaitReason::kTeamCap;
+  if (this->NeedsEvacuated()) return WaitReason::kEvacuated;
   if (this->eligible == 0) return WaitReason::kNoWorker;
   if (this->could_fit < this->needed) {
     return this->has_policy ? WaitReason::kPermissions : WaitReason::kNoWorker;
@@ -107,6 +117,7 @@
   const bool waits_for_runs = !this->gang || !has_room;
   if (waits_for_runs && this->fits_later) return UnblockEvent::kRuns;
   if (this->held > 0) return UnblockEvent::kHold;
+  if (this->NeedsEvacuated()) return UnblockEvent::kEvacuationCancelled;
   const bool all_known =
       !this->has_policy || this->permitted + this->refused >= this->eligible;
   if (!has_room && all_known) return UnblockEvent::kWorkers;
--- a/packages/jobs/src/wait_report.h
+++ b/packages/jobs/src/wait_report.h
@@ -19,6 +19,8 @@
   kTeamCap,
   /// No worker has the required label and could hold one of its tasks.
   kNoWorker,
+  /// Only workers in evacuated data centres could hold its tasks.
+  kEvacuated,
   /// Too few workers are known to be permitted.
   kPermissions,
   /// The permitted workers have too little free capacity now.
@@ -35,8 +37,8 @@
   kNone,
 };
 
-/// @return `team-cap`, `no-worker`, `permissions`, `room`, `share`,
-///   `lapsed`, `quarantine` or `none`
+/// @return `team-cap`, `no-worker`, `evacuated`, `permissions`, `room`,
+///   `share`, `lapsed`, `quarantine` or `none`
 [[nodiscard]] std::string_view Name(WaitReason reason);
 
 /// The event that ends the wait of a step.
@@ -60,6 +62,8 @@
   kQuarantine,
   /// A gang that holds capacity starts.
   kHold,
+  /// Operators cancel the evacuation of a data centre.
+  kEvacuationCancelled,
   /// A worker joins or returns: all workers are known, and their capacity would
   /// not suffice even if they were idle.
   kWorkers,
@@ -68,7 +72,8 @@
 };
 
 /// @return `answer`, `question`, `pass`, `reservations`, `runs`, `team-runs`,
-///   `cap-raised`, `quarantine`, `hold`, `workers` or `nothing`
+///   `cap-raised`, `quarantine`, `hold`, `evacuation-cancelled`, `workers` or
+///   `nothing`
 [[nodiscard]] std::string_view Name(UnblockEvent end);
 
 /// State of a waiting step, counted in its own tasks.
@@ -89,6 +94,8 @@
   /// Tasks that fit on the permitted workers if those were idle, and now.
   std::int64_t could_fit = 0;
   std::int64_t room = 0;
+  /// Tasks that fit on idle permitted workers in evacuated data centres.
+  std::int64_t evacuated_fit = 0;
   /// Part of `room` on workers with valid permissions.
   std::int64_t fresh_room = 0;
   /// Eligible workers on which a gang holds capacity.
@@ -112,6 +119,8 @@
   Resources cap;
   Resources team_used;
 
+  /// @return true if it fits only together with evacuated data centres
+  [[nodiscard]] bool NeedsEvacuated() const;
   [[nodiscard]] WaitReason Reason() const;
   [[nodiscard]] UnblockEvent NextUnblockEvent() const;
 };
--- a/packages/jobs/tests/schedules_test.cc
+++ b/packages/jobs/tests/schedules_test.cc
@@ -148,6 +148,14 @@
   }
 }
 
+// Operators evacuate data centres while everything else happens.
+BOOST_AUTO_TEST_CASE(a_fixed_set_with_evacuations) {
+  constexpr std::uint64_t kSeeds = 200;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    Play(seed, {.evacuations = true});
+  }
+}
+
 BOOST_AUTO_TEST_CASE(regression_seeds_with_reused_ids) {
   for (const std::uint64_t seed : kReusedIdRegressions) {
     Play(seed, {.reused_worker_ids = true});
--- a/packages/jobs/tests/wait_report_test.cc
+++ b/packages/jobs/tests/wait_report_test.cc
@@ -54,6 +54,17 @@
   BOOST_TEST((MakeFacts(4, 4, 4).Reason() == WaitReason::kNone));
 }
 
+BOOST_AUTO_TEST_CASE(evacuated_workers_are_the_reason_if_they_would_suffice) {
+  WaitFacts facts = MakeFacts(3, 3, 3);
+  facts.evacuated_fit = 1;
+  BOOST_TEST((facts.Reason() == WaitReason::kEvacuated));
+  BOOST_TEST((facts.NextUnblockEvent() == UnblockEvent::kEvacuationCancelled));
+  facts.could_fit = 2;
+  BOOST_TEST((facts.Reason() == WaitReason::kPermissions));
+  facts.could_fit = 4;
+  BOOST_TEST((facts.Reason() == WaitReason::kRoom));
+}
+
 BOOST_AUTO_TEST_CASE(the_first_event_that_unblocks_is_reported) {
   WaitFacts facts = MakeFacts(8, 2, 0);
   facts.permitted = 2;
--- a/testing/job_sim/include/job_sim/promises.h
+++ b/testing/job_sim/include/job_sim/promises.h
@@ -2,6 +2,7 @@
 #define JOB_SIM_PROMISES_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -54,6 +55,11 @@
   Promises(const VirtualTime* time, mustardproxy::EventLog* log)
       : time(time), log(log) {}
 
+  /// Tells whether nothing has disturbed processes and store lately.
+  std::function<bool()> in_touch = [] { return true; };
+  /// How long after an evacuation has begun tasks may start there.
+  Duration evacuation_bound = std::chrono::seconds(5);
+
   SimJob* Add(jobs::Job job);
   [[nodiscard]] SimJob* Find(const jobs::JobId& id);
   [[nodiscard]] const std::map<jobs::JobId, SimJob>& Jobs() const {
@@ -65,6 +71,13 @@
 
   /// Operators put these teams in force.
   void OnTeams(std::vector<jobs::Team> teams);
+  /// Operators evacuate a data centre, or cancel that.
+  void OnEvacuation(const mustardproxy::DataCenterId& data_center,
+                    bool evacuated);
+  /// A run begins on a worker in this data centre.
+  /// @param late the order was carried out seconds after it was sent
+  void CheckEvacuation(const mustardproxy::DataCenterId& data_center,
+                       const jobs::RunRef& run, bool late);
   /// A call with this key was answered with success.
   /// @param in_touch nothing has disturbed the processes or the store lately
   void OnServed(const std::string& key, Instant sent, bool in_touch);
@@ -130,6 +143,8 @@
 
   const VirtualTime* time;
   mustardproxy::EventLog* log;
+  /// Evacuated data centres, each since then.
+  std::map<mustardproxy::DataCenterId, Instant> evacuated;
   std::vector<TeamsInForce> team_history;
   std::map<jobs::JobId, SimJob> jobs;
   /// Runs of each task that go on.
--- a/testing/job_sim/include/job_sim/schedule.h
+++ b/testing/job_sim/include/job_sim/schedule.h
@@ -33,14 +33,16 @@
   bool reused_worker_ids = false;
   /// Teams with keys and caps, which operators change.
   bool teams = false;
+  /// Operators evacuate data centres, one or all, and cancel that.
+  bool evacuations = false;
 };
 
 /// Plays a cell with jobs and faults drawn from the seed: processes killed,
 /// paused, stopped and cut off; the store silent, refusing, forgetful, its
 /// answers lost and its writes late; workers crashed, cut off, drained, failing
 /// and answering late; jobs cancelled; with teams, keys revoked and added and
-/// caps changed. In the end all faults are over and every
-/// accepted job has to end.
+/// caps changed; data centres evacuated. In the end all faults are over and
+/// every accepted job has to end.
 [[nodiscard]] ScheduleResult PlaySchedule(std::uint64_t seed,
                                           const ScheduleOptions& options = {});
 
--- a/testing/job_sim/include/job_sim/sim_cell.h
+++ b/testing/job_sim/include/job_sim/sim_cell.h
@@ -86,6 +86,13 @@
   /// follows another is permitted what that was.
   void PermitByAddress() { this->permits_by_address = true; }
 
+  /// @return the data centre of the worker that was added as this one
+  [[nodiscard]] mustardproxy::DataCenterId DataCenterAt(
+      std::size_t number) const;
+  /// Operators evacuate a data centre; `dc`, `dc1`, `dc2` and so on.
+  void Evacuate(const mustardproxy::DataCenterId& data_center);
+  void CancelEvacuation(const mustardproxy::DataCenterId& data_center);
+
   /// The queue of the desired state, which may be changed before `Apply`.
   jobs::Queue queue;
   /// The teams of the desired state, likewise. With none, calls need no keys.
@@ -175,6 +182,7 @@
   std::vector<jobs::Queue> other_queues;
   std::map<jobs::QueueName, double> permitted_shares;
   std::size_t workers_per_rack = 2;
+  std::size_t data_centers = 1;
   std::int64_t store_writes_per_second = 400;
   jobs::OverloadControl overload;
   std::vector<std::int64_t> host_sizes;
@@ -198,6 +206,8 @@
   Builder& Advice(double permitted_share, Duration decision);
   Builder& MaxAttempts(std::int32_t attempts);
   Builder& WorkersPerRack(std::size_t count);
+  /// Data centres over which the workers are spread; one by default.
+  Builder& DataCenters(std::size_t count);
   /// What the store takes from all processes together.
   Builder& StoreWrites(std::int64_t per_second);
   /// Decisions under overload; all off by default.
@@ -223,6 +233,7 @@
   Duration decision{0};
   std::int32_t max_attempts = 3;
   std::size_t workers_per_rack = 2;
+  std::size_t data_centers = 1;
   std::int64_t store_writes_per_second = 400;
   std::vector<std::pair<jobs::Queue, double>> queues;
   jobs::OverloadControl overload;
--- a/testing/job_sim/program/main.cc
+++ b/testing/job_sim/program/main.cc
@@ -15,13 +15,14 @@
 
 void PrintUsage() {
   std::cerr << "usage: job_schedules FIRST_SEED COUNT [--log] [--slow-store] "
-               "[--crashing-tasks] [--reused-ids] [--teams]\n"
+               "[--crashing-tasks] [--reused-ids] [--teams] [--evacuations]\n"
             << "plays that many seeded cells and prints each broken promise;\n"
             << "a slow store takes 0.25 s an answer; crashing tasks take down\n"
             << "the workers that start them, and workers change their room;\n"
             << "with reused ids workers start again under the same id;\n"
             << "with teams calls carry keys, and operators change keys and "
-               "caps\n";
+               "caps;\n"
+            << "with evacuations operators evacuate data centres\n";
 }
 
 void Print(std::uint64_t seed, const job_sim::ScheduleResult& result,
@@ -53,6 +54,7 @@
   played.crashing_tasks = options.contains("--crashing-tasks");
   played.reused_worker_ids = options.contains("--reused-ids");
   played.teams = options.contains("--teams");
+  played.evacuations = options.contains("--evacuations");
   std::uint64_t red = 0;
   std::int64_t runs = 0;
   std::int64_t jobs = 0;
--- a/testing/job_sim/src/promises.cc
+++ b/testing/job_sim/src/promises.cc
@@ -75,6 +75,23 @@
   }
 }
 
+void Promises::OnEvacuation(const mustardproxy::DataCenterId& data_center,
+                            bool begins) {
+  if (begins) {
+    this->evacuated.emplace(data_center, this->time->Now());
+  } else {
+    this->evacuated.erase(data_center);
+  }
+}
+
+void Promises::CheckEvacuation(const mustardproxy::DataCenterId& data_center,
+                               const jobs::RunRef& run, bool late) {
+  const auto since = this->evacuated.find(data_center);
+  if (since == this->evacuated.end() || late || !this->in_touch()) return;
+  if (this->time->Now() <= since->second + this->evacuation_bound) return;
+  this->Break("started in an evacuated data centre", Describe(run));
+}
+
 void Promises::OnTeams(std::vector<jobs::Team> teams) {
   this->team_history.push_back({this->time->Now(), std::move(teams)});
 }
--- a/testing/job_sim/src/schedule.cc
+++ b/testing/job_sim/src/schedule.cc
@@ -15,6 +15,7 @@
 
 constexpr std::size_t kProcesses = 3;
 constexpr std::size_t kWorkers = 6;
+constexpr std::size_t kDataCenters = 3;
 constexpr std::int32_t kJobs = 14;
 constexpr std::int32_t kMostFaults = 7;
 /// Share of its capacity that a worker has at least after a restart.
@@ -40,7 +41,14 @@
 class Player {
  public:
   Player(std::uint64_t seed, const ScheduleOptions& options)
-      : cell(MakeCell(seed)), time(this->cell->Time()), options(options) {
+      : cell(MakeCell(seed, options)),
+        time(this->cell->Time()),
+        options(options) {
+    this->cell->in_touch = [this] {
+      return this->lasting_faults == 0 &&
+             this->time.Now() >= this->disturbed_at + kContact;
+    };
+    this->cell->Judge().in_touch = this->cell->in_touch;
     this->cell->Store().latency = options.store_latency;
     // With each life drawn anew, so many crashes would leave none permitted.
     if (options.crashing_tasks) this->cell->PermitByAddress();
@@ -54,14 +62,18 @@
       }
     }
     if (options.teams) this->AddTeams();
+    if (options.evacuations) this->PlanEvacuations();
   }
 
   ScheduleResult Play();
 
  private:
-  static std::unique_ptr<SimCell> MakeCell(std::uint64_t seed);
+  static std::unique_ptr<SimCell> MakeCell(std::uint64_t seed,
+                                           const ScheduleOptions& options);
   void AddTeams();
   void PlanTeamChange();
+  void PlanEvacuations();
+  void Evacuate();
   void ChangeTeam();
   /// @return a key that some team holds or held, or that none ever had
   std::string DrawKey();
@@ -91,17 +103,22 @@
   /// All keys that teams ever had.
   std::vector<std::string> keys;
   std::int32_t next_key = 0;
-  /// Faults that are not undone, and when something was last disturbed.
+  /// The fault that is being drawn disturbs neither processes nor the store.
+  bool strikes_worker = false;
+  /// Faults that are not undone, and when processes or the store were last
+  /// disturbed.
   std::int32_t lasting_faults = 0;
   Instant disturbed_at;
 };
 
-std::unique_ptr<SimCell> Player::MakeCell(std::uint64_t seed) {
+std::unique_ptr<SimCell> Player::MakeCell(std::uint64_t seed,
+                                          const ScheduleOptions& options) {
   SimCell::Builder builder;
   builder.Seed(seed)
       .Processes(kProcesses)
       .Workers(kWorkers)
       .Capacity(8000, 64'000);
+  if (options.evacuations) builder.DataCenters(kDataCenters);
   constexpr std::uint64_t kAdviceEvery = 3;
   if (seed % kAdviceEvery == 0) builder.Advice(0.6, milliseconds(60));
   return builder.Build();
@@ -155,10 +172,6 @@
   }
   this->cell->Apply();
   this->time.RunFor(kContact);
-  this->cell->in_touch = [this] {
-    return this->lasting_faults == 0 &&
-           this->time.Now() >= this->disturbed_at + kContact;
-  };
   constexpr int kChanges = 5;
   for (int i = 0; i < kChanges; ++i) this->PlanTeamChange();
 }
@@ -174,6 +187,32 @@
   this->time.After(at, [this] { this->ChangeTeam(); });
 }
 
+void Player::PlanEvacuations() {
+  constexpr int kEvacuations = 5;
+  for (int i = 0; i < kEvacuations; ++i) {
+    const Duration at = this->time.DrawBetween(Duration::zero(), kBusy);
+    this->time.After(at, [this] { this->Evacuate(); });
+  }
+}
+
+void Player::Evacuate() {
+  constexpr double kAllChance = 0.2;
+  const bool all = this->time.Chance(kAllChance);
+  const std::size_t chosen = this->time.DrawIndex(kDataCenters);
+  const Duration length =
+      this->time.DrawBetween(milliseconds(20), milliseconds(9000));
+  for (std::size_t i = 0; i < kDataCenters; ++i) {
+    if (!all && i != chosen) continue;
+    const auto center = this->cell->DataCenterAt(i);
+    this->Note("evacuate " + center.Text());
+    this->cell->Evacuate(center);
+    this->time.After(length, [this, center] {
+      this->Note("evacuation cancelled, " + center.Text());
+      this->cell->CancelEvacuation(center);
+    });
+  }
+}
+
 void Player::ChangeTeam() {
   jobs::Team& team =
       this->cell->teams[this->time.DrawIndex(this->cell->teams.size())];
@@ -243,11 +282,15 @@
 }
 
 void Player::Undo(Duration least, Duration most, std::function<void()> undo) {
-  ++this->lasting_faults;
+  const bool disturbs = !this->strikes_worker;
+  if (disturbs) ++this->lasting_faults;
   this->time.After(this->time.DrawBetween(least, most),
-                   [this, undo = std::move(undo)] {
-                     --this->lasting_faults;
-                     this->disturbed_at = this->time.Now();
+                   [this, disturbs, undo = std::move(undo)] {
+                     if (disturbs) {
+                       --this->lasting_faults;
+                       this->disturbed_at = this->time.Now();
+                     }
+                     this->strikes_worker = !disturbs;
                      undo();
                    });
 }
@@ -305,7 +348,7 @@
 }
 
 void Player::Strike() {
-  this->disturbed_at = this->time.Now();
+  this->strikes_worker = true;
   if (this->options.reused_worker_ids && this->time.Chance(0.4)) {
     this->RestartWorkers();
     return;
@@ -314,7 +357,10 @@
     this->ResizeWorker();
     return;
   }
-  switch (this->time.DrawIndex(3)) {
+  const std::size_t kind = this->time.DrawIndex(3);
+  this->strikes_worker = kind > 1;
+  if (!this->strikes_worker) this->disturbed_at = this->time.Now();
+  switch (kind) {
     case 0:
       this->StrikeProcess();
       return;
--- a/testing/job_sim/src/sim_cell.cc
+++ b/testing/job_sim/src/sim_cell.cc
@@ -34,6 +34,7 @@
 constexpr Duration kRegisterRetry = milliseconds(250);
 constexpr std::string_view kDesiredKey = "desired";
 constexpr std::string_view kWorkerPrefix = "workers/";
+constexpr std::string_view kEvacuationPrefix = "evacuate/";
 
 std::string AddressOf(std::size_t index) {
   return "process-" + std::to_string(index);
@@ -86,6 +87,9 @@
     desired.keys_required = !desired.teams.empty();
     return desired;
   }
+  [[nodiscard]] std::string_view EvacuationPrefix() const override {
+    return kEvacuationPrefix;
+  }
   [[nodiscard]] std::string_view WorkerPrefix() const override {
     return kWorkerPrefix;
   }
@@ -405,7 +409,7 @@
   info.incarnation.id = WorkerId("w" + std::to_string(number));
   info.address = "worker-" + std::to_string(number);
   info.service = this->queue.service;
-  info.data_center = DataCenterId("dc");
+  info.data_center = this->DataCenterAt(number);
   info.rack = "rack-" + std::to_string(number / this->workers_per_rack);
   info.labels = {"a", info.rack};
   info.capacity = capacity;
@@ -416,6 +420,21 @@
   return worker;
 }
 
+DataCenterId SimCell::DataCenterAt(std::size_t number) const {
+  const std::size_t center = number % this->data_centers;
+  return DataCenterId(center == 0 ? "dc" : "dc" + std::to_string(center));
+}
+
+void SimCell::Evacuate(const DataCenterId& data_center) {
+  this->promises.OnEvacuation(data_center, /*evacuated=*/true);
+  this->store.Put(std::string(kEvacuationPrefix) + data_center.Text(), "1");
+}
+
+void SimCell::CancelEvacuation(const DataCenterId& data_center) {
+  this->promises.OnEvacuation(data_center, /*evacuated=*/false);
+  this->store.Remove(std::string(kEvacuationPrefix) + data_center.Text());
+}
+
 std::int64_t SimCell::NewBirth() {
   constexpr std::int64_t kEpochMs = 1'700'000'000'000;
   if (this->hides_births) return 0;
@@ -777,6 +796,11 @@
   return *this;
 }
 
+SimCell::Builder& SimCell::Builder::DataCenters(std::size_t count) {
+  this->data_centers = count;
+  return *this;
+}
+
 SimCell::Builder& SimCell::Builder::StoreWrites(std::int64_t per_second) {
   this->store_writes_per_second = per_second;
   return *this;
@@ -822,6 +846,7 @@
     cell->other_queues.push_back(other);
   }
   cell->workers_per_rack = this->workers_per_rack;
+  cell->data_centers = this->data_centers;
   cell->store_writes_per_second = this->store_writes_per_second;
   cell->overload = this->overload;
   cell->host_sizes = this->host_sizes;
--- a/testing/job_sim/src/sim_worker.cc
+++ b/testing/job_sim/src/sim_worker.cc
@@ -141,6 +141,7 @@
   this->CheckCapacity(order.run, late);
   this->all->promises->OnStart(this->info.incarnation.id.Text(), order.run,
                                late);
+  this->all->promises->CheckEvacuation(this->info.data_center, order.run, late);
   Running record;
   record.started = this->all->time->Now();
   record.work = this->all->promises->LengthOf(order.run.task.step);
