Owner: the age of the workers' view is known at any rate of changes

Cause: an answer of a watch holds a bounded part of the changes (200 at the users' store). 6,000 workers write 2,000 entries a second, and each answer was followed by the pause of 450 ms, so that the view fell behind by ever more, without limit and unnoticed: any answer counted as a view that was complete when the watch was sent, so the guard on its age never acted. A listing of thirty pages took the time of its last page.

Change: beside each watch of the workers the newest revision of the store is read. Only a view that has reached it counts as of that moment; until then the next watch follows at once. A listing counts from its first page. Evacuations whose view is too old are listed again. The log says when starts begin to be withheld for the age of a view, and when that ends.

Ruled out: no pause at any time (one call for each handful of changes); a bound above which an answer counts as cut (how much an answer holds is not known).

--- a/packages/jobs/src/evacuations.h
+++ b/packages/jobs/src/evacuations.h
@@ -31,6 +31,8 @@
               std::string prefix, Handlers handlers);
 
   void Start() { this->mirror.Start(); }
+  /// Reads all evacuations again.
+  void Refresh() { this->mirror.Refresh(); }
   [[nodiscard]] bool Listed() const { return this->mirror.Listed(); }
   /// @return the latest time at which this view is known to have been complete
   [[nodiscard]] Instant ConfirmedAt() const {
--- a/packages/jobs/src/group_owner.cc
+++ b/packages/jobs/src/group_owner.cc
@@ -112,14 +112,16 @@
 
   this->intake = std::make_unique<PrefixMirror>(
       shared.executor, shared.store, shared.log,
-      PrefixMirror::Options{std::string(keys::kIntake), kIntakeWatchInterval},
+      PrefixMirror::Options{.prefix = std::string(keys::kIntake),
+                            .pause = kIntakeWatchInterval},
       PrefixMirror::Handlers{
           [this](const StoreEvent& event) { this->OnIntake(event); },
           [this] { this->FinishLoading(); }});
   this->workers = std::make_unique<PrefixMirror>(
       shared.executor, shared.store, shared.log,
-      PrefixMirror::Options{std::string(this->schema->WorkerPrefix()),
-                            kWorkerWatchInterval},
+      PrefixMirror::Options{.prefix = std::string(this->schema->WorkerPrefix()),
+                            .pause = kWorkerWatchInterval,
+                            .revision_key = keys::Owner()},
       PrefixMirror::Handlers{
           [this](const StoreEvent& event) { this->OnWorker(event); },
           [this] { this->FinishLoading(); }});
@@ -468,12 +470,20 @@
 
 bool GroupOwner::HasFreshWorkerView() {
   const Instant now = this->context.executor->Now();
-  if (now >= this->evacuations->ConfirmedAt() + kMaxEvacuationViewAge) {
-    return false;
+  const Duration workers_age = now - this->workers->ConfirmedAt();
+  const Duration evacuations_age = now - this->evacuations->ConfirmedAt();
+  const bool workers_fresh = workers_age < kMaxWorkerViewAge;
+  const bool evacuations_fresh = evacuations_age < kMaxEvacuationViewAge;
+  const bool fresh = workers_fresh && evacuations_fresh;
+  if (std::exchange(this->worker_view_fresh, fresh) != fresh) {
+    this->context.log->Write(
+        "workers", fresh ? "view-recent" : "view-outdated",
+        {{"workers_age_ms", WholeMilliseconds(workers_age)},
+         {"evacuations_age_ms", WholeMilliseconds(evacuations_age)}});
   }
-  if (now < this->workers->ConfirmedAt() + kMaxWorkerViewAge) return true;
-  this->workers->Refresh();
-  return false;
+  if (!workers_fresh) this->workers->Refresh();
+  if (!evacuations_fresh) this->evacuations->Refresh();
+  return fresh;
 }
 
 void GroupOwner::OnEvacuation(const DataCenterId& data_center) {
--- a/packages/jobs/src/prefix_mirror.cc
+++ b/packages/jobs/src/prefix_mirror.cc
@@ -20,6 +20,10 @@
 void PrefixMirror::Start() {
   this->listing = true;
   this->first_page = true;
+  this->listing_since = this->executor->Now();
+  this->ahead.reset();
+  this->reading_revision = false;
+  this->watching = false;
   this->seen.clear();
   this->ListFrom("");
 }
@@ -47,7 +51,6 @@
   }
   this->reachable = true;
   this->last_answered_call_at = sent_at;
-  this->confirmed_at = sent_at;
   // Pages are not a snapshot. The watch starts at the revision of the first
   // page, so changes between pages are not lost.
   if (std::exchange(this->first_page, false)) this->next = page.value().current;
@@ -70,22 +73,29 @@
   for (const std::string& key : gone) this->NotifyDeleted(key, this->next);
   this->seen.clear();
   this->listing = false;
+  this->confirmed_at = std::max(this->confirmed_at, this->listing_since);
   const bool first = !std::exchange(this->listed, true);
   if (first && this->handlers.on_listed) this->handlers.on_listed();
   this->Watch();
 }
 
 void PrefixMirror::Watch() {
+  if (std::exchange(this->watching, true)) return;
+  if (this->pause_timer) this->executor->Cancel(*this->pause_timer);
+  this->pause_timer.reset();
+  this->ReadRevision();
   const Instant sent_at = this->executor->Now();
-  this->store->Watch(
-      this->options.prefix, this->next, kMaxWatchWait,
-      this->guard.Wrap([this, sent_at](const Result<StoreEvents>& events) {
-        this->OnEvents(sent_at, events);
-      }));
+  const Duration wait = this->options.wait;
+  this->store->Watch(this->options.prefix, this->next, wait,
+                     this->guard.Wrap([this, sent_at, wait](
+                                          const Result<StoreEvents>& events) {
+                       this->OnEvents(sent_at, wait, events);
+                     }));
 }
 
-void PrefixMirror::OnEvents(Instant sent_at,
+void PrefixMirror::OnEvents(Instant sent_at, Duration wait,
                             const Result<StoreEvents>& events) {
+  this->watching = false;
   if (!events) {
     const bool forgotten = events.error() == Error::kHistoryLost;
     if (forgotten) {
@@ -98,10 +108,13 @@
   }
   this->reachable = true;
   this->last_answered_call_at = sent_at;
-  // A watch without events was answered at its end.
-  this->confirmed_at =
-      events.value().events.empty() ? sent_at + kMaxWatchWait : sent_at;
   this->next = std::max(this->next, events.value().current);
+  if (events.value().events.empty()) {
+    // A watch without events was answered at its end.
+    this->confirmed_at = std::max(this->confirmed_at, sent_at + wait);
+  } else if (this->options.revision_key.empty()) {
+    this->confirmed_at = std::max(this->confirmed_at, sent_at);
+  }
   for (const StoreEvent& event : events.value().events) {
     if (event.deleted) {
       this->NotifyDeleted(event.item.key, event.item.revision);
@@ -109,13 +122,42 @@
       this->NotifyChanged(event.item);
     }
   }
-  if (this->options.pause == Duration::zero()) {
+  this->ConfirmIfReached();
+  // Failure: there are more changes than one answer holds, each watch is
+  // followed by the pause, and the view falls behind by ever more.
+  if (this->options.pause == Duration::zero() || this->ahead) {
     this->Watch();
   } else {
-    this->RunLater(this->options.pause, [this] { this->Watch(); });
+    this->pause_timer = this->executor->After(
+        this->options.pause, this->guard.Wrap([this] { this->Watch(); }));
   }
 }
 
+void PrefixMirror::ReadRevision() {
+  const bool wanted = !this->options.revision_key.empty() && !this->ahead;
+  if (!wanted || std::exchange(this->reading_revision, true)) return;
+  const Instant sent_at = this->executor->Now();
+  this->store->List(
+      this->options.revision_key, "",
+      this->guard.Wrap([this, sent_at](const Result<StorePage>& page) {
+        this->OnRevision(sent_at, page);
+      }));
+}
+
+void PrefixMirror::OnRevision(Instant sent_at, const Result<StorePage>& page) {
+  this->reading_revision = false;
+  if (!page) return;
+  this->ahead = {sent_at, page.value().current};
+  this->ConfirmIfReached();
+  if (this->ahead) this->Watch();
+}
+
+void PrefixMirror::ConfirmIfReached() {
+  if (!this->ahead || this->next < this->ahead->revision) return;
+  this->confirmed_at = std::max(this->confirmed_at, this->ahead->sent_at);
+  this->ahead.reset();
+}
+
 void PrefixMirror::NotifyChanged(const StoreItem& item) {
   Revision& revision = this->known[item.key];
   if (revision >= item.revision) return;
--- a/testing/job_sim/include/job_sim/sim_cell.h
+++ b/testing/job_sim/include/job_sim/sim_cell.h
@@ -67,6 +67,10 @@
   SimWorker* AddWorker();
   /// The entry says that it drains, or goes.
   void DrainWorker(SimWorker* worker);
+  /// Has each worker write its entry again and again, so often. Each writes
+  /// what it said last.
+  void StartHeartbeats(Duration interval);
+  void StopHeartbeats() { this->heartbeat = Duration::zero(); }
   void UnlistWorker(SimWorker* worker);
   /// Its life ends; another begins at the same address after `down`, under a
   /// new id or, see ReuseWorkerIds, the same.
@@ -153,6 +157,8 @@
       const std::shared_ptr<std::optional<jobs::SubmitResult>>& result);
   SimWorker* ListWorker(const mustardproxy::Resources& capacity);
   void WriteEntry(const SimWorker& worker, std::string_view state);
+  /// Writes the entry of a worker again, and then once in an interval.
+  void Beat(const std::string& key);
   /// Begins the life that follows a crashed worker's.
   void BeginNextLife(const SimWorker& former);
   /// The worker writes its entry as soon as the store takes it.
@@ -187,6 +193,9 @@
   jobs::OverloadControl overload;
   std::vector<std::int64_t> host_sizes;
   std::int32_t order_relays = 0;
+  Duration configuration_bound{0};
+  /// Interval at which workers write their entries; never if zero.
+  Duration heartbeat{0};
   bool permits_by_address = false;
   bool reuses_ids = false;
   bool hides_births = false;
--- a/testing/job_sim/include/job_sim/sim_store.h
+++ b/testing/job_sim/include/job_sim/sim_store.h
@@ -46,6 +46,18 @@
   double late_writes = 0;
   Duration latency = std::chrono::milliseconds(4);
   /// Leases run on while it is silent.
+  /// Most changes in one answer of a watch.
+  std::size_t max_events = 1'000'000;
+  /// Calls that have reached it, from all processes.
+  struct Calls {
+    std::int64_t reads = 0;
+    std::int64_t watches = 0;
+    std::int64_t renewals = 0;
+    std::int64_t writes = 0;
+  };
+  Calls calls;
+  /// Changes in answers of watches, to all processes.
+  std::int64_t watched_events = 0;
   bool leases_run_on = true;
 
  private:
--- a/testing/job_sim/src/sim_cell.cc
+++ b/testing/job_sim/src/sim_cell.cc
@@ -519,6 +519,23 @@
 }
 
 void SimCell::Apply() {
+void SimCell::StartHeartbeats(Duration interval) {
+  this->heartbeat = interval;
+  for (const SimWorker* worker : this->workers.Alive()) {
+    const std::string key =
+        std::string(kWorkerPrefix) + worker->Info().incarnation.id.Text();
+    this->time.After(this->time.DrawBetween(Duration::zero(), interval),
+                     [this, key] { this->Beat(key); });
+  }
+}
+
+void SimCell::Beat(const std::string& key) {
+  const std::string* entry = this->store.Get(key);
+  if (entry == nullptr || this->heartbeat == Duration::zero()) return;
+  this->store.Put(key, std::string(*entry));
+  this->time.After(this->heartbeat, [this, key] { this->Beat(key); });
+}
+
   this->applied_teams[this->version + 1] = this->teams;
   if (!this->teams.empty()) this->promises.OnTeams(this->teams);
   this->store.Put(std::string(kDesiredKey), std::to_string(++this->version));
--- a/testing/job_sim/src/sim_store.cc
+++ b/testing/job_sim/src/sim_store.cc
@@ -271,7 +271,12 @@
                          return revision < one.item.revision;
                        });
   for (; event != this->history.end(); ++event) {
-    if (event->item.key.starts_with(prefix)) events.events.push_back(*event);
+    if (!event->item.key.starts_with(prefix)) continue;
+    if (events.events.size() == this->max_events) {
+      events.current = events.events.back().item.revision;
+      break;
+    }
+    events.events.push_back(*event);
   }
   return events;
 }
