Dispatcher: a question examines a bounded number of workers of a large cell

Each question to the policy service, and each check whether one would help (32 a pass), examined every worker of the service, and named those with the most free capacity: idle ones.

Change, above 1,200 workers of a service: a question is about workers known to be permitted, at most 200 in use with free capacity, from a different one on for each step; at most 200 idle ones if those do not suffice, or first for a gang; and, where too little is free, 1,200 others, which differ from one question to the next. Up to 1,200 workers all are examined as before.

--- a/packages/jobs/src/dispatcher.cc
+++ b/packages/jobs/src/dispatcher.cc
@@ -674,7 +674,10 @@
     if (this->ask_checks_left == 0) return;
     --this->ask_checks_left;
     unit.progress->next_advice_check = now + kAskInterval;
-    if (this->WorkersToAsk(unit, capacities, now).empty()) return;
+    if (this->WorkersToAsk(unit, capacities, now).empty()) {
+      unit.progress->next_examined_worker += kMaxExaminedWorkers;
+      return;
+    }
   } else {
     if (this->first_asks_left == 0) return;
     --this->first_asks_left;
@@ -714,16 +717,36 @@
   input.answer_due = now + policy.decision + policy.per_worker * tasks;
   input.may_preempt =
       this->context->overload.preemption && PreemptionPass::MayPreempt(unit);
-  std::vector<Candidate> candidates;
-  const Instant end = this->ExpectedEnd(unit, input.answer_due);
-  for (WorkerCapacity* capacity : capacities.OfService(unit.queue->service)) {
-    if (capacity->held && end > capacity->held_until) continue;
-    if (!capacity->session->HasLabel(unit.step->required_label)) continue;
-    candidates.push_back({.capacity = capacity});
-  }
+  const std::vector<Candidate> candidates =
+      this->CandidatesToAsk(unit, capacities, input);
   return SelectWorkersToAsk(input, candidates);
 }
 
+std::vector<Candidate> Dispatcher::CandidatesToAsk(
+    const SchedulingUnit& unit, const PassCapacity& capacities,
+    const AdviceSelectionInput& asked) const {
+  std::vector<WorkerCapacity*> permitted;
+  if (asked.advice != nullptr) {
+    for (const PermittedWorker& one : asked.advice->permitted) {
+      WorkerCapacity* capacity = capacities.At(one.session);
+      const bool serves =
+          capacity != nullptr &&
+          capacity->session->info.service == unit.queue->service;
+      if (serves) permitted.push_back(capacity);
+    }
+  }
+  return SelectAskCandidates(
+      {.step = unit.step,
+       .tasks = asked.tasks,
+       .advice = asked.advice,
+       .permitted_share = asked.permitted_share,
+       .end = this->ExpectedEnd(unit, asked.answer_due),
+       .workers = capacities.OfService(unit.queue->service),
+       .permitted = permitted,
+       .first = std::hash<JobId>{}(unit.ref.job) +
+                unit.progress->next_examined_worker});
+}
+
 std::vector<AskedWorker> Dispatcher::ChooseForAdvice(const StepRef& ref) {
   if (this->context->reservations->Holds(ref)) {
     return this->context->reservations->WorkersToAsk(ref);
--- a/packages/jobs/src/dispatcher.h
+++ b/packages/jobs/src/dispatcher.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <vector>
 
+#include "advice_selection.h"
 #include "callback_guard.h"
 #include "owner_context.h"
 #include "pass_capacity.h"
@@ -128,6 +129,12 @@
   std::vector<AskedWorker> WorkersToAsk(const SchedulingUnit& unit,
                                         const PassCapacity& capacities,
                                         Instant now) const;
+  /// @return capacity that a question about the step may be about: all of a
+  ///   small cell; otherwise workers known to be permitted and a bounded number
+  ///   of others
+  std::vector<Candidate> CandidatesToAsk(
+      const SchedulingUnit& unit, const PassCapacity& capacities,
+      const AdviceSelectionInput& input) const;
   Instant ExpectedEnd(const SchedulingUnit& unit, Instant now) const;
   void Start(SchedulingUnit* unit,
              const std::vector<WorkerIncarnation>& workers);
@@ -148,14 +155,14 @@
   OwnerContext* context;
   WaitReport waits;
   ShareOrder share_order;
+  PassCapacity pass_capacity;
+  /// A question may be sent in the course of a pass.
+  PassCapacity ask_capacity;
   bool pass_scheduled = false;
   PassPacer pacer;
   /// Checks whether to ask the policy service that this pass may still make.
   std::size_t ask_checks_left = 0;
   /// Steps that may still ask for the first time in this pass.
-  PassCapacity pass_capacity;
-  /// A question may be sent in the course of a pass.
-  PassCapacity ask_capacity;
   std::size_t first_asks_left = 0;
   CallbackGuard guard;
 };
--- a/packages/jobs/src/job_table.h
+++ b/packages/jobs/src/job_table.h
@@ -61,6 +61,8 @@
   Instant gather_by = Instant::max();
   /// Earliest time to check again whether to query the policy service.
   Instant next_advice_check;
+  /// Where the next such check begins among the workers without free capacity.
+  std::size_t next_examined_worker = 0;
   /// Earliest time to log again what the step is waiting for.
   Instant next_wait_report;
   /// Since when tasks of an urgent step have found no capacity; the maximum if
