Membership: small hosts of a large cell track the owner alone

584 processes each tracked all others: 341,056 lines and as many events before the first job, and a list of all registrations at each after a compaction of the store's history.

Change, above 64 registered processes: one that knows 16 others which are preferred as owners tracks the owner's key alone, keeps a sample of at most 64 processes for help with the store, renewed once a minute, and runs for election 0.3 s later than those that track all. It asks for the owner every 10 s and for the desired state at six tenths of the bound within which a change must be in force (setting configuration_bound_ms, from the platform; 1.2 s at its least bound, as before). An owner tracks all. Processes that come and go are logged one by one up to 64, then once a second. Up to 64 processes nothing changes.

--- a/apps/mustardproxy/src/cell_runtime.cc
+++ b/apps/mustardproxy/src/cell_runtime.cc
@@ -127,6 +127,8 @@
                    .Strength(static_cast<std::int64_t>(cpu * kMilliPerUnit),
                              this->settings.memory_mb)
                    .StoreWrites(this->settings.store_writes_per_s)
+                   .ConfigurationBound(std::chrono::milliseconds(
+                       this->settings.configuration_bound_ms))
                    .MaxLostWorkers(this->settings.max_lost_workers)
                    .Overload(OverloadControlOf(this->settings))
                    .OrderRelays(this->settings.order_relays)
--- a/packages/jobs/include/mustardproxy/jobs/admission.h
+++ b/packages/jobs/include/mustardproxy/jobs/admission.h
@@ -38,7 +38,7 @@
   Duration age{0};
 };
 
-/// A view of the desired state that is older than this does not prove that a
+/// Usual age from which on a view of the desired state does not prove that a
 /// key or queue does not exist. Exceeds the longest wait of a watch.
 inline constexpr Duration kMaxConfigurationAge =
     std::chrono::milliseconds(2000);
@@ -48,11 +48,14 @@
 /// that it does not know to retry.
 /// @param desired the latest desired state, or null
 /// @param age time since the store last confirmed it
+/// @param max_age age from which on it does not prove that a key or queue does
+///   not exist
 /// @return `kStarting` without a desired state; `kUnknownQueue`, `kUnknownKey`;
 ///   `kConfigurationStale` in place of the last two if the view is too old
 [[nodiscard]] Result<Admission> Admit(const DesiredState* desired, Duration age,
                                       const QueueChooser& choose,
-                                      const Credentials& credentials);
+                                      const Credentials& credentials,
+                                      Duration max_age = kMaxConfigurationAge);
 
 }  // namespace mustardproxy::jobs
 
--- a/packages/jobs/include/mustardproxy/jobs/job_node.h
+++ b/packages/jobs/include/mustardproxy/jobs/job_node.h
@@ -68,6 +68,11 @@
   std::unique_ptr<Internals> state;
 };
 
+/// Least time within which operators may want a change of the desired state in
+/// force.
+inline constexpr Duration kMinConfigurationBound =
+    std::chrono::milliseconds(2000);
+
 /// Builds a `JobNode`. Everything but the metrics is required. The objects
 /// passed by pointer must outlive the node.
 class JobNode::Builder {
@@ -86,6 +91,10 @@
   Builder& MaxLostWorkers(std::int32_t count);
   /// Everything off by default.
   Builder& Overload(OverloadControl control);
+  /// Time within which a change of the desired state must be in force; 2 s by
+  /// default and at least. In a large cell the store is asked less often if the
+  /// bound is longer.
+  Builder& ConfigurationBound(Duration bound);
   /// Maximum number of processes that send orders to workers on the owner's
   /// word, in a cell that is larger than one host carries. The default, 0, has
   /// the owner send all orders itself.
@@ -111,6 +120,7 @@
   std::int64_t store_writes_per_second = 400;
   std::int32_t max_lost_workers = 3;
   OverloadControl overload;
+  Duration configuration_bound = kMinConfigurationBound;
   std::int32_t order_relays = 0;
   Executor* executor = nullptr;
   KeyValueStore* store = nullptr;
--- a/packages/jobs/src/admission.cc
+++ b/packages/jobs/src/admission.cc
@@ -6,9 +6,9 @@
 
 Result<Admission> Admit(const DesiredState* desired, Duration age,
                         const QueueChooser& choose,
-                        const Credentials& credentials) {
+                        const Credentials& credentials, Duration max_age) {
   if (desired == nullptr) return make_error_code(Error::kStarting);
-  const bool stale = age > kMaxConfigurationAge;
+  const bool stale = age > max_age;
   const Queue* queue = choose(*desired);
   if (queue == nullptr) {
     return make_error_code(stale ? Error::kConfigurationStale
--- a/packages/jobs/src/cell_member.cc
+++ b/packages/jobs/src/cell_member.cc
@@ -33,16 +33,132 @@
       metrics(metrics),
       self(std::move(self)),
       choice(this->self),
-      handlers(std::move(handlers)),
-      mirror(
-          executor, store, log,
-          {.prefix = std::string(keys::kCell), .pause = Duration::zero()},
-          {.on_change = [this](const StoreEvent& e) { this->OnCellEvent(e); },
-           .on_listed = [this] { this->ConsiderElection(); }}) {}
+      handlers(std::move(handlers)) {}
 
 void CellMember::Start() {
   this->AcquireLease();
-  this->mirror.Start();
+  this->Track(Tracking::kAll);
+}
+
+void CellMember::Track(Tracking wanted) {
+  this->changing_tracking = false;
+  this->tracking = wanted;
+  const bool all = wanted == Tracking::kAll;
+  if (all) {
+    for (const auto& [name, node] : this->nodes) this->choice.Forget(name);
+    this->nodes.clear();
+  }
+  this->mirror = std::make_unique<PrefixMirror>(
+      this->executor, this->store, this->log,
+      PrefixMirror::Options{
+          .prefix = std::string(all ? keys::kCell : keys::kOwners),
+          .pause = Duration::zero(),
+          .wait = all ? kMaxWatchWait : kOwnerWatchWait},
+      PrefixMirror::Handlers{
+          .on_change = [this](const StoreEvent& e) { this->OnCellEvent(e); },
+          .on_listed = [this] { this->OnListed(); }});
+  this->mirror->Start();
+  if (all) return;
+  this->log->Write("cell", "tracks-owner-alone",
+                   {{"processes", this->nodes.size()}});
+  this->executor->After(kPeerSampleInterval, this->guard.Wrap([this] {
+    this->ReadSample(keys::Node(this->self.name));
+  }));
+}
+
+void CellMember::OnListed() {
+  // Failure: the owner's key is deleted between the last watch of one mirror
+  // and the listing of the next, and nobody is told.
+  const bool lost =
+      this->owner && this->token == 0 && !this->mirror->Contains(keys::Owner());
+  if (lost) {
+    StoreEvent deleted;
+    deleted.item.key = keys::Owner();
+    deleted.item.revision = this->owner->token;
+    deleted.deleted = true;
+    this->OnOwnerKey(deleted);
+  }
+  this->ConsiderElection();
+}
+
+void CellMember::ConsiderTracking() {
+  // The rest of a listing is of no use to a process that narrows its view.
+  const bool narrows = this->TracksAll() && this->token == 0 &&
+                       this->nodes.size() > kMaxTrackedByAll &&
+                       this->choice.CountPreferred() >= kTrackingProcesses;
+  const bool widens = !this->TracksAll() && this->token != 0;
+  if (!narrows && !widens) return;
+  if (std::exchange(this->changing_tracking, true)) return;
+  // Deferred, because the mirror to be replaced may be on the stack.
+  this->executor->Post(this->guard.Wrap([this, widens] {
+    if (widens == this->TracksAll()) {
+      this->changing_tracking = false;
+    } else {
+      this->Track(widens ? Tracking::kAll : Tracking::kOwner);
+    }
+  }));
+}
+
+void CellMember::ReadSample(const std::string& after) {
+  if (this->TracksAll() || this->leaving) return;
+  this->store->List(
+      keys::kNodes, after,
+      this->guard.Wrap([this, after](const Result<StorePage>& page) {
+        this->OnSample(after, page);
+      }));
+}
+
+void CellMember::OnSample(const std::string& after,
+                          const Result<StorePage>& page) {
+  if (this->TracksAll()) return;
+  if (page) {
+    const std::vector<StoreItem>& items = page.value().items;
+    // Each process reads from its own name on, so that not all of them know the
+    // same ones.
+    if (!after.empty() && items.size() < kMaxTrackedByAll) {
+      this->ReadSample("");
+      return;
+    }
+    if (after.empty() && !page.value().truncated &&
+        items.size() < kMaxTrackedByAll) {
+      // The cell has become small.
+      this->Track(Tracking::kAll);
+      return;
+    }
+    for (const auto& [name, node] : this->nodes) this->choice.Forget(name);
+    this->nodes.clear();
+    for (const StoreItem& item : items) {
+      if (this->nodes.size() == kMaxTrackedByAll) break;
+      const auto node = DecodeNode(item.value);
+      if (!node) continue;
+      this->nodes[node->name] = {*node, item.lease, item.revision};
+      this->choice.NoteJoined(*node, this->executor->Now());
+    }
+  }
+  this->executor->After(kPeerSampleInterval, this->guard.Wrap([this] {
+    this->ReadSample(keys::Node(this->self.name));
+  }));
+}
+
+void CellMember::LogMembership(std::string_view event, const ProcessId& process,
+                               std::string_view address) {
+  if (this->nodes.size() <= kMaxTrackedByAll) {
+    this->log->Write("cell", event,
+                     {{"process", process.Text()}, {"address", address}});
+    return;
+  }
+  if (std::exchange(this->membership_log_due, true)) return;
+  this->executor->After(kMembershipLogInterval, this->guard.Wrap([this] {
+    this->LogMembershipChanges();
+  }));
+}
+
+void CellMember::LogMembershipChanges() {
+  this->membership_log_due = false;
+  this->log->Write("cell", "processes-changed",
+                   {{"joined", std::exchange(this->unlogged_joined, 0)},
+                    {"gone", std::exchange(this->unlogged_gone, 0)},
+                    {"processes", this->nodes.size()}});
 }
 
 bool CellMember::StoreAnswers() const {
@@ -51,7 +167,7 @@
 }
 
 Instant CellMember::StoreAliveAt() const {
-  return std::max(this->renewed_at, this->mirror.LastAnsweredCallAt());
+  return std::max(this->renewed_at, this->mirror->LastAnsweredCallAt());
 }
 
 void CellMember::AcquireLease() {
@@ -168,29 +284,34 @@
 void CellMember::OnCellEvent(const StoreEvent& event) {
   const std::string& key = event.item.key;
   if (key.starts_with(keys::kNodes)) {
-    const ProcessId name(key.substr(keys::kNodes.size()));
-    if (event.deleted) {
-      this->nodes.erase(name);
-      this->choice.NoteGone(name, this->executor->Now());
-      this->log->Write("cell", "process-gone", {{"process", name.Text()}});
-      const bool own = name == this->self.name && this->lease != 0;
-      if (own && !this->leaving) this->Register();
-    } else if (auto node = DecodeNode(event.item.value)) {
-      this->nodes[name] = {*node, event.item.lease, event.item.revision};
-      this->choice.NoteJoined(*node, this->executor->Now());
-      this->log->Write(
-          "cell", "process-joined",
-          {{"process", name.Text()}, {"address", node->peer_address}});
-    } else {
-      this->LogMalformed(event);
-    }
+    this->OnNodeKey(event);
   } else if (key == keys::Owner()) {
     this->OnOwnerKey(event);
   }
   this->handlers.on_change();
+  this->ConsiderTracking();
   this->ConsiderElection();
 }
 
+void CellMember::OnNodeKey(const StoreEvent& event) {
+  const ProcessId name(event.item.key.substr(keys::kNodes.size()));
+  if (event.deleted) {
+    this->nodes.erase(name);
+    this->choice.NoteGone(name, this->executor->Now());
+    ++this->unlogged_gone;
+    this->LogMembership("process-gone", name, "");
+    const bool own = name == this->self.name && this->lease != 0;
+    if (own && !this->leaving) this->Register();
+  } else if (auto node = DecodeNode(event.item.value)) {
+    this->nodes[name] = {*node, event.item.lease, event.item.revision};
+    this->choice.NoteJoined(*node, this->executor->Now());
+    ++this->unlogged_joined;
+    this->LogMembership("process-joined", name, node->peer_address);
+  } else {
+    this->LogMalformed(event);
+  }
+}
+
 void CellMember::OnOwnerKey(const StoreEvent& event) {
   if (event.deleted) {
     // Ignore a change that is older than the write that made this process the
@@ -228,7 +349,8 @@
 }
 
 bool CellMember::OwnerRestarted() const {
-  if (!this->owner) return false;
+  // The sample of a process that tracks the owner alone may be old.
+  if (!this->owner || !this->TracksAll()) return false;
   const auto node = this->nodes.find(this->owner->owner.name);
   return node != this->nodes.end() &&
          node->second.node.incarnation != this->owner->owner.incarnation;
@@ -236,10 +358,12 @@
 
 void CellMember::ConsiderElection() {
   const bool vacant = !this->owner || this->OwnerRestarted();
-  const bool may_run = this->mirror.Listed() && vacant && this->lease != 0 &&
+  const bool may_run = this->mirror->Listed() && vacant && this->lease != 0 &&
                        this->token == 0 && !this->leaving;
   if (!may_run || std::exchange(this->electing, true)) return;
-  this->executor->After(this->choice.ElectionDelay(this->executor->Now()),
+  Duration delay = this->choice.ElectionDelay(this->executor->Now());
+  if (!this->TracksAll()) delay += kUntrackedElectionDelay;
+  this->executor->After(delay,
                         this->guard.Wrap([this] { this->RunForElection(); }));
 }
 
@@ -312,6 +436,7 @@
   this->log->Write("cell", "elected", {{"token", revision}});
   this->handlers.on_elected(revision);
   this->handlers.on_change();
+  this->ConsiderTracking();
 }
 
 void CellMember::Depose(std::string_view reason) {
--- a/packages/jobs/src/cell_member.h
+++ b/packages/jobs/src/cell_member.h
@@ -1,8 +1,10 @@
 #ifndef MUSTARDPROXY_JOBS_CELL_MEMBER_H_
 #define MUSTARDPROXY_JOBS_CELL_MEMBER_H_
 
+#include <cstddef>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string_view>
 
@@ -39,6 +41,10 @@
 /// the other processes, and takes part in the election of the placement group's
 /// owner.
 ///
+/// In a large cell only the processes preferred as owners track all others. The
+/// rest track the owner's key and know a sample of the processes, and run for
+/// election later than those.
+///
 /// The owner is the process that created the owner's key, attached to its
 /// lease. The revision of that write is the fencing token: unique and
 /// increasing.
@@ -71,6 +77,7 @@
   /// one, so that no process has to wait for the lease to expire.
   void Leave();
 
+  /// @return all registered processes, or a sample of them, see `TracksAll`
   [[nodiscard]] const std::map<ProcessId, Registration>& Nodes() const {
     return this->nodes;
   }
@@ -78,6 +85,10 @@
     return this->owner;
   }
   [[nodiscard]] bool Owns() const { return this->token != 0; }
+  /// @return false if the cell is large and this process tracks the owner alone
+  [[nodiscard]] bool TracksAll() const {
+    return this->tracking == Tracking::kAll;
+  }
   /// @return when the last renewal that the store has confirmed was sent
   [[nodiscard]] Instant RenewedAt() const { return this->renewed_at; }
   /// @return when the last call that the store has answered was sent
@@ -87,6 +98,12 @@
   [[nodiscard]] bool StoreAnswers() const;
 
  private:
+  enum class Tracking {
+    kAll,
+    /// The owner alone.
+    kOwner,
+  };
+
   void AcquireLease();
   void OnLease(Instant sent_at, const Result<StoreLease>& lease);
   void Register();
@@ -97,7 +114,20 @@
                  const Result<StoreLease>& lease);
   void LoseLease(std::string_view reason);
   void OnCellEvent(const StoreEvent& event);
+  void OnNodeKey(const StoreEvent& event);
   void OnOwnerKey(const StoreEvent& event);
+  /// Takes part in an election if the listing has shown that there is no owner.
+  void OnListed();
+  /// Changes what is tracked if the size of the cell calls for it.
+  void ConsiderTracking();
+  void Track(Tracking wanted);
+  /// Reads some of the processes of a cell of which this one tracks the owner
+  /// alone.
+  void ReadSample(const std::string& after);
+  void OnSample(const std::string& after, const Result<StorePage>& page);
+  void LogMembership(std::string_view event, const ProcessId& process,
+                     std::string_view address);
+  void LogMembershipChanges();
   void LogMalformed(const StoreEvent& event);
   /// @return true if the owner's process has restarted, so that the incarnation
   ///   that owns the key has certainly ended
@@ -130,7 +160,8 @@
   NodeRecord self;
   OwnerChoice choice;
   Handlers handlers;
-  PrefixMirror mirror;
+  Tracking tracking = Tracking::kAll;
+  std::unique_ptr<PrefixMirror> mirror;
   StoreLeaseId lease = 0;
   Instant renewed_at;
   bool renewing = false;
@@ -146,6 +177,12 @@
   /// The last request for a lease has failed.
   bool grant_failing = false;
   bool leaving = false;
+  /// A change of `tracking` has been posted.
+  bool changing_tracking = false;
+  /// Processes that came and went since the last log line on them.
+  std::size_t unlogged_joined = 0;
+  std::size_t unlogged_gone = 0;
+  bool membership_log_due = false;
   CallbackGuard guard;
 };
 
--- a/packages/jobs/src/job_node.cc
+++ b/packages/jobs/src/job_node.cc
@@ -44,6 +44,9 @@
           .retry_after = Duration::zero()};
 }
 
+/// Delay within which changes of the processes of a large cell are collected.
+constexpr Duration kHelpersUpdateDelay = milliseconds(100);
+
 /// Answers of a caller's process are due within 100 ms. A job that can't be
 /// looked up in time is accepted.
 constexpr Duration kLookupLimit = milliseconds(80);
@@ -81,6 +84,8 @@
   void OnElected(FencingToken token);
   void OnDeposed();
   void OnCellChange();
+  /// Gives the owner the processes that may help it.
+  void UpdateHelpers();
   void StepDown(std::string_view reason);
   bool Authorized() const;
   /// @return the driver for a new owner
@@ -111,6 +116,10 @@
              std::function<void(SubmitResult)> done);
   /// @return the time since the store last confirmed the desired state
   Duration ConfigurationAge() const;
+  /// @return the wait of watches of the desired state in a large cell
+  Duration ConfigurationWait() const;
+  /// @return the age from which on a view of the desired state proves nothing
+  Duration MaxConfigurationAge() const;
   /// @return the address of the owner; nothing if there is none or if it is
   ///   this process
   std::optional<std::string> OwnerAddress() const;
@@ -129,6 +138,7 @@
   std::unique_ptr<RelayedWorkerDriver> relayed;
   std::unique_ptr<GroupOwner> owner;
   std::size_t next_helper = 0;
+  bool helpers_update_due = false;
   bool stepping_down = false;
   bool leaving = false;
   CallbackGuard guard;
@@ -282,7 +292,23 @@
 }
 
 void JobNode::Internals::OnCellChange() {
+  this->desired_mirror.SetWait(
+      this->member.TracksAll() ? kMaxWatchWait : this->ConfigurationWait());
   if (!this->owner) return;
+  if (this->member.Nodes().size() <= kMaxTrackedByAll) {
+    this->UpdateHelpers();
+    return;
+  }
+  // Failure: hundreds of processes come at once, and each has the owner copy
+  // the list of all others.
+  if (std::exchange(this->helpers_update_due, true)) return;
+  this->config.executor->After(kHelpersUpdateDelay, this->guard.Wrap([this] {
+    this->helpers_update_due = false;
+    if (this->owner) this->UpdateHelpers();
+  }));
+}
+
+void JobNode::Internals::UpdateHelpers() {
   std::vector<AdviceClient> clients;
   std::vector<NodeRecord> processes;
   for (const auto& [name, other] : this->member.Nodes()) {
@@ -447,6 +473,17 @@
                                         this->desired_mirror.ConfirmedAt());
 }
 
+Duration JobNode::Internals::ConfigurationWait() const {
+  // The same share of the bound as `kMaxWatchWait` of the least one.
+  return kMaxWatchWait * this->config.configuration_bound.count() /
+         kMinConfigurationBound.count();
+}
+
+Duration JobNode::Internals::MaxConfigurationAge() const {
+  return this->member.TracksAll() ? kMaxConfigurationAge
+                                  : this->config.configuration_bound;
+}
+
 JobNode::JobNode(std::unique_ptr<Internals> state) : state(std::move(state)) {}
 
 JobNode::~JobNode() = default;
@@ -478,7 +515,8 @@
                                      const Credentials& credentials) {
   const Duration age = this->state->ConfigurationAge();
   const DesiredState* desired = this->state->desired.get();
-  Result<Admission> admitted = jobs::Admit(desired, age, choose, credentials);
+  Result<Admission> admitted = jobs::Admit(desired, age, choose, credentials,
+                                           this->state->MaxConfigurationAge());
   if (admitted) return admitted;
   const std::string key = credentials.key.empty()
                               ? "none"
@@ -678,6 +716,11 @@
   return *this;
 }
 
+JobNode::Builder& JobNode::Builder::ConfigurationBound(Duration bound) {
+  this->configuration_bound = std::max<Duration>(bound, kMinConfigurationBound);
+  return *this;
+}
+
 JobNode::Builder& JobNode::Builder::OrderRelays(std::int32_t count) {
   this->order_relays = count;
   return *this;
--- a/packages/jobs/src/options.h
+++ b/packages/jobs/src/options.h
@@ -22,6 +22,26 @@
 /// working store (0.4 s).
 inline constexpr Duration kStoreSilenceTimeout = milliseconds(900);
 
+/// Number of registered processes up to which each of them tracks all others.
+/// In a larger cell a process that is unlikely to become the owner tracks the
+/// owner alone, so that what it costs does not grow with the cell.
+inline constexpr std::size_t kMaxTrackedByAll = 64;
+/// In such a cell this many of the processes preferred as owners track all
+/// others.
+inline constexpr std::size_t kTrackingProcesses = 16;
+/// How much longer a process that tracks the owner alone waits before it runs
+/// for election, so that those that track all are first.
+inline constexpr Duration kUntrackedElectionDelay = milliseconds(300);
+/// Wait of a watch of the owner's key alone. If its connection falls silent, a
+/// job that is announced to a former owner is found in the store by the next.
+inline constexpr Duration kOwnerWatchWait = seconds(10);
+/// Interval between two readings of some other processes, which help this one
+/// if the store does not serve it.
+inline constexpr Duration kPeerSampleInterval = seconds(60);
+/// Minimum interval between two log lines on processes that have come and gone
+/// in a cell of more than `kMaxTrackedByAll`.
+inline constexpr Duration kMembershipLogInterval = seconds(1);
+
 /// Lease that each order grants to everything that runs on a worker. Long
 /// enough for the tasks of a dead owner to survive until the next owner renews
 /// it (store lease 1 s, wait of a hold 0.6 s, takeover less than 1 s), and
--- a/packages/jobs/src/owner_choice.cc
+++ b/packages/jobs/src/owner_choice.cc
@@ -92,6 +92,14 @@
   });
 }
 
+std::size_t OwnerChoice::CountPreferred() const {
+  return static_cast<std::size_t>(std::count_if(
+      this->processes.begin(), this->processes.end(), [&](const auto& one) {
+        return one.first != this->self.name && !one.second.gone &&
+               IsPreferredOwner(one.second.node, this->self);
+      }));
+}
+
 void OwnerChoice::NoteOwner(const NodeRecord& next, FencingToken now_valid,
                             Instant now) {
   if (std::exchange(this->token, now_valid) == now_valid) return;
--- a/packages/jobs/src/owner_choice.h
+++ b/packages/jobs/src/owner_choice.h
@@ -63,6 +63,10 @@
 
   void NoteJoined(const NodeRecord& node, Instant now);
   void NoteGone(const ProcessId& name, Instant now);
+  /// Forgets a process that this one no longer tracks.
+  void Forget(const ProcessId& name) { this->processes.erase(name); }
+  /// @return how many registered processes are preferred to this one
+  [[nodiscard]] std::size_t CountPreferred() const;
   /// Records the owner that the store names.
   void NoteOwner(const NodeRecord& next, FencingToken token, Instant now);
   /// Records that the store names no owner any more.
--- a/packages/settings/include/mustardproxy/settings/cell_settings.h
+++ b/packages/settings/include/mustardproxy/settings/cell_settings.h
@@ -31,6 +31,8 @@
   std::int64_t memory_mb = 256;
   /// Writes a second that the store takes from all processes together.
   std::int64_t store_writes_per_s = 400;
+  /// Time within which a change of the desired state must be in force.
+  std::int64_t configuration_bound_ms = 2000;
   /// Workers that may be lost under one task before it is given up.
   std::int32_t max_lost_workers = 3;
   /// Parts of the platform's rules that are in force, separated by commas, as
--- a/packages/settings/src/cell_schema.cc
+++ b/packages/settings/src/cell_schema.cc
@@ -45,6 +45,11 @@
                {1, 1'000'000},
                "writes a second that the store takes from all processes "
                "together")
+      .Integer("configuration_bound_ms", &CellSettings::configuration_bound_ms,
+               {2000, 600'000},
+               "time within which a change of the desired state must be in "
+               "force; in a cell of more than 64 processes it is looked for "
+               "less often if this is longer")
       .Integer("max_lost_workers", &CellSettings::max_lost_workers, {2, 4},
                "workers that may be lost under one task before it is given up; "
                "one more if another task may have been the cause")
--- a/testing/job_sim/include/job_sim/sim_cell.h
+++ b/testing/job_sim/include/job_sim/sim_cell.h
@@ -208,6 +208,8 @@
  public:
   Builder& Seed(std::uint64_t value);
   Builder& Processes(std::size_t count);
+  /// Time within which they start, at random; all at one moment by default.
+  Builder& StartWithin(Duration time);
   Builder& Workers(std::size_t count);
   /// Processors and memory of each worker.
   Builder& Capacity(std::int64_t cpu_milli, std::int64_t memory_mb);
@@ -226,6 +228,8 @@
   Builder& HostSizes(std::vector<std::int64_t> cpu_milli);
   /// Most processes that send orders for the owner; none by default.
   Builder& OrderRelays(std::int32_t count);
+  /// Time within which a change of the desired state must be in force.
+  Builder& ConfigurationBound(Duration bound);
   /// Another queue; its service is that of the cell. If it has a policy, this
   /// share of the workers is permitted.
   Builder& Queue(jobs::Queue queue, double permitted_share);
@@ -235,6 +239,7 @@
  private:
   std::uint64_t seed = 1;
   std::size_t processes = 3;
+  Duration start_within{0};
   std::size_t workers = 4;
   std::int64_t cpu_milli = 16'000;
   std::int64_t memory_mb = 64'000;
@@ -248,6 +253,7 @@
   jobs::OverloadControl overload;
   std::vector<std::int64_t> host_sizes;
   std::int32_t order_relays = 0;
+  Duration configuration_bound{0};
 
   friend class SimCell;
 };
--- a/testing/job_sim/include/job_sim/sim_store.h
+++ b/testing/job_sim/include/job_sim/sim_store.h
@@ -1,6 +1,7 @@
 #ifndef JOB_SIM_SIM_STORE_H_
 #define JOB_SIM_SIM_STORE_H_
 
+#include <cstdint>
 #include <functional>
 #include <list>
 #include <map>
@@ -45,7 +46,6 @@
   /// … and of those that are done late instead, seconds after.
   double late_writes = 0;
   Duration latency = std::chrono::milliseconds(4);
-  /// Leases run on while it is silent.
   /// Most changes in one answer of a watch.
   std::size_t max_events = 1'000'000;
   /// Calls that have reached it, from all processes.
@@ -58,6 +58,7 @@
   Calls calls;
   /// Changes in answers of watches, to all processes.
   std::int64_t watched_events = 0;
+  /// Leases run on while it is silent.
   bool leases_run_on = true;
 
  private:
--- a/testing/job_sim/src/sim_cell.cc
+++ b/testing/job_sim/src/sim_cell.cc
@@ -306,6 +306,7 @@
                      .StoreWrites(cell->store_writes_per_second)
                      .Overload(cell->overload)
                      .OrderRelays(cell->order_relays)
+                     .ConfigurationBound(cell->configuration_bound)
                      .On(&this->process)
                      .Store(this->store.get())
                      .Workers(this->driver.get())
@@ -518,13 +519,6 @@
   this->WriteEntry(*worker, "ready");
 }
 
-void SimCell::ResizeWorker(SimWorker* worker,
-                           const mustardproxy::Resources& capacity) {
-  worker->Resize(capacity);
-  this->WriteEntry(*worker, "ready");
-}
-
-void SimCell::Apply() {
 void SimCell::StartHeartbeats(Duration interval) {
   this->heartbeat = interval;
   for (const SimWorker* worker : this->workers.Alive()) {
@@ -542,6 +536,13 @@
   this->time.After(this->heartbeat, [this, key] { this->Beat(key); });
 }
 
+void SimCell::ResizeWorker(SimWorker* worker,
+                           const mustardproxy::Resources& capacity) {
+  worker->Resize(capacity);
+  this->WriteEntry(*worker, "ready");
+}
+
+void SimCell::Apply() {
   this->applied_teams[this->version + 1] = this->teams;
   if (!this->teams.empty()) this->promises.OnTeams(this->teams);
   this->store.Put(std::string(kDesiredKey), std::to_string(++this->version));
@@ -791,6 +792,11 @@
   return *this;
 }
 
+SimCell::Builder& SimCell::Builder::StartWithin(Duration time) {
+  this->start_within = time;
+  return *this;
+}
+
 SimCell::Builder& SimCell::Builder::Workers(std::size_t count) {
   this->workers = count;
   return *this;
@@ -839,6 +845,11 @@
   return *this;
 }
 
+SimCell::Builder& SimCell::Builder::ConfigurationBound(Duration bound) {
+  this->configuration_bound = bound;
+  return *this;
+}
+
 SimCell::Builder& SimCell::Builder::HostSizes(std::vector<std::int64_t> sizes) {
   this->host_sizes = std::move(sizes);
   return *this;
@@ -874,12 +885,21 @@
   cell->overload = this->overload;
   cell->host_sizes = this->host_sizes;
   cell->order_relays = this->order_relays;
+  cell->configuration_bound = this->configuration_bound;
   cell->Apply();
   for (std::size_t i = 0; i < this->workers; ++i) {
     cell->ListWorker({this->cpu_milli, this->memory_mb, 0, 0});
   }
   cell->slots.resize(this->processes);
-  for (std::size_t i = 0; i < this->processes; ++i) cell->StartProcess(i);
+  for (std::size_t i = 0; i < this->processes; ++i) {
+    if (this->start_within == Duration::zero()) {
+      cell->StartProcess(i);
+      continue;
+    }
+    cell->time.After(
+        cell->time.DrawBetween(Duration::zero(), this->start_within),
+        [started = cell.get(), i] { started->StartProcess(i); });
+  }
   cell->time.RunUntil([&] { return cell->OwnerIndex().has_value(); },
                       seconds(10));
   cell->time.RunFor(milliseconds(200));
--- a/testing/job_sim/src/sim_store.cc
+++ b/testing/job_sim/src/sim_store.cc
@@ -52,6 +52,7 @@
     }
     this->Ask<StorePage>(std::move(done), [this, prefix = std::string(prefix),
                                            after = std::string(after)] {
+      ++this->store->calls.reads;
       return Result<StorePage>(this->store->List(prefix, after));
     });
   }
@@ -65,6 +66,7 @@
     watch->done = once;
     if (this->store->Silences(watch->prefix)) return;
     this->Reach([this, watch, wait] {
+      ++this->store->calls.watches;
       this->store->watches.push_back(watch);
       this->store->WakeWatches();
       this->store->time->After(wait, [this, watch] {
@@ -104,6 +106,7 @@
     const bool lost = time->Chance(this->store->lost_answers);
     time->After(this->store->latency, [this, transaction, answer, lost] {
       if (!this->store->Reaches(*this->process)) return;
+      ++this->store->calls.writes;
       const CommitResult result = this->store->Commit(transaction);
       if (!lost) answer(result);
     });
@@ -117,6 +120,7 @@
 
   void RenewLease(StoreLeaseId lease, Done<StoreLease> done) override {
     this->Ask<StoreLease>(std::move(done), [this, lease] {
+      ++this->store->calls.renewals;
       if (this->store->Renew(lease)) {
         return Result<StoreLease>(StoreLease{lease, Duration::zero()});
       }
@@ -290,6 +294,7 @@
       continue;
     }
     next = this->watches.erase(next);
+    if (events) this->watched_events += std::ssize(events.value().events);
     std::exchange(watch->done, {})(events);
   }
 }
