--- a/packages/jobs/src/session_observer.h
+++ b/packages/jobs/src/session_observer.h
@@ -32,7 +32,8 @@
       : value(value), session(session), observer(observer) {}
   ObservedFlag(const ObservedFlag&) = default;
   ObservedFlag& operator=(const ObservedFlag& other) {
-    return *this = other.value;
+    if (this != &other) *this = other.value;
+    return *this;
   }
   ~ObservedFlag() = default;
 
--- a/packages/jobs/tests/pass_capacity_test.cc
+++ b/packages/jobs/tests/pass_capacity_test.cc
@@ -139,7 +139,8 @@
         case 8:
           session->info.draining = draw(3) == 0;
           session->info.service = draw(4) == 0 ? other : kService;
-          session->info.capacity.cpu_milli = 8000 + 1000 * draw(9);
+          session->info.capacity.cpu_milli =
+              8000 + 1000 * static_cast<std::int64_t>(draw(9));
           session->NoteChange();
           break;
         case 9:
