Holds: a large cell is asked for its first answers in turn

A new owner asked all 6,000 workers for an answer in one task of its control thread, 1.8 s of processor time before urgent work could start, and each worker of a data centre that was cut off was asked again every 50 to 200 ms, each time over a new connection: both grow with the workers alone.

Change, above 1,200 workers: workers with runs are asked at once, idle ones 100 a tick (0.1 s); silent workers with runs are asked 200 times a second in all, silent idle ones 100 times. A takeover counts as stalled by the workers that were asked. Up to 1,200 workers nothing changes.

Ruled out: not to ask idle workers at all before a task is placed there, which costs each first start on them an answer.

Tests: cell_holds, 3,000 and 6,000 workers: a task handed in when the new owner has read the state runs within 150 ms, and at most 300 holds and three for each worker with runs have been sent by then; calls to a fifth of the workers that is cut off stay within 200 a second.

--- a/packages/jobs/src/group_owner.cc
+++ b/packages/jobs/src/group_owner.cc
@@ -468,6 +468,8 @@
   for (const auto& [id, session] : this->context.workers) {
     if (!session->listed || session->gone) continue;
     if (!this->context.HasService(session->info.service)) continue;
+    // In a large cell the turn of some to be asked has not come yet.
+    if (!session->fenced && session->hold_sent == Instant()) continue;
     ++progress.workers;
     if (session->fenced && !session->unresponsive) ++progress.reached;
   }
--- a/packages/jobs/src/hold_loop.cc
+++ b/packages/jobs/src/hold_loop.cc
@@ -66,8 +66,30 @@
   return now >= session.hold_sent + patience;
 }
 
+bool HoldLoop::LargeCell() const {
+  return this->context->workers.Size() > kMaxWorkersAskedAtOnce;
+}
+
+bool HoldLoop::AwaitsTurn(const WorkerSession& session) const {
+  const bool may_wait = !session.fenced && !session.unresponsive &&
+                        session.runs.empty() && !session.contact_wanted;
+  return may_wait && this->fences_left == 0 && this->LargeCell();
+}
+
+Duration HoldLoop::RetryDelay(const WorkerSession& session) const {
+  const Duration usual = kHoldRetryDelay * session.unanswered_holds;
+  if (!this->LargeCell()) return usual;
+  // Failure: a data centre of a large cell is cut off, and the owner does
+  // little else than open connections to its workers.
+  const Duration paced =
+      session.runs.empty()
+          ? Duration(seconds(this->silent_idle)) / kMaxIdleRetriesPerSecond
+          : Duration(seconds(this->silent_busy)) / kMaxBusyRetriesPerSecond;
+  return std::max(usual, paced);
+}
+
 bool HoldLoop::IsDue(const WorkerSession& session, Instant now) const {
-  if (session.gone) return false;
+  if (session.gone || this->AwaitsTurn(session)) return false;
   // Failure: a worker restarts while a hold waits there, and the connection
   // stays silent until the call times out.
   const bool polls = Polls(session, now);
@@ -143,6 +165,7 @@
 
 void HoldLoop::Send(WorkerSession* session) {
   if (!this->context->MayAct()) return;
+  if (!session->fenced && this->fences_left > 0) --this->fences_left;
   const Instant now = this->context->executor->Now();
   HoldOrder order = this->MakeOrder(*session, now);
   session->NoteLeaseSent(order.lease_until_ms);
@@ -182,12 +205,16 @@
   std::vector<SessionNumber> numbers = this->changes.Take();
   std::sort(numbers.begin(), numbers.end());
   this->attended.clear();
+  this->silent_idle = 0;
+  this->silent_busy = 0;
   std::vector<WorkerSession*> sessions;
   for (const SessionNumber number : numbers) {
     WorkerSession* session = this->context->workers.At(number);
     if (session == nullptr || !NeedsAttention(*session, now)) continue;
     this->attended.push_back(number);
     sessions.push_back(session);
+    if (!session->unresponsive || session->gone) continue;
+    ++(session->runs.empty() ? this->silent_idle : this->silent_busy);
   }
   return sessions;
 }
@@ -198,6 +225,7 @@
   this->polled =
       std::count_if(sessions.begin(), sessions.end(),
                     [now](const auto* one) { return Polls(*one, now); });
+  this->fences_left = kMaxFencesPerTick;
   std::vector<WorkerId> finished;
   for (WorkerSession* session : sessions) {
     // A run whose start order was never sent has no lease that could expire.
@@ -264,7 +292,7 @@
   }
   session->unanswered_holds =
       std::min(session->unanswered_holds + 1, kMaxRetryFactor);
-  session->next_hold = now + kHoldRetryDelay * session->unanswered_holds;
+  session->next_hold = now + this->RetryDelay(*session);
   if (Polls(*session, now)) session->next_hold = now + kHoldRetryDelay;
   session->contact_wanted = false;
   this->context->runs->WithdrawUncontacted(session);
--- a/packages/jobs/src/hold_loop.h
+++ b/packages/jobs/src/hold_loop.h
@@ -5,6 +5,7 @@
 
 #include "callback_guard.h"
 #include "mustardproxy/core/ids.h"
+#include "options.h"
 #include "owner_context.h"
 
 namespace mustardproxy::jobs {
@@ -44,6 +45,12 @@
   std::vector<WorkerSession*> TakeAttended(Instant now);
   bool IsDue(const WorkerSession& session, Instant now) const;
   void Send(WorkerSession* session);
+  /// @return true if there are too many workers to ask all of them at once
+  [[nodiscard]] bool LargeCell() const;
+  /// @return true if the worker is to be asked for its first answer later
+  [[nodiscard]] bool AwaitsTurn(const WorkerSession& session) const;
+  /// @return the delay before a worker that did not answer is asked again
+  [[nodiscard]] Duration RetryDelay(const WorkerSession& session) const;
   /// @return how long a hold waits at its worker, depending on the number of
   ///   workers
   [[nodiscard]] Duration Wait() const;
@@ -77,6 +84,11 @@
   ChangedSessions changes;
   /// Workers that needed attention when they were last examined.
   std::vector<SessionNumber> attended;
+  /// Idle workers that may still be asked for their first answer in this tick.
+  std::size_t fences_left = kMaxFencesPerTick;
+  /// Workers that did not answer, when they were last counted.
+  std::int64_t silent_idle = 0;
+  std::int64_t silent_busy = 0;
   /// Number of workers that are polled.
   std::int64_t polled = 0;
   CallbackGuard guard;
--- a/packages/jobs/src/options.h
+++ b/packages/jobs/src/options.h
@@ -91,6 +91,18 @@
 /// one second.
 inline constexpr std::int64_t kMaxIdleHoldsPerSecond = 200;
 inline constexpr Duration kMaxHoldWait = milliseconds(1500);
+/// Number of workers up to which a new owner asks all of them for an answer at
+/// once, and each silent one is asked again after `kHoldRetryDelay`.
+inline constexpr std::size_t kMaxWorkersAskedAtOnce = 1200;
+/// In a larger cell, how many idle workers that have never answered are asked
+/// in one tick. Workers with runs are asked at once: leases must be renewed,
+/// and urgent work starts on workers that have answered.
+inline constexpr std::size_t kMaxFencesPerTick = 100;
+/// In a larger cell, how often all silent workers together are asked again,
+/// those with runs and those without. A call to a silent worker costs a new
+/// connection.
+inline constexpr std::int64_t kMaxBusyRetriesPerSecond = 200;
+inline constexpr std::int64_t kMaxIdleRetriesPerSecond = 100;
 /// How long an answer of an idle worker counts before a start is sent to it;
 /// shorter than a worker takes to restart.
 inline constexpr Duration kContactWindow = milliseconds(250);
--- a/packages/jobs/src/owner_choice.h
+++ b/packages/jobs/src/owner_choice.h
@@ -17,7 +17,7 @@
 struct OwnerProgress {
   /// All stored state has been read.
   bool loaded = false;
-  /// Workers with an entry in the store.
+  /// Workers with an entry in the store that this owner has asked.
   std::size_t workers = 0;
   /// Those that have answered this owner.
   std::size_t reached = 0;
--- a/packages/jobs/tests/cell_holds_test.cc
+++ b/packages/jobs/tests/cell_holds_test.cc
@@ -1,10 +1,13 @@
 #include <boost/test/unit_test.hpp>
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "check_invariants.h"
 #include "job_sim/sim_cell.h"
+#include "options.h"
 
 namespace mustardproxy::jobs {
 namespace {
@@ -12,6 +15,7 @@
 using job_sim::MakeSpec;
 using job_sim::MakeStep;
 using job_sim::SimCell;
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 /// @return the value of the gauge that counts workers with something to do
@@ -46,6 +50,65 @@
   }
 }
 
+/// Starts a task on each of some workers.
+void Occupy(SimCell* cell, std::int32_t workers, Duration length) {
+  cell->Submit(MakeSpec({MakeStep(workers, 16'000, length)}));
+  cell->Time().RunFor(seconds(2));
+}
+
+// Guards against a takeover that asks thousands of idle workers before urgent
+// work starts: at any size the workers with runs are asked first, and urgent
+// work starts while most others have not been asked.
+BOOST_AUTO_TEST_CASE(a_takeover_asks_workers_with_runs_first) {
+  constexpr std::int32_t kBusy = 40;
+  for (const std::size_t workers : {3000, 6000}) {
+    const auto cell = SimCell::Builder().Processes(3).Workers(workers).Build();
+    cell->Time().RunFor(seconds(10));
+    Occupy(cell.get(), kBusy, seconds(20));
+    const std::int64_t runs = cell->Judge().Runs();
+    const auto owner = cell->OwnerIndex();
+    BOOST_REQUIRE(owner.has_value());
+    const std::size_t loaded = cell->Log().Count("loaded");
+    cell->KillProcess(*owner);
+    cell->Time().RunUntil([&] { return cell->Log().Count("loaded") > loaded; },
+                          seconds(5));
+    const std::int64_t before = cell->Workers().holds;
+    cell->Submit(MakeSpec({MakeStep(2, 1000, seconds(1))}), (*owner + 1) % 3);
+    cell->Time().RunFor(milliseconds(150));
+    BOOST_TEST(cell->Judge().Runs() == runs + 2);
+    // Two ticks, and the answers of the workers with runs.
+    BOOST_TEST(cell->Workers().holds - before <= 300 + 3 * kBusy);
+    cell->Settle(seconds(40));
+    BOOST_TEST(cell->Judge().Runs() == runs + 2);
+    CheckInvariants(cell.get());
+  }
+}
+
+// Guards against an owner that does little else than call the workers of a data
+// centre that is cut off: the rate of these calls does not grow with the cell.
+BOOST_AUTO_TEST_CASE(calls_to_silent_workers_do_not_grow_with_the_cell) {
+  std::vector<std::int64_t> calls;
+  for (const std::size_t workers : {3000, 6000}) {
+    const auto cell =
+        SimCell::Builder().Processes(2).Workers(workers).DataCenters(5).Build();
+    cell->Time().RunFor(seconds(10));
+    Occupy(cell.get(), static_cast<std::int32_t>(workers), seconds(30));
+    for (const job_sim::SimWorker* worker : cell->Workers().Alive()) {
+      if (worker->Info().data_center != DataCenterId("dc1")) continue;
+      cell->Workers().cut.insert(worker->Info().incarnation.id.Text());
+    }
+    cell->Time().RunFor(seconds(2));
+    const std::int64_t before = cell->Workers().unreached_holds;
+    cell->Time().RunFor(seconds(2));
+    calls.push_back(cell->Workers().unreached_holds - before);
+    cell->Workers().cut.clear();
+    cell->Settle(seconds(90));
+    CheckInvariants(cell.get());
+  }
+  BOOST_TEST(calls[1] <= 2 * kMaxBusyRetriesPerSecond * 5 / 4);
+  BOOST_TEST(calls[1] <= calls[0] * 5 / 4);
+}
+
 // Guards against an idle worker that is overlooked once it changes: it drains,
 // leaves, restarts or loses its connection.
 BOOST_AUTO_TEST_CASE(an_idle_worker_that_changes_is_checked_again) {
--- a/testing/job_sim/include/job_sim/sim_worker.h
+++ b/testing/job_sim/include/job_sim/sim_worker.h
@@ -146,6 +146,9 @@
   /// Waiting holds of a worker that crashes end at once, as connections do that
   /// are reset, and not by their time-outs.
   bool resets_connections = false;
+  /// Holds that owners have sent, and those of them that reached nobody.
+  std::int64_t holds = 0;
+  std::int64_t unreached_holds = 0;
   /// Time of one way.
   Duration latency = std::chrono::milliseconds(1);
   Duration gang_wait = std::chrono::seconds(3);
--- a/testing/job_sim/src/sim_worker.cc
+++ b/testing/job_sim/src/sim_worker.cc
@@ -450,6 +450,8 @@
 
   void Hold(const jobs::WorkerTarget& worker, jobs::HoldOrder order,
             std::function<void(jobs::HoldResult)> done) override {
+    ++this->workers->holds;
+    if (this->Cut(worker)) ++this->workers->unreached_holds;
     this->Send<jobs::HoldResult>(
         worker, order.wait + milliseconds(600), std::move(done),
         [order](SimWorker* at, bool,
