Large cells: gangs start once their workers have answered; cut off data centres

Idle workers that are gone were met all over the fleet, each by a start order without an answer, and the members of the gang that had begun were stopped.

A gang asks its idle workers for an answer and starts once all have given one; a silent one gives the reservation up at once. A data centre most of whose workers that were asked are silent (two in three, five at least) counts as unreachable, and its idle workers take no tasks until that changes; the log says so.

Tests: ask_candidates, cell_holds (no idle worker of a data centre that is cut off is met after its workers in use have shown it; a gang of forty with three idle workers gone starts forty runs).

--- a/packages/jobs/src/ask_candidates.cc
+++ b/packages/jobs/src/ask_candidates.cc
@@ -23,9 +23,13 @@
       return std::move(this->candidates);
     }
     this->AddUsable(this->input.permitted);
-    const bool gang = this->input.step->gang;
-    this->AddWithCapacity(/*in_use=*/!gang);
-    if (!this->Suffices()) this->AddWithCapacity(/*in_use=*/gang);
+    if (this->input.step->gang) {
+      this->AddIdle();
+      if (!this->Suffices()) this->AddInUse();
+    } else {
+      this->AddInUse();
+      if (!this->Suffices()) this->AddIdle();
+    }
     if (!this->Suffices()) this->AddWithoutCapacity();
     return std::move(this->candidates);
   }
@@ -42,6 +46,11 @@
     return advice != nullptr &&
            (advice->Refuses(number) || advice->TicketFor(number) != nullptr);
   }
+  [[nodiscard]] bool IsBeingAsked(const WorkerCapacity& capacity) const {
+    const SessionNumber number = capacity.session->Number();
+    return number < this->input.in_flight.size() &&
+           this->input.in_flight[number] > 0;
+  }
   [[nodiscard]] bool HasCapacity(const WorkerCapacity& capacity) const {
     return this->demand.FitsIn(capacity.free);
   }
@@ -60,19 +69,38 @@
       if (this->IsUsable(*capacity)) this->Add(capacity);
     }
   }
-  void AddWithCapacity(bool in_use) {
+  /// Adds the worker unless it has no capacity for the step.
+  /// @return true if it was added
+  bool AddIfFree(WorkerCapacity* capacity) {
+    if (!this->HasCapacity(*capacity) || !this->IsUsable(*capacity) ||
+        this->IsKnown(*capacity)) {
+      return false;
+    }
+    this->Add(capacity);
+    this->room +=
+        CountFitting(*this->input.step, capacity->free, this->input.tasks);
+    return true;
+  }
+  void AddInUse() {
     std::size_t added = 0;
     for (std::size_t i = 0; i < this->input.workers.size(); ++i) {
-      if (added == kMaxWithCapacity) return;
-      // Failure: steps that ask at the same time name the same workers, and the
-      // first answer leaves the others nothing.
       WorkerCapacity* capacity = this->At(i);
-      if (capacity->in_use != in_use || !this->HasCapacity(*capacity)) continue;
-      if (!this->IsUsable(*capacity) || this->IsKnown(*capacity)) continue;
-      this->Add(capacity);
-      this->room +=
-          CountFitting(*this->input.step, capacity->free, this->input.tasks);
-      ++added;
+      if (!capacity->in_use || !this->AddIfFree(capacity)) continue;
+      if (++added == kMaxWithCapacity) return;
+    }
+  }
+  // Failure: steps that ask at the same time name the same workers, and the
+  // first answer leaves the others nothing.
+  void AddIdle() {
+    std::size_t added = 0;
+    for (const bool asked : {false, true}) {
+      for (WorkerCapacity* capacity : this->input.workers) {
+        if (capacity->in_use || this->IsBeingAsked(*capacity) != asked)
+          continue;
+        if (!this->AddIfFree(capacity)) continue;
+        if (++added == kMaxWithCapacity) return;
+      }
+      if (this->Suffices()) return;
     }
   }
   /// Adds workers that may have capacity when the answer arrives.
--- a/packages/jobs/src/ask_candidates.h
+++ b/packages/jobs/src/ask_candidates.h
@@ -33,7 +33,10 @@
   std::span<WorkerCapacity* const> workers;
   /// Those of them that are known to be permitted.
   std::span<WorkerCapacity* const> permitted;
-  /// Where to begin among the workers, different for each step.
+  /// By session, how many questions about the worker are in flight; none beyond
+  /// the end.
+  std::span<const std::uint16_t> in_flight;
+  /// Where to begin among the workers in use, different for each step.
   std::size_t first = 0;
 };
 
@@ -46,7 +49,9 @@
 /// little, some others, which differ from one question to the next. Each worker
 /// in use costs the owner a connection and regular orders, so tasks that need
 /// not run together are kept on workers in use. A gang needs much free capacity
-/// and starts with idle ones.
+/// and starts with idle ones. Idle workers are taken in a fixed order, first
+/// those that no other step is asking about, so that few come in use, and those
+/// that are gone are soon known.
 [[nodiscard]] std::vector<Candidate> SelectAskCandidates(
     const AskCandidatesInput& input);
 
--- a/packages/jobs/src/dispatcher.cc
+++ b/packages/jobs/src/dispatcher.cc
@@ -743,6 +743,7 @@
        .end = this->ExpectedEnd(unit, asked.answer_due),
        .workers = capacities.OfService(unit.queue->service),
        .permitted = permitted,
+       .in_flight = this->context->advice->QuestionsInFlight(),
        .first = std::hash<JobId>{}(unit.ref.job) +
                 unit.progress->next_examined_worker});
 }
--- a/packages/jobs/src/gang_reservations.cc
+++ b/packages/jobs/src/gang_reservations.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "hold_loop.h"
 #include "options.h"
 #include "run_control.h"
 
@@ -40,7 +41,8 @@
                             false,
                             this->context->executor->Now(),
                             spec.each.cpu_milli * spec.tasks,
-                            false};
+                            false,
+                            std::nullopt};
   this->Check(step);
 }
 
@@ -147,24 +149,64 @@
   reservation.awaits_permission =
       !this->Unpermitted(step, reservation, now + kTicketMargin).empty();
   if (!this->AllRunsPlanned(reservation)) {
-    this->GiveUp(step, "a run was stopped or its worker was lost");
+    this->GiveUp(step, "a run was stopped or its worker was lost",
+                 kReservationBackoff);
+  } else if (this->HasSilent(reservation)) {
+    this->GiveUp(step, "a worker does not answer", kTaskRetryDelay);
   } else if (this->IsRefused(step, reservation)) {
-    this->GiveUp(step, "a worker is not permitted");
+    this->GiveUp(step, "a worker is not permitted", kReservationBackoff);
   } else if (reservation.awaits_permission) {
     // While the store does not answer, nothing else could start either, so an
     // unstored reservation has no timeout.
     const bool timed_out =
         reservation.stored && now - reservation.since > kMaxReservationTime;
     if (timed_out) {
-      this->GiveUp(step, "permissions were not granted in time");
+      this->GiveUp(step, "permissions were not granted in time",
+                   kReservationBackoff);
     } else {
       this->Ask(step);
     }
-  } else if (reservation.stored) {
+  } else if (reservation.stored && this->InContact(&reservation)) {
     this->Send(step);
   }
 }
 
+bool GangReservations::InContact(Reservation* reservation) {
+  if (this->context->workers.Size() <= kMaxWorkersAskedAtOnce) return true;
+  const Instant now = this->context->executor->Now();
+  if (!reservation->contacting_since) reservation->contacting_since = now;
+  bool in_contact = true;
+  for (const WorkerIncarnation& worker : reservation->workers) {
+    WorkerSession* session = this->context->workers.Find(worker);
+    if (session == nullptr) continue;
+    const bool answered = session->InContact(now) ||
+                          session->verified >= *reservation->contacting_since;
+    if (answered) continue;
+    in_contact = false;
+    this->context->holds->Contact(session);
+  }
+  return in_contact;
+}
+
+// Failure: one of the workers is gone, which shows only when its start order
+// gets no answer, and all that the others have begun is stopped again.
+bool GangReservations::HasSilent(const Reservation& reservation) {
+  if (!reservation.contacting_since) return false;
+  return std::any_of(reservation.workers.begin(), reservation.workers.end(),
+                     [&](const WorkerIncarnation& worker) {
+                       const WorkerSession* session =
+                           this->context->workers.Find(worker);
+                       return session == nullptr || session->unresponsive;
+                     });
+}
+
+void GangReservations::OnContact() {
+  const bool awaited = std::any_of(
+      this->reservations.begin(), this->reservations.end(),
+      [](const auto& one) { return one.second.contacting_since.has_value(); });
+  if (awaited) this->CheckAll();
+}
+
 void GangReservations::Send(const StepRef& step) {
   const Reservation reservation = std::move(this->reservations.at(step));
   this->reservations.erase(step);
@@ -187,7 +229,8 @@
        .capacity_reserved = true});
 }
 
-void GangReservations::GiveUp(const StepRef& step, std::string_view reason) {
+void GangReservations::GiveUp(const StepRef& step, std::string_view reason,
+                              Duration backoff) {
   const Reservation reservation = std::move(this->reservations.at(step));
   this->reservations.erase(step);
   this->context->log->Write("jobs", "reservation-given-up",
@@ -197,7 +240,7 @@
                              {"stored", reservation.stored ? 1 : 0},
                              {"reason", reason}});
   this->context->runs->StopGang(reservation.runs.front());
-  const Instant later = this->context->executor->Now() + kReservationBackoff;
+  const Instant later = this->context->executor->Now() + backoff;
   for (const RunRef& run : reservation.runs) {
     TaskEntry* task = this->context->jobs.FindTask(run.task);
     if (task != nullptr && !task->open) task->not_before = later;
--- a/packages/jobs/src/gang_reservations.h
+++ b/packages/jobs/src/gang_reservations.h
@@ -2,6 +2,7 @@
 #define MUSTARDPROXY_JOBS_GANG_RESERVATIONS_H_
 
 #include <map>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -41,6 +42,8 @@
   void OnStored(const RunRef& first);
   /// Called when a question about the step was answered or has failed.
   void OnAnswer(const StepRef& step);
+  /// Called when a worker has answered a hold or left one unanswered.
+  void OnContact();
   /// Checks all reservations: some were stopped elsewhere or have timed out.
   void CheckAll();
 
@@ -62,6 +65,8 @@
     std::int64_t cpu_milli = 0;
     /// Whether a permission is still missing.
     bool awaits_permission = false;
+    /// In a large cell, since when answers of its idle workers are awaited.
+    std::optional<Instant> contacting_since;
   };
 
   void Check(const StepRef& step);
@@ -72,9 +77,15 @@
   /// @return the workers whose permission is not valid at `moment`
   [[nodiscard]] std::vector<AskedWorker> Unpermitted(
       const StepRef& step, const Reservation& reservation, Instant moment);
+  /// In a large cell, asks idle workers of the gang for an answer.
+  /// @return true if no answer is awaited
+  bool InContact(Reservation* reservation);
+  /// @return true if a worker of the gang does not answer
+  [[nodiscard]] bool HasSilent(const Reservation& reservation);
   void Send(const StepRef& step);
   void Ask(const StepRef& step);
-  void GiveUp(const StepRef& step, std::string_view reason);
+  /// @param backoff how long the gang leaves the capacity to others
+  void GiveUp(const StepRef& step, std::string_view reason, Duration backoff);
 
   OwnerContext* context;
   std::map<StepRef, Reservation> reservations;
--- a/packages/jobs/src/hold_loop.cc
+++ b/packages/jobs/src/hold_loop.cc
@@ -1,12 +1,14 @@
 #include "hold_loop.h"
 
 #include <algorithm>
+#include <iterator>
 #include <memory>
 #include <set>
 #include <utility>
 #include <vector>
 
 #include "dispatcher.h"
+#include "gang_reservations.h"
 #include "options.h"
 #include "placement.h"
 #include "run_control.h"
@@ -18,6 +20,12 @@
 /// `kHoldRetryDelay`.
 constexpr std::int32_t kMaxRetryFactor = 4;
 
+/// A data centre of a large cell counts as unreachable if at least this many of
+/// its workers that have been asked are silent, and this many times as many as
+/// answer.
+constexpr std::int64_t kMinSilentWorkers = 5;
+constexpr std::int64_t kCutOffRatio = 2;
+
 }  // namespace
 
 HoldLoop::HoldLoop(OwnerContext* context) : context(context) {
@@ -207,18 +215,57 @@
   this->attended.clear();
   this->silent_idle = 0;
   this->silent_busy = 0;
+  std::map<DataCenterId, ReachedWorkers> reached;
   std::vector<WorkerSession*> sessions;
   for (const SessionNumber number : numbers) {
     WorkerSession* session = this->context->workers.At(number);
     if (session == nullptr || !NeedsAttention(*session, now)) continue;
     this->attended.push_back(number);
     sessions.push_back(session);
-    if (!session->unresponsive || session->gone) continue;
+    if (session->gone || session->hold_sent == Instant()) continue;
+    ReachedWorkers& there = reached[session->info.data_center];
+    ++(session->unresponsive ? there.silent : there.answering);
+    if (!session->unresponsive) continue;
     ++(session->runs.empty() ? this->silent_idle : this->silent_busy);
   }
+  this->UpdateUnreachable(reached);
   return sessions;
 }
 
+void HoldLoop::UpdateUnreachable(
+    const std::map<DataCenterId, ReachedWorkers>& reached) {
+  std::set<DataCenterId> unreachable;
+  if (this->LargeCell()) {
+    for (const auto& [center, workers] : reached) {
+      const bool cut_off = workers.silent >= kMinSilentWorkers &&
+                           workers.silent >= kCutOffRatio * workers.answering;
+      if (cut_off) unreachable.insert(center);
+    }
+  }
+  std::set<DataCenterId>& known = this->context->unreachable;
+  if (unreachable == known) return;
+  std::set<DataCenterId> changed;
+  std::set_symmetric_difference(known.begin(), known.end(), unreachable.begin(),
+                                unreachable.end(),
+                                std::inserter(changed, changed.end()));
+  known = std::move(unreachable);
+  for (const DataCenterId& center : changed) {
+    const auto found = reached.find(center);
+    const ReachedWorkers workers =
+        found == reached.end() ? ReachedWorkers{} : found->second;
+    this->context->log->Write("workers",
+                              known.contains(center) ? "data-centre-unreachable"
+                                                     : "data-centre-reachable",
+                              {{"data_center", center.Text()},
+                               {"silent", workers.silent},
+                               {"answering", workers.answering}});
+  }
+  for (const auto& [id, session] : this->context->workers) {
+    if (changed.contains(session->info.data_center)) session->NoteChange();
+  }
+  this->context->dispatcher->SchedulePass();
+}
+
 void HoldLoop::SendAllDue() {
   const Instant now = this->context->executor->Now();
   const std::vector<WorkerSession*> sessions = this->TakeAttended(now);
@@ -297,6 +344,7 @@
   session->contact_wanted = false;
   this->context->runs->WithdrawUncontacted(session);
   this->ScheduleNextPoll(session);
+  this->context->reservations->OnContact();
 }
 
 void HoldLoop::OnAnswer(WorkerSession* session, Instant asked,
@@ -321,6 +369,7 @@
   this->EndUnlistedRuns(session, asked, result);
   this->ReadEnded(session, result);
   this->context->runs->SendContacted(session);
+  this->context->reservations->OnContact();
 }
 
 void HoldLoop::ReadRunning(WorkerSession* session, const HoldResult& result) {
--- a/packages/jobs/src/hold_loop.h
+++ b/packages/jobs/src/hold_loop.h
@@ -1,7 +1,10 @@
 #ifndef MUSTARDPROXY_JOBS_HOLD_LOOP_H_
 #define MUSTARDPROXY_JOBS_HOLD_LOOP_H_
 
+#include <cstddef>
 #include <cstdint>
+#include <map>
+#include <vector>
 
 #include "callback_guard.h"
 #include "mustardproxy/core/ids.h"
@@ -41,6 +44,14 @@
   ///   unless it changes
   [[nodiscard]] static bool NeedsAttention(const WorkerSession& session,
                                            Instant now);
+  /// Workers of a data centre that have been asked and need attention.
+  struct ReachedWorkers {
+    std::int64_t silent = 0;
+    std::int64_t answering = 0;
+  };
+
+  /// Updates `OwnerContext::unreachable`.
+  void UpdateUnreachable(const std::map<DataCenterId, ReachedWorkers>& reached);
   /// @return the workers that need attention
   std::vector<WorkerSession*> TakeAttended(Instant now);
   bool IsDue(const WorkerSession& session, Instant now) const;
--- a/packages/jobs/src/owner_context.h
+++ b/packages/jobs/src/owner_context.h
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string_view>
 #include <unordered_map>
 #include <utility>
@@ -59,6 +60,9 @@
   WorkerTable workers;
   WorkerHealth health{WorkerHealthOptions{}};
   OutageDetector outages;
+  /// Data centres of a large cell most of whose workers that were asked do not
+  /// answer. Idle workers there take no tasks.
+  std::set<DataCenterId> unreachable;
   RunTimes run_times;
 
   ProgressWriter* writer = nullptr;
--- a/packages/jobs/src/pass_capacity.cc
+++ b/packages/jobs/src/pass_capacity.cc
@@ -17,6 +17,12 @@
 }
 
 bool PassCapacity::TakesTasks(const WorkerSession& session) const {
+  // Failure: a data centre is cut off, which shows at its workers in use, and
+  // tasks are placed on its idle workers one after the other.
+  const bool cut_off =
+      session.runs.empty() &&
+      this->context->unreachable.contains(session.info.data_center);
+  if (cut_off) return false;
   return session.listed && session.described && !session.gone &&
          session.fenced && !session.unresponsive && !session.ejected &&
          !session.info.draining && !session.Quarantined() &&
--- a/packages/jobs/src/permission_broker.cc
+++ b/packages/jobs/src/permission_broker.cc
@@ -201,6 +201,10 @@
       waiting.request.step, {}, cost + kAdviceTimeoutMargin};
   for (const AskedWorker& worker : workers) {
     question.workers.push_back(worker.id);
+    if (worker.session >= this->in_flight.size()) {
+      this->in_flight.resize(worker.session + std::size_t{1});
+    }
+    ++this->in_flight[worker.session];
   }
   const Sent sent{
       waiting.request.step,          std::move(workers), process,
@@ -219,6 +223,9 @@
 void PermissionBroker::OnAnswer(const Sent& sent,
                                 const Result<Advice>& answer) {
   const Instant now = this->parts.executor->Now();
+  for (const AskedWorker& worker : sent.workers) {
+    --this->in_flight[worker.session];
+  }
   if (!sent.is_long) {
     this->short_question_load.Note(
         now, std::chrono::duration_cast<Duration>(now - sent.at));
--- a/packages/jobs/src/permission_broker.h
+++ b/packages/jobs/src/permission_broker.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <span>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -109,6 +110,11 @@
   [[nodiscard]] const StepAdvice* Find(const StepRef& step) const;
   /// @return the recent share of permitted workers among those asked about
   [[nodiscard]] double PermittedShare(const QueueName& queue) const;
+  /// @return by session, how many questions about the worker are in flight;
+  ///   none beyond the end
+  [[nodiscard]] std::span<const std::uint16_t> QuestionsInFlight() const {
+    return this->in_flight;
+  }
   /// Marks the permission as expired after a worker has refused it.
   void DropTicket(const StepRef& step, SessionNumber session);
   void ForgetJob(const JobId& job);
@@ -155,6 +161,7 @@
   /// By job, then by occurrence and step: a pass looks up each waiting step.
   std::unordered_map<JobId, std::map<StepNumber, StepAdvice>> steps;
   std::map<QueueName, double> permitted_shares;
+  std::vector<std::uint16_t> in_flight;
   ShortQuestionLoad short_question_load;
   /// The rest of the waiting questions is looked at in a task of its own.
   bool continues = false;
--- a/packages/jobs/tests/cell_holds_test.cc
+++ b/packages/jobs/tests/cell_holds_test.cc
@@ -109,6 +109,53 @@
   BOOST_TEST(calls[1] <= calls[0] * 5 / 4);
 }
 
+// Guards against tasks that are placed on idle workers of a data centre which
+// is cut off, although its workers in use have shown that, and against a data
+// centre that stays unused once it is reached again.
+BOOST_AUTO_TEST_CASE(idle_workers_of_a_data_centre_that_is_cut_off_are_left) {
+  const auto cell =
+      SimCell::Builder().Processes(2).Workers(2000).DataCenters(5).Build();
+  cell->Time().RunFor(seconds(25));
+  Occupy(cell.get(), 200, seconds(20));
+  for (const job_sim::SimWorker* worker : cell->Workers().Alive()) {
+    if (worker->Info().data_center != DataCenterId("dc1")) continue;
+    cell->Workers().cut.insert(worker->Info().incarnation.id.Text());
+  }
+  cell->Time().RunFor(seconds(3));
+  BOOST_TEST(cell->Log().Count("data-centre-unreachable") == 1U);
+  const std::size_t silent = cell->Log().Count("worker-silent");
+  cell->Submit(MakeSpec({MakeStep(400, 16'000, seconds(2))}));
+  cell->Time().RunFor(seconds(2));
+  BOOST_TEST(cell->Log().Count("worker-silent") == silent);
+  cell->Workers().cut.clear();
+  cell->Time().RunFor(seconds(4));
+  BOOST_TEST(cell->Log().Count("data-centre-reachable") == 1U);
+  cell->Settle(seconds(60));
+  CheckInvariants(cell.get());
+}
+
+// Guards against a gang of which most members start and are stopped again,
+// because one of its idle workers is gone.
+BOOST_AUTO_TEST_CASE(a_gang_starts_once_all_its_workers_have_answered) {
+  const auto cell = SimCell::Builder()
+                        .Processes(4)
+                        .Workers(2000)
+                        .Advice(1.0, milliseconds(100))
+                        .Build();
+  cell->Time().RunFor(seconds(25));
+  // Some of those that a question names first.
+  for (const char* name : {"w0", "w1000", "w1003"}) {
+    cell->Workers().cut.insert(name);
+  }
+  JobSpec spec = MakeSpec({MakeStep(40, 16'000, seconds(2))});
+  spec.steps[0].gang = true;
+  const auto* job = cell->Submit(spec);
+  BOOST_TEST(cell->AwaitFinal(job->job.id, seconds(20)));
+  BOOST_TEST(cell->Judge().Runs() == 40);
+  BOOST_TEST(cell->Log().Count("start-not-done") == 0U);
+  CheckInvariants(cell.get());
+}
+
 // Guards against an idle worker that is overlooked once it changes: it drains,
 // leaves, restarts or loses its connection.
 BOOST_AUTO_TEST_CASE(an_idle_worker_that_changes_is_checked_again) {
