--- a/packages/jobs/src/hold_loop.h
+++ b/packages/jobs/src/hold_loop.h
@@ -1,10 +1,14 @@
 #ifndef MUSTARDPROXY_JOBS_HOLD_LOOP_H_
 #define MUSTARDPROXY_JOBS_HOLD_LOOP_H_
 
+#include <cstddef>
 #include <cstdint>
+#include <map>
+#include <vector>
 
 #include "callback_guard.h"
 #include "mustardproxy/core/ids.h"
+#include "options.h"
 #include "owner_context.h"
 
 namespace mustardproxy::jobs {
@@ -40,10 +44,24 @@
   ///   unless it changes
   [[nodiscard]] static bool NeedsAttention(const WorkerSession& session,
                                            Instant now);
+  /// Workers of a data centre that have been asked and need attention.
+  struct ReachedWorkers {
+    std::int64_t silent = 0;
+    std::int64_t answering = 0;
+  };
+
+  /// Updates `OwnerContext::unreachable`.
+  void UpdateUnreachable(const std::map<DataCenterId, ReachedWorkers>& reached);
   /// @return the workers that need attention
   std::vector<WorkerSession*> TakeAttended(Instant now);
   bool IsDue(const WorkerSession& session, Instant now) const;
   void Send(WorkerSession* session);
+  /// @return true if there are too many workers to ask all of them at once
+  [[nodiscard]] bool LargeCell() const;
+  /// @return true if the worker is to be asked for its first answer later
+  [[nodiscard]] bool AwaitsTurn(const WorkerSession& session) const;
+  /// @return the delay before a worker that did not answer is asked again
+  [[nodiscard]] Duration RetryDelay(const WorkerSession& session) const;
   /// @return how long a hold waits at its worker, depending on the number of
   ///   workers
   [[nodiscard]] Duration Wait() const;
@@ -77,6 +95,11 @@
   ChangedSessions changes;
   /// Workers that needed attention when they were last examined.
   std::vector<SessionNumber> attended;
+  /// Idle workers that may still be asked for their first answer in this tick.
+  std::size_t fences_left = kMaxFencesPerTick;
+  /// Workers that did not answer, when they were last counted.
+  std::int64_t silent_idle = 0;
+  std::int64_t silent_busy = 0;
   /// Number of workers that are polled.
   std::int64_t polled = 0;
   CallbackGuard guard;
--- a/packages/jobs/tests/ask_candidates_test.cc
+++ b/packages/jobs/tests/ask_candidates_test.cc
@@ -45,6 +45,7 @@
                                 .end = Instant(),
                                 .workers = this->workers,
                                 .permitted = this->permitted,
+                                .in_flight = this->in_flight,
                                 .first = first});
   }
   Fixture() {
@@ -58,6 +59,7 @@
   std::vector<std::unique_ptr<WorkerCapacity>> capacities;
   std::vector<WorkerCapacity*> workers;
   std::vector<WorkerCapacity*> permitted;
+  std::vector<std::uint16_t> in_flight;
 };
 
 bool AllInUse(const std::vector<Candidate>& candidates) {
@@ -114,12 +116,19 @@
 
 // Guards against steps that all ask about the same workers, of which the first
 // to start leaves the others nothing.
-BOOST_AUTO_TEST_CASE(steps_begin_at_different_workers_in_use) {
+BOOST_AUTO_TEST_CASE(steps_begin_at_different_workers) {
   Fill(4000);
   const auto first_of = [&](std::size_t first) {
     return Select(first).front().capacity;
   };
   BOOST_TEST(first_of(0) != first_of(1000));
+  // Idle ones are shared by what other steps are asking about.
+  step.gang = true;
+  const WorkerCapacity* idle = first_of(0);
+  BOOST_TEST(idle == first_of(1000));
+  in_flight.resize(idle->session->Number() + 1);
+  in_flight.back() = 1;
+  BOOST_TEST(idle != first_of(0));
 }
 
 // Guards against a question that forgets which workers are permitted and asks
