--- /dev/null
+++ b/packages/jobs/tests/cell_idle_step_test.cc
@@ -0,0 +1,111 @@
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <cstdint>
+#include <memory>
+#include <vector>
+
+#include "check_invariants.h"
+#include "job_sim/sim_cell.h"
+
+namespace mustardproxy::jobs {
+namespace {
+
+using job_sim::MakeSpec;
+using job_sim::MakeStep;
+using job_sim::SimCell;
+using job_sim::SimJob;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// A step that may begin must not wait longer while at least half of the cell
+/// is free and the step would fit twice.
+constexpr Duration kMaxIdleTime = seconds(3);
+
+/// A queue whose policy service takes over a second for 70 workers.
+Queue MakePolicyQueue() {
+  Queue queue;
+  queue.name = QueueName("batches");
+  queue.host = "batches.example";
+  queue.path_prefix = "/batches/";
+  queue.priority = 1;
+  queue.max_attempts = 3;
+  queue.stretch = 2.2;
+  queue.target = seconds(1);
+  queue.advice =
+      AdvicePolicy{milliseconds(572), microseconds(8060), milliseconds(2000)};
+  return queue;
+}
+
+struct Fixture {
+  /// Fills so much of each worker for the rest of the test.
+  void FillWorkers(std::int64_t cpu_milli) {
+    Step step = MakeStep(kWorkers, cpu_milli, seconds(60));
+    step.max_per_worker = 1;
+    cell->Submit(MakeSpec({step}));
+    cell->Time().RunFor(seconds(2));
+  }
+
+  /// Submits gangs of 25 tasks of 4.5 cores at one moment.
+  void SubmitGangs(int count) {
+    Step step = MakeStep(25, 4500, seconds(4));
+    step.each.memory_mb = 9100;
+    step.gang = true;
+    for (int i = 0; i < count; ++i) {
+      gangs.push_back(
+          cell->SubmitTo(QueueName("batches"), MakeSpec({step}), 0));
+    }
+    submitted = cell->Time().Now();
+  }
+
+  /// @return how long the last of the gangs waited for its start; more than
+  ///   `kMaxIdleTime` if it has not started by then
+  Duration LongestWait() {
+    cell->Time().RunFor(2 * kMaxIdleTime);
+    Duration longest{0};
+    for (const SimJob* gang : gangs) {
+      const Instant now = cell->Time().Now();
+      longest = std::max<Duration>(longest,
+                                   gang->first_start.value_or(now) - submitted);
+    }
+    return longest;
+  }
+
+  static constexpr std::int32_t kWorkers = 350;
+  std::unique_ptr<SimCell> cell = SimCell::Builder()
+                                      .Processes(36)
+                                      .Workers(kWorkers)
+                                      .Capacity(16'000, 65'536)
+                                      .WorkersPerRack(8)
+                                      .StoreWrites(1200)
+                                      .Queue(MakePolicyQueue(), 0.3)
+                                      .Build();
+  std::vector<SimJob*> gangs;
+  Instant submitted;
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(cell_idle_step, Fixture)
+
+// Guards against gangs that have nothing running for seconds in an empty cell,
+// because they ask about the same workers and wait for each other.
+BOOST_AUTO_TEST_CASE(gangs_submitted_together_start_in_an_empty_cell) {
+  // 40 % of the cell.
+  SubmitGangs(20);
+  BOOST_TEST((LongestWait() < kMaxIdleTime));
+  CheckInvariants(cell.get());
+}
+
+// The same beside other work.
+BOOST_AUTO_TEST_CASE(gangs_submitted_together_start_beside_other_work) {
+  FillWorkers(3200);
+  // 24 % of the cell beside the 20 % that are used.
+  SubmitGangs(12);
+  BOOST_TEST((LongestWait() < kMaxIdleTime));
+  CheckInvariants(cell.get());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace mustardproxy::jobs
