Log how long a step that may begin has nothing running, and unknown jobs

The log told the age of a job, not how long a step could have run and did not, so it could not tell a scheduler that holds steps back from an owner that can't keep up. step-waits now has idle_ms, free_percent, questions and dropped_questions; idle-step-started tells the same once a step starts after 2 s or more; step_idle_us is a histogram by queue. A caller that is told that its job does not exist left no line: state-not-shown.

--- a/packages/jobs/src/dispatcher.cc
+++ b/packages/jobs/src/dispatcher.cc
@@ -80,6 +80,16 @@
       }));
 }
 
+/// @return the share of the processors of a service that is free
+double FreeShare(const PassCapacity& capacities, const ServiceId& service) {
+  std::int64_t free = 0;
+  for (const WorkerCapacity* one : capacities.OfService(service)) {
+    free += one->free.cpu_milli;
+  }
+  const std::int64_t all = capacities.Capacity(service).cpu_milli;
+  return all == 0 ? 0.0 : static_cast<double>(free) / static_cast<double>(all);
+}
+
 /// @return how many of the unit's tasks fit on the candidates now
 std::int64_t CountPlaceableTasks(const SchedulingUnit& unit,
                                  const std::vector<Candidate>& candidates) {
@@ -337,6 +347,8 @@
       SchedulingUnit unit =
           this->MakeUnit(entry, {entry->job.id, number, index});
       unit.tasks = std::move(tasks);
+      const bool idle = progress.open == 0 && !progress.idle.since;
+      if (idle) unit.progress->idle = {.since = now};
       if (!objective) objective = this->Objective(unit);
       this->Rank(&unit, *objective, now);
       if (this->context->overload.preemption) AdvancePreempted(&unit);
@@ -766,6 +778,9 @@
       this->WorkersToAsk(unit, this->ask_capacity, now);
   if (workers.empty()) {
     unit.progress->next_advice_check = now + kPointlessAskInterval;
+    ++unit.progress->idle.dropped_questions;
+  } else {
+    ++unit.progress->idle.questions;
   }
   return workers;
 }
@@ -793,6 +808,7 @@
   const StepAdvice* advice = this->context->advice->Find(unit.ref);
   WaitFacts facts;
   facts.gang = unit.step->gang;
+  facts.free_share = FreeShare(capacities, unit.queue->service);
   facts.quarantined = unit.quarantined;
   facts.needed = facts.gang ? tasks : 1;
   facts.beyond_share = this->share_order.Delays(unit);
--- a/packages/jobs/src/gang_reservations.cc
+++ b/packages/jobs/src/gang_reservations.cc
@@ -239,6 +239,9 @@
                              {"tasks", reservation.runs.size()},
                              {"stored", reservation.stored ? 1 : 0},
                              {"reason", reason}});
+  if (StepEntry* entry = this->context->jobs.FindStepEntry(step)) {
+    ++entry->idle.reservations_given_up;
+  }
   this->context->runs->StopGang(reservation.runs.front());
   const Instant later = this->context->executor->Now() + backoff;
   for (const RunRef& run : reservation.runs) {
--- a/packages/jobs/src/job_node.cc
+++ b/packages/jobs/src/job_node.cc
@@ -100,6 +100,9 @@
   /// Answers a cancellation for a job that has ended or never existed.
   void CancelEnded(const Admission& admission, const JobId& id,
                    std::function<void(SubmitResult)> done);
+  /// Logs that a caller is told that a job does not exist or can't be read.
+  void LogStateNotShown(const JobId& id, std::error_code reason,
+                        Instant asked_at);
   /// Answers a submission that could never run. It may be the repetition of one
   /// that was accepted under a higher cap.
   void SubmitExcessive(const Admission& admission, const JobId& id,
@@ -391,6 +394,21 @@
                            this->guard.Wrap(std::move(read)));
 }
 
+void JobNode::Internals::LogStateNotShown(const JobId& id,
+                                          std::error_code reason,
+                                          Instant asked_at) {
+  const auto owner = this->OwnerAddress();
+  this->config.log->Write(
+      "jobs", "state-not-shown",
+      {{"job", id.Text()},
+       {"reason", reason.message()},
+       {"owner", this->owner ? "self" : owner.value_or("none")},
+       {"took_ms",
+        WholeMilliseconds(this->config.executor->Now() - asked_at)}});
+  this->config.metrics->Count("states_not_shown",
+                              "code=" + std::to_string(reason.value()));
+}
+
 void JobNode::Internals::SubmitExcessive(
     const Admission& admission, const JobId& id, std::string excess,
     Duration timeout, std::function<void(SubmitResult)> done) {
@@ -589,8 +607,12 @@
 void JobNode::State(const Admission& admission, const JobId& id,
                     Duration timeout,
                     std::function<void(Result<JobStatus>)> done) {
-  auto answer = [access = admission.access,
+  auto answer = [this, id, access = admission.access,
+                 asked_at = this->state->config.executor->Now(),
                  done = std::move(done)](const Result<JobStatus>& status) {
+    if (!status) {
+      this->state->LogStateNotShown(id, status.error(), asked_at);
+    }
     const bool denied = status && !MayAccess(access, status.value().access);
     done(denied ? make_error_code(Error::kJobOfOtherTeam) : status);
   };
--- a/packages/jobs/src/job_table.h
+++ b/packages/jobs/src/job_table.h
@@ -50,6 +50,24 @@
 };
 
 /// State of one step of one occurrence.
+/// Why a step that may begin has nothing running.
+struct IdleStep {
+  /// Since when; unset while something runs or nothing may begin.
+  std::optional<Instant> since;
+  /// Questions about it that were sent to the policy service, and those that
+  /// named no worker when their turn came.
+  std::int32_t questions = 0;
+  std::int32_t dropped_questions = 0;
+  /// Reservations of capacity that it gave up.
+  std::int32_t reservations_given_up = 0;
+};
+
+/// @return for how long nothing of the step has run although it may
+[[nodiscard]] inline Duration IdleTime(const IdleStep& idle, Instant now) {
+  return idle.since ? std::chrono::duration_cast<Duration>(now - *idle.since)
+                    : Duration::zero();
+}
+
 struct StepEntry {
   std::vector<TaskEntry> tasks;
   std::int32_t done = 0;
@@ -63,6 +81,7 @@
   Instant next_advice_check;
   /// Where the next such check begins among the workers without free capacity.
   std::size_t next_examined_worker = 0;
+  IdleStep idle;
   /// Earliest time to log again what the step is waiting for.
   Instant next_wait_report;
   /// Since when tasks of an urgent step have found no capacity; the maximum if
@@ -204,6 +223,8 @@
   [[nodiscard]] TaskEntry* FindOpen(const RunRef& run);
   [[nodiscard]] TaskEntry* FindTask(const TaskRef& task);
   [[nodiscard]] const Step* FindStep(const StepRef& step) const;
+  /// @return the state of a step of an open occurrence, or null
+  [[nodiscard]] StepEntry* FindStepEntry(const StepRef& step);
 
   /// Jobs that are not final, in the order in which they were added.
   [[nodiscard]] const std::vector<JobEntry*>& Active() const {
@@ -222,7 +243,6 @@
   static OccurrenceEntry* OpenOccurrence(JobEntry* entry, std::int32_t number);
 
  private:
-  StepEntry* FindStepEntry(const StepRef& step);
   EndEffect EndDone(JobEntry* entry, const RunRef& run);
   EndEffect EndFailed(JobEntry* entry, const RunRef& run);
   void CloseFinished(JobEntry* entry);
--- a/packages/jobs/src/run_control.cc
+++ b/packages/jobs/src/run_control.cc
@@ -24,6 +24,10 @@
 /// sent after the crash never reached the incarnation that crashed.
 constexpr Duration kMinRestartTime = milliseconds(500);
 
+/// Steps that started after nothing of them ran for at least this long are
+/// logged.
+constexpr Duration kMinReportedIdleTime = milliseconds(2000);
+
 /// Time in which an order reaches its worker.
 constexpr Duration kOrderDeliveryTime = milliseconds(10);
 
@@ -293,6 +297,7 @@
   if (first) {
     record->ordered_at = now;
     this->QuarantineIfSuspicious(session, run);
+    this->NoteStepStart(run.task.step);
   }
   record->start_sent = now;
   record->delayed = false;
@@ -307,6 +312,27 @@
                                }));
 }
 
+void RunControl::NoteStepStart(const StepRef& ref) {
+  StepEntry* step = this->context->jobs.FindStepEntry(ref);
+  if (step == nullptr || !step->idle.since) return;
+  const IdleStep idle = std::exchange(step->idle, {});
+  const Duration took = IdleTime(idle, this->context->executor->Now());
+  const JobEntry* entry = this->context->jobs.Find(ref.job);
+  const std::string& queue = entry->job.queue.name.Text();
+  this->context->metrics->Sample("step_idle_us", "queue=" + queue,
+                                 static_cast<double>(took.count()));
+  if (took < kMinReportedIdleTime) return;
+  this->context->log->Write(
+      "jobs", "idle-step-started",
+      {{"step", Text(ref)},
+       {"queue", queue},
+       {"tasks", step->tasks.size()},
+       {"idle_ms", WholeMilliseconds(took)},
+       {"questions", idle.questions},
+       {"dropped_questions", idle.dropped_questions},
+       {"reservations_given_up", idle.reservations_given_up}});
+}
+
 std::vector<RunRef> RunControl::FindAwaitingContact(
     const WorkerSession& session) {
   std::vector<RunRef> waiting;
--- a/packages/jobs/src/run_control.h
+++ b/packages/jobs/src/run_control.h
@@ -118,6 +118,9 @@
   ///   before the order arrives
   [[nodiscard]] bool PermissionExpired(const WorkerSession& session,
                                        const RunRef& run, Instant now) const;
+  /// Records that the first start order of a step that had nothing running is
+  /// sent.
+  void NoteStepStart(const StepRef& ref);
   bool FillOrder(const WorkerSession& session, const RunRef& run,
                  StartOrder* order);
   void OnStart(const WorkerIncarnation& worker, const RunRef& run, bool first,
--- a/packages/jobs/src/wait_report.cc
+++ b/packages/jobs/src/wait_report.cc
@@ -1,5 +1,7 @@
 #include "wait_report.h"
 
+#include <algorithm>
+#include <cmath>
 #include <string>
 
 namespace mustardproxy::jobs {
@@ -11,6 +13,7 @@
 constexpr Duration kReportInterval = seconds(2);
 /// A fortieth of the rate that the log accepts.
 constexpr std::int32_t kMaxLinesPerSecond = 50;
+constexpr double kPercent = 100.0;
 
 std::string_view Name(DeadlineStatus deadline_status) {
   switch (deadline_status) {
@@ -159,6 +162,11 @@
        {"could_fit", facts.could_fit},
        {"room", facts.room},
        {"fresh_room", facts.fresh_room},
+       {"free_percent",
+        std::lround(kPercent * std::max(0.0, facts.free_share))},
+       {"idle_ms", WholeMilliseconds(IdleTime(unit.progress->idle, now))},
+       {"questions", unit.progress->idle.questions},
+       {"dropped_questions", unit.progress->idle.dropped_questions},
        {"team", unit.entry->job.access.team.Text()},
        {"cap_cpu", facts.cap.cpu_milli},
        {"cap_memory_mb", facts.cap.memory_mb},
--- a/packages/jobs/src/wait_report.h
+++ b/packages/jobs/src/wait_report.h
@@ -113,6 +113,8 @@
   bool beyond_share = false;
   /// The cap of its team keeps it from starting.
   bool capped = false;
+  /// Share of the processors of its service that is free.
+  double free_share = 0.0;
   /// Even alone it would exceed that cap.
   bool exceeds_cap = false;
   /// The cap, and what runs of the team take; set if `capped`.
--- a/packages/jobs/tests/wait_report_test.cc
+++ b/packages/jobs/tests/wait_report_test.cc
@@ -114,6 +114,24 @@
   CheckInvariants(cell.get());
 }
 
+// A step that could not start for long is logged once it starts.
+BOOST_AUTO_TEST_CASE(the_start_of_a_step_that_was_idle_is_reported) {
+  const auto cell = SimCell::Builder().Workers(2).Build();
+  cell->Submit(MakeSpec({MakeStep(2, 16'000, seconds(3))}));
+  cell->Time().RunFor(seconds(1));
+  BOOST_TEST(cell->Log().Count("idle-step-started") == 0U);
+  cell->Submit(MakeSpec({MakeStep(2, 9000, seconds(1))}));
+  cell->Time().RunFor(seconds(5));
+  BOOST_TEST(cell->Log().Count("idle-step-started") == 1U);
+  CheckInvariants(cell.get());
+}
+
+BOOST_AUTO_TEST_CASE(an_unknown_job_is_reported) {
+  const auto cell = SimCell::Builder().Build();
+  BOOST_TEST(!cell->AskStatus(JobId("unknown")).has_value());
+  BOOST_TEST(cell->Log().Count("state-not-shown") == 1U);
+}
+
 // Thousands of jobs that can't run must not flood the log.
 BOOST_AUTO_TEST_CASE(lines_are_bounded) {
   const auto cell = SimCell::Builder().Build();
