Questions of different steps name different workers

Cause: in a cell of up to 1,200 workers each gang that asks names the workers with most free capacity, in the order of their ids. Gangs that ask at the same time so name the same 70, the first that is answered takes the capacity, and the others ask again, 1.1 s for each round. Larger cells already prefer workers that no question in flight names.

All other cases of jobs_tests give what they gave before.

--- a/packages/jobs/src/advice_selection.cc
+++ b/packages/jobs/src/advice_selection.cc
@@ -1,6 +1,7 @@
 #include "advice_selection.h"
 
 #include <algorithm>
+#include <tuple>
 
 #include "options.h"
 
@@ -26,6 +27,8 @@
 struct WorkerOption {
   const WorkerSession* session = nullptr;
   std::int64_t placeable = 0;
+  /// Questions about it that are in flight.
+  std::uint16_t in_flight = 0;
 };
 
 /// Workers with capacity for the step, grouped by what is known about them.
@@ -42,13 +45,22 @@
   return std::max(kMinAskedWorkers, input.workers_per_fixed_cost / divisor);
 }
 
+// Failure: steps that ask at the same time name the same workers, the first of
+// them takes the capacity, and the others have to ask again.
 void SortByCapacity(std::vector<WorkerOption>* options) {
   std::stable_sort(options->begin(), options->end(),
                    [](const WorkerOption& a, const WorkerOption& b) {
-                     return a.placeable > b.placeable;
+                     return std::tie(b.placeable, a.in_flight) <
+                            std::tie(a.placeable, b.in_flight);
                    });
 }
 
+std::uint16_t CountInFlight(const AdviceSelectionInput& input,
+                            const WorkerSession& session) {
+  const SessionNumber number = session.Number();
+  return number < input.in_flight.size() ? input.in_flight[number] : 0;
+}
+
 /// @return the number of tasks that should fit on the worker when the answer
 ///   arrives. For a gang only capacity that is free now counts: some of the
 ///   capacity that should become free in time never does, and the permissions
@@ -97,7 +109,8 @@
     // A permission is renewed once its worker is expected to have room.
     if (preempts && ticket != nullptr) ++options.known_room;
     if (ticket == nullptr && (placeable > 0 || MayLearnOf(input, *session))) {
-      options.unknown.push_back({session, placeable});
+      options.unknown.push_back(
+          {session, placeable, CountInFlight(input, *session)});
     }
     if (ticket == nullptr || placeable == 0) continue;
     options.known_room += placeable;
--- a/packages/jobs/src/advice_selection.h
+++ b/packages/jobs/src/advice_selection.h
@@ -27,6 +27,9 @@
   Instant answer_due;
   /// Runs may be stopped for the step, so that full workers count as well.
   bool may_preempt = false;
+  /// By session, how many questions about the worker are in flight; none beyond
+  /// the end.
+  std::span<const std::uint16_t> in_flight;
 };
 
 /// Selects the workers to ask the policy service about. Its answer about a
--- a/packages/jobs/src/dispatcher.cc
+++ b/packages/jobs/src/dispatcher.cc
@@ -729,6 +729,7 @@
   input.answer_due = now + policy.decision + policy.per_worker * tasks;
   input.may_preempt =
       this->context->overload.preemption && PreemptionPass::MayPreempt(unit);
+  input.in_flight = this->context->advice->QuestionsInFlight();
   const std::vector<Candidate> candidates =
       this->CandidatesToAsk(unit, capacities, input);
   return SelectWorkersToAsk(input, candidates);
--- a/packages/jobs/tests/advice_selection_test.cc
+++ b/packages/jobs/tests/advice_selection_test.cc
@@ -46,6 +46,7 @@
     input.workers_per_fixed_cost = this->workers_per_fixed_cost;
     input.now = kNow;
     input.answer_due = kAnswerDue;
+    input.in_flight = this->in_flight;
     std::vector<Candidate> candidates;
     for (const auto& capacity : this->capacities) {
       candidates.push_back({.capacity = capacity.get()});
@@ -60,6 +61,7 @@
   std::vector<std::unique_ptr<WorkerSession>> sessions;
   std::vector<std::unique_ptr<WorkerCapacity>> capacities;
   StepAdvice advice;
+  std::vector<std::uint16_t> in_flight;
   std::size_t workers_per_fixed_cost = 0;
 };
 
@@ -79,6 +81,15 @@
   BOOST_TEST(chosen.front() == roomy);
 }
 
+// Guards against steps that ask about the same workers at the same time.
+BOOST_AUTO_TEST_CASE(workers_that_are_being_asked_about_come_last) {
+  for (int i = 0; i < 12; ++i) Add(1);
+  in_flight.assign(6, 1);
+  const auto chosen = Choose(2, true);
+  BOOST_REQUIRE(chosen.size() >= 6U);
+  for (std::size_t i = 0; i < 6; ++i) BOOST_TEST(chosen[i] >= 6U);
+}
+
 BOOST_AUTO_TEST_CASE(workers_without_capacity_are_not_asked_about) {
   for (int i = 0; i < 10; ++i) Add(0);
   const SessionNumber only = Add(1);
