Wait report: a question that is dropped does not end a wait

step-waits said until=question for a gang whose question was dropped each time its turn came, so seeded schedules, which fail when no event would end a wait, took it for an end that is named.

--- a/packages/jobs/src/dispatcher.cc
+++ b/packages/jobs/src/dispatcher.cc
@@ -786,7 +786,9 @@
   if (workers.empty()) {
     unit.progress->next_advice_check = now + kPointlessAskInterval;
     ++unit.progress->idle.dropped_questions;
+    unit.progress->idle.question_dropped = true;
   } else {
+    unit.progress->idle.question_dropped = false;
     ++unit.progress->idle.questions;
   }
   return workers;
@@ -882,10 +884,13 @@
                                                       PermitFilter::kValid))
           : facts.room;
   facts.asking = advice != nullptr && advice->asking;
-  facts.helped_by_question =
-      facts.has_policy &&
-      (advice == nullptr ||
+  // Failure: a pass would have the step ask, each question is dropped when its
+  // turn comes, and the report names a question as what ends the wait.
+  const bool would_ask =
+      advice == nullptr ||
+      (!unit.progress->idle.question_dropped &&
        !this->WorkersToAsk(unit, capacities, now, AskPurpose::kLearn).empty());
+  facts.helped_by_question = facts.has_policy && would_ask;
   if (facts.gang) {
     facts.room_taken_by_gangs = !this->MayReserveCapacity(unit, capacities);
     std::vector<Candidate> candidates =
--- a/packages/jobs/src/job_table.h
+++ b/packages/jobs/src/job_table.h
@@ -58,6 +58,8 @@
   /// named no worker when their turn came.
   std::int32_t questions = 0;
   std::int32_t dropped_questions = 0;
+  /// The last question whose turn came named no worker.
+  bool question_dropped = false;
   /// Reservations of capacity that it gave up.
   std::int32_t reservations_given_up = 0;
 };
