A hold for tasks that are overdue lets others use the capacity meanwhile

Callers saw LOST: work had nothing running for seconds in a cell that was mostly free.

Cause: a gang that waits for runs to end holds the capacity that it knows until they are expected to end; others may use it if they end before. A run that has passed its expected end was expected to end now, so while one lasts many times longer than declared, the hold left no time for anybody, without end.

Fix: an overdue run is expected to last as long again as it is late.

Found in review.

--- a/packages/jobs/src/gang_hold.cc
+++ b/packages/jobs/src/gang_hold.cc
@@ -13,13 +13,21 @@
   Resources resources;
 };
 
+// Failure: a run lasts many times longer than declared, and a gang that waits
+// for it holds capacity that nobody else may use even for a moment.
+/// @return when the run is expected to end; one that is overdue lasts as long
+///   again as it is late
+Instant ExpectedEnd(const SessionRun& run, Instant now) {
+  const Duration late = now - run.expected_end;
+  return late > Duration::zero() ? now + late : run.expected_end;
+}
+
 std::vector<Release> CollectReleases(std::span<Candidate> candidates,
                                      Instant now) {
   std::vector<Release> releases;
   for (std::size_t i = 0; i < candidates.size(); ++i) {
     for (const auto& [run, record] : candidates[i].capacity->session->runs) {
-      releases.push_back(
-          {std::max(now, record.expected_end), i, record.resources});
+      releases.push_back({ExpectedEnd(record, now), i, record.resources});
     }
   }
   std::stable_sort(
--- a/packages/jobs/tests/cell_idle_step_test.cc
+++ b/packages/jobs/tests/cell_idle_step_test.cc
@@ -122,6 +122,23 @@
   CheckInvariants(cell.get());
 }
 
+// Guards against small work that starts nowhere while a wide gang waits for
+// tasks that last longer than declared and holds all capacity meanwhile.
+BOOST_AUTO_TEST_CASE(
+    small_work_starts_beside_a_gang_that_waits_for_late_tasks) {
+  FillWorkers(3200);
+  Step wide = MakeStep(710, 4500, seconds(4));
+  wide.gang = true;
+  cell->Submit(MakeSpec({wide}));
+  cell->Time().RunFor(seconds(2));
+  for (int i = 0; i < 10; ++i) {
+    gangs.push_back(cell->Submit(MakeSpec({MakeStep(1, 1000, seconds(2))})));
+  }
+  submitted = cell->Time().Now();
+  BOOST_TEST((LongestWait() < kMaxIdleTime));
+  CheckInvariants(cell.get());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace mustardproxy::jobs
