Test of separate tasks that don't ask about free workers

Found in review: a question that is looked at again beside what others hold is sent only if all tasks of the step would fit, also where they need not start together.

--- a/packages/jobs/tests/advice_selection_test.cc
+++ b/packages/jobs/tests/advice_selection_test.cc
@@ -47,6 +47,7 @@
     input.now = kNow;
     input.answer_due = kAnswerDue;
     input.in_flight = this->in_flight;
+    input.must_start = this->must_start;
     std::vector<Candidate> candidates;
     for (const auto& capacity : this->capacities) {
       candidates.push_back({.capacity = capacity.get()});
@@ -62,6 +63,7 @@
   std::vector<std::unique_ptr<WorkerCapacity>> capacities;
   StepAdvice advice;
   std::vector<std::uint16_t> in_flight;
+  bool must_start = false;
   std::size_t workers_per_fixed_cost = 0;
 };
 
@@ -90,6 +92,15 @@
   for (std::size_t i = 0; i < 6; ++i) BOOST_TEST(chosen[i] >= 6U);
 }
 
+// Guards against separate tasks that ask about no free worker while others hold
+// those that they know, because not all of them could start.
+BOOST_AUTO_TEST_CASE(separate_tasks_ask_about_part_of_their_capacity) {
+  for (int i = 0; i < 40; ++i) Add(1);
+  must_start = true;
+  BOOST_TEST(!Choose(100, false).empty());
+  BOOST_TEST(Choose(100, true).empty());
+}
+
 BOOST_AUTO_TEST_CASE(workers_without_capacity_are_not_asked_about) {
   for (int i = 0; i < 10; ++i) Add(0);
   const SessionNumber only = Add(1);
