Tasks on different workers ask about enough of them

Callers saw a step with tasks that wait although most workers are free.

Cause: two decisions by two views. When tasks are placed, a worker that already runs a task of the step has no capacity for another (max_per_worker). When it is decided whether to ask about further workers, these tasks did not count, so the permitted workers seemed to be enough until their tasks ended.

Fix: they count in both. Found in review.

--- a/packages/jobs/src/dispatcher.cc
+++ b/packages/jobs/src/dispatcher.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <optional>
 #include <tuple>
+#include <unordered_map>
 #include <utility>
 
 #include "advice_selection.h"
@@ -750,7 +751,7 @@
       if (serves) permitted.push_back(capacity);
     }
   }
-  return SelectAskCandidates(
+  std::vector<Candidate> candidates = SelectAskCandidates(
       {.step = unit.step,
        .tasks = asked.tasks,
        .advice = asked.advice,
@@ -761,6 +762,24 @@
        .in_flight = this->context->advice->QuestionsInFlight(),
        .first = std::hash<JobId>{}(unit.ref.job) +
                 unit.progress->next_examined_worker});
+  if (unit.step->max_per_worker > 0) this->SetSiblings(unit, &candidates);
+  return candidates;
+}
+
+// Failure: tasks that must run on different workers count capacity beside each
+// other as theirs when they could ask about further workers.
+void Dispatcher::SetSiblings(const SchedulingUnit& unit,
+                             std::vector<Candidate>* candidates) const {
+  std::unordered_map<SessionNumber, std::int32_t> siblings;
+  for (const TaskEntry& task : unit.progress->tasks) {
+    const WorkerSession* session =
+        task.open ? this->context->workers.Find(task.worker) : nullptr;
+    if (session != nullptr) ++siblings[session->Number()];
+  }
+  for (Candidate& one : *candidates) {
+    const auto found = siblings.find(one.capacity->session->Number());
+    if (found != siblings.end()) one.siblings = found->second;
+  }
 }
 
 std::vector<AskedWorker> Dispatcher::ChooseForAdvice(const StepRef& ref) {
--- a/packages/jobs/src/dispatcher.h
+++ b/packages/jobs/src/dispatcher.h
@@ -150,6 +150,9 @@
   std::vector<Candidate> CandidatesToAsk(
       const SchedulingUnit& unit, const PassCapacity& capacities,
       const AdviceSelectionInput& input) const;
+  /// Counts the tasks of the step that already run on each candidate.
+  void SetSiblings(const SchedulingUnit& unit,
+                   std::vector<Candidate>* candidates) const;
   Instant ExpectedEnd(const SchedulingUnit& unit, Instant now) const;
   void Start(SchedulingUnit* unit,
              const std::vector<WorkerIncarnation>& workers);
--- a/packages/jobs/src/job_table.h
+++ b/packages/jobs/src/job_table.h
@@ -49,7 +49,6 @@
   Duration time_left{0};
 };
 
-/// State of one step of one occurrence.
 /// Why a step that may begin has nothing running.
 struct IdleStep {
   /// Since when; unset while something runs or nothing may begin.
@@ -70,6 +69,7 @@
                     : Duration::zero();
 }
 
+/// State of one step of one occurrence.
 struct StepEntry {
   std::vector<TaskEntry> tasks;
   std::int32_t done = 0;
--- a/packages/jobs/tests/cell_idle_step_test.cc
+++ b/packages/jobs/tests/cell_idle_step_test.cc
@@ -122,6 +122,18 @@
   CheckInvariants(cell.get());
 }
 
+// Guards against tasks that must run on different workers and wait for each
+// other, because capacity beside one of them counts when they could ask.
+BOOST_AUTO_TEST_CASE(tasks_on_different_workers_ask_about_enough_of_them) {
+  Step step = MakeStep(60, 1000, seconds(20));
+  step.max_per_worker = 1;
+  SimJob* job = cell->SubmitTo(QueueName("batches"), MakeSpec({step}), 0);
+  cell->Time().RunFor(2 * kMaxIdleTime);
+  BOOST_TEST(cell->Judge().Runs() == 60);
+  BOOST_TEST(cell->AwaitFinal(job->job.id, seconds(30)));
+  CheckInvariants(cell.get());
+}
+
 // Guards against small work that starts nowhere while a wide gang waits for
 // tasks that last longer than declared and holds all capacity meanwhile.
 BOOST_AUTO_TEST_CASE(
