Workers that many steps ask about count for less

The preference for workers that no question in flight names acted only between workers with equal free capacity, so on unlike workers steps that ask at the same time still named the same roomy ones. Free capacity is now divided by the number of questions about the worker, for renewals as well. The new unit test failed before.

--- a/packages/jobs/src/advice_selection.cc
+++ b/packages/jobs/src/advice_selection.cc
@@ -1,7 +1,6 @@
 #include "advice_selection.h"
 
 #include <algorithm>
-#include <tuple>
 
 #include "options.h"
 
@@ -50,8 +49,8 @@
 void SortByCapacity(std::vector<WorkerOption>* options) {
   std::stable_sort(options->begin(), options->end(),
                    [](const WorkerOption& a, const WorkerOption& b) {
-                     return std::tie(b.placeable, a.in_flight) <
-                            std::tie(a.placeable, b.in_flight);
+                     return a.placeable * (1 + b.in_flight) >
+                            b.placeable * (1 + a.in_flight);
                    });
 }
 
@@ -130,7 +129,8 @@
     if (ticket->expires > input.answer_due + kTicketMargin) {
       options.fresh_room += placeable;
     } else {
-      options.expired.push_back({session, placeable});
+      options.expired.push_back(
+          {session, placeable, CountInFlight(input, *session)});
     }
   }
   SortByCapacity(&options.expired);
--- a/packages/jobs/tests/advice_selection_test.cc
+++ b/packages/jobs/tests/advice_selection_test.cc
@@ -92,6 +92,16 @@
   for (std::size_t i = 0; i < 6; ++i) BOOST_TEST(chosen[i] >= 6U);
 }
 
+// The same where those have more capacity.
+BOOST_AUTO_TEST_CASE(capacity_that_many_ask_about_counts_less) {
+  for (int i = 0; i < 6; ++i) Add(3);
+  for (int i = 0; i < 6; ++i) Add(2);
+  in_flight.assign(6, 19);
+  const auto chosen = Choose(8, true);
+  BOOST_REQUIRE(!chosen.empty());
+  BOOST_TEST(chosen.front() >= 6U);
+}
+
 // Guards against separate tasks that ask about no free worker while others hold
 // those that they know, because not all of them could start.
 BOOST_AUTO_TEST_CASE(separate_tasks_ask_about_part_of_their_capacity) {
