--- a/packages/jobs/src/dispatcher.cc
+++ b/packages/jobs/src/dispatcher.cc
@@ -39,6 +39,9 @@
 constexpr Duration kAskInterval = milliseconds(50);
 /// The same after a question about the step turned out to be pointless.
 constexpr Duration kPointlessAskInterval = milliseconds(250);
+/// After so many dropped questions in a row a question counts as no help. The
+/// first ones are dropped while workers come and go.
+constexpr std::int32_t kRepeatedDrops = 3;
 /// Maximum number of such checks in one pass, in order of rank: the policy
 /// service answers a few dozen questions in the time between two passes, and a
 /// check looks at every worker.
@@ -805,9 +808,9 @@
   if (workers.empty()) {
     unit.progress->next_advice_check = now + kPointlessAskInterval;
     ++unit.progress->idle.dropped_questions;
-    unit.progress->idle.question_dropped = true;
+    ++unit.progress->idle.dropped_in_a_row;
   } else {
-    unit.progress->idle.question_dropped = false;
+    unit.progress->idle.dropped_in_a_row = 0;
     ++unit.progress->idle.questions;
   }
   return workers;
@@ -907,7 +910,7 @@
   // turn comes, and the report names a question as what ends the wait.
   const bool would_ask =
       advice == nullptr ||
-      (!unit.progress->idle.question_dropped &&
+      (unit.progress->idle.dropped_in_a_row < kRepeatedDrops &&
        !this->WorkersToAsk(unit, capacities, now, AskPurpose::kLearn).empty());
   facts.helped_by_question = facts.has_policy && would_ask;
   if (facts.gang) {
--- a/packages/jobs/src/job_table.h
+++ b/packages/jobs/src/job_table.h
@@ -57,8 +57,8 @@
   /// named no worker when their turn came.
   std::int32_t questions = 0;
   std::int32_t dropped_questions = 0;
-  /// The last question whose turn came named no worker.
-  bool question_dropped = false;
+  /// How many of them followed each other without one that was sent.
+  std::int32_t dropped_in_a_row = 0;
   /// Reservations of capacity that it gave up.
   std::int32_t reservations_given_up = 0;
 };
