Gangs reserve capacity without a limit while a third of the cell is free

Cause: after a cell has been full for longer than permissions last, all gangs that waited reserve their capacity and renew the permissions there. Gangs whose permissions are awaited could reserve a twentieth of the cell together, however much is free, so two or three started in each 0.65 to 0.9 s. The log says lapsed, until=reservations.

Change: the limit of a twentieth holds once two thirds of the service are used or reserved.

--- a/packages/jobs/src/dispatcher.cc
+++ b/packages/jobs/src/dispatcher.cc
@@ -82,10 +82,7 @@
 
 /// @return the share of the processors of a service that is free
 double FreeShare(const PassCapacity& capacities, const ServiceId& service) {
-  std::int64_t free = 0;
-  for (const WorkerCapacity* one : capacities.OfService(service)) {
-    free += one->free.cpu_milli;
-  }
+  const std::int64_t free = capacities.Free(service).cpu_milli;
   const std::int64_t all = capacities.Capacity(service).cpu_milli;
   return all == 0 ? 0.0 : static_cast<double>(free) / static_cast<double>(all);
 }
@@ -631,8 +628,9 @@
 
 bool Dispatcher::MayReserveCapacity(const SchedulingUnit& unit,
                                     const PassCapacity& capacities) const {
-  return this->context->reservations->MayAdd(
-      capacities.Capacity(unit.queue->service).cpu_milli);
+  const ServiceId& service = unit.queue->service;
+  return this->context->reservations->MayAdd(capacities.Capacity(service),
+                                             capacities.Free(service));
 }
 
 void Dispatcher::PlaceOn(SchedulingUnit* unit,
@@ -660,6 +658,9 @@
   const std::vector<RunRef> runs =
       this->context->jobs.Begin(unit->entry, unit->ref, tasks, workers);
   this->NoteStart(*unit, std::ssize(workers));
+  this->pass_capacity.NoteTaken(
+      unit->queue->service,
+      Multiply(TaskDemand(*unit->step), std::ssize(workers)));
   unit->entry->published_state = unit->entry->state;
   this->context->runs->Begin(*unit->entry, runs, workers);
   unit->tasks.erase(unit->tasks.begin(),
--- a/packages/jobs/src/gang_reservations.cc
+++ b/packages/jobs/src/gang_reservations.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "hold_loop.h"
+#include "mustardproxy/core/resource_math.h"
 #include "options.h"
 #include "run_control.h"
 
@@ -18,13 +19,19 @@
 /// unanswered question before one more gang may reserve: the rest stays
 /// available to urgent tasks.
 constexpr double kMaxReservedShare = 0.05;
+/// Share of the cell up to which gangs may reserve more than that. Runs and
+/// reservations count, so at a half, gangs would wait with less than half of
+/// the cell at work.
+constexpr double kMaxUsedShare = 2.0 / 3.0;
 /// How long a gang whose reservation was given up leaves the capacity to
 /// others.
 constexpr Duration kReservationBackoff = seconds(1);
 
 }  // namespace
 
-bool MayReserve(std::int64_t reserved_cpu_milli, std::int64_t cell_cpu_milli) {
+bool MayReserve(std::int64_t reserved_cpu_milli, std::int64_t cell_cpu_milli,
+                double used_share) {
+  if (used_share < kMaxUsedShare) return true;
   return static_cast<double>(reserved_cpu_milli) <
          kMaxReservedShare * static_cast<double>(cell_cpu_milli);
 }
@@ -66,12 +73,16 @@
   for (const StepRef& step : steps) this->Check(step);
 }
 
-bool GangReservations::MayAdd(std::int64_t cell_cpu_milli) const {
+bool GangReservations::MayAdd(const Resources& capacity,
+                              const Resources& free) const {
   std::int64_t reserved = 0;
   for (const auto& [step, reservation] : this->reservations) {
     if (reservation.awaits_permission) reserved += reservation.cpu_milli;
   }
-  return MayReserve(reserved, cell_cpu_milli);
+  Resources used = capacity;
+  used -= free;
+  return MayReserve(reserved, capacity.cpu_milli,
+                    DominantShare(used, capacity));
 }
 
 bool GangReservations::Holds(const StepRef& step) const {
--- a/packages/jobs/src/gang_reservations.h
+++ b/packages/jobs/src/gang_reservations.h
@@ -19,8 +19,10 @@
 /// Failure guarded against: if the size of the asking gang counted too, a
 /// constant stream of narrow gangs would never leave enough for a wide one,
 /// even in a nearly empty cell.
+///
+/// @param used_share share of the cell that runs and reservations occupy
 [[nodiscard]] bool MayReserve(std::int64_t reserved_cpu_milli,
-                              std::int64_t cell_cpu_milli);
+                              std::int64_t cell_cpu_milli, double used_share);
 
 /// Gangs whose capacity is reserved while the policy service is asked for
 /// permission to start exactly there.
@@ -48,9 +50,11 @@
   void CheckAll();
 
   [[nodiscard]] bool Holds(const StepRef& step) const;
-  /// @param cell_cpu_milli processors of the service's workers
+  /// @param capacity of the service's workers, free or not
+  /// @param free what neither runs nor reservations occupy
   /// @return true if one more gang may reserve its capacity before it asks
-  [[nodiscard]] bool MayAdd(std::int64_t cell_cpu_milli) const;
+  [[nodiscard]] bool MayAdd(const Resources& capacity,
+                            const Resources& free) const;
   /// @return the workers of a reservation whose permissions would not be valid
   ///   when the answer arrives
   [[nodiscard]] std::vector<AskedWorker> WorkersToAsk(const StepRef& step);
--- a/packages/jobs/src/pass_capacity.cc
+++ b/packages/jobs/src/pass_capacity.cc
@@ -112,12 +112,15 @@
     }
   }
   Resources most;
+  Resources free;
   for (Slot* slot : service->slots) {
     slot->capacity.free = slot->free;
     slot->capacity.held = false;
     most = ComponentMax(most, slot->free);
+    free += slot->free;
   }
   service->most = most;
+  service->free = free;
 }
 
 WorkerCapacity* PassCapacity::At(SessionNumber session) const {
@@ -140,6 +143,15 @@
   return found == this->services.end() ? Resources{} : found->second.capacity;
 }
 
+Resources PassCapacity::Free(const ServiceId& service) const {
+  const auto found = this->services.find(service);
+  return found == this->services.end() ? Resources{} : found->second.free;
+}
+
+void PassCapacity::NoteTaken(const ServiceId& service, const Resources& taken) {
+  this->FindService(service)->free -= taken;
+}
+
 Resources PassCapacity::Total() const {
   Resources total;
   for (const auto& [id, service] : this->services) total += service.capacity;
--- a/packages/jobs/src/pass_capacity.h
+++ b/packages/jobs/src/pass_capacity.h
@@ -41,6 +41,10 @@
       const ServiceId& service) const;
   /// @return the total capacity of a service's workers, free or not
   [[nodiscard]] Resources Capacity(const ServiceId& service) const;
+  /// @return what tasks have left of that
+  [[nodiscard]] Resources Free(const ServiceId& service) const;
+  /// Called when tasks that take this much were placed in the pass.
+  void NoteTaken(const ServiceId& service, const Resources& taken);
   /// @return the total capacity of all workers, free or not
   [[nodiscard]] Resources Total() const;
   /// @return the capacity of a worker, or null if it does not accept tasks
@@ -70,6 +74,8 @@
     /// during a pass.
     Resources most;
     Resources capacity;
+    /// What tasks have left of it.
+    Resources free;
   };
 
   [[nodiscard]] bool TakesTasks(const WorkerSession& session) const;
--- a/packages/jobs/tests/cell_idle_step_test.cc
+++ b/packages/jobs/tests/cell_idle_step_test.cc
@@ -122,6 +122,24 @@
   CheckInvariants(cell.get());
 }
 
+// Guards against gangs that start a few at a time after the cell has emptied,
+// because capacity is reserved for a few of them while the others, whose
+// permissions have lapsed too, wait.
+BOOST_AUTO_TEST_CASE(
+    gangs_with_lapsed_permissions_start_when_the_cell_empties) {
+  Step step = MakeStep(kWorkers, 16'000, seconds(10));
+  step.max_per_worker = 1;
+  const SimJob* other = cell->Submit(MakeSpec({step}));
+  cell->Time().RunFor(seconds(2));
+  // 40 % of the cell.
+  SubmitGangs(20, 25);
+  cell->Time().RunFor(seconds(8));
+  while (!other->done_at) cell->Time().RunFor(milliseconds(10));
+  submitted = *other->done_at;
+  BOOST_TEST((LongestWait() < kMaxIdleTime));
+  CheckInvariants(cell.get());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace mustardproxy::jobs
