The judge of the model checks that accepted jobs stay known

Callers saw LOST; one of its kinds is a GET that says that an accepted job does not exist. The model could not show it.

Cause: SimCell::AskStatus took every error for "no answer".

Change: an answer that there is no such job breaks a promise if the job was acknowledged more than 3 s before the question, is not cancelled, and processes and store are in touch. Schedules ask for each accepted job once more at the end, at some process.

Measured: a job whose keys are removed from the store while all processes are down breaks the promise at each of the three processes; it does not if it is cancelled or the processes are not in touch (promises_test). With the call of the check disabled, the first of these tests fails (0 of 3).

--- a/testing/job_sim/include/job_sim/promises.h
+++ b/testing/job_sim/include/job_sim/promises.h
@@ -32,6 +32,8 @@
   /// The key that its calls carry.
   std::string key;
   bool accepted = false;
+  /// When that was first acknowledged.
+  std::optional<Instant> accepted_at;
   /// Its key was turned down.
   bool denied = false;
   bool cancelled = false;
@@ -99,6 +101,9 @@
   /// The scheduler tells a caller that the job has failed. It may give a task
   /// up under which two workers have crashed, whatever they crashed by.
   void OnShownFailed(const jobs::JobId& id);
+  /// The scheduler tells a caller that there is no such job.
+  /// @param in_touch nothing has disturbed the processes or the store lately
+  void OnShownUnknown(const jobs::JobId& id, Instant asked, bool in_touch);
   /// At the end: all accepted jobs that could end have ended.
   void OnUnfinished(const jobs::JobId& id, jobs::JobState state);
 
--- a/testing/job_sim/src/promises.cc
+++ b/testing/job_sim/src/promises.cc
@@ -13,6 +13,8 @@
 constexpr Duration kCancelBound = std::chrono::seconds(3);
 /// A change of the desired state has to be in force after this.
 constexpr Duration kApplyBound = std::chrono::seconds(3);
+/// An acknowledged job has to be known to all processes after this.
+constexpr Duration kVisibleBound = std::chrono::seconds(3);
 /// A state that was replaced may be in force for this long.
 constexpr Duration kLongestInForce = std::chrono::seconds(9);
 /// What a team may have running above its cap, beside one task.
@@ -305,6 +307,15 @@
   }
 }
 
+void Promises::OnShownUnknown(const jobs::JobId& id, Instant asked,
+                              bool in_touch) {
+  const SimJob* job = this->Find(id);
+  if (job == nullptr || !job->accepted_at) return;
+  if (job->cancelled || !in_touch) return;
+  if (asked <= *job->accepted_at + kVisibleBound) return;
+  this->Break("told that an accepted job does not exist", id.Text());
+}
+
 void Promises::OnUnfinished(const jobs::JobId& id, jobs::JobState state) {
   this->Break("not ended", id.Text() + " is " + std::string(Name(state)));
 }
--- a/testing/job_sim/src/schedule.cc
+++ b/testing/job_sim/src/schedule.cc
@@ -94,6 +94,8 @@
   /// Undoes a fault after a while.
   void Undo(Duration least, Duration most, std::function<void()> undo);
   std::size_t DrawProcess();
+  /// Asks for each accepted job at some process.
+  void AskForAll();
   void CheckWaits();
 
   std::unique_ptr<SimCell> cell;
@@ -516,6 +518,12 @@
   }
 }
 
+void Player::AskForAll() {
+  for (const auto& [id, job] : this->cell->Judge().Jobs()) {
+    if (job.accepted) (void)this->cell->Ask(id, this->DrawProcess());
+  }
+}
+
 ScheduleResult Player::Play() {
   for (std::int32_t i = 0; i < kJobs; ++i) this->PlanJob();
   const std::size_t faults = 1 + this->time.DrawIndex(kMostFaults);
@@ -534,6 +542,7 @@
   // Faults undo themselves within this.
   this->time.RunFor(seconds(10));
   this->cell->Settle(this->options.crashing_tasks ? kCalmWithCrashes : kCalm);
+  this->AskForAll();
   this->result.broken = this->cell->Judge().Broken();
   this->CheckWaits();
   this->result.log = this->cell->Log().Lines();
--- a/testing/job_sim/src/sim_cell.cc
+++ b/testing/job_sim/src/sim_cell.cc
@@ -623,6 +623,7 @@
           if (result.end != jobs::SubmitOutcome::kAccepted) return;
           this->promises.OnServed(entry->key, sent, calm && this->in_touch());
           entry->accepted = true;
+          if (!entry->accepted_at) entry->accepted_at = this->time.Now();
         });
   });
 }
@@ -728,6 +729,8 @@
   const std::size_t index = this->RunningFrom(process);
   Slot* slot = this->slots[index].get();
   if (slot == nullptr) return std::nullopt;
+  const Instant asked = this->time.Now();
+  const bool calm = this->in_touch();
   auto answer = std::make_shared<std::optional<Result<jobs::JobStatus>>>();
   slot->process.Post([slot, id, answer] {
     slot->node->State(
@@ -736,7 +739,13 @@
   });
   this->time.RunUntil([answer] { return answer->has_value(); },
                       kCallerTimeout + seconds(1));
-  if (!*answer || !**answer) return std::nullopt;
+  if (!*answer) return std::nullopt;
+  if (!**answer) {
+    if ((*answer)->error() == Error::kUnknownRequest) {
+      this->promises.OnShownUnknown(id, asked, calm && this->in_touch());
+    }
+    return std::nullopt;
+  }
   const jobs::JobStatus status = (*answer)->value();
   if (status.state == jobs::JobState::kCompleted) {
     this->promises.OnShownCompleted(id);
