review: show that crashes of one machine end a long-running job

Cause: losses of workers under a task are counted against it, and the job is failed after the fourth. Long-running tasks are counted as well, although their runs survived long and lasting tasks have no limit of attempts.

The harness also plays `restart-in-turn`, a lesser fault of the same code that has no case of its own: after two crashes the tasks of a service are started again one every 5 s.

--- a/review/harness/cases.hpp
+++ b/review/harness/cases.hpp
@@ -8,6 +8,8 @@
 enum class Verdict { kHeld = 0, kBroken = 1, kNotRun = 2 };
 
 Verdict EndBehindCut(const std::string& record, bool trouble);
+Verdict FlappingMachine(const std::string& record, bool trouble);
+Verdict RestartInTurn(const std::string& record, bool trouble);
 
 }  // namespace review
 
--- a/review/harness/main.cpp
+++ b/review/harness/main.cpp
@@ -14,6 +14,8 @@
   using Play = Verdict (*)(const std::string&, bool);
   const std::map<std::string, Play> cases = {
       {"end-behind-cut", &review::EndBehindCut},
+      {"flapping-machine", &review::FlappingMachine},
+      {"restart-in-turn", &review::RestartInTurn},
   };
   const char* trouble = std::getenv("TROUBLE");
   const bool with = trouble == nullptr || std::string(trouble) != "0";
