review: show that a job runs after its cancelling was acknowledged

Cause: a DELETE for a job that the store does not hold yet is answered 410 and leaves no record. A create of the job whose answer was lost may still be done seconds later; nothing in its conditions keeps it from being done.

--- a/review/harness/cases.hpp
+++ b/review/harness/cases.hpp
@@ -9,6 +9,7 @@
 
 Verdict EndBehindCut(const std::string& record, bool trouble);
 Verdict FlappingMachine(const std::string& record, bool trouble);
+Verdict CancelledBeforeStored(const std::string& record, bool trouble);
 Verdict RestartInTurn(const std::string& record, bool trouble);
 
 }  // namespace review
--- a/review/harness/main.cpp
+++ b/review/harness/main.cpp
@@ -15,6 +15,7 @@
   const std::map<std::string, Play> cases = {
       {"end-behind-cut", &review::EndBehindCut},
       {"flapping-machine", &review::FlappingMachine},
+      {"cancelled-before-stored", &review::CancelledBeforeStored},
       {"restart-in-turn", &review::RestartInTurn},
   };
   const char* trouble = std::getenv("TROUBLE");
