review: give each test a loopback address of its own

Cause: a run of case 2 without its disruption could not run (exit 2, processes not ready) while four other tests started: ports are drawn some time before the processes open them, and two tests, or one, may draw the same.

Change: each test uses a loopback address made from its process id, and never draws a port twice. The cases are as they were.

--- a/review/harness/cell.cpp
+++ b/review/harness/cell.cpp
@@ -18,7 +18,7 @@
 constexpr const char* kHost = "queue.example";
 constexpr const char* kPrefix = "/jobs/";
 
-std::string Local(int port) { return "127.0.0.1:" + std::to_string(port); }
+std::string Local(int port) { return Host() + ":" + std::to_string(port); }
 
 std::string MakeFolder() {
   std::string pattern =
--- a/review/harness/http.cpp
+++ b/review/harness/http.cpp
@@ -24,7 +24,7 @@
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_port = htons(static_cast<std::uint16_t>(port));
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  inet_pton(AF_INET, Host().c_str(), &address.sin_addr);
   return address;
 }
 
@@ -149,7 +149,7 @@
 Server::~Server() { this->Close(); }
 
 std::string Server::Address() const {
-  return "127.0.0.1:" + std::to_string(this->port);
+  return Host() + ":" + std::to_string(this->port);
 }
 
 void Server::Open() {
@@ -274,12 +274,23 @@
   return answer;
 }
 
+std::string Host() {
+  static const std::string host = [] {
+    const auto id = static_cast<unsigned>(getpid());
+    return "127." + std::to_string(1 + (id >> 16U) % 250) + "." +
+           std::to_string((id >> 8U) & 255U) + "." + std::to_string(id & 255U);
+  }();
+  return host;
+}
+
 int FreePort() {
   constexpr int kFirst = 20'000;
   constexpr int kCount = 12'000;
   static std::mt19937 random{std::random_device{}()};
+  static std::set<int> taken;
   while (true) {
     const int port = kFirst + static_cast<int>(random() % kCount);
+    if (!taken.insert(port).second) continue;
     const int made = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     sockaddr_in address = Loopback(port);
     const bool free =
--- a/review/harness/http.hpp
+++ b/review/harness/http.hpp
@@ -76,8 +76,12 @@
             const std::string& path, const std::string& host,
             const std::string& body, int timeout_ms);
 
-/// @return a port that nothing listens on at the moment, outside the range from
-///   which outgoing connections take theirs
+/// @return the loopback address of this test. Others that are played at the
+/// same
+///   time have their own, so that none takes a port of another.
+std::string Host();
+/// @return a port of Host() that is free and was not returned before, outside
+///   the range from which outgoing connections take theirs
 int FreePort();
 
 }  // namespace review
