Log what a cancellation finds in the store

A cancellation that finds no job left no line, so the logs could not tell a cancellation that was never stored from one that the owner dropped.

Change: each cancellation logs cancel-requested with what it found, and counts in the metric cancels. No logic changes.

--- a/packages/jobs/src/job_node.cc
+++ b/packages/jobs/src/job_node.cc
@@ -100,6 +100,9 @@
   /// Answers a cancellation for a job that has ended or never existed.
   void CancelEnded(const Admission& admission, const JobId& id,
                    std::function<void(SubmitResult)> done);
+  /// Logs what a cancellation found in the store.
+  void LogCancel(const Admission& admission, const JobId& id,
+                 std::string_view found);
   /// Logs that a caller is told that a job does not exist or can't be read.
   void LogStateNotShown(const JobId& id, std::error_code reason,
                         Instant asked_at);
@@ -375,18 +378,22 @@
 void JobNode::Internals::CancelEnded(const Admission& admission,
                                      const JobId& id,
                                      std::function<void(SubmitResult)> done) {
-  auto read = [access = admission.access,
+  auto read = [this, admission, id,
                done = std::move(done)](const Result<StoreItem>& end) {
     const auto ended =
         end ? DecodeStatus(end.value().value) : std::optional<JobStatus>();
-    if (ended && !MayAccess(access, ended->access)) {
+    if (ended && !MayAccess(admission.access, ended->access)) {
+      this->LogCancel(admission, id, "other-team");
       done(NotAccepted(Error::kJobOfOtherTeam, {}));
     } else if (end) {
       // Nothing of the job runs, so there is nothing to store.
+      this->LogCancel(admission, id, "ended");
       done(CancelAccepted());
     } else if (end.error() == Error::kUnknownRequest) {
+      this->LogCancel(admission, id, "none");
       done(NoSuchJob());
     } else {
+      this->LogCancel(admission, id, "unread");
       done(CancelRefused());
     }
   };
@@ -394,6 +401,16 @@
                            this->guard.Wrap(std::move(read)));
 }
 
+void JobNode::Internals::LogCancel(const Admission& admission, const JobId& id,
+                                   std::string_view found) {
+  this->config.log->Write("jobs", "cancel-requested",
+                          {{"job", id.Text()},
+                           {"team", admission.access.team.Text()},
+                           {"key", admission.access.key_fingerprint},
+                           {"found", found}});
+  this->config.metrics->Count("cancels", "found=" + std::string(found));
+}
+
 void JobNode::Internals::LogStateNotShown(const JobId& id,
                                           std::error_code reason,
                                           Instant asked_at) {
@@ -590,13 +607,16 @@
   auto known = [this, admission, id, timeout,
                 done = std::move(done)](const Result<StoreItem>& job) {
     if (job && !MayAccess(admission.access, DecodeAccess(job.value().value))) {
+      this->state->LogCancel(admission, id, "other-team");
       done(NotAccepted(Error::kJobOfOtherTeam, {}));
     } else if (job) {
+      this->state->LogCancel(admission, id, "active");
       this->state->intake.Create(
           {"cancel", id, keys::OfCancel(id), "1", timeout}, done);
     } else if (job.error() == Error::kUnknownRequest) {
       this->state->CancelEnded(admission, id, done);
     } else {
+      this->state->LogCancel(admission, id, "unread");
       done(CancelRefused());
     }
   };
