Store the cancellation of a job that is not in the store

Cause: a cancellation that found neither the job nor its end stored nothing. A write that creates the job may still be under way then, started by any process, or its submission may arrive again; it meets nothing that tells of the cancellation. The simulation did not see it because its callers took only 200 for an acknowledgement.

Evidence: the line cancel-requested shows found=none, and no process stores or learns of a cancellation.

Change: such a cancellation is stored as a tombstone before the caller is told 410. The owner reads tombstones with the jobs, is told of new ones, and cancels a job that appears under the id if the caller of the cancellation may access it. The key names job and caller's key, so that one team neither cancels another's unknown job nor hides its own cancellation.

Why it works: a job that is created after the cancellation was acknowledged is created after its tombstone, so every owner that learns of the job finds the tombstone in the store, and each one knows those that were there before it places anything.

--- a/packages/jobs/include/mustardproxy/jobs/job_node.h
+++ b/packages/jobs/include/mustardproxy/jobs/job_node.h
@@ -51,6 +51,7 @@
 
   void OnJob(AnnouncedJob job) override;
   void OnCancel(const JobId& job) override;
+  void OnTombstone(const StoreItem& tombstone) override;
   void OnQueryJob(const JobId& job,
                   JobPeerHandler::Done<JobAnswer> done) override;
   void OnQueryPending(const QueueName& queue,
--- a/packages/jobs/include/mustardproxy/jobs/job_peers.h
+++ b/packages/jobs/include/mustardproxy/jobs/job_peers.h
@@ -34,7 +34,7 @@
 
 /// A request to create a key on behalf of a process that can't reach the store.
 struct CreateRequest {
-  /// `job` or `cancel`, for the log.
+  /// `job`, `cancel` or `tombstone`, for the log.
   std::string kind;
   JobId job;
   std::string key;
@@ -74,6 +74,10 @@
   virtual void PublishLoad(LoadReportPtr report) = 0;
   /// Informs the owner about a cancellation; may be lost in the same way.
   virtual void AnnounceCancel(const std::string& address, const JobId& job) = 0;
+  /// Informs the owner about the stored cancellation of a job that was not in
+  /// the store; may be lost in the same way.
+  virtual void AnnounceTombstone(const std::string& address,
+                                 const StoreItem& tombstone) = 0;
   virtual void QueryJob(const std::string& address, const JobId& job,
                         Done<JobAnswer> done) = 0;
   /// Number of accepted jobs in the queue of which no task has started.
@@ -109,6 +113,7 @@
 
   virtual void OnJob(AnnouncedJob job) = 0;
   virtual void OnCancel(const JobId& job) = 0;
+  virtual void OnTombstone(const StoreItem& tombstone) = 0;
   virtual void OnQueryJob(const JobId& job, Done<JobAnswer> done) = 0;
   virtual void OnQueryPending(const QueueName& queue,
                               Done<std::int64_t> done) = 0;
--- a/packages/jobs/include/mustardproxy/jobs/job_service.h
+++ b/packages/jobs/include/mustardproxy/jobs/job_service.h
@@ -57,6 +57,9 @@
   virtual void Submit(const Admission& admission, JobId id, JobSpec spec,
                       Duration timeout,
                       std::function<void(SubmitResult)> done) = 0;
+  /// Not accepted with `kJobOfOtherTeam` if the call may not access the job. If
+  /// there is no such job, a job that is stored under the id soon after, by a
+  /// submission that the call may access, is cancelled, too.
   virtual void Cancel(const Admission& admission, const JobId& id,
                       Duration timeout,
                       std::function<void(SubmitResult)> done) = 0;
--- a/packages/jobs/src/group_owner.cc
+++ b/packages/jobs/src/group_owner.cc
@@ -97,6 +97,11 @@
                                                    .store = shared.store,
                                                    .log = shared.log,
                                                    .token = token});
+  this->tombstones = std::make_unique<CancelTombstones>(
+      CancelTombstones::Parts{.executor = shared.executor,
+                              .store = shared.store,
+                              .log = shared.log,
+                              .token = token});
   this->stored = std::make_unique<StoredProgress>(
       StoredProgress::Parts{.executor = shared.executor,
                             .store = shared.store,
@@ -167,12 +172,27 @@
     } else {
       this->OnCancel(id);
     }
+  } else if (key.starts_with(keys::kTombstones)) {
+    if (event.deleted) {
+      this->tombstones->Forget(key);
+    } else {
+      this->OnTombstone(event.item);
+    }
   } else if (key.starts_with(keys::kJobs) && !event.deleted) {
     // A deleted job has ended: an owner removed it.
     this->OnJob(JobId(key.substr(keys::kJobs.size())), event.item.value);
   }
 }
 
+void GroupOwner::OnTombstone(const StoreItem& tombstone) {
+  this->tombstones->Note(tombstone);
+  // The job may have been stored since its caller was told that it is unknown.
+  const JobEntry* entry =
+      this->context.jobs.Find(CancelTombstones::JobOf(tombstone.key));
+  if (entry == nullptr || !this->loaded) return;
+  if (this->tombstones->Cover(entry->job)) this->OnCancel(entry->job.id);
+}
+
 void GroupOwner::OnJobAnnounced(const AnnouncedJob& job) {
   if (job.revision == 0) {
     this->OnProposed(job.id, job.record);
@@ -192,7 +212,7 @@
   // The start is stored while the job itself is being stored, which saves one
   // answer of a slow store.
   JobEntry* entry = this->AddJob(id, record);
-  // A cancelled job is certainly in the store.
+  // The end of a cancelled job keeps it from being stored.
   if (entry == nullptr || IsFinal(entry->state)) return;
   entry->stored = false;
   this->context.executor->After(kProposalTimeout, this->guard.Wrap([this, id] {
@@ -231,7 +251,9 @@
                            {{"job", id.Text()},
                             {"queue", entry->job.queue.name.Text()},
                             {"steps", entry->job.spec.steps.size()}});
-  if (this->early_cancellations.erase(id) > 0) this->OnCancel(id);
+  const bool cancelled = this->early_cancellations.erase(id) > 0 ||
+                         this->tombstones->Cover(entry->job);
+  if (cancelled) this->OnCancel(id);
   this->dispatcher->SchedulePass();
   return entry;
 }
@@ -270,7 +292,8 @@
     this->early_cancellations.insert(id);
     return;
   }
-  // Only a job in the store can be cancelled.
+  // It does not matter any more whether the job is in the store: its end is
+  // stored, and no job is created once its end exists.
   entry->stored = true;
   if (!this->context.jobs.Cancel(entry)) return;
   // The cancellation itself is stored already.
@@ -403,11 +426,7 @@
 
 void GroupOwner::FinishTakeover() {
   this->loaded = true;
-  for (const JobId& id : std::set<JobId>(this->early_cancellations)) {
-    if (this->context.jobs.Find(id) == nullptr) continue;
-    this->early_cancellations.erase(id);
-    this->OnCancel(id);
-  }
+  this->ApplyEarlyCancellations();
   const Duration took = this->context.executor->Now() - this->elected_at;
   this->context.log->Write("owner", "loaded",
                            {{"token", this->context.token},
@@ -421,6 +440,18 @@
   this->ended->Read();
 }
 
+void GroupOwner::ApplyEarlyCancellations() {
+  std::vector<JobId> cancelled;
+  for (const JobEntry* entry : this->context.jobs.Active()) {
+    const JobId& id = entry->job.id;
+    if (this->early_cancellations.erase(id) > 0 ||
+        this->tombstones->Cover(entry->job)) {
+      cancelled.push_back(id);
+    }
+  }
+  for (const JobId& id : cancelled) this->OnCancel(id);
+}
+
 void GroupOwner::RemoveExpiredProposals() {
   const Instant old = this->context.executor->Now() - kFinalStateRetention;
   while (!this->parked.empty() && this->parked.front().first < old) {
@@ -534,6 +565,7 @@
     this->holds->SendAllDue();
     this->reservations->CheckAll();
     this->ended->RemoveExpired();
+    this->tombstones->RemoveExpired();
     this->stored->RemoveUnclaimed();
     this->RemoveExpiredProposals();
     this->dispatcher->SchedulePass();
--- a/packages/jobs/src/group_owner.h
+++ b/packages/jobs/src/group_owner.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "callback_guard.h"
+#include "cancel_tombstones.h"
 #include "dispatcher.h"
 #include "ended_jobs.h"
 #include "evacuations.h"
@@ -77,6 +78,8 @@
   /// Called when a process has stored this job or is storing it.
   void OnJobAnnounced(const AnnouncedJob& job);
   void OnCancel(const JobId& id);
+  /// Called for the cancellation of a job that was not in the store then.
+  void OnTombstone(const StoreItem& tombstone);
   /// @return the status reported to callers; nothing for an unknown job
   [[nodiscard]] std::optional<JobStatus> StatusOf(const JobId& id) const;
   [[nodiscard]] std::int64_t PendingIn(const QueueName& queue) const;
@@ -113,6 +116,8 @@
   void TakeOver();
   /// Starts scheduling.
   void FinishTakeover();
+  /// Cancels the jobs whose cancellations were read before them.
+  void ApplyEarlyCancellations();
   void InheritRuns(JobEntry* entry);
   void Tick();
   void OpenDueOccurrences();
@@ -136,6 +141,7 @@
   std::set<JobId> early_cancellations;
   std::unique_ptr<ProgressWriter> writer;
   std::unique_ptr<EndedJobs> ended;
+  std::unique_ptr<CancelTombstones> tombstones;
   std::unique_ptr<StoredProgress> stored;
   std::unique_ptr<PermissionBroker> advice;
   std::unique_ptr<RunControl> runs;
--- a/packages/jobs/src/job_node.cc
+++ b/packages/jobs/src/job_node.cc
@@ -97,9 +97,15 @@
   /// store.
   /// @param revision 0 for a job that is being stored
   void Announce(const CreateRequest& created, Revision revision);
+  void AnnounceJob(const AnnouncedJob& job);
+  void AnnounceCancel(const CreateRequest& created, Revision revision);
   /// Answers a cancellation for a job that has ended or never existed.
   void CancelEnded(const Admission& admission, const JobId& id,
-                   std::function<void(SubmitResult)> done);
+                   Duration timeout, std::function<void(SubmitResult)> done);
+  /// Stores the cancellation of a job that is not in the store: a write that
+  /// creates it may still be under way, started by any process.
+  void CancelUnknown(const Admission& admission, const JobId& id,
+                     Duration timeout, std::function<void(SubmitResult)> done);
   /// Logs what a cancellation found in the store.
   void LogCancel(const Admission& admission, const JobId& id,
                  std::string_view found);
@@ -346,26 +352,41 @@
 
 void JobNode::Internals::Announce(const CreateRequest& created,
                                   Revision revision) {
-  const bool is_job = created.key.starts_with(keys::kJobs);
-  if (!is_job && revision == 0) return;
+  if (created.key.starts_with(keys::kJobs)) {
+    this->AnnounceJob({created.job, created.value, revision});
+  } else if (revision != 0) {
+    this->AnnounceCancel(created, revision);
+  }
+}
+
+void JobNode::Internals::AnnounceJob(const AnnouncedJob& job) {
   if (this->owner) {
-    if (is_job) {
-      this->owner->OnJobAnnounced({created.job, created.value, revision});
-    } else {
-      this->owner->OnCancel(created.job);
-    }
+    this->owner->OnJobAnnounced(job);
     return;
   }
   const auto address = this->OwnerAddress();
   if (!address) return;
-  if (is_job) {
-    this->config.peers->AnnounceJob(
-        *address, {created.job, created.value, revision},
-        this->guard.Wrap([this](const LoadReport& report) {
-          if (this->config.overload.admission) this->gate.OnReport(report);
-        }));
-  } else {
+  this->config.peers->AnnounceJob(
+      *address, job, this->guard.Wrap([this](const LoadReport& report) {
+        if (this->config.overload.admission) this->gate.OnReport(report);
+      }));
+}
+
+void JobNode::Internals::AnnounceCancel(const CreateRequest& created,
+                                        Revision revision) {
+  const auto address = this->OwnerAddress();
+  if (!this->owner && !address) return;
+  const StoreItem item{
+      .key = created.key, .value = created.value, .revision = revision};
+  const bool known_job = created.key.starts_with(keys::kCancels);
+  if (this->owner && known_job) {
+    this->owner->OnCancel(created.job);
+  } else if (this->owner) {
+    this->owner->OnTombstone(item);
+  } else if (known_job) {
     this->config.peers->AnnounceCancel(*address, created.job);
+  } else {
+    this->config.peers->AnnounceTombstone(*address, item);
   }
 }
 
@@ -376,9 +397,9 @@
 }
 
 void JobNode::Internals::CancelEnded(const Admission& admission,
-                                     const JobId& id,
+                                     const JobId& id, Duration timeout,
                                      std::function<void(SubmitResult)> done) {
-  auto read = [this, admission, id,
+  auto read = [this, admission, id, timeout,
                done = std::move(done)](const Result<StoreItem>& end) {
     const auto ended =
         end ? DecodeStatus(end.value().value) : std::optional<JobStatus>();
@@ -391,7 +412,7 @@
       done(CancelAccepted());
     } else if (end.error() == Error::kUnknownRequest) {
       this->LogCancel(admission, id, "none");
-      done(NoSuchJob());
+      this->CancelUnknown(admission, id, timeout, done);
     } else {
       this->LogCancel(admission, id, "unread");
       done(CancelRefused());
@@ -401,6 +422,19 @@
                            this->guard.Wrap(std::move(read)));
 }
 
+void JobNode::Internals::CancelUnknown(const Admission& admission,
+                                       const JobId& id, Duration timeout,
+                                       std::function<void(SubmitResult)> done) {
+  const JobAccess& caller = admission.access;
+  auto stored = [done = std::move(done)](const SubmitResult& result) {
+    done(result.end == SubmitOutcome::kAccepted ? NoSuchJob() : result);
+  };
+  this->intake.Create(
+      {"tombstone", id, keys::OfTombstone(id, caller.key_fingerprint),
+       EncodeTombstone(caller), timeout},
+      std::move(stored));
+}
+
 void JobNode::Internals::LogCancel(const Admission& admission, const JobId& id,
                                    std::string_view found) {
   this->config.log->Write("jobs", "cancel-requested",
@@ -614,7 +648,7 @@
       this->state->intake.Create(
           {"cancel", id, keys::OfCancel(id), "1", timeout}, done);
     } else if (job.error() == Error::kUnknownRequest) {
-      this->state->CancelEnded(admission, id, done);
+      this->state->CancelEnded(admission, id, timeout, done);
     } else {
       this->state->LogCancel(admission, id, "unread");
       done(CancelRefused());
@@ -681,6 +715,11 @@
   if (this->state->owner) this->state->owner->OnCancel(job);
 }
 
+void JobNode::OnTombstone(const StoreItem& tombstone) {
+  if (!tombstone.key.starts_with(keys::kTombstones)) return;
+  if (this->state->owner) this->state->owner->OnTombstone(tombstone);
+}
+
 void JobNode::OnQueryJob(const JobId& job,
                          JobPeerHandler::Done<JobAnswer> done) {
   if (!this->Owns()) {
--- a/packages/jobs/src/keys.h
+++ b/packages/jobs/src/keys.h
@@ -14,6 +14,10 @@
 ///                                        its revision is the fencing token
 ///     mustardproxy/intake/job/<id>       an accepted job that is not final
 ///     mustardproxy/intake/cancel/<id>    a request to cancel the job
+///     mustardproxy/intake/tombstone/<id>/<key>
+///                                        a request to cancel a job that was
+///                                        not in the store, by the fingerprint
+///                                        of the caller's key
 ///     mustardproxy/progress/<id>         progress; written by the owner only
 ///     mustardproxy/ended/<id>            final state; replaces the keys of the
 ///                                        job and its progress, so that a new
@@ -26,6 +30,8 @@
 inline constexpr std::string_view kIntake = "mustardproxy/intake/";
 inline constexpr std::string_view kJobs = "mustardproxy/intake/job/";
 inline constexpr std::string_view kCancels = "mustardproxy/intake/cancel/";
+inline constexpr std::string_view kTombstones =
+    "mustardproxy/intake/tombstone/";
 inline constexpr std::string_view kProgress = "mustardproxy/progress/";
 inline constexpr std::string_view kEnded = "mustardproxy/ended/";
 
@@ -45,6 +51,10 @@
 [[nodiscard]] inline std::string OfCancel(const JobId& id) {
   return std::string(kCancels) + id.Text();
 }
+[[nodiscard]] inline std::string OfTombstone(const JobId& id,
+                                             std::string_view fingerprint) {
+  return std::string(kTombstones) + id.Text() + "/" + std::string(fingerprint);
+}
 [[nodiscard]] inline std::string OfProgress(const JobId& id) {
   return std::string(kProgress) + id.Text();
 }
--- a/packages/jobs/src/record_codec.cc
+++ b/packages/jobs/src/record_codec.cc
@@ -336,6 +336,16 @@
                    Read(stored->access())};
 }
 
+std::string EncodeTombstone(const JobAccess& caller) {
+  return EncodeEnd({JobState::kCancelled, {}, caller});
+}
+
+std::optional<JobAccess> DecodeTombstone(std::string_view bytes) {
+  auto status = DecodeStatus(bytes);
+  if (!status || status->state != JobState::kCancelled) return std::nullopt;
+  return std::move(status->access);
+}
+
 std::string EncodeNode(const NodeRecord& node) {
   stored::Node out;
   out.set_name(node.name.Text());
--- a/packages/jobs/src/record_codec.h
+++ b/packages/jobs/src/record_codec.h
@@ -46,6 +46,12 @@
 ///   progress, which does not tell who submitted it, or of its final state
 [[nodiscard]] std::optional<JobStatus> DecodeStatus(std::string_view bytes);
 
+/// Encodes who has cancelled a job that was not in the store.
+[[nodiscard]] std::string EncodeTombstone(const JobAccess& caller);
+/// @return who has cancelled the job, or `std::nullopt` if the bytes are not a
+///   valid record
+[[nodiscard]] std::optional<JobAccess> DecodeTombstone(std::string_view bytes);
+
 [[nodiscard]] std::string EncodeNode(const NodeRecord& node);
 [[nodiscard]] std::optional<NodeRecord> DecodeNode(std::string_view bytes);
 
--- a/packages/jobs/tests/relayed_worker_driver_test.cc
+++ b/packages/jobs/tests/relayed_worker_driver_test.cc
@@ -127,6 +127,8 @@
   void PublishLoad(LoadReportPtr /*report*/) override {}
   void AnnounceCancel(const std::string& /*address*/,
                       const JobId& /*job*/) override {}
+  void AnnounceTombstone(const std::string& /*address*/,
+                         const StoreItem& /*tombstone*/) override {}
   void QueryJob(const std::string& /*address*/, const JobId& /*job*/,
                 Done<JobAnswer> /*done*/) override {}
   void QueryPending(const std::string& /*address*/, const QueueName& /*queue*/,
--- a/packages/peer/include/mustardproxy/peer/job_link.h
+++ b/packages/peer/include/mustardproxy/peer/job_link.h
@@ -34,6 +34,8 @@
   void PublishLoad(jobs::LoadReportPtr report) override;
   void AnnounceCancel(const std::string& address,
                       const jobs::JobId& job) override;
+  void AnnounceTombstone(const std::string& address,
+                         const jobs::StoreItem& tombstone) override;
   void QueryJob(const std::string& address, const jobs::JobId& job,
                 Done<jobs::JobAnswer> done) override;
   void QueryPending(const std::string& address, const jobs::QueueName& queue,
--- a/packages/peer/src/job_link.cc
+++ b/packages/peer/src/job_link.cc
@@ -225,6 +225,18 @@
       [](const Result<peer::jobs::Empty>&) {});
 }
 
+void JobLink::AnnounceTombstone(const std::string& address,
+                                const jobs::StoreItem& tombstone) {
+  peer::jobs::TombstoneAnnouncement request;
+  request.set_key(tombstone.key);
+  request.set_record(tombstone.value);
+  request.set_revision(tombstone.revision);
+  this->state->Make<peer::jobs::TombstoneAnnouncement, peer::jobs::Empty>(
+      address, kAnnouncementTimeout, std::move(request),
+      &JobPeer::Stub::async::AnnounceTombstone,
+      [](const Result<peer::jobs::Empty>&) {});
+}
+
 void JobLink::QueryJob(const std::string& address, const jobs::JobId& job,
                        Done<jobs::JobAnswer> done) {
   peer::jobs::JobQuestion request;
--- a/packages/peer/src/job_service.cc
+++ b/packages/peer/src/job_service.cc
@@ -87,6 +87,20 @@
   return Acknowledge(context);
 }
 
+grpc::ServerUnaryReactor* JobService::AnnounceTombstone(
+    grpc::CallbackServerContext* context,
+    const peer::jobs::TombstoneAnnouncement* request,
+    peer::jobs::Empty* /*reply*/) {
+  this->executor->Post(
+      [handler = this->handler,
+       tombstone = jobs::StoreItem{.key = request->key(),
+                                   .value = request->record(),
+                                   .revision = request->revision()}] {
+        handler->OnTombstone(tombstone);
+      });
+  return Acknowledge(context);
+}
+
 grpc::ServerUnaryReactor* JobService::QueryJob(
     grpc::CallbackServerContext* /*context*/,
     const peer::jobs::JobQuestion* request, peer::jobs::JobAnswer* reply) {
--- a/packages/peer/src/job_service.h
+++ b/packages/peer/src/job_service.h
@@ -28,6 +28,10 @@
       grpc::CallbackServerContext* context,
       const peer::jobs::JobQuestion* request,
       peer::jobs::Empty* reply) override;
+  grpc::ServerUnaryReactor* AnnounceTombstone(
+      grpc::CallbackServerContext* context,
+      const peer::jobs::TombstoneAnnouncement* request,
+      peer::jobs::Empty* reply) override;
   grpc::ServerUnaryReactor* QueryJob(grpc::CallbackServerContext* context,
                                      const peer::jobs::JobQuestion* request,
                                      peer::jobs::JobAnswer* reply) override;
--- a/packages/peer/tests/job_link_test.cc
+++ b/packages/peer/tests/job_link_test.cc
@@ -22,6 +22,9 @@
     this->announced.Set(std::move(job));
   }
   void OnCancel(const jobs::JobId& job) override { this->cancelled.Set(job); }
+  void OnTombstone(const jobs::StoreItem& tombstone) override {
+    this->tombstone.Set(tombstone);
+  }
   void OnQueryJob(const jobs::JobId& job, Done<jobs::JobAnswer> done) override {
     if (!this->owns) {
       done(make_error_code(Error::kNotOwner));
@@ -63,6 +66,7 @@
   bool owns = true;
   jobs::WaitableValue<jobs::AnnouncedJob> announced;
   jobs::WaitableValue<jobs::JobId> cancelled;
+  jobs::WaitableValue<jobs::StoreItem> tombstone;
   jobs::WaitableValue<jobs::RelayBatch> relayed;
   jobs::WaitableValue<jobs::RelayedResults> returned;
 };
@@ -154,6 +158,14 @@
   BOOST_TEST(job->record.size() == 4U);
   client.AnnounceCancel(address, jobs::JobId("job"));
   BOOST_TEST(handler.cancelled.Wait(kLimit).has_value());
+  client.AnnounceTombstone(
+      address,
+      {.key = "key/", .value = std::string("\0rec", 4), .revision = 7});
+  const auto tombstone = handler.tombstone.Wait(kLimit);
+  BOOST_REQUIRE(tombstone.has_value());
+  BOOST_TEST(tombstone->key == "key/");
+  BOOST_TEST(tombstone->value.size() == 4U);
+  BOOST_TEST(tombstone->revision == 7);
 }
 
 BOOST_AUTO_TEST_CASE(reply_to_an_announcement_carries_the_load) {
--- a/testing/bench_relay/main.cc
+++ b/testing/bench_relay/main.cc
@@ -59,6 +59,7 @@
  public:
   void OnJob(jobs::AnnouncedJob /*job*/) override {}
   void OnCancel(const jobs::JobId& /*job*/) override {}
+  void OnTombstone(const jobs::StoreItem& /*tombstone*/) override {}
   void OnQueryJob(const jobs::JobId& /*job*/,
                   Done<jobs::JobAnswer> /*done*/) override {}
   void OnQueryPending(const jobs::QueueName& /*queue*/,
--- a/testing/job_sim/src/sim_cell.cc
+++ b/testing/job_sim/src/sim_cell.cc
@@ -149,6 +149,12 @@
                       const jobs::JobId& job) override {
     this->Reach(address, [job](jobs::JobNode* node) { node->OnCancel(job); });
   }
+  void AnnounceTombstone(const std::string& address,
+                         const jobs::StoreItem& tombstone) override {
+    this->Reach(address, [tombstone](jobs::JobNode* node) {
+      node->OnTombstone(tombstone);
+    });
+  }
   void QueryJob(const std::string& address, const jobs::JobId& job,
                 Done<jobs::JobAnswer> done) override {
     const auto answer = this->Once<jobs::JobAnswer>(std::move(done));
@@ -709,8 +715,11 @@
     // An operator's call: keys are judged where jobs are handed in.
     slot->node->Cancel(jobs::Admission{}, id, kCallerTimeout,
                        [this, entry](const jobs::SubmitResult& result) {
-                         if (result.end != jobs::SubmitOutcome::kAccepted)
-                           return;
+                         // A job that is not known is cancelled, too.
+                         const bool acknowledged =
+                             result.end == jobs::SubmitOutcome::kAccepted ||
+                             result.end == jobs::SubmitOutcome::kNoSuchJob;
+                         if (!acknowledged) return;
                          if (std::exchange(entry->cancelled, true)) return;
                          entry->cancelled_at = this->time.Now();
                        });
