Soak: callers that get no answer cancel, and take 410 for an acknowledgement

Cause: the soak cancelled accepted jobs only, so it could not see a job that runs after the cancellation of a submission without an answer.

Change: after a try without an answer a caller gives up in three of ten cases and cancels. 410 acknowledges that cancellation, and the judge holds it against the job's starts as it does 200.

--- a/testing/soak/src/callers.cc
+++ b/testing/soak/src/callers.cc
@@ -21,6 +21,9 @@
 constexpr milliseconds kPatience(3000);
 constexpr milliseconds kRetryPause(100);
 constexpr double kCancelShare = 0.1;
+/// Share of the tries without an answer after which the caller gives up and
+/// cancels.
+constexpr double kGiveUpShare = 0.3;
 constexpr double kHopelessShare = 0.05;
 /// Of the jobs whose tasks take their workers down, where there are any.
 constexpr double kCrashingShare = 0.05;
@@ -212,6 +215,7 @@
     const bool refused =
         reply && (reply->status == kTooMany || reply->status == kUnavailable);
     silent = silent || !refused;
+    if (!refused && Chance(random, kGiveUpShare)) break;
     std::this_thread::sleep_for(kRetryPause);
   }
   const bool accepted = job.fate == CallerJob::Fate::kAccepted;
@@ -223,6 +227,9 @@
     const std::lock_guard lock(this->mutex);
     this->jobs[id] = job;
   }
+  if (job.fate == CallerJob::Fate::kUnknown) {
+    this->Cancel(id, random, connections);
+  }
   if (!accepted) return;
   if (Chance(random, kTwiceShare)) {
     // The same job again, at another process: it remains one.
@@ -235,19 +242,22 @@
                      std::vector<Connection>* connections) {
   std::this_thread::sleep_for(milliseconds(DrawBetween(random, 0, 800)));
   std::string path;
+  bool accepted = false;
   {
     const std::lock_guard lock(this->mutex);
     CallerJob& job = this->jobs[id];
     job.cancelled = true;
     path = job.path;
+    accepted = job.fate == CallerJob::Fate::kAccepted;
   }
   for (int i = 0; i < kTries; ++i) {
     Connection& at = (*connections)[DrawIndex(random, connections->size())];
     const auto reply = at.Send({"DELETE", path, "", {}});
-    if (!reply || reply->status != kOk) {
-      if (reply && reply->status == kGone) {
-        this->Note("a cancelled job is said to be unknown: " + id);
-      }
+    const bool gone = reply && reply->status == kGone;
+    const bool acknowledged =
+        (reply && reply->status == kOk) || (gone && !accepted);
+    if (!acknowledged) {
+      if (gone) this->Note("a cancelled job is said to be unknown: " + id);
       std::this_thread::sleep_for(kRetryPause);
       continue;
     }
