Restart a long-running task whose end is read late

Cause: JobTable::End left long-running tasks out where the run is open, but not where a success is read after the run was taken for lapsed.

Evidence: the owner logs task-ended lapsed (counted 1), then, once the worker is reached again, task-ended done (counted 0), and job-final completed 4 ms later.

Change: whether an end counts is decided once, before either path. A closed run of an unfinished task is started again, so nothing else is needed.

--- a/packages/jobs/src/job_table.cc
+++ b/packages/jobs/src/job_table.cc
@@ -182,26 +182,28 @@
   JobEntry* entry = this->Find(run.task.step.job);
   TaskEntry* task = this->FindOpen(run);
   if (entry == nullptr) return {};
+  const Step* spec = this->FindStep(run.task.step);
+  // A long-running task is restarted however it ends.
+  const bool counts = spec != nullptr && !spec->long_running;
   // A success that is reported after the run was considered lost still counts,
   // unless a newer run has begun.
   if (task == nullptr) {
     TaskEntry* known = this->FindTask(run.task);
-    const bool late = known != nullptr && !known->done && !known->open &&
-                      known->last_run == run.run && end == RunEnd::kDone;
+    const bool late = counts && known != nullptr && !known->done &&
+                      !known->open && known->last_run == run.run &&
+                      end == RunEnd::kDone;
     if (!late || IsFinal(entry->state)) return {};
     EndEffect effect = this->EndDone(entry, run);
     effect.matched = false;
     return effect;
   }
   StepEntry* step = this->FindStepEntry(run.task.step);
-  const Step* spec = this->FindStep(run.task.step);
   if (end == RunEnd::kFailed) task->last_failed_worker = task->worker.id;
   CloseRun(step, task);
   if (!checkpoint.empty()) this->NoteCheckpoint(run, checkpoint);
   EndEffect effect;
   effect.matched = true;
   if (IsFinal(entry->state)) return effect;
-  const bool counts = !spec->long_running;
   if (end == RunEnd::kDone && counts) {
     effect = this->EndDone(entry, run);
   } else if (end == RunEnd::kFailed && counts) {
--- a/packages/jobs/tests/job_table_test.cc
+++ b/packages/jobs/tests/job_table_test.cc
@@ -134,6 +134,21 @@
   BOOST_TEST((entry->state == JobState::kRunning));
 }
 
+// Guards against a long-running task that is never started again, because the
+// success of a run that was considered lost is reported late.
+BOOST_AUTO_TEST_CASE(late_success_does_not_complete_a_long_running_task) {
+  JobSpec spec = MakeSpec({MakeStep(1, 100, seconds(1))});
+  spec.steps[0].long_running = true;
+  JobEntry* entry = Add(spec);
+  const auto runs = Begin(entry, 0);
+  End(runs[0], RunEnd::kLapsed);
+  const EndEffect late = End(runs[0], RunEnd::kDone);
+  BOOST_TEST(!late.durable);
+  BOOST_TEST(!late.job_final);
+  BOOST_TEST((entry->state == JobState::kRunning));
+  BOOST_TEST(Begin(entry, 0).size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(occurrences_open_when_they_are_due_and_may_overlap) {
   JobSpec spec = MakeSpec({MakeStep(1, 100, seconds(1))});
   spec.schedule = {.first_unix_ms = 1000, .interval_ms = 500, .occurrences = 3};
