Never give up a long-running task for lost workers

Cause: the limit on lost workers, and the isolation that comes before it, are meant for tasks that crash their workers. Long-running tasks have no limit of starts, and runs of 17 s, which had outlasted their isolation of 5 s, counted like runs that crash at once; only a run of 60 s was left out.

Evidence: task-given-up names the four lives of one worker; each run-lost before it has survived_ms above 17,600 after a quarantine-ended.

Change: a loss after a run that has outlasted the longest isolation is disregarded, with the earlier ones. A long-running task that would be given up is started again after 5 s instead. Of its losses the newest 8 are kept.

--- a/packages/jobs/src/crash_history.h
+++ b/packages/jobs/src/crash_history.h
@@ -41,6 +41,8 @@
  public:
   /// Records a loss, once per worker incarnation.
   void Note(const WorkerLoss& loss);
+  /// Forgets the oldest losses beyond this number.
+  void KeepNewest(std::size_t count);
   /// Marks the loss of the worker as confirmed.
   /// @return true if the loss was recorded and not confirmed before
   bool Confirm(const WorkerIncarnation& worker);
--- a/packages/jobs/src/job_table.cc
+++ b/packages/jobs/src/job_table.cc
@@ -8,6 +8,9 @@
 namespace mustardproxy::jobs {
 namespace {
 
+/// Losses of workers that are kept of a long-running task.
+constexpr std::size_t kMaxKeptLosses = 8;
+
 bool AllDone(const OccurrenceEntry& occurrence) {
   return std::all_of(occurrence.steps.begin(), occurrence.steps.end(),
                      [](const StepEntry& step) { return step.Done(); });
@@ -220,11 +223,15 @@
 void JobTable::NoteLoss(const RunRef& run, const WorkerLoss& loss) {
   JobEntry* entry = this->Find(run.task.step.job);
   if (entry == nullptr || this->FindOpen(run) == nullptr) return;
+  const bool long_running = this->FindStep(run.task.step)->long_running;
+  if (long_running && loss.survived >= kMaxProbationPeriod) {
+    entry->crashes.erase(run.task);
+    return;
+  }
   CrashHistory& history = entry->crashes[run.task];
-  const bool stable = this->FindStep(run.task.step)->long_running &&
-                      loss.survived >= kStableRunTime;
-  if (stable) history = {};
   history.Note(loss);
+  // The number of starts is not limited.
+  if (long_running) history.KeepNewest(kMaxKeptLosses);
 }
 
 std::vector<TaskRef> JobTable::ConfirmLoss(const WorkerIncarnation& worker) {
--- a/packages/jobs/src/options.h
+++ b/packages/jobs/src/options.h
@@ -179,11 +179,14 @@
 /// Period of checks that no event triggers: lease expiry, due times, retention.
 inline constexpr Duration kTickInterval = milliseconds(100);
 
-/// After a long-running task has run this long, its start counts as harmless to
-/// its worker, and earlier losses of workers are disregarded. Otherwise a
-/// service would be given up after enough of its hosts had failed over its
-/// lifetime.
-inline constexpr Duration kStableRunTime = seconds(60);
+/// Maximum time for which a worker is reserved for one suspicious task. If a
+/// worker is lost after a long-running task has run longer, the loss and
+/// earlier ones are disregarded: a run in isolation would not have shown the
+/// cause.
+inline constexpr Duration kMaxProbationPeriod = seconds(5);
+/// Delay before a long-running task is started again that is likely to crash
+/// its workers. Such a task has no limit of starts.
+inline constexpr Duration kCrashRestartDelay = seconds(5);
 /// Maximum delay until a draining worker is detected.
 inline constexpr Duration kDrainDetectionDelay = milliseconds(1000);
 /// A run that has lasted this long is unlikely to crash its worker.
--- a/packages/jobs/src/run_control.cc
+++ b/packages/jobs/src/run_control.cc
@@ -925,6 +925,10 @@
 void RunControl::GiveUp(const TaskRef& task) {
   JobEntry* entry = this->context->jobs.Find(task.step.job);
   if (entry == nullptr || IsFinal(entry->state)) return;
+  if (this->context->jobs.FindStep(task.step)->long_running) {
+    this->DelayRestart(task);
+    return;
+  }
   const std::string lost = entry->crashes.at(task).Text();
   this->context->log->Write("jobs", "task-given-up",
                             {{"task", Text(task)},
@@ -936,6 +940,18 @@
   this->StoreFinal(entry);
 }
 
+void RunControl::DelayRestart(const TaskRef& task) {
+  TaskEntry* entry = this->context->jobs.FindTask(task);
+  const CrashHistory* crashes = this->context->jobs.FindCrashes(task);
+  if (entry == nullptr || crashes == nullptr) return;
+  entry->not_before = this->context->executor->Now() + kCrashRestartDelay;
+  this->context->log->Write(
+      "jobs", "restart-delayed",
+      {{"task", Text(task)},
+       {"delay_ms", WholeMilliseconds(kCrashRestartDelay)},
+       {"lost_workers", crashes->Text()}});
+}
+
 void RunControl::LogLostRun(const WorkerSession& session, const RunRef& run,
                             const SessionRun& record, LossCause cause) {
   const bool inherited =
--- a/packages/jobs/src/run_control.h
+++ b/packages/jobs/src/run_control.h
@@ -162,8 +162,10 @@
   [[nodiscard]] std::size_t MaxLostWorkers() const {
     return static_cast<std::size_t>(this->context->max_lost_workers);
   }
-  /// Fails the job of a task that crashes its workers.
+  /// Fails the job of a task that crashes its workers. A long-running task is
+  /// started again, after a delay.
   void GiveUp(const TaskRef& task);
+  void DelayRestart(const TaskRef& task);
   /// Like End, but never fails the job because of lost workers.
   bool ApplyRunEnd(WorkerSession* session, const RunRef& run, RunEnd end,
                    std::string_view checkpoint, std::function<void()> durable);
--- a/packages/jobs/tests/cell_crash_test.cc
+++ b/packages/jobs/tests/cell_crash_test.cc
@@ -25,6 +25,15 @@
   return job;
 }
 
+/// @return the number of runs at workers that are up
+std::size_t CountRunning(SimCell* cell) {
+  std::size_t count = 0;
+  for (const job_sim::SimWorker* worker : cell->Workers().Alive()) {
+    count += worker->RunningCount();
+  }
+  return count;
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(cell_crash)
@@ -191,6 +200,70 @@
   CheckInvariants(cell.get());
 }
 
+// Guards against a service that is failed, and stopped as a whole, because one
+// of its hosts fails again and again.
+BOOST_AUTO_TEST_CASE(long_running_job_survives_one_host_that_flaps) {
+  constexpr std::int32_t kTasks = 8;
+  const auto cell = SimCell::Builder().Workers(kTasks).Build();
+  Step step = MakeStep(kTasks, 2000, seconds(1000));
+  step.long_running = true;
+  step.max_per_worker = 1;
+  SimJob* job = cell->Submit(MakeSpec({step}));
+  cell->Time().RunFor(seconds(2));
+  const std::string address = cell->Workers().Alive().front()->Info().address;
+  constexpr int kFailures = 8;
+  for (int i = 0; i < kFailures; ++i) {
+    cell->Time().RunFor(seconds(14));
+    for (job_sim::SimWorker* worker : cell->Workers().Alive()) {
+      if (worker->Info().address != address) continue;
+      cell->CrashWorker(worker, milliseconds(4500));
+    }
+    cell->Time().RunFor(seconds(8));
+    BOOST_TEST(CountRunning(cell.get()) == kTasks);
+  }
+  BOOST_TEST((cell->Ask(job->job.id) == JobState::kRunning));
+  CheckInvariants(cell.get());
+}
+
+// Guards against the tasks of a service that are started again one by one after
+// the hosts that they shared have failed twice.
+BOOST_AUTO_TEST_CASE(long_running_tasks_of_a_lost_worker_restart_together) {
+  constexpr std::int32_t kTasks = 7;
+  const auto cell = SimCell::Builder().Workers(8).Build();
+  Step step = MakeStep(kTasks, 2000, seconds(1000));
+  step.long_running = true;
+  SimJob* job = cell->Submit(MakeSpec({step}));
+  for (int i = 0; i < 2; ++i) {
+    cell->Time().RunFor(seconds(12));
+    for (job_sim::SimWorker* worker : cell->Workers().Alive()) {
+      if (worker->RunningCount() > 0) cell->CrashWorker(worker, seconds(60));
+    }
+  }
+  // Within the lease of the lost worker, which is waited for.
+  cell->Time().RunFor(seconds(6));
+  BOOST_TEST(CountRunning(cell.get()) == kTasks);
+  BOOST_TEST((cell->Ask(job->job.id) == JobState::kRunning));
+  CheckInvariants(cell.get());
+}
+
+// Guards against a long-running task that is given up because it crashes its
+// workers, and against starting it again without a delay.
+BOOST_AUTO_TEST_CASE(long_running_task_that_crashes_workers_restarts_delayed) {
+  const auto cell = SimCell::Builder().Workers(8).Build();
+  Step step = MakeStep(1, 2000, seconds(1000));
+  step.long_running = true;
+  SimJob* job = SubmitCrashing(cell.get(), step, {});
+  cell->Time().RunFor(seconds(60));
+  BOOST_TEST((cell->Ask(job->job.id) == JobState::kRunning));
+  const std::int64_t runs = cell->Judge().Runs();
+  BOOST_TEST(runs >= 4);
+  cell->Time().RunFor(seconds(60));
+  // At most one start in five seconds.
+  BOOST_TEST(cell->Judge().Runs() - runs <= 12);
+  BOOST_TEST(cell->Judge().Runs() > runs);
+  CheckInvariants(cell.get());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace mustardproxy::jobs
--- a/packages/jobs/tests/crash_history_test.cc
+++ b/packages/jobs/tests/crash_history_test.cc
@@ -28,6 +28,17 @@
   BOOST_TEST(history.Empty());
 }
 
+BOOST_AUTO_TEST_CASE(only_the_newest_losses_are_kept) {
+  CrashHistory history;
+  for (const char* worker : {"a", "b", "c"}) {
+    history.Note(Loss(worker, seconds(1)));
+  }
+  history.KeepNewest(2);
+  BOOST_TEST(history.Text() == "b c");
+  history.KeepNewest(2);
+  BOOST_TEST(history.Losses().size() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(a_single_loss_is_suspicious_only_at_task_start) {
   CrashHistory late;
   late.Note(Loss("a", seconds(1)));
--- a/testing/job_sim/src/promises.cc
+++ b/testing/job_sim/src/promises.cc
@@ -197,6 +197,8 @@
 void Promises::CheckCrashBudget(const jobs::RunRef& run) {
   const auto found = this->crashes.find(run.task);
   if (found == this->crashes.end() || found->second < kMostCrashes) return;
+  // Long-running tasks are restarted without a limit.
+  if (this->StepOf(run.task.step)->long_running) return;
   if (++this->starts_after_crashes[run.task] <= kStartsAfterCrashes) return;
   this->Break("started on and on though workers crash under it", Describe(run));
 }
