--- a/packages/settings/src/cell_schema.cc
+++ b/packages/settings/src/cell_schema.cc
@@ -52,7 +52,9 @@
                "less often if this is longer")
       .Integer("max_lost_workers", &CellSettings::max_lost_workers, {2, 4},
                "workers that may be lost under one task before it is given up; "
-               "one more if another task may have been the cause")
+               "one more if another task may have been the cause. A "
+               "long-running task is not given up, but started again after "
+               "5 s")
       .Text("platform_policies", &CellSettings::platform_policies,
             std::make_shared<NameListRule>(),
             "parts of the platform's rules that are in force")
