--- a/review/harness-2/platform.hpp
+++ b/review/harness-2/platform.hpp
@@ -292,17 +292,7 @@
   void Boot() {
     this->server.Open();
     const std::lock_guard lock(this->mutex);
-    this->id = "i-" + this->name + "-" + std::to_string(++this->life);
-    this->booted = Clock::now();
-    this->token = 0;
-    this->lease_until = 0;
-    this->running.clear();
-    this->closed.clear();
-    this->ended.clear();
-    this->next_end = 1;
-    this->alive = true;
-    this->next_beat = Clock::now();
-    this->record->Write("worker " + this->id + " boots");
+    this->Begin();
   }
   // Power fails: what runs is gone, connections are reset, nothing is said to
   // the store. The entry goes after three intervals of silence.
@@ -324,6 +314,31 @@
     this->changed.notify_all();
     this->server.Close();
   }
+  // Cut off from all: nothing that arrives is answered, no heartbeat leaves,
+  // and what runs runs on under its lease.
+  void Cut() {
+    const std::lock_guard lock(this->mutex);
+    this->cut = true;
+    this->record->Write("worker " + this->id + " is cut off");
+  }
+  // Crashes behind the cut and starts again, under a new id; the cut heals.
+  void Reborn() {
+    {
+      const std::lock_guard lock(this->mutex);
+      for (const auto& [run, one] : this->running) {
+        this->record->Write("  lost with " + this->id + ": " + run.first +
+                            " run " + std::to_string(run.second));
+        this->observer("lost", run.first, run.second);
+      }
+      this->lapsing.push_back(
+          {this->id, Clock::now() + milliseconds(3 * kHeartbeatMs)});
+      this->record->Write("worker " + this->id + " crashes behind the cut");
+      this->Begin();
+      this->cut = false;
+    }
+    this->changed.notify_all();
+    this->server.ResetConnections();
+  }
   // All that it starts from now on fails at once; it answers well.
   void SetFailing(bool failing) { this->failing = failing; }
   [[nodiscard]] bool Runs(const std::string& task) {
@@ -346,6 +361,19 @@
     bool fails = false;
   };
 
+  void Begin() {
+    this->id = "i-" + this->name + "-" + std::to_string(++this->life);
+    this->booted = Clock::now();
+    this->token = 0;
+    this->lease_until = 0;
+    this->running.clear();
+    this->closed.clear();
+    this->ended.clear();
+    this->next_end = 1;
+    this->alive = true;
+    this->next_beat = Clock::now();
+    this->record->Write("worker " + this->id + " boots");
+  }
   std::int64_t ClockMs() const {
     return 1000 +
            std::chrono::duration_cast<milliseconds>(Clock::now() - this->booted)
@@ -374,7 +402,11 @@
   }
   std::optional<Response> Handle(const Request& r) {
     std::unique_lock lock(this->mutex);
-    if (!this->alive) return std::nullopt;
+    const std::int64_t arrived = this->life;
+    while (this->cut && this->alive && !this->stopping) {
+      this->changed.wait_for(lock, milliseconds(20));
+    }
+    if (!this->alive || arrived != this->life) return std::nullopt;
     if (r.path == "/health") return Response{200, "{}"};
     const auto expected = r.headers.find("x-expect-instance");
     if (expected != r.headers.end() && expected->second != this->id) {
@@ -437,6 +469,9 @@
            this->ended.empty() && Clock::now() < until) {
       this->changed.wait_until(lock, until);
     }
+    while (this->cut && life == this->life && !this->stopping) {
+      this->changed.wait_for(lock, milliseconds(20));
+    }
     if (!this->alive || life != this->life) return std::nullopt;
     Json runs = Json::array();
     for (const auto& [run, one] : this->running) {
@@ -467,7 +502,7 @@
       for (const std::string& one : lapsed)
         this->store->Remove("servers/" + one);
       if (!this->alive) continue;
-      if (now >= this->next_beat) {
+      if (now >= this->next_beat && !this->cut) {
         this->next_beat = now + milliseconds(kHeartbeatMs);
         this->Report();
       }
@@ -510,6 +545,7 @@
   std::condition_variable changed;
   std::atomic<bool> alive = false;
   std::atomic<bool> failing = false;
+  bool cut = false;
   std::atomic<bool> stopping = false;
   std::string id;
   std::int64_t life = 0;
