Send questions again when a process's back-off ends

Cause: a process that has failed a question is not asked for a second, and nothing looked at the waiting questions when that second was over; they were sent only upon a request, an answer or a change of the processes. The step itself does not ask again while its question waits.

Evidence: the log of the owner shows step-waits with until=answer for 30 s, no dropped question, and eight free workers; the next job has the first one's question sent before its own.

Fix: while questions wait and a process is out of use, a timer sends them when the first of these is used again, so a wait that ends at an instant is looked at then. questions-held in the log says when no process is used.

--- a/packages/jobs/src/permission_broker.cc
+++ b/packages/jobs/src/permission_broker.cc
@@ -144,32 +144,37 @@
 PermissionBroker::IdleClient PermissionBroker::FindIdleClient() {
   const Instant now = this->parts.executor->Now();
   std::size_t longs = 0;
-  std::size_t usable = 0;
   IdleClient idle;
   for (auto& [name, client] : this->clients) {
-    if (client.unavailable_until > now) continue;
-    ++usable;
+    if (client.unavailable_until > now) {
+      idle.next_available =
+          std::min(idle.next_available.value_or(client.unavailable_until),
+                   client.unavailable_until);
+      continue;
+    }
+    ++idle.usable;
     if (client.busy_with_long) ++longs;
     if (client.busy || idle.client != nullptr) continue;
     idle.process = name;
     idle.client = &client;
   }
   const std::size_t kept =
-      std::min(usable / kClientsPerShortClient,
+      std::min(idle.usable / kClientsPerShortClient,
                this->short_question_load.ClientsToReserve(now));
-  idle.takes_long = longs < std::max<std::size_t>(1, usable - kept);
+  idle.takes_long = longs < std::max<std::size_t>(1, idle.usable - kept);
   return idle;
 }
 
 void PermissionBroker::SendWaiting() {
   for (std::size_t dropped = 0; dropped < kMaxDroppedQuestions;) {
+    if (this->queue.Size() == 0) return;
     // Usually no process is idle while many questions wait, and nothing else
     // is looked at then.
     const IdleClient idle = this->FindIdleClient();
-    if (idle.client == nullptr || this->queue.Size() == 0) return;
+    if (idle.client == nullptr) return this->SendWhenAvailable(idle);
     const auto waiting =
         this->queue.TakeNext(this->parts.executor->Now(), idle.takes_long);
-    if (!waiting) return;
+    if (!waiting) return this->SendWhenAvailable(idle);
     std::vector<AskedWorker> workers = this->chooser(waiting->request.step);
     if (workers.empty()) {
       StepAdvice* known = FindAdvice(this->steps, waiting->request.step);
@@ -192,6 +197,24 @@
   }));
 }
 
+// Failure: all processes fail within the time for which each is not used
+// afterwards, no answer is due that would send the waiting questions, and the
+// steps that they are about are never started.
+void PermissionBroker::SendWhenAvailable(const IdleClient& idle) {
+  if (!idle.next_available || std::exchange(this->timer_set, true)) return;
+  const Duration delay = *idle.next_available - this->parts.executor->Now();
+  if (idle.usable == 0) {
+    this->parts.log->Write("advice", "questions-held",
+                           {{"waiting", this->queue.Size()},
+                            {"processes", this->clients.size()},
+                            {"for_ms", WholeMilliseconds(delay)}});
+  }
+  this->parts.executor->After(delay, this->guard.Wrap([this] {
+    this->timer_set = false;
+    this->SendWaiting();
+  }));
+}
+
 void PermissionBroker::Send(const WaitingQuestion& waiting,
                             std::vector<AskedWorker> workers,
                             const ProcessId& process, Client* client,
--- a/packages/jobs/src/permission_broker.h
+++ b/packages/jobs/src/permission_broker.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <unordered_map>
@@ -132,6 +133,11 @@
     Client* client = nullptr;
     /// A long question may be sent now.
     bool takes_long = false;
+    /// Number of processes that are used, idle or busy.
+    std::size_t usable = 0;
+    /// When the first process that is not used after a failure is used again;
+    /// nothing if all are used.
+    std::optional<Instant> next_available;
   };
   struct Sent {
     StepRef step;
@@ -146,6 +152,8 @@
   using StepNumber = std::pair<std::int32_t, std::int32_t>;
 
   void SendWaiting();
+  /// Sends the waiting questions once another process is used again.
+  void SendWhenAvailable(const IdleClient& idle);
   IdleClient FindIdleClient();
   void Send(const WaitingQuestion& waiting, std::vector<AskedWorker> workers,
             const ProcessId& process, Client* client, Duration cost);
@@ -165,6 +173,8 @@
   ShortQuestionLoad short_question_load;
   /// The rest of the waiting questions is looked at in a task of its own.
   bool continues = false;
+  /// See SendWhenAvailable.
+  bool timer_set = false;
   CallbackGuard guard;
 };
 
--- a/packages/jobs/tests/cell_permission_test.cc
+++ b/packages/jobs/tests/cell_permission_test.cc
@@ -1,4 +1,5 @@
 #include <boost/test/unit_test.hpp>
+#include <cstdint>
 #include <memory>
 
 #include "check_invariants.h"
@@ -13,6 +14,9 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+/// A step that may begin must not wait longer in an idle cell.
+constexpr Duration kMaxStartDelay = seconds(3);
+
 /// A queue whose permissions are valid for 0.4 s.
 Queue MakeQueue() {
   Queue queue;
@@ -57,6 +61,30 @@
   CheckInvariants(cell.get());
 }
 
+// Guards against a job that is never started: the questions of all processes
+// about its step have failed at one moment, and no other event sends it again.
+BOOST_AUTO_TEST_CASE(questions_are_repeated_after_all_processes_have_failed) {
+  for (const std::int32_t processes : {1, 3, 12}) {
+    BOOST_TEST_CONTEXT("processes: " << processes) {
+      const auto cell = SimCell::Builder()
+                            .Processes(processes)
+                            .Workers(12)
+                            .Queue(MakeQueue(), 0.5)
+                            .Build();
+      cell->Time().RunFor(seconds(2));
+      cell->FailQuestions(processes);
+      const auto* job = cell->SubmitTo(
+          QueueName("scans"), MakeSpec({MakeStep(1, 2000, seconds(1))}), 0);
+      cell->Time().RunFor(kMaxStartDelay);
+      BOOST_TEST(cell->Log().Count("question-failed") ==
+                 static_cast<std::size_t>(processes));
+      BOOST_TEST(job->first_start.has_value());
+      cell->Settle(seconds(20));
+      CheckInvariants(cell.get());
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace mustardproxy::jobs
--- a/testing/job_sim/include/job_sim/sim_cell.h
+++ b/testing/job_sim/include/job_sim/sim_cell.h
@@ -89,6 +89,9 @@
   /// Has the policy service know workers by their address, so that a life that
   /// follows another is permitted what that was.
   void PermitByAddress() { this->permits_by_address = true; }
+  /// Has the next questions to the policy service fail at once, as when their
+  /// connections are reset.
+  void FailQuestions(std::int32_t count) { this->failing_questions = count; }
 
   /// @return the data centre of the worker that was added as this one
   [[nodiscard]] mustardproxy::DataCenterId DataCenterAt(
@@ -197,6 +200,8 @@
   /// Interval at which workers write their entries; never if zero.
   Duration heartbeat{0};
   bool permits_by_address = false;
+  /// How many of the next questions fail.
+  std::int32_t failing_questions = 0;
   bool reuses_ids = false;
   bool hides_births = false;
   double least_capacity = 1.0;
--- a/testing/job_sim/src/sim_cell.cc
+++ b/testing/job_sim/src/sim_cell.cc
@@ -235,6 +235,13 @@
 
   void Ask(jobs::AdviceQuestion question,
            std::function<void(Result<jobs::Advice>)> done) override {
+    if (this->cell->failing_questions > 0) {
+      --this->cell->failing_questions;
+      this->self->Post([done = std::move(done)] {
+        done(make_error_code(Error::kPeerLost));
+      });
+      return;
+    }
     const jobs::Queue& queue = this->QueueOf(question.step);
     const jobs::AdvicePolicy policy =
         queue.advice.value_or(jobs::AdvicePolicy{});
