A change of the owner adds little to the wait for a lost worker

Change, by the plan of the issue (DESIGN.md, "Leases of former owners"): - A: former owners stand beside the owner's key, and their addresses are asked. One that answers as another incarnation, or has given its token up, has ended. - C: an owner stores to which silent workers it grants no lease, and for how long their leases may last. It grants none until the store has taken that away. - D: a new owner does the same for workers that it has not reached. - A worker that a new owner has reached is waited for as if there had been no change. - An answer to an election that comes after the lease has ended is checked first. B, registrations as the proof, was not built: a late write would declare the present incarnation ended.

Why nothing runs twice: an order names the end of the lease on the worker's own clock, so what is under way when an owner ends lasts no longer; what is withheld is read after the election; a record that may miss an owner means the wait of before.

Changed check: cell_team/invalid_configuration_changes_nothing asked in the 0.2 s in which the view of the configuration is older than its limit after a rejected change, now that the job is seen as final 0.1 s earlier; it asks after that.

--- a/packages/jobs/include/mustardproxy/jobs/job_node.h
+++ b/packages/jobs/include/mustardproxy/jobs/job_node.h
@@ -28,6 +28,7 @@
   class Builder;
   ~JobNode() override;
 
+  /// Peers must reach this process at its address from now on, and no other.
   void Start();
   /// Gives up ownership and membership. Calls of callers are still answered.
   void Leave();
@@ -62,6 +63,7 @@
              JobPeerHandler::Done<Advice> done) override;
   void OnRelay(RelayBatch batch, JobPeerHandler::Done<RelayAck> done) override;
   void OnResults(RelayedResults results) override;
+  void OnQueryProcess(JobPeerHandler::Done<ProcessState> done) override;
 
  private:
   struct Internals;
--- a/packages/jobs/include/mustardproxy/jobs/job_peers.h
+++ b/packages/jobs/include/mustardproxy/jobs/job_peers.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "mustardproxy/core/ids.h"
 #include "mustardproxy/core/result.h"
@@ -51,6 +52,28 @@
   kUncertain,
 };
 
+/// A withheld lease of a worker that a process has seen in the store, by the
+/// owner that stored it and the number that this owner gave it.
+struct SeenWithheldLease {
+  WorkerId worker;
+  FencingToken token = 0;
+  std::int64_t number = 0;
+  /// Time since the process saw it first.
+  Duration age{0};
+};
+
+/// Which process answers at an address, and what it has seen.
+struct ProcessState {
+  ProcessId process;
+  Incarnation incarnation = 0;
+  /// Highest token of the ownerships that it has given up; 0 for none. It acts
+  /// under none of them, nor under a lower one, any more.
+  FencingToken given_up = 0;
+  /// Time since it took the address, on its own clock.
+  Duration age{0};
+  std::vector<SeenWithheldLease> withheld_leases;
+};
+
 /// Calls to the other processes of the cell. Each call with a `done` ends with
 /// exactly one call of it on the control thread. Errors are `kPeerLost`, and
 /// `kStarting` from a process that does not schedule (yet).
@@ -97,6 +120,9 @@
   /// Returns results to the owner that sent the orders; may be lost.
   virtual void ReturnResults(const std::string& address,
                              const RelayedResults& results) = 0;
+  /// Asks which process answers at this address.
+  virtual void QueryProcess(const std::string& address,
+                            Done<ProcessState> done) = 0;
 };
 
 /// Handles the calls of peers to this process. Called on the control thread;
@@ -121,6 +147,7 @@
   virtual void OnAsk(AdviceQuestion question, Done<Advice> done) = 0;
   virtual void OnRelay(RelayBatch batch, Done<RelayAck> done) = 0;
   virtual void OnResults(RelayedResults results) = 0;
+  virtual void OnQueryProcess(Done<ProcessState> done) = 0;
 };
 
 }  // namespace mustardproxy::jobs
--- a/packages/jobs/src/cell_member.cc
+++ b/packages/jobs/src/cell_member.cc
@@ -13,6 +13,9 @@
 namespace mustardproxy::jobs {
 namespace {
 
+/// Number of processes that a new owner asks what they have seen.
+constexpr std::size_t kMaxWitnesses = 3;
+
 /// A renewal that is sent this late is logged.
 constexpr Duration kLateRenewal = milliseconds(100);
 
@@ -287,6 +290,12 @@
     this->OnNodeKey(event);
   } else if (key == keys::Owner()) {
     this->OnOwnerKey(event);
+  } else if (key == keys::RecentOwners()) {
+    this->OnRecentOwners(event);
+  } else if (key == keys::WithheldLeases()) {
+    this->OnWithheldLeases(event);
+    // Says nothing about processes.
+    return;
   }
   this->handlers.on_change();
   this->ConsiderTracking();
@@ -312,8 +321,91 @@
   }
 }
 
+void CellMember::OnRecentOwners(const StoreEvent& event) {
+  if (event.deleted) {
+    this->recent_owners.NoteRecordDeleted(event.item.revision);
+  } else {
+    this->recent_owners.NoteRecord(event.item, this->executor->Now());
+  }
+}
+
+void CellMember::OnWithheldLeases(const StoreEvent& event) {
+  if (event.deleted) {
+    this->withheld.Clear();
+  } else {
+    this->withheld.Note(event.item.value, this->executor->Now());
+  }
+}
+
+FormerOwners CellMember::FindFormerOwners() const {
+  return this->recent_owners.Before(this->token, this->executor->Now());
+}
+
+void CellMember::NoteSeen(const std::vector<SeenWithheldLease>& leases) {
+  const Instant now = this->executor->Now();
+  for (const SeenWithheldLease& lease : leases) {
+    this->withheld.NoteSeen(lease, now - lease.age);
+  }
+}
+
+std::vector<std::string> CellMember::FindWitnesses() const {
+  std::vector<const Registration*> others;
+  for (const auto& [name, other] : this->nodes) {
+    if (name != this->self.name) others.push_back(&other);
+  }
+  const std::size_t count = std::min(others.size(), kMaxWitnesses);
+  std::partial_sort(
+      others.begin(), others.begin() + static_cast<std::ptrdiff_t>(count),
+      others.end(),
+      [](const auto* a, const auto* b) { return a->revision < b->revision; });
+  std::vector<std::string> addresses;
+  for (std::size_t i = 0; i < count; ++i) {
+    addresses.push_back(others[i]->node.peer_address);
+  }
+  return addresses;
+}
+
+void CellMember::ForgetFormerOwners() {
+  const bool due = this->token != 0 && this->StoreAnswers() &&
+                   !this->handing_over && !this->leaving &&
+                   !this->recent_owners.NamesOnly(this->token);
+  if (!due || std::exchange(this->forgetting, true)) return;
+  const std::string record =
+      EncodeOwners({.owners = {{this->self, this->token}}, .complete = true});
+  Transaction transaction;
+  transaction.conditions.push_back({keys::Owner(), this->token});
+  transaction.conditions.push_back(
+      {keys::RecentOwners(), this->recent_owners.RecordRevision()});
+  transaction.puts.push_back({keys::RecentOwners(), record, 0});
+  this->store->Commit(
+      std::move(transaction),
+      this->guard.Wrap([this, record](const CommitResult& result) {
+        this->forgetting = false;
+        this->NoteRecentOwners(record, result);
+      }));
+}
+
+void CellMember::NoteRecentOwners(const std::string& written,
+                                  const CommitResult& result) {
+  const Instant now = this->executor->Now();
+  if (result.end == CommitOutcome::kCommitted) {
+    this->recent_owners.NoteRecord({.key = keys::RecentOwners(),
+                                    .value = written,
+                                    .revision = result.revision},
+                                   now);
+  }
+  // Failure: the record has changed unnoticed, and no process can be elected
+  // until a watch tells.
+  for (const StoreItem& item : result.found) {
+    if (item.key == keys::RecentOwners()) {
+      this->recent_owners.NoteRecord(item, now);
+    }
+  }
+}
+
 void CellMember::OnOwnerKey(const StoreEvent& event) {
   if (event.deleted) {
+    this->recent_owners.NoteVacant(event.item.revision, this->executor->Now());
     // Ignore a change that is older than the write that made this process the
     // owner.
     if (event.item.revision < this->token) return;
@@ -328,6 +420,7 @@
     return;
   }
   this->owner = Ownership{*node, event.item.revision};
+  this->recent_owners.NoteOwner(event.item.revision, this->executor->Now());
   this->choice.NoteOwner(*node, event.item.revision, this->executor->Now());
   this->log->Write(
       "cell", "owner-changed",
@@ -379,15 +472,36 @@
       {keys::Owner(), this->owner ? this->owner->token : 0});
   transaction.puts.push_back(
       {keys::Owner(), EncodeNode(this->self), this->lease});
+  const std::string recent = this->AddRecentOwners(this->self, &transaction);
   this->store->Commit(std::move(transaction),
-                      this->guard.Wrap([this](const CommitResult& result) {
-                        this->OnElectionResult(result);
+                      this->guard.Wrap([this, used = this->lease,
+                                        recent](const CommitResult& result) {
+                        this->OnElectionResult(used, recent, result);
                       }));
 }
 
-void CellMember::OnElectionResult(const CommitResult& result) {
+std::string CellMember::AddRecentOwners(const NodeRecord& next,
+                                        Transaction* transaction) const {
+  std::string record =
+      this->recent_owners.EncodeNext(next, this->executor->Now());
+  transaction->conditions.push_back(
+      {keys::RecentOwners(), this->recent_owners.RecordRevision()});
+  transaction->puts.push_back({keys::RecentOwners(), record, 0});
+  return record;
+}
+
+void CellMember::OnElectionResult(StoreLeaseId used, const std::string& recent,
+                                  const CommitResult& result) {
+  this->NoteRecentOwners(recent, result);
   switch (result.end) {
     case CommitOutcome::kCommitted:
+      // Failure: the answer arrives when the lease has ended and another
+      // process owns the group, and this one acts as its owner.
+      if (used != this->lease ||
+          (this->owner && this->owner->token > result.revision)) {
+        this->VerifyElection();
+        return;
+      }
       this->electing = false;
       this->BecomeOwner(result.revision);
       return;
@@ -429,8 +543,10 @@
 }
 
 void CellMember::BecomeOwner(Revision revision) {
-  if (this->token != 0 || this->leaving) return;
+  // What was given up must not be taken up again: others may have been told.
+  if (this->token != 0 || this->leaving || revision <= this->given_up) return;
   this->token = revision;
+  this->recent_owners.NoteOwner(revision, this->executor->Now());
   this->owner = Ownership{this->self, revision};
   this->choice.NoteOwner(this->self, revision, this->executor->Now());
   this->log->Write("cell", "elected", {{"token", revision}});
@@ -443,7 +559,7 @@
   if (this->token == 0) return;
   this->log->Write("cell", "deposed",
                    {{"token", this->token}, {"reason", reason}});
-  this->token = 0;
+  this->given_up = std::exchange(this->token, 0);
   this->handlers.on_deposed(reason);
 }
 
@@ -496,6 +612,7 @@
   transaction.conditions.push_back({keys::Owner(), this->token});
   transaction.puts.push_back(
       {keys::Owner(), EncodeNode(successor.node), successor.lease});
+  (void)this->AddRecentOwners(successor.node, &transaction);
   this->store->Commit(std::move(transaction),
                       this->guard.Wrap(std::move(done)));
 }
--- a/packages/jobs/src/cell_member.h
+++ b/packages/jobs/src/cell_member.h
@@ -6,17 +6,22 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <string>
 #include <string_view>
+#include <vector>
 
 #include "callback_guard.h"
 #include "mustardproxy/jobs/executor.h"
+#include "mustardproxy/jobs/job_peers.h"
 #include "mustardproxy/jobs/key_value_store.h"
 #include "mustardproxy/jobs/worker_driver.h"
 #include "mustardproxy/telemetry/event_log.h"
 #include "mustardproxy/telemetry/metrics.h"
 #include "owner_choice.h"
 #include "prefix_mirror.h"
+#include "recent_owners.h"
 #include "record_codec.h"
+#include "withheld_lease_view.h"
 
 namespace mustardproxy::jobs {
 
@@ -91,6 +96,25 @@
   }
   /// @return when the last renewal that the store has confirmed was sent
   [[nodiscard]] Instant RenewedAt() const { return this->renewed_at; }
+  /// @return the owners before this one whose leases may still be in force
+  [[nodiscard]] FormerOwners FindFormerOwners() const;
+  /// Removes them from the store. Called again and again once none matters.
+  void ForgetFormerOwners();
+  /// See WithheldLeaseView.
+  [[nodiscard]] Instant WithheldLeaseSeenAt(const WithheldLease& lease,
+                                            Instant read_at) const {
+    return this->withheld.SeenAt(lease, read_at);
+  }
+  [[nodiscard]] std::vector<SeenWithheldLease> SeenWithheldLeases() const {
+    return this->withheld.Seen(this->executor->Now());
+  }
+  /// Records what another process has seen.
+  void NoteSeen(const std::vector<SeenWithheldLease>& leases);
+  /// @return addresses of other processes that have been registered for longest
+  [[nodiscard]] std::vector<std::string> FindWitnesses() const;
+  /// @return the highest token of the ownerships that this process has given
+  ///   up; 0 if none
+  [[nodiscard]] FencingToken GivenUp() const { return this->given_up; }
   /// @return when the last call that the store has answered was sent
   [[nodiscard]] Instant StoreAliveAt() const;
   /// @return true if the store has answered recently enough for a write to be
@@ -116,6 +140,10 @@
   void OnCellEvent(const StoreEvent& event);
   void OnNodeKey(const StoreEvent& event);
   void OnOwnerKey(const StoreEvent& event);
+  void OnRecentOwners(const StoreEvent& event);
+  void OnWithheldLeases(const StoreEvent& event);
+  /// Processes the result of a write of the record of recent owners.
+  void NoteRecentOwners(const std::string& written, const CommitResult& result);
   /// Takes part in an election if the listing has shown that there is no owner.
   void OnListed();
   /// Changes what is tracked if the size of the cell calls for it.
@@ -134,7 +162,14 @@
   [[nodiscard]] bool OwnerRestarted() const;
   void ConsiderElection();
   void RunForElection();
-  void OnElectionResult(const CommitResult& result);
+  /// Adds the record of recent owners to a write that makes `next` the owner.
+  /// @return the record
+  std::string AddRecentOwners(const NodeRecord& next,
+                              Transaction* transaction) const;
+  /// @param used lease of the owner's key
+  /// @param recent the written record of recent owners
+  void OnElectionResult(StoreLeaseId used, const std::string& recent,
+                        const CommitResult& result);
   void VerifyElection();
   void BecomeOwner(Revision revision);
   void Depose(std::string_view reason);
@@ -169,6 +204,12 @@
   std::optional<Ownership> owner;
   /// Nonzero while this process owns the group.
   FencingToken token = 0;
+  /// Highest token that this process has given up.
+  FencingToken given_up = 0;
+  RecentOwners recent_owners;
+  /// The record of recent owners is being written.
+  bool forgetting = false;
+  WithheldLeaseView withheld;
   bool electing = false;
   /// A hand-over is being written.
   bool handing_over = false;
--- a/packages/jobs/src/group_owner.cc
+++ b/packages/jobs/src/group_owner.cc
@@ -33,16 +33,6 @@
 /// must have jumped.
 constexpr Duration kMaxPlausibleAge = seconds(600);
 
-/// @return how long a run ordered by a former owner may last on an unreachable
-///   worker: that owner renews for at most `kOwnerOutageTolerance` after its
-///   lease at the store, and the last renewal lasts for the lease of a worker
-Duration MaxInheritedRunTime() {
-  const auto lease = static_cast<double>(kWorkerLease.count());
-  return kOwnerOutageTolerance +
-         Duration(static_cast<std::int64_t>(lease / kSlowestWorkerClock)) +
-         kLeaseExpiryMargin;
-}
-
 }  // namespace
 
 GroupOwner::GroupOwner(const Parts& parts, FencingToken token,
@@ -80,6 +70,19 @@
   }
   this->runs = std::make_unique<RunControl>(&shared);
   this->incarnations = std::make_unique<IncarnationTracker>(&shared);
+  this->withholding = std::make_unique<LeaseWithholding>(
+      LeaseWithholding::Parts{.context = &shared,
+                              .store_answers = parts.store_answers,
+                              .seen_at = parts.withheld_lease_seen_at},
+      [this] { this->FinishLoading(); });
+  this->inherited = std::make_unique<InheritedLeases>(InheritedLeases::Parts{
+      .context = &shared,
+      .peers = parts.peers,
+      .elected_at = this->elected_at,
+      .former_owners = parts.former_owners,
+      .witnesses = parts.witnesses,
+      .note_seen = parts.note_seen,
+      .forget_former_owners = parts.forget_former_owners});
   this->reservations = std::make_unique<GangReservations>(&shared);
   this->holds = std::make_unique<HoldLoop>(&shared);
   this->advice = std::make_unique<PermissionBroker>(
@@ -115,6 +118,7 @@
   shared.incarnations = this->incarnations.get();
   shared.reservations = this->reservations.get();
   shared.holds = this->holds.get();
+  shared.withholding = this->withholding.get();
   shared.dispatcher = this->dispatcher.get();
 
   this->intake = std::make_unique<PrefixMirror>(
@@ -149,6 +153,7 @@
   // already fail, so data read at different times is consistent.
   this->intake->Start();
   this->stored->Read();
+  this->withholding->Read();
   this->workers->Start();
   this->evacuations->Start();
   this->Tick();
@@ -343,7 +348,7 @@
 WorkerSession* GroupOwner::AddWorker(const WorkerInfo& info) {
   const SessionNumber first_new = this->context.workers.NumberLimit();
   WorkerSession* session = this->incarnations->NoteEntry(
-      info, this->elected_at + MaxInheritedRunTime());
+      info, this->inherited->EndAt(info.incarnation));
   if (session == nullptr) return nullptr;
   // Workers found during a takeover are only logged as a total.
   if (session->Number() >= first_new && this->workers->Listed()) {
@@ -392,7 +397,9 @@
 
 void GroupOwner::FinishLoading() {
   const bool complete = this->intake->Listed() && this->workers->Listed() &&
-                        this->evacuations->Listed() && this->stored->Complete();
+                        this->evacuations->Listed() &&
+                        this->stored->Complete() &&
+                        this->withholding->Complete();
   if (!complete || std::exchange(this->taking_over, true)) return;
   if (this->context.workers.Size() <= kMaxWorkersPolledAfterTakeover) {
     for (const auto& [id, session] : this->context.workers) {
@@ -435,6 +442,7 @@
                             {"took_ms", WholeMilliseconds(took)}});
   this->context.metrics->Sample("takeover_read_us", "",
                                 static_cast<double>(took.count()));
+  this->inherited->Begin();
   this->holds->SendAllDue();
   this->dispatcher->SchedulePass();
   this->ended->Read();
@@ -467,7 +475,6 @@
 }
 
 void GroupOwner::InheritRuns(JobEntry* entry) {
-  const Instant until = this->elected_at + MaxInheritedRunTime();
   // A job that appears after the takeover was not stored when the previous
   // owner decided, so none of its starts was sent.
   const bool may_be_ordered = !this->loaded;
@@ -479,8 +486,9 @@
         const TaskRef task{
             {entry->job.id, number, static_cast<std::int32_t>(s)},
             static_cast<std::int32_t>(i)};
-        this->runs->Inherit({task, tasks[i].last_run}, tasks[i].worker, until,
-                            may_be_ordered);
+        const WorkerIncarnation& worker = tasks[i].worker;
+        this->runs->Inherit({task, tasks[i].last_run}, worker,
+                            this->inherited->EndAt(worker), may_be_ordered);
       }
     }
   }
@@ -562,6 +570,7 @@
 void GroupOwner::Tick() {
   if (this->loaded) {
     this->OpenDueOccurrences();
+    this->inherited->Update();
     this->holds->SendAllDue();
     this->reservations->CheckAll();
     this->ended->RemoveExpired();
--- a/packages/jobs/src/group_owner.h
+++ b/packages/jobs/src/group_owner.h
@@ -19,6 +19,8 @@
 #include "gang_reservations.h"
 #include "hold_loop.h"
 #include "incarnation_tracker.h"
+#include "inherited_leases.h"
+#include "lease_withholding.h"
 #include "load_forecast.h"
 #include "mustardproxy/jobs/job_peers.h"
 #include "mustardproxy/jobs/overload_control.h"
@@ -58,6 +60,15 @@
     std::function<bool()> authorized;
     std::function<void(std::string_view)> step_down;
     std::function<void(LoadReportPtr)> publish_load;
+    /// See LeaseWithholding.
+    std::function<bool()> store_answers;
+    std::function<Instant(const WithheldLease&, Instant read_at)>
+        withheld_lease_seen_at;
+    /// See InheritedLeases.
+    std::function<FormerOwners()> former_owners;
+    std::function<std::vector<std::string>()> witnesses;
+    std::function<void(const std::vector<SeenWithheldLease>&)> note_seen;
+    std::function<void()> forget_former_owners;
   };
 
   GroupOwner(const Parts& parts, FencingToken token,
@@ -146,6 +157,8 @@
   std::unique_ptr<PermissionBroker> advice;
   std::unique_ptr<RunControl> runs;
   std::unique_ptr<IncarnationTracker> incarnations;
+  std::unique_ptr<LeaseWithholding> withholding;
+  std::unique_ptr<InheritedLeases> inherited;
   std::unique_ptr<GangReservations> reservations;
   std::unique_ptr<HoldLoop> holds;
   std::unique_ptr<Dispatcher> dispatcher;
--- a/packages/jobs/src/hold_loop.cc
+++ b/packages/jobs/src/hold_loop.cc
@@ -9,6 +9,8 @@
 
 #include "dispatcher.h"
 #include "gang_reservations.h"
+#include "lease_times.h"
+#include "lease_withholding.h"
 #include "options.h"
 #include "placement.h"
 #include "run_control.h"
@@ -142,7 +144,7 @@
   // postpones the time at which its lease is certain to have expired, so that
   // its tasks are never started elsewhere. An unresponsive worker is therefore
   // only queried, and its lease runs out.
-  if (!session.unresponsive) {
+  if (!session.unresponsive && !session.lease_withheld) {
     order.lease_until_ms = session.LeaseUntilMs(now, kWorkerLease);
   }
   const bool checking = std::any_of(
@@ -156,7 +158,7 @@
                     (verified || !unacknowledged) &&
                     session.unstored_ends.empty();
   order.wait = wait ? this->Wait() : Duration::zero();
-  if (session.Quarantined()) {
+  if (session.Quarantined() || session.lease_withheld) {
     order.wait = std::min(order.wait, kQuarantineHoldWait);
   }
   if (Polls(session, now)) {
@@ -277,12 +279,17 @@
   for (WorkerSession* session : sessions) {
     // A run whose start order was never sent has no lease that could expire.
     if (now >= session->LeaseExpiresAt()) {
-      if (session->HasOrdered()) {
+      // A worker that responds lists the runs whose lease was withheld until it
+      // expired.
+      const bool lists =
+          session->lease_withheld && session->fenced && !session->unresponsive;
+      if (session->HasOrdered() && !lists) {
         this->context->runs->HandleWorkerLoss(session, LossCause::kLeaseLapsed,
                                               now);
       }
       if (session->unresponsive) this->context->runs->ReleaseBlocked(session);
     }
+    this->context->withholding->NoteSilent(*session);
     if (this->IsDue(*session, now)) this->Send(session);
     const bool over =
         (!session->listed || session->gone) && !Polls(*session, now);
@@ -290,6 +297,7 @@
       finished.push_back(session->Incarnation().id);
     }
   }
+  this->context->withholding->Flush();
   for (const WorkerId& id : finished) {
     WorkerSession* session = this->context->workers.FindLatest(id);
     // The store entry of an incarnation that has ended stays until the platform
@@ -351,6 +359,12 @@
                         const HoldResult& result) {
   const bool back = std::exchange(session->unresponsive, false);
   const bool first = !std::exchange(session->fenced, true);
+  this->context->withholding->NoteAnswer(*session);
+  if (first && session->Incarnation().start_unix_ms == 0) {
+    // It refuses the orders of former owners from now on.
+    session->LimitInherited(this->context->executor->Now() +
+                            MaxGrantedLeaseTime());
+  }
   session->unanswered_holds = 0;
   session->verified = this->context->executor->Now();
   this->ScheduleNextPoll(session);
--- a/packages/jobs/src/incarnation_tracker.cc
+++ b/packages/jobs/src/incarnation_tracker.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "dispatcher.h"
+#include "lease_withholding.h"
 #include "options.h"
 #include "progress_writer.h"
 #include "run_control.h"
@@ -109,6 +110,8 @@
   // and every acknowledgement was preceded by a write, so this token is higher
   // than theirs.
   added->token = this->context->writer->LatestRevision();
+  added->lease_withheld =
+      this->context->withholding->Withholds(info.incarnation.id);
   return added;
 }
 
--- a/packages/jobs/src/job_node.cc
+++ b/packages/jobs/src/job_node.cc
@@ -153,6 +153,7 @@
   bool helpers_update_due = false;
   bool stepping_down = false;
   bool leaving = false;
+  Instant started_at;
   CallbackGuard guard;
 };
 
@@ -289,7 +290,20 @@
               [this](LoadReportPtr report) {
                 this->gate.OnReport(*report);
                 this->config.peers->PublishLoad(std::move(report));
-              }},
+              },
+          .store_answers = [this] { return this->member.StoreAnswers(); },
+          .withheld_lease_seen_at =
+              [this](const WithheldLease& lease, Instant read_at) {
+                return this->member.WithheldLeaseSeenAt(lease, read_at);
+              },
+          .former_owners = [this] { return this->member.FindFormerOwners(); },
+          .witnesses = [this] { return this->member.FindWitnesses(); },
+          .note_seen =
+              [this](const std::vector<SeenWithheldLease>& leases) {
+                this->member.NoteSeen(leases);
+              },
+          .forget_former_owners =
+              [this] { this->member.ForgetFormerOwners(); }},
       token, this->desired);
   this->owner->Start();
   if (this->relayed) this->relayed->Begin();
@@ -558,6 +572,7 @@
 JobNode::~JobNode() = default;
 
 void JobNode::Start() {
+  this->state->started_at = this->state->config.executor->Now();
   this->state->desired_mirror.Start();
   this->state->member.Start();
 }
@@ -758,6 +773,20 @@
   this->state->relay.OnBatch(std::move(batch), done);
 }
 
+void JobNode::OnQueryProcess(JobPeerHandler::Done<ProcessState> done) {
+  if (this->state->started_at == Instant()) {
+    done(make_error_code(Error::kStarting));
+    return;
+  }
+  ProcessState answer;
+  answer.process = this->state->config.process;
+  answer.incarnation = this->state->config.incarnation;
+  answer.given_up = this->state->member.GivenUp();
+  answer.age = this->state->config.executor->Now() - this->state->started_at;
+  answer.withheld_leases = this->state->member.SeenWithheldLeases();
+  done(answer);
+}
+
 void JobNode::OnResults(RelayedResults results) {
   if (this->state->relayed) this->state->relayed->OnResults(results);
 }
--- a/packages/jobs/src/keys.h
+++ b/packages/jobs/src/keys.h
@@ -12,6 +12,11 @@
 ///     mustardproxy/cell/node/<process>   a live process, under its lease
 ///     mustardproxy/cell/owner/<group>    the owning process, under its lease;
 ///                                        its revision is the fencing token
+///     mustardproxy/cell/owner/<group>/recent
+///                                        the owners whose leases at workers
+///                                        may still be in force
+///     mustardproxy/cell/withheld/<group> the workers to which no owner grants
+///                                        a lease; written by the owner only
 ///     mustardproxy/intake/job/<id>       an accepted job that is not final
 ///     mustardproxy/intake/cancel/<id>    a request to cancel the job
 ///     mustardproxy/intake/tombstone/<id>/<key>
@@ -45,6 +50,11 @@
 [[nodiscard]] inline std::string Owner() {
   return std::string(kOwners) + std::string(kGroup);
 }
+/// Below the owner's key, so that processes that track the owner alone know it.
+[[nodiscard]] inline std::string RecentOwners() { return Owner() + "/recent"; }
+[[nodiscard]] inline std::string WithheldLeases() {
+  return std::string(kCell) + "withheld/" + std::string(kGroup);
+}
 [[nodiscard]] inline std::string OfJob(const JobId& id) {
   return std::string(kJobs) + id.Text();
 }
--- a/packages/jobs/src/options.h
+++ b/packages/jobs/src/options.h
@@ -81,6 +81,17 @@
 /// until the outage is detected.
 inline constexpr Duration kOwnerOutageTolerance = milliseconds(11'000);
 
+/// How long the owner waits after a connection to a worker with runs has broken
+/// before it stores that it grants no lease there. The lease of a worker that
+/// answers meanwhile is renewed without a write.
+inline constexpr Duration kSilenceBeforeWithholding = milliseconds(100);
+/// Delay before a former owner that has not ended, or a process that has not
+/// answered, is asked again.
+inline constexpr Duration kFormerOwnerQueryInterval = milliseconds(100);
+/// Least time that a new owner waits for the first answers of workers before
+/// their runs count as lost.
+inline constexpr Duration kFirstAnswerTime = milliseconds(300);
+
 /// How long a hold waits at the worker for a task to end. If the answer to a
 /// hold is lost or its connection is silent, ended tasks stay unnoticed for
 /// this time plus the driver's timeout margin.
--- a/packages/jobs/src/owner_context.h
+++ b/packages/jobs/src/owner_context.h
@@ -32,6 +32,7 @@
 class GangReservations;
 class HoldLoop;
 class IncarnationTracker;
+class LeaseWithholding;
 class LoadForecast;
 class ProgressWriter;
 class RunControl;
@@ -73,6 +74,7 @@
   IncarnationTracker* incarnations = nullptr;
   GangReservations* reservations = nullptr;
   HoldLoop* holds = nullptr;
+  LeaseWithholding* withholding = nullptr;
   Dispatcher* dispatcher = nullptr;
   /// Null unless jobs are admitted by load.
   LoadForecast* forecast = nullptr;
--- a/packages/jobs/src/pass_capacity.cc
+++ b/packages/jobs/src/pass_capacity.cc
@@ -24,8 +24,8 @@
       this->context->unreachable.contains(session.info.data_center);
   if (cut_off) return false;
   return session.listed && session.described && !session.gone &&
-         session.fenced && !session.unresponsive && !session.ejected &&
-         !session.info.draining && !session.Quarantined() &&
+         session.fenced && !session.unresponsive && !session.lease_withheld &&
+         !session.ejected && !session.info.draining && !session.Quarantined() &&
          !this->context->evacuations->Contains(session.info.data_center);
 }
 
--- a/packages/jobs/src/record_codec.cc
+++ b/packages/jobs/src/record_codec.cc
@@ -45,6 +45,26 @@
   return queue;
 }
 
+void Write(const NodeRecord& node, stored::Node* out) {
+  out->set_name(node.name.Text());
+  out->set_data_center(node.data_center.Text());
+  out->set_peer_address(node.peer_address);
+  out->set_incarnation(node.incarnation);
+  out->set_cpu_milli(node.cpu_milli);
+  out->set_memory_mb(node.memory_mb);
+}
+
+NodeRecord Read(const stored::Node& stored) {
+  NodeRecord node;
+  node.name = ProcessId(stored.name());
+  node.data_center = DataCenterId(stored.data_center());
+  node.peer_address = stored.peer_address();
+  node.incarnation = stored.incarnation();
+  node.cpu_milli = stored.cpu_milli();
+  node.memory_mb = stored.memory_mb();
+  return node;
+}
+
 void Write(const JobAccess& access, stored::JobAccess* out) {
   out->set_team(access.team.Text());
   out->set_key_fingerprint(access.key_fingerprint);
@@ -348,26 +368,61 @@
 
 std::string EncodeNode(const NodeRecord& node) {
   stored::Node out;
-  out.set_name(node.name.Text());
-  out.set_data_center(node.data_center.Text());
-  out.set_peer_address(node.peer_address);
-  out.set_incarnation(node.incarnation);
-  out.set_cpu_milli(node.cpu_milli);
-  out.set_memory_mb(node.memory_mb);
+  Write(node, &out);
   return out.SerializeAsString();
 }
 
 std::optional<NodeRecord> DecodeNode(std::string_view bytes) {
   const auto stored = Parse<stored::Node>(bytes);
   if (!stored || stored->name().empty()) return std::nullopt;
-  NodeRecord node;
-  node.name = ProcessId(stored->name());
-  node.data_center = DataCenterId(stored->data_center());
-  node.peer_address = stored->peer_address();
-  node.incarnation = stored->incarnation();
-  node.cpu_milli = stored->cpu_milli();
-  node.memory_mb = stored->memory_mb();
-  return node;
+  return Read(*stored);
+}
+
+std::string EncodeOwners(const OwnerList& list) {
+  stored::RecentOwners out;
+  out.set_complete(list.complete);
+  for (const OwnerEntry& owner : list.owners) {
+    stored::GroupOwner* added = out.add_owners();
+    Write(owner.node, added->mutable_node());
+    added->set_token(owner.token);
+  }
+  return out.SerializeAsString();
+}
+
+std::optional<OwnerList> DecodeOwners(std::string_view bytes) {
+  const auto stored = Parse<stored::RecentOwners>(bytes);
+  if (!stored) return std::nullopt;
+  OwnerList list;
+  list.complete = stored->complete();
+  for (const stored::GroupOwner& owner : stored->owners()) {
+    if (owner.node().name().empty()) return std::nullopt;
+    list.owners.push_back({Read(owner.node()), owner.token()});
+  }
+  return list;
+}
+
+std::string EncodeWithheldLeases(std::span<const WithheldLease> leases) {
+  stored::WithheldLeases out;
+  for (const WithheldLease& lease : leases) {
+    stored::WithheldLease* added = out.add_leases();
+    added->set_worker(lease.worker.Text());
+    added->set_token(lease.token);
+    added->set_number(lease.number);
+    added->set_remaining_us(lease.remaining.count());
+  }
+  return out.SerializeAsString();
+}
+
+std::optional<std::vector<WithheldLease>> DecodeWithheldLeases(
+    std::string_view bytes) {
+  const auto stored = Parse<stored::WithheldLeases>(bytes);
+  if (!stored) return std::nullopt;
+  std::vector<WithheldLease> leases;
+  for (const stored::WithheldLease& lease : stored->leases()) {
+    leases.push_back({WorkerId(lease.worker()), lease.token(), lease.number(),
+                      Duration(lease.remaining_us())});
+  }
+  return leases;
 }
 
 }  // namespace mustardproxy::jobs
--- a/packages/jobs/src/run_control.cc
+++ b/packages/jobs/src/run_control.cc
@@ -247,7 +247,7 @@
   // lease to expire that was never granted.
   if (first && !session->InContact(this->context->executor->Now())) {
     record->awaits_contact = true;
-    this->context->holds->Contact(session);
+    if (!session->lease_withheld) this->context->holds->Contact(session);
     return;
   }
   record->awaits_contact = false;
@@ -289,7 +289,7 @@
   }
   const Instant now = this->context->executor->Now();
   // The lease of a worker that does not respond is not extended, see HoldLoop.
-  order.lease_until_ms = session->unresponsive
+  order.lease_until_ms = session->unresponsive || session->lease_withheld
                              ? session->LeaseSentMs()
                              : session->LeaseUntilMs(now, kWorkerLease);
   session->NoteLeaseSent(order.lease_until_ms);
--- a/packages/jobs/src/worker_session.cc
+++ b/packages/jobs/src/worker_session.cc
@@ -58,7 +58,7 @@
       info(std::move(info)),
       known_since(known_since),
       usage(usage),
-      lease_expires_at(inherited_until) {}
+      inherited_until(inherited_until) {}
 
 WorkerSession::~WorkerSession() {
   if (this->usage == nullptr) return;
@@ -167,7 +167,7 @@
 }
 
 bool WorkerSession::InContact(Instant now) const {
-  if (this->unresponsive) return false;
+  if (this->unresponsive || this->lease_withheld) return false;
   return this->HasContactedRuns() || now < this->verified + kContactWindow;
 }
 
--- a/packages/jobs/src/worker_session.h
+++ b/packages/jobs/src/worker_session.h
@@ -1,6 +1,7 @@
 #ifndef MUSTARDPROXY_JOBS_WORKER_SESSION_H_
 #define MUSTARDPROXY_JOBS_WORKER_SESSION_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -177,7 +178,11 @@
   /// @return the time at which the worker must have killed all runs unless a
   ///   lease is sent again
   [[nodiscard]] Instant LeaseExpiresAt() const {
-    return this->lease_expires_at;
+    return std::max(this->lease_expires_at, this->inherited_until);
+  }
+  /// Records that no lease granted by a previous owner lasts longer.
+  void LimitInherited(Instant until) {
+    this->inherited_until = std::min(this->inherited_until, until);
   }
 
   void AddRun(const RunRef& run, SessionRun record);
@@ -243,6 +248,9 @@
   ObservedFlag gone{false, &this->number, &this->observer};
   /// The last hold or order got no response.
   ObservedFlag unresponsive{false, &this->number, &this->observer};
+  /// No lease is granted to the worker; see LeaseWithholding. Nothing is
+  /// started there meanwhile.
+  ObservedFlag lease_withheld{false, &this->number, &this->observer};
   /// When the worker stopped responding; valid while `unresponsive`.
   Instant silent_since;
   /// A connection to the worker broke at that time; valid while `unresponsive`.
@@ -286,7 +294,10 @@
   std::optional<ClockReading> clock;
   /// Latest lease end that was sent, in milliseconds on the worker's clock.
   std::int64_t lease_sent_ms = 0;
+  /// Latest end of the leases that this owner has granted.
   Instant lease_expires_at;
+  /// Latest end of the leases that previous owners have granted.
+  Instant inherited_until;
   Instant late_starts_until;
 };
 
--- a/packages/jobs/tests/cell_team_test.cc
+++ b/packages/jobs/tests/cell_team_test.cc
@@ -334,6 +334,9 @@
   BOOST_TEST(Logged("desired rejected"));
   const SimJob* job = Submit(MakeStep(1, 1000, milliseconds(100)));
   BOOST_TEST(cell->AwaitFinal(job->job.id, seconds(5)));
+  // Until the watch after the change has ended, no view is recent enough to
+  // reject a key.
+  cell->Time().RunFor(milliseconds(200));
   BOOST_TEST((SubmitAgain(*job, 0, "key-none") == Error::kUnknownKey));
 }
 
--- a/packages/jobs/tests/relayed_worker_driver_test.cc
+++ b/packages/jobs/tests/relayed_worker_driver_test.cc
@@ -160,6 +160,8 @@
       });
     });
   }
+  void QueryProcess(const std::string& /*address*/,
+                    Done<ProcessState> /*done*/) override {}
   void ReturnResults(const std::string& /*address*/,
                      const RelayedResults& results) override {
     if (this->cut.contains(results.relay.Text())) return;
--- a/packages/jobs/tests/schedules_test.cc
+++ b/packages/jobs/tests/schedules_test.cc
@@ -156,6 +156,14 @@
   }
 }
 
+// Workers are lost or cut off, and owners go soon after, again and again.
+BOOST_AUTO_TEST_CASE(a_fixed_set_with_takeovers) {
+  constexpr std::uint64_t kSeeds = 300;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    Play(seed, {.takeovers = true});
+  }
+}
+
 BOOST_AUTO_TEST_CASE(regression_seeds_with_reused_ids) {
   for (const std::uint64_t seed : kReusedIdRegressions) {
     Play(seed, {.reused_worker_ids = true});
--- a/packages/peer/include/mustardproxy/peer/job_link.h
+++ b/packages/peer/include/mustardproxy/peer/job_link.h
@@ -48,6 +48,8 @@
              Done<jobs::RelayAck> done) override;
   void ReturnResults(const std::string& address,
                      const jobs::RelayedResults& results) override;
+  void QueryProcess(const std::string& address,
+                    Done<jobs::ProcessState> done) override;
 
  private:
   struct State;
--- a/packages/peer/src/job_link.cc
+++ b/packages/peer/src/job_link.cc
@@ -67,6 +67,19 @@
   return report;
 }
 
+jobs::ProcessState DecodeProcess(const peer::jobs::ProcessState& wire) {
+  jobs::ProcessState state;
+  state.process = ProcessId(wire.process());
+  state.incarnation = wire.incarnation();
+  state.given_up = wire.given_up();
+  state.age = Duration(wire.age_us());
+  for (const peer::jobs::SeenWithheldLease& lease : wire.withheld_leases()) {
+    state.withheld_leases.push_back({WorkerId(lease.worker()), lease.token(),
+                                     lease.number(), Duration(lease.age_us())});
+  }
+  return state;
+}
+
 }  // namespace
 
 struct JobLink::State {
@@ -347,4 +360,17 @@
       [](const Result<peer::jobs::Empty>&) {});
 }
 
+void JobLink::QueryProcess(const std::string& address,
+                           Done<jobs::ProcessState> done) {
+  this->state->Make<peer::jobs::Empty, peer::jobs::ProcessState>(
+      address, kQuestionTimeout, {}, &JobPeer::Stub::async::QueryProcess,
+      [done = std::move(done)](const Result<peer::jobs::ProcessState>& reply) {
+        if (!reply) {
+          done(reply.error());
+          return;
+        }
+        done(DecodeProcess(reply.value()));
+      });
+}
+
 }  // namespace mustardproxy
--- a/packages/peer/src/job_service.cc
+++ b/packages/peer/src/job_service.cc
@@ -51,6 +51,20 @@
   }
 }
 
+void Encode(const jobs::ProcessState& state, peer::jobs::ProcessState* out) {
+  out->set_process(state.process.Text());
+  out->set_incarnation(state.incarnation);
+  out->set_given_up(state.given_up);
+  out->set_age_us(state.age.count());
+  for (const jobs::SeenWithheldLease& lease : state.withheld_leases) {
+    peer::jobs::SeenWithheldLease* row = out->add_withheld_leases();
+    row->set_worker(lease.worker.Text());
+    row->set_token(lease.token);
+    row->set_number(lease.number);
+    row->set_age_us(lease.age.count());
+  }
+}
+
 }  // namespace
 
 void JobService::SetLoad(jobs::LoadReportPtr report) {
@@ -232,4 +246,21 @@
   return Acknowledge(context);
 }
 
+grpc::ServerUnaryReactor* JobService::QueryProcess(
+    grpc::CallbackServerContext* /*context*/,
+    const peer::jobs::Empty* /*request*/, peer::jobs::ProcessState* reply) {
+  const auto call = MakeCall(reply);
+  this->executor->Post([handler = this->handler, call] {
+    handler->OnQueryProcess([call](const Result<jobs::ProcessState>& state) {
+      if (!state) {
+        call->Refuse(Refusal(state.error()));
+        return;
+      }
+      call->Answer(
+          [&](peer::jobs::ProcessState* out) { Encode(state.value(), out); });
+    });
+  });
+  return call.get();
+}
+
 }  // namespace mustardproxy::peer_detail
--- a/packages/peer/src/job_service.h
+++ b/packages/peer/src/job_service.h
@@ -52,6 +52,9 @@
       grpc::CallbackServerContext* context,
       const peer::jobs::RelayedResults* request,
       peer::jobs::Empty* reply) override;
+  grpc::ServerUnaryReactor* QueryProcess(
+      grpc::CallbackServerContext* context, const peer::jobs::Empty* request,
+      peer::jobs::ProcessState* reply) override;
 
  private:
   jobs::Executor* executor;
--- a/packages/peer/tests/job_link_test.cc
+++ b/packages/peer/tests/job_link_test.cc
@@ -62,6 +62,13 @@
   void OnResults(jobs::RelayedResults results) override {
     this->returned.Set(std::move(results));
   }
+  void OnQueryProcess(Done<jobs::ProcessState> done) override {
+    done(jobs::ProcessState{ProcessId("edge-1"),
+                            7,
+                            9,
+                            Duration(11),
+                            {{WorkerId("w"), 5, 6, Duration(8)}}});
+  }
 
   bool owns = true;
   jobs::WaitableValue<jobs::AnnouncedJob> announced;
@@ -149,6 +156,22 @@
 
 BOOST_FIXTURE_TEST_SUITE(job_link, Fixture)
 
+BOOST_AUTO_TEST_CASE(a_process_tells_who_it_is) {
+  const auto state = Await<jobs::ProcessState>(
+      [&](auto done) { client.QueryProcess(address, std::move(done)); });
+  BOOST_REQUIRE(state.has_value());
+  BOOST_TEST((state.value().process == ProcessId("edge-1")));
+  BOOST_TEST(state.value().incarnation == 7U);
+  BOOST_TEST(state.value().given_up == 9);
+  BOOST_TEST((state.value().age == Duration(11)));
+  BOOST_REQUIRE(state.value().withheld_leases.size() == 1U);
+  const jobs::SeenWithheldLease& lease = state.value().withheld_leases[0];
+  BOOST_TEST((lease.worker == WorkerId("w")));
+  BOOST_TEST(lease.token == 5);
+  BOOST_TEST(lease.number == 6);
+  BOOST_TEST((lease.age == Duration(8)));
+}
+
 BOOST_AUTO_TEST_CASE(announcements_arrive) {
   client.AnnounceJob(address, {jobs::JobId("job"), std::string("\0rec", 4)},
                      [](const jobs::LoadReport&) {});
--- a/testing/bench_relay/main.cc
+++ b/testing/bench_relay/main.cc
@@ -74,6 +74,7 @@
   void OnResults(jobs::RelayedResults results) override {
     this->driver->OnResults(results);
   }
+  void OnQueryProcess(Done<jobs::ProcessState> /*done*/) override {}
 
   jobs::OrderRelay* relay = nullptr;
   jobs::RelayedWorkerDriver* driver = nullptr;
--- a/testing/job_sim/include/job_sim/schedule.h
+++ b/testing/job_sim/include/job_sim/schedule.h
@@ -35,6 +35,10 @@
   bool teams = false;
   /// Operators evacuate data centres, one or all, and cancel that.
   bool evacuations = false;
+  /// Workers are lost or cut off, from all processes or from some, and then the
+  /// owner goes, more than once. The id of a worker names one life, and nothing
+  /// tells when it began.
+  bool takeovers = false;
 };
 
 /// Plays a cell with jobs and faults drawn from the seed: processes killed,
--- a/testing/job_sim/include/job_sim/sim_cell.h
+++ b/testing/job_sim/include/job_sim/sim_cell.h
@@ -235,6 +235,8 @@
   Builder& OrderRelays(std::int32_t count);
   /// Time within which a change of the desired state must be in force.
   Builder& ConfigurationBound(Duration bound);
+  /// See SimCell::HideBirths; from the first life of each worker on.
+  Builder& HiddenBirths();
   /// Another queue; its service is that of the cell. If it has a policy, this
   /// share of the workers is permitted.
   Builder& Queue(jobs::Queue queue, double permitted_share);
@@ -259,6 +261,7 @@
   std::vector<std::int64_t> host_sizes;
   std::int32_t order_relays = 0;
   Duration configuration_bound{0};
+  bool hides_births = false;
 
   friend class SimCell;
 };
--- a/testing/job_sim/include/job_sim/sim_worker.h
+++ b/testing/job_sim/include/job_sim/sim_worker.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "job_sim/process.h"
@@ -143,6 +144,8 @@
       delay_start;
   /// Workers that nobody reaches.
   std::set<std::string> cut;
+  /// Processes, each with a worker that it does not reach.
+  std::set<std::pair<std::string, std::string>> cut_from;
   /// Waiting holds of a worker that crashes end at once, as connections do that
   /// are reset, and not by their time-outs.
   bool resets_connections = false;
--- a/testing/job_sim/src/schedule.cc
+++ b/testing/job_sim/src/schedule.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <memory>
 #include <optional>
+#include <set>
 #include <utility>
 
 #include "job_sim/sim_cell.h"
@@ -37,6 +38,10 @@
 /// Processes are in touch once nothing has disturbed them for so long.
 constexpr Duration kContact = seconds(4);
 
+/// The longest run of a task.
+constexpr Duration kLongest = milliseconds(3000);
+constexpr Duration kLongestWithTakeovers = seconds(12);
+
 /// Plays one seed.
 class Player {
  public:
@@ -84,6 +89,14 @@
   void PlanFault();
   void Strike();
   void StrikeProcess();
+  void StrikeProcess(std::size_t index);
+  /// Disturbs a worker, and its owner once or more soon after.
+  void StrikeWorkerAndOwner();
+  void LoseOrCutWorker(SimWorker* worker);
+  /// Cuts the owner off, together with a worker.
+  void PartitionOwner(const std::string& worker);
+  /// Cuts a worker off from all processes but one.
+  void CutFromMost(const std::string& worker);
   void StrikeStore();
   void StrikeWorker();
   void ResizeWorker();
@@ -121,6 +134,7 @@
       .Workers(kWorkers)
       .Capacity(8000, 64'000);
   if (options.evacuations) builder.DataCenters(kDataCenters);
+  if (options.takeovers) builder.HiddenBirths();
   constexpr std::uint64_t kAdviceEvery = 3;
   if (seed % kAdviceEvery == 0) builder.Advice(0.6, milliseconds(60));
   return builder.Build();
@@ -129,11 +143,14 @@
 jobs::JobSpec Player::DrawSpec() {
   std::vector<jobs::Step> steps;
   const std::size_t count = 1 + this->time.DrawIndex(3);
+  // Leases matter only to runs that outlast them.
+  const Duration longest =
+      this->options.takeovers ? kLongestWithTakeovers : kLongest;
   for (std::size_t i = 0; i < count; ++i) {
     jobs::Step step =
         MakeStep(static_cast<std::int32_t>(1 + this->time.DrawIndex(6)),
                  static_cast<std::int64_t>(500 + this->time.DrawIndex(3000)),
-                 this->time.DrawBetween(milliseconds(200), milliseconds(3000)));
+                 this->time.DrawBetween(milliseconds(200), longest));
     step.gang = this->time.Chance(0.35);
     // What is permitted on one worker alone must still fit.
     const bool advised = this->cell->queue.advice.has_value();
@@ -359,6 +376,10 @@
     this->ResizeWorker();
     return;
   }
+  if (this->options.takeovers && this->time.Chance(0.5)) {
+    this->StrikeWorkerAndOwner();
+    return;
+  }
   const std::size_t kind = this->time.DrawIndex(3);
   this->strikes_worker = kind > 1;
   if (!this->strikes_worker) this->disturbed_at = this->time.Now();
@@ -377,8 +398,98 @@
 void Player::StrikeProcess() {
   // The owner is hit more often than by its share: it has most to lose.
   const auto owner = this->cell->OwnerIndex();
-  const std::size_t index =
+  this->StrikeProcess(owner && this->time.Chance(0.6) ? *owner
+                                                      : this->DrawProcess());
+}
+
+void Player::CutFromMost(const std::string& worker) {
+  SimWorkers& workers = this->cell->Workers();
+  const auto owner = this->cell->OwnerIndex();
+  const std::size_t spared =
       owner && this->time.Chance(0.6) ? *owner : this->DrawProcess();
+  this->Note("cut from all but process-" + std::to_string(spared) + " " +
+             worker);
+  for (std::size_t i = 0; i < kProcesses; ++i) {
+    if (i == spared) continue;
+    const auto cut = std::make_pair("process-" + std::to_string(i), worker);
+    workers.cut_from.insert(cut);
+    this->Undo(milliseconds(500), milliseconds(16'000),
+               [&workers, cut] { workers.cut_from.erase(cut); });
+  }
+}
+
+void Player::PartitionOwner(const std::string& worker) {
+  const auto owner = this->cell->OwnerIndex();
+  if (!owner) return;
+  SimWorkers& workers = this->cell->Workers();
+  this->Note("partition process-" + std::to_string(*owner) + " with " + worker);
+  std::set<std::pair<std::string, std::string>> cuts;
+  for (const SimWorker* other : workers.Alive()) {
+    const std::string name = other->Info().incarnation.id.Text();
+    for (std::size_t i = 0; i < kProcesses; ++i) {
+      if ((i == *owner) == (name == worker)) continue;
+      cuts.emplace("process-" + std::to_string(i), name);
+    }
+  }
+  workers.cut_from.insert(cuts.begin(), cuts.end());
+  Process* process = this->cell->ProcessAt(*owner);
+  process->store_cut = true;
+  process->peers_cut = this->time.Chance(0.5);
+  this->strikes_worker = false;
+  this->Undo(milliseconds(500), milliseconds(16'000),
+             [&workers, cuts, process] {
+               for (const auto& cut : cuts) workers.cut_from.erase(cut);
+               process->store_cut = false;
+               process->peers_cut = false;
+             });
+  this->strikes_worker = true;
+}
+
+void Player::LoseOrCutWorker(SimWorker* worker) {
+  SimWorkers& workers = this->cell->Workers();
+  const std::string name = worker->Info().incarnation.id.Text();
+  switch (this->time.DrawIndex(4)) {
+    case 0:
+      this->Note("lose " + name);
+      this->cell->AddWorker();
+      this->cell->CrashWorker(worker, std::nullopt);
+      return;
+    case 1:
+      this->Note("cut " + name);
+      workers.cut.insert(name);
+      this->Undo(milliseconds(300), milliseconds(9000),
+                 [&workers, name] { workers.cut.erase(name); });
+      return;
+    case 2:
+      this->CutFromMost(name);
+      return;
+    default:
+      this->PartitionOwner(name);
+  }
+}
+
+void Player::StrikeWorkerAndOwner() {
+  std::vector<SimWorker*> busy = this->cell->Workers().Alive();
+  std::erase_if(busy, [](const auto* one) { return one->RunningCount() == 0; });
+  this->strikes_worker = true;
+  if (!busy.empty()) {
+    this->LoseOrCutWorker(busy[this->time.DrawIndex(busy.size())]);
+  }
+  constexpr std::size_t kMostChanges = 3;
+  const std::size_t changes = 1 + this->time.DrawIndex(kMostChanges);
+  for (std::size_t i = 0; i < changes; ++i) {
+    const Duration at = this->time.DrawBetween(Duration::zero(), seconds(5));
+    this->time.After(at, [this] {
+      const auto owner = this->cell->OwnerIndex();
+      if (!owner) return;
+      this->strikes_worker = false;
+      this->disturbed_at = this->time.Now();
+      this->StrikeProcess(*owner);
+    });
+  }
+}
+
+void Player::StrikeProcess(std::size_t index) {
   Process* process = this->cell->ProcessAt(index);
   if (process == nullptr) return;
   const std::string name = process->Name();
--- a/testing/job_sim/src/sim_cell.cc
+++ b/testing/job_sim/src/sim_cell.cc
@@ -200,6 +200,13 @@
     this->Reach(address,
                 [returned](jobs::JobNode* node) { node->OnResults(returned); });
   }
+  void QueryProcess(const std::string& address,
+                    Done<jobs::ProcessState> done) override {
+    const auto answer = this->Once<jobs::ProcessState>(std::move(done));
+    this->Reach(address, [answer](jobs::JobNode* node) {
+      node->OnQueryProcess(answer);
+    });
+  }
 
  private:
   void Reach(const std::string& address,
@@ -880,6 +887,11 @@
   return *this;
 }
 
+SimCell::Builder& SimCell::Builder::HiddenBirths() {
+  this->hides_births = true;
+  return *this;
+}
+
 SimCell::Builder& SimCell::Builder::Queue(jobs::Queue given, double share) {
   this->queues.emplace_back(std::move(given), share);
   return *this;
@@ -911,6 +923,7 @@
   cell->host_sizes = this->host_sizes;
   cell->order_relays = this->order_relays;
   cell->configuration_bound = this->configuration_bound;
+  cell->hides_births = this->hides_births;
   cell->Apply();
   for (std::size_t i = 0; i < this->workers; ++i) {
     cell->ListWorker({this->cpu_milli, this->memory_mb, 0, 0});
--- a/testing/job_sim/src/sim_worker.cc
+++ b/testing/job_sim/src/sim_worker.cc
@@ -522,8 +522,9 @@
   }
 
   [[nodiscard]] bool Cut(const jobs::WorkerTarget& target) const {
-    return this->process->workers_cut ||
-           this->workers->cut.contains(target.incarnation.id.Text());
+    const std::string& worker = target.incarnation.id.Text();
+    return this->process->workers_cut || this->workers->cut.contains(worker) ||
+           this->workers->cut_from.contains({this->process->Name(), worker});
   }
 
   SimWorkers* workers;
