Inherited leases are not looked for once none is waited for

Cause: each tick of an owner looked at all workers for one whose inherited lease is waited for. Nothing that a former owner has ordered appears after the takeover, so once there is none, there will be none.

--- a/packages/jobs/src/inherited_leases.cc
+++ b/packages/jobs/src/inherited_leases.cc
@@ -54,7 +54,9 @@
 
 void InheritedLeases::Update() {
   if (!this->begun) return;
-  if (!this->Awaited()) {
+  // Former owners have ordered nothing that was not in the store at the begin.
+  this->settled = this->settled || !this->Awaited();
+  if (this->settled) {
     this->parts.forget_former_owners();
     return;
   }
--- a/packages/jobs/src/inherited_leases.h
+++ b/packages/jobs/src/inherited_leases.h
@@ -92,6 +92,8 @@
   std::optional<std::map<std::string, Question>> witnesses;
   Instant begun_at;
   bool begun = false;
+  /// No run waits for the end of a lease, nor will any.
+  bool settled = false;
   CallbackGuard guard;
 };
 
