--- a/packages/jobs/tests/cell_inherited_leases_test.cc
+++ b/packages/jobs/tests/cell_inherited_leases_test.cc
@@ -260,7 +260,8 @@
   CheckInvariants(cell.get());
 }
 
-// A worker is lost within seconds of the cell's first start.
+// Failure: the first owner of a cell knows of no former one, and is taken for
+// one that may have others before it.
 BOOST_AUTO_TEST_CASE(the_first_owner_has_nobody_to_wait_for) {
   Build();
   LoseWorker();
@@ -270,8 +271,8 @@
   BOOST_TEST(cell->Log().Count("former-owner") <= 1U);
 }
 
-// The next property in any order of events: the wait is bounded through random
-// series of changes that the processes survive.
+// Failure: some series of restarts adds up. Whatever their order, they add no
+// more to the wait than one change.
 BOOST_AUTO_TEST_CASE(random_series_of_restarts_add_little_to_the_wait) {
   constexpr std::uint64_t kSeeds = 60;
   for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
@@ -294,8 +295,7 @@
 
 // Failure guarded against: an owner that is cut off from store and peers renews
 // the lease of a worker that the next owner does not reach, and the next owner
-// starts its task elsewhere. In all combinations with pauses, and for a peer
-// call that reaches it.
+// starts its task elsewhere.
 BOOST_AUTO_TEST_CASE(an_owner_that_is_cut_off_is_waited_for) {
   for (const bool peers_cut : {true, false}) {
     lost = nullptr;
