--- a/review/harness-3/cell.h
+++ b/review/harness-3/cell.h
@@ -3,6 +3,7 @@
 // scheduler between them. Everything listens on 127.0.0.1.
 #include <fcntl.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 
 #include <condition_variable>
@@ -286,7 +287,8 @@
   std::vector<Run> runs;
 };
 
-/// One life of a worker. Its spec tells how long a task works: "work=MS".
+/// One life of a worker. The spec tells how long a task works ("work=MS") and
+/// whether it then fails by its own fault ("work=MS fail").
 class Worker {
  public:
   struct Parts {
@@ -335,6 +337,7 @@
     std::int64_t run = 0;
     Clock::time_point ends;
     std::size_t ledger = 0;
+    bool fails = false;
   };
   struct Ended {
     std::int64_t number = 0;
@@ -391,7 +394,9 @@
       for (const auto& [task, run] : this->running) {
         if (Clock::now() >= run.ends) done.push_back(task);
       }
-      for (const auto& task : done) this->End(task, "done");
+      for (const auto& task : done) {
+        this->End(task, this->running.at(task).fails ? "failed" : "done");
+      }
       if (this->lease_ms <= this->ClockMs()) {
         done.clear();
         for (const auto& [task, run] : this->running) done.push_back(task);
@@ -453,7 +458,8 @@
       ledger.runs.push_back(
           {task, run, this->parts.id, MsSince(ledger.begun), -1, "open"});
     }
-    this->running[task] = {run, Clock::now() + milliseconds(work), index};
+    this->running[task] = {run, Clock::now() + milliseconds(work), index,
+                           spec.find("fail") != std::string::npos};
     this->parts.record->Write("run " + task + " " + std::to_string(run) +
                               " begins on " + this->parts.id);
     return Response{200, Json{{"clockMs", this->ClockMs()}}.dump()};
@@ -529,6 +535,8 @@
   void Start() {
     this->pid = fork();
     if (this->pid == 0) {
+      // Ends with the script, however that ends.
+      prctl(PR_SET_PDEATHSIG, SIGKILL);
       const int fd = open(this->log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
       dup2(fd, 1);
       dup2(fd, 2);
