--- a/review/11/run.sh
+++ b/review/10/run.sh
@@ -4,7 +4,7 @@
 here="$(cd "$(dirname "$0")" && pwd)"
 cd "$here/../.."
 program="$PWD/target/apps/mustardproxy/mustardproxy"
-harness="$PWD/target/review-3/hopeless"
+harness="$PWD/target/review-3/channels"
 [[ -x "$program" && -x "$harness" ]] || exit 2
 folder="$(mktemp -d)"
 timeout --kill-after=5 115 "$harness" "$program" "$folder" "$here/record.txt"
--- a/review/harness-3/cell.h
+++ b/review/harness-3/cell.h
@@ -81,6 +81,18 @@
     this->server.Down();
   }
   [[nodiscard]] std::string Address() const { return this->server.Address(); }
+  /// A way of its own to the store; it is turned away with 503 while `away`.
+  Server* AddWay(const std::atomic<bool>* away) {
+    this->ways.push_back(std::make_unique<Server>(
+        [this, away](const Request& request) -> std::optional<Response> {
+          if (*away) return Response{503, "{}"};
+          auto response = this->Handle(request);
+          if (*away) return Response{503, "{}"};
+          return response;
+        }));
+    this->ways.back()->Up();
+    return this->ways.back().get();
+  }
 
   void Put(const std::string& key, const std::string& value) {
     const std::lock_guard lock(this->mutex);
@@ -268,6 +280,7 @@
   std::int64_t next_lease = 1;
   std::atomic<bool> running{false};
   std::thread ticker;
+  std::vector<std::unique_ptr<Server>> ways;
   Server server;
 };
 
@@ -298,6 +311,10 @@
     std::string rack = "r1";
     std::int64_t cpu = 16000;
     std::int64_t memory = 65536;
+    /// What a call takes beside what it asks for: both ways, and a bit of work.
+    milliseconds way{0};
+    /// Most connections at a time; 0 for any number.
+    std::size_t channels = 0;
     Store* store = nullptr;
     Record* record = nullptr;
     Ledger* ledger = nullptr;
@@ -305,7 +322,8 @@
 
   explicit Worker(Parts given)
       : parts(std::move(given)),
-        server([this](const Request& r) { return this->Handle(r); }, this->parts.port) {}
+        server([this](const Request& r) { return this->Handle(r); }, this->parts.port,
+               this->parts.channels) {}
   ~Worker() { this->Crash(); }
 
   void Up() {
@@ -331,6 +349,8 @@
   }
   [[nodiscard]] bool Alive() const { return this->alive; }
   [[nodiscard]] const std::string& Id() const { return this->parts.id; }
+  [[nodiscard]] std::size_t OpenChannels() { return this->server.Open(); }
+  [[nodiscard]] std::size_t ResetChannels() { return this->server.Resets(); }
 
  private:
   struct Running {
@@ -414,6 +434,7 @@
   }
 
   std::optional<Response> Handle(const Request& request) {
+    std::this_thread::sleep_for(this->parts.way);
     std::unique_lock lock(this->mutex);
     if (!this->alive) return std::nullopt;
     const auto expected = request.headers.find("x-expect-instance");
