--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,6 +3,6 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
-for source in review/harness-3/*.cc; do
-  g++ -std=c++20 -O1 -pthread -o "target/review-3/$(basename "$source" .cc)" "$source"
+for source in review/harness-3/*.cpp; do
+  g++ -std=c++20 -O1 -pthread -o "target/review-3/$(basename "$source" .cpp)" "$source"
 done
--- a/review/harness-3/cell.h
+++ b/review/harness-3/cell.hpp
@@ -8,6 +8,7 @@
 
 #include <condition_variable>
 #include <cstdint>
+#include <cstdio>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -16,7 +17,7 @@
 #include <nlohmann/json.hpp>
 #include <vector>
 
-#include "http.h"
+#include "http.hpp"
 
 namespace review {
 
@@ -35,8 +36,9 @@
   for (std::size_t i = 0; i < text.size(); i += 3) {
     std::uint32_t bits = 0;
     for (std::size_t j = 0; j < 3; ++j) {
-      bits = bits << 8 |
-             (i + j < text.size() ? static_cast<unsigned char>(text[i + j]) : 0u);
+      bits =
+          bits << 8 |
+          (i + j < text.size() ? static_cast<unsigned char>(text[i + j]) : 0u);
     }
     for (std::size_t j = 0; j < 4; ++j) {
       out += i + j > text.size() ? '=' : kDigits[bits >> (18 - 6 * j) & 63];
@@ -52,7 +54,8 @@
   void Write(const std::string& line) {
     const std::lock_guard lock(this->mutex);
     char stamp[32];
-    std::snprintf(stamp, sizeof(stamp), "%8.3f  ", MsSince(this->begun) / 1000.0);
+    std::snprintf(stamp, sizeof(stamp), "%8.3f  ",
+                  MsSince(this->begun) / 1000.0);
     this->out << stamp << line << std::endl;
   }
 
@@ -183,7 +186,8 @@
       Json rows = Json::array();
       bool truncated = false;
       for (auto one = this->items.lower_bound(prefix);
-           one != this->items.end() && one->first.rfind(prefix, 0) == 0; ++one) {
+           one != this->items.end() && one->first.rfind(prefix, 0) == 0;
+           ++one) {
         if (!after.empty() && one->first <= after) continue;
         if (rows.size() == 500) {
           truncated = true;
@@ -208,8 +212,8 @@
       const auto found = this->leases.find(id);
       if (found == this->leases.end()) return Response{404, "{}"};
       found->second.until = Clock::now() + milliseconds(found->second.ttl_ms);
-      return Response{200,
-                      Json{{"lease", id}, {"ttlMs", found->second.ttl_ms}}.dump()};
+      return Response{
+          200, Json{{"lease", id}, {"ttlMs", found->second.ttl_ms}}.dump()};
     }
     if (path.rfind("/-/kv-lease-end/", 0) == 0) {
       this->EndLease(id);
@@ -224,7 +228,8 @@
     for (const Json& one : body["precondition"]) {
       const std::string key = one["key"];
       const auto found = this->items.find(key);
-      const std::int64_t is = found == this->items.end() ? 0 : found->second.revision;
+      const std::int64_t is =
+          found == this->items.end() ? 0 : found->second.revision;
       if (found != this->items.end()) rows.push_back(Row(key, found->second));
       holds = holds && is == one["revision"].get<std::int64_t>();
     }
@@ -235,8 +240,8 @@
     }
     ++this->revision;
     for (const Json& put : body["puts"]) {
-      this->Change(put["key"], put["value"], put.value("lease", std::int64_t{0}),
-                   false, this->revision);
+      this->Change(put["key"], put["value"],
+                   put.value("lease", std::int64_t{0}), false, this->revision);
     }
     for (const Json& key : body["remove"]) {
       if (this->items.contains(key.get<std::string>())) {
@@ -250,13 +255,15 @@
   Response Watch(const Request& request) {
     const std::string prefix = QueryField(request.target, "prefix");
     const auto after = std::atoll(QueryField(request.target, "after").c_str());
-    const auto end = Clock::now() +
+    const auto end =
+        Clock::now() +
         milliseconds(std::atoll(QueryField(request.target, "waitMs").c_str()));
     std::unique_lock lock(this->mutex);
     Json rows = Json::array();
     for (;;) {
       for (const Event& event : this->history) {
-        if (event.item.revision <= after || event.key.rfind(prefix, 0) != 0) continue;
+        if (event.item.revision <= after || event.key.rfind(prefix, 0) != 0)
+          continue;
         if (event.deleted) {
           rows.push_back({{"key", event.key},
                           {"revision", event.item.revision},
@@ -322,8 +329,8 @@
 
   explicit Worker(Parts given)
       : parts(std::move(given)),
-        server([this](const Request& r) { return this->Handle(r); }, this->parts.port,
-               this->parts.channels) {}
+        server([this](const Request& r) { return this->Handle(r); },
+               this->parts.port, this->parts.channels) {}
   ~Worker() { this->Crash(); }
 
   void Up() {
@@ -332,7 +339,8 @@
     this->WriteEntry();
     this->ticker = std::thread([this] { this->Tick(); });
     this->parts.record->Write("worker " + this->parts.id + " up at " +
-                              this->server.Address() + " kind " + this->parts.kind);
+                              this->server.Address() + " kind " +
+                              this->parts.kind);
   }
   /// The life is over: all that runs is gone, connections close, new ones are
   /// refused. Its entry stays until the platform removes it.
@@ -366,15 +374,18 @@
     std::string how;
   };
 
-  [[nodiscard]] std::int64_t ClockMs() const { return MsSince(this->started) + 1000; }
+  [[nodiscard]] std::int64_t ClockMs() const {
+    return MsSince(this->started) + 1000;
+  }
   void Note(std::size_t index, const std::string& how) {
     Ledger& ledger = *this->parts.ledger;
     const std::lock_guard lock(ledger.mutex);
     Run& run = ledger.runs[index];
     run.ended_ms = MsSince(ledger.begun);
     run.how = how;
-    this->parts.record->Write("run " + run.task + " " + std::to_string(run.run) +
-                              " on " + run.worker + " ends: " + how);
+    this->parts.record->Write("run " + run.task + " " +
+                              std::to_string(run.run) + " on " + run.worker +
+                              " ends: " + how);
   }
   void End(const std::string& task, const std::string& how) {
     const auto found = this->running.find(task);
@@ -438,7 +449,8 @@
     std::unique_lock lock(this->mutex);
     if (!this->alive) return std::nullopt;
     const auto expected = request.headers.find("x-expect-instance");
-    if (expected != request.headers.end() && expected->second != this->parts.id) {
+    if (expected != request.headers.end() &&
+        expected->second != this->parts.id) {
       return Response{421, "{}"};
     }
     const Json body = Json::parse(request.body, nullptr, false);
@@ -486,10 +498,12 @@
     return Response{200, Json{{"clockMs", this->ClockMs()}}.dump()};
   }
 
-  std::optional<Response> Hold(const Json& body, std::unique_lock<std::mutex>* lock) {
+  std::optional<Response> Hold(const Json& body,
+                               std::unique_lock<std::mutex>* lock) {
     this->Extend(body);
     const auto seen = body.value("lastSeen", std::int64_t{0});
-    std::erase_if(this->ended, [seen](const Ended& one) { return one.number <= seen; });
+    std::erase_if(this->ended,
+                  [seen](const Ended& one) { return one.number <= seen; });
     const auto end =
         Clock::now() + milliseconds(body.value("waitMs", std::int64_t{0}));
     while (this->alive && this->ended.empty() && Clock::now() < end) {
@@ -503,7 +517,8 @@
       reply["running"].push_back({task, run.run, "", 50, 0});
     }
     for (const Ended& one : this->ended) {
-      reply["endedRuns"].push_back({one.number, one.task, one.run, one.how, ""});
+      reply["endedRuns"].push_back(
+          {one.number, one.task, one.run, one.how, ""});
     }
     return Response{200, reply.dump()};
   }
@@ -529,7 +544,9 @@
  public:
   Scheduler(const std::string& program, const std::string& folder, int number,
             const std::string& store, Record* record)
-      : program(program), name("edge-z1-" + std::to_string(number)), record(record) {
+      : program(program),
+        name("edge-z1-" + std::to_string(number)),
+        record(record) {
     this->callers = FreePort();
     this->readiness = FreePort();
     this->settings = folder + "/" + this->name + ".jsonc";
@@ -558,7 +575,8 @@
     if (this->pid == 0) {
       // Ends with the script, however that ends.
       prctl(PR_SET_PDEATHSIG, SIGKILL);
-      const int fd = open(this->log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+      const int fd =
+          open(this->log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
       dup2(fd, 1);
       dup2(fd, 2);
       setenv("MUSTARDPROXY_SETTINGS", this->settings.c_str(), 1);
@@ -578,7 +596,8 @@
     this->pid = -1;
   }
   [[nodiscard]] bool Ready() const {
-    const auto answer = Call(this->readiness, "GET", "/-/ready", {{"Host", "x"}}, "", 500);
+    const auto answer =
+        Call(this->readiness, "GET", "/-/ready", {{"Host", "x"}}, "", 500);
     return answer && answer->status == 200;
   }
   [[nodiscard]] int Callers() const { return this->callers; }
@@ -597,26 +616,43 @@
 };
 
 inline std::string DesiredState(std::int64_t version) {
-  const Json route = {{"name", "queue"},     {"host", "jobs.example"},
-                      {"prefix", "/jobs/"},  {"service", "svc"},
-                      {"priority", 1},       {"maxAttempts", 4},
-                      {"stretch", 2.2},      {"targetDurationMs", 3000}};
+  const Json route = {{"name", "queue"},    {"host", "jobs.example"},
+                      {"prefix", "/jobs/"}, {"service", "svc"},
+                      {"priority", 1},      {"maxAttempts", 4},
+                      {"stretch", 2.2},     {"targetDurationMs", 3000}};
   return Json{{"version", version},
               {"routes", Json::array({route})},
-              {"services", Json::array({{{"name", "svc"}, {"rejectsOverload", false}}})},
+              {"services",
+               Json::array({{{"name", "svc"}, {"rejectsOverload", false}}})},
               {"limits", Json::object()}}
       .dump();
 }
 
-inline bool AwaitReady(const std::vector<std::unique_ptr<Scheduler>>& all) {
+/// Ends the script; the threads of the stand-ins are not waited for.
+[[noreturn]] inline void Quit(
+    const std::vector<std::unique_ptr<Scheduler>>& all, int code) {
+  for (const auto& one : all) one->Kill();
+  std::fflush(stdout);
+  std::_Exit(code);
+}
+
+/// If a process is not ready within 15 s, the end of its log goes into the
+/// record, and the script could not run.
+inline void AwaitReady(const std::vector<std::unique_ptr<Scheduler>>& all,
+                       Record* record) {
   const auto end = Clock::now() + std::chrono::seconds(15);
   for (const auto& one : all) {
     while (!one->Ready()) {
-      if (Clock::now() >= end) return false;
+      if (Clock::now() >= end) {
+        std::ifstream log(one->Log());
+        std::string text((std::istreambuf_iterator<char>(log)), {});
+        if (text.size() > 3000) text.erase(0, text.size() - 3000);
+        record->Write(one->Name() + " doesn't become ready; its log:\n" + text);
+        Quit(all, 2);
+      }
       std::this_thread::sleep_for(milliseconds(50));
     }
   }
-  return true;
 }
 
 }  // namespace review
--- a/review/harness-3/channels.cc
+++ b/review/harness-3/channels.cpp
@@ -1,9 +1,9 @@
-// Six processes, ten workers that take 64 channels each, one of them the only one
-// of its kind. Jobs of 32 tasks that need it come every 2 s. The store turns the
-// owner and one more process away for 9 s, twice.
+// Six processes, ten workers that take 64 channels each, one of them the only
+// one of its kind. Jobs of 32 tasks that need it come every 2 s. The store
+// turns the owner and one more process away for 9 s, twice.
 #include <cstdio>
 
-#include "cell.h"
+#include "cell.hpp"
 
 using namespace review;
 
@@ -69,10 +69,7 @@
         program, folder, i + 1, store.AddWay(&away[i])->Address(), &record));
     schedulers.back()->Start();
   }
-  if (!AwaitReady(schedulers)) {
-    record.Write("the processes don't become ready");
-    return 2;
-  }
+  AwaitReady(schedulers, &record);
   std::this_thread::sleep_for(std::chrono::seconds(3));
 
   std::mutex mutex;
@@ -85,19 +82,20 @@
         const int tasks = i == 0 ? 32 : 10;
         char id[17];
         std::snprintf(id, sizeof(id), "%016d", number);
-        const Json job = {{"spec", "work=500"},
-                          {"steps", Json::array({{{"count", tasks},
-                                                  {"cpu", 500},
-                                                  {"memMb", 500},
-                                                  {"estimatedMs", 500},
-                                                  {"requirements", i == 0 ? "b" : "a"}}})}};
+        const Json job = {
+            {"spec", "work=500"},
+            {"steps", Json::array({{{"count", tasks},
+                                    {"cpu", 500},
+                                    {"memMb", 500},
+                                    {"estimatedMs", 500},
+                                    {"requirements", i == 0 ? "b" : "a"}}})}};
         // The balancer sends callers to a process that is ready.
         for (int one = kProcesses - 1; one >= 0; --one) {
           if (away[one]) continue;
-          const auto answer = Call(schedulers[one]->Callers(), "POST",
-                                   std::string("/jobs/") + id,
-                                   {{"Host", "jobs.example"}, {"X-Request-Timeout-Ms", "3000"}},
-                                   job.dump(), 3000);
+          const auto answer = Call(
+              schedulers[one]->Callers(), "POST", std::string("/jobs/") + id,
+              {{"Host", "jobs.example"}, {"X-Request-Timeout-Ms", "3000"}},
+              job.dump(), 3000);
           record.Write(std::string("POST ") + id + " -> " +
                        (answer ? std::to_string(answer->status) : "no answer"));
           if (!answer || answer->status != 200) continue;
@@ -124,7 +122,7 @@
     channels();
     const int owner = FindOwner(schedulers);
     const int other = former >= 0 ? former : kProcesses - 2;
-    if (owner < 0) return 2;
+    if (owner < 0) Quit(schedulers, 2);
     record.Write("process " + schedulers[owner]->Name() + " owns the cell");
     former = owner;
     if (!trouble) continue;
@@ -139,9 +137,10 @@
   }
   caller.join();
   channels();
-  record.Write("the traffic ends; process " + schedulers[FindOwner(schedulers)]->Name() +
-               " owns the cell");
-  std::this_thread::sleep_until(begun + milliseconds(kTrafficMs + 2000 + kFinishMs));
+  record.Write("the traffic ends; process " +
+               schedulers[FindOwner(schedulers)]->Name() + " owns the cell");
+  std::this_thread::sleep_until(begun +
+                                milliseconds(kTrafficMs + 2000 + kFinishMs));
   record.Write("finish_s is over; jobs are looked at for 3 s");
   channels();
   // Tasks of a job that are done, and whether one of them has run since.
@@ -166,8 +165,9 @@
   int broken = 0;
   for (const auto& [id, tasks] : accepted) {
     if (!idle[id]) continue;
-    record.Write("BROKEN: LOST: " + id +
-                 " has nothing running, though all workers are up and have room");
+    record.Write(
+        "BROKEN: LOST: " + id +
+        " has nothing running, though all workers are up and have room");
     ++broken;
   }
   record.Write(std::to_string(accepted.size()) + " jobs were accepted, " +
@@ -184,8 +184,6 @@
     break;
   }
   channels();
-  for (const auto& one : schedulers) one->Kill();
   std::printf("%d broken\n", broken);
-  std::fflush(stdout);
-  std::_Exit(broken > 0 ? 1 : 0);
+  Quit(schedulers, broken > 0 ? 1 : 0);
 }
--- a/review/harness-3/gone.cc
+++ b/review/harness-3/gone.cpp
@@ -3,7 +3,7 @@
 // seven workers stay.
 #include <cstdio>
 
-#include "cell.h"
+#include "cell.hpp"
 
 using namespace review;
 
@@ -61,14 +61,11 @@
                                                      store.Address(), &record));
     schedulers.back()->Start();
   }
-  if (!AwaitReady(schedulers)) {
-    record.Write("the processes don't become ready");
-    return 2;
-  }
+  AwaitReady(schedulers, &record);
   // Calm for longer than a takeover takes.
   std::this_thread::sleep_for(std::chrono::seconds(20));
   Scheduler* owner = FindOwner(schedulers);
-  if (owner == nullptr) return 2;
+  if (owner == nullptr) Quit(schedulers, 2);
   Scheduler* caller = nullptr;
   for (const auto& one : schedulers) {
     if (one.get() != owner) caller = one.get();
@@ -76,9 +73,10 @@
 
   const std::string id = "f000000000000001";
   const auto call = [&](const std::string& method, const std::string& body) {
-    const auto answer = Call(caller->Callers(), method, "/jobs/" + id,
-                             {{"Host", "jobs.example"}, {"X-Request-Timeout-Ms", "3000"}},
-                             body, 3000);
+    const auto answer =
+        Call(caller->Callers(), method, "/jobs/" + id,
+             {{"Host", "jobs.example"}, {"X-Request-Timeout-Ms", "3000"}}, body,
+             3000);
     record.Write(method + " " + id + " -> " +
                  (answer ? std::to_string(answer->status) + " " + answer->body
                          : std::string("no answer")));
@@ -91,7 +89,7 @@
                                             {"estimatedMs", 1000},
                                             {"longRunning", true}}})}};
   const auto accepted = call("POST", job.dump());
-  if (!accepted || accepted->status != 200) return 2;
+  if (!accepted || accepted->status != 200) Quit(schedulers, 2);
   std::this_thread::sleep_for(std::chrono::seconds(3));
   std::string worker;
   {
@@ -100,9 +98,10 @@
       if (run.how == "open") worker = run.worker;
     }
   }
-  if (worker.empty()) return 2;
+  if (worker.empty()) Quit(schedulers, 2);
   if (trouble) {
-    record.Write("process " + owner->Name() + " owns the cell and is gone for good");
+    record.Write("process " + owner->Name() +
+                 " owns the cell and is gone for good");
     owner->Kill();
     std::this_thread::sleep_for(milliseconds(500));
     for (const auto& one : workers) {
@@ -127,17 +126,18 @@
     for (const auto& [task, all] : runs) {
       for (std::size_t i = 0; i < all.size(); ++i) {
         if (all[i].ended_ms < 0) continue;
-        const auto until = i + 1 < all.size() ? all[i + 1].begun_ms : MsSince(ledger.begun);
+        const auto until =
+            i + 1 < all.size() ? all[i + 1].begun_ms : MsSince(ledger.begun);
         const auto idle = until - all[i].ended_ms;
-        record.Write(task + " has nothing running for " + std::to_string(idle) + " ms");
+        record.Write(task + " has nothing running for " + std::to_string(idle) +
+                     " ms");
         if (idle < kSinceLastRunMs + kIdleMs) continue;
-        record.Write("BROKEN: LOST: " + task + " has nothing running, though seven workers are idle");
+        record.Write("BROKEN: LOST: " + task +
+                     " has nothing running, though seven workers are idle");
         ++broken;
       }
     }
   }
-  for (const auto& one : schedulers) one->Kill();
   std::printf("%d broken\n", broken);
-  std::fflush(stdout);
-  std::_Exit(broken > 0 ? 1 : 0);
+  Quit(schedulers, broken > 0 ? 1 : 0);
 }
--- a/review/harness-3/http.h
+++ b/review/harness-3/http.hpp
@@ -16,6 +16,7 @@
 #include <map>
 #include <mutex>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <thread>
@@ -53,7 +54,8 @@
       std::string value;
       for (std::size_t i = name.size() + 1; i < pair.size(); ++i) {
         if (pair[i] == '%' && i + 2 < pair.size()) {
-          value += static_cast<char>(std::stoi(pair.substr(i + 1, 2), nullptr, 16));
+          value +=
+              static_cast<char>(std::stoi(pair.substr(i + 1, 2), nullptr, 16));
           i += 2;
         } else {
           value += pair[i];
@@ -69,8 +71,8 @@
 /// Reads one message from a socket. `buffer` keeps what follows it.
 inline bool ReadMessage(int fd, std::string* buffer, std::string* first,
                         Headers* headers, std::string* body, int timeout_ms) {
-  const auto end = std::chrono::steady_clock::now() +
-                   std::chrono::milliseconds(timeout_ms);
+  const auto end =
+      std::chrono::steady_clock::now() + std::chrono::milliseconds(timeout_ms);
   std::size_t head = std::string::npos;
   std::size_t length = 0;
   for (;;) {
@@ -101,7 +103,8 @@
       return true;
     }
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
-        end - std::chrono::steady_clock::now()).count();
+                          end - std::chrono::steady_clock::now())
+                          .count();
     if (left <= 0) return false;
     pollfd entry{fd, POLLIN, 0};
     if (poll(&entry, 1, static_cast<int>(left)) <= 0) return false;
@@ -132,13 +135,20 @@
 }
 
 inline int FreePort() {
-  const int fd = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address = Loopback(0);
-  bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address));
-  socklen_t size = sizeof(address);
-  getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
-  close(fd);
-  return ntohs(address.sin_port);
+  static std::mutex mutex;
+  static std::set<int> given;
+  static std::mt19937 random{std::random_device{}()};
+  const std::lock_guard lock(mutex);
+  for (;;) {
+    const int port = std::uniform_int_distribution<int>(15000, 31000)(random);
+    if (!given.insert(port).second) continue;
+    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+    const sockaddr_in address = Loopback(port);
+    const bool free = bind(fd, reinterpret_cast<const sockaddr*>(&address),
+                           sizeof(address)) == 0;
+    close(fd);
+    if (free) return port;
+  }
 }
 
 /// Serves requests at one port; can go down, which closes all connections and
@@ -263,9 +273,11 @@
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   sockaddr_in address = Loopback(port);
   std::optional<Response> response;
-  if (connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0) {
+  if (connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) ==
+      0) {
     std::string text = method + " " + target + " HTTP/1.1\r\n";
-    for (const auto& [name, value] : headers) text += name + ": " + value + "\r\n";
+    for (const auto& [name, value] : headers)
+      text += name + ": " + value + "\r\n";
     if (method == "POST") {
       text += "Content-Type: application/json\r\nContent-Length: " +
               std::to_string(body.size()) + "\r\n";
