--- a/review/harness-3/gone.cpp
+++ b/review/harness-3/gone.cpp
@@ -35,12 +35,14 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  if (argc < 4) return 2;
+  if (argc < 5) return 2;
   const std::string program = argv[1];
   const std::string folder = argv[2];
   Record record(argv[3]);
-  const char* wanted = std::getenv("TROUBLE");
-  const bool trouble = wanted == nullptr || std::string(wanted) != "0";
+  const std::string disruption = argv[4];
+  if (disruption != "with" && disruption != "without") return 2;
+  const bool trouble = disruption == "with";
+  record.Write(disruption + " the disruption");
   Store store;
   store.Up();
   Ledger ledger;
