--- a/apps/mustardproxy/src/cell_runtime.cc
+++ b/apps/mustardproxy/src/cell_runtime.cc
@@ -78,6 +78,8 @@
   std::error_code StartLink();
   void UpdateReadiness();
   void LogUsage();
+  /// Logs the connections to workers, and sets their metrics.
+  void LogConnections();
   void Drain();
 
   CellSettings settings;
@@ -233,9 +235,33 @@
                    {"advice_questions", total("advice_questions")},
                    {"caller_answers", total("caller_answers")},
                    {"connections", this->callers_listener->Connections()}});
+  this->LogConnections();
   this->executor.After(kUsageInterval, [this] { this->LogUsage(); });
 }
 
+void CellRuntime::State::LogConnections() {
+  const http::ConnectionCounts counts = this->http.Counts();
+  const auto set = [this](std::string_view label, auto value) {
+    this->metrics.Set("worker_connections", label, static_cast<double>(value));
+  };
+  set("state=idle", counts.idle);
+  set("state=in-use", counts.in_use);
+  set("state=opened", counts.opened);
+  set("state=refused", counts.refused);
+  set("state=reset", counts.reset);
+  set("state=timed-out", counts.timed_out);
+  this->log.Write("process", "worker-connections",
+                  {{"idle", counts.idle},
+                   {"in_use", counts.in_use},
+                   {"opened", counts.opened},
+                   {"refused", counts.refused},
+                   {"reset", counts.reset},
+                   {"timed_out", counts.timed_out},
+                   {"calls_waiting", counts.waiting_calls},
+                   {"calls_waited", counts.waited},
+                   {"calls_not_sent", counts.not_sent}});
+}
+
 void CellRuntime::State::Drain() {
   using std::chrono::steady_clock;
   const auto begun = steady_clock::now();
--- a/packages/http/include/mustardproxy/http/client_connection.h
+++ b/packages/http/include/mustardproxy/http/client_connection.h
@@ -48,8 +48,9 @@
   /// has ended, well or not.
   static Result<std::unique_ptr<ClientConnection>> Begin(
       const std::string& address);
-  /// @return true if a connection that was begun is there
-  bool FinishConnect();
+  /// @return no error if a connection that was begun is there, otherwise the
+  ///   system's
+  std::error_code FinishConnect();
 
   /// @return an error if not all of the request was written; `Touched` then
   ///   tells whether any of it was
--- a/packages/http/include/mustardproxy/http/connection_pool.h
+++ b/packages/http/include/mustardproxy/http/connection_pool.h
@@ -2,6 +2,7 @@
 #define MUSTARDPROXY_HTTP_CONNECTION_POOL_H_
 
 #include <chrono>
+#include <cstddef>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -21,6 +22,9 @@
   /// that a request seldom meets the close on its way.
   static constexpr Duration kDefaultIdle = std::chrono::seconds(5);
 
+  /// Idle connections that are kept to one address unless told otherwise.
+  static constexpr std::size_t kMaxIdle = 64;
+
   explicit ConnectionPool(Duration max_idle = kDefaultIdle)
       : max_idle(max_idle) {}
 
@@ -31,11 +35,23 @@
   std::unique_ptr<ClientConnection> TakeOpen(const std::string& address);
   /// Keeps a connection for reuse, unless it is condemned, retired or one too
   /// many; then it is closed.
-  void Put(std::unique_ptr<ClientConnection> connection);
+  /// @param most idle connections to keep to its address
+  void Put(std::unique_ptr<ClientConnection> connection,
+           std::size_t most = kMaxIdle);
+  /// Closes the connections that have been idle for too long.
+  void CloseExpired();
+  /// Closes idle connections until no more than `most` to each address are
+  /// left.
+  void Trim(std::size_t most);
+  /// Closes all idle connections; those in use are closed when they are put
+  /// back.
+  void RetireAll();
   /// Closes the idle connections to `address` that were opened before `moment`;
   /// those in use are closed when they are put back.
   void RetireOlder(const std::string& address, Instant moment);
   [[nodiscard]] std::size_t IdleCount(const std::string& address) const;
+  /// @return the same for all addresses
+  [[nodiscard]] std::size_t IdleCount() const;
 
  private:
   using Connections = std::vector<std::unique_ptr<ClientConnection>>;
@@ -52,6 +68,7 @@
   mutable std::mutex mutex;
   std::map<std::string, Entry> entries;
   Instant swept;
+  Instant all_retired_before;
 };
 
 }  // namespace mustardproxy::http
--- a/packages/http/src/async_client.cc
+++ b/packages/http/src/async_client.cc
@@ -6,6 +6,8 @@
 #include <algorithm>
 #include <chrono>
 #include <condition_variable>
+#include <cstddef>
+#include <cstdint>
 #include <map>
 #include <mutex>
 #include <set>
@@ -13,8 +15,11 @@
 #include <thread>
 #include <utility>
 
+#include "call_queue.h"
+#include "mustardproxy/core/error.h"
 #include "mustardproxy/http/connection_pool.h"
 #include "mustardproxy/telemetry/clock.h"
+#include "pending_call.h"
 
 namespace mustardproxy::http {
 namespace {
@@ -34,16 +39,10 @@
 /// meanwhile is noticed before it is used.
 constexpr Duration kMaxIdle = std::chrono::seconds(60);
 
-/// One call under way. Owned by whoever took it out of the table.
-struct PendingCall {
-  Exchange exchange;
-  AsyncClient::Done done;
-  std::unique_ptr<ClientConnection> connection;
-  bool connecting = false;
-  Instant due;
-};
-
-using PendingCallPtr = std::shared_ptr<PendingCall>;
+/// Longest poll while calls wait for a connection.
+constexpr Duration kMaxQueuePoll = std::chrono::milliseconds(5);
+/// Without calls, how often idle connections are looked at.
+constexpr Duration kIdleCheckInterval = std::chrono::seconds(1);
 
 HttpRequest MakeRequest(const Exchange& exchange) {
   return {.method = exchange.method,
@@ -53,6 +52,18 @@
           .body = exchange.body};
 }
 
+bool IsLimited(const PendingCall& call) {
+  return call.exchange.lane != Lane::kUnlimited;
+}
+
+/// How a call without a reply ended.
+enum class Failure {
+  /// No connection could be opened, or nothing came in time.
+  kSilence,
+  /// The other end closed the connection before the first byte.
+  kClosed,
+};
+
 }  // namespace
 
 struct AsyncClient::State {
@@ -65,14 +76,28 @@
   std::vector<PendingCallPtr> TakeDue();
   void Watch(const PendingCallPtr& call);
   void Forget(const PendingCallPtr& call);
+  /// Begins a call, or lets it wait for a connection.
+  void Make(const PendingCallPtr& call);
   void Begin(const PendingCallPtr& call);
+  /// Keeps the connection of a call that got its reply, and lets calls that
+  /// wait follow.
+  void Keep(const PendingCallPtr& call);
+  /// Begins calls that have waited long enough, and ends those that have waited
+  /// too long.
+  void ServeQueue();
   void Send(const PendingCallPtr& call);
   void OnReady(const PendingCallPtr& call);
   void Receive(const PendingCallPtr& call);
-  void Fail(const PendingCallPtr& call);
+  void Fail(const PendingCallPtr& call, Failure failure);
+  ConnectionPool* PoolOf(const PendingCall& call) {
+    return IsLimited(call) ? &this->shared_pool : &this->pool;
+  }
   static void Settle(const PendingCallPtr& call, ExchangeResult result);
 
+  /// Of unlimited calls.
   ConnectionPool pool{kMaxIdle};
+  /// Of all others.
+  ConnectionPool shared_pool{kMaxIdle};
   std::mutex mutex;
   std::condition_variable changed;
   Poco::Net::PollSet sockets;
@@ -81,6 +106,10 @@
   /// Calls that failed at once, whose callers must not be told before `Call`
   /// has returned.
   std::vector<PendingCallPtr> failed;
+  CallQueue queue;
+  /// Calls that waited and are not to be sent.
+  std::vector<PendingCallPtr> unsent;
+  ConnectionCounts counts;
   bool stopping = false;
   std::thread thread;
 };
@@ -105,11 +134,52 @@
   call->due = SteadyNow() + exchange.timeout;
   call->exchange = std::move(exchange);
   call->done = std::move(done);
-  this->state->Begin(call);
+  this->state->Make(call);
+}
+
+void AsyncClient::SetShare(std::size_t connections) {
+  {
+    const std::lock_guard lock(this->state->mutex);
+    this->state->queue.SetShare(connections);
+  }
+  this->state->shared_pool.Trim(connections);
+}
+
+void AsyncClient::CancelWaiting() {
+  const std::lock_guard lock(this->state->mutex);
+  for (PendingCallPtr& call : this->state->queue.TakeWaiting()) {
+    this->state->unsent.push_back(std::move(call));
+  }
+  this->state->changed.notify_one();
+}
+
+void AsyncClient::Release() { this->state->shared_pool.RetireAll(); }
+
+ConnectionCounts AsyncClient::Counts() const {
+  const std::lock_guard lock(this->state->mutex);
+  ConnectionCounts counts = this->state->counts;
+  counts.idle = this->state->shared_pool.IdleCount();
+  counts.in_use = this->state->queue.InUse();
+  counts.waiting_calls = this->state->queue.Waiting();
+  return counts;
+}
+
+void AsyncClient::State::Make(const PendingCallPtr& call) {
+  std::vector<PendingCallPtr> admitted;
+  if (IsLimited(*call)) {
+    const std::lock_guard lock(this->mutex);
+    const Instant now = SteadyNow();
+    admitted = this->queue.Push(call, now);
+    const bool waits = std::ranges::find(admitted, call) == admitted.end();
+    if (waits) ++this->counts.waited;
+  } else {
+    admitted.push_back(call);
+  }
+  for (const PendingCallPtr& next : admitted) this->Begin(next);
 }
 
 void AsyncClient::State::Begin(const PendingCallPtr& call) {
-  call->connection = this->pool.TakeOpen(call->exchange.address);
+  call->connection = this->PoolOf(*call)->TakeOpen(call->exchange.address);
   if (call->connection) {
     this->Send(call);
     return;
@@ -118,6 +188,7 @@
   if (begun) {
     call->connection = std::move(begun.value());
     call->connecting = true;
+    call->first = true;
     this->Watch(call);
     return;
   }
@@ -157,8 +228,11 @@
 
 bool AsyncClient::State::WaitForCalls() {
   std::unique_lock lock(this->mutex);
-  this->changed.wait(lock, [this] {
-    return this->stopping || !this->by_socket.empty() || !this->failed.empty();
+  const Duration longest =
+      this->queue.Waiting() > 0 ? kMaxQueuePoll : kIdleCheckInterval;
+  this->changed.wait_for(lock, longest, [this] {
+    return this->stopping || !this->by_socket.empty() ||
+           !this->failed.empty() || !this->unsent.empty();
   });
   return !this->stopping;
 }
@@ -169,7 +243,9 @@
     const std::lock_guard lock(this->mutex);
     if (!this->failed.empty() || this->by_socket.empty()) return {};
     const Duration left = this->dues.begin()->first - SteadyNow();
-    time = std::clamp(left, Duration::zero(), kMaxPoll);
+    const Duration longest =
+        this->queue.Waiting() > 0 ? kMaxQueuePoll : kMaxPoll;
+    time = std::clamp(left, Duration::zero(), longest);
   }
   return this->sockets.poll(Poco::Timespan(time.count()));
 }
@@ -180,7 +256,12 @@
     for (const PendingCallPtr& call : this->TakeReady(ready)) {
       this->OnReady(call);
     }
-    for (const PendingCallPtr& call : this->TakeDue()) this->Fail(call);
+    for (const PendingCallPtr& call : this->TakeDue()) {
+      this->Fail(call, Failure::kSilence);
+    }
+    this->ServeQueue();
+    this->pool.CloseExpired();
+    this->shared_pool.CloseExpired();
   }
 }
 
@@ -215,31 +296,91 @@
     this->Receive(call);
     return;
   }
-  if (call->connection->FinishConnect()) {
-    this->Send(call);
+  const std::error_code failure = call->connection->FinishConnect();
+  if (IsLimited(*call)) {
+    const std::lock_guard lock(this->mutex);
+    if (!failure) ++this->counts.opened;
+    if (failure == std::errc::connection_refused) ++this->counts.refused;
+    if (failure == std::errc::connection_reset) ++this->counts.reset;
+  }
+  if (failure) {
+    this->Fail(call, Failure::kClosed);
+  } else if (SteadyNow() >= call->due) {
+    // Failure: this process was frozen, and sends what was decided before that.
+    this->Fail(call, Failure::kSilence);
   } else {
-    this->Fail(call);
+    this->Send(call);
   }
 }
 
 void AsyncClient::State::Receive(const PendingCallPtr& call) {
   Result<HttpReply> reply = call->connection->Receive(kMaxSilence, call->due);
   if (!reply) {
-    this->Fail(call);
+    const bool closed = reply.error() == Error::kWorkerLost;
+    this->Fail(call, closed ? Failure::kClosed : Failure::kSilence);
     return;
   }
-  this->pool.Put(std::move(call->connection));
+  this->Keep(call);
   Settle(call, {ExchangeEnd::kReplied, reply.value().Status(),
                 std::move(reply.value().body)});
 }
 
-void AsyncClient::State::Fail(const PendingCallPtr& call) {
+void AsyncClient::State::Keep(const PendingCallPtr& call) {
+  if (!IsLimited(*call)) {
+    this->pool.Put(std::move(call->connection));
+    return;
+  }
+  std::vector<PendingCallPtr> admitted;
+  std::size_t most = 0;
+  {
+    const std::lock_guard lock(this->mutex);
+    const std::string& address = call->exchange.address;
+    this->queue.NoteEnded(*call);
+    admitted = this->queue.TakeAdmitted(address, SteadyNow());
+    // Each of the admitted calls takes one of the idle connections.
+    most = this->queue.MaxIdle(address) + admitted.size();
+  }
+  this->shared_pool.Put(std::move(call->connection), most);
+  for (const PendingCallPtr& next : admitted) this->Begin(next);
+}
+
+void AsyncClient::State::ServeQueue() {
+  std::vector<PendingCallPtr> admitted;
+  std::vector<PendingCallPtr> unsent;
+  {
+    const std::lock_guard lock(this->mutex);
+    const Instant now = SteadyNow();
+    unsent = std::exchange(this->unsent, {});
+    for (PendingCallPtr& call : this->queue.TakeExpired(now)) {
+      unsent.push_back(std::move(call));
+    }
+    this->counts.not_sent += static_cast<std::int64_t>(unsent.size());
+    admitted = this->queue.TakeAdmitted(now);
+  }
+  for (const PendingCallPtr& call : unsent) {
+    Settle(call, {ExchangeEnd::kNotAdmitted, 0, {}});
+  }
+  for (const PendingCallPtr& call : admitted) this->Begin(call);
+}
+
+void AsyncClient::State::Fail(const PendingCallPtr& call, Failure failure) {
   const bool sent = call->connection && call->connection->Touched();
+  // A new connection that is closed at once says nothing about older ones: the
+  // other end may take no more of them.
+  const bool rejected = call->first && failure == Failure::kClosed;
   // Failure: something between the two ends has lost track of the connections,
   // which stay silent for good while new ones work. All that are older than
   // this moment are as suspect as the one that gave no reply.
-  if (sent) this->pool.RetireOlder(call->exchange.address, SteadyNow());
+  if (sent && !rejected) {
+    this->PoolOf(*call)->RetireOlder(call->exchange.address, SteadyNow());
+  }
   call->connection.reset();
+  if (IsLimited(*call)) {
+    const std::lock_guard lock(this->mutex);
+    if (call->connecting) ++this->counts.timed_out;
+    if (sent && rejected) ++this->counts.reset;
+    this->queue.NoteEnded(*call);
+  }
   Settle(call, {sent ? ExchangeEnd::kUncertain : ExchangeEnd::kNotSent, 0, {}});
 }
 
--- a/packages/http/src/client_connection.cc
+++ b/packages/http/src/client_connection.cc
@@ -74,14 +74,15 @@
   }
 }
 
-bool ClientConnection::FinishConnect() {
+std::error_code ClientConnection::FinishConnect() {
   try {
-    if (this->socket.impl()->socketError() != 0) return false;
+    const int failure = this->socket.impl()->socketError();
+    if (failure != 0) return {failure, std::system_category()};
     this->socket.setBlocking(true);
     this->socket.setNoDelay(true);
-    return true;
+    return {};
   } catch (const Poco::Exception&) {
-    return false;
+    return std::make_error_code(std::errc::connection_reset);
   }
 }
 
--- a/packages/http/src/connection_pool.cc
+++ b/packages/http/src/connection_pool.cc
@@ -10,7 +10,6 @@
 namespace mustardproxy::http {
 namespace {
 
-constexpr std::size_t kMaxIdle = 64;
 constexpr Duration kSweepInterval = std::chrono::seconds(2);
 /// Longer than any request is in flight.
 constexpr Duration kRetirementKept = std::chrono::hours(1);
@@ -52,14 +51,16 @@
   return connection;
 }
 
-void ConnectionPool::Put(std::unique_ptr<ClientConnection> connection) {
+void ConnectionPool::Put(std::unique_ptr<ClientConnection> connection,
+                         std::size_t most) {
   if (!connection || !connection->Reusable()) return;
   Connections dropped;
   const Instant now = SteadyNow();
   const std::lock_guard lock(this->mutex);
   Entry& entry = this->entries[connection->Address()];
-  const bool retired = connection->OpenedAt() < entry.retired_before;
-  if (retired || entry.idle.size() >= kMaxIdle) {
+  const bool retired = connection->OpenedAt() <
+                       std::max(entry.retired_before, this->all_retired_before);
+  if (retired || entry.idle.size() >= most) {
     dropped.push_back(std::move(connection));
   } else {
     entry.idle.push_back(std::move(connection));
@@ -86,6 +87,37 @@
   }
 }
 
+void ConnectionPool::CloseExpired() {
+  Connections dropped;
+  const Instant now = SteadyNow();
+  const std::lock_guard lock(this->mutex);
+  this->Sweep(now, &dropped);
+}
+
+void ConnectionPool::Trim(std::size_t most) {
+  Connections dropped;
+  const std::lock_guard lock(this->mutex);
+  for (auto& [address, entry] : this->entries) {
+    if (entry.idle.size() <= most) continue;
+    const auto kept =
+        std::prev(entry.idle.end(), static_cast<std::ptrdiff_t>(most));
+    dropped.insert(dropped.end(), std::make_move_iterator(entry.idle.begin()),
+                   std::make_move_iterator(kept));
+    entry.idle.erase(entry.idle.begin(), kept);
+  }
+}
+
+void ConnectionPool::RetireAll() {
+  Connections dropped;
+  const std::lock_guard lock(this->mutex);
+  this->all_retired_before = SteadyNow();
+  for (auto& [address, entry] : this->entries) {
+    dropped.insert(dropped.end(), std::make_move_iterator(entry.idle.begin()),
+                   std::make_move_iterator(entry.idle.end()));
+    entry.idle.clear();
+  }
+}
+
 void ConnectionPool::RetireOlder(const std::string& address, Instant moment) {
   Connections dropped;
   const std::lock_guard lock(this->mutex);
@@ -107,4 +139,13 @@
   return entry == this->entries.end() ? 0 : entry->second.idle.size();
 }
 
+std::size_t ConnectionPool::IdleCount() const {
+  const std::lock_guard lock(this->mutex);
+  std::size_t count = 0;
+  for (const auto& [address, entry] : this->entries) {
+    count += entry.idle.size();
+  }
+  return count;
+}
+
 }  // namespace mustardproxy::http
--- a/packages/http/tests/async_client_test.cc
+++ b/packages/http/tests/async_client_test.cc
@@ -157,6 +157,71 @@
   BOOST_TEST(third.Await().body == "three");
 }
 
+// Guards against a server that is at its limit and resets a new connection, and
+// a client that closes its good ones for that and can open none again.
+BOOST_AUTO_TEST_CASE(a_new_connection_that_is_reset_leaves_the_others_open) {
+  const auto call = [this] {
+    Exchange exchange = MakeCall(std::chrono::seconds(20));
+    exchange.lane = Lane::kUsual;
+    return exchange;
+  };
+  Outcome first;
+  client.Call(call(), first.Setter());
+  StreamSocket kept = Accept();
+  ReadRequest(&kept);
+  Outcome second;
+  client.Call(call(), second.Setter());
+  StreamSocket rejected = Accept();
+  ReadRequest(&rejected);
+  rejected.setLinger(true, 0);
+  rejected.close();
+  BOOST_TEST((second.Await().end == ExchangeEnd::kUncertain));
+  Reply(&kept, "one");
+  BOOST_TEST(first.Await().body == "one");
+  Outcome third;
+  client.Call(call(), third.Setter());
+  ReadRequest(&kept);
+  Reply(&kept, "three");
+  BOOST_TEST(third.Await().body == "three");
+  BOOST_TEST(client.Counts().reset == 1);
+  BOOST_TEST(client.Counts().opened == 2);
+}
+
+BOOST_AUTO_TEST_CASE(a_smaller_share_closes_idle_connections) {
+  constexpr std::size_t kCalls = 3;
+  std::array<Outcome, kCalls> outcomes;
+  std::vector<StreamSocket> sockets;
+  for (Outcome& outcome : outcomes) {
+    Exchange exchange = MakeCall(std::chrono::seconds(20));
+    exchange.lane = Lane::kReserved;
+    client.Call(std::move(exchange), outcome.Setter());
+    sockets.push_back(Accept());
+  }
+  for (StreamSocket& socket : sockets) {
+    ReadRequest(&socket);
+    Reply(&socket, "x");
+  }
+  for (Outcome& outcome : outcomes) BOOST_TEST(outcome.Await().status == 200);
+  BOOST_TEST(client.Counts().idle == kCalls);
+  client.SetShare(2);
+  BOOST_TEST(client.Counts().idle == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(released_connections_are_closed_once_their_calls_end) {
+  Outcome first;
+  Exchange exchange = MakeCall(std::chrono::seconds(20));
+  exchange.lane = Lane::kUsual;
+  client.Call(std::move(exchange), first.Setter());
+  StreamSocket socket = Accept();
+  ReadRequest(&socket);
+  client.Release();
+  Reply(&socket, "one");
+  BOOST_TEST(first.Await().body == "one");
+  std::array<char, 1> byte{};
+  BOOST_TEST(socket.receiveBytes(byte.data(), 1) == 0);
+  BOOST_TEST(client.Counts().idle == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace mustardproxy::http
--- a/packages/jobs/include/mustardproxy/jobs/worker_driver.h
+++ b/packages/jobs/include/mustardproxy/jobs/worker_driver.h
@@ -1,6 +1,7 @@
 #ifndef MUSTARDPROXY_JOBS_WORKER_DRIVER_H_
 #define MUSTARDPROXY_JOBS_WORKER_DRIVER_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <set>
@@ -107,6 +108,9 @@
   /// No response arrived: the order may have been carried out, or may still be
   /// carried out seconds later.
   kUncertain,
+  /// The order waited too long for a connection, or was cancelled while it
+  /// waited. Nothing was sent, and the worker is not to blame.
+  kNotSent,
 };
 
 struct OrderResult {
@@ -180,6 +184,15 @@
                     std::function<void(OrderResult)> done) = 0;
   virtual void Hold(const WorkerTarget& worker, HoldOrder order,
                     std::function<void(HoldResult)> done) = 0;
+
+  /// Sets how many connections to one worker are held, idle and in use
+  /// together. Orders wait for one, holds do not.
+  virtual void SetConnectionShare(std::size_t /*connections*/) {}
+  /// Ends the orders that wait for a connection.
+  virtual void CancelWaitingOrders() {}
+  /// Closes the connections to all workers, those in use once their orders have
+  /// ended.
+  virtual void ReleaseConnections() {}
 };
 
 }  // namespace mustardproxy::jobs
--- a/packages/jobs/src/job.cc
+++ b/packages/jobs/src/job.cc
@@ -132,6 +132,8 @@
       return "refused";
     case OrderOutcome::kUncertain:
       return "uncertain";
+    case OrderOutcome::kNotSent:
+      return "not-sent";
   }
   return "unknown";
 }
--- a/packages/jobs/src/job_node.cc
+++ b/packages/jobs/src/job_node.cc
@@ -7,6 +7,7 @@
 
 #include "callback_guard.h"
 #include "cell_member.h"
+#include "connection_shares.h"
 #include "control_load.h"
 #include "group_owner.h"
 #include "intake.h"
@@ -86,6 +87,10 @@
   void OnCellChange();
   /// Gives the owner the processes that may help it.
   void UpdateHelpers();
+  /// Tells the driver how many connections it may hold to a worker.
+  void UpdateConnectionShare();
+  /// Calls `UpdateConnectionShare` again while a former owner may hold some.
+  void ScheduleConnectionShare();
   void StepDown(std::string_view reason);
   bool Authorized() const;
   /// @return the driver for a new owner
@@ -150,6 +155,10 @@
   std::unique_ptr<RelayedWorkerDriver> relayed;
   std::unique_ptr<GroupOwner> owner;
   std::size_t next_helper = 0;
+  ConnectionShares shares;
+  /// Share that the driver was told; 0 if none.
+  std::size_t connection_share = 0;
+  bool share_check_due = false;
   bool helpers_update_due = false;
   bool stepping_down = false;
   bool leaving = false;
@@ -199,7 +208,9 @@
              .driver = parts.driver,
              .peers = parts.peers,
              .self = parts.process,
-             .incarnation = parts.incarnation}) {}
+             .incarnation = parts.incarnation}),
+      shares(NodeRecord{parts.process, parts.data_center, parts.peer_address,
+                        parts.incarnation, parts.cpu_milli, parts.memory_mb}) {}
 
 void JobNode::Internals::OnDesired(const StoreEvent& event) {
   const bool wanted = !event.deleted &&
@@ -270,6 +281,8 @@
 
 void JobNode::Internals::OnElected(FencingToken token) {
   this->stepping_down = false;
+  // The owner sends its first orders at once.
+  this->UpdateConnectionShare();
   this->owner = std::make_unique<GroupOwner>(
       GroupOwner::Parts{
           .executor = this->config.executor,
@@ -315,9 +328,39 @@
   this->owner.reset();
   if (this->config.overload.admission) this->config.peers->PublishLoad(nullptr);
   this->relayed.reset();
+  this->config.driver->CancelWaitingOrders();
+  // Not at once: a process that is elected again opens none anew.
+  this->config.executor->After(kConnectionReleaseDelay,
+                               this->guard.Wrap([this] {
+                                 if (!this->owner)
+                                   this->config.driver->ReleaseConnections();
+                               }));
+}
+
+void JobNode::Internals::UpdateConnectionShare() {
+  this->shares.Update(this->member.Owner(), this->member.Nodes(),
+                      this->config.executor->Now());
+  this->ScheduleConnectionShare();
+  const std::size_t share = this->shares.Share();
+  if (share == std::exchange(this->connection_share, share)) return;
+  this->config.log->Write(
+      "cell", "connection-share",
+      {{"connections", share}, {"holders", this->shares.Holders()}});
+  this->config.driver->SetConnectionShare(share);
+}
+
+void JobNode::Internals::ScheduleConnectionShare() {
+  if (this->shares.Holders() == 0 || this->share_check_due) return;
+  this->share_check_due = true;
+  this->config.executor->After(kConnectionShareInterval,
+                               this->guard.Wrap([this] {
+                                 this->share_check_due = false;
+                                 this->UpdateConnectionShare();
+                               }));
 }
 
 void JobNode::Internals::OnCellChange() {
+  this->UpdateConnectionShare();
   this->desired_mirror.SetWait(
       this->member.TracksAll() ? kMaxWatchWait : this->ConfigurationWait());
   if (!this->owner) return;
--- a/packages/jobs/src/options.h
+++ b/packages/jobs/src/options.h
@@ -9,6 +9,7 @@
 namespace mustardproxy::jobs {
 
 using std::chrono::milliseconds;
+using std::chrono::minutes;
 using std::chrono::seconds;
 
 /// Lease of a process at the store. An owner that has died is replaced this
@@ -131,6 +132,18 @@
 /// names the same run, so the worker executes it once.
 inline constexpr Duration kOrderRetryDelay = milliseconds(20);
 
+/// How long a process that is no longer the owner keeps its connections to the
+/// workers; longer than an election takes.
+inline constexpr Duration kConnectionReleaseDelay = seconds(5);
+/// A former owner that runs holds no connections this long after others saw it
+/// run: it learns that it was replaced, and its last orders end.
+inline constexpr Duration kConnectionsReleasedAfter =
+    kConnectionReleaseDelay + seconds(3);
+/// One that is frozen or cut off is replaced by another host before this.
+inline constexpr Duration kMaxConnectionHoldTime = minutes(10);
+/// Interval between two looks at the former owners that hold connections.
+inline constexpr Duration kConnectionShareInterval = seconds(1);
+
 /// Least number of workers whose orders are relayed. Each worker in use costs
 /// about one call a second, and a call about 0.3 ms of processor time: a host
 /// of a quarter core carries the calls of fewer workers and decides beside
--- a/packages/jobs/src/run_control.cc
+++ b/packages/jobs/src/run_control.cc
@@ -39,7 +39,7 @@
 bool ProvesNotStarted(OrderOutcome end) {
   return end == OrderOutcome::kLeaseExpired || end == OrderOutcome::kNoRoom ||
          end == OrderOutcome::kNoTicket || end == OrderOutcome::kInvalid ||
-         end == OrderOutcome::kRefused;
+         end == OrderOutcome::kRefused || end == OrderOutcome::kNotSent;
 }
 
 TeamShare ShareOf(const Job& job, const Step& step) {
@@ -455,7 +455,7 @@
   TaskEntry* task = this->context->jobs.FindOpen(run);
   this->WithdrawUnstarted(session, run);
   const Instant now = this->context->executor->Now();
-  if (task != nullptr) {
+  if (task != nullptr && why != OrderOutcome::kNotSent) {
     // Failure: every worker rejects the start order, and it is repeated as fast
     // as they respond.
     const std::int32_t doublings =
@@ -615,8 +615,10 @@
     this->context->holds->SendIfDue(session);
     return;
   }
-  session->MarkSilent(this->context->executor->Now(), false);
-  this->context->holds->SendIfDue(session);
+  if (result.end != OrderOutcome::kNotSent) {
+    session->MarkSilent(this->context->executor->Now(), false);
+    this->context->holds->SendIfDue(session);
+  }
   this->RunAfter(kOrderRetryDelay,
                  [this, worker, run] { this->SendStop(worker, run); });
 }
--- a/packages/jobs/tests/schedules_test.cc
+++ b/packages/jobs/tests/schedules_test.cc
@@ -164,6 +164,15 @@
   }
 }
 
+// Workers take a bounded number of connections, and orders of wide steps wait
+// for one.
+BOOST_AUTO_TEST_CASE(a_fixed_set_with_bounded_connections) {
+  constexpr std::uint64_t kSeeds = 150;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    Play(seed, {.bounded_connections = true});
+  }
+}
+
 BOOST_AUTO_TEST_CASE(regression_seeds_with_reused_ids) {
   for (const std::uint64_t seed : kReusedIdRegressions) {
     Play(seed, {.reused_worker_ids = true});
--- a/testing/job_sim/include/job_sim/schedule.h
+++ b/testing/job_sim/include/job_sim/schedule.h
@@ -39,6 +39,8 @@
   /// owner goes, more than once. The id of a worker names one life, and nothing
   /// tells when it began.
   bool takeovers = false;
+  /// Workers take a bounded number of connections, and steps have many tasks.
+  bool bounded_connections = false;
 };
 
 /// Plays a cell with jobs and faults drawn from the seed: processes killed,
--- a/testing/job_sim/include/job_sim/sim_worker.h
+++ b/testing/job_sim/include/job_sim/sim_worker.h
@@ -12,6 +12,7 @@
 
 #include "job_sim/process.h"
 #include "job_sim/promises.h"
+#include "job_sim/sim_connections.h"
 #include "job_sim/virtual_time.h"
 #include "mustardproxy/jobs/worker_driver.h"
 
@@ -114,7 +115,7 @@
 class SimWorkers {
  public:
   SimWorkers(VirtualTime* time, Promises* promises)
-      : time(time), promises(promises) {}
+      : connections(time), time(time), promises(promises) {}
 
   std::unique_ptr<jobs::WorkerDriver> Connect(Process* process);
   /// Begins a life; one under the same id is over.
@@ -142,6 +143,8 @@
   std::function<std::optional<Duration>(const jobs::WorkerTarget&,
                                         const jobs::StartOrder&)>
       delay_start;
+  /// Unbounded unless a test sets the limit.
+  SimConnections connections;
   /// Workers that nobody reaches.
   std::set<std::string> cut;
   /// Processes, each with a worker that it does not reach.
--- a/testing/job_sim/program/main.cc
+++ b/testing/job_sim/program/main.cc
@@ -14,17 +14,19 @@
 constexpr int kSlowAnswerMs = 250;
 
 void PrintUsage() {
-  std::cerr << "usage: job_schedules FIRST_SEED COUNT [--log] [--slow-store] "
-               "[--crashing-tasks] [--reused-ids] [--teams] [--evacuations] "
-               "[--takeovers]\n"
-            << "plays that many seeded cells and prints each broken promise;\n"
-            << "a slow store takes 0.25 s an answer; crashing tasks take down\n"
-            << "the workers that start them, and workers change their room;\n"
-            << "with reused ids workers start again under the same id;\n"
-            << "with teams calls carry keys, and operators change keys and "
-               "caps;\n"
-            << "with evacuations operators evacuate data centres;\n"
-            << "with takeovers owners go soon after workers, again and again\n";
+  std::cerr
+      << "usage: job_schedules FIRST_SEED COUNT [--log] [--slow-store] "
+         "[--crashing-tasks] [--reused-ids] [--teams] [--evacuations] "
+         "[--takeovers] [--bounded-connections]\n"
+      << "plays that many seeded cells and prints each broken promise;\n"
+      << "a slow store takes 0.25 s an answer; crashing tasks take down\n"
+      << "the workers that start them, and workers change their room;\n"
+      << "with reused ids workers start again under the same id;\n"
+      << "with teams calls carry keys, and operators change keys and "
+         "caps;\n"
+      << "with evacuations operators evacuate data centres;\n"
+      << "with takeovers owners go soon after workers, again and again;\n"
+      << "with bounded connections workers take 64, and steps are wider\n";
 }
 
 void Print(std::uint64_t seed, const job_sim::ScheduleResult& result,
@@ -58,6 +60,7 @@
   played.teams = options.contains("--teams");
   played.evacuations = options.contains("--evacuations");
   played.takeovers = options.contains("--takeovers");
+  played.bounded_connections = options.contains("--bounded-connections");
   std::uint64_t red = 0;
   std::int64_t runs = 0;
   std::int64_t jobs = 0;
--- a/testing/job_sim/src/schedule.cc
+++ b/testing/job_sim/src/schedule.cc
@@ -42,6 +42,14 @@
 constexpr Duration kLongest = milliseconds(3000);
 constexpr Duration kLongestWithTakeovers = seconds(12);
 
+/// Where connections are bounded: what a worker takes, the most tasks of a
+/// step, and their size, with which all of them fit on one worker. If it was
+/// lost twice under them, they are tried one after the other, 5 s each, and
+/// that has to end within `kCalm`.
+constexpr std::size_t kWorkerConnections = 64;
+constexpr std::size_t kWidest = 14;
+constexpr std::int64_t kWideTaskCpu = 100;
+
 /// Plays one seed.
 class Player {
  public:
@@ -137,7 +145,11 @@
   if (options.takeovers) builder.HiddenBirths();
   constexpr std::uint64_t kAdviceEvery = 3;
   if (seed % kAdviceEvery == 0) builder.Advice(0.6, milliseconds(60));
-  return builder.Build();
+  auto cell = builder.Build();
+  if (options.bounded_connections) {
+    cell->Workers().connections.limit = kWorkerConnections;
+  }
+  return cell;
 }
 
 jobs::JobSpec Player::DrawSpec() {
@@ -151,6 +163,10 @@
         MakeStep(static_cast<std::int32_t>(1 + this->time.DrawIndex(6)),
                  static_cast<std::int64_t>(500 + this->time.DrawIndex(3000)),
                  this->time.DrawBetween(milliseconds(200), longest));
+    if (this->options.bounded_connections && this->time.Chance(0.5)) {
+      step.tasks = static_cast<std::int32_t>(1 + this->time.DrawIndex(kWidest));
+      step.each.cpu_milli = kWideTaskCpu;
+    }
     step.gang = this->time.Chance(0.35);
     // What is permitted on one worker alone must still fit.
     const bool advised = this->cell->queue.advice.has_value();
--- a/testing/job_sim/src/sim_worker.cc
+++ b/testing/job_sim/src/sim_worker.cc
@@ -430,7 +430,7 @@
       delayed = this->workers->delay_start(worker, order);
     }
     this->Send<OrderResult>(
-        worker, milliseconds(500), std::move(done),
+        worker, milliseconds(500), kWaits, std::move(done),
         [order](SimWorker* at, bool late,
                 const std::function<void(OrderResult)>& answer) {
           answer(at->Start(order, late));
@@ -441,7 +441,7 @@
   void Stop(const jobs::WorkerTarget& worker, jobs::StopOrder order,
             std::function<void(OrderResult)> done) override {
     this->Send<OrderResult>(
-        worker, milliseconds(500), std::move(done),
+        worker, milliseconds(500), kWaits, std::move(done),
         [order](SimWorker* at, bool,
                 const std::function<void(OrderResult)>& answer) {
           answer(at->Stop(order));
@@ -453,14 +453,27 @@
     ++this->workers->holds;
     if (this->Cut(worker)) ++this->workers->unreached_holds;
     this->Send<jobs::HoldResult>(
-        worker, order.wait + milliseconds(600), std::move(done),
+        worker, order.wait + milliseconds(600), !kWaits, std::move(done),
         [order](SimWorker* at, bool,
                 const std::function<void(jobs::HoldResult)>& answer) {
           at->Hold(order, answer);
         });
   }
 
+  void SetConnectionShare(std::size_t connections) override {
+    this->workers->connections.SetShare(this->process, connections);
+  }
+  void CancelWaitingOrders() override {
+    this->workers->connections.CancelWaiting(this->process);
+  }
+  void ReleaseConnections() override {
+    this->workers->connections.Release(this->process);
+  }
+
  private:
+  /// Whether an order waits for a connection.
+  static constexpr bool kWaits = true;
+
   static void SetEnd(OrderResult* result, OrderOutcome end) {
     result->end = end;
   }
@@ -469,16 +482,41 @@
   }
 
   template <typename Outcome, typename Task>
-  void Send(const jobs::WorkerTarget& target, Duration timeout,
+  void Send(const jobs::WorkerTarget& target, Duration timeout, bool waits,
             std::function<void(Outcome)> done, Task task,
             std::optional<Duration> delayed = std::nullopt) {
+    this->workers->connections.Use(
+        this->process, target.address, waits,
+        [this, target, timeout, done = std::move(done), task,
+         delayed](Connection connection) {
+          if (connection == Connection::kOpen) {
+            this->SendConnected<Outcome>(target, timeout, done, task, delayed);
+            return;
+          }
+          Outcome unsent;
+          SetEnd(&unsent, connection == Connection::kReset
+                              ? OrderOutcome::kRefused
+                              : OrderOutcome::kNotSent);
+          this->workers->time->After(
+              this->workers->latency, [this, done, unsent] {
+                this->process->Post([done, unsent] { done(unsent); });
+              });
+        });
+  }
+
+  template <typename Outcome, typename Task>
+  void SendConnected(const jobs::WorkerTarget& target, Duration timeout,
+                     std::function<void(Outcome)> done, Task task,
+                     std::optional<Duration> delayed) {
     VirtualTime* time = this->workers->time;
     auto shared =
         std::make_shared<std::function<void(Outcome)>>(std::move(done));
-    const auto answer = [this, shared](const Outcome& result) {
-      this->process->Post([shared, result] {
+    const auto answer = [this, shared, target](const Outcome& result) {
+      this->process->Post([this, shared, target, result] {
         const auto call = std::exchange(*shared, {});
-        if (call) call(result);
+        if (!call) return;
+        this->workers->connections.End(this->process, target.address);
+        call(result);
       });
     };
     time->After(timeout, [answer] { answer(Outcome{}); });
--- a/testing/relay/include/standin/relay.h
+++ b/testing/relay/include/standin/relay.h
@@ -2,6 +2,7 @@
 #define MUSTARDPROXY_STANDIN_RELAY_H_
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -22,10 +23,14 @@
 /// them when told to.
 class Relay {
  public:
+  static constexpr std::size_t kMaxConnections = 1024;
+
   /// Listens once it returns; throws Poco's exceptions if it can not.
   /// @param port port on 127.0.0.1, or 0 for any
   /// @param target `ip:port`
-  Relay(std::uint16_t port, const std::string& target);
+  /// @param max_connections further ones are reset
+  Relay(std::uint16_t port, const std::string& target,
+        std::size_t max_connections = kMaxConnections);
   ~Relay();
   Relay(const Relay&) = delete;
   Relay& operator=(const Relay&) = delete;
--- a/testing/relay/src/relay.cc
+++ b/testing/relay/src/relay.cc
@@ -22,7 +22,6 @@
 using Poco::Net::SocketAddress;
 using Poco::Net::StreamSocket;
 
-constexpr std::size_t kMaxPairs = 1024;
 constexpr int kBacklog = 256;
 /// Time after which a change of the faults is seen at the latest.
 constexpr std::chrono::milliseconds kStep{10};
@@ -55,7 +54,9 @@
 }  // namespace
 
 struct Relay::State {
-  State(std::uint16_t port, const std::string& target) : target(target) {
+  State(std::uint16_t port, const std::string& target,
+        std::size_t max_connections)
+      : target(target), max_connections(max_connections) {
     // Holds the port while the relay is cut and does not listen, so that no
     // other program is given it meanwhile.
     this->guard.bind(SocketAddress("127.0.0.1", port), true);
@@ -89,6 +90,7 @@
   void CloseAll();
 
   SocketAddress target;
+  std::size_t max_connections;
   std::uint16_t port = 0;
   Poco::Net::ServerSocket guard;
   Poco::Net::ServerSocket listener;
@@ -210,7 +212,7 @@
 void Relay::State::Accept() {
   try {
     StreamSocket client = this->listener.acceptConnection();
-    if (this->pairs.size() >= kMaxPairs) {
+    if (this->pairs.size() >= this->max_connections) {
       Reset(client);
       return;
     }
@@ -228,8 +230,9 @@
   }
 }
 
-Relay::Relay(std::uint16_t port, const std::string& target)
-    : state(std::make_unique<State>(port, target)) {}
+Relay::Relay(std::uint16_t port, const std::string& target,
+             std::size_t max_connections)
+    : state(std::make_unique<State>(port, target, max_connections)) {}
 
 Relay::~Relay() = default;
 
--- a/testing/soak/include/soak/soak.h
+++ b/testing/soak/include/soak/soak.h
@@ -15,6 +15,8 @@
   std::size_t processes = 3;
   std::size_t workers = 8;
   std::size_t workers_per_rack = 4;
+  /// Connections that a rack takes; further ones are reset.
+  std::size_t rack_connections = 64;
   /// How long jobs come and faults strike.
   std::chrono::milliseconds length = std::chrono::seconds(12);
   /// Pause between two jobs, in the mean.
--- a/testing/soak/src/cell.cc
+++ b/testing/soak/src/cell.cc
@@ -118,8 +118,8 @@
   if (!this->platform.Start()) throw std::runtime_error("no port is free");
   std::vector<std::string> addresses;
   for (std::size_t i = 0; i < this->platform.Racks(); ++i) {
-    this->rack_links.push_back(
-        std::make_unique<Relay>(0, this->platform.RackAddress(i)));
+    this->rack_links.push_back(std::make_unique<Relay>(
+        0, this->platform.RackAddress(i), options.rack_connections));
     addresses.push_back(this->rack_links.back()->Address());
   }
   this->platform.ListWorkers(addresses);
