Queue of calls to workers: one lookup a call, a lock of its own

Each call made and erased an entry by address, was looked up four or five times, and took the client's lock, which is held through system calls, once more to be admitted and once more to end; each turn of the loop read the clock four times more than without the bound.

Two tests of a process that was frozen: while a connection opened, and while calls waited.

--- a/packages/http/src/async_client.cc
+++ b/packages/http/src/async_client.cc
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string_view>
 #include <thread>
@@ -41,8 +42,8 @@
 
 /// Longest poll while calls wait for a connection.
 constexpr Duration kMaxQueuePoll = std::chrono::milliseconds(5);
-/// Without calls, how often idle connections are looked at.
-constexpr Duration kIdleCheckInterval = std::chrono::seconds(1);
+/// Interval between two looks at idle connections and unused addresses.
+constexpr Duration kSweepInterval = std::chrono::seconds(2);
 
 HttpRequest MakeRequest(const Exchange& exchange) {
   return {.method = exchange.method,
@@ -67,24 +68,32 @@
 }  // namespace
 
 struct AsyncClient::State {
+  using ReadySockets = Poco::Net::PollSet::SocketModeMap;
+  /// What one turn of the loop has to do.
+  struct Work {
+    /// Their sockets are ready.
+    std::vector<PendingCallPtr> ready;
+    std::vector<PendingCallPtr> failed;
+  };
+
   void Run();
-  bool WaitForCalls();
-  Poco::Net::PollSet::SocketModeMap Poll();
-  /// Takes the calls out whose sockets are ready.
-  std::vector<PendingCallPtr> TakeReady(
-      const Poco::Net::PollSet::SocketModeMap& ready);
-  std::vector<PendingCallPtr> TakeDue();
+  /// Waits until there are calls.
+  /// @return longest time to poll, or nothing if the client is stopping
+  std::optional<Duration> WaitForCalls();
+  Work TakeWork(const ReadySockets& ready, Instant now);
+  void Do(const Work& work);
+  /// Begins calls that have waited long enough, and ends those that have waited
+  /// too long.
+  void ServeQueue(Instant now);
+  void Sweep();
   void Watch(const PendingCallPtr& call);
   void Forget(const PendingCallPtr& call);
   /// Begins a call, or lets it wait for a connection.
-  void Make(const PendingCallPtr& call);
+  void Make(const PendingCallPtr& call, Instant now);
   void Begin(const PendingCallPtr& call);
   /// Keeps the connection of a call that got its reply, and lets calls that
   /// wait follow.
   void Keep(const PendingCallPtr& call);
-  /// Begins calls that have waited long enough, and ends those that have waited
-  /// too long.
-  void ServeQueue();
   void Send(const PendingCallPtr& call);
   void OnReady(const PendingCallPtr& call);
   void Receive(const PendingCallPtr& call);
@@ -98,6 +107,7 @@
   ConnectionPool pool{kMaxIdle};
   /// Of all others.
   ConnectionPool shared_pool{kMaxIdle};
+  CallQueue queue;
   std::mutex mutex;
   std::condition_variable changed;
   Poco::Net::PollSet sockets;
@@ -106,9 +116,6 @@
   /// Calls that failed at once, whose callers must not be told before `Call`
   /// has returned.
   std::vector<PendingCallPtr> failed;
-  CallQueue queue;
-  /// Calls that waited and are not to be sent.
-  std::vector<PendingCallPtr> unsent;
   ConnectionCounts counts;
   bool stopping = false;
   std::thread thread;
@@ -131,51 +138,37 @@
 
 void AsyncClient::Call(Exchange exchange, Done done) {
   auto call = std::make_shared<PendingCall>();
-  call->due = SteadyNow() + exchange.timeout;
+  const Instant now = SteadyNow();
+  call->due = now + exchange.timeout;
   call->exchange = std::move(exchange);
   call->done = std::move(done);
-  this->state->Make(call);
+  this->state->Make(call, now);
 }
 
 void AsyncClient::SetShare(std::size_t connections) {
-  {
-    const std::lock_guard lock(this->state->mutex);
-    this->state->queue.SetShare(connections);
-  }
+  this->state->queue.SetShare(connections);
   this->state->shared_pool.Trim(connections);
 }
 
-void AsyncClient::CancelWaiting() {
-  const std::lock_guard lock(this->state->mutex);
-  for (PendingCallPtr& call : this->state->queue.TakeWaiting()) {
-    this->state->unsent.push_back(std::move(call));
-  }
-  this->state->changed.notify_one();
-}
+void AsyncClient::CancelWaiting() { this->state->queue.CancelWaiting(); }
 
 void AsyncClient::Release() { this->state->shared_pool.RetireAll(); }
 
 ConnectionCounts AsyncClient::Counts() const {
+  const CallQueue::Counts calls = this->state->queue.GetCounts();
+  const std::size_t idle = this->state->shared_pool.IdleCount();
   const std::lock_guard lock(this->state->mutex);
   ConnectionCounts counts = this->state->counts;
-  counts.idle = this->state->shared_pool.IdleCount();
-  counts.in_use = this->state->queue.InUse();
-  counts.waiting_calls = this->state->queue.Waiting();
+  counts.idle = idle;
+  counts.in_use = calls.in_use;
+  counts.waiting_calls = calls.waiting;
+  counts.waited = calls.waited;
+  counts.not_sent = calls.not_sent;
   return counts;
 }
 
-void AsyncClient::State::Make(const PendingCallPtr& call) {
-  std::vector<PendingCallPtr> admitted;
-  if (IsLimited(*call)) {
-    const std::lock_guard lock(this->mutex);
-    const Instant now = SteadyNow();
-    admitted = this->queue.Push(call, now);
-    const bool waits = std::ranges::find(admitted, call) == admitted.end();
-    if (waits) ++this->counts.waited;
-  } else {
-    admitted.push_back(call);
-  }
-  for (const PendingCallPtr& next : admitted) this->Begin(next);
+void AsyncClient::State::Make(const PendingCallPtr& call, Instant now) {
+  if (!IsLimited(*call) || this->queue.Push(call, now)) this->Begin(call);
 }
 
 void AsyncClient::State::Begin(const PendingCallPtr& call) {
@@ -226,69 +219,76 @@
   this->dues.erase({call->due, call});
 }
 
-bool AsyncClient::State::WaitForCalls() {
+std::optional<Duration> AsyncClient::State::WaitForCalls() {
   std::unique_lock lock(this->mutex);
-  const Duration longest =
-      this->queue.Waiting() > 0 ? kMaxQueuePoll : kIdleCheckInterval;
-  this->changed.wait_for(lock, longest, [this] {
-    return this->stopping || !this->by_socket.empty() ||
-           !this->failed.empty() || !this->unsent.empty();
-  });
-  return !this->stopping;
-}
-
-Poco::Net::PollSet::SocketModeMap AsyncClient::State::Poll() {
-  Duration time = kMaxPoll;
-  {
-    const std::lock_guard lock(this->mutex);
-    if (!this->failed.empty() || this->by_socket.empty()) return {};
-    const Duration left = this->dues.begin()->first - SteadyNow();
-    const Duration longest =
-        this->queue.Waiting() > 0 ? kMaxQueuePoll : kMaxPoll;
-    time = std::clamp(left, Duration::zero(), longest);
+  const auto has_work = [this] {
+    return this->stopping || !this->by_socket.empty() || !this->failed.empty();
+  };
+  const bool waiting = this->queue.HasWaiting();
+  if (!has_work()) {
+    this->changed.wait_for(lock, waiting ? kMaxQueuePoll : kSweepInterval,
+                           has_work);
+  }
+  if (this->stopping) return std::nullopt;
+  if (this->by_socket.empty() || !this->failed.empty()) {
+    return Duration::zero();
   }
-  return this->sockets.poll(Poco::Timespan(time.count()));
+  const Duration left = this->dues.begin()->first - SteadyNow();
+  return std::clamp(left, Duration::zero(), waiting ? kMaxQueuePoll : kMaxPoll);
 }
 
 void AsyncClient::State::Run() {
-  while (this->WaitForCalls()) {
-    const auto ready = this->Poll();
-    for (const PendingCallPtr& call : this->TakeReady(ready)) {
-      this->OnReady(call);
-    }
-    for (const PendingCallPtr& call : this->TakeDue()) {
-      this->Fail(call, Failure::kSilence);
-    }
-    this->ServeQueue();
-    this->pool.CloseExpired();
-    this->shared_pool.CloseExpired();
+  Instant swept = SteadyNow();
+  while (const auto longest = this->WaitForCalls()) {
+    const auto ready = this->sockets.poll(Poco::Timespan(longest->count()));
+    const Instant now = SteadyNow();
+    this->Do(this->TakeWork(ready, now));
+    if (this->queue.HasWaiting()) this->ServeQueue(SteadyNow());
+    if (now < swept + kSweepInterval) continue;
+    swept = now;
+    this->Sweep();
   }
 }
 
-std::vector<PendingCallPtr> AsyncClient::State::TakeReady(
-    const Poco::Net::PollSet::SocketModeMap& ready) {
-  std::vector<PendingCallPtr> taken;
+AsyncClient::State::Work AsyncClient::State::TakeWork(const ReadySockets& ready,
+                                                      Instant now) {
+  Work work;
   const std::lock_guard lock(this->mutex);
   for (const auto& [socket, mode] : ready) {
     const auto found = this->by_socket.find(socket);
     if (found == this->by_socket.end()) continue;
     const PendingCallPtr call = found->second;
     this->Forget(call);
-    taken.push_back(call);
+    work.ready.push_back(call);
   }
-  return taken;
-}
-
-std::vector<PendingCallPtr> AsyncClient::State::TakeDue() {
-  const Instant now = SteadyNow();
-  const std::lock_guard lock(this->mutex);
-  std::vector<PendingCallPtr> taken = std::exchange(this->failed, {});
+  work.failed = std::exchange(this->failed, {});
   while (!this->dues.empty() && this->dues.begin()->first <= now) {
     const PendingCallPtr call = this->dues.begin()->second;
     this->Forget(call);
-    taken.push_back(call);
+    work.failed.push_back(call);
+  }
+  return work;
+}
+
+void AsyncClient::State::Do(const Work& work) {
+  for (const PendingCallPtr& call : work.ready) this->OnReady(call);
+  for (const PendingCallPtr& call : work.failed) {
+    this->Fail(call, Failure::kSilence);
   }
-  return taken;
+}
+
+void AsyncClient::State::ServeQueue(Instant now) {
+  const CallQueue::Calls admitted = this->queue.TakeAdmitted(now);
+  for (const PendingCallPtr& call : this->queue.TakeUnsent()) {
+    Settle(call, {ExchangeEnd::kNotAdmitted, 0, {}});
+  }
+  for (const PendingCallPtr& call : admitted) this->Begin(call);
+}
+
+void AsyncClient::State::Sweep() {
+  this->pool.CloseExpired();
+  this->shared_pool.CloseExpired();
+  this->queue.RemoveUnused();
 }
 
 void AsyncClient::State::OnReady(const PendingCallPtr& call) {
@@ -330,37 +330,10 @@
     this->pool.Put(std::move(call->connection));
     return;
   }
-  std::vector<PendingCallPtr> admitted;
-  std::size_t most = 0;
-  {
-    const std::lock_guard lock(this->mutex);
-    const std::string& address = call->exchange.address;
-    this->queue.NoteEnded(*call);
-    admitted = this->queue.TakeAdmitted(address, SteadyNow());
-    // Each of the admitted calls takes one of the idle connections.
-    most = this->queue.MaxIdle(address) + admitted.size();
-  }
-  this->shared_pool.Put(std::move(call->connection), most);
-  for (const PendingCallPtr& next : admitted) this->Begin(next);
-}
-
-void AsyncClient::State::ServeQueue() {
-  std::vector<PendingCallPtr> admitted;
-  std::vector<PendingCallPtr> unsent;
-  {
-    const std::lock_guard lock(this->mutex);
-    const Instant now = SteadyNow();
-    unsent = std::exchange(this->unsent, {});
-    for (PendingCallPtr& call : this->queue.TakeExpired(now)) {
-      unsent.push_back(std::move(call));
-    }
-    this->counts.not_sent += static_cast<std::int64_t>(unsent.size());
-    admitted = this->queue.TakeAdmitted(now);
-  }
-  for (const PendingCallPtr& call : unsent) {
-    Settle(call, {ExchangeEnd::kNotAdmitted, 0, {}});
-  }
-  for (const PendingCallPtr& call : admitted) this->Begin(call);
+  const CallQueue::Succession next =
+      this->queue.End(*call, call->connection->LastUsed());
+  this->shared_pool.Put(std::move(call->connection), next.max_idle);
+  for (const PendingCallPtr& one : next.admitted) this->Begin(one);
 }
 
 void AsyncClient::State::Fail(const PendingCallPtr& call, Failure failure) {
@@ -376,10 +349,14 @@
   }
   call->connection.reset();
   if (IsLimited(*call)) {
-    const std::lock_guard lock(this->mutex);
-    if (call->connecting) ++this->counts.timed_out;
-    if (sent && rejected) ++this->counts.reset;
-    this->queue.NoteEnded(*call);
+    if (call->connecting || (sent && rejected)) {
+      const std::lock_guard lock(this->mutex);
+      ++(sent ? this->counts.reset : this->counts.timed_out);
+    }
+    for (const PendingCallPtr& next :
+         this->queue.End(*call, SteadyNow()).admitted) {
+      this->Begin(next);
+    }
   }
   Settle(call, {sent ? ExchangeEnd::kUncertain : ExchangeEnd::kNotSent, 0, {}});
 }
--- a/packages/http/src/call_queue.cc
+++ b/packages/http/src/call_queue.cc
@@ -1,6 +1,6 @@
 #include "call_queue.h"
 
-#include <iterator>
+#include <algorithm>
 #include <utility>
 
 namespace mustardproxy::http {
@@ -14,118 +14,137 @@
 
 }  // namespace
 
-std::vector<PendingCallPtr> CallQueue::Push(const PendingCallPtr& call,
-                                            Instant now) {
-  Address& entry = this->addresses[call->exchange.address];
+void CallQueue::SetShare(std::size_t share) {
+  const std::lock_guard lock(this->mutex);
+  this->share = share;
+}
+
+bool CallQueue::Push(const PendingCallPtr& call, Instant now) {
+  const std::lock_guard lock(this->mutex);
+  AddressCalls& entry = this->addresses[call->exchange.address];
+  call->address_calls = &entry;
   call->admitted = now;
   if (call->exchange.lane == Lane::kReserved) {
     ++entry.reserved;
     ++this->in_use;
-    return {call};
+    return true;
+  }
+  if (!entry.HasWaiting()) {
+    if (this->MayAdmit(entry, now)) {
+      entry.admitted.push_back(now);
+      ++this->in_use;
+      return true;
+    }
+    this->waited_for.push_back(&entry);
   }
   const bool urgent = call->exchange.lane == Lane::kUrgent;
   (urgent ? entry.urgent : entry.usual).push_back(call);
-  ++this->waiting;
-  std::vector<PendingCallPtr> admitted;
-  this->Admit(&entry, now, &admitted);
-  return admitted;
+  ++this->pending;
+  ++this->waited;
+  return false;
 }
 
-bool CallQueue::MayAdmit(const Address& entry, Instant now) const {
-  const auto overdue = entry.admitted.upper_bound(now - kOverdue);
-  const auto recent =
-      static_cast<std::size_t>(std::distance(overdue, entry.admitted.end()));
-  return recent + kReserved < this->share &&
-         entry.admitted.size() + kReserved <
-             this->share + this->share / kExtraDivisor;
+bool CallQueue::MayAdmit(const AddressCalls& entry, Instant now) const {
+  const std::size_t used = entry.admitted.size() + kReserved;
+  if (used < this->share) return true;
+  if (used >= this->share + this->share / kExtraDivisor) return false;
+  const auto overdue = std::ranges::count_if(
+      entry.admitted, [&](Instant one) { return one + kOverdue <= now; });
+  return used - static_cast<std::size_t>(overdue) < this->share;
 }
 
-PendingCallPtr CallQueue::TakeFirst(Calls* calls) {
-  PendingCallPtr call = std::move(calls->front());
-  calls->pop_front();
-  --this->waiting;
-  return call;
-}
-
-void CallQueue::Admit(Address* entry, Instant now,
-                      std::vector<PendingCallPtr>* taken) {
-  for (Calls* calls : {&entry->urgent, &entry->usual}) {
+void CallQueue::Admit(AddressCalls* entry, Instant now, Calls* taken) {
+  for (Waiting* calls : {&entry->urgent, &entry->usual}) {
     this->Expire(calls, now);
     while (!calls->empty() && this->MayAdmit(*entry, now)) {
-      PendingCallPtr call = this->TakeFirst(calls);
+      PendingCallPtr call = std::move(calls->front());
+      calls->pop_front();
+      --this->pending;
       call->due += now - call->admitted;
       call->admitted = now;
-      entry->admitted.insert(now);
+      entry->admitted.push_back(now);
       ++this->in_use;
       taken->push_back(std::move(call));
     }
   }
 }
 
-std::vector<PendingCallPtr> CallQueue::TakeAdmitted(const std::string& address,
-                                                    Instant now) {
-  std::vector<PendingCallPtr> taken;
-  const auto found = this->addresses.find(address);
-  if (found != this->addresses.end()) this->Admit(&found->second, now, &taken);
-  return taken;
+void CallQueue::MoveFirstToUnsent(Waiting* calls) {
+  this->unsent.push_back(std::move(calls->front()));
+  calls->pop_front();
+  ++this->not_sent;
 }
 
-std::vector<PendingCallPtr> CallQueue::TakeAdmitted(Instant now) {
-  std::vector<PendingCallPtr> taken;
-  if (this->waiting == 0) return taken;
-  for (auto& [address, entry] : this->addresses) {
-    this->Admit(&entry, now, &taken);
+void CallQueue::Expire(Waiting* calls, Instant now) {
+  while (!calls->empty() && calls->front()->admitted + kMaxWait <= now) {
+    this->MoveFirstToUnsent(calls);
   }
-  return taken;
 }
 
-void CallQueue::Expire(Calls* calls, Instant now) {
-  while (!calls->empty() && calls->front()->admitted + kMaxWait <= now) {
-    this->expired.push_back(this->TakeFirst(calls));
+CallQueue::Succession CallQueue::End(const PendingCall& call, Instant now) {
+  const std::lock_guard lock(this->mutex);
+  AddressCalls* entry = call.address_calls;
+  if (call.exchange.lane == Lane::kReserved) {
+    --entry->reserved;
+  } else {
+    const auto found = std::ranges::find(entry->admitted, call.admitted);
+    *found = entry->admitted.back();
+    entry->admitted.pop_back();
   }
+  --this->in_use;
+  Succession succession;
+  if (entry->HasWaiting()) this->Admit(entry, now, &succession.admitted);
+  const std::size_t used = entry->InUse();
+  // Each of the admitted calls takes one of the idle connections.
+  succession.max_idle = (used < this->share ? this->share - used : 0) +
+                        succession.admitted.size();
+  return succession;
 }
 
-std::vector<PendingCallPtr> CallQueue::TakeExpired(Instant now) {
-  if (this->waiting > 0) {
-    for (auto& [address, entry] : this->addresses) {
-      this->Expire(&entry.urgent, now);
-      this->Expire(&entry.usual, now);
-    }
+CallQueue::Calls CallQueue::TakeAdmitted(Instant now) {
+  Calls taken;
+  if (!this->HasWaiting()) return taken;
+  const std::lock_guard lock(this->mutex);
+  for (AddressCalls* entry : this->waited_for) {
+    this->Admit(entry, now, &taken);
   }
-  return std::exchange(this->expired, {});
+  std::erase_if(this->waited_for,
+                [](const AddressCalls* entry) { return !entry->HasWaiting(); });
+  return taken;
+}
+
+CallQueue::Calls CallQueue::TakeUnsent() {
+  if (!this->HasWaiting()) return {};
+  const std::lock_guard lock(this->mutex);
+  this->pending -= this->unsent.size();
+  return std::exchange(this->unsent, {});
 }
 
-std::vector<PendingCallPtr> CallQueue::TakeWaiting() {
-  std::vector<PendingCallPtr> taken;
-  for (auto& [address, entry] : this->addresses) {
-    for (Calls* calls : {&entry.urgent, &entry.usual}) {
-      while (!calls->empty()) taken.push_back(this->TakeFirst(calls));
+void CallQueue::CancelWaiting() {
+  const std::lock_guard lock(this->mutex);
+  for (AddressCalls* entry : this->waited_for) {
+    for (Waiting* calls : {&entry->urgent, &entry->usual}) {
+      while (!calls->empty()) this->MoveFirstToUnsent(calls);
     }
   }
-  return taken;
+  this->waited_for.clear();
 }
 
-void CallQueue::NoteEnded(const PendingCall& call) {
-  const auto found = this->addresses.find(call.exchange.address);
-  if (found == this->addresses.end()) return;
-  Address& entry = found->second;
-  if (call.exchange.lane == Lane::kReserved) {
-    --entry.reserved;
-  } else {
-    entry.admitted.erase(entry.admitted.find(call.admitted));
-  }
-  --this->in_use;
-  const bool unused = entry.urgent.empty() && entry.usual.empty() &&
-                      entry.admitted.empty() && entry.reserved == 0;
-  if (unused) this->addresses.erase(found);
+void CallQueue::RemoveUnused() {
+  const std::lock_guard lock(this->mutex);
+  std::erase_if(this->waited_for,
+                [](const AddressCalls* entry) { return !entry->HasWaiting(); });
+  std::erase_if(this->addresses, [](const auto& item) {
+    return !item.second.HasWaiting() && item.second.InUse() == 0;
+  });
 }
 
-std::size_t CallQueue::MaxIdle(const std::string& address) const {
-  const auto found = this->addresses.find(address);
-  if (found == this->addresses.end()) return this->share;
-  const std::size_t used =
-      found->second.admitted.size() + found->second.reserved;
-  return used < this->share ? this->share - used : 0;
+CallQueue::Counts CallQueue::GetCounts() const {
+  const std::lock_guard lock(this->mutex);
+  return {.in_use = this->in_use,
+          .waiting = this->pending,
+          .waited = this->waited,
+          .not_sent = this->not_sent};
 }
 
 }  // namespace mustardproxy::http
--- a/packages/http/src/connection_pool.cc
+++ b/packages/http/src/connection_pool.cc
@@ -55,7 +55,8 @@
                          std::size_t most) {
   if (!connection || !connection->Reusable()) return;
   Connections dropped;
-  const Instant now = SteadyNow();
+  // A connection that may be used again has just been used.
+  const Instant now = connection->LastUsed();
   const std::lock_guard lock(this->mutex);
   Entry& entry = this->entries[connection->Address()];
   const bool retired = connection->OpenedAt() <
--- a/packages/http/src/pending_call.h
+++ b/packages/http/src/pending_call.h
@@ -9,6 +9,8 @@
 
 namespace mustardproxy::http {
 
+struct AddressCalls;
+
 /// One call that waits for a connection or is under way. Owned by whoever took
 /// it out of the table.
 struct PendingCall {
@@ -18,6 +20,8 @@
   bool connecting = false;
   /// It is the first call on its connection.
   bool first = false;
+  /// Calls to the same address, unless it is unlimited.
+  AddressCalls* address_calls = nullptr;
   /// Without the wait for a connection until it is admitted.
   Instant due;
   /// When it was made, and from then on when it was allowed to be sent.
--- a/packages/http/tests/async_client_test.cc
+++ b/packages/http/tests/async_client_test.cc
@@ -7,10 +7,13 @@
 #include <boost/test/unit_test.hpp>
 #include <chrono>
 #include <condition_variable>
+#include <future>
 #include <memory>
 #include <mutex>
 #include <optional>
 #include <string>
+#include <thread>
+#include <vector>
 
 namespace mustardproxy::http {
 namespace {
@@ -80,8 +83,31 @@
     socket->sendBytes(text.data(), static_cast<int>(text.size()));
   }
 
+  /// Stops the client's thread, as if the process were frozen, until `thaw` is
+  /// set.
+  void Freeze() {
+    Exchange exchange = this->MakeCall(std::chrono::seconds(20));
+    exchange.address = this->other.address().toString();
+    auto frozen = std::make_shared<std::promise<void>>();
+    this->client.Call(std::move(exchange),
+                      [frozen, thawed = this->thaw.get_future().share()](
+                          const ExchangeResult& /*result*/) {
+                        frozen->set_value();
+                        thawed.wait();
+                      });
+    BOOST_REQUIRE(this->other.poll(kLimit, Poco::Net::Socket::SELECT_READ));
+    StreamSocket socket = this->other.acceptConnection();
+    socket.setReceiveTimeout(kLimit);
+    ReadRequest(&socket);
+    Reply(&socket, "x");
+    frozen->get_future().wait();
+  }
+
   ServerSocket server{SocketAddress("127.0.0.1", 0)};
+  ServerSocket other{SocketAddress("127.0.0.1", 0)};
   AsyncClient client;
+  /// Ends before the client, which waits for its thread.
+  std::promise<void> thaw;
 };
 
 }  // namespace
@@ -222,6 +248,48 @@
   BOOST_TEST(client.Counts().idle == 0U);
 }
 
+// Guards against a process that is frozen while a connection opens, and sends
+// the request once it runs again, after its time is up.
+BOOST_AUTO_TEST_CASE(a_call_that_is_due_once_its_connection_opens_is_not_sent) {
+  Freeze();
+  Outcome outcome;
+  client.Call(MakeCall(std::chrono::milliseconds(50)), outcome.Setter());
+  StreamSocket socket = Accept();
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  thaw.set_value();
+  BOOST_TEST((outcome.Await().end == ExchangeEnd::kNotSent));
+  std::array<char, 1> byte{};
+  BOOST_TEST(socket.receiveBytes(byte.data(), 1) == 0);
+}
+
+// Guards against a process that is frozen while calls wait for a connection,
+// and sends them once it runs again, after their wait is over.
+BOOST_AUTO_TEST_CASE(a_call_that_waited_too_long_while_frozen_is_not_sent) {
+  constexpr std::size_t kCalls = 4;
+  client.SetShare(2);
+  Freeze();
+  std::array<Outcome, kCalls> outcomes;
+  for (Outcome& outcome : outcomes) {
+    Exchange exchange = MakeCall(std::chrono::seconds(20));
+    exchange.lane = Lane::kUsual;
+    client.Call(std::move(exchange), outcome.Setter());
+  }
+  const auto waited = static_cast<std::size_t>(client.Counts().waited);
+  BOOST_REQUIRE(waited > 0U);
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  thaw.set_value();
+  for (std::size_t i = kCalls - waited; i < kCalls; ++i) {
+    BOOST_TEST((outcomes.at(i).Await().end == ExchangeEnd::kNotAdmitted));
+  }
+  BOOST_TEST(static_cast<std::size_t>(client.Counts().not_sent) == waited);
+  for (std::size_t i = 0; i < kCalls - waited; ++i) {
+    StreamSocket socket = Accept();
+    ReadRequest(&socket);
+    Reply(&socket, "x");
+    BOOST_TEST(outcomes.at(i).Await().status == 200);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace mustardproxy::http
